--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,54 @@
+import eslint from "@eslint/js";
+import * as config from "eslint/config";
+import * as tseslint from "typescript-eslint";
+
+export default config.defineConfig(
+  { ignores: ["dist/", "node_modules/", "bench-out/"] },
+  eslint.configs.recommended,
+  ...tseslint.configs.strictTypeChecked,
+  ...tseslint.configs.stylisticTypeChecked,
+  {
+    languageOptions: {
+      parserOptions: {
+        projectService: { allowDefaultProject: ["eslint.config.js"] },
+        tsconfigRootDir: import.meta.dirname,
+      },
+    },
+    rules: {
+      "@typescript-eslint/restrict-template-expressions": ["error", { allowNumber: true }],
+      "@typescript-eslint/prefer-readonly": "error",
+      "no-restricted-syntax": [
+        "error",
+        { selector: "TSEnumDeclaration", message: "Use a constant object in place of an enum." },
+        {
+          selector: "ImportDeclaration > ImportSpecifier",
+          message: "Use a namespace import: import * as Name from ...",
+        },
+        {
+          selector: "ImportDeclaration > ImportDefaultSpecifier",
+          message: "Use a namespace import: import * as Name from ...",
+        },
+        {
+          selector:
+            "PropertyDefinition[accessibility='private'], MethodDefinition[accessibility='private']",
+          message: "Use a #private name.",
+        },
+      ],
+    },
+  },
+  { files: ["eslint.config.js"], rules: { "no-restricted-syntax": "off" } },
+  {
+    files: ["test/**/*.ts"],
+    // node:test's describe and it return promises that the runner itself awaits.
+    rules: {
+      "@typescript-eslint/no-floating-promises": [
+        "error",
+        {
+          allowForKnownSafeCalls: [
+            { from: "package", package: "node:test", name: ["describe", "suite", "it", "test"] },
+          ],
+        },
+      ],
+    },
+  },
+);
--- /dev/null
+++ b/src/kernel/clock.ts
@@ -0,0 +1,88 @@
+/** Time as a service, so that tests replace it by a fake clock. All durations are milliseconds. */
+import * as perfHooks from "node:perf_hooks";
+
+/** A source of time and timers. */
+export interface Clock {
+  /** Returns monotonic milliseconds since an arbitrary start; unaffected by changes of the wall clock. */
+  now(): number;
+  /** Returns wall-clock milliseconds since the Unix epoch. */
+  wallTime(): number;
+  /**
+   * Calls `callback` once after `delayMs`.
+   *
+   * @returns a function that cancels the call; safe to call more than once.
+   */
+  schedule(delayMs: number, callback: () => void): () => void;
+}
+
+/**
+ * Creates the clock of the running process.
+ *
+ * @example const clock = createSystemClock(); clock.now();
+ */
+export function createSystemClock(): Clock {
+  return {
+    now: () => perfHooks.performance.now(),
+    wallTime: () => Date.now(),
+    schedule: (delayMs, callback) => {
+      const timer = setTimeout(callback, delayMs);
+      return () => {
+        clearTimeout(timer);
+      };
+    },
+  };
+}
+
+/**
+ * Waits for `delayMs`.
+ *
+ * @throws the signal's reason when `signal` aborts first.
+ * @example await sleep(clock, 200, signal);
+ */
+export function sleep(clock: Clock, delayMs: number, signal?: AbortSignal): Promise<void> {
+  return new Promise((resolve, reject) => {
+    if (signal?.aborted) {
+      reject(signal.reason as Error);
+      return;
+    }
+    const onAbort = (): void => {
+      cancel();
+      reject(signal?.reason as Error);
+    };
+    const cancel = clock.schedule(delayMs, () => {
+      signal?.removeEventListener("abort", onAbort);
+      resolve();
+    });
+    signal?.addEventListener("abort", onAbort, { once: true });
+  });
+}
+
+/** An abort signal with a time limit, released when its scope ends. */
+export interface TimeLimit extends Disposable {
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Creates a signal that aborts after `limitMs` with a `TimeoutError`, or together with `parent`.
+ *
+ * @returns the limit; dispose of it to stop the timer.
+ * @example using limit = createTimeLimit(clock, 500, signal); await send(limit.signal);
+ */
+export function createTimeLimit(clock: Clock, limitMs: number, parent?: AbortSignal): TimeLimit {
+  const controller = new AbortController();
+  const onParentAbort = (): void => {
+    controller.abort(parent?.reason);
+  };
+  const cancel = clock.schedule(Math.max(0, limitMs), () => {
+    controller.abort(new DOMException(`no result within ${limitMs} ms`, "TimeoutError"));
+  });
+  if (parent?.aborted) onParentAbort();
+  parent?.addEventListener("abort", onParentAbort, { once: true });
+  return {
+    signal: controller.signal,
+    [Symbol.dispose]: () => {
+      cancel();
+      parent?.removeEventListener("abort", onParentAbort);
+    },
+  };
+}
--- /dev/null
+++ b/src/kernel/random.ts
@@ -0,0 +1,29 @@
+/** Random numbers as a service, so that tests draw from a fixed seed. */
+import * as crypto from "node:crypto";
+import * as xoroshiro from "pure-rand/generator/xoroshiro128plus";
+
+/** A source of random numbers. */
+export interface RandomSource {
+  /** Returns a number in [0, 1). */
+  nextFloat(): number;
+  /** Returns a whole number in [0, bound). */
+  nextInteger(bound: number): number;
+}
+
+const UINT32_RANGE = 2 ** 32;
+
+/**
+ * Creates a source that yields the same draws for the same seed.
+ *
+ * @example createSeededRandom(7).nextInteger(10);
+ */
+export function createSeededRandom(seed: number): RandomSource {
+  const generator = xoroshiro.xoroshiro128plus(seed);
+  const nextFloat = (): number => (generator.next() >>> 0) / UINT32_RANGE;
+  return { nextFloat, nextInteger: (bound) => Math.floor(nextFloat() * bound) };
+}
+
+/** Creates a source whose seed comes from the operating system. */
+export function createSystemRandom(): RandomSource {
+  return createSeededRandom(crypto.randomInt(UINT32_RANGE));
+}
--- /dev/null
+++ b/src/protocol/result-codes.ts
@@ -0,0 +1,70 @@
+/** Numbered results of requests. Numbers never change meaning; `docs/RESULT-CODES.md` lists them. */
+
+/** Whether a request ran, from what the fleet can prove. */
+export const RAN = { no: "no", yes: "yes", unknown: "unknown" } as const;
+
+/** One of the values of `RAN`. */
+export type Ran = (typeof RAN)[keyof typeof RAN];
+
+/** One result code. */
+export interface ResultCode {
+  readonly number: number;
+  readonly status: number;
+  readonly message: string;
+}
+
+/** Codes by name: 1xxx the caller's fault, 2xxx refused for capacity, 3xxx failed, 4xxx outcome. */
+export const RESULT_CODES = {
+  malformedRequest: { number: 1001, status: 400, message: "malformed request" },
+  unknownCaller: { number: 1002, status: 401, message: "unknown caller" },
+  unknownModel: { number: 1003, status: 404, message: "unknown model" },
+  unknownService: { number: 1004, status: 404, message: "unknown service" },
+  bodyTooLarge: { number: 1005, status: 413, message: "body too large" },
+  sessionRequired: { number: 1006, status: 428, message: "session required" },
+  sessionInvalid: { number: 1007, status: 400, message: "session not valid" },
+  sessionExpired: { number: 1008, status: 410, message: "request id expired" },
+  notAllowed: { number: 1009, status: 403, message: "caller may not call this" },
+  quarantined: { number: 1010, status: 422, message: "request crashed several upstreams" },
+  headerOutOfRange: { number: 1011, status: 400, message: "header out of range" },
+  promptTooLong: { number: 1012, status: 400, message: "prompt does not fit into engine memory" },
+  overloaded: { number: 2001, status: 503, message: "no capacity within the latency targets" },
+  shareExceeded: { number: 2002, status: 429, message: "caller is above its share" },
+  leaving: { number: 2003, status: 503, message: "node is leaving" },
+  notReady: { number: 2004, status: 503, message: "no configuration yet" },
+  recordsFull: { number: 2005, status: 503, message: "request records are full" },
+  deadlineExceeded: { number: 3001, status: 504, message: "deadline exceeded" },
+  upstreamUnavailable: { number: 3002, status: 502, message: "no upstream available" },
+  upstreamFailed: { number: 3003, status: 502, message: "upstream failed" },
+  internalError: { number: 3004, status: 500, message: "internal error" },
+  callerGone: { number: 3005, status: 499, message: "caller closed the request" },
+  backupUnreachable: { number: 4001, status: 503, message: "backup unreachable" },
+  refusedByRecord: { number: 4002, status: 503, message: "request was given up before it ran" },
+  outcomeUnknown: { number: 4003, status: 504, message: "outcome unknown" },
+} as const satisfies Record<string, ResultCode>;
+
+/** A final answer other than success. */
+export class RequestError extends Error {
+  override readonly name = "RequestError";
+  readonly code: ResultCode;
+  readonly ran: Ran;
+  /** When to come back, in milliseconds. */
+  readonly retryAfterMs: number | undefined;
+  /** A fresh session for the retry. */
+  readonly session: string | undefined;
+
+  constructor(
+    code: ResultCode,
+    ran: Ran,
+    options: ErrorOptions & {
+      readonly detail?: string;
+      readonly retryAfterMs?: number;
+      readonly session?: string;
+    } = {},
+  ) {
+    super(options.detail ?? code.message, options);
+    this.code = code;
+    this.ran = ran;
+    this.retryAfterMs = options.retryAfterMs;
+    this.session = options.session;
+  }
+}
--- /dev/null
+++ b/src/settings/document.ts
@@ -0,0 +1,159 @@
+/** The one validated document that says what the fleet does. Shared by node, console and command line. */
+import * as zod from "zod";
+
+const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/;
+const MAX_ITEMS = 10_000;
+
+const name = zod.string().regex(NAME_PATTERN, "lower-case letters, digits, '.', '_' and '-'");
+const port = zod.int().min(1).max(65_535);
+const milliseconds = zod.int().min(1).max(3_600_000);
+
+/** What a caller's requests tolerate. */
+const tolerance = zod.strictObject({
+  firstTokenMs: milliseconds,
+  betweenTokensMs: milliseconds,
+  deadlineMs: milliseconds,
+});
+
+const caller = zod.strictObject({
+  name,
+  displayName: zod.string().min(1).max(200),
+  /** SHA-256 of the caller's credential, in hex. */
+  credentialSha256: zod.string().regex(/^[0-9a-f]{64}$/, "64 hexadecimal digits"),
+  /** 0 is most urgent. */
+  priority: zod.int().min(0).max(9),
+  /** Weight in fair sharing. */
+  share: zod.number().positive().max(1000),
+  models: zod.array(name).max(MAX_ITEMS),
+  services: zod.array(name).max(MAX_ITEMS),
+  tolerance,
+});
+
+const model = zod.strictObject({
+  name,
+  version: zod.string().min(1).max(100),
+  adapters: zod.array(name).max(1000),
+  /** Weights to load, in bytes. */
+  weightBytes: zod.int().positive(),
+  /** Tokens of KV cache in one piece of engine memory. */
+  tokensPerPiece: zod.int().positive().max(65_536),
+  /** KV cache of one token, in bytes. */
+  kvBytesPerToken: zod.int().positive(),
+  maxOutputTokens: zod.int().positive().max(1_000_000),
+});
+
+const pool = zod.strictObject({
+  name,
+  role: zod.enum(["prefill", "decode"]),
+  model: name,
+});
+
+const runner = zod.strictObject({
+  name,
+  host: zod.ipv4(),
+  port,
+  zone: name,
+  pool: name,
+  /** Requests it holds at once. */
+  slots: zod.int().min(1).max(10_000),
+  /** Pieces of engine memory. */
+  pieces: zod.int().min(1).max(100_000_000),
+  /** Prompt tokens a second (prefill) at full rate. */
+  prefillTokensPerSecond: zod.number().positive(),
+  /** Time of one decode step with full slots. */
+  stepMs: zod.number().positive(),
+  /** Whether it refuses orders with an old fencing number. */
+  checksFencing: zod.boolean(),
+});
+
+const operation = zod.strictObject({
+  method: zod.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]),
+  /** Path below the service; `*` matches one segment, a last `**` the rest. */
+  path: zod.string().startsWith("/").max(500),
+  idempotent: zod.boolean(),
+  deadlineMs: milliseconds,
+});
+
+const backend = zod.strictObject({ name, host: zod.ipv4(), port, zone: name });
+
+const plainService = zod.strictObject({
+  name,
+  displayName: zod.string().min(1).max(200),
+  backends: zod.array(backend).min(1).max(MAX_ITEMS),
+  operations: zod.array(operation).min(1).max(1000),
+});
+
+const link = zod.strictObject({
+  from: name,
+  to: name,
+  bytesPerSecond: zod.number().positive(),
+});
+
+const region = zod.strictObject({ name, zones: zod.array(name).min(1).max(100) });
+
+/** Schema of the document, without the cross-references. */
+export const documentSchema = zod.strictObject({
+  format: zod.literal(1),
+  /** Rises with each published document. */
+  revision: zod.int().min(1),
+  operator: zod.string().min(1).max(200),
+  regions: zod.array(region).min(1).max(100),
+  callers: zod.array(caller).max(MAX_ITEMS),
+  models: zod.array(model).max(1000),
+  pools: zod.array(pool).max(1000),
+  runners: zod.array(runner).max(MAX_ITEMS),
+  services: zod.array(plainService).max(1000),
+  /** Transfer links between zones; `from` and `to` may be one zone. */
+  links: zod.array(link).max(MAX_ITEMS),
+  weightStore: zod.strictObject({ bytesPerSecond: zod.number().positive() }),
+});
+
+/** A valid document. */
+export type FleetDocument = zod.infer<typeof documentSchema>;
+/** A calling team or service. */
+export type Caller = zod.infer<typeof caller>;
+/** A model. */
+export type Model = zod.infer<typeof model>;
+/** A pool of runners of one role and model. */
+export type Pool = zod.infer<typeof pool>;
+/** A model runner. */
+export type Runner = zod.infer<typeof runner>;
+/** A plain service. */
+export type PlainService = zod.infer<typeof plainService>;
+/** An operation of a plain service. */
+export type Operation = zod.infer<typeof operation>;
+
+/** One fault of a document. */
+export interface DocumentFault {
+  /** Path such as `runners[2].zone`. */
+  readonly path: string;
+  readonly reason: string;
+}
+
+/** Outcome of a validation. */
+export type Validation =
+  | { readonly ok: true; readonly document: FleetDocument }
+  | { readonly ok: false; readonly faults: readonly DocumentFault[] };
+
+/**
+ * Validates a document and lists every fault with its path.
+ *
+ * @example const result = validateDocument(JSON.parse(text)); if (!result.ok) print(result.faults);
+ */
+export function validateDocument(input: unknown): Validation {
+  const parsed = documentSchema.safeParse(input);
+  if (parsed.success) return { ok: true, document: parsed.data };
+  const faults = parsed.error.issues.map((issue) => ({
+    path: formatPath(issue.path),
+    reason: issue.message,
+  }));
+  return { ok: false, faults };
+}
+
+function formatPath(path: readonly PropertyKey[]): string {
+  let text = "";
+  for (const key of path) {
+    text += typeof key === "number" ? `[${key}]` : `${text === "" ? "" : "."}${String(key)}`;
+  }
+  return text;
+}
--- /dev/null
+++ b/src/telemetry/log-events.ts
@@ -0,0 +1,31 @@
+/** Catalogue of log events. Numbers never change meaning; `docs/LOG-EVENTS.md` lists them. */
+
+/** One kind of log entry. */
+export interface LogEvent {
+  readonly number: number;
+  readonly level: "error" | "warn" | "info" | "debug";
+  readonly message: string;
+}
+
+/** Events by name: 1xxx process, 2xxx membership, 3xxx configuration, 4xxx requests, 5xxx capacity, 6xxx upstreams. */
+export const LOG_EVENTS = {
+  nodeStarted: { number: 1001, level: "info", message: "node started" },
+  nodeLeaving: { number: 1002, level: "info", message: "node is leaving" },
+  nodeStopped: { number: 1003, level: "info", message: "node stopped" },
+  unexpectedError: { number: 1004, level: "error", message: "unexpected error" },
+  memberChanged: { number: 2001, level: "info", message: "member changed state" },
+  peerRejected: { number: 2002, level: "warn", message: "peer connection rejected" },
+  configurationApplied: { number: 3001, level: "info", message: "configuration is in force" },
+  configurationRefused: { number: 3002, level: "error", message: "configuration refused" },
+  configurationConflict: { number: 3003, level: "error", message: "two documents of one revision" },
+  platformUnavailable: { number: 3004, level: "warn", message: "platform unavailable" },
+  requestRefused: { number: 4001, level: "info", message: "request refused" },
+  requestFinished: { number: 4002, level: "debug", message: "request finished" },
+  requestRetried: { number: 4003, level: "info", message: "request runs again" },
+  requestCancelled: { number: 4004, level: "info", message: "request cancelled" },
+  fingerprintQuarantined: { number: 4005, level: "warn", message: "fingerprint quarantined" },
+  allocatorChanged: { number: 5001, level: "info", message: "allocator of runner changed" },
+  orphanCancelled: { number: 5002, level: "warn", message: "cancelled work that no one claims" },
+  runnerUnavailable: { number: 6001, level: "warn", message: "runner unavailable" },
+  orderSent: { number: 6002, level: "info", message: "order sent to runner" },
+} as const satisfies Record<string, LogEvent>;
