--- a/src/kernel/container.ts
+++ b/src/kernel/container.ts
@@ -37,7 +37,7 @@
   ): void {
     const useFactory = tsyringe.instanceCachingFactory(() => {
       const service = factory(this);
-      this.#created.push(service);
+      this.#created.push(service as MaybeDisposable);
       return service;
     });
     this.#container.register(name, { useFactory });
