Add the caller front, model calls, and the wiring of a node

Model requests: a run has one reader at a time and a newer attempt replaces the older one; claims at the owner or its backup decide who runs a request; a broken run goes on elsewhere from its offset.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,6 +17,11 @@
     rules: {
       "@typescript-eslint/restrict-template-expressions": ["error", { allowNumber: true }],
       "@typescript-eslint/prefer-readonly": "error",
+      // A name that begins with "_" holds a resource until its scope ends.
+      "@typescript-eslint/no-unused-vars": [
+        "error",
+        { varsIgnorePattern: "^_", argsIgnorePattern: "^_" },
+      ],
       "no-restricted-syntax": [
         "error",
         { selector: "TSEnumDeclaration", message: "Use a constant object in place of an enum." },
--- /dev/null
+++ b/src/caller/admission.ts
@@ -0,0 +1,41 @@
+/** Checks that come before every call: configuration, caller, and whether the node takes new work. */
+import type * as kernels from "../kernel/container.js";
+import type * as configuration from "../platform/types.js";
+import * as codes from "../protocol/result-codes.js";
+import type * as document from "../settings/document.js";
+import * as membership from "../membership/types.js";
+import * as requestHeaders from "./request-headers.js";
+
+const NOT_READY_RETRY_MS = 1_000;
+const LEAVING_RETRY_MS = 100;
+
+/** A request whose caller is known. */
+export interface Admitted {
+  readonly inForce: configuration.InForce;
+  readonly caller: document.Caller;
+}
+
+/**
+ * Returns the caller of a request.
+ *
+ * @throws RequestError `notReady` or `unknownCaller`
+ */
+export function checkCaller(kernel: kernels.Kernel, headers: requestHeaders.Headers): Admitted {
+  const configuration = kernel.use("configuration");
+  const inForce = configuration.current;
+  if (inForce === undefined || !configuration.ready) {
+    throw new codes.RequestError(codes.RESULT_CODES.notReady, codes.RAN.no, {
+      retryAfterMs: NOT_READY_RETRY_MS,
+    });
+  }
+  return { inForce, caller: requestHeaders.findCallerByHeaders(inForce, headers) };
+}
+
+/** Refuses new work at a node that leaves. @throws RequestError `leaving` with a fresh session */
+export function checkTakesWork(kernel: kernels.Kernel, caller: document.Caller): void {
+  if (kernel.use("membership").self.state !== membership.MEMBER_STATE.leaving) return;
+  throw new codes.RequestError(codes.RESULT_CODES.leaving, codes.RAN.no, {
+    retryAfterMs: LEAVING_RETRY_MS,
+    session: kernel.use("sessions").create(caller.name),
+  });
+}
--- /dev/null
+++ b/src/caller/front.ts
@@ -0,0 +1,107 @@
+/** The HTTP front towards callers. */
+import * as hapi from "@hapi/hapi";
+import type * as kernels from "../kernel/container.js";
+import * as codes from "../protocol/result-codes.js";
+import * as events from "../telemetry/log-events.js";
+import * as healthRoutes from "./health-routes.js";
+import * as modelRoutes from "./model-routes.js";
+import * as plainRoutes from "./plain-routes.js";
+import * as refusals from "./refusals.js";
+import * as sessionRoutes from "./session-routes.js";
+
+const SOCKET_TIMEOUT_MS = 3_600_000;
+const HEADERS_TIMEOUT_MS = 10_000;
+const STOP_TIMEOUT_MS = 2_000;
+
+/** The front's server. */
+export interface Front extends AsyncDisposable {
+  /** Port that it listens on, which the settings may leave to the system. */
+  readonly port: number;
+  /** Requests whose answer is not yet written to its end. */
+  readonly active: number;
+}
+
+/**
+ * Starts to serve callers.
+ *
+ * @param extraRoutes - routes of other parts, such as the administration API.
+ * @example await using front = await startFront(kernel, []);
+ */
+export async function startFront(
+  kernel: kernels.Kernel,
+  extraRoutes: readonly hapi.ServerRoute[],
+): Promise<Front> {
+  const settings = kernel.use("settings");
+  const server = hapi.server({
+    host: settings.host,
+    port: settings.callerPort,
+    compression: false,
+    routes: { timeout: { server: false, socket: SOCKET_TIMEOUT_MS } },
+  });
+  server.listener.headersTimeout = HEADERS_TIMEOUT_MS;
+  server.ext("onPreResponse", (request, toolkit) => handleFailure(kernel, request, toolkit));
+  server.route([
+    ...sessionRoutes.createSessionRoutes(kernel),
+    ...modelRoutes.createModelRoutes(kernel),
+    ...plainRoutes.createPlainRoutes(kernel),
+    ...healthRoutes.createHealthRoutes(kernel),
+    ...extraRoutes,
+  ]);
+  let active = 0;
+  server.ext("onRequest", (request, toolkit) => {
+    active += 1;
+    request.raw.res.once("close", () => {
+      active -= 1;
+    });
+    return toolkit.continue;
+  });
+  await server.start();
+  return {
+    port: Number(server.info.port),
+    get active() {
+      return active;
+    },
+    [Symbol.asyncDispose]: async () => {
+      await server.stop({ timeout: STOP_TIMEOUT_MS });
+    },
+  };
+}
+
+const CODES_BY_STATUS: Readonly<Record<number, codes.ResultCode>> = {
+  400: codes.RESULT_CODES.malformedRequest,
+  404: codes.RESULT_CODES.unknownService,
+  413: codes.RESULT_CODES.bodyTooLarge,
+  415: codes.RESULT_CODES.malformedRequest,
+};
+
+/** Turns every failure into a numbered refusal. */
+function handleFailure(
+  kernel: kernels.Kernel,
+  request: hapi.Request,
+  toolkit: hapi.ResponseToolkit,
+): hapi.Lifecycle.ReturnValue {
+  const response = request.response;
+  if (!("isBoom" in response)) return toolkit.continue;
+  const error = createError(response);
+  const body = refusals.formatRefusal(error);
+  kernel.use("metrics").count("refusals", { code: String(error.code.number) });
+  kernel.use("log").write(events.LOG_EVENTS.requestRefused, {
+    code: error.code.number,
+    ran: error.ran,
+    path: request.path,
+    reason: error.cause instanceof Error ? error.cause.message : error.message,
+  });
+  const answer = toolkit.response(body).code(error.code.status);
+  if (error.retryAfterMs !== undefined) {
+    answer.header("retry-after", refusals.formatRetryAfter(error.retryAfterMs));
+  }
+  return answer;
+}
+
+/** hapi's own refusals come before any handler, so nothing ran. */
+function createError(response: Error & { output: { statusCode: number } }): codes.RequestError {
+  if (response instanceof codes.RequestError) return response;
+  const code = CODES_BY_STATUS[response.output.statusCode];
+  if (code === undefined) return refusals.createRequestError(response);
+  return new codes.RequestError(code, codes.RAN.no, { cause: response });
+}
--- /dev/null
+++ b/src/caller/model-measures.ts
@@ -0,0 +1,54 @@
+/** Measures whether an answer met its latency targets. */
+import type * as kernels from "../kernel/container.js";
+import type * as types from "./types.js";
+
+/** Share of the gaps between tokens that must meet the target. */
+const GAP_QUANTILE = 0.95;
+
+/** Observes one answer: first token, gaps, and goodput. */
+export class ModelMeasures {
+  readonly #kernel: kernels.Kernel;
+  readonly #call: types.ModelCall;
+  readonly #startedAt: number;
+  #lastTokenAt: number | undefined;
+  #firstTokenMs = Number.POSITIVE_INFINITY;
+  #gaps = 0;
+  #lateGaps = 0;
+
+  constructor(kernel: kernels.Kernel, call: types.ModelCall) {
+    this.#kernel = kernel;
+    this.#call = call;
+    this.#startedAt = kernel.use("clock").now();
+  }
+
+  /** Passes an answer on and records its latencies. */
+  async *measure(answer: AsyncIterable<types.ModelEvent>): AsyncGenerator<types.ModelEvent> {
+    for await (const event of answer) {
+      if (event.type === "token") this.#recordToken();
+      else this.#recordEnd();
+      yield event;
+    }
+  }
+
+  #recordToken(): void {
+    const now = this.#kernel.use("clock").now();
+    const metrics = this.#kernel.use("metrics");
+    if (this.#lastTokenAt === undefined) {
+      this.#firstTokenMs = now - this.#startedAt;
+      metrics.recordDuration("first_token", this.#firstTokenMs);
+    } else {
+      const gap = now - this.#lastTokenAt;
+      this.#gaps += 1;
+      if (gap > this.#call.betweenTokensMs) this.#lateGaps += 1;
+      metrics.recordDuration("between_tokens", gap);
+    }
+    this.#lastTokenAt = now;
+  }
+
+  #recordEnd(): void {
+    const onTime =
+      this.#firstTokenMs <= this.#call.firstTokenMs &&
+      this.#lateGaps <= this.#gaps * (1 - GAP_QUANTILE);
+    this.#kernel.use("metrics").count("answers", { targets: onTime ? "met" : "missed" });
+  }
+}
--- /dev/null
+++ b/src/caller/model-routes.ts
@@ -0,0 +1,167 @@
+/** `POST /v1/completions` and `POST /v1/chat/completions`. */
+import * as crypto from "node:crypto";
+import * as nodeStream from "node:stream";
+import type * as hapi from "@hapi/hapi";
+import type * as kernels from "../kernel/container.js";
+import * as codes from "../protocol/result-codes.js";
+import type * as document from "../settings/document.js";
+import * as admission from "./admission.js";
+import * as callerSignal from "./caller-signal.js";
+import * as modelMeasures from "./model-measures.js";
+import * as openai from "./openai.js";
+import * as refusals from "./refusals.js";
+import * as requestHeaders from "./request-headers.js";
+import * as sseWriter from "./sse-writer.js";
+import * as traceContext from "./trace-context.js";
+import type * as types from "./types.js";
+
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+interface Prepared {
+  readonly endpoint: openai.Endpoint;
+  readonly query: openai.ModelQuery;
+  readonly head: openai.AnswerHead;
+  readonly call: types.ModelCall;
+}
+
+/** Creates the routes of model requests. */
+export function createModelRoutes(kernel: kernels.Kernel): hapi.ServerRoute[] {
+  const paths: Record<openai.Endpoint, string> = {
+    completions: "/v1/completions",
+    chat: "/v1/chat/completions",
+  };
+  return Object.values(openai.ENDPOINT).map((endpoint) => ({
+    method: "POST",
+    path: paths[endpoint],
+    options: { payload: { maxBytes: MAX_BODY_BYTES, allow: "application/json" } },
+    handler: (request, toolkit) =>
+      traceContext.runInRequestSpan(kernel, request, "model-request", () =>
+        handleModelRequest(kernel, endpoint, request, toolkit),
+      ),
+  }));
+}
+
+async function handleModelRequest(
+  kernel: kernels.Kernel,
+  endpoint: openai.Endpoint,
+  request: hapi.Request,
+  toolkit: hapi.ResponseToolkit,
+): Promise<hapi.Lifecycle.ReturnValue> {
+  const prepared = prepareCall(kernel, endpoint, request);
+  const signal = callerSignal.createCallerSignal(request);
+  const measures = new modelMeasures.ModelMeasures(kernel, prepared.call);
+  const answer = measures.measure(kernel.use("modelCalls").run(prepared.call, signal));
+  if (!prepared.query.stream) return collectAnswer(prepared, answer);
+  return startStream(kernel, prepared, answer, signal, toolkit);
+}
+
+function prepareCall(
+  kernel: kernels.Kernel,
+  endpoint: openai.Endpoint,
+  request: hapi.Request,
+): Prepared {
+  const { inForce, caller } = admission.checkCaller(kernel, request.headers);
+  const query = openai.parseModelQuery(endpoint, request.payload);
+  const model = findModel(inForce.document, caller, query);
+  const id = requestHeaders.parseRequestId(request.headers, kernel.use("sessions"), caller);
+  const attempt = requestHeaders.parseAttempt(request.headers);
+  admission.checkTakesWork(kernel, caller);
+  const call: types.ModelCall = {
+    caller,
+    model,
+    adapter: query.adapter,
+    id,
+    attempt,
+    prompt: query.prompt,
+    maxTokens: Math.min(query.maxTokens, model.maxOutputTokens),
+    ...caller.tolerance,
+  };
+  const created = Math.floor(kernel.use("clock").wallTime() / 1000);
+  const head = { id: `cmpl-${crypto.randomUUID()}`, model: query.model, created };
+  return { endpoint, query, head, call };
+}
+
+function findModel(
+  fleet: document.FleetDocument,
+  caller: document.Caller,
+  query: openai.ModelQuery,
+): document.Model {
+  const model = fleet.models.find((candidate) => candidate.name === query.model);
+  if (model === undefined) {
+    throw new codes.RequestError(codes.RESULT_CODES.unknownModel, codes.RAN.no);
+  }
+  if (query.adapter !== undefined && !model.adapters.includes(query.adapter)) {
+    throw new codes.RequestError(codes.RESULT_CODES.unknownModel, codes.RAN.no, {
+      detail: "unknown adapter",
+    });
+  }
+  if (!caller.models.includes(model.name)) {
+    throw new codes.RequestError(codes.RESULT_CODES.notAllowed, codes.RAN.no);
+  }
+  return model;
+}
+
+async function collectAnswer(
+  prepared: Prepared,
+  answer: AsyncIterable<types.ModelEvent>,
+): Promise<object> {
+  const texts: string[] = [];
+  for await (const event of answer) {
+    if (event.type === "token") texts.push(event.text);
+    else return openai.formatAnswer(prepared.endpoint, prepared.head, texts.join(""), event);
+  }
+  throw new codes.RequestError(codes.RESULT_CODES.internalError, codes.RAN.unknown);
+}
+
+/** Waits for the first event, so that a refusal still gets its own status, then streams. */
+async function startStream(
+  kernel: kernels.Kernel,
+  prepared: Prepared,
+  answer: AsyncIterable<types.ModelEvent>,
+  signal: AbortSignal,
+  toolkit: hapi.ResponseToolkit,
+): Promise<hapi.ResponseObject> {
+  const iterator = answer[Symbol.asyncIterator]();
+  const first = await iterator.next();
+  const output = new nodeStream.PassThrough();
+  void writeStream(kernel, prepared, { first, iterator }, output, signal);
+  return toolkit.response(output).type("text/event-stream").header("cache-control", "no-store");
+}
+
+interface StartedAnswer {
+  readonly first: IteratorResult<types.ModelEvent>;
+  readonly iterator: AsyncIterator<types.ModelEvent>;
+}
+
+async function writeStream(
+  kernel: kernels.Kernel,
+  prepared: Prepared,
+  started: StartedAnswer,
+  output: nodeStream.PassThrough,
+  signal: AbortSignal,
+): Promise<void> {
+  const writer = new sseWriter.SseWriter(output, kernel.use("clock"));
+  try {
+    let next = started.first;
+    while (next.done !== true) {
+      await writer.writeEvent(JSON.stringify(formatEvent(prepared, next.value)), signal);
+      next = await started.iterator.next();
+    }
+    await writer.writeEvent("[DONE]", signal);
+    writer.close();
+  } catch (error) {
+    await started.iterator.return?.();
+    if (signal.aborted || error instanceof sseWriter.StalledReaderError) {
+      output.destroy();
+      return;
+    }
+    const refusal = refusals.formatRefusal(refusals.createRequestError(error));
+    output.end(`data: ${JSON.stringify(refusal)}\n\n`);
+  }
+}
+
+function formatEvent(prepared: Prepared, event: types.ModelEvent): object {
+  const { endpoint, head } = prepared;
+  if (event.type === "token") return openai.formatChunk(endpoint, head, event.text, undefined);
+  return openai.formatChunk(endpoint, head, "", event);
+}
--- /dev/null
+++ b/src/caller/request-headers.ts
@@ -0,0 +1,62 @@
+/** The headers of a caller's request that the front reads. */
+import * as codes from "../protocol/result-codes.js";
+import type * as configuration from "../platform/types.js";
+import type * as document from "../settings/document.js";
+import * as credentials from "../settings/credentials.js";
+import type * as types from "./types.js";
+
+const MAX_ATTEMPT = 1_000;
+const MAX_ID_LENGTH = 1_000;
+
+/** Raw header values by lower-case name. */
+export type Headers = Readonly<Record<string, unknown>>;
+
+/**
+ * Finds the caller by its bearer credential.
+ *
+ * @throws RequestError `unknownCaller`
+ */
+export function findCallerByHeaders(
+  inForce: configuration.InForce,
+  headers: Headers,
+): document.Caller {
+  const credential = credentials.parseBearer(getHeader(headers, "authorization"));
+  const caller =
+    credential === undefined ? undefined : credentials.findCaller(inForce.document, credential);
+  if (caller === undefined) {
+    throw new codes.RequestError(codes.RESULT_CODES.unknownCaller, codes.RAN.no);
+  }
+  return caller;
+}
+
+/** Reads `X-Attempt`, 1 when absent. @throws RequestError `headerOutOfRange` */
+export function parseAttempt(headers: Headers): number {
+  const text = getHeader(headers, "x-attempt") ?? "1";
+  const attempt = /^\d{1,4}$/.test(text) ? Number(text) : 0;
+  if (attempt < 1 || attempt > MAX_ATTEMPT) {
+    throw new codes.RequestError(codes.RESULT_CODES.headerOutOfRange, codes.RAN.no, {
+      detail: `X-Attempt must be 1 to ${MAX_ATTEMPT}`,
+    });
+  }
+  return attempt;
+}
+
+/** Reads and verifies `Idempotency-Key`, if there is one. @throws RequestError */
+export function parseRequestId(
+  headers: Headers,
+  sessions: types.Sessions,
+  caller: document.Caller,
+): types.RequestId | undefined {
+  const text = getHeader(headers, "idempotency-key");
+  if (text === undefined) return undefined;
+  if (text.length > MAX_ID_LENGTH) {
+    throw new codes.RequestError(codes.RESULT_CODES.headerOutOfRange, codes.RAN.no);
+  }
+  return sessions.parse(text, caller.name);
+}
+
+/** Returns a header that has one value. */
+export function getHeader(headers: Headers, name: string): string | undefined {
+  const value = headers[name];
+  return typeof value === "string" ? value : undefined;
+}
--- /dev/null
+++ b/src/caller/trace-context.ts
@@ -0,0 +1,18 @@
+/** Continues the caller's trace in the span of a request. */
+import type * as hapi from "@hapi/hapi";
+import * as otel from "@opentelemetry/api";
+import type * as kernels from "../kernel/container.js";
+import * as spans from "../telemetry/spans.js";
+
+/** Runs a handler in a span under the caller's `traceparent`, if it sent one. */
+export function runInRequestSpan<Result>(
+  kernel: kernels.Kernel,
+  request: hapi.Request,
+  name: string,
+  work: () => Promise<Result>,
+): Promise<Result> {
+  const parent = otel.propagation.extract(otel.context.active(), request.headers);
+  return otel.context.with(parent, () =>
+    spans.runInSpan(kernel.use("tracer"), name, { path: request.path }, work),
+  );
+}
--- a/src/protocol/result-codes.ts
+++ b/src/protocol/result-codes.ts
@@ -39,6 +39,7 @@
   callerGone: { number: 3005, status: 499, message: "caller closed the request" },
   backupUnreachable: { number: 4001, status: 503, message: "backup unreachable" },
   refusedByRecord: { number: 4002, status: 503, message: "request was given up before it ran" },
+  superseded: { number: 4004, status: 409, message: "a newer attempt answers this request" },
   outcomeUnknown: { number: 4003, status: 504, message: "outcome unknown" },
 } as const satisfies Record<string, ResultCode>;
 
@@ -68,3 +69,9 @@
     this.session = options.session;
   }
 }
+
+/** Returns the code of a number as another node sent it; unknown numbers are internal errors. */
+export function findResultCode(number: number): ResultCode {
+  const known = Object.values(RESULT_CODES).find((code) => code.number === number);
+  return known ?? RESULT_CODES.internalError;
+}
--- /dev/null
+++ b/src/request/messages-model.ts
@@ -0,0 +1,76 @@
+/** Peer messages of model requests (kinds 55-59). */
+import * as zod from "zod";
+import * as network from "../protocol/network.js";
+import * as codes from "../protocol/result-codes.js";
+
+const nodeRef = zod.object({ vm: zod.string(), incarnation: zod.number() });
+
+const claimRequest = zod.object({
+  id: zod.string(),
+  attempt: zod.int(),
+  /** Who asks to run the request. */
+  claimant: nodeRef,
+  /** Holder that the claimant found gone or silent, whose claim it replaces. */
+  replaces: nodeRef.optional(),
+  /** Wall-clock time after which the claim may be forgotten. */
+  expiresAt: zod.number(),
+});
+
+/** A claim to run a model request. */
+export type ClaimRequest = zod.infer<typeof claimRequest>;
+
+/** Asks the owner (or its backup) who runs a model request; the first claimant does. */
+export const MODEL_CLAIM = network.createPeerCall(
+  55,
+  "model-claim",
+  claimRequest,
+  zod.object({ holder: nodeRef.optional() }),
+);
+
+const attachRequest = zod.object({ id: zod.string(), attempt: zod.int(), offset: zod.int() });
+
+const modelEvent = zod.union([
+  zod.object({ type: zod.literal("token"), offset: zod.int(), text: zod.string() }),
+  zod.object({
+    type: zod.literal("end"),
+    finishReason: zod.enum(["stop", "length", "cancelled"]),
+    promptTokens: zod.int(),
+    cachedTokens: zod.int(),
+    completionTokens: zod.int(),
+  }),
+]);
+
+const refusal = zod.object({
+  code: zod.int(),
+  ran: zod.enum(["no", "yes", "unknown"]),
+  retryAfterMs: zod.number().optional(),
+});
+
+const attachItem = zod.object({ event: modelEvent.optional(), refusal: refusal.optional() });
+
+/** An event of an attached run, or the refusal that ended it. */
+export type AttachItem = zod.infer<typeof attachItem>;
+
+/** Reads a model request that runs at the peer, from a token offset. */
+export const MODEL_ATTACH = network.createPeerCall(56, "model-attach", attachRequest, attachItem);
+
+/** Returns the item that carries a refusal to the reader at another node. */
+export function formatRefusalItem(error: codes.RequestError): AttachItem {
+  const { code, ran, retryAfterMs } = error;
+  return { refusal: { code: code.number, ran, retryAfterMs } };
+}
+
+/** Returns the event of an item. @throws RequestError the refusal that the item carries */
+export function parseAttachItem(item: AttachItem): zod.infer<typeof modelEvent> | undefined {
+  if (item.refusal === undefined) return item.event;
+  const { code, ran, retryAfterMs } = item.refusal;
+  throw new codes.RequestError(codes.findResultCode(code), ran, { retryAfterMs });
+}
+
+/** Tells a node that a newer attempt runs elsewhere: it cancels its own. */
+export const MODEL_SUPERSEDE = network.createPeerCall(
+  57,
+  "model-supersede",
+  zod.object({ id: zod.string(), attempt: zod.int() }),
+  zod.object({ cancelled: zod.boolean() }),
+);
--- /dev/null
+++ b/src/request/model-attempts.ts
@@ -0,0 +1,267 @@
+/** Runs a model request on the runners: lease, prefill, transfer, decode; again on a failure. */
+import type * as capacity from "../capacity/types.js";
+import type * as types from "../caller/types.js";
+import type * as kernels from "../kernel/container.js";
+import * as codes from "../protocol/result-codes.js";
+import * as events from "../telemetry/log-events.js";
+import * as spans from "../telemetry/spans.js";
+import * as upstream from "../upstream/types.js";
+import * as engineCancel from "./engine-cancel.js";
+import * as inFlight from "./in-flight.js";
+import type * as modelRun from "./model-run.js";
+import * as prompts from "./prompts.js";
+
+/** Runs of one request on runners within one attempt of the caller. */
+const MAX_RUNS = 4;
+/** Engine attempts are numbered `caller's attempt * ATTEMPT_STRIDE + run`, so that they only rise. */
+const ATTEMPT_STRIDE = 100;
+const MAX_STREAM_RESUMES = 2;
+
+/** A model request with its times on the own clock. */
+export interface RunOrder {
+  readonly call: types.ModelCall;
+  readonly attempt: number;
+  readonly fingerprint: string;
+  readonly startedAt: number;
+}
+
+interface Step {
+  readonly order: RunOrder;
+  readonly run: modelRun.ModelRun;
+  readonly attempt: upstream.AttemptId;
+  readonly reservation: capacity.Reservation;
+  readonly signal: AbortSignal;
+}
+
+/** Executes runs on runners. */
+export class ModelAttempts {
+  readonly #kernel: kernels.Kernel;
+  readonly #canceller: engineCancel.EngineCanceller;
+  readonly #inFlight: inFlight.InFlight;
+
+  constructor(kernel: kernels.Kernel) {
+    this.#kernel = kernel;
+    this.#canceller = new engineCancel.EngineCanceller(kernel);
+    this.#inFlight = new inFlight.InFlight(kernel.use("clock"));
+  }
+
+  /** Cancels not yet confirmed by an engine. */
+  get pendingCancels(): number {
+    return this.#canceller.pending;
+  }
+
+  /**
+   * Fills `run` until its end mark.
+   *
+   * @throws RequestError when the request is refused or given up.
+   */
+  async execute(order: RunOrder, run: modelRun.ModelRun, signal: AbortSignal): Promise<void> {
+    const failed: string[] = [];
+    for (let number = 0; ; number += 1) {
+      const attempt = { id: run.id, attempt: order.attempt * ATTEMPT_STRIDE + number };
+      const failure = await this.#runOnce(order, run, attempt, failed, signal);
+      if (failure === undefined) return;
+      this.#checkMayRunAgain(order, number, failure, signal);
+      this.#kernel.use("log").write(events.LOG_EVENTS.requestRetried, {
+        attempt: attempt.attempt,
+        failed: [...failed],
+        reason: failure.message,
+      });
+    }
+  }
+
+  #checkMayRunAgain(order: RunOrder, number: number, failure: Error, signal: AbortSignal): void {
+    if (signal.aborted) throw failure;
+    if (this.#kernel.use("crashes").isQuarantined(order.fingerprint)) {
+      throw new codes.RequestError(codes.RESULT_CODES.quarantined, codes.RAN.yes, {
+        cause: failure,
+      });
+    }
+    if (number + 1 >= MAX_RUNS) {
+      throw new codes.RequestError(codes.RESULT_CODES.upstreamFailed, codes.RAN.unknown, {
+        cause: failure,
+      });
+    }
+  }
+
+  /** Returns the failure after which another run may be tried. */
+  async #runOnce(
+    order: RunOrder,
+    run: modelRun.ModelRun,
+    attempt: upstream.AttemptId,
+    failed: string[],
+    signal: AbortSignal,
+  ): Promise<Error | undefined> {
+    const demand = this.#createDemand(order, run, attempt, failed);
+    const tracer = this.#kernel.use("tracer");
+    await using reservation = await spans.runInSpan(tracer, "reserve", {}, () =>
+      this.#kernel.use("capacity").reserve(demand, signal),
+    );
+    const step: Step = {
+      order,
+      run,
+      attempt,
+      reservation,
+      signal: AbortSignal.any([signal, reservation.revoked]),
+    };
+    let runner = reservation.prefill;
+    try {
+      const prefilled = await this.#prefill(step);
+      runner = reservation.decode;
+      await this.#decode(step, prefilled);
+      return undefined;
+    } catch (error) {
+      this.#cancelStep(step);
+      if (error instanceof codes.RequestError || !(error instanceof Error)) throw error;
+      if (signal.aborted) return error;
+      this.#recordFailure(step, runner, error);
+      failed.push(runner.name);
+      return error;
+    }
+  }
+
+  #createDemand(
+    order: RunOrder,
+    run: modelRun.ModelRun,
+    attempt: upstream.AttemptId,
+    exclude: readonly string[],
+  ): capacity.Demand {
+    const call = order.call;
+    const prompt = call.prompt + run.text;
+    return {
+      ...attempt,
+      caller: call.caller.name,
+      model: call.model.name,
+      adapter: call.adapter,
+      promptTokens: prompts.countTokens(prompt),
+      maxTokens: call.maxTokens - run.offset,
+      prefixes: prompts.computePrefixes(call.model.name, prompt),
+      priority: call.caller.priority,
+      share: call.caller.share,
+      firstTokenBy: order.startedAt + call.firstTokenMs,
+      betweenTokensMs: call.betweenTokensMs,
+      deadline: order.startedAt + call.deadlineMs,
+      exclude,
+    };
+  }
+
+  async #prefill(step: Step): Promise<upstream.PrefillResult> {
+    const { order, run, attempt, reservation, signal } = step;
+    const tracer = this.#kernel.use("tracer");
+    await spans.runInSpan(tracer, "wait-for-prefill", {}, () => reservation.waitForPrefill(signal));
+    using _running = this.#inFlight.add(reservation.prefill.name, order.fingerprint);
+    const command: upstream.PrefillCommand = {
+      ...attempt,
+      model: order.call.model.name,
+      adapter: order.call.adapter,
+      prompt: order.call.prompt,
+      continuation: run.text,
+      priority: order.call.caller.priority,
+      deadlineMs: this.#getRemainingMs(order),
+    };
+    const attributes = { runner: reservation.prefill.name };
+    const result = await spans.runInSpan(tracer, "prefill", attributes, () =>
+      this.#kernel.use("engines").prefill(reservation.prefill, command, signal),
+    );
+    reservation.recordPrefillEnd(result.cachedTokens);
+    return result;
+  }
+
+  async #decode(step: Step, prefilled: upstream.PrefillResult): Promise<void> {
+    const { order, run, attempt, reservation, signal } = step;
+    using _running = this.#inFlight.add(reservation.decode.name, order.fingerprint);
+    const command: upstream.DecodeCommand = {
+      ...attempt,
+      model: order.call.model.name,
+      adapter: order.call.adapter,
+      source: reservation.prefill,
+      handle: prefilled.handle,
+      offset: run.offset,
+      maxTokens: order.call.maxTokens - run.offset,
+      priority: order.call.caller.priority,
+      deadlineMs: this.#getRemainingMs(order),
+    };
+    const engines = this.#kernel.use("engines");
+    const attributes = { runner: reservation.decode.name };
+    await spans.runInSpan(this.#kernel.use("tracer"), "decode", attributes, async () => {
+      let stream = engines.decode(reservation.decode, command, signal);
+      for (let resumes = 0; ; resumes += 1) {
+        const broken = await this.#readStream(step, prefilled, stream);
+        if (broken === undefined) return;
+        if (signal.aborted || resumes >= MAX_STREAM_RESUMES) throw broken;
+        if (broken.failure !== upstream.UPSTREAM_FAILURE.broken) throw broken;
+        stream = engines.resume(reservation.decode, { ...attempt, offset: run.offset }, signal);
+      }
+    });
+  }
+
+  /** Reads a decode stream to its end mark; returns how it broke when it has none. */
+  async #readStream(
+    step: Step,
+    prefilled: upstream.PrefillResult,
+    stream: AsyncIterable<upstream.DecodeEvent>,
+  ): Promise<upstream.UpstreamError | undefined> {
+    const timeSource = this.#kernel.use("clock");
+    let lastTokenAt: number | undefined;
+    try {
+      for await (const event of stream) {
+        if (event.id !== step.attempt.id || event.attempt !== step.attempt.attempt) continue;
+        if (event.type === "imported") {
+          step.reservation.recordDecodeStart();
+        } else if (event.type === "token") {
+          const now = timeSource.now();
+          if (lastTokenAt !== undefined) step.reservation.recordTokenGap(now - lastTokenAt);
+          lastTokenAt = now;
+          step.run.addToken(event.offset, event.text);
+        } else {
+          this.#markEnd(step, prefilled, event);
+          return undefined;
+        }
+      }
+    } catch (error) {
+      if (error instanceof upstream.UpstreamError) return error;
+      throw error;
+    }
+    return new upstream.UpstreamError(upstream.UPSTREAM_FAILURE.broken, "stream has no end mark");
+  }
+
+  #markEnd(
+    step: Step,
+    prefilled: upstream.PrefillResult,
+    end: upstream.DecodeEvent & { type: "end" },
+  ): void {
+    if (end.finishReason === upstream.FINISH_REASON.cancelled) {
+      throw new upstream.UpstreamError(
+        upstream.UPSTREAM_FAILURE.refused,
+        "cancelled at the engine",
+      );
+    }
+    this.#kernel.use("crashes").recordSuccess(step.order.fingerprint);
+    step.run.markEnd({
+      type: "end",
+      finishReason: end.finishReason,
+      promptTokens: prefilled.promptTokens,
+      cachedTokens: prefilled.cachedTokens,
+      completionTokens: step.run.offset,
+    });
+  }
+
+  #cancelStep(step: Step): void {
+    this.#canceller.start(step.reservation.decode, step.attempt);
+    this.#canceller.start(step.reservation.prefill, step.attempt);
+  }
+
+  #recordFailure(step: Step, runner: upstream.Upstream, error: Error): void {
+    step.reservation.recordFailure(runner.name);
+    const broken =
+      error instanceof upstream.UpstreamError && error.failure === upstream.UPSTREAM_FAILURE.broken;
+    if (!broken) return;
+    const accused = this.#inFlight.listAccused(runner.name, step.order.fingerprint);
+    if (accused.length > 0) this.#kernel.use("crashes").recordCrash(runner.name, accused);
+  }
+
+  #getRemainingMs(order: RunOrder): number {
+    const deadline = order.startedAt + order.call.deadlineMs;
+    return Math.max(1, Math.round(deadline - this.#kernel.use("clock").now()));
+  }
+}
--- /dev/null
+++ b/src/request/model-calls.ts
@@ -0,0 +1,321 @@
+/**
+ * Model requests: finds out who runs a request, and runs it here, attaches to the run at another
+ * node, or takes it over from a node that is gone.
+ */
+import type * as types from "../caller/types.js";
+import * as clocks from "../kernel/clock.js";
+import type * as kernels from "../kernel/container.js";
+import type * as network from "../protocol/network.js";
+import * as codes from "../protocol/result-codes.js";
+import * as messages from "./messages-model.js";
+import * as modelAttempts from "./model-attempts.js";
+import * as modelRecords from "./model-records.js";
+import * as modelRun from "./model-run.js";
+
+const CLAIM_TIMEOUT_MS = 400;
+/** Silence after which an attached reader asks again who runs the request. */
+const ATTACH_TIMEOUT_MS = 3_600_000;
+const SUPERSEDE_TIMEOUT_MS = 500;
+const SUPERSEDE_RETRY_MS = 500;
+/** How long a run under a session waits for its caller to come back on another connection. */
+const REATTACH_GRACE_MS = 300;
+const MAX_HOLDER_CHANGES = 3;
+
+/** A model call whose id is known. */
+interface IdentifiedCall {
+  readonly call: types.ModelCall;
+  readonly id: types.RequestId;
+  readonly attempt: number;
+  readonly fingerprint: string;
+}
+
+class NodeModelCalls implements types.ModelCalls {
+  readonly #kernel: kernels.Kernel;
+  readonly #attempts: modelAttempts.ModelAttempts;
+  readonly #claims: modelRecords.ModelClaims;
+  readonly #runs: modelRecords.ModelRuns;
+  readonly #stopped = new AbortController();
+
+  constructor(kernel: kernels.Kernel) {
+    this.#kernel = kernel;
+    this.#attempts = new modelAttempts.ModelAttempts(kernel);
+    this.#claims = new modelRecords.ModelClaims(kernel.use("clock"));
+    this.#runs = new modelRecords.ModelRuns(kernel.use("clock"));
+    this.#registerHandlers(kernel.use("network"));
+  }
+
+  get active(): number {
+    return this.#runs.active + this.#attempts.pendingCancels;
+  }
+
+  async *run(call: types.ModelCall, signal: AbortSignal): AsyncGenerator<types.ModelEvent> {
+    const crashes = this.#kernel.use("crashes");
+    const content = `${call.adapter ?? ""} ${call.prompt}`;
+    const fingerprint = crashes.computeFingerprint(call.caller.name, call.model.name, content);
+    if (crashes.isQuarantined(fingerprint)) {
+      throw new codes.RequestError(codes.RESULT_CODES.quarantined, codes.RAN.no);
+    }
+    const id = call.id ?? this.#kernel.use("sessions").createRequestId(call.caller.name);
+    const identified = { call, id, attempt: call.attempt, fingerprint };
+    if (this.#isSelf(id.session.owner)) yield* this.#runAsOwner(identified, signal);
+    else yield* this.#runForOwner(identified, signal);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#stopped.abort(new Error("node stopped"));
+    return Promise.resolve();
+  }
+
+  #getSelf(): types.NodeRef {
+    const { vm, incarnation } = this.#kernel.use("membership").self;
+    return { vm, incarnation };
+  }
+
+  #isSelf(node: types.NodeRef): boolean {
+    const self = this.#getSelf();
+    return node.vm === self.vm && node.incarnation === self.incarnation;
+  }
+
+  async *#runAsOwner(
+    identified: IdentifiedCall,
+    signal: AbortSignal,
+  ): AsyncGenerator<types.ModelEvent> {
+    if (identified.call.id === undefined) {
+      yield* this.#runHere(identified, 0, signal);
+      return;
+    }
+    const holder = this.#claims.claim(this.#createClaim(identified, undefined));
+    if (this.#isSelf(holder)) yield* this.#runHere(identified, 0, signal);
+    else yield* this.#followHolder(identified, holder, signal);
+  }
+
+  /** Serves a request whose session another node owns. */
+  async *#runForOwner(
+    identified: IdentifiedCall,
+    signal: AbortSignal,
+  ): AsyncGenerator<types.ModelEvent> {
+    const holder = await this.#sendClaim(identified, undefined, signal);
+    if (this.#isSelf(holder)) {
+      this.#startSupersede(identified, identified.id.session.owner);
+      yield* this.#runHere(identified, 0, signal);
+    } else {
+      yield* this.#followHolder(identified, holder, signal);
+    }
+  }
+
+  /** Reads the run at its holder; takes the request over when the holder is lost. */
+  async *#followHolder(
+    identified: IdentifiedCall,
+    first: types.NodeRef,
+    signal: AbortSignal,
+  ): AsyncGenerator<types.ModelEvent> {
+    let holder = first;
+    let offset = 0;
+    for (let changes = 0; changes < MAX_HOLDER_CHANGES && !this.#isSelf(holder); changes += 1) {
+      try {
+        for await (const event of this.#attachAt(holder, identified, offset, signal)) {
+          if (event.type === "token") offset = event.offset + 1;
+          yield event;
+          if (event.type === "end") return;
+        }
+      } catch (error) {
+        if (signal.aborted || error instanceof codes.RequestError) throw error;
+      }
+      this.#startSupersede(identified, holder);
+      holder = await this.#sendClaim(identified, holder, signal);
+    }
+    yield* this.#runHere(identified, offset, signal);
+  }
+
+  async *#attachAt(
+    holder: types.NodeRef,
+    identified: IdentifiedCall,
+    offset: number,
+    signal: AbortSignal,
+  ): AsyncGenerator<types.ModelEvent> {
+    const request = { id: identified.id.text, attempt: identified.attempt, offset };
+    const options = { timeoutMs: ATTACH_TIMEOUT_MS, signal, incarnation: holder.incarnation };
+    const network = this.#kernel.use("network");
+    for await (const item of network.stream(holder.vm, messages.MODEL_ATTACH, request, options)) {
+      const event = messages.parseAttachItem(item);
+      if (event !== undefined) yield event;
+    }
+  }
+
+  /** Runs the request at this node, or joins the run that is in progress here. */
+  async *#runHere(
+    identified: IdentifiedCall,
+    offset: number,
+    signal: AbortSignal,
+  ): AsyncGenerator<types.ModelEvent> {
+    const run = this.#findLiveRun(identified.id.text) ?? this.#startRun(identified);
+    yield* run.attach(identified.attempt, offset, signal);
+  }
+
+  /** Finds a run that is in progress or whole; one that is being cancelled does not count. */
+  #findLiveRun(id: string): modelRun.ModelRun | undefined {
+    const run = this.#runs.find(id);
+    return run?.abort.signal.aborted === true ? undefined : run;
+  }
+
+  #startRun(identified: IdentifiedCall): modelRun.ModelRun {
+    const run = new modelRun.ModelRun(identified.id.text, identified.attempt, {
+      onAbandoned: (abandoned) => {
+        this.#onAbandoned(abandoned, identified.call.id !== undefined);
+      },
+    });
+    this.#runs.add(run);
+    void this.#execute(identified, run);
+    return run;
+  }
+
+  async #execute(identified: IdentifiedCall, run: modelRun.ModelRun): Promise<void> {
+    const timeSource = this.#kernel.use("clock");
+    using limit = clocks.createTimeLimit(timeSource, identified.call.deadlineMs, run.abort.signal);
+    const order = { ...identified, startedAt: timeSource.now() };
+    try {
+      await this.#attempts.execute(order, run, limit.signal);
+    } catch (error) {
+      run.markFailed(this.#createFailure(error, run, limit.signal));
+    } finally {
+      const keep = identified.call.id !== undefined && run.isWhole;
+      this.#runs.markFinished(run, keep);
+      if (!keep) this.#claims.remove(run.id);
+    }
+  }
+
+  #createFailure(error: unknown, run: modelRun.ModelRun, signal: AbortSignal): codes.RequestError {
+    if (error instanceof codes.RequestError) return error;
+    const options = { cause: error };
+    if (run.abort.signal.aborted) {
+      return new codes.RequestError(codes.RESULT_CODES.callerGone, codes.RAN.unknown, options);
+    }
+    if (signal.aborted) {
+      return new codes.RequestError(
+        codes.RESULT_CODES.deadlineExceeded,
+        codes.RAN.unknown,
+        options,
+      );
+    }
+    return new codes.RequestError(codes.RESULT_CODES.internalError, codes.RAN.unknown, options);
+  }
+
+  /** Cancels a run without readers, at once or after the grace of a session's caller. */
+  #onAbandoned(run: modelRun.ModelRun, mayReturn: boolean): void {
+    const cancelIfAbandoned = (): void => {
+      if (!run.hasReader) run.abort.abort(new Error("caller is gone"));
+    };
+    if (!mayReturn) cancelIfAbandoned();
+    else this.#kernel.use("clock").schedule(REATTACH_GRACE_MS, cancelIfAbandoned);
+  }
+
+  #createClaim(
+    identified: IdentifiedCall,
+    replaces: types.NodeRef | undefined,
+  ): messages.ClaimRequest {
+    return {
+      id: identified.id.text,
+      attempt: identified.attempt,
+      claimant: this.#getSelf(),
+      replaces,
+      expiresAt: identified.id.session.expiresAt,
+    };
+  }
+
+  /** Claims the request at its owner, else at the backup; with both lost it may run here. */
+  async #sendClaim(
+    identified: IdentifiedCall,
+    replaces: types.NodeRef | undefined,
+    signal: AbortSignal,
+  ): Promise<types.NodeRef> {
+    const request = this.#createClaim(identified, replaces);
+    const { owner, backup } = identified.id.session;
+    for (const keeper of backup === undefined ? [owner] : [owner, backup]) {
+      if (keeper.vm === replaces?.vm) continue;
+      const holder = await this.#sendClaimTo(keeper, request, signal);
+      if (holder !== undefined) return holder;
+    }
+    return this.#getSelf();
+  }
+
+  async #sendClaimTo(
+    keeper: types.NodeRef,
+    request: messages.ClaimRequest,
+    signal: AbortSignal,
+  ): Promise<types.NodeRef | undefined> {
+    const options = { timeoutMs: CLAIM_TIMEOUT_MS, signal, incarnation: keeper.incarnation };
+    const network = this.#kernel.use("network");
+    try {
+      const reply = await network.call(keeper.vm, messages.MODEL_CLAIM, request, options);
+      return reply.holder;
+    } catch {
+      if (signal.aborted) throw signal.reason as Error;
+      return undefined;
+    }
+  }
+
+  /** Tells a node until it answers or the request has expired that its run is superseded. */
+  #startSupersede(identified: IdentifiedCall, holder: types.NodeRef): void {
+    void this.#supersede(identified, holder);
+  }
+
+  async #supersede(identified: IdentifiedCall, holder: types.NodeRef): Promise<void> {
+    const timeSource = this.#kernel.use("clock");
+    const giveUpAt = timeSource.now() + identified.call.deadlineMs;
+    const request = { id: identified.id.text, attempt: identified.attempt };
+    const options = { timeoutMs: SUPERSEDE_TIMEOUT_MS, incarnation: holder.incarnation };
+    while (timeSource.now() < giveUpAt && !this.#stopped.signal.aborted) {
+      try {
+        await this.#kernel
+          .use("network")
+          .call(holder.vm, messages.MODEL_SUPERSEDE, request, options);
+        return;
+      } catch (error) {
+        if ((error as network.PeerCallError).failure === "gone") return;
+        await clocks.sleep(timeSource, SUPERSEDE_RETRY_MS);
+      }
+    }
+  }
+
+  #registerHandlers(network: network.PeerNetwork): void {
+    network.onCall(messages.MODEL_CLAIM, (request) => ({ holder: this.#handleClaim(request) }));
+    network.onCall(messages.MODEL_SUPERSEDE, (request) => {
+      const run = this.#runs.find(request.id);
+      if (run === undefined || run.isFinished || run.attempt >= request.attempt) {
+        return { cancelled: false };
+      }
+      run.abort.abort(new Error("a newer attempt runs elsewhere"));
+      return { cancelled: true };
+    });
+    network.onStream(messages.MODEL_ATTACH, (request, _from, signal) =>
+      this.#handleAttach(request, signal),
+    );
+  }
+
+  /** A run in progress here wins over any later claim. */
+  #handleClaim(request: messages.ClaimRequest): types.NodeRef {
+    if (this.#findLiveRun(request.id) !== undefined) return this.#getSelf();
+    return this.#claims.claim(request);
+  }
+
+  async *#handleAttach(
+    request: { id: string; attempt: number; offset: number },
+    signal: AbortSignal,
+  ): AsyncGenerator<messages.AttachItem> {
+    const run = this.#findLiveRun(request.id);
+    if (run === undefined) throw new Error("request does not run here");
+    try {
+      for await (const event of run.attach(request.attempt, request.offset, signal)) {
+        yield { event };
+      }
+    } catch (error) {
+      if (!(error instanceof codes.RequestError)) throw error;
+      yield messages.formatRefusalItem(error);
+    }
+  }
+}
+
+/** Creates the service that runs model requests; registers its peer calls. */
+export function createModelCalls(kernel: kernels.Kernel): types.ModelCalls {
+  return new NodeModelCalls(kernel);
+}
--- /dev/null
+++ b/src/request/model-run.ts
@@ -0,0 +1,161 @@
+/** One run of a model request: the tokens so far, and the reader that receives them. */
+import type * as types from "../caller/types.js";
+import * as codes from "../protocol/result-codes.js";
+
+/** Waits for readers to return before the run is cancelled. */
+export interface AbandonPolicy {
+  /** Called when the last reader left before the end. */
+  onAbandoned(run: ModelRun): void;
+}
+
+interface Reader {
+  readonly attempt: number;
+  wake: () => void;
+  superseded: boolean;
+}
+
+/**
+ * The token buffer of a run. It has one reader at a time: a newer attempt takes the place of an
+ * older one, so that no request is answered twice.
+ */
+export class ModelRun {
+  readonly id: string;
+  readonly abort = new AbortController();
+  readonly #tokens: string[] = [];
+  readonly #policy: AbandonPolicy;
+  #end: (types.ModelEvent & { type: "end" }) | undefined;
+  #failure: codes.RequestError | undefined;
+  #reader: Reader | undefined;
+  #attempt: number;
+
+  constructor(id: string, attempt: number, policy: AbandonPolicy) {
+    this.id = id;
+    this.#attempt = attempt;
+    this.#policy = policy;
+  }
+
+  /** Highest attempt that reads this run. */
+  get attempt(): number {
+    return this.#attempt;
+  }
+
+  /** Number of tokens received: the offset of the next one. */
+  get offset(): number {
+    return this.#tokens.length;
+  }
+
+  /** The output so far. */
+  get text(): string {
+    return this.#tokens.join("");
+  }
+
+  get isFinished(): boolean {
+    return this.#end !== undefined || this.#failure !== undefined;
+  }
+
+  /** Whether the end mark arrived. */
+  get isWhole(): boolean {
+    return this.#end !== undefined;
+  }
+
+  get hasReader(): boolean {
+    return this.#reader !== undefined;
+  }
+
+  /**
+   * Adds the token at `offset`; a repeated offset is dropped.
+   *
+   * @throws when an offset was skipped, for then the answer would not be whole.
+   */
+  addToken(offset: number, text: string): void {
+    if (this.isFinished || offset < this.offset) return;
+    if (offset > this.offset) throw new Error(`token ${this.offset} is missing before ${offset}`);
+    this.#tokens.push(text);
+    this.#reader?.wake();
+  }
+
+  /** Marks the answer as whole. */
+  markEnd(end: types.ModelEvent & { type: "end" }): void {
+    if (this.isFinished) return;
+    this.#end = end;
+    this.#reader?.wake();
+  }
+
+  /** Ends the run without a whole answer. */
+  markFailed(failure: codes.RequestError): void {
+    if (this.isFinished) return;
+    this.#failure = failure;
+    this.#reader?.wake();
+  }
+
+  /**
+   * Reads from `offset` to the end, taking the place of an older attempt's reader.
+   *
+   * @throws RequestError when the run failed, was superseded, or `signal` aborted.
+   */
+  async *attach(
+    attempt: number,
+    offset: number,
+    signal: AbortSignal,
+  ): AsyncGenerator<types.ModelEvent> {
+    const reader = this.#replaceReader(attempt);
+    const onAbort = (): void => {
+      reader.wake();
+    };
+    signal.addEventListener("abort", onAbort, { once: true });
+    try {
+      yield* this.#readTokens(reader, offset, signal);
+    } finally {
+      signal.removeEventListener("abort", onAbort);
+      this.#removeReader(reader);
+    }
+  }
+
+  #replaceReader(attempt: number): Reader {
+    if (attempt < this.#attempt) throw createSupersededError();
+    if (this.#reader !== undefined) {
+      this.#reader.superseded = true;
+      this.#reader.wake();
+    }
+    this.#attempt = attempt;
+    this.#reader = { attempt, wake: () => undefined, superseded: false };
+    return this.#reader;
+  }
+
+  #removeReader(reader: Reader): void {
+    if (this.#reader !== reader) return;
+    this.#reader = undefined;
+    if (!this.isFinished) this.#policy.onAbandoned(this);
+  }
+
+  async *#readTokens(
+    reader: Reader,
+    from: number,
+    signal: AbortSignal,
+  ): AsyncGenerator<types.ModelEvent> {
+    let offset = from;
+    for (;;) {
+      if (reader.superseded) throw createSupersededError();
+      if (signal.aborted)
+        throw new codes.RequestError(codes.RESULT_CODES.callerGone, codes.RAN.unknown);
+      const text = this.#tokens[offset];
+      if (text !== undefined) {
+        yield { type: "token", offset, text };
+        offset += 1;
+      } else if (this.#end !== undefined) {
+        yield this.#end;
+        return;
+      } else if (this.#failure !== undefined) {
+        throw this.#failure;
+      } else {
+        await new Promise<void>((resolve) => {
+          reader.wake = resolve;
+        });
+      }
+    }
+  }
+}
+
+function createSupersededError(): codes.RequestError {
+  return new codes.RequestError(codes.RESULT_CODES.superseded, codes.RAN.unknown);
+}
--- /dev/null
+++ b/test/request/model-run.test.ts
@@ -0,0 +1,92 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import type * as types from "../../src/caller/types.js";
+import * as codes from "../../src/protocol/result-codes.js";
+import * as modelRun from "../../src/request/model-run.js";
+
+const END = {
+  type: "end",
+  finishReason: "stop",
+  promptTokens: 5,
+  cachedTokens: 0,
+  completionTokens: 2,
+} as const;
+
+function createRun(): { run: modelRun.ModelRun; countAbandoned: () => number } {
+  let abandoned = 0;
+  const run = new modelRun.ModelRun("id.1", 1, {
+    onAbandoned: () => {
+      abandoned += 1;
+    },
+  });
+  return { run, countAbandoned: () => abandoned };
+}
+
+async function collect(answer: AsyncIterable<types.ModelEvent>): Promise<string[]> {
+  const texts: string[] = [];
+  for await (const event of answer) texts.push(event.type === "token" ? event.text : event.type);
+  return texts;
+}
+
+test.describe("ModelRun", () => {
+  test.it("gives the whole answer once, whatever arrives twice", async () => {
+    const { run } = createRun();
+    run.addToken(0, "a");
+    run.addToken(0, "a");
+    run.addToken(1, "b");
+    run.markEnd(END);
+    run.addToken(2, "late");
+    const texts = await collect(run.attach(1, 0, new AbortController().signal));
+    earl.expect(texts).toEqual(["a", "b", "end"]);
+  });
+
+  test.it("refuses a gap between tokens", () => {
+    const { run } = createRun();
+    run.addToken(0, "a");
+    earl
+      .expect(() => {
+        run.addToken(2, "c");
+      })
+      .toThrow("token 1 is missing before 2");
+  });
+
+  test.it("lets a newer attempt take the place of an older reader", async () => {
+    const { run, countAbandoned } = createRun();
+    const signal = new AbortController().signal;
+    const older = collect(run.attach(1, 0, signal));
+    const newer = collect(run.attach(2, 0, signal));
+    run.addToken(0, "a");
+    run.markEnd(END);
+    await earl.expect(older).toBeRejectedWith(codes.RequestError, "a newer attempt");
+    earl.expect(await newer).toEqual(["a", "end"]);
+    earl.expect(countAbandoned()).toEqual(0);
+  });
+
+  test.it("refuses an attempt older than its reader's", async () => {
+    const { run } = createRun();
+    const signal = new AbortController().signal;
+    const newer = collect(run.attach(2, 0, signal));
+    const older = collect(run.attach(1, 0, signal));
+    await earl.expect(older).toBeRejectedWith(codes.RequestError, "a newer attempt");
+    run.markEnd(END);
+    earl.expect(await newer).toEqual(["end"]);
+  });
+
+  test.it("tells that its only reader left before the end", async () => {
+    const { run, countAbandoned } = createRun();
+    const controller = new AbortController();
+    const reader = collect(run.attach(1, 0, controller.signal));
+    await Promise.resolve();
+    controller.abort();
+    await earl.expect(reader).toBeRejectedWith(codes.RequestError);
+    earl.expect(countAbandoned()).toEqual(1);
+  });
+
+  test.it("never passes a failed run as whole", async () => {
+    const { run } = createRun();
+    run.addToken(0, "a");
+    run.markFailed(new codes.RequestError(codes.RESULT_CODES.upstreamFailed, codes.RAN.unknown));
+    const reader = collect(run.attach(1, 0, new AbortController().signal));
+    await earl.expect(reader).toBeRejectedWith(codes.RequestError, "upstream failed");
+  });
+});
--- /dev/null
+++ b/test/request/prompts.test.ts
@@ -0,0 +1,23 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as prompts from "../../src/request/prompts.js";
+
+const BLOCK = "x".repeat(prompts.PREFIX_BLOCK_TOKENS * 4);
+
+test.describe("computePrefixes", () => {
+  test.it("gives equal hashes for equal beginnings only", () => {
+    const first = prompts.computePrefixes("iono-1", `${BLOCK}${BLOCK}a`);
+    const second = prompts.computePrefixes("iono-1", `${BLOCK}${"y".repeat(BLOCK.length)}`);
+    earl.expect(first.length).toEqual(2);
+    earl.expect(second[0]).toEqual(first[0]);
+    earl.expect(second[1] === first[1]).toEqual(false);
+  });
+
+  test.it("separates models and bounds the number of prefixes", () => {
+    const long = BLOCK.repeat(70);
+    earl.expect(prompts.computePrefixes("iono-1", long).length).toEqual(64);
+    earl
+      .expect(prompts.computePrefixes("iono-1", BLOCK))
+      .not.toEqual(prompts.computePrefixes("iono-2", BLOCK));
+  });
+});
