--- /dev/null
+++ b/standins/async-queue.ts
@@ -0,0 +1,77 @@
+/** An unbounded queue between a producer that never waits and one consumer that iterates. */
+
+interface Waiter<Item> {
+  readonly resolve: (result: IteratorResult<Item, undefined>) => void;
+  readonly reject: (reason: unknown) => void;
+}
+
+interface Outcome {
+  readonly error: Error | undefined;
+}
+
+/**
+ * Queue of items with an end or an error behind them.
+ *
+ * @example queue.push(1); queue.close(); for await (const item of queue) print(item);
+ */
+export class AsyncQueue<Item> implements AsyncIterableIterator<Item, undefined> {
+  readonly #items: Item[] = [];
+  readonly #onReturn: (() => void) | undefined;
+  #waiter: Waiter<Item> | undefined;
+  #outcome: Outcome | undefined;
+
+  /** @param onReturn - called when the consumer leaves its loop early. */
+  constructor(onReturn?: () => void) {
+    this.#onReturn = onReturn;
+  }
+
+  /** Whether no further item can be pushed. */
+  get closed(): boolean {
+    return this.#outcome !== undefined;
+  }
+
+  /** Adds an item; ignored once closed. */
+  push(item: Item): void {
+    if (this.closed) return;
+    const waiter = this.#waiter;
+    if (waiter === undefined) {
+      this.#items.push(item);
+      return;
+    }
+    this.#waiter = undefined;
+    waiter.resolve({ done: false, value: item });
+  }
+
+  /** Ends the queue, after the items in it, with an error or none. */
+  close(error?: Error): void {
+    if (this.closed) return;
+    this.#outcome = { error };
+    const waiter = this.#waiter;
+    this.#waiter = undefined;
+    if (waiter === undefined) return;
+    if (error === undefined) waiter.resolve({ done: true, value: undefined });
+    else waiter.reject(error);
+  }
+
+  next(): Promise<IteratorResult<Item, undefined>> {
+    if (this.#items.length > 0) {
+      return Promise.resolve({ done: false, value: this.#items.shift() as Item });
+    }
+    if (this.#outcome?.error !== undefined) return Promise.reject(this.#outcome.error);
+    if (this.closed) return Promise.resolve({ done: true, value: undefined });
+    return new Promise((resolve, reject) => {
+      this.#waiter = { resolve, reject };
+    });
+  }
+
+  return(): Promise<IteratorResult<Item, undefined>> {
+    this.close();
+    this.#items.length = 0;
+    this.#onReturn?.();
+    return Promise.resolve({ done: true, value: undefined });
+  }
+
+  [Symbol.asyncIterator](): this {
+    return this;
+  }
+}
--- /dev/null
+++ b/standins/fake-clock.ts
@@ -0,0 +1,141 @@
+/** Clocks for tests: time that moves only when told, and views of it that can be paused. */
+import * as fakeTimers from "@sinonjs/fake-timers";
+import type * as clocks from "../src/kernel/clock.js";
+
+const START_OF_TIME = Date.UTC(2026, 0, 1);
+/** Node's own timers wait no less. */
+const MIN_DELAY_MS = 1;
+
+/** The clock of one emulated process. */
+export interface NodeClock extends clocks.Clock {
+  readonly paused: boolean;
+  /** Holds timers that fire from now on, as for a stopped process; time itself goes on. */
+  pause(): void;
+  /** Runs the held timers, late, in their order. */
+  resume(): void;
+}
+
+/** Time for a whole test. */
+export interface FakeClock extends clocks.Clock {
+  /**
+   * Moves time on, timer by timer, and lets all pending promises settle between two timers.
+   *
+   * @example await clock.advance(3_000);
+   */
+  advance(durationMs: number): Promise<void>;
+  /** Lets all pending promises settle without moving time. */
+  settle(): Promise<void>;
+  /** Creates the clock of one process; its wall clock is ahead by `wallSkewMs`. */
+  createNodeClock(wallSkewMs?: number): NodeClock;
+}
+
+/**
+ * Creates a clock that stands still until it is advanced.
+ *
+ * @example const clock = createFakeClock(); const run = sleep(clock, 50); await clock.advance(50);
+ */
+export function createFakeClock(): FakeClock {
+  return new SinonClock();
+}
+
+class SinonClock implements FakeClock {
+  readonly #timers = fakeTimers.createClock(START_OF_TIME);
+
+  now(): number {
+    return this.#timers.now - START_OF_TIME;
+  }
+
+  wallTime(): number {
+    return this.#timers.now;
+  }
+
+  schedule(delayMs: number, callback: () => void): () => void {
+    const timer = this.#timers.setTimeout(callback, Math.max(MIN_DELAY_MS, Math.ceil(delayMs)));
+    return () => {
+      this.#timers.clearTimeout(timer);
+    };
+  }
+
+  async advance(durationMs: number): Promise<void> {
+    const end = { reached: false };
+    await this.settle();
+    this.schedule(durationMs, () => {
+      end.reached = true;
+    });
+    while (!end.reached) {
+      this.#timers.next();
+      await this.settle();
+    }
+    this.#timers.tick(0);
+    await this.settle();
+  }
+
+  settle(): Promise<void> {
+    return new Promise((resolve) => setImmediate(resolve));
+  }
+
+  createNodeClock(wallSkewMs = 0): NodeClock {
+    return new PausableClock(this, wallSkewMs);
+  }
+}
+
+interface HeldTimer {
+  readonly callback: () => void;
+  cancelled: boolean;
+}
+
+class PausableClock implements NodeClock {
+  readonly #base: clocks.Clock;
+  readonly #wallSkewMs: number;
+  #held: HeldTimer[] = [];
+  #paused = false;
+
+  constructor(base: clocks.Clock, wallSkewMs: number) {
+    this.#base = base;
+    this.#wallSkewMs = wallSkewMs;
+  }
+
+  get paused(): boolean {
+    return this.#paused;
+  }
+
+  now(): number {
+    return this.#base.now();
+  }
+
+  wallTime(): number {
+    return this.#base.wallTime() + this.#wallSkewMs;
+  }
+
+  schedule(delayMs: number, callback: () => void): () => void {
+    const timer: HeldTimer = { callback, cancelled: false };
+    const cancelBase = this.#base.schedule(delayMs, () => {
+      this.#handleTimer(timer);
+    });
+    return () => {
+      timer.cancelled = true;
+      cancelBase();
+    };
+  }
+
+  pause(): void {
+    this.#paused = true;
+  }
+
+  resume(): void {
+    this.#paused = false;
+    const held = this.#held;
+    this.#held = [];
+    for (const timer of held) {
+      this.#base.schedule(0, () => {
+        this.#handleTimer(timer);
+      });
+    }
+  }
+
+  #handleTimer(timer: HeldTimer): void {
+    if (timer.cancelled) return;
+    if (this.#paused) this.#held.push(timer);
+    else timer.callback();
+  }
+}
--- /dev/null
+++ b/standins/memory-channel.ts
@@ -0,0 +1,187 @@
+/** One connection of the in-memory network: two ends and an ordered pipe each way. */
+import type * as clocks from "../src/kernel/clock.js";
+import type * as network from "../src/protocol/network.js";
+import * as asyncQueue from "./async-queue.js";
+
+/** What the network does to frames on their way. */
+export interface Conditions {
+  readonly clock: clocks.Clock;
+  /** Whether frames that have arrived are kept from the receiver for now. */
+  isHeld(from: string, to: string): boolean;
+  isFrozen(node: string): boolean;
+  getDelay(from: string, to: string): number;
+}
+
+/** A message on its way: a frame, or the sender's end. */
+interface Transit {
+  readonly arrivesAt: number;
+  readonly frame: Uint8Array | undefined;
+}
+
+class Pipe {
+  readonly inbox = new asyncQueue.AsyncQueue<Uint8Array>();
+  readonly #conditions: Conditions;
+  readonly #from: string;
+  readonly #to: string;
+  readonly #transits: Transit[] = [];
+  #bufferedBytes = 0;
+  #silent = false;
+  #cancelTimer: (() => void) | undefined;
+
+  constructor(conditions: Conditions, from: string, to: string) {
+    this.#conditions = conditions;
+    this.#from = from;
+    this.#to = to;
+  }
+
+  get bufferedBytes(): number {
+    return this.#bufferedBytes;
+  }
+
+  send(frame: Uint8Array | undefined): void {
+    if (this.#silent || this.inbox.closed) return;
+    const delayMs = this.#conditions.getDelay(this.#from, this.#to);
+    const copy = frame === undefined ? undefined : Uint8Array.from(frame);
+    this.#transits.push({ arrivesAt: this.#conditions.clock.now() + delayMs, frame: copy });
+    this.#bufferedBytes += frame?.byteLength ?? 0;
+    this.resumeDeliveries();
+  }
+
+  resumeDeliveries(): void {
+    this.#cancelTimer?.();
+    this.#cancelTimer = undefined;
+    if (this.#isHeld()) return;
+    const now = this.#conditions.clock.now();
+    for (;;) {
+      const transit = this.#transits[0];
+      if (transit === undefined) return;
+      if (transit.arrivesAt > now) {
+        this.#scheduleDelivery(transit.arrivesAt - now);
+        return;
+      }
+      this.#transits.shift();
+      this.#deliver(transit);
+    }
+  }
+
+  silence(): void {
+    this.#silent = true;
+    this.#transits.length = 0;
+    this.#bufferedBytes = 0;
+  }
+
+  reset(): void {
+    this.#cancelTimer?.();
+    this.#transits.length = 0;
+    this.inbox.close(new Error("connection reset"));
+  }
+
+  #isHeld(): boolean {
+    return this.#conditions.isHeld(this.#from, this.#to) || this.#conditions.isFrozen(this.#from);
+  }
+
+  #scheduleDelivery(delayMs: number): void {
+    this.#cancelTimer = this.#conditions.clock.schedule(delayMs, () => {
+      this.resumeDeliveries();
+    });
+  }
+
+  #deliver(transit: Transit): void {
+    if (transit.frame === undefined) {
+      this.inbox.close();
+      return;
+    }
+    this.#bufferedBytes -= transit.frame.byteLength;
+    this.inbox.push(transit.frame);
+  }
+}
+
+class ChannelEnd implements network.FrameChannel {
+  readonly #outgoing: Pipe;
+  readonly #incoming: Pipe;
+  readonly #onClose: () => void;
+  #closed = false;
+
+  constructor(outgoing: Pipe, incoming: Pipe, onClose: () => void) {
+    this.#outgoing = outgoing;
+    this.#incoming = incoming;
+    this.#onClose = onClose;
+  }
+
+  get bufferedBytes(): number {
+    return this.#outgoing.bufferedBytes;
+  }
+
+  send(frame: Uint8Array): void {
+    this.#outgoing.send(frame);
+  }
+
+  receive(): AsyncIterable<Uint8Array> {
+    return this.#incoming.inbox;
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    if (this.#closed) return Promise.resolve();
+    this.#closed = true;
+    this.#outgoing.send(undefined);
+    this.#incoming.inbox.close();
+    this.#onClose();
+    return Promise.resolve();
+  }
+}
+
+/** Both ends of a connection and the faults that can befall it. */
+export class MemoryConnection {
+  readonly connectingEnd: network.FrameChannel;
+  readonly acceptingEnd: network.FrameChannel;
+  readonly #from: string;
+  readonly #to: string;
+  readonly #pipes: readonly Pipe[];
+  readonly #onEnd: () => void;
+  #closedEnds = 0;
+
+  /** @param onEnd - called when both ends are closed or the connection is reset. */
+  constructor(conditions: Conditions, from: string, to: string, onEnd: () => void) {
+    this.#from = from;
+    this.#to = to;
+    this.#onEnd = onEnd;
+    const forth = new Pipe(conditions, from, to);
+    const back = new Pipe(conditions, to, from);
+    this.#pipes = [forth, back];
+    const onClose = (): void => {
+      this.#handleClose();
+    };
+    this.connectingEnd = new ChannelEnd(forth, back, onClose);
+    this.acceptingEnd = new ChannelEnd(back, forth, onClose);
+  }
+
+  isOf(node: string): boolean {
+    return this.#from === node || this.#to === node;
+  }
+
+  isBetween(first: string, second: string): boolean {
+    const forth = this.#from === first && this.#to === second;
+    return forth || (this.#from === second && this.#to === first);
+  }
+
+  /** Loses all bytes from now on, both ways, without an end. */
+  silence(): void {
+    for (const pipe of this.#pipes) pipe.silence();
+  }
+
+  /** Breaks the connection with an error at both ends. */
+  reset(): void {
+    for (const pipe of this.#pipes) pipe.reset();
+    this.#onEnd();
+  }
+
+  /** Delivers what is no longer held. */
+  resumeDeliveries(): void {
+    for (const pipe of this.#pipes) pipe.resumeDeliveries();
+  }
+
+  #handleClose(): void {
+    this.#closedEnds += 1;
+    if (this.#closedEnds >= 2) this.#onEnd();
+  }
+}
--- /dev/null
+++ b/standins/memory-transport.ts
@@ -0,0 +1,206 @@
+/** A network in memory for tests: channels between named nodes, with faults between any two. */
+import type * as clocks from "../src/kernel/clock.js";
+import * as network from "../src/protocol/network.js";
+import * as memoryChannel from "./memory-channel.js";
+
+const DEFAULT_DELAY_MS = 1;
+
+interface Listener {
+  readonly node: string;
+  readonly onChannel: (channel: network.FrameChannel) => void;
+}
+
+interface PendingAccept {
+  readonly node: string;
+  readonly run: () => void;
+}
+
+/**
+ * The network; nodes are named by the test and get a transport each.
+ *
+ * @example
+ * const net = new MemoryNetwork(clock);
+ * const transport = net.createTransport("a");
+ * net.cut("a", "b");
+ */
+export class MemoryNetwork implements memoryChannel.Conditions {
+  readonly clock: clocks.Clock;
+  readonly #defaultDelayMs: number;
+  readonly #listeners = new Map<string, Listener>();
+  readonly #channels = new Set<memoryChannel.MemoryConnection>();
+  readonly #cuts = new Set<string>();
+  readonly #frozen = new Set<string>();
+  readonly #delays = new Map<string, number>();
+  #pendingAccepts: PendingAccept[] = [];
+
+  constructor(clock: clocks.Clock, defaultDelayMs = DEFAULT_DELAY_MS) {
+    this.clock = clock;
+    this.#defaultDelayMs = defaultDelayMs;
+  }
+
+  /** Creates the transport of node `node`. */
+  createTransport(node: string): network.Transport {
+    return {
+      connect: (address, signal) => this.#connect(node, address, signal),
+      listen: (address, onChannel) => Promise.resolve(this.#listen(node, address, onChannel)),
+    };
+  }
+
+  /** Holds everything between two nodes, connections included, as a partition does. */
+  cut(first: string, second: string): void {
+    this.#cuts.add(formatPair(first, second));
+  }
+
+  /** Ends a cut; what was held arrives. */
+  heal(first: string, second: string): void {
+    this.#cuts.delete(formatPair(first, second));
+    this.#resumeDeliveries();
+  }
+
+  /** Holds everything to and from one node, as while its process is stopped; connections to it open. */
+  freeze(node: string): void {
+    this.#frozen.add(node);
+  }
+
+  /** Ends a freeze; what was held arrives. */
+  thaw(node: string): void {
+    this.#frozen.delete(node);
+    this.#resumeDeliveries();
+  }
+
+  /** Sets the one-way delay between two nodes. */
+  setDelay(first: string, second: string, delayMs: number): void {
+    this.#delays.set(formatPair(first, second), delayMs);
+  }
+
+  /** Makes the open connections between two nodes lose all bytes without an end; new ones work. */
+  silence(first: string, second: string): void {
+    for (const channel of this.#listBetween(first, second)) channel.silence();
+  }
+
+  /** Breaks the open connections between two nodes with an error at both ends. */
+  reset(first: string, second: string): void {
+    for (const channel of this.#listBetween(first, second)) channel.reset();
+  }
+
+  /** Ends a node as SIGKILL does: its connections break and its addresses refuse connections. */
+  kill(node: string): void {
+    for (const [address, listener] of this.#listeners) {
+      if (listener.node === node) this.#listeners.delete(address);
+    }
+    for (const channel of this.#channels) {
+      if (channel.isOf(node)) channel.reset();
+    }
+    this.#pendingAccepts = this.#pendingAccepts.filter((accept) => accept.node !== node);
+    this.#frozen.delete(node);
+  }
+
+  /** Counts open connections of a node. */
+  countConnections(node: string): number {
+    return [...this.#channels].filter((channel) => channel.isOf(node)).length;
+  }
+
+  isHeld(from: string, to: string): boolean {
+    return this.isCut(from, to) || this.#frozen.has(to);
+  }
+
+  isFrozen(node: string): boolean {
+    return this.#frozen.has(node);
+  }
+
+  isCut(from: string, to: string): boolean {
+    return this.#cuts.has(formatPair(from, to));
+  }
+
+  getDelay(from: string, to: string): number {
+    return this.#delays.get(formatPair(from, to)) ?? this.#defaultDelayMs;
+  }
+
+  #listen(
+    node: string,
+    address: network.PeerAddress,
+    onChannel: (channel: network.FrameChannel) => void,
+  ): AsyncDisposable {
+    const key = formatAddress(address);
+    if (this.#listeners.has(key)) throw new Error(`address in use: ${key}`);
+    const listener: Listener = { node, onChannel };
+    this.#listeners.set(key, listener);
+    return {
+      [Symbol.asyncDispose]: () => {
+        if (this.#listeners.get(key) === listener) this.#listeners.delete(key);
+        return Promise.resolve();
+      },
+    };
+  }
+
+  async #connect(
+    node: string,
+    address: network.PeerAddress,
+    signal: AbortSignal,
+  ): Promise<network.FrameChannel> {
+    const key = formatAddress(address);
+    const target = this.#listeners.get(key)?.node ?? address.host;
+    await this.#waitForRoundTrip(node, target, signal);
+    const listener = this.#listeners.get(key);
+    if (listener === undefined) throw new network.ConnectionRefusedError(`refused by ${key}`);
+    const connection = new memoryChannel.MemoryConnection(this, node, listener.node, () => {
+      this.#channels.delete(connection);
+    });
+    this.#channels.add(connection);
+    this.#accept(listener, connection.acceptingEnd);
+    return connection.connectingEnd;
+  }
+
+  #accept(listener: Listener, channel: network.FrameChannel): void {
+    const run = (): void => {
+      listener.onChannel(channel);
+    };
+    if (this.#frozen.has(listener.node)) this.#pendingAccepts.push({ node: listener.node, run });
+    else run();
+  }
+
+  /** Polls while the pair is cut, as a handshake is sent again until it is answered. */
+  #waitForRoundTrip(from: string, to: string, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const delayMs = Math.max(1, 2 * this.getDelay(from, to));
+      let cancel: () => void;
+      const onAbort = (): void => {
+        cancel();
+        reject(signal.reason as Error);
+      };
+      const onTimer = (): void => {
+        if (this.isCut(from, to) || this.#frozen.has(from)) {
+          cancel = this.clock.schedule(delayMs, onTimer);
+          return;
+        }
+        signal.removeEventListener("abort", onAbort);
+        resolve();
+      };
+      cancel = this.clock.schedule(delayMs, onTimer);
+      if (signal.aborted) onAbort();
+      else signal.addEventListener("abort", onAbort, { once: true });
+    });
+  }
+
+  #resumeDeliveries(): void {
+    const accepts = this.#pendingAccepts;
+    this.#pendingAccepts = [];
+    for (const accept of accepts) {
+      if (this.#frozen.has(accept.node)) this.#pendingAccepts.push(accept);
+      else accept.run();
+    }
+    for (const channel of this.#channels) channel.resumeDeliveries();
+  }
+
+  #listBetween(first: string, second: string): memoryChannel.MemoryConnection[] {
+    return [...this.#channels].filter((channel) => channel.isBetween(first, second));
+  }
+}
+
+function formatPair(first: string, second: string): string {
+  return first < second ? `${first}|${second}` : `${second}|${first}`;
+}
+
+function formatAddress(address: network.PeerAddress): string {
+  return `${address.host}:${address.port}`;
+}
