--- /dev/null
+++ b/standins/engine/cancelled-ids.ts
@@ -0,0 +1,25 @@
+/** Attempts that were cancelled, so that a late command for one of them is refused. */
+import * as lru from "lru-cache";
+import type * as upstream from "../../src/upstream/types.js";
+
+const MAX_IDS = 20_000;
+
+/** Highest cancelled attempt by id. */
+export class CancelledIds {
+  readonly #attempts = new lru.LRUCache<string, number>({ max: MAX_IDS });
+
+  /** Marks every attempt of the id up to this one as cancelled. */
+  add(attempt: upstream.AttemptId): void {
+    const known = this.#attempts.get(attempt.id) ?? 0;
+    this.#attempts.set(attempt.id, Math.max(known, attempt.attempt));
+  }
+
+  has(attempt: upstream.AttemptId): boolean {
+    return attempt.attempt <= (this.#attempts.get(attempt.id) ?? -1);
+  }
+}
+
+/** Whether a cancel of `cancelled` covers `attempt`. */
+export function isCovered(attempt: upstream.AttemptId, cancelled: upstream.AttemptId): boolean {
+  return attempt.id === cancelled.id && attempt.attempt <= cancelled.attempt;
+}
--- /dev/null
+++ b/standins/engine/decode-request.ts
@@ -0,0 +1,101 @@
+/** One request at a decode engine, and the readers of its output. */
+import type * as upstream from "../../src/upstream/types.js";
+import * as asyncQueue from "../async-queue.js";
+import type * as engineOptions from "./engine-options.js";
+import * as expectedTokens from "./expected-tokens.js";
+
+/** Where a request stands. */
+export type DecodeState = "queued" | "importing" | "running" | "finished";
+
+/** A request from its arrival until its output is forgotten. */
+export class DecodeRequest {
+  readonly command: upstream.DecodeCommand;
+  readonly deadlineAt: number;
+  /** Aborts the import. */
+  readonly abort = new AbortController();
+  state: DecodeState = "queued";
+  pieces = 0;
+  finishedAt = 0;
+  readonly #tokens: string[] = [];
+  readonly #readers = new Set<asyncQueue.AsyncQueue<upstream.DecodeEvent>>();
+  #output: expectedTokens.OutputSeed = { seed: 0, length: 0 };
+  #end: upstream.DecodeEvent | undefined;
+
+  constructor(command: upstream.DecodeCommand, deadlineAt: number) {
+    this.command = command;
+    this.deadlineAt = deadlineAt;
+  }
+
+  get attemptId(): upstream.AttemptId {
+    return { id: this.command.id, attempt: this.command.attempt };
+  }
+
+  /** Begins generation after the import. */
+  startRunning(kv: engineOptions.KvExport): void {
+    this.#output = expectedTokens.computeOutputSeed(kv.prompt);
+    this.state = "running";
+    this.#push({ ...this.attemptId, type: "imported" });
+  }
+
+  /** Generates one token; returns whether the output is whole now. */
+  generateToken(): boolean {
+    const offset = this.#getNextOffset();
+    if (offset < this.#getEndOffset()) {
+      const text = expectedTokens.computeToken(this.#output.seed, offset);
+      this.#tokens.push(text);
+      this.#push({ ...this.attemptId, type: "token", offset, text });
+    }
+    return this.#getNextOffset() >= this.#getEndOffset();
+  }
+
+  /** Ends the output by itself or because the engine freed the request. */
+  finish(cancelled: boolean): void {
+    const whole = this.#output.length <= this.command.offset + this.command.maxTokens;
+    const finishReason = cancelled ? "cancelled" : whole ? "stop" : "length";
+    const tokens = this.#getNextOffset();
+    this.#end = { ...this.attemptId, type: "end", tokens, finishReason };
+    this.#push(this.#end);
+    this.#closeReaders();
+    this.state = "finished";
+  }
+
+  /** Ends every reader with an error. */
+  fail(error: Error): void {
+    this.abort.abort(error);
+    this.#closeReaders(error);
+    this.state = "finished";
+  }
+
+  /** Reads the output from `offset`, what is already generated first. */
+  attach(offset: number): AsyncIterable<upstream.DecodeEvent> {
+    const reader: asyncQueue.AsyncQueue<upstream.DecodeEvent> = new asyncQueue.AsyncQueue(() => {
+      this.#readers.delete(reader);
+    });
+    if (this.state === "running" || this.#end) reader.push({ ...this.attemptId, type: "imported" });
+    for (let at = offset; at < this.#getNextOffset(); at += 1) {
+      const text = this.#tokens[at - this.command.offset];
+      if (text !== undefined) reader.push({ ...this.attemptId, type: "token", offset: at, text });
+    }
+    if (this.#end !== undefined) reader.push(this.#end);
+    if (this.state === "finished") reader.close();
+    else this.#readers.add(reader);
+    return reader;
+  }
+
+  #getNextOffset(): number {
+    return this.command.offset + this.#tokens.length;
+  }
+
+  #getEndOffset(): number {
+    return Math.min(this.#output.length, this.command.offset + this.command.maxTokens);
+  }
+
+  #push(event: upstream.DecodeEvent): void {
+    for (const reader of this.#readers) reader.push(event);
+  }
+
+  #closeReaders(error?: Error): void {
+    for (const reader of this.#readers) reader.close(error);
+    this.#readers.clear();
+  }
+}
--- /dev/null
+++ b/standins/engine/decode-unit.ts
@@ -0,0 +1,230 @@
+/** The decode role: a continuous batch of limited slots, with one timer a step. */
+import type * as upstream from "../../src/upstream/types.js";
+import * as cancelledIds from "./cancelled-ids.js";
+import * as decodeRequest from "./decode-request.js";
+import type * as engineJudge from "./engine-judge.js";
+import type * as engineOptions from "./engine-options.js";
+import * as engineRefusal from "./engine-refusal.js";
+import * as priorityOrder from "./priority-order.js";
+
+const MAX_QUEUE = 1_000;
+const MAX_FINISHED = 1_000;
+
+/** Generates tokens for up to `slots` requests at once. */
+export class DecodeUnit {
+  readonly #options: engineOptions.EngineOptions;
+  readonly #judge: engineJudge.EngineJudge;
+  readonly #crash: () => void;
+  readonly #queue: decodeRequest.DecodeRequest[] = [];
+  readonly #held = new Set<decodeRequest.DecodeRequest>();
+  readonly #finished = new Set<decodeRequest.DecodeRequest>();
+  #slowness = 1;
+  #cancelStep: (() => void) | undefined;
+
+  /** @param crash - called when a prompt that crashes the engine begins to run. */
+  constructor(
+    options: engineOptions.EngineOptions,
+    judge: engineJudge.EngineJudge,
+    crash: () => void,
+  ) {
+    this.#options = options;
+    this.#judge = judge;
+    this.#crash = crash;
+  }
+
+  get slotsUsed(): number {
+    return this.#held.size;
+  }
+
+  get piecesUsed(): number {
+    let pieces = 0;
+    for (const request of this.#held) pieces += request.pieces;
+    return pieces;
+  }
+
+  listHeld(): upstream.AttemptId[] {
+    return [...this.#held].map((request) => request.attemptId);
+  }
+
+  listQueued(): upstream.AttemptId[] {
+    return this.#queue.map((request) => request.attemptId);
+  }
+
+  /** Multiplies the time of steps from now on. */
+  setSlowness(factor: number): void {
+    this.#slowness = factor;
+  }
+
+  /** Queues a request and returns its output. @throws EngineRefusal */
+  start(command: upstream.DecodeCommand): AsyncIterable<upstream.DecodeEvent> {
+    const status = engineRefusal.REFUSAL_STATUS;
+    if (this.#queue.length >= MAX_QUEUE) {
+      throw new engineRefusal.EngineRefusal(status.unavailable, "decode queue is full");
+    }
+    if (this.#findRequest(command) !== undefined) {
+      throw new engineRefusal.EngineRefusal(status.conflict, "attempt is already here");
+    }
+    const deadlineAt = this.#options.clock.now() + command.deadlineMs;
+    const request = new decodeRequest.DecodeRequest(command, deadlineAt);
+    const output = request.attach(command.offset);
+    priorityOrder.addByPriority(this.#queue, request);
+    this.#admit();
+    return output;
+  }
+
+  /** Reads the output of a request again from `offset`. @throws EngineRefusal */
+  resume(attempt: upstream.AttemptId, offset: number): AsyncIterable<upstream.DecodeEvent> {
+    const request = this.#findRequest(attempt);
+    if (request === undefined || offset < request.command.offset) {
+      throw new engineRefusal.EngineRefusal(
+        engineRefusal.REFUSAL_STATUS.notFound,
+        "nothing to resume",
+      );
+    }
+    return request.attach(offset);
+  }
+
+  /** Frees what is held for attempts that `cancelled` covers. */
+  cancel(cancelled: upstream.AttemptId): void {
+    this.#freeWhere((request) => cancelledIds.isCovered(request.command, cancelled));
+    for (const request of this.#finished) {
+      if (cancelledIds.isCovered(request.command, cancelled)) this.#finished.delete(request);
+    }
+  }
+
+  /** Frees requests whose deadline has passed, and forgets old output. */
+  checkDeadlines(): void {
+    const now = this.#options.clock.now();
+    this.#freeWhere((request) => request.deadlineAt <= now);
+    for (const request of this.#finished) {
+      if (request.finishedAt + this.#options.finishedLifeMs <= now) this.#finished.delete(request);
+    }
+  }
+
+  /** Loses everything. */
+  reset(error: Error): number {
+    const lost = [...this.#queue, ...this.#held];
+    this.#queue.length = 0;
+    this.#held.clear();
+    this.#finished.clear();
+    this.#cancelStep?.();
+    this.#cancelStep = undefined;
+    for (const request of lost) request.fail(error);
+    return lost.length;
+  }
+
+  #admit(): void {
+    while (this.#held.size < this.#options.slots) {
+      const request = this.#queue.shift();
+      if (request === undefined) return;
+      request.state = "importing";
+      this.#held.add(request);
+      this.#judge.peakSlots = Math.max(this.#judge.peakSlots, this.#held.size);
+      void this.#import(request);
+    }
+  }
+
+  async #import(request: decodeRequest.DecodeRequest): Promise<void> {
+    const kv = await this.#fetch(request);
+    if (kv === undefined) return;
+    try {
+      const bytes = kv.promptTokens * this.#options.kvBytesPerToken;
+      await this.#options.link.send(bytes, request.abort.signal);
+    } catch {
+      this.#judge.wastedPrefillTokens += kv.computedTokens;
+      return;
+    }
+    this.#start(request, kv);
+  }
+
+  /** Returns the KV cache when it is there, fits and is still wanted. */
+  async #fetch(request: decodeRequest.DecodeRequest): Promise<engineOptions.KvExport | undefined> {
+    const { source, handle, maxTokens } = request.command;
+    const kv = await this.#options.fetchKv(source, handle).catch(() => undefined);
+    if (kv === undefined) {
+      this.#refuse(request, engineRefusal.REFUSAL_STATUS.gone, "KV cache is gone");
+      return undefined;
+    }
+    if (!this.#held.has(request)) {
+      this.#judge.wastedPrefillTokens += kv.computedTokens;
+      return undefined;
+    }
+    const pieces = Math.ceil((kv.promptTokens + maxTokens) / this.#options.tokensPerPiece);
+    if (this.piecesUsed + pieces > this.#options.pieces) {
+      this.#judge.wastedPrefillTokens += kv.computedTokens;
+      this.#refuse(request, engineRefusal.REFUSAL_STATUS.noMemory, "no pieces are free");
+      return undefined;
+    }
+    request.pieces = pieces;
+    return kv;
+  }
+
+  #start(request: decodeRequest.DecodeRequest, kv: engineOptions.KvExport): void {
+    if (!this.#held.has(request)) return;
+    if (kv.continuationOffset !== request.command.offset) this.#judge.badContinuations += 1;
+    this.#judge.recordExecution(request.command.id, "decodes");
+    request.startRunning(kv);
+    if (kv.prompt.includes(this.#options.decodeCrashMarker)) this.#crash();
+    else this.#scheduleStep();
+  }
+
+  #scheduleStep(): void {
+    if (this.#cancelStep !== undefined) return;
+    const stepMs = this.#options.stepMs * this.#slowness;
+    this.#cancelStep = this.#options.clock.schedule(stepMs, () => {
+      this.#cancelStep = undefined;
+      this.#runStep();
+    });
+  }
+
+  #runStep(): void {
+    let running = 0;
+    for (const request of this.#held) {
+      if (request.state !== "running") continue;
+      running += 1;
+      this.#judge.outputTokens += 1;
+      if (request.generateToken()) this.#finish(request);
+    }
+    this.checkDeadlines();
+    this.#admit();
+    if (running > 0) this.#scheduleStep();
+  }
+
+  #finish(request: decodeRequest.DecodeRequest): void {
+    request.finish(false);
+    request.finishedAt = this.#options.clock.now();
+    this.#held.delete(request);
+    if (this.#finished.size < MAX_FINISHED) this.#finished.add(request);
+  }
+
+  #freeWhere(isFreed: (request: decodeRequest.DecodeRequest) => boolean): void {
+    for (const request of [...this.#queue, ...this.#held]) {
+      if (!isFreed(request)) continue;
+      this.#remove(request);
+      request.finish(true);
+      request.abort.abort(new Error("freed"));
+    }
+    this.#admit();
+  }
+
+  #refuse(request: decodeRequest.DecodeRequest, status: number, message: string): void {
+    if (!this.#held.has(request)) return;
+    this.#judge.refusals += 1;
+    this.#remove(request);
+    request.fail(new engineRefusal.EngineRefusal(status, message));
+    this.#admit();
+  }
+
+  #remove(request: decodeRequest.DecodeRequest): void {
+    const index = this.#queue.indexOf(request);
+    if (index !== -1) this.#queue.splice(index, 1);
+    this.#held.delete(request);
+  }
+
+  #findRequest(attempt: upstream.AttemptId): decodeRequest.DecodeRequest | undefined {
+    const all = [...this.#queue, ...this.#held, ...this.#finished];
+    return all.find(
+      ({ command }) => command.id === attempt.id && command.attempt === attempt.attempt,
+    );
+  }
+}
--- /dev/null
+++ b/standins/engine/engine-model.ts
@@ -0,0 +1,234 @@
+/** An emulated model engine on a clock: in-process under fake timers, or behind HTTP. */
+import type * as upstream from "../../src/upstream/types.js";
+import * as cancelledIds from "./cancelled-ids.js";
+import * as decodeUnit from "./decode-unit.js";
+import * as engineJudge from "./engine-judge.js";
+import type * as engineOptions from "./engine-options.js";
+import * as engineRefusal from "./engine-refusal.js";
+import * as prefillUnit from "./prefill-unit.js";
+import * as served from "./served.js";
+import * as transferLink from "./transfer-link.js";
+
+export { computeExpectedTokens } from "./expected-tokens.js";
+
+const DEFAULT_LINK_BYTES_PER_SECOND = 10e9;
+const DEFAULT_WEIGHT_STORE_BYTES_PER_SECOND = 10e9;
+
+/** Returns full options; shapes are those of a small engine of 20 slots and 4,000 pieces. */
+export function createEngineOptions(
+  partial: engineOptions.PartialEngineOptions,
+): engineOptions.EngineOptions {
+  const { clock } = partial;
+  return {
+    name: "engine",
+    role: "decode",
+    model: "model",
+    version: "1",
+    adapters: [],
+    slots: 20,
+    pieces: 4_000,
+    tokensPerPiece: 16,
+    kvBytesPerToken: 100_000,
+    prefillTokensPerSecond: 8_000,
+    stepMs: 25,
+    resultLifeMs: 800,
+    loadReportMs: 500,
+    finishedLifeMs: 2_000,
+    cacheBlocks: 400,
+    cacheEventDelayMs: 200,
+    cacheEventLossPeriod: 50,
+    weightBytes: 16e9,
+    adapterBytes: 100e6,
+    link: new transferLink.TransferLink(clock, DEFAULT_LINK_BYTES_PER_SECOND),
+    weightStore: new transferLink.TransferLink(clock, DEFAULT_WEIGHT_STORE_BYTES_PER_SECOND),
+    checksFencing: true,
+    prefillCrashMarker: "#crash-prefill",
+    decodeCrashMarker: "#crash-decode",
+    fetchKv: () => Promise.resolve(undefined),
+    onCrash: () => undefined,
+    ...partial,
+  };
+}
+
+/**
+ * One engine. `prefill` and `decode` are accepted according to the role it has now.
+ *
+ * @example
+ * using engine = new EngineModel({ clock, name: "p1", role: "prefill" });
+ * const result = await engine.prefill(command);
+ */
+export class EngineModel implements Disposable {
+  readonly options: engineOptions.EngineOptions;
+  readonly #judge = new engineJudge.EngineJudge();
+  readonly #cancelled = new cancelledIds.CancelledIds();
+  readonly #prefill: prefillUnit.PrefillUnit;
+  readonly #decode: decodeUnit.DecodeUnit;
+  readonly #served: served.Served;
+  #alive = true;
+  #report: Omit<upstream.RunnerLoad, "ageMs">;
+  #reportedAt = 0;
+  #cancelTimer: (() => void) | undefined;
+
+  constructor(partial: engineOptions.PartialEngineOptions) {
+    this.options = createEngineOptions(partial);
+    const crash = (): void => {
+      this.crash();
+    };
+    this.#prefill = new prefillUnit.PrefillUnit(this.options, this.#judge, crash);
+    this.#decode = new decodeUnit.DecodeUnit(this.options, this.#judge, crash);
+    this.#served = new served.Served(this.options, () => {
+      this.#judge.cutByOrders += this.#loseRunning("cut off by an order");
+    });
+    this.#report = this.#createReport();
+    this.#scheduleReport();
+  }
+
+  /** Whether the engine's process runs: false after a crash until `restart`. */
+  get alive(): boolean {
+    return this.#alive;
+  }
+
+  /** Computes a prompt's KV cache. @throws EngineRefusal or EngineBreak */
+  async prefill(command: upstream.PrefillCommand): Promise<upstream.PrefillResult> {
+    this.#checkAccepts("prefill", command);
+    return this.#prefill.run(command);
+  }
+
+  /** Imports a KV cache and generates. @throws EngineRefusal at once, or EngineBreak while read */
+  decode(command: upstream.DecodeCommand): AsyncIterable<upstream.DecodeEvent> {
+    this.#checkAccepts("decode", command);
+    return this.#decode.start(command);
+  }
+
+  /** Reads a decode again from `offset`, while it is held or just after. @throws EngineRefusal */
+  resume(attempt: upstream.AttemptId, offset: number): AsyncIterable<upstream.DecodeEvent> {
+    return this.#decode.resume(attempt, offset);
+  }
+
+  /** Frees everything held for attempts of the id up to this one, and refuses them from now on. */
+  cancel(attempt: upstream.AttemptId): void {
+    this.#judge.cancels += 1;
+    this.#cancelled.add(attempt);
+    this.#prefill.cancel(attempt);
+    this.#decode.cancel(attempt);
+  }
+
+  /** Hands a prefill's result to a decode engine. */
+  popKv(handle: string): engineOptions.KvExport | undefined {
+    return this.#prefill.popResult(handle);
+  }
+
+  /** Returns the last load report. */
+  getLoad(): upstream.RunnerLoad {
+    return { ...this.#report, ageMs: Math.round(this.options.clock.now() - this.#reportedAt) };
+  }
+
+  /** Returns the published cache events after number `after`. */
+  listCacheEvents(after: number): upstream.CacheEvent[] {
+    return this.#prefill.cache.listEvents(after);
+  }
+
+  /** Accepts an order; the weights arrive later. @throws EngineRefusal */
+  applyOrder(order: upstream.RunnerOrder): void {
+    this.#served.apply(order);
+  }
+
+  /** Returns what the engine really did and holds now. */
+  getJudge(): engineJudge.JudgeReport {
+    return this.#judge.createReport({
+      name: this.options.name,
+      slotsHeld: [...this.#prefill.listHeld(), ...this.#decode.listHeld()],
+      piecesHeld: this.#prefill.piecesUsed + this.#decode.piecesUsed,
+      queued: [...this.#prefill.listQueued(), ...this.#decode.listQueued()],
+    });
+  }
+
+  /** Ends the engine as a fault does: all state is lost, all streams break. */
+  crash(): void {
+    if (!this.#alive) return;
+    this.#alive = false;
+    this.#judge.crashes += 1;
+    this.#loseRunning("engine crashed");
+    this.#prefill.cache.reset();
+    this.#served.reset();
+    this.options.onCrash();
+  }
+
+  /** Starts again after a crash, with nothing in memory. */
+  restart(): void {
+    this.#alive = true;
+  }
+
+  /** Stops or resumes all transfers on the engine's link. */
+  stallTransfers(stalled: boolean): void {
+    this.options.link.setStalled(stalled);
+  }
+
+  /** Makes prefill and decode steps take `factor` times as long. */
+  slowDown(factor: number): void {
+    this.#prefill.setSlowness(factor);
+    this.#decode.setSlowness(factor);
+  }
+
+  /** Stops the engine's timers and drops what it holds. */
+  [Symbol.dispose](): void {
+    this.#cancelTimer?.();
+    this.#loseRunning("engine stopped");
+  }
+
+  #checkAccepts(
+    role: served.ServedSet["role"],
+    command: upstream.PrefillCommand | upstream.DecodeCommand,
+  ): void {
+    try {
+      if (!this.#alive) throw new engineRefusal.EngineBreak("engine is down");
+      if (this.#cancelled.has(command)) {
+        throw new engineRefusal.EngineRefusal(
+          engineRefusal.REFUSAL_STATUS.conflict,
+          "attempt was cancelled",
+        );
+      }
+      this.#served.check(role, command.model, command.adapter);
+    } catch (error) {
+      this.#judge.refusals += 1;
+      throw error;
+    }
+  }
+
+  #loseRunning(reason: string): number {
+    const error = new engineRefusal.EngineBreak(reason);
+    return this.#prefill.reset(error) + this.#decode.reset(error);
+  }
+
+  #scheduleReport(): void {
+    this.#cancelTimer = this.options.clock.schedule(this.options.loadReportMs, () => {
+      this.#prefill.checkDeadlines();
+      this.#decode.checkDeadlines();
+      this.#report = this.#createReport();
+      this.#scheduleReport();
+    });
+  }
+
+  #createReport(): Omit<upstream.RunnerLoad, "ageMs"> {
+    this.#reportedAt = this.options.clock.now();
+    const { model, version, adapters, role } = this.#served.current;
+    return {
+      slotsUsed: this.#decode.slotsUsed,
+      slotsTotal: this.options.slots,
+      piecesUsed: this.#prefill.piecesUsed + this.#decode.piecesUsed,
+      piecesTotal: this.options.pieces,
+      queuedPrefillTokens: this.#prefill.queuedTokens,
+      model,
+      version,
+      adapters,
+      role,
+      fencing: this.#served.fencing,
+      held: [
+        ...this.#prefill.listHeld(),
+        ...this.#prefill.listQueued(),
+        ...this.#decode.listHeld(),
+        ...this.#decode.listQueued(),
+      ],
+    };
+  }
+}
--- /dev/null
+++ b/standins/engine/expected-tokens.ts
@@ -0,0 +1,45 @@
+/** The output of the emulated model: a pure function of the prompt and the token's offset. */
+import * as hashing from "xxhash-wasm";
+
+const LENGTH_BASE = 8;
+const LENGTH_RANGE = 56;
+const SHORT_HASH_DIGITS = 3;
+const RADIX = 36;
+const HASH_MULTIPLIER = 0x9e3779b1;
+/** A prompt sets its own output length by containing `#tokens=40`. */
+const LENGTH_PATTERN = /#tokens=(\d{1,6})/;
+
+const hasher = await hashing.default();
+
+/** What the emulated model needs to know of a prompt to generate its output. */
+export interface OutputSeed {
+  readonly seed: number;
+  /** Tokens after which the model stops by itself. */
+  readonly length: number;
+}
+
+/** Returns the seed of a prompt's output. */
+export function computeOutputSeed(prompt: string): OutputSeed {
+  const seed = hasher.h32(prompt);
+  const wanted = LENGTH_PATTERN.exec(prompt)?.[1];
+  const length = wanted === undefined ? LENGTH_BASE + (seed % LENGTH_RANGE) : Number(wanted);
+  return { seed, length };
+}
+
+/** Returns the token at `offset`, with the space behind it. */
+export function computeToken(seed: number, offset: number): string {
+  const hash = Math.imul(seed ^ Math.imul(offset + 1, HASH_MULTIPLIER), HASH_MULTIPLIER) >>> 0;
+  const digits = hash.toString(RADIX).padStart(SHORT_HASH_DIGITS, "0");
+  return `t${offset}-${digits.slice(-SHORT_HASH_DIGITS)} `;
+}
+
+/**
+ * Returns every token of the whole answer to a prompt.
+ *
+ * @example computeExpectedTokens("a log of scintillation", 100).join("");
+ */
+export function computeExpectedTokens(prompt: string, maxTokens: number): string[] {
+  const { seed, length } = computeOutputSeed(prompt);
+  const count = Math.min(length, maxTokens);
+  return Array.from({ length: count }, (_, offset) => computeToken(seed, offset));
+}
--- /dev/null
+++ b/standins/engine/prefill-unit.ts
@@ -0,0 +1,258 @@
+/** The prefill role: a serial queue, and results that expire unless they are fetched. */
+import * as prompts from "../../src/request/prompts.js";
+import type * as upstream from "../../src/upstream/types.js";
+import * as cancelledIds from "./cancelled-ids.js";
+import type * as engineJudge from "./engine-judge.js";
+import type * as engineOptions from "./engine-options.js";
+import * as engineRefusal from "./engine-refusal.js";
+import * as prefillResults from "./prefill-results.js";
+import * as prefillPrompts from "./prefill-prompts.js";
+import * as prefixCache from "./prefix-cache.js";
+import * as priorityOrder from "./priority-order.js";
+
+const MAX_QUEUE = 1_000;
+const MS_PER_SECOND = 1000;
+
+interface Job {
+  readonly command: upstream.PrefillCommand;
+  readonly deadlineAt: number;
+  readonly promptTokens: number;
+  readonly resolve: (result: upstream.PrefillResult) => void;
+  readonly reject: (error: Error) => void;
+}
+
+interface RunningJob {
+  readonly job: Job;
+  readonly startedAt: number;
+  readonly cachedTokens: number;
+  readonly tokensPerMs: number;
+  readonly cancelTimer: () => void;
+}
+
+/** Computes prompts one after another, most urgent first. */
+export class PrefillUnit {
+  readonly cache: prefixCache.PrefixCache;
+  readonly #options: engineOptions.EngineOptions;
+  readonly #judge: engineJudge.EngineJudge;
+  readonly #crash: () => void;
+  readonly #queue: Job[] = [];
+  readonly #results: prefillResults.PrefillResults;
+  #running: RunningJob | undefined;
+  #slowness = 1;
+
+  /** @param crash - called when a prompt that crashes the engine begins to run. */
+  constructor(
+    options: engineOptions.EngineOptions,
+    judge: engineJudge.EngineJudge,
+    crash: () => void,
+  ) {
+    this.#options = options;
+    this.#judge = judge;
+    this.#crash = crash;
+    this.#results = new prefillResults.PrefillResults(options, judge, () => {
+      this.#startNext();
+    });
+    this.cache = new prefixCache.PrefixCache({
+      clock: options.clock,
+      maxBlocks: options.cacheBlocks,
+      eventDelayMs: options.cacheEventDelayMs,
+      eventLossPeriod: options.cacheEventLossPeriod,
+    });
+  }
+
+  /** Prompt tokens waiting or running. */
+  get queuedTokens(): number {
+    const waiting = this.#queue.reduce((sum, job) => sum + job.promptTokens, 0);
+    return waiting + (this.#running?.job.promptTokens ?? 0);
+  }
+
+  get piecesUsed(): number {
+    return this.#getRunningPieces() + this.#results.piecesUsed;
+  }
+
+  /** Attempts that compute now or whose result is kept. */
+  listHeld(): upstream.AttemptId[] {
+    const results = this.#results.listHeld();
+    return this.#running === undefined
+      ? results
+      : [createAttemptId(this.#running.job.command), ...results];
+  }
+
+  listQueued(): upstream.AttemptId[] {
+    return this.#queue.map((job) => createAttemptId(job.command));
+  }
+
+  /** Multiplies the time of jobs that start from now on. */
+  setSlowness(factor: number): void {
+    this.#slowness = factor;
+  }
+
+  /** Queues a prompt and resolves when it is computed. */
+  run(command: upstream.PrefillCommand): Promise<upstream.PrefillResult> {
+    const promptTokens = prompts.countTokens(command.prompt + command.continuation);
+    if (this.#queue.length >= MAX_QUEUE) return refuse("unavailable", "prefill queue is full");
+    if (this.#countPieces(promptTokens) > this.#options.pieces) {
+      return refuse("noMemory", "prompt needs more than all pieces");
+    }
+    return new Promise((resolve, reject) => {
+      const deadlineAt = this.#options.clock.now() + command.deadlineMs;
+      priorityOrder.addByPriority(this.#queue, {
+        command,
+        deadlineAt,
+        promptTokens,
+        resolve,
+        reject,
+      });
+      this.#startNext();
+    });
+  }
+
+  /** Frees what is held for attempts that `cancelled` covers. */
+  cancel(cancelled: upstream.AttemptId): void {
+    const error = new engineRefusal.EngineRefusal(
+      engineRefusal.REFUSAL_STATUS.conflict,
+      "cancelled",
+    );
+    this.#removeQueued((job) => cancelledIds.isCovered(job.command, cancelled), error);
+    if (this.#running && cancelledIds.isCovered(this.#running.job.command, cancelled)) {
+      this.#judge.cancelledPrefillTokens += this.#stopRunning(error);
+    }
+    this.#results.removeWhere((kv) => cancelledIds.isCovered(kv, cancelled));
+    this.#startNext();
+  }
+
+  /** Hands a result over; it is no longer held here. */
+  popResult(handle: string): engineOptions.KvExport | undefined {
+    const kv = this.#results.pop(handle);
+    this.#startNext();
+    return kv;
+  }
+
+  /** Drops work whose deadline has passed. */
+  checkDeadlines(): void {
+    const now = this.#options.clock.now();
+    const error = new engineRefusal.EngineRefusal(
+      engineRefusal.REFUSAL_STATUS.unavailable,
+      "deadline exceeded",
+    );
+    this.#removeQueued((job) => job.deadlineAt <= now, error);
+    if (this.#running && this.#running.job.deadlineAt <= now) {
+      this.#judge.wastedPrefillTokens += this.#stopRunning(error);
+      this.#startNext();
+    }
+  }
+
+  /** Loses everything but the cache. */
+  reset(error: Error): number {
+    const lost = this.#queue.length + this.#results.size + (this.#running ? 1 : 0);
+    this.#removeQueued(() => true, error);
+    if (this.#running) this.#judge.wastedPrefillTokens += this.#stopRunning(error);
+    this.#results.removeWhere(() => true);
+    return lost;
+  }
+
+  #startNext(): void {
+    const job = this.#queue[0];
+    if (this.#running !== undefined || job === undefined) return;
+    const free = this.#options.pieces - this.piecesUsed;
+    if (this.#countPieces(job.promptTokens) > free) return;
+    this.#queue.shift();
+    this.#judge.recordExecution(job.command.id, "prefills");
+    this.#running = this.#createRunning(job);
+    if (job.command.prompt.includes(this.#options.prefillCrashMarker)) this.#crash();
+  }
+
+  #createRunning(job: Job): RunningJob {
+    const { clock, prefillTokensPerSecond } = this.#options;
+    const cachedTokens = Math.min(job.promptTokens - 1, this.#countCachedTokens(job.command));
+    const tokensPerMs = prefillTokensPerSecond / MS_PER_SECOND / this.#slowness;
+    const durationMs = (job.promptTokens - cachedTokens) / tokensPerMs;
+    const cancelTimer = clock.schedule(durationMs, () => {
+      this.#finish();
+    });
+    return { job, startedAt: clock.now(), cachedTokens, tokensPerMs, cancelTimer };
+  }
+
+  #finish(): void {
+    const running = this.#running;
+    if (running === undefined) return;
+    this.#running = undefined;
+    const { command, promptTokens } = running.job;
+    const computedTokens = promptTokens - running.cachedTokens;
+    this.#judge.prefillTokens += computedTokens;
+    this.cache.add(prefillPrompts.listPrefixes(command));
+    const kv: engineOptions.KvExport = {
+      ...createAttemptId(command),
+      prompt: command.prompt,
+      continuationOffset: this.#checkContinuation(command),
+      promptTokens,
+      computedTokens,
+      pieces: this.#countPieces(promptTokens),
+    };
+    const handle = this.#results.add(kv);
+    running.job.resolve({
+      handle,
+      promptTokens,
+      cachedTokens: running.cachedTokens,
+      pieces: kv.pieces,
+      expiresInMs: this.#options.resultLifeMs,
+    });
+    this.#startNext();
+  }
+
+  /** Stops the running job and returns the tokens it had computed. */
+  #stopRunning(error: Error): number {
+    const running = this.#running;
+    if (running === undefined) return 0;
+    this.#running = undefined;
+    running.cancelTimer();
+    const elapsedMs = this.#options.clock.now() - running.startedAt;
+    const total = running.job.promptTokens - running.cachedTokens;
+    const computed = Math.min(total, Math.floor(elapsedMs * running.tokensPerMs));
+    this.#judge.prefillTokens += computed;
+    running.job.reject(error);
+    return computed;
+  }
+
+  #removeQueued(isRemoved: (job: Job) => boolean, error: Error): void {
+    for (let index = this.#queue.length - 1; index >= 0; index -= 1) {
+      const job = this.#queue[index];
+      if (job === undefined || !isRemoved(job)) continue;
+      this.#queue.splice(index, 1);
+      job.reject(error);
+    }
+  }
+
+  #countCachedTokens(command: upstream.PrefillCommand): number {
+    return (
+      this.cache.countMatch(prefillPrompts.listPrefixes(command)) * prompts.PREFIX_BLOCK_TOKENS
+    );
+  }
+
+  #checkContinuation(command: upstream.PrefillCommand): number {
+    const continuation = prefillPrompts.parseContinuation(command);
+    if (!continuation.valid) this.#judge.badContinuations += 1;
+    return continuation.tokens;
+  }
+
+  #countPieces(tokens: number): number {
+    return Math.ceil(tokens / this.#options.tokensPerPiece);
+  }
+
+  #getRunningPieces(): number {
+    return this.#running === undefined ? 0 : this.#countPieces(this.#running.job.promptTokens);
+  }
+}
+
+function createAttemptId({ id, attempt }: upstream.AttemptId): upstream.AttemptId {
+  return { id, attempt };
+}
+
+function refuse(
+  status: keyof typeof engineRefusal.REFUSAL_STATUS,
+  message: string,
+): Promise<never> {
+  return Promise.reject(
+    new engineRefusal.EngineRefusal(engineRefusal.REFUSAL_STATUS[status], message),
+  );
+}
--- /dev/null
+++ b/standins/engine/prefix-cache.ts
@@ -0,0 +1,82 @@
+/** The prefix cache of an engine, and its events as they reach readers: late and with gaps. */
+import type * as clocks from "../../src/kernel/clock.js";
+import type * as upstream from "../../src/upstream/types.js";
+
+const MAX_EVENTS = 1_000;
+
+interface TimedEvent extends upstream.CacheEvent {
+  readonly publishedAt: number;
+}
+
+/** Settings of the cache. */
+export interface PrefixCacheOptions {
+  readonly clock: clocks.Clock;
+  /** Blocks it holds; the least recently used goes first. */
+  readonly maxBlocks: number;
+  readonly eventDelayMs: number;
+  /** One event in so many is lost; 0 loses none. */
+  readonly eventLossPeriod: number;
+}
+
+/** Least-recently-used set of prefix blocks. */
+export class PrefixCache {
+  readonly #options: PrefixCacheOptions;
+  readonly #blocks = new Set<string>();
+  readonly #events: TimedEvent[] = [];
+  #lastNumber = 0;
+
+  constructor(options: PrefixCacheOptions) {
+    this.#options = options;
+  }
+
+  /** Returns how many of the prefixes, shortest first, are cached without a gap. */
+  countMatch(prefixes: readonly string[]): number {
+    let matched = 0;
+    for (const prefix of prefixes) {
+      if (!this.#blocks.has(prefix)) break;
+      matched += 1;
+    }
+    return matched;
+  }
+
+  /** Stores prefixes, shortest first, as the most recently used. */
+  add(prefixes: readonly string[]): void {
+    for (const prefix of prefixes) {
+      const known = this.#blocks.delete(prefix);
+      this.#blocks.add(prefix);
+      if (!known) this.#record("stored", prefix);
+    }
+    this.#evict();
+  }
+
+  /** Forgets everything without events, as a restart does. */
+  reset(): void {
+    this.#blocks.clear();
+    this.#events.length = 0;
+  }
+
+  /** Returns the events after number `after` that have been published by now. */
+  listEvents(after: number): upstream.CacheEvent[] {
+    const now = this.#options.clock.now();
+    return this.#events
+      .filter((event) => event.number > after && event.publishedAt <= now)
+      .map(({ number, type, prefix }) => ({ number, type, prefix }));
+  }
+
+  #evict(): void {
+    for (const prefix of this.#blocks) {
+      if (this.#blocks.size <= this.#options.maxBlocks) return;
+      this.#blocks.delete(prefix);
+      this.#record("evicted", prefix);
+    }
+  }
+
+  #record(type: upstream.CacheEvent["type"], prefix: string): void {
+    this.#lastNumber += 1;
+    const period = this.#options.eventLossPeriod;
+    if (period > 0 && this.#lastNumber % period === 0) return;
+    const publishedAt = this.#options.clock.now() + this.#options.eventDelayMs;
+    this.#events.push({ number: this.#lastNumber, type, prefix, publishedAt });
+    if (this.#events.length > MAX_EVENTS) this.#events.shift();
+  }
+}
--- /dev/null
+++ b/standins/engine/transfer-link.ts
@@ -0,0 +1,113 @@
+/** A link of limited rate that concurrent transfers share evenly. */
+import type * as clocks from "../../src/kernel/clock.js";
+
+interface Transfer {
+  remainingBytes: number;
+  readonly finish: () => void;
+}
+
+/** Bytes below this count as sent; absorbs rounding of timers. */
+const EPSILON_BYTES = 1;
+const MS_PER_SECOND = 1000;
+
+/**
+ * Emulates a link by processor sharing.
+ *
+ * @example const link = new TransferLink(clock, 10e9); await link.send(64_000_000, signal);
+ */
+export class TransferLink {
+  readonly #clock: clocks.Clock;
+  readonly #transfers = new Set<Transfer>();
+  #bytesPerSecond: number;
+  #updatedAt: number;
+  #stalled = false;
+  #cancelTimer: (() => void) | undefined;
+
+  constructor(clock: clocks.Clock, bytesPerSecond: number) {
+    this.#clock = clock;
+    this.#bytesPerSecond = bytesPerSecond;
+    this.#updatedAt = clock.now();
+  }
+
+  /** Number of transfers in progress. */
+  get active(): number {
+    return this.#transfers.size;
+  }
+
+  /** Sets the rate from now on. */
+  setRate(bytesPerSecond: number): void {
+    this.#settleProgress();
+    this.#bytesPerSecond = bytesPerSecond;
+    this.#scheduleNext();
+  }
+
+  /** Stops or resumes all transfers without an error. */
+  setStalled(stalled: boolean): void {
+    this.#settleProgress();
+    this.#stalled = stalled;
+    this.#scheduleNext();
+  }
+
+  /**
+   * Waits until `bytes` have passed the link.
+   *
+   * @throws the signal's reason when `signal` aborts first.
+   */
+  async send(bytes: number, signal: AbortSignal): Promise<void> {
+    signal.throwIfAborted();
+    await new Promise<void>((resolve, reject) => {
+      const onAbort = (): void => {
+        this.#remove(transfer);
+        reject(signal.reason as Error);
+      };
+      const finish = (): void => {
+        signal.removeEventListener("abort", onAbort);
+        resolve();
+      };
+      const transfer: Transfer = { remainingBytes: bytes, finish };
+      signal.addEventListener("abort", onAbort, { once: true });
+      this.#settleProgress();
+      this.#transfers.add(transfer);
+      this.#scheduleNext();
+    });
+  }
+
+  #remove(transfer: Transfer): void {
+    this.#settleProgress();
+    this.#transfers.delete(transfer);
+    this.#scheduleNext();
+  }
+
+  #getRateOfEach(): number {
+    if (this.#stalled || this.#transfers.size === 0) return 0;
+    return this.#bytesPerSecond / this.#transfers.size / MS_PER_SECOND;
+  }
+
+  #settleProgress(): void {
+    const now = this.#clock.now();
+    const sent = this.#getRateOfEach() * (now - this.#updatedAt);
+    this.#updatedAt = now;
+    for (const transfer of this.#transfers) transfer.remainingBytes -= sent;
+  }
+
+  #scheduleNext(): void {
+    this.#cancelTimer?.();
+    this.#cancelTimer = undefined;
+    const rate = this.#getRateOfEach();
+    if (rate === 0) return;
+    const least = Math.min(...[...this.#transfers].map((transfer) => transfer.remainingBytes));
+    this.#cancelTimer = this.#clock.schedule(Math.max(0, least / rate), () => {
+      this.#finishSent();
+    });
+  }
+
+  #finishSent(): void {
+    this.#settleProgress();
+    for (const transfer of this.#transfers) {
+      if (transfer.remainingBytes > EPSILON_BYTES) continue;
+      this.#transfers.delete(transfer);
+      transfer.finish();
+    }
+    this.#scheduleNext();
+  }
+}
