--- /dev/null
+++ b/bench/local-fleet.ts
@@ -0,0 +1,245 @@
+/** Nodes of one process: peer calls with a delay and faults, and a membership that is told. */
+import type * as clocks from "../src/kernel/clock.js";
+import * as membership from "../src/membership/types.js";
+import * as network from "../src/protocol/network.js";
+
+type Handler = (request: unknown, from: network.PeerIdentity, signal: AbortSignal) => unknown;
+
+/** One node. */
+export interface LocalNode {
+  readonly vm: string;
+  readonly network: network.PeerNetwork;
+  readonly membership: LocalMembership;
+}
+
+/** Connects nodes; a pair can be cut, a node can be stopped. */
+export class LocalFleet {
+  readonly #clock: clocks.Clock;
+  readonly #delayMs: number;
+  readonly #nodes = new Map<string, LocalNode & { readonly handlers: Map<number, Handler> }>();
+  readonly #stopped = new Set<string>();
+  #groups: readonly ReadonlySet<string>[] = [];
+  /** Messages sent between different nodes. */
+  messages = 0;
+
+  constructor(clock: clocks.Clock, delayMs: number) {
+    this.#clock = clock;
+    this.#delayMs = delayMs;
+  }
+
+  /** Adds a node; all others learn of it at once. */
+  addNode(vm: string, zone: string, region: string): LocalNode {
+    const self: membership.Member = {
+      vm,
+      incarnation: 1,
+      region,
+      zone,
+      peer: { host: "127.0.0.1", port: 1 },
+      caller: { host: "127.0.0.1", port: 2 },
+      state: membership.MEMBER_STATE.alive,
+    };
+    const handlers = new Map<number, Handler>();
+    const local = {
+      vm,
+      handlers,
+      network: this.#createNetwork(vm, handlers),
+      membership: new LocalMembership(self),
+    };
+    for (const other of this.#nodes.values()) {
+      other.membership.update(self);
+      local.membership.update(other.membership.self);
+    }
+    this.#nodes.set(vm, local);
+    return local;
+  }
+
+  /** Stops a node at once; the others learn of it after `detectMs`. */
+  stopNode(vm: string, detectMs: number): void {
+    this.#stopped.add(vm);
+    this.#clock.schedule(detectMs, () => {
+      this.#sendStates([vm], membership.MEMBER_STATE.dead, () => true);
+    });
+  }
+
+  /** Cuts the fleet into groups; each learns that the others are dead after `detectMs`. */
+  setPartition(groups: readonly ReadonlySet<string>[], detectMs: number): void {
+    this.#groups = groups;
+    this.#clock.schedule(detectMs, () => {
+      for (const group of groups) {
+        this.#sendStates([...group], membership.MEMBER_STATE.dead, (vm) => !group.has(vm));
+      }
+    });
+  }
+
+  /** Joins the groups again. */
+  removePartition(detectMs: number): void {
+    this.#groups = [];
+    this.#clock.schedule(detectMs, () => {
+      this.#sendStates([...this.#nodes.keys()], membership.MEMBER_STATE.alive, () => true);
+    });
+  }
+
+  #sendStates(
+    vms: readonly string[],
+    state: membership.MemberState,
+    isTold: (vm: string) => boolean,
+  ): void {
+    for (const vm of vms) {
+      if (state === membership.MEMBER_STATE.alive && this.#stopped.has(vm)) continue;
+      const member = this.#nodes.get(vm)?.membership.self;
+      if (member === undefined) continue;
+      for (const other of this.#nodes.values()) {
+        if (other.vm !== vm && isTold(other.vm)) other.membership.update({ ...member, state });
+      }
+    }
+  }
+
+  #isConnected(from: string, to: string): boolean {
+    if (this.#stopped.has(from) || this.#stopped.has(to)) return false;
+    return this.#groups.every((group) => group.has(from) === group.has(to));
+  }
+
+  #createNetwork(vm: string, handlers: Map<number, Handler>): network.PeerNetwork {
+    return {
+      call: <Request, Reply>(
+        to: string,
+        call: network.PeerCall<Request, Reply>,
+        request: Request,
+        options: network.CallOptions,
+      ) => this.#call(vm, to, call.kind, request, options) as Promise<Reply>,
+      stream: () => {
+        throw new Error("streams are not part of the local fleet");
+      },
+      onCall: (call, handler) => {
+        handlers.set(call.kind, handler as Handler);
+      },
+      onStream: () => undefined,
+      setAddress: () => undefined,
+      start: () => Promise.resolve(),
+      [Symbol.asyncDispose]: () => Promise.resolve(),
+    };
+  }
+
+  #call(
+    from: string,
+    to: string,
+    kind: number,
+    request: unknown,
+    options: network.CallOptions,
+  ): Promise<unknown> {
+    return new Promise((resolve, reject) => {
+      const remote = new AbortController();
+      const onAbort = (): void => {
+        cancelCall(options.signal?.reason as Error);
+      };
+      const cancelTimeout = this.#clock.schedule(options.timeoutMs, () => {
+        cancelCall(new network.PeerCallError(network.CALL_FAILURE.noReply, `no reply from ${to}`));
+      });
+      const stopTimers = (): void => {
+        cancelTimeout();
+        options.signal?.removeEventListener("abort", onAbort);
+      };
+      const cancelCall = (error: Error): void => {
+        stopTimers();
+        remote.abort(error);
+        reject(error);
+      };
+      if (options.signal?.aborted) {
+        onAbort();
+        return;
+      }
+      options.signal?.addEventListener("abort", onAbort, { once: true });
+      const handleReply = (reply: unknown): void => {
+        stopTimers();
+        resolve(reply);
+      };
+      void this.#sendRequest(from, to, kind, request, remote.signal).then(handleReply, cancelCall);
+    });
+  }
+
+  async #sendRequest(
+    from: string,
+    to: string,
+    kind: number,
+    request: unknown,
+    signal: AbortSignal,
+  ): Promise<unknown> {
+    await this.#waitLink(from, to);
+    const handler = this.#nodes.get(to)?.handlers.get(kind);
+    if (handler === undefined) {
+      throw new network.PeerCallError(network.CALL_FAILURE.failed, `no handler at ${to}`);
+    }
+    const reply = await handler(request, { vm: from, incarnation: 1 }, signal);
+    await this.#waitLink(to, from);
+    return reply;
+  }
+
+  /** Takes the message's delay; a message over a cut link never arrives. */
+  async #waitLink(from: string, to: string): Promise<void> {
+    if (from === to && !this.#stopped.has(from)) return;
+    this.messages += 1;
+    await new Promise<void>((resolve) => {
+      if (!this.#isConnected(from, to)) return;
+      this.#clock.schedule(this.#delayMs, resolve);
+    });
+  }
+}
+
+/** A membership that learns only what it is told. */
+export class LocalMembership implements membership.Membership {
+  readonly self: membership.Member;
+  readonly #members = new Map<string, membership.Member>();
+  readonly #listeners = new Set<(member: membership.Member) => void>();
+
+  constructor(self: membership.Member) {
+    this.self = self;
+    this.#members.set(self.vm, self);
+  }
+
+  /** Takes in a member's state. */
+  update(member: membership.Member): void {
+    this.#members.set(member.vm, member);
+    for (const listener of this.#listeners) listener(member);
+  }
+
+  listMembers(): readonly membership.Member[] {
+    return [...this.#members.values()].filter(
+      (member) => member.state !== membership.MEMBER_STATE.dead,
+    );
+  }
+
+  listAlive(): readonly membership.Member[] {
+    return [...this.#members.values()].filter(
+      (member) => member.state === membership.MEMBER_STATE.alive,
+    );
+  }
+
+  findMember(vm: string): membership.Member | undefined {
+    return this.#members.get(vm);
+  }
+
+  onChange(listener: (member: membership.Member) => void): Disposable {
+    this.#listeners.add(listener);
+    return {
+      [Symbol.dispose]: () => {
+        this.#listeners.delete(listener);
+      },
+    };
+  }
+
+  onGossip(): void {
+    // No topics travel in the local fleet.
+  }
+
+  startLeaving(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  start(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/bench/virtual-clock.ts
@@ -0,0 +1,88 @@
+/** Virtual time: a heap of timers that runs as fast as the processor allows. */
+import type * as clocks from "../src/kernel/clock.js";
+
+interface Timer {
+  readonly at: number;
+  readonly order: number;
+  callback: (() => void) | undefined;
+}
+
+/** A clock whose time passes only in `run`. */
+export class VirtualClock implements clocks.Clock {
+  readonly #heap: Timer[] = [];
+  #now = 0;
+  #order = 0;
+
+  now(): number {
+    return this.#now;
+  }
+
+  wallTime(): number {
+    return this.#now;
+  }
+
+  schedule(delayMs: number, callback: () => void): () => void {
+    const timer: Timer = { at: this.#now + Math.max(0, delayMs), order: this.#order, callback };
+    this.#order += 1;
+    this.#push(timer);
+    return () => {
+      timer.callback = undefined;
+    };
+  }
+
+  /** Passes time until `until`, running each timer and all promise work that follows from it. */
+  async run(until: number): Promise<void> {
+    await runPromiseJobs();
+    for (let next = this.#heap[0]; next !== undefined && next.at <= until; next = this.#heap[0]) {
+      this.#pop();
+      if (next.callback === undefined) continue;
+      this.#now = next.at;
+      next.callback();
+      await runPromiseJobs();
+    }
+    this.#now = Math.max(this.#now, until);
+  }
+
+  #push(timer: Timer): void {
+    const heap = this.#heap;
+    let index = heap.push(timer) - 1;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      const above = heap[parent];
+      if (above === undefined || isBefore(above, timer)) break;
+      heap[index] = above;
+      index = parent;
+    }
+    heap[index] = timer;
+  }
+
+  #pop(): void {
+    const heap = this.#heap;
+    const last = heap.pop();
+    if (last === undefined || heap.length === 0) return;
+    let index = 0;
+    for (;;) {
+      const left = 2 * index + 1;
+      const right = left + 1;
+      const leftTimer = heap[left];
+      const rightTimer = heap[right];
+      if (leftTimer === undefined) break;
+      const takeRight = rightTimer !== undefined && isBefore(rightTimer, leftTimer);
+      const child = takeRight ? rightTimer : leftTimer;
+      if (isBefore(last, child)) break;
+      heap[index] = child;
+      index = takeRight ? right : left;
+    }
+    heap[index] = last;
+  }
+}
+
+function isBefore(left: Timer, right: Timer): boolean {
+  return left.at < right.at || (left.at === right.at && left.order < right.order);
+}
+
+function runPromiseJobs(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
--- /dev/null
+++ b/src/capacity/allocator.ts
@@ -0,0 +1,263 @@
+/** The runners that this node allocates: ledgers, handlers of calls, and the reading of load. */
+import type * as clocks from "../kernel/clock.js";
+import type * as network from "../protocol/network.js";
+import type * as catalogs from "./catalog.js";
+import * as decodeLedgers from "./decode-ledger.js";
+import * as messages from "./messages.js";
+import * as occupancies from "./occupancy.js";
+import type * as policies from "./policy.js";
+import * as prefillLedgers from "./prefill-ledger.js";
+import * as prefixes from "./prefix-index.js";
+import * as shares from "./shares.js";
+import type * as types from "./types.js";
+
+const MIN_RETRY_MS = 100;
+/** Time in which a lease that its holder's report misses may still be on its way to the holder. */
+const REPORT_GRACE_MS = 500;
+
+/** One allocated runner. */
+export interface AllocatedRunner {
+  readonly runner: catalogs.CatalogRunner;
+  readonly occupancy: occupancies.Occupancy;
+  readonly decode: decodeLedgers.DecodeLedger | undefined;
+  readonly prefill: prefillLedgers.PrefillLedger | undefined;
+  readonly allocatedSince: number;
+}
+
+/** What an allocator works with. */
+export interface AllocatorParts {
+  readonly clock: clocks.Clock;
+  readonly policy: policies.CapacityPolicy;
+  /** Tells a holder that it lost leases. */
+  readonly sendRevoke: (holder: network.PeerIdentity, leases: readonly messages.LeaseId[]) => void;
+  /** Cancels an attempt at the engine. */
+  readonly cancel: (runner: catalogs.CatalogRunner, id: string, attempt: number) => void;
+}
+
+/** Keeps the ledgers of the allocated runners and answers the calls about them. */
+export class Allocator {
+  readonly #parts: AllocatorParts;
+  readonly #runners = new Map<string, AllocatedRunner>();
+  /** Prefixes that allocated runners have, from cache events and leases. */
+  readonly prefixIndex = new prefixes.PrefixIndex();
+
+  constructor(parts: AllocatorParts) {
+    this.#parts = parts;
+  }
+
+  /** Returns the allocated runners. */
+  listRunners(): readonly AllocatedRunner[] {
+    return [...this.#runners.values()];
+  }
+
+  /** Returns an allocated runner. */
+  findRunner(name: string): AllocatedRunner | undefined {
+    return this.#runners.get(name);
+  }
+
+  /** Begins to allocate a runner, with an empty ledger. */
+  addRunner(runner: catalogs.CatalogRunner): AllocatedRunner {
+    const { clock, policy } = this.#parts;
+    const occupancy = new occupancies.Occupancy(clock, policy.loadPeriodMs);
+    const parts = { runner, clock, policy, shares: new shares.CallerShares(clock), occupancy };
+    const isDecode = runner.role === "decode";
+    const entry: AllocatedRunner = {
+      runner,
+      occupancy,
+      decode: isDecode ? new decodeLedgers.DecodeLedger(parts) : undefined,
+      prefill: isDecode ? undefined : new prefillLedgers.PrefillLedger(runner, clock, occupancy),
+      allocatedSince: clock.now(),
+    };
+    this.#runners.set(runner.name, entry);
+    return entry;
+  }
+
+  /** Stops to allocate a runner; those that wait for a turn are told to ask elsewhere. */
+  removeRunner(name: string): void {
+    const entry = this.#runners.get(name);
+    this.#runners.delete(name);
+    for (const lease of entry?.decode?.listLeases() ?? []) {
+      lease.onTurn?.({ turn: false, known: false, share: false });
+    }
+  }
+
+  /** Handles a request for a decode lease. */
+  handleLease(request: messages.LeaseRequest, from: network.PeerIdentity): messages.Answer {
+    const entry = this.#runners.get(request.runner);
+    if (entry?.decode === undefined) {
+      return messages.createRefusal(messages.REFUSAL.notAllocator, MIN_RETRY_MS);
+    }
+    const decision = entry.decode.grant(request, from);
+    for (const lease of decision.revoked) this.#replaceLease(entry, lease, request.attempt);
+    if (decision.answer.granted) return decision.answer;
+    return { ...decision.answer, better: this.#findBetter(request) };
+  }
+
+  /** Handles a wait for the turn of a queued lease. */
+  handleWait(id: messages.LeaseId, signal: AbortSignal): Promise<messages.Turn> | messages.Turn {
+    const lease = this.#runners.get(id.runner)?.decode?.findLease(id.id);
+    if (lease?.request.attempt !== id.attempt) return { turn: false, known: false, share: false };
+    if (lease.phase !== messages.PHASE.queued) return { turn: true, known: true, share: false };
+    return new Promise((resolve) => {
+      lease.onTurn = resolve;
+      signal.addEventListener(
+        "abort",
+        () => {
+          resolve({ turn: false, known: false, share: false });
+        },
+        { once: true },
+      );
+    });
+  }
+
+  /** Handles a request for prefill queue time. */
+  handlePrefill(request: messages.PrefillRequest, from: network.PeerIdentity): messages.Answer {
+    const entry = this.#runners.get(request.runner);
+    if (entry?.prefill === undefined) {
+      return messages.createRefusal(messages.REFUSAL.notAllocator, MIN_RETRY_MS);
+    }
+    const now = this.#parts.clock.now();
+    const matched = this.#parts.policy.prefixAffinity
+      ? this.prefixIndex.findMatch(request.runner, request.prefixes, now)
+      : 0;
+    const answer = entry.prefill.grant(request, Math.max(0, request.tokens - matched), from);
+    if (answer.granted) {
+      const hashes = request.prefixes.map((prefix) => prefix.hash);
+      this.prefixIndex.add(request.runner, hashes, now);
+    }
+    return answer;
+  }
+
+  /** Handles changes of leases. */
+  handleChanges(changes: readonly messages.LeaseChange[]): void {
+    for (const { runner, id, attempt, phase } of changes) {
+      const entry = this.#runners.get(runner);
+      if (phase === undefined) {
+        entry?.decode?.release(id, attempt);
+        entry?.prefill?.release(id, attempt);
+      } else if (phase === messages.PHASE.running) {
+        entry?.decode?.setPhase(id, attempt, phase);
+        entry?.prefill?.recordEnd(id, attempt);
+      }
+    }
+    for (const entry of this.#runners.values()) entry.decode?.startQueued();
+  }
+
+  /** Handles what a holder says it holds: adopts the unknown, releases the missing. */
+  handleReport(
+    leases: readonly messages.HeldLease[],
+    from: network.PeerIdentity,
+  ): { views: messages.RunnerView[]; revoked: messages.LeaseId[] } {
+    const revoked: messages.LeaseId[] = [];
+    const held = new Set<string>();
+    for (const lease of leases) {
+      const entry = this.#runners.get(lease.runner);
+      if (entry === undefined) continue;
+      const adopted = (entry.decode ?? entry.prefill)?.addReported(lease, from) ?? false;
+      if (adopted) held.add(`${lease.runner}\n${lease.id}`);
+      else revoked.push({ runner: lease.runner, id: lease.id, attempt: lease.attempt });
+    }
+    this.#releaseMissing(from, held);
+    return { views: this.listViews(), revoked };
+  }
+
+  /** Releases an older attempt wherever it is, and cancels it at the engine. */
+  handleSupersede(id: string, attempt: number): void {
+    for (const entry of this.#runners.values()) {
+      const lease = entry.decode?.findLease(id);
+      if (lease === undefined || lease.request.attempt >= attempt) continue;
+      entry.decode?.release(id, lease.request.attempt);
+      this.#replaceLease(entry, lease, attempt);
+    }
+  }
+
+  /** Releases and cancels everything that a holder had. */
+  removeHolder(isLost: (holder: network.PeerIdentity) => boolean): readonly messages.LeaseId[] {
+    const removed: messages.LeaseId[] = [];
+    for (const entry of this.#runners.values()) {
+      for (const lease of listEntryLeases(entry)) {
+        if (!isLost(lease.holder)) continue;
+        (entry.decode ?? entry.prefill)?.release(lease.id, lease.attempt);
+        this.#parts.cancel(entry.runner, lease.id, lease.attempt);
+        removed.push({ runner: entry.runner.name, id: lease.id, attempt: lease.attempt });
+      }
+    }
+    return removed;
+  }
+
+  /** Returns the state of the allocated runners, as told to holders. */
+  listViews(): messages.RunnerView[] {
+    return this.listRunners().map(({ runner, occupancy, decode, prefill }) => ({
+      runner: runner.name,
+      waitMs: decode?.computeWait("") ?? prefill?.computeWait() ?? 0,
+      free: decode?.countFree() ?? 0,
+      available: occupancy.available,
+    }));
+  }
+
+  /** Returns the granted leases. */
+  listLeases(): readonly types.LeaseView[] {
+    return this.listRunners().flatMap((entry) =>
+      listEntryLeases(entry).map((lease) => ({
+        id: lease.id,
+        attempt: lease.attempt,
+        runner: entry.runner.name,
+        holder: lease.holder.vm,
+        caller: lease.caller,
+        slots: entry.decode === undefined ? 0 : 1,
+        pieces: lease.pieces,
+      })),
+    );
+  }
+
+  #replaceLease(entry: AllocatedRunner, lease: decodeLedgers.DecodeLease, attempt: number): void {
+    const { id } = lease.request;
+    this.#parts.sendRevoke(lease.holder, [
+      { runner: entry.runner.name, id, attempt: lease.request.attempt },
+    ]);
+    this.#parts.cancel(entry.runner, id, attempt - 1);
+  }
+
+  #findBetter(request: messages.LeaseRequest): string | undefined {
+    const model = this.#runners.get(request.runner)?.runner.model;
+    const better = this.listRunners().find(
+      ({ runner, decode, occupancy }) =>
+        runner.model === model &&
+        runner.name !== request.runner &&
+        occupancy.available &&
+        decode !== undefined &&
+        decode.computeWait(request.caller) <= request.startWithinMs / 2,
+    );
+    return better?.runner.name;
+  }
+
+  #releaseMissing(from: network.PeerIdentity, held: ReadonlySet<string>): void {
+    const before = this.#parts.clock.now() - REPORT_GRACE_MS;
+    for (const entry of this.#runners.values()) {
+      for (const lease of listEntryLeases(entry)) {
+        const isMissing = !held.has(`${entry.runner.name}\n${lease.id}`);
+        if (lease.holder.vm !== from.vm || lease.grantedAt > before || !isMissing) continue;
+        (entry.decode ?? entry.prefill)?.release(lease.id, lease.attempt);
+      }
+    }
+  }
+}
+
+/** What decode and prefill leases have in common. */
+interface EntryLease {
+  readonly id: string;
+  readonly attempt: number;
+  readonly holder: network.PeerIdentity;
+  readonly caller: string;
+  readonly pieces: number;
+  readonly grantedAt: number;
+}
+
+function listEntryLeases(entry: AllocatedRunner): readonly EntryLease[] {
+  const decode = entry.decode?.listLeases() ?? [];
+  const prefill = entry.prefill?.listLeases() ?? [];
+  return [
+    ...decode.map(({ request, holder, grantedAt }) => ({ ...request, holder, grantedAt })),
+    ...prefill.map((lease) => ({ ...lease, caller: "", pieces: 0 })),
+  ];
+}
--- /dev/null
+++ b/src/capacity/capacity.ts
@@ -0,0 +1,284 @@
+/** The capacity service: a holder of leases and an allocator of runners in one node. */
+import * as events from "node:events";
+import * as clocks from "../kernel/clock.js";
+import type * as container from "../kernel/container.js";
+import type * as membership from "../membership/types.js";
+import type * as network from "../protocol/network.js";
+import * as resultCodes from "../protocol/result-codes.js";
+import * as allocators from "./allocator.js";
+import * as catalogs from "./catalog.js";
+import * as holdings from "./holdings.js";
+import * as leasing from "./leasing.js";
+import * as messages from "./messages.js";
+import * as observers from "./observer.js";
+import * as placement from "./placement.js";
+import * as policies from "./policy.js";
+import * as reservations from "./reservation.js";
+import * as health from "./runner-health.js";
+import * as views from "./runner-views.js";
+import * as selections from "./selection.js";
+import * as transfers from "./transfer-times.js";
+import type * as types from "./types.js";
+import * as upkeeps from "./upkeep.js";
+
+const CALL_TIMEOUT_MS = 500;
+const FULL_RETRY_MS = 1000;
+
+/**
+ * Creates the capacity service of a node and registers its handlers of peer calls.
+ *
+ * @example kernel.register("capacity", (kernel) => createCapacity(kernel));
+ */
+export function createCapacity(
+  kernel: container.Kernel,
+  policy: Partial<policies.CapacityPolicy> = {},
+): types.Capacity {
+  return new CapacityService(kernel, { ...policies.DEFAULT_POLICY, ...policy });
+}
+
+class CapacityService implements types.Capacity {
+  readonly #clock: clocks.Clock;
+  readonly #network: network.PeerNetwork;
+  readonly #membership: membership.Membership;
+  readonly #policy: policies.CapacityPolicy;
+  readonly #stopping = new AbortController();
+  readonly #allocator: allocators.Allocator;
+  readonly #holdings: holdings.Holdings;
+  readonly #views: views.RunnerViews;
+  readonly #leasing: leasing.Leasing;
+  readonly #upkeep: upkeeps.Upkeep;
+  readonly #observer: reservations.Observer;
+  readonly #subscriptions: Disposable[] = [];
+  readonly #allocatorCache = new Map<string, string | undefined>();
+  #catalog: catalogs.Catalog;
+
+  constructor(kernel: container.Kernel, policy: policies.CapacityPolicy) {
+    events.EventEmitter.setMaxListeners(0, this.#stopping.signal);
+    this.#clock = kernel.use("clock");
+    this.#network = kernel.use("network");
+    this.#membership = kernel.use("membership");
+    this.#policy = policy;
+    const configuration = kernel.use("configuration");
+    this.#catalog = new catalogs.Catalog(configuration.current?.document);
+    this.#allocator = new allocators.Allocator({
+      clock: this.#clock,
+      policy,
+      sendRevoke: (holder, leases) => {
+        this.#sendRevoke(holder, leases);
+      },
+      cancel: (runner, id, attempt) => {
+        this.#upkeep.cancel(runner, id, attempt);
+      },
+    });
+    this.#holdings = new holdings.Holdings(this.#clock, (changes) => {
+      this.#sendChanges(changes);
+    });
+    this.#views = new views.RunnerViews(this.#clock);
+    const shared = {
+      clock: this.#clock,
+      random: kernel.use("random"),
+      policy,
+      views: this.#views,
+      health: new health.RunnerHealth(this.#clock),
+      transfers: new transfers.TransferTimes(),
+      prefixIndex: this.#allocator.prefixIndex,
+      membership: this.#membership,
+      network: this.#network,
+      holdings: this.#holdings,
+      allocator: this.#allocator,
+      log: kernel.use("log"),
+      engines: kernel.use("engines"),
+      now: () => this.#clock.now(),
+      getCatalog: () => this.#catalog,
+      findAllocator: (runner: string) => this.findAllocator(runner),
+    };
+    const selection = new selections.Selection(shared);
+    this.#leasing = new leasing.Leasing({ ...shared, selection });
+    this.#upkeep = new upkeeps.Upkeep(shared, this.#stopping.signal);
+    this.#observer = observers.createObserver(shared);
+    this.#registerHandlers();
+    this.#subscriptions.push(
+      configuration.onChange(({ document }) => {
+        this.#catalog = new catalogs.Catalog(document);
+        this.#allocatorCache.clear();
+        this.#upkeep.updateRunners();
+      }),
+      this.#membership.onChange((member) => {
+        this.#allocatorCache.clear();
+        this.#upkeep.handleMember(member);
+        void this.#sendReports();
+      }),
+    );
+  }
+
+  async reserve(demand: types.Demand, signal: AbortSignal): Promise<types.Reservation> {
+    this.#checkDemand(demand);
+    if (demand.attempt > 1) this.#sendSupersede(demand);
+    const revoked = new AbortController();
+    const onRevoke = (): void => {
+      revoked.abort(new Error("lease was taken back"));
+    };
+    const planned = this.#leasing.choosePrefill(demand);
+    const decode = await this.#leasing.leaseDecode(demand, planned, onRevoke, signal);
+    const parts: reservations.ReservationParts = {
+      clock: this.#clock,
+      demand,
+      revoked,
+      holdings: this.#holdings,
+      observer: this.#observer,
+      waitTurn: (grant, stop) => this.#leasing.waitTurn(demand, grant, onRevoke, stop),
+      leasePrefill: (grant, stop) => this.#leasing.leasePrefill(demand, grant, onRevoke, stop),
+    };
+    if (!decode.turn) {
+      return new reservations.LeasedReservation(parts, decode, planned.runner, undefined);
+    }
+    try {
+      const prefill = await parts.leasePrefill(decode, signal);
+      return new reservations.LeasedReservation(parts, decode, planned.runner, prefill);
+    } catch (error) {
+      this.#holdings.release(decode.holding);
+      throw error;
+    }
+  }
+
+  findAllocator(runner: string): string | undefined {
+    const cached = this.#allocatorCache.get(runner);
+    if (cached !== undefined) return cached;
+    const entry = this.#catalog.findRunner(runner);
+    if (entry === undefined) return undefined;
+    const allocator = placement.findAllocator(entry, this.#membership.listAlive());
+    this.#allocatorCache.set(runner, allocator);
+    return allocator;
+  }
+
+  listLeases(): readonly types.LeaseView[] {
+    return this.#allocator.listLeases();
+  }
+
+  start(): Promise<void> {
+    this.#upkeep.updateRunners();
+    void this.#runReports();
+    return Promise.resolve();
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    for (const subscription of this.#subscriptions) subscription[Symbol.dispose]();
+    this.#holdings[Symbol.dispose]();
+    this.#stopping.abort(new Error("capacity service stopped"));
+    return Promise.resolve();
+  }
+
+  #registerHandlers(): void {
+    const peers = this.#network;
+    const allocator = this.#allocator;
+    peers.onCall(messages.LEASE_DECODE, (request, from) => allocator.handleLease(request, from));
+    peers.onCall(messages.WAIT_TURN, (id, _from, signal) => allocator.handleWait(id, signal));
+    peers.onCall(messages.LEASE_PREFILL, (request, from) => allocator.handlePrefill(request, from));
+    peers.onCall(messages.CHANGE_LEASES, ({ changes }) => {
+      allocator.handleChanges(changes);
+      return {};
+    });
+    peers.onCall(messages.REPORT_LEASES, ({ leases }, from) =>
+      allocator.handleReport(leases, from),
+    );
+    peers.onCall(messages.REVOKE_LEASES, ({ leases }) => {
+      this.#holdings.handleRevoke(leases);
+      return {};
+    });
+    peers.onCall(messages.SUPERSEDE, ({ id, attempt }) => {
+      allocator.handleSupersede(id, attempt);
+      return {};
+    });
+  }
+
+  #checkDemand(demand: types.Demand): void {
+    const decoders = this.#catalog.listServing(demand.model, "decode");
+    const tokens = demand.promptTokens + demand.maxTokens;
+    const isTooLong = decoders.every(
+      (runner) => Math.ceil(tokens / runner.tokensPerPiece) > runner.pieces,
+    );
+    if (decoders.length > 0 && isTooLong) {
+      throw new resultCodes.RequestError(
+        resultCodes.RESULT_CODES.promptTooLong,
+        resultCodes.RAN.no,
+      );
+    }
+    if (this.#holdings.hasRoom) return;
+    throw new resultCodes.RequestError(resultCodes.RESULT_CODES.overloaded, resultCodes.RAN.no, {
+      detail: "node holds as many leases as it may",
+      retryAfterMs: FULL_RETRY_MS,
+    });
+  }
+
+  async #runReports(): Promise<void> {
+    const { signal } = this.#stopping;
+    while (!signal.aborted) {
+      await this.#sendReports();
+      try {
+        await clocks.sleep(this.#clock, this.#policy.reportPeriodMs, signal);
+      } catch {
+        return;
+      }
+    }
+  }
+
+  /** Tells each allocator what this node holds of it. */
+  async #sendReports(): Promise<void> {
+    const held = this.#holdings.listHeld();
+    const byAllocator = new Map<string, messages.HeldLease[]>();
+    for (const runner of this.#catalog.listRunners()) {
+      const allocator = this.findAllocator(runner.name);
+      if (allocator !== undefined && !byAllocator.has(allocator)) byAllocator.set(allocator, []);
+    }
+    for (const lease of held) {
+      byAllocator.get(this.findAllocator(lease.runner) ?? "")?.push(lease);
+    }
+    await Promise.all([...byAllocator].map(([vm, leases]) => this.#sendReport(vm, leases)));
+  }
+
+  async #sendReport(vm: string, leases: messages.HeldLease[]): Promise<void> {
+    try {
+      const options = { timeoutMs: CALL_TIMEOUT_MS, signal: this.#stopping.signal };
+      const reply = await this.#network.call(vm, messages.REPORT_LEASES, { leases }, options);
+      this.#views.update(reply.views);
+      this.#holdings.handleRevoke(reply.revoked);
+    } catch {
+      // The next period's report repeats it.
+    }
+  }
+
+  #sendChanges(changes: readonly messages.LeaseChange[]): void {
+    const byAllocator = new Map<string, messages.LeaseChange[]>();
+    for (const change of changes) {
+      const allocator = this.findAllocator(change.runner);
+      if (allocator === undefined) continue;
+      const list = byAllocator.get(allocator);
+      if (list === undefined) byAllocator.set(allocator, [change]);
+      else list.push(change);
+    }
+    for (const [vm, list] of byAllocator) {
+      this.#sendQuietly(vm, messages.CHANGE_LEASES, { changes: list });
+    }
+  }
+
+  #sendRevoke(holder: network.PeerIdentity, leases: readonly messages.LeaseId[]): void {
+    this.#sendQuietly(holder.vm, messages.REVOKE_LEASES, { leases: [...leases] });
+  }
+
+  /** A newer attempt is rare, so every node is told: any may allocate the older one's runner. */
+  #sendSupersede({ id, attempt }: types.Demand): void {
+    for (const { vm } of this.#membership.listAlive()) {
+      this.#sendQuietly(vm, messages.SUPERSEDE, { id, attempt });
+    }
+  }
+
+  /** Sends without waiting; periodic reports repair what is lost. */
+  #sendQuietly<Request, Reply>(
+    vm: string,
+    call: network.PeerCall<Request, Reply>,
+    request: Request,
+  ): void {
+    const options = { timeoutMs: CALL_TIMEOUT_MS };
+    this.#network.call(vm, call, request, options).catch(() => undefined);
+  }
+}
--- /dev/null
+++ b/src/capacity/catalog.ts
@@ -0,0 +1,80 @@
+/** Runners by name and by model, derived from the document in force. */
+import type * as document from "../settings/document.js";
+import type * as placement from "./placement.js";
+
+const DEFAULT_LINK_BYTES_PER_SECOND = 1_000_000_000;
+
+/** A runner with what its pool and model say of it. */
+export interface CatalogRunner extends placement.RunnerPlace {
+  readonly host: string;
+  readonly port: number;
+  readonly role: "prefill" | "decode";
+  readonly slots: number;
+  readonly pieces: number;
+  readonly prefillTokensPerSecond: number;
+  readonly stepMs: number;
+  readonly model: string;
+  readonly tokensPerPiece: number;
+  readonly kvBytesPerToken: number;
+}
+
+/** An index of one document. */
+export class Catalog {
+  readonly #runners = new Map<string, CatalogRunner>();
+  readonly #links = new Map<string, number>();
+
+  constructor(fleet: document.FleetDocument | undefined) {
+    for (const runner of fleet?.runners ?? []) {
+      const entry = createEntry(fleet, runner);
+      if (entry !== undefined) this.#runners.set(entry.name, entry);
+    }
+    for (const link of fleet?.links ?? []) {
+      this.#links.set(`${link.from}\n${link.to}`, link.bytesPerSecond);
+    }
+  }
+
+  /** Returns the runner of that name. */
+  findRunner(name: string): CatalogRunner | undefined {
+    return this.#runners.get(name);
+  }
+
+  /** Returns all runners. */
+  listRunners(): readonly CatalogRunner[] {
+    return [...this.#runners.values()];
+  }
+
+  /** Returns the runners that serve a model in a role. */
+  listServing(model: string, role: CatalogRunner["role"]): readonly CatalogRunner[] {
+    return this.listRunners().filter((runner) => runner.model === model && runner.role === role);
+  }
+
+  /** Returns the rate of the link between two zones. */
+  getLinkRate(from: string, to: string): number {
+    return this.#links.get(`${from}\n${to}`) ?? DEFAULT_LINK_BYTES_PER_SECOND;
+  }
+}
+
+function createEntry(
+  fleet: document.FleetDocument | undefined,
+  runner: document.Runner,
+): CatalogRunner | undefined {
+  const pool = fleet?.pools.find((candidate) => candidate.name === runner.pool);
+  const model = fleet?.models.find((candidate) => candidate.name === pool?.model);
+  if (pool === undefined || model === undefined) return undefined;
+  const region = fleet?.regions.find((candidate) => candidate.zones.includes(runner.zone));
+  return {
+    name: runner.name,
+    host: runner.host,
+    port: runner.port,
+    zone: runner.zone,
+    region: region?.name,
+    role: pool.role,
+    slots: runner.slots,
+    pieces: runner.pieces,
+    prefillTokensPerSecond: runner.prefillTokensPerSecond,
+    stepMs: runner.stepMs,
+    model: model.name,
+    tokensPerPiece: model.tokensPerPiece,
+    kvBytesPerToken: model.kvBytesPerToken,
+  };
+}
--- /dev/null
+++ b/src/capacity/decode-ledger.ts
@@ -0,0 +1,294 @@
+/** Leases of one decode runner, as its allocator keeps them. Decides who may start, and when. */
+import type * as clocks from "../kernel/clock.js";
+import type * as network from "../protocol/network.js";
+import type * as catalogs from "./catalog.js";
+import * as estimates from "./estimates.js";
+import * as messages from "./messages.js";
+import type * as occupancy from "./occupancy.js";
+import type * as policies from "./policy.js";
+import type * as shares from "./shares.js";
+
+/** Most leases, queued ones included, for each slot of the runner. */
+const MAX_LEASES_PER_SLOT = 10;
+/** Output tokens assumed before any life was seen. */
+const ASSUMED_TOKENS = 200;
+const MIN_RETRY_MS = 100;
+/** Most slots leased ahead, as a part of all. */
+const MAX_AHEAD = 0.5;
+
+/** A lease in the ledger. */
+export interface DecodeLease {
+  readonly request: messages.LeaseRequest;
+  readonly holder: network.PeerIdentity;
+  readonly grantedAt: number;
+  /** Time after which the turn is of no use. */
+  readonly startBy: number;
+  phase: messages.Phase;
+  phaseAt: number;
+  /** When its holder last reported it. */
+  confirmedAt: number;
+  /** Called once when the turn comes or the lease is refused. */
+  onTurn: ((turn: messages.Turn) => void) | undefined;
+}
+
+/** Outcome of a request for a lease. */
+export interface Decision {
+  readonly answer: messages.Answer;
+  /** Leases of older attempts, or displaced ones, to take back from their holders. */
+  readonly revoked: readonly DecodeLease[];
+}
+
+const TURN: messages.Turn = { turn: true, known: true, share: false };
+const NO_TURN: messages.Turn = { turn: false, known: true, share: false };
+const NO_SHARE: messages.Turn = { turn: false, known: true, share: true };
+
+/** What a ledger works with. */
+export interface LedgerParts {
+  readonly runner: catalogs.CatalogRunner;
+  readonly clock: clocks.Clock;
+  readonly policy: policies.CapacityPolicy;
+  readonly shares: shares.CallerShares;
+  readonly occupancy: occupancy.Occupancy;
+}
+
+/** Ledger of one decode runner. */
+export class DecodeLedger {
+  readonly #parts: LedgerParts;
+  readonly #leases = new Map<string, DecodeLease>();
+  readonly #life = new estimates.Estimate(0.05);
+  readonly #lead = new estimates.Estimate();
+
+  constructor(parts: LedgerParts) {
+    this.#parts = parts;
+  }
+
+  /** Returns the lease of a request. */
+  findLease(id: string): DecodeLease | undefined {
+    return this.#leases.get(id);
+  }
+
+  /** Returns all leases. */
+  listLeases(): readonly DecodeLease[] {
+    return [...this.#leases.values()];
+  }
+
+  /** Decides on a request for a lease; a newer attempt takes the place of an older one. */
+  grant(request: messages.LeaseRequest, holder: network.PeerIdentity): Decision {
+    const known = this.#leases.get(request.id);
+    if (known !== undefined && known.request.attempt >= request.attempt) {
+      return this.#createKnownAnswer(known, request, holder);
+    }
+    const revoked = known === undefined ? [] : [known];
+    if (known !== undefined) this.release(request.id, known.request.attempt);
+    const refusal = this.#checkAdmission(request);
+    if (refusal !== undefined) return { answer: refusal, revoked };
+    const lease = this.#addLease(request, holder);
+    this.startQueued();
+    const turn = lease.phase !== messages.PHASE.queued;
+    const waitMs = turn ? 0 : this.computeWait(request.caller, request.id);
+    return {
+      answer: { granted: true, turn, waitMs, workMs: 0, retryAfterMs: 0 },
+      revoked,
+    };
+  }
+
+  /** Adds a lease that its holder reports and this ledger does not know. */
+  addReported(held: messages.HeldLease, holder: network.PeerIdentity): boolean {
+    const now = this.#parts.clock.now();
+    const known = this.#leases.get(held.id);
+    if (known !== undefined && known.request.attempt > held.attempt) return false;
+    if (known?.request.attempt === held.attempt && known.holder.vm === holder.vm) {
+      known.confirmedAt = now;
+      if (held.phase > known.phase) this.setPhase(held.id, held.attempt, held.phase);
+      return true;
+    }
+    const request = { ...held, startWithinMs: 0, leadMs: this.#lead.mean ?? 0 };
+    this.#leases.set(held.id, {
+      request,
+      holder,
+      grantedAt: now - held.ageMs,
+      startBy: now,
+      phase: held.phase === messages.PHASE.queued ? messages.PHASE.sent : held.phase,
+      phaseAt: now,
+      confirmedAt: now,
+      onTurn: undefined,
+    });
+    return true;
+  }
+
+  /** Records that a lease reached a later phase. */
+  setPhase(id: string, attempt: number, phase: messages.Phase): void {
+    const lease = this.#leases.get(id);
+    if (lease?.request.attempt !== attempt || phase <= lease.phase) return;
+    const now = this.#parts.clock.now();
+    if (phase === messages.PHASE.running && lease.phase === messages.PHASE.sent) {
+      this.#lead.add(now - lease.phaseAt);
+    }
+    lease.phase = phase;
+    lease.phaseAt = now;
+  }
+
+  /** Releases a lease of that attempt or an older one, and starts whom that makes room for. */
+  release(id: string, attempt: number): void {
+    const lease = this.#leases.get(id);
+    if (lease === undefined || lease.request.attempt > attempt) return;
+    if (lease.phase === messages.PHASE.running) {
+      this.#life.add(this.#parts.clock.now() - lease.phaseAt);
+    }
+    this.#leases.delete(id);
+    this.#parts.occupancy.recordRelease(id);
+    lease.onTurn?.({ turn: false, known: false, share: false });
+    this.startQueued();
+  }
+
+  /** Gives the turn to queued leases while there is room, and refuses those that are too late. */
+  startQueued(): void {
+    const now = this.#parts.clock.now();
+    for (const lease of this.#listQueue()) {
+      if (lease.startBy < now) this.#refuseQueued(lease, NO_TURN);
+      else if (this.#hasRoom(lease.request)) this.#startLease(lease, now);
+    }
+  }
+
+  /** Expected wait for a turn behind those queued ahead of the caller. */
+  computeWait(caller: string, id?: string): number {
+    const queue = this.#listQueue();
+    const position = queue.findIndex((lease) => lease.request.id === id);
+    const ahead = position >= 0 ? position : this.#countAhead(caller, queue);
+    const missing = ahead + 1 - this.countFree();
+    return missing <= 0 ? 0 : (missing * this.#getLifeMs()) / this.#parts.runner.slots;
+  }
+
+  /** Slots that may be leased now; negative when more are expected to arrive than to be freed. */
+  countFree(): number {
+    const { runner, occupancy } = this.#parts;
+    const occupied = this.#countPhase(messages.PHASE.running, messages.PHASE.sent);
+    const foreign = occupancy.countForeign((id) => this.#leases.has(id));
+    return runner.slots - occupied - foreign + this.#computeAhead();
+  }
+
+  /** Refuses every queued lease, for the runner is not available. */
+  refuseQueue(): void {
+    for (const lease of this.#listQueue()) this.#refuseQueued(lease, NO_TURN);
+  }
+
+  #createKnownAnswer(
+    known: DecodeLease,
+    request: messages.LeaseRequest,
+    holder: network.PeerIdentity,
+  ): Decision {
+    const isSame = known.request.attempt === request.attempt && known.holder.vm === holder.vm;
+    if (!isSame) {
+      return {
+        answer: messages.createRefusal(messages.REFUSAL.overloaded, MIN_RETRY_MS),
+        revoked: [],
+      };
+    }
+    const turn = known.phase !== messages.PHASE.queued;
+    const waitMs = turn ? 0 : this.computeWait(request.caller, request.id);
+    return {
+      answer: { granted: true, turn, waitMs, workMs: 0, retryAfterMs: 0 },
+      revoked: [],
+    };
+  }
+
+  #checkAdmission(request: messages.LeaseRequest): messages.Answer | undefined {
+    const { runner, policy, shares: callerShares, occupancy } = this.#parts;
+    if (!occupancy.available) {
+      return messages.createRefusal(messages.REFUSAL.unavailable, occupancy.retryAfterMs);
+    }
+    if (this.#leases.size >= runner.slots * MAX_LEASES_PER_SLOT) {
+      return messages.createRefusal(messages.REFUSAL.overloaded, this.#getLifeMs());
+    }
+    const waitMs = this.computeWait(request.caller);
+    const boundMs = request.startWithinMs * (waitMs > 0 ? policy.queueFraction : 1);
+    if (boundMs >= 0 && waitMs <= boundMs) return undefined;
+    const isOver = policy.shares && callerShares.isExceeded(request.caller);
+    const reason = isOver ? messages.REFUSAL.share : messages.REFUSAL.overloaded;
+    return messages.createRefusal(reason, Math.max(MIN_RETRY_MS, waitMs - Math.max(0, boundMs)));
+  }
+
+  #addLease(request: messages.LeaseRequest, holder: network.PeerIdentity): DecodeLease {
+    const now = this.#parts.clock.now();
+    const lease: DecodeLease = {
+      request,
+      holder,
+      grantedAt: now,
+      startBy: now + request.startWithinMs,
+      phase: messages.PHASE.queued,
+      phaseAt: now,
+      confirmedAt: now,
+      onTurn: undefined,
+    };
+    this.#leases.set(request.id, lease);
+    return lease;
+  }
+
+  #startLease(lease: DecodeLease, now: number): void {
+    lease.phase = messages.PHASE.sent;
+    lease.phaseAt = now;
+    this.#parts.shares.record(lease.request.caller, lease.request.share);
+    lease.onTurn?.(TURN);
+    lease.onTurn = undefined;
+  }
+
+  #refuseQueued(lease: DecodeLease, turn: messages.Turn): void {
+    const isOver = this.#parts.policy.shares && this.#parts.shares.isExceeded(lease.request.caller);
+    this.#leases.delete(lease.request.id);
+    lease.onTurn?.(isOver ? NO_SHARE : turn);
+  }
+
+  /** Queued leases in the order of their turns: within shares first, then priority, then age. */
+  #listQueue(): DecodeLease[] {
+    const queue = this.listLeases().filter((lease) => lease.phase === messages.PHASE.queued);
+    if (queue.length < 2) return queue;
+    const over = new Map<string, number>();
+    for (const { request } of queue) over.set(request.caller, this.#computeClass(request.caller));
+    return queue.sort(
+      (left, right) =>
+        (over.get(left.request.caller) ?? 0) - (over.get(right.request.caller) ?? 0) ||
+        left.request.priority - right.request.priority ||
+        left.grantedAt - right.grantedAt,
+    );
+  }
+
+  #computeClass(caller: string): number {
+    return this.#parts.policy.shares && this.#parts.shares.isExceeded(caller) ? 1 : 0;
+  }
+
+  #countAhead(caller: string, queue: readonly DecodeLease[]): number {
+    if (queue.length === 0) return 0;
+    const ownClass = this.#computeClass(caller);
+    return queue.filter((lease) => this.#computeClass(lease.request.caller) <= ownClass).length;
+  }
+
+  #countPhase(...phases: readonly messages.Phase[]): number {
+    let count = 0;
+    for (const lease of this.#leases.values()) if (phases.includes(lease.phase)) count += 1;
+    return count;
+  }
+
+  #hasRoom(request: messages.LeaseRequest): boolean {
+    if (!this.#parts.occupancy.available || this.countFree() < 1) return false;
+    let pieces = request.pieces + this.#parts.occupancy.countForeignPieces();
+    for (const lease of this.#leases.values()) {
+      if (lease.phase !== messages.PHASE.queued) pieces += lease.request.pieces;
+    }
+    return pieces <= this.#parts.runner.pieces;
+  }
+
+  /** Slots expected to be freed before a prefill that starts now has been transferred. */
+  #computeAhead(): number {
+    const life = this.#life.mean;
+    const lead = this.#lead.mean;
+    const { policy, runner } = this.#parts;
+    if (!policy.leaseAhead || life === undefined || lead === undefined) return 0;
+    const running = this.#countPhase(messages.PHASE.running);
+    const released = running * (1 - Math.exp(-lead / life));
+    return Math.min(runner.slots * MAX_AHEAD, released + policy.extraLeases);
+  }
+
+  #getLifeMs(): number {
+    return this.#life.mean ?? this.#parts.runner.stepMs * ASSUMED_TOKENS;
+  }
+}
--- /dev/null
+++ b/src/capacity/messages.ts
@@ -0,0 +1,181 @@
+/** Calls between nodes about capacity. Durations are relative, for clocks of nodes differ. */
+import * as zod from "zod";
+import * as network from "../protocol/network.js";
+
+const MAX_BATCH = 10_000;
+const MAX_PREFIXES = 32;
+
+const text = zod.string().max(500);
+const duration = zod.number();
+const attempt = zod.int().min(1);
+
+/** Phase of a lease: waiting for its turn, prefilling or transferring, generating. */
+export const PHASE = { queued: 0, sent: 1, running: 2 } as const;
+
+/** One of the values of `PHASE`. */
+export type Phase = (typeof PHASE)[keyof typeof PHASE];
+
+const phase = zod.union([zod.literal(0), zod.literal(1), zod.literal(2)]);
+
+/** Why an allocator refused. */
+export const REFUSAL = {
+  overloaded: "overloaded",
+  share: "share",
+  /** The runner does not answer. */
+  unavailable: "unavailable",
+  /** The node is not the runner's allocator in its own view. */
+  notAllocator: "not-allocator",
+} as const;
+
+/** One of the values of `REFUSAL`. */
+export type Refusal = (typeof REFUSAL)[keyof typeof REFUSAL];
+
+const refusal = zod.enum(["overloaded", "share", "unavailable", "not-allocator"]);
+
+const answer = zod.object({
+  granted: zod.boolean(),
+  /** Whether the prefill may start now; else the holder waits for its turn. */
+  turn: zod.boolean(),
+  /** Expected wait for the turn. */
+  waitMs: duration,
+  /** Expected work time, of prefill leases. */
+  workMs: duration,
+  reason: refusal.optional(),
+  retryAfterMs: duration,
+  /** A runner of the same allocator that would have granted. */
+  better: text.optional(),
+});
+
+/** Answer to a request for a lease. */
+export type Answer = zod.infer<typeof answer>;
+
+const leaseRequest = zod.object({
+  runner: text,
+  id: text,
+  attempt,
+  caller: text,
+  share: zod.number().positive(),
+  priority: zod.int(),
+  pieces: zod.number().min(0),
+  /** Longest wait for the turn that the request can bear. */
+  startWithinMs: duration,
+  /** Expected time from the turn to the start of decode. */
+  leadMs: duration,
+});
+
+/** What a node asks of a decode runner's allocator. */
+export type LeaseRequest = zod.infer<typeof leaseRequest>;
+
+const prefillRequest = zod.object({
+  runner: text,
+  id: text,
+  attempt,
+  tokens: zod.number().min(0),
+  /** Evenly spaced prefixes of the prompt, shortest first, with the tokens that each covers. */
+  prefixes: zod.array(zod.object({ hash: text, tokens: zod.number() })).max(MAX_PREFIXES),
+  /** Longest wait until the prefill has ended. */
+  endWithinMs: duration,
+});
+
+/** What a node asks of a prefill runner's allocator. */
+export type PrefillRequest = zod.infer<typeof prefillRequest>;
+
+const leaseId = zod.object({ runner: text, id: text, attempt });
+
+/** Names a lease. */
+export type LeaseId = zod.infer<typeof leaseId>;
+
+const turn = zod.object({ turn: zod.boolean(), known: zod.boolean(), share: zod.boolean() });
+
+/** Answer to a wait for a turn; `known` is false when the allocator has no such lease. */
+export type Turn = zod.infer<typeof turn>;
+
+const change = zod.object({ runner: text, id: text, attempt, phase: phase.optional() });
+
+/** A change of a lease; without `phase` it is released. */
+export type LeaseChange = zod.infer<typeof change>;
+
+const heldLease = zod.object({
+  runner: text,
+  id: text,
+  attempt,
+  caller: text,
+  share: zod.number().positive(),
+  priority: zod.int(),
+  pieces: zod.number(),
+  /** Prompt tokens to compute, of prefill leases; else 0. */
+  tokens: zod.number(),
+  phase,
+  /** Time since the grant. */
+  ageMs: duration,
+});
+
+/** A lease as its holder reports it. */
+export type HeldLease = zod.infer<typeof heldLease>;
+
+const runnerView = zod.object({
+  runner: text,
+  /** Expected wait for a turn. */
+  waitMs: duration,
+  /** Free slots, of decode runners. */
+  free: zod.number(),
+  available: zod.boolean(),
+});
+
+/** A runner's state as its allocator tells it to holders. */
+export type RunnerView = zod.infer<typeof runnerView>;
+
+/** Asks for a decode slot and pieces. */
+export const LEASE_DECODE = network.createPeerCall(60, "leaseDecode", leaseRequest, answer);
+/** Waits until a queued decode lease may start its prefill. */
+export const WAIT_TURN = network.createPeerCall(61, "waitTurn", leaseId, turn);
+/** Asks for prefill queue time. */
+export const LEASE_PREFILL = network.createPeerCall(62, "leasePrefill", prefillRequest, answer);
+/** Tells changes of leases. */
+export const CHANGE_LEASES = network.createPeerCall(
+  63,
+  "changeLeases",
+  zod.object({ changes: zod.array(change).max(MAX_BATCH) }),
+  zod.object({}),
+);
+/** Tells everything that the sender holds of the receiver; answers with views and lost leases. */
+export const REPORT_LEASES = network.createPeerCall(
+  64,
+  "reportLeases",
+  zod.object({ leases: zod.array(heldLease).max(MAX_BATCH) }),
+  zod.object({ views: zod.array(runnerView), revoked: zod.array(leaseId) }),
+);
+/** Takes leases back from their holder. */
+export const REVOKE_LEASES = network.createPeerCall(
+  65,
+  "revokeLeases",
+  zod.object({ leases: zod.array(leaseId).max(MAX_BATCH) }),
+  zod.object({}),
+);
+/** Tells that a newer attempt of a request exists. */
+export const SUPERSEDE = network.createPeerCall(
+  66,
+  "supersede",
+  zod.object({ id: text, attempt }),
+  zod.object({}),
+);
+
+/** Creates a refusal. */
+export function createRefusal(reason: Refusal, retryAfterMs: number): Answer {
+  return { granted: false, turn: false, waitMs: 0, workMs: 0, reason, retryAfterMs };
+}
+
+/** Picks at most `MAX_PREFIXES` evenly spaced prefixes, the longest included. */
+export function choosePrefixes(
+  prefixes: readonly string[],
+  promptTokens: number,
+): PrefillRequest["prefixes"] {
+  const blockTokens = Math.floor(promptTokens / Math.max(1, prefixes.length));
+  const step = Math.max(1, Math.ceil(prefixes.length / MAX_PREFIXES));
+  const chosen: PrefillRequest["prefixes"] = [];
+  for (let end = prefixes.length; end > 0; end -= step) {
+    const hash = prefixes[end - 1];
+    if (hash !== undefined) chosen.unshift({ hash, tokens: end * blockTokens });
+  }
+  return chosen;
+}
--- /dev/null
+++ b/src/capacity/upkeep.ts
@@ -0,0 +1,205 @@
+/** Keeps the set of allocated runners right: hand-over, load reports, lost holders, orphans. */
+import * as clocks from "../kernel/clock.js";
+import type * as membership from "../membership/types.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
+import type * as upstream from "../upstream/types.js";
+import type * as allocators from "./allocator.js";
+import type * as catalogs from "./catalog.js";
+import type * as policies from "./policy.js";
+
+/** Grace between the loss of a holder and the cancel of its requests. */
+const HOLDER_GRACE_MS = 1500;
+/** The same while several members are lost at once, which looks like a partition. */
+const PARTITION_GRACE_MS = 30_000;
+/** How long work that no one claims is left alone. */
+const ORPHAN_GRACE_MS = 3000;
+const CALL_TIMEOUT_MS = 1000;
+/** Report periods in which a new allocator waits for the holders. */
+const SETTLING_PERIODS = 2;
+/** How long a lost member counts as a sign of a partition. */
+const LOST_MEMORY_MS = 60_000;
+const MAX_LOST = 10_000;
+
+/** What upkeep works with. */
+export interface UpkeepParts {
+  readonly clock: clocks.Clock;
+  readonly log: telemetry.EventLog;
+  readonly membership: membership.Membership;
+  readonly engines: upstream.EngineClient;
+  readonly policy: policies.CapacityPolicy;
+  readonly allocator: allocators.Allocator;
+  readonly getCatalog: () => catalogs.Catalog;
+  readonly findAllocator: (runner: string) => string | undefined;
+}
+
+interface LostHolder {
+  readonly incarnation: number;
+  readonly at: number;
+}
+
+/** Runs beside the allocator until its signal aborts. */
+export class Upkeep {
+  readonly #parts: UpkeepParts;
+  readonly #signal: AbortSignal;
+  readonly #lost = new Map<string, LostHolder>();
+  readonly #polled = new Set<string>();
+
+  constructor(parts: UpkeepParts, signal: AbortSignal) {
+    this.#parts = parts;
+    this.#signal = signal;
+  }
+
+  /** Begins and ends the allocation of runners as the view of the fleet demands. */
+  updateRunners(): void {
+    const { allocator, findAllocator, getCatalog, membership: members } = this.#parts;
+    const own = members.self.vm;
+    for (const { runner } of allocator.listRunners()) {
+      const isOwn = findAllocator(runner.name) === own;
+      if (!isOwn || getCatalog().findRunner(runner.name) === undefined) {
+        allocator.removeRunner(runner.name);
+      }
+    }
+    for (const runner of getCatalog().listRunners()) {
+      if (findAllocator(runner.name) !== own) continue;
+      if (allocator.findRunner(runner.name) === undefined) this.#addRunner(runner);
+    }
+  }
+
+  /** Takes in a change of a member: a lost one's leases are cancelled after a grace. */
+  handleMember(member: membership.Member): void {
+    const { clock } = this.#parts;
+    const isLost = member.state === "dead" || member.state === "suspect";
+    const known = this.#lost.get(member.vm);
+    if (!isLost && known !== undefined) {
+      this.#lost.delete(member.vm);
+      if (member.incarnation > known.incarnation) this.#removeHolder(member.vm, known.incarnation);
+    }
+    if (member.state === "dead" && known === undefined && this.#lost.size < MAX_LOST) {
+      const lost = { incarnation: member.incarnation, at: clock.now() };
+      this.#lost.set(member.vm, lost);
+      this.#scheduleRemoval(member.vm, lost, HOLDER_GRACE_MS);
+    }
+    this.updateRunners();
+  }
+
+  /** Whether several members were lost lately, as when the network is cut. */
+  isPartitioned(): boolean {
+    const before = this.#parts.clock.now() - LOST_MEMORY_MS;
+    let count = 0;
+    for (const lost of this.#lost.values()) if (lost.at >= before) count += 1;
+    return count >= 2;
+  }
+
+  #addRunner(runner: catalogs.CatalogRunner): void {
+    const { allocator, log } = this.#parts;
+    allocator.addRunner(runner);
+    log.write(logEvents.LOG_EVENTS.allocatorChanged, { runner: runner.name });
+    void this.#watchRunner(runner);
+  }
+
+  async #watchRunner(runner: catalogs.CatalogRunner): Promise<void> {
+    if (this.#polled.has(runner.name)) return;
+    this.#polled.add(runner.name);
+    const { allocator, clock, policy } = this.#parts;
+    while (!this.#signal.aborted && allocator.findRunner(runner.name) !== undefined) {
+      await this.#readRunner(runner);
+      await waitQuietly(clock, policy.loadPeriodMs, this.#signal);
+    }
+    this.#polled.delete(runner.name);
+  }
+
+  async #readRunner(runner: catalogs.CatalogRunner): Promise<void> {
+    const { allocator, clock, engines } = this.#parts;
+    const entry = allocator.findRunner(runner.name);
+    if (entry === undefined) return;
+    const wasAvailable = entry.occupancy.available;
+    using limit = clocks.createTimeLimit(clock, CALL_TIMEOUT_MS, this.#signal);
+    try {
+      const load = await engines.readLoad(runner, limit.signal);
+      const isKnown = (id: string): boolean => hasLease(entry, id);
+      entry.occupancy.recordLoad(load, isKnown);
+      entry.occupancy.guarded = this.#isGuarded(entry);
+      if (entry.prefill !== undefined) await this.#readEvents(runner, limit.signal);
+      this.#cancelOrphans(entry);
+      entry.decode?.startQueued();
+    } catch {
+      entry.occupancy.recordFailure();
+      if (entry.occupancy.available || !wasAvailable) return;
+      entry.decode?.refuseQueue();
+      this.#parts.log.write(logEvents.LOG_EVENTS.runnerUnavailable, { runner: runner.name });
+    }
+  }
+
+  async #readEvents(runner: catalogs.CatalogRunner, signal: AbortSignal): Promise<void> {
+    const { allocator, clock, engines } = this.#parts;
+    const after = allocator.prefixIndex.getLastEvent(runner.name);
+    const events = await engines.readCacheEvents(runner, after, signal);
+    allocator.prefixIndex.applyEvents(runner.name, events, clock.now());
+  }
+
+  #isGuarded(entry: allocators.AllocatedRunner): boolean {
+    const { clock, policy } = this.#parts;
+    const ageMs = clock.now() - entry.allocatedSince;
+    return ageMs < SETTLING_PERIODS * policy.reportPeriodMs || this.isPartitioned();
+  }
+
+  #cancelOrphans(entry: allocators.AllocatedRunner): void {
+    if (entry.occupancy.guarded) return;
+    const isKnown = (id: string): boolean => hasLease(entry, id);
+    for (const { id, attempt } of entry.occupancy.listUnclaimed(ORPHAN_GRACE_MS, isKnown)) {
+      this.cancel(entry.runner, id, attempt);
+      const fields = { runner: entry.runner.name, id, attempt };
+      this.#parts.log.write(logEvents.LOG_EVENTS.orphanCancelled, fields);
+    }
+  }
+
+  /** Cancels at the engine, without waiting; the load report shows whether it had an effect. */
+  cancel(runner: catalogs.CatalogRunner, id: string, attempt: number): void {
+    void this.#sendCancel(runner, id, attempt);
+  }
+
+  async #sendCancel(runner: catalogs.CatalogRunner, id: string, attempt: number): Promise<void> {
+    using limit = clocks.createTimeLimit(this.#parts.clock, CALL_TIMEOUT_MS, this.#signal);
+    try {
+      await this.#parts.engines.cancel(runner, { id, attempt }, limit.signal);
+    } catch {
+      // The load report will show it as held and unclaimed, which cancels it again.
+    }
+  }
+
+  #scheduleRemoval(vm: string, lost: LostHolder, delayMs: number): void {
+    const cancel = this.#parts.clock.schedule(delayMs, () => {
+      if (this.#lost.get(vm) !== lost || this.#signal.aborted) return;
+      const remainingMs = lost.at + PARTITION_GRACE_MS - this.#parts.clock.now();
+      if (this.isPartitioned() && remainingMs > 0) this.#scheduleRemoval(vm, lost, remainingMs);
+      else this.#removeHolder(vm, lost.incarnation);
+    });
+    this.#signal.addEventListener("abort", cancel, { once: true });
+  }
+
+  #removeHolder(vm: string, incarnation: number): void {
+    const removed = this.#parts.allocator.removeHolder(
+      (holder) => holder.vm === vm && holder.incarnation <= incarnation,
+    );
+    for (const lease of removed) {
+      this.#parts.log.write(logEvents.LOG_EVENTS.orphanCancelled, { ...lease, holder: vm });
+    }
+  }
+}
+
+async function waitQuietly(
+  clock: clocks.Clock,
+  delayMs: number,
+  signal: AbortSignal,
+): Promise<void> {
+  try {
+    await clocks.sleep(clock, delayMs, signal);
+  } catch {
+    // The loop's condition sees the abort.
+  }
+}
+
+function hasLease(entry: allocators.AllocatedRunner, id: string): boolean {
+  return (entry.decode ?? entry.prefill)?.findLease(id) !== undefined;
+}
