Run plain calls by their contract: sessions, intents, tombstones, crash records

Non-idempotent calls run only at the incarnation their id names, after the backup has recorded the intent; others forward, or read the backup's record. A full map refuses every id that expires no later than the refused one, so a "not run" stays true though nothing is kept of it. Expiry is read from a wall clock that never goes back.

--- /dev/null
+++ b/src/caller/sessions.ts
@@ -0,0 +1,108 @@
+/** Creates and verifies sessions: who may run a request, carried inside the request's id. */
+import type * as container from "../kernel/container.js";
+import type * as clocks from "../kernel/clock.js";
+import type * as random from "../kernel/random.js";
+import * as membership from "../membership/types.js";
+import * as codes from "../protocol/result-codes.js";
+import type * as nodeSettings from "../settings/node-settings.js";
+import * as seal from "./session-seal.js";
+import type * as types from "./types.js";
+
+/** How long a new session is valid. */
+export const SESSION_LIFETIME_MS = 600_000;
+
+const ID_PATTERN = /^([A-Za-z0-9_-]+)\.(0|[1-9][0-9]{0,14})$/;
+const UINT32_RANGE = 2 ** 32;
+
+class SealedSessions implements types.Sessions {
+  readonly #clock: clocks.Clock;
+  readonly #random: random.RandomSource;
+  readonly #settings: nodeSettings.NodeSettings;
+  readonly #membership: membership.Membership;
+  #created = 0;
+
+  constructor(kernel: container.Kernel) {
+    this.#clock = kernel.use("clock");
+    this.#random = kernel.use("random");
+    this.#settings = kernel.use("settings");
+    this.#membership = kernel.use("membership");
+  }
+
+  create(caller: string): string {
+    return seal.sealSession(this.#createSession(caller, this.#chooseOwner()), this.#fleetKeys);
+  }
+
+  createRequestId(caller: string): types.RequestId {
+    const session = this.#createSession(caller, this.#membership.self);
+    const text = `${seal.sealSession(session, this.#fleetKeys)}.0`;
+    return { text, session, sequence: 0 };
+  }
+
+  parse(text: string, caller: string): types.RequestId {
+    const match = ID_PATTERN.exec(text);
+    const [, sealed = "", sequence = ""] = match ?? [];
+    const session = seal.verifySession(sealed, this.#fleetKeys);
+    if (session?.caller !== caller) {
+      throw new codes.RequestError(codes.RESULT_CODES.sessionInvalid, codes.RAN.no);
+    }
+    if (this.#clock.wallTime() >= session.expiresAt) {
+      throw new codes.RequestError(codes.RESULT_CODES.sessionExpired, codes.RAN.unknown);
+    }
+    return { text, session, sequence: Number(sequence) };
+  }
+
+  get #fleetKeys(): readonly string[] {
+    return this.#settings.fleetKeys;
+  }
+
+  #createSession(caller: string, owner: membership.Member): types.Session {
+    const backup = this.#chooseBackup(owner);
+    return {
+      nonce: this.#createNonce(),
+      caller,
+      owner: { vm: owner.vm, incarnation: owner.incarnation },
+      backup: backup && { vm: backup.vm, incarnation: backup.incarnation },
+      expiresAt: this.#clock.wallTime() + SESSION_LIFETIME_MS,
+    };
+  }
+
+  /** Unique by node, incarnation and counter; the random part guards against a repeated clock. */
+  #createNonce(): string {
+    const { vm, incarnation } = this.#membership.self;
+    this.#created += 1;
+    const suffix = this.#random.nextInteger(UINT32_RANGE).toString(36);
+    return `${vm}-${incarnation.toString(36)}-${this.#created.toString(36)}-${suffix}`;
+  }
+
+  #chooseOwner(): membership.Member {
+    const { self } = this.#membership;
+    if (self.state !== membership.MEMBER_STATE.leaving) return self;
+    const others = this.#listOthers(self);
+    const near = others.filter((member) => member.zone === self.zone);
+    return this.#chooseAny(near) ?? this.#chooseAny(others) ?? self;
+  }
+
+  #chooseBackup(owner: membership.Member): membership.Member | undefined {
+    const others = this.#listOthers(owner);
+    const inRegion = others.filter((member) => member.region === owner.region);
+    const otherZone = inRegion.filter((member) => member.zone !== owner.zone);
+    return this.#chooseAny(otherZone) ?? this.#chooseAny(inRegion) ?? this.#chooseAny(others);
+  }
+
+  #listOthers(member: membership.Member): readonly membership.Member[] {
+    return this.#membership.listAlive().filter((other) => other.vm !== member.vm);
+  }
+
+  #chooseAny(members: readonly membership.Member[]): membership.Member | undefined {
+    return members[this.#random.nextInteger(Math.max(1, members.length))];
+  }
+}
+
+/**
+ * Creates the service of sessions.
+ *
+ * @example kernel.register("sessions", createSessions);
+ */
+export function createSessions(kernel: container.Kernel): types.Sessions {
+  return new SealedSessions(kernel);
+}
--- a/src/protocol/result-codes.ts
+++ b/src/protocol/result-codes.ts
@@ -40,6 +40,7 @@
   backupUnreachable: { number: 4001, status: 503, message: "backup unreachable" },
   refusedByRecord: { number: 4002, status: 503, message: "request was given up before it ran" },
   outcomeUnknown: { number: 4003, status: 504, message: "outcome unknown" },
+  resultNotKept: { number: 4004, status: 410, message: "request ran; its result was not kept" },
 } as const satisfies Record<string, ResultCode>;
 
 /** A final answer other than success. */
--- /dev/null
+++ b/src/request/backup-client.ts
@@ -0,0 +1,111 @@
+/** Asks the backup that an id names: for leave to run, to keep a result, or what became of it. */
+import * as clocks from "../kernel/clock.js";
+import type * as container from "../kernel/container.js";
+import type * as sessions from "../caller/types.js";
+import * as network from "../protocol/network.js";
+import * as codes from "../protocol/result-codes.js";
+import * as messages from "./messages.js";
+import * as outcomes from "./outcome.js";
+import * as ownerRecords from "./owner-records.js";
+
+const INTENT_LIMIT_MS = 1000;
+const RESULT_LIMIT_MS = 1000;
+const RESULT_TRIES = 3;
+const RESOLVE_LIMIT_MS = 1000;
+const RETRY_AFTER_MS = 1000;
+
+const { accepted, exists, expired, full, otherIncarnation, tombstoned } = messages.INTENT_REPLY;
+const { RAN, RESULT_CODES } = codes;
+const UNKNOWN = outcomes.createRefusal(RESULT_CODES.outcomeUnknown, RAN.unknown);
+const REFUSED_BY_RECORD = outcomes.createRefusal(RESULT_CODES.refusedByRecord, RAN.no);
+
+/** What each answer of the backup but leave to run means for the request. */
+const REFUSAL_BY_REPLY = {
+  [tombstoned]: REFUSED_BY_RECORD,
+  [exists]: UNKNOWN,
+  [full]: outcomes.createRefusal(RESULT_CODES.recordsFull, RAN.no, {
+    retryAfterMs: RETRY_AFTER_MS,
+  }),
+  [expired]: outcomes.createRefusal(RESULT_CODES.sessionExpired, RAN.no),
+  [otherIncarnation]: outcomes.createRefusal(RESULT_CODES.backupUnreachable, RAN.no),
+} as const;
+
+/** Calls to the backups of requests. */
+export class BackupClient {
+  readonly #clock: clocks.Clock;
+  readonly #peers: network.PeerNetwork;
+
+  constructor(kernel: container.Kernel) {
+    this.#clock = kernel.use("clock");
+    this.#peers = kernel.use("network");
+  }
+
+  /**
+   * Asks for leave to run; only the owner may, and once for each id.
+   *
+   * @returns nothing when leave was given, else why the request does not run. A fleet of one node
+   * has no backup to ask.
+   */
+  async sendIntent(
+    id: sessions.RequestId,
+    remainingMs: number,
+  ): Promise<outcomes.Outcome | undefined> {
+    const { backup } = id.session;
+    if (!backup) return undefined;
+    const options = {
+      timeoutMs: Math.min(INTENT_LIMIT_MS, remainingMs),
+      incarnation: backup.incarnation,
+    };
+    try {
+      const ref = createRecordRef(id, backup);
+      const { reply } = await this.#peers.call(backup.vm, messages.INTENT, ref, options);
+      return reply === accepted ? undefined : REFUSAL_BY_REPLY[reply];
+    } catch {
+      return REFUSAL_BY_REPLY[otherIncarnation];
+    }
+  }
+
+  /** Leaves the outcome at the backup; when that fails, others answer `unknown`, which stays true. */
+  async sendResult(id: sessions.RequestId, outcome: outcomes.Outcome): Promise<void> {
+    const { backup } = id.session;
+    if (!backup) return;
+    const request = { ...createRecordRef(id, backup), outcome };
+    const options = { timeoutMs: RESULT_LIMIT_MS, incarnation: backup.incarnation };
+    for (let tries = 0; tries < RESULT_TRIES; tries += 1) {
+      try {
+        await this.#peers.call(backup.vm, messages.RESULT, request, options);
+        return;
+      } catch (error) {
+        if (isGone(error)) return;
+        await clocks.sleep(this.#clock, RESULT_LIMIT_MS);
+      }
+    }
+  }
+
+  /** Returns what became of a request whose owner cannot be asked; one without intent never runs. */
+  async readOutcome(id: sessions.RequestId): Promise<outcomes.Outcome> {
+    const { backup } = id.session;
+    if (!backup) return UNKNOWN;
+    const options = { timeoutMs: RESOLVE_LIMIT_MS, incarnation: backup.incarnation };
+    try {
+      const ref = createRecordRef(id, backup);
+      const { reply, outcome } = await this.#peers.call(backup.vm, messages.RESOLVE, ref, options);
+      if (reply === messages.RESOLVE_REPLY.tombstoned) return REFUSED_BY_RECORD;
+      return outcome ?? UNKNOWN;
+    } catch {
+      return UNKNOWN;
+    }
+  }
+}
+
+function createRecordRef(id: sessions.RequestId, backup: sessions.NodeRef): messages.RecordRef {
+  return {
+    key: ownerRecords.createRecordKey(id),
+    expiresAt: id.session.expiresAt,
+    incarnation: backup.incarnation,
+  };
+}
+
+function isGone(error: unknown): boolean {
+  return error instanceof network.PeerCallError && error.failure === network.CALL_FAILURE.gone;
+}
--- /dev/null
+++ b/src/request/expiring-records.ts
@@ -0,0 +1,116 @@
+/** A bounded map of records by request id, in which nothing is evicted before the id expires. */
+import type * as clocks from "../kernel/clock.js";
+
+/** How long a record outlives its id, against clocks that differ between nodes. */
+export const SKEW_MARGIN_MS = 60_000;
+const SWEEP_INTERVAL_MS = 1000;
+
+/** Whether a new record may be added. */
+export const ADMISSION = {
+  granted: "granted",
+  /** The id is past its expiry, and will be for ever. */
+  expired: "expired",
+  /** No room; ids that expire no later stay refused, so that a refused id never runs. */
+  full: "full",
+} as const;
+
+/** One of the values of `ADMISSION`. */
+export type Admission = (typeof ADMISSION)[keyof typeof ADMISSION];
+
+/** Limits of a map of records. */
+export interface RecordLimits {
+  readonly maxRecords: number;
+  readonly maxBytes: number;
+}
+
+interface Entry<Value> {
+  value: Value;
+  bytes: number;
+  readonly expiresAt: number;
+}
+
+/** Records by key until their expiry, bounded in number and bytes. */
+export class ExpiringRecords<Value> {
+  readonly #clock: clocks.Clock;
+  readonly #limits: RecordLimits;
+  readonly #entries = new Map<string, Entry<Value>>();
+  #bytes = 0;
+  #latestWallTime = 0;
+  #refusedUntil = 0;
+  #nextSweepAt = 0;
+
+  constructor(clock: clocks.Clock, limits: RecordLimits) {
+    this.#clock = clock;
+    this.#limits = limits;
+  }
+
+  /** Number of records. */
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  /** Returns the record of a key. */
+  find(key: string): Value | undefined {
+    return this.#entries.get(key)?.value;
+  }
+
+  /** Whether an id is past its expiry by a clock that never goes back. */
+  isExpired(expiresAt: number): boolean {
+    return this.#getWallTime() >= expiresAt;
+  }
+
+  /** Whether records of an id may have been evicted, so that absence proves nothing. */
+  isForgotten(expiresAt: number): boolean {
+    return this.isExpired(expiresAt + SKEW_MARGIN_MS);
+  }
+
+  /** Checks whether a record of an id with this expiry may be added; a refusal holds for good. */
+  checkAdmission(expiresAt: number): Admission {
+    if (this.isExpired(expiresAt)) return ADMISSION.expired;
+    if (expiresAt <= this.#refusedUntil) return ADMISSION.full;
+    if (this.#isFull()) {
+      this.refuseUntil(expiresAt);
+      return ADMISSION.full;
+    }
+    return ADMISSION.granted;
+  }
+
+  /** Refuses, from now on, records of ids that expire at `expiresAt` or before. */
+  refuseUntil(expiresAt: number): void {
+    this.#refusedUntil = Math.max(this.#refusedUntil, expiresAt);
+  }
+
+  /** Adds or replaces a record. */
+  set(key: string, value: Value, expiresAt: number, bytes: number): void {
+    const previous = this.#entries.get(key);
+    this.#bytes += bytes - (previous?.bytes ?? 0);
+    this.#entries.set(key, { value, bytes, expiresAt: previous?.expiresAt ?? expiresAt });
+  }
+
+  /** Whether `bytes` more fit into the limit. */
+  hasRoom(bytes: number): boolean {
+    return this.#bytes + bytes <= this.#limits.maxBytes;
+  }
+
+  #isFull(): boolean {
+    this.#removeExpired();
+    return this.#entries.size >= this.#limits.maxRecords || this.#bytes >= this.#limits.maxBytes;
+  }
+
+  #removeExpired(): void {
+    const now = this.#clock.now();
+    if (now < this.#nextSweepAt) return;
+    this.#nextSweepAt = now + SWEEP_INTERVAL_MS;
+    for (const [key, entry] of this.#entries) {
+      if (!this.isForgotten(entry.expiresAt)) continue;
+      this.#entries.delete(key);
+      this.#bytes -= entry.bytes;
+    }
+  }
+
+  /** The wall clock's highest reading: an id once expired stays so when the clock is set back. */
+  #getWallTime(): number {
+    this.#latestWallTime = Math.max(this.#latestWallTime, this.#clock.wallTime());
+    return this.#latestWallTime;
+  }
+}
--- /dev/null
+++ b/src/request/fingerprint.ts
@@ -0,0 +1,18 @@
+/** Fingerprints of plain requests. */
+import type * as sessions from "../caller/types.js";
+import type * as document from "../settings/document.js";
+import type * as upstream from "../upstream/types.js";
+
+/**
+ * Computes the fingerprint of caller, service, method, path and body. Without method and path, all
+ * requests that have no body would share one.
+ */
+export function computePlainFingerprint(
+  crashes: sessions.CrashRecords,
+  caller: string,
+  service: document.PlainService,
+  request: upstream.PlainRequest,
+): string {
+  const target = `${service.name} ${request.method} ${request.path}`;
+  return crashes.computeFingerprint(caller, target, request.body);
+}
--- /dev/null
+++ b/src/request/forwarded-calls.ts
@@ -0,0 +1,94 @@
+/** Hands non-idempotent plain calls to their owner, and asks the backup when the owner is silent. */
+import type * as container from "../kernel/container.js";
+import type * as sessions from "../caller/types.js";
+import * as membership from "../membership/types.js";
+import type * as network from "../protocol/network.js";
+import * as backupClient from "./backup-client.js";
+import * as messages from "./messages.js";
+import type * as outcomes from "./outcome.js";
+
+/** Wait beyond the deadline for the owner's own final answer. */
+const OWNER_GRACE_MS = 250;
+
+/** A call with an id that another incarnation owns. */
+export type ForeignCall = sessions.PlainCall & { readonly id: sessions.RequestId };
+
+interface OwnerWatch extends Disposable {
+  readonly signal: AbortSignal;
+}
+
+/** The calls of which another node is the owner. */
+export class ForwardedCalls {
+  readonly #peers: network.PeerNetwork;
+  readonly #membership: membership.Membership;
+  readonly #backup: backupClient.BackupClient;
+
+  constructor(kernel: container.Kernel) {
+    this.#peers = kernel.use("network");
+    this.#membership = kernel.use("membership");
+    this.#backup = new backupClient.BackupClient(kernel);
+  }
+
+  /** Returns the owner's outcome, else what the backup knows. Rejects only when `signal` aborts. */
+  async run(call: ForeignCall, signal: AbortSignal): Promise<outcomes.Outcome> {
+    const outcome = await this.#callOwner(call, signal);
+    signal.throwIfAborted();
+    return outcome ?? (await this.#backup.readOutcome(call.id));
+  }
+
+  /** Returns nothing when the owner is gone or silent. */
+  async #callOwner(call: ForeignCall, signal: AbortSignal): Promise<outcomes.Outcome | undefined> {
+    const { owner } = call.id.session;
+    if (owner.vm === this.#membership.self.vm) return undefined;
+    using lost = this.#watchOwner(owner);
+    try {
+      const reply = await this.#peers.call(owner.vm, messages.FORWARD, createForward(call), {
+        timeoutMs: call.deadlineMs + OWNER_GRACE_MS,
+        incarnation: owner.incarnation,
+        signal: AbortSignal.any([signal, lost.signal]),
+      });
+      return reply.outcome;
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** Aborts as soon as membership reports the owner as suspect, dead or restarted. */
+  #watchOwner(owner: sessions.NodeRef): OwnerWatch {
+    const lost = new AbortController();
+    const checkOwner = (): void => {
+      if (this.#isLost(owner)) lost.abort();
+    };
+    const listening = this.#membership.onChange(checkOwner);
+    checkOwner();
+    return {
+      signal: lost.signal,
+      [Symbol.dispose]: () => {
+        listening[Symbol.dispose]();
+      },
+    };
+  }
+
+  #isLost(owner: sessions.NodeRef): boolean {
+    const member = this.#membership.findMember(owner.vm);
+    if (!member) return false;
+    const { suspect, dead } = membership.MEMBER_STATE;
+    return (
+      member.incarnation > owner.incarnation || member.state === suspect || member.state === dead
+    );
+  }
+}
+
+function createForward(call: ForeignCall): messages.ForwardRequest {
+  const { method, path, headers, body } = call.request;
+  return {
+    id: call.id.text,
+    caller: call.caller.name,
+    service: call.service.name,
+    method,
+    path,
+    headers: { ...headers },
+    body,
+    deadlineMs: call.deadlineMs,
+  };
+}
--- /dev/null
+++ b/src/request/owned-calls.ts
@@ -0,0 +1,193 @@
+/** Runs non-idempotent plain calls at their owner: at most once, after the backup's leave. */
+import * as clocks from "../kernel/clock.js";
+import type * as container from "../kernel/container.js";
+import type * as sessions from "../caller/types.js";
+import * as membership from "../membership/types.js";
+import * as codes from "../protocol/result-codes.js";
+import type * as document from "../settings/document.js";
+import * as upstream from "../upstream/types.js";
+import type * as backendChoice from "./backend-choice.js";
+import type * as crashTracker from "./crash-tracker.js";
+import * as records from "./expiring-records.js";
+import * as backupClient from "./backup-client.js";
+import * as fingerprints from "./fingerprint.js";
+import * as outcomes from "./outcome.js";
+import * as ownerRecords from "./owner-records.js";
+
+const RETRY_AFTER_MS = 1000;
+/** Header by which the service knows a request again. */
+const KEY_HEADER = "idempotency-key";
+
+/** A non-idempotent call at its owner. */
+export interface OwnedCall {
+  readonly caller: string;
+  readonly service: document.PlainService;
+  readonly id: sessions.RequestId;
+  readonly request: upstream.PlainRequest;
+  readonly deadlineMs: number;
+}
+
+interface Run {
+  readonly call: OwnedCall;
+  readonly fingerprint: string;
+  readonly deadlineAt: number;
+}
+
+const { RAN, RESULT_CODES } = codes;
+
+/** The calls of which this node is the owner. */
+export class OwnedCalls {
+  readonly #clock: clocks.Clock;
+  readonly #backup: backupClient.BackupClient;
+  readonly #membership: membership.Membership;
+  readonly #backends: upstream.ServiceClient;
+  readonly #crashes: sessions.CrashRecords;
+  readonly #records: ownerRecords.OwnerRecords;
+  readonly #choice: backendChoice.BackendChoice;
+  readonly #tracker: crashTracker.CrashTracker;
+  readonly #tasks = new Set<Promise<unknown>>();
+
+  constructor(
+    kernel: container.Kernel,
+    records: ownerRecords.OwnerRecords,
+    choice: backendChoice.BackendChoice,
+    tracker: crashTracker.CrashTracker,
+  ) {
+    this.#clock = kernel.use("clock");
+    this.#backup = new backupClient.BackupClient(kernel);
+    this.#membership = kernel.use("membership");
+    this.#backends = kernel.use("backends");
+    this.#crashes = kernel.use("crashes");
+    this.#records = records;
+    this.#choice = choice;
+    this.#tracker = tracker;
+  }
+
+  /** Runs and reports to the backup that are not finished. */
+  get active(): number {
+    return this.#tasks.size;
+  }
+
+  /** Waits until every run has ended and its result was left at the backup. */
+  async waitIdle(): Promise<void> {
+    while (this.#tasks.size > 0) await Promise.allSettled(this.#tasks);
+  }
+
+  /** Whether this incarnation of this node owns the id. */
+  isOwner(id: sessions.RequestId): boolean {
+    const { self } = this.#membership;
+    const { owner } = id.session;
+    return owner.vm === self.vm && owner.incarnation === self.incarnation;
+  }
+
+  /** Runs the request unless it has a record, and returns its one outcome. Never rejects. */
+  run(call: OwnedCall): Promise<outcomes.Outcome> {
+    const existing = this.#records.find(call.id);
+    if (existing) return existing;
+    const refusal = this.#checkNew(call.id);
+    if (refusal) return Promise.resolve(refusal);
+    const running = this.#addTask(this.#runNew(call).catch(createInternalRefusal));
+    this.#records.add(call.id, running);
+    return running;
+  }
+
+  /** Refuses an id without a record; each of these refusals holds for good. */
+  #checkNew(id: sessions.RequestId): outcomes.Outcome | undefined {
+    if (this.#records.isForgotten(id)) {
+      return outcomes.createRefusal(RESULT_CODES.sessionExpired, RAN.unknown);
+    }
+    if (this.#membership.self.state === membership.MEMBER_STATE.leaving) {
+      return outcomes.createRefusal(RESULT_CODES.leaving, RAN.no);
+    }
+    const admission = this.#records.checkAdmission(id);
+    if (admission === records.ADMISSION.expired)
+      return outcomes.createRefusal(RESULT_CODES.sessionExpired, RAN.no);
+    if (admission === records.ADMISSION.full) {
+      return outcomes.createRefusal(RESULT_CODES.recordsFull, RAN.no, {
+        retryAfterMs: RETRY_AFTER_MS,
+      });
+    }
+    return undefined;
+  }
+
+  async #runNew(call: OwnedCall): Promise<outcomes.Outcome> {
+    const { caller, service, request } = call;
+    const fingerprint = fingerprints.computePlainFingerprint(
+      this.#crashes,
+      caller,
+      service,
+      request,
+    );
+    const deadlineAt = this.#clock.now() + call.deadlineMs;
+    if (call.deadlineMs <= 0) return createDeadlineRefusal();
+    if (this.#crashes.isQuarantined(fingerprint)) {
+      return outcomes.createRefusal(RESULT_CODES.quarantined, RAN.no);
+    }
+    const refusal = await this.#backup.sendIntent(call.id, call.deadlineMs);
+    if (refusal) return refusal;
+    const outcome = await this.#callUpstream({ call, fingerprint, deadlineAt });
+    void this.#addTask(this.#backup.sendResult(call.id, outcome));
+    return outcome;
+  }
+
+  /** Calls one backend after another until a connection was made; from then on the call is final. */
+  async #callUpstream(run: Run): Promise<outcomes.Outcome> {
+    const tried = new Set<string>();
+    for (;;) {
+      if (this.#clock.now() >= run.deadlineAt || this.#records.isExpired(run.call.id)) {
+        return createDeadlineRefusal();
+      }
+      const backend = this.#choice.choose(run.call.service, tried);
+      if (!backend) {
+        return outcomes.createRefusal(RESULT_CODES.upstreamUnavailable, RAN.no, {
+          retryAfterMs: RETRY_AFTER_MS,
+        });
+      }
+      tried.add(backend.name);
+      const outcome = await this.#callBackend(run, backend);
+      if (outcome) return outcome;
+    }
+  }
+
+  /** Returns nothing when the connection was never made. */
+  async #callBackend(
+    run: Run,
+    backend: backendChoice.Backend,
+  ): Promise<outcomes.Outcome | undefined> {
+    const { call, fingerprint, deadlineAt } = run;
+    const headers = { ...call.request.headers, [KEY_HEADER]: call.id.text };
+    using limit = clocks.createTimeLimit(this.#clock, deadlineAt - this.#clock.now());
+    using tracked = this.#tracker.add(backend.name, fingerprint);
+    try {
+      const response = await this.#backends.send(
+        backend,
+        { ...call.request, headers },
+        { fresh: true, signal: limit.signal },
+      );
+      this.#choice.recordSuccess(backend);
+      this.#crashes.recordSuccess(fingerprint);
+      return outcomes.createResponseOutcome(response);
+    } catch (error) {
+      this.#choice.recordFailure(backend);
+      const failure = error instanceof upstream.UpstreamError ? error.failure : undefined;
+      if (failure === upstream.UPSTREAM_FAILURE.notConnected) return undefined;
+      const isCrash = failure === upstream.UPSTREAM_FAILURE.broken && !limit.signal.aborted;
+      if (isCrash) tracked.recordBreak();
+      return outcomes.createRefusal(RESULT_CODES.outcomeUnknown, RAN.unknown);
+    }
+  }
+
+  #addTask<Value>(task: Promise<Value>): Promise<Value> {
+    this.#tasks.add(task);
+    void task.finally(() => this.#tasks.delete(task)).catch(() => undefined);
+    return task;
+  }
+}
+
+function createInternalRefusal(): outcomes.Outcome {
+  return outcomes.createRefusal(RESULT_CODES.internalError, RAN.unknown);
+}
+
+function createDeadlineRefusal(): outcomes.Outcome {
+  return outcomes.createRefusal(RESULT_CODES.deadlineExceeded, RAN.no);
+}
--- /dev/null
+++ b/src/request/owner-records.ts
@@ -0,0 +1,67 @@
+/** The owner's records: one run for each request id, which duplicates attach to or replay. */
+import type * as container from "../kernel/container.js";
+import type * as sessions from "../caller/types.js";
+import * as records from "./expiring-records.js";
+import * as outcomes from "./outcome.js";
+
+/** Limits of the owner's memory: at either, new requests are refused and nothing is evicted. */
+export const OWNER_LIMITS: records.RecordLimits = {
+  maxRecords: 200_000,
+  maxBytes: 128 * 1024 * 1024,
+};
+/** Larger results are kept only as the fact that the request ran. */
+const MAX_RESULT_BYTES = 256 * 1024;
+const RECORD_BYTES = 256;
+
+/** Returns the key of a request's records: unique in the fleet. */
+export function createRecordKey(id: sessions.RequestId): string {
+  return `${id.session.nonce}.${id.sequence}`;
+}
+
+/** Runs and their outcomes by request. */
+export class OwnerRecords {
+  readonly #records: records.ExpiringRecords<Promise<outcomes.Outcome>>;
+
+  constructor(kernel: container.Kernel, limits: records.RecordLimits = OWNER_LIMITS) {
+    this.#records = new records.ExpiringRecords(kernel.use("clock"), limits);
+  }
+
+  /** Number of records, for status. */
+  get size(): number {
+    return this.#records.size;
+  }
+
+  /** Returns the outcome of a request's run, done or in progress. */
+  find(id: sessions.RequestId): Promise<outcomes.Outcome> | undefined {
+    return this.#records.find(createRecordKey(id));
+  }
+
+  /** Whether the id is past its expiry. */
+  isExpired(id: sessions.RequestId): boolean {
+    return this.#records.isExpired(id.session.expiresAt);
+  }
+
+  /** Whether a record of the id may have been evicted. */
+  isForgotten(id: sessions.RequestId): boolean {
+    return this.#records.isForgotten(id.session.expiresAt);
+  }
+
+  /** Checks whether a run may be added; a refusal holds for good. */
+  checkAdmission(id: sessions.RequestId): records.Admission {
+    return this.#records.checkAdmission(id.session.expiresAt);
+  }
+
+  /** Adds the one run of a request. `running` never rejects. */
+  add(id: sessions.RequestId, running: Promise<outcomes.Outcome>): void {
+    const key = createRecordKey(id);
+    const { expiresAt } = id.session;
+    this.#records.set(key, running, expiresAt, RECORD_BYTES);
+    void running.then((outcome) => {
+      const bytes = outcomes.computeOutcomeBytes(outcome);
+      const fits = bytes <= MAX_RESULT_BYTES && this.#records.hasRoom(bytes);
+      const kept = fits ? outcome : outcomes.createDiscardedOutcome();
+      const keptBytes = RECORD_BYTES + (fits ? bytes : 0);
+      this.#records.set(key, Promise.resolve(kept), expiresAt, keptBytes);
+    });
+  }
+}
--- /dev/null
+++ b/src/request/plain-calls.ts
@@ -0,0 +1,139 @@
+/** Runs plain calls by the contract of their operation: idempotent ones anywhere, others at their owner. */
+import * as clocks from "../kernel/clock.js";
+import type * as container from "../kernel/container.js";
+import type * as sessions from "../caller/types.js";
+import * as membership from "../membership/types.js";
+import type * as configuration from "../platform/types.js";
+import * as codes from "../protocol/result-codes.js";
+import type * as upstream from "../upstream/types.js";
+import * as backendChoice from "./backend-choice.js";
+import * as backupRecords from "./backup-records.js";
+import * as crashTracker from "./crash-tracker.js";
+import * as forwardedCalls from "./forwarded-calls.js";
+import * as idempotentCalls from "./idempotent-calls.js";
+import * as messages from "./messages.js";
+import * as outcomes from "./outcome.js";
+import * as ownedCalls from "./owned-calls.js";
+import * as ownerRecords from "./owner-records.js";
+
+const { RAN, RESULT_CODES } = codes;
+
+type IdentifiedCall = sessions.PlainCall & { readonly id: sessions.RequestId };
+
+class RoutedPlainCalls implements sessions.PlainCalls {
+  readonly #clock: clocks.Clock;
+  readonly #sessions: sessions.Sessions;
+  readonly #membership: membership.Membership;
+  readonly #configuration: configuration.Configuration;
+  readonly #idempotent: idempotentCalls.IdempotentCalls;
+  readonly #owned: ownedCalls.OwnedCalls;
+  readonly #forwarded: forwardedCalls.ForwardedCalls;
+  #running = 0;
+
+  constructor(kernel: container.Kernel) {
+    this.#clock = kernel.use("clock");
+    this.#sessions = kernel.use("sessions");
+    this.#membership = kernel.use("membership");
+    this.#configuration = kernel.use("configuration");
+    const { zone } = kernel.use("settings");
+    const choice = new backendChoice.BackendChoice(this.#clock, kernel.use("random"), zone);
+    const tracker = new crashTracker.CrashTracker(kernel.use("crashes"));
+    const records = new ownerRecords.OwnerRecords(kernel);
+    this.#idempotent = new idempotentCalls.IdempotentCalls(kernel, choice, tracker);
+    this.#owned = new ownedCalls.OwnedCalls(kernel, records, choice, tracker);
+    this.#forwarded = new forwardedCalls.ForwardedCalls(kernel);
+    kernel.use("network").onCall(messages.FORWARD, (request) => this.#handleForward(request));
+  }
+
+  get active(): number {
+    return this.#running + this.#owned.active;
+  }
+
+  async run(call: sessions.PlainCall, signal: AbortSignal): Promise<upstream.PlainResponse> {
+    this.#running += 1;
+    try {
+      return await this.#runByContract(call, signal);
+    } finally {
+      this.#running -= 1;
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#owned.waitIdle();
+  }
+
+  async #runByContract(
+    call: sessions.PlainCall,
+    signal: AbortSignal,
+  ): Promise<upstream.PlainResponse> {
+    if (call.operation.idempotent) return this.#runIdempotent(call, signal);
+    const { id } = call;
+    const createSession = (): string => this.#sessions.create(call.caller.name);
+    if (!id) {
+      const session = createSession();
+      throw new codes.RequestError(RESULT_CODES.sessionRequired, RAN.no, { session });
+    }
+    const outcome = await this.#runIdentified({ ...call, id }, signal);
+    return outcomes.parseOutcome(outcome, createSession);
+  }
+
+  #runIdempotent(call: sessions.PlainCall, signal: AbortSignal): Promise<upstream.PlainResponse> {
+    if (this.#membership.self.state !== membership.MEMBER_STATE.leaving) {
+      return this.#idempotent.run(call, signal);
+    }
+    const session = this.#sessions.create(call.caller.name);
+    throw new codes.RequestError(RESULT_CODES.leaving, RAN.no, { session });
+  }
+
+  async #runIdentified(call: IdentifiedCall, signal: AbortSignal): Promise<outcomes.Outcome> {
+    try {
+      if (!this.#owned.isOwner(call.id)) return await this.#forwarded.run(call, signal);
+      const running = this.#owned.run({ ...call, caller: call.caller.name });
+      return await this.#waitForOutcome(running, call.deadlineMs, signal);
+    } catch (error) {
+      if (!signal.aborted) throw error;
+      throw new codes.RequestError(RESULT_CODES.callerGone, RAN.unknown);
+    }
+  }
+
+  /** Stops waiting at the caller's deadline or when it is gone; the run itself goes on. */
+  async #waitForOutcome(
+    running: Promise<outcomes.Outcome>,
+    deadlineMs: number,
+    signal: AbortSignal,
+  ): Promise<outcomes.Outcome> {
+    const unknown = outcomes.createRefusal(RESULT_CODES.outcomeUnknown, RAN.unknown);
+    using limit = clocks.createTimeLimit(this.#clock, deadlineMs + 1, signal);
+    const timeout = new Promise<outcomes.Outcome>((resolve, reject) => {
+      limit.signal.addEventListener("abort", () => {
+        if (signal.aborted) reject(signal.reason as Error);
+        else resolve(unknown);
+      });
+    });
+    return await Promise.race([running, timeout]);
+  }
+
+  async #handleForward(
+    request: messages.ForwardRequest,
+  ): Promise<{ outcome: outcomes.Outcome | undefined }> {
+    const id = this.#sessions.parse(request.id, request.caller);
+    if (!this.#owned.isOwner(id)) return { outcome: undefined };
+    const service = this.#configuration.current?.document.services.find(
+      (candidate) => candidate.name === request.service,
+    );
+    if (!service) return { outcome: undefined };
+    const { method, path, headers, body, caller, deadlineMs } = request;
+    const owned = { caller, service, id, request: { method, path, headers, body }, deadlineMs };
+    return { outcome: await this.#owned.run(owned) };
+  }
+}
+
+/**
+ * Creates the service of plain calls, its records and their peer calls.
+ *
+ * @example kernel.register("plainCalls", createPlainCalls);
+ */
+export function createPlainCalls(kernel: container.Kernel): sessions.PlainCalls {
+  backupRecords.createBackupRecords(kernel);
+  return new RoutedPlainCalls(kernel);
+}
--- /dev/null
+++ b/test/request/backup-records.test.ts
@@ -0,0 +1,89 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as backupRecords from "../../src/request/backup-records.js";
+import * as outcomes from "../../src/request/outcome.js";
+import * as expiring from "../../src/request/expiring-records.js";
+import * as fakes from "./fake-fleet.js";
+
+const OWNER = { vm: "owner", incarnation: 1 };
+
+function createBackup(limits?: expiring.RecordLimits) {
+  const fleet = new fakes.FakeFleet();
+  const { kernel } = fleet.add("backup", "zone-a");
+  const backup = new backupRecords.BackupRecords(kernel, limits);
+  const createRef = (key: string, lifetimeMs = 1000) => ({
+    key,
+    expiresAt: fleet.clock.wallTime() + lifetimeMs,
+    incarnation: 1,
+  });
+  return { fleet, backup, createRef };
+}
+
+function createResponse(bytes: number): outcomes.Outcome {
+  return { type: "response", status: 200, headers: {}, body: new Uint8Array(bytes) };
+}
+
+test.describe("BackupRecords", () => {
+  test.it("lets the first record win", () => {
+    const { backup, createRef } = createBackup();
+    const first = createRef("a");
+    earl.expect(backup.handleIntent(first, OWNER)).toEqual("accepted");
+    earl.expect(backup.handleIntent(first, OWNER)).toEqual("exists");
+    earl.expect(backup.handleResolve(first).reply).toEqual("intent-only");
+    earl.expect(backup.handleResult(first, createResponse(1), OWNER)).toEqual(true);
+    earl.expect(backup.handleResolve(first).reply).toEqual("result");
+    const second = createRef("b");
+    earl.expect(backup.handleResolve(second).reply).toEqual("tombstoned");
+    earl.expect(backup.handleIntent(second, OWNER)).toEqual("tombstoned");
+    earl.expect(backup.handleResult(second, createResponse(1), OWNER)).toEqual(false);
+  });
+
+  test.it("knows nothing for another incarnation", () => {
+    const { backup, createRef } = createBackup();
+    const ref = { ...createRef("a"), incarnation: 2 };
+    earl.expect(backup.handleIntent(ref, OWNER)).toEqual("other-incarnation");
+    earl.expect(backup.handleResolve(ref).reply).toEqual("unknown");
+  });
+
+  test.it("takes results from the intent's owner only", () => {
+    const { backup, createRef } = createBackup();
+    const ref = createRef("a");
+    backup.handleIntent(ref, OWNER);
+    const stranger = { vm: "owner", incarnation: 2 };
+    earl.expect(backup.handleResult(ref, createResponse(1), stranger)).toEqual(false);
+  });
+
+  test.it("refuses when full, evicts nothing, and keeps its refusals true", async () => {
+    const { fleet, backup, createRef } = createBackup({ maxRecords: 1, maxBytes: 1e6 });
+    const first = createRef("a");
+    const refused = createRef("b", 500);
+    earl.expect(backup.handleIntent(first, OWNER)).toEqual("accepted");
+    earl.expect(backup.handleIntent(refused, OWNER)).toEqual("full");
+    earl.expect(backup.handleResolve(createRef("c", 400)).reply).toEqual("tombstoned");
+    earl.expect(backup.handleIntent(createRef("c", 400), OWNER)).toEqual("full");
+    await fleet.clock.advance(expiring.SKEW_MARGIN_MS + 1001);
+    earl.expect(backup.handleIntent(refused, OWNER)).toEqual("expired");
+    earl.expect(backup.handleIntent(createRef("d"), OWNER)).toEqual("accepted");
+    earl.expect(backup.size).toEqual(1);
+    earl.expect(backup.handleResolve(first).reply).toEqual("unknown");
+  });
+
+  test.it("keeps a large result as the fact that the request ran", () => {
+    const { backup, createRef } = createBackup();
+    const ref = createRef("a");
+    backup.handleIntent(ref, OWNER);
+    backup.handleResult(ref, createResponse(backupRecords.MAX_RESULT_BYTES + 1), OWNER);
+    const { outcome } = backup.handleResolve(ref);
+    earl.expect(outcome).toEqual({ type: "refusal", code: 4004, ran: "yes" });
+  });
+
+  test.it("stays expired when the wall clock is set back", () => {
+    const fleet = new fakes.FakeFleet();
+    let wallTime = 10_000;
+    const clock = { ...fleet.clock, wallTime: () => wallTime, now: () => 0 };
+    const records = new expiring.ExpiringRecords(clock, { maxRecords: 9, maxBytes: 9 });
+    earl.expect(records.checkAdmission(9000)).toEqual("expired");
+    wallTime = 1000;
+    earl.expect(records.checkAdmission(9000)).toEqual("expired");
+  });
+});
--- /dev/null
+++ b/test/request/idempotent-calls.test.ts
@@ -0,0 +1,95 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as upstream from "../../src/upstream/types.js";
+import * as fakes from "./fake-fleet.js";
+
+const FETCH = { ...fakes.BOOK, method: "GET", idempotent: true } as const;
+
+function createNode() {
+  const fleet = new fakes.FakeFleet();
+  const node = fleet.add("a", "zone-a");
+  const run = async (body: string, deadlineMs = 1000, path = "/bookings"): Promise<unknown> => {
+    const call = fakes.readResult(
+      node.kernel.use("plainCalls").run(
+        {
+          caller: fakes.CALLER,
+          service: fakes.SERVICE,
+          operation: FETCH,
+          id: undefined,
+          attempt: 1,
+          request: { method: "GET", path, headers: {}, body: Buffer.from(body) },
+          deadlineMs,
+        },
+        new AbortController().signal,
+      ),
+    );
+    await fleet.clock.advance(deadlineMs + 100);
+    return await call;
+  };
+  return { fleet, run, used: fleet.service.backendsUsed };
+}
+
+function createFailing(failure: upstream.UpstreamFailure, backends: readonly string[]) {
+  return (backend: string, execute: () => void): Promise<void> => {
+    if (backends.includes(backend)) return Promise.reject(new upstream.UpstreamError(failure, ""));
+    execute();
+    return Promise.resolve();
+  };
+}
+
+test.describe("IdempotentCalls", () => {
+  test.it(
+    "prefers the own zone, goes elsewhere on failure and eases the failed one off",
+    async () => {
+      const { fleet, run, used } = createNode();
+      earl.expect(await run("1")).toEqual(201);
+      fleet.service.behave = createFailing(upstream.UPSTREAM_FAILURE.broken, ["back-a"]);
+      for (const body of ["2", "3"]) earl.expect(await run(body, 10)).toEqual(201);
+      earl.expect(used).toEqual(["back-a", "back-a", "back-b", "back-b"]);
+      await fleet.clock.advance(1000);
+      fleet.service.behave = createFailing(upstream.UPSTREAM_FAILURE.broken, []);
+      earl.expect(await run("4")).toEqual(201);
+      earl.expect(used.at(-1)).toEqual("back-a");
+    },
+  );
+
+  test.it("does not wait for a silent backend until the deadline", async () => {
+    const { fleet, run, used } = createNode();
+    fleet.service.behave = (backend, _execute, signal) => {
+      if (backend === "back-b") return Promise.resolve();
+      return new Promise((_, reject) => {
+        signal.addEventListener("abort", () => {
+          reject(signal.reason as Error);
+        });
+      });
+    };
+    earl.expect(await run("1")).toEqual(201);
+    earl.expect(used).toEqual(["back-a", "back-b"]);
+  });
+
+  test.it(
+    "says not run only if no connection was made, and stops at its retry budget",
+    async () => {
+      const { fleet, run, used } = createNode();
+      const all = ["back-a", "back-b"];
+      fleet.service.behave = createFailing(upstream.UPSTREAM_FAILURE.notConnected, all);
+      earl.expect(await run("1", 600_000)).toEqual("3002 no");
+      earl.expect(used.length).toEqual(11);
+      fleet.service.behave = createFailing(upstream.UPSTREAM_FAILURE.broken, all);
+      earl.expect(await run("2")).toEqual("3002 unknown");
+    },
+  );
+
+  test.it("gives the final answer at once to what crashed two backends", async () => {
+    const { fleet, run, used } = createNode();
+    const all = ["back-a", "back-b"];
+    fleet.service.behave = createFailing(upstream.UPSTREAM_FAILURE.broken, all);
+    earl.expect(await run("poison")).toEqual("1010 unknown");
+    earl.expect(used).toEqual(all);
+    fleet.service.behave = createFailing(upstream.UPSTREAM_FAILURE.broken, []);
+    earl.expect(await run("poison")).toEqual("1010 no");
+    earl.expect(used).toEqual(all);
+    earl.expect(await run("other")).toEqual(201);
+    earl.expect(await run("poison", 1000, "/status")).toEqual(201);
+  });
+});
--- /dev/null
+++ b/test/request/plain-calls.test.ts
@@ -0,0 +1,160 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as membership from "../../src/membership/types.js";
+import * as upstream from "../../src/upstream/types.js";
+import * as messages from "../../src/request/messages.js";
+import * as fakes from "./fake-fleet.js";
+
+function createFleet() {
+  const fleet = new fakes.FakeFleet();
+  const nodes = ["owner", "backup", "entry"].map((vm, index) => fleet.add(vm, `zone-${index}`));
+  const [owner, backup, entry] = nodes as [fakes.FakeNode, fakes.FakeNode, fakes.FakeNode];
+  let id = "";
+  do id = `${owner.createSession()}.1`;
+  while (owner.parse(id).session.backup?.vm !== "backup");
+  const count = (): number => fleet.service.executions.get(id) ?? 0;
+  return { fleet, owner, backup, entry, id, count };
+}
+
+async function settle<Value>(fleet: fakes.FakeFleet, call: Promise<Value>): Promise<Value> {
+  const progress = { isDone: false };
+  const finished = call.finally(() => (progress.isDone = true));
+  finished.catch(() => undefined);
+  for (let step = 0; step < 400 && !progress.isDone; step += 1) await fleet.clock.advance(25);
+  earl.expect(progress.isDone).toEqual(true);
+  return await finished;
+}
+
+test.describe("createPlainCalls", () => {
+  test.it("requires an id for a non-idempotent operation and gives a session", async () => {
+    const { fleet, owner } = createFleet();
+    const error = (await settle(
+      fleet,
+      owner.run(undefined).catch((reason: unknown) => reason),
+    )) as { code: { number: number }; ran: string; session: string };
+    earl.expect([error.code.number, error.ran]).toEqual([1006, "no"]);
+    earl.expect(owner.parse(`${error.session}.1`).session.owner.vm).toEqual("owner");
+  });
+
+  test.it("runs once for duplicates at owner and entry, at once and later", async () => {
+    const { fleet, owner, entry, id, count } = createFleet();
+    const calls = [owner.run(id), entry.run(id), entry.run(id)].map(fakes.readResult);
+    earl.expect(await settle(fleet, Promise.all(calls))).toEqual([201, 201, 201]);
+    earl.expect(await settle(fleet, fakes.readResult(entry.run(id)))).toEqual(201);
+    earl.expect(count()).toEqual(1);
+  });
+
+  test.it("does not run without the backup, then or later", async () => {
+    const { fleet, owner, id, count } = createFleet();
+    fleet.lostReplies.add("owner>backup");
+    earl.expect(await settle(fleet, fakes.readResult(owner.run(id)))).toEqual("4001 no");
+    fleet.lostReplies.clear();
+    earl.expect(await settle(fleet, fakes.readResult(owner.run(id)))).toEqual("4001 no");
+    earl.expect(count()).toEqual(0);
+  });
+
+  test.it("writes a tombstone when the owner is cut off, which the owner obeys later", async () => {
+    const { fleet, owner, entry, id, count } = createFleet();
+    fleet.lostRequests.add("entry>owner");
+    earl.expect(await settle(fleet, fakes.readResult(entry.run(id)))).toEqual("4002 no");
+    earl.expect(await settle(fleet, fakes.readResult(owner.run(id)))).toEqual("4002 no");
+    earl.expect(count()).toEqual(0);
+  });
+
+  test.it("answers unknown at once when the owner is suspect after its intent", async () => {
+    const { fleet, entry, id, count } = createFleet();
+    fleet.service.behave = (_, execute) => {
+      execute();
+      return new Promise(() => undefined);
+    };
+    const call = fakes.readResult(entry.run(id));
+    await fleet.clock.advance(50);
+    fleet.setState("owner", membership.MEMBER_STATE.suspect);
+    earl.expect(await settle(fleet, call)).toEqual("4003 unknown");
+    earl.expect(count()).toEqual(1);
+  });
+
+  test.it("replays the result from the backup when the owner is gone", async () => {
+    const { fleet, owner, entry, id, count } = createFleet();
+    earl.expect(await settle(fleet, fakes.readResult(owner.run(id)))).toEqual(201);
+    await fleet.clock.advance(50);
+    fleet.nodes.delete("owner");
+    fleet.add("owner", "zone-0", 2);
+    earl.expect(await settle(fleet, fakes.readResult(entry.run(id)))).toEqual(201);
+    earl.expect(count()).toEqual(1);
+  });
+
+  test.it("answers unknown when owner and backup are both gone", async () => {
+    const { fleet, entry, id, count } = createFleet();
+    fleet.nodes.delete("owner");
+    fleet.add("backup", "zone-1", 2);
+    earl.expect(await settle(fleet, fakes.readResult(entry.run(id)))).toEqual("4003 unknown");
+    earl.expect(count()).toEqual(0);
+  });
+
+  test.it("tries another backend only if the connection was never made", async () => {
+    const { fleet, owner, id, count } = createFleet();
+    fleet.service.behave = (backend, execute) => {
+      if (backend !== "back-a") {
+        execute();
+        return Promise.resolve();
+      }
+      const { notConnected } = upstream.UPSTREAM_FAILURE;
+      return Promise.reject(new upstream.UpstreamError(notConnected, "refused"));
+    };
+    earl.expect(await settle(fleet, fakes.readResult(owner.run(id)))).toEqual(201);
+    earl.expect(count()).toEqual(1);
+  });
+
+  test.it("never runs a broken call again", async () => {
+    const { fleet, owner, entry, id, count } = createFleet();
+    fleet.service.behave = (_, execute) => {
+      execute();
+      const { broken } = upstream.UPSTREAM_FAILURE;
+      return Promise.reject(new upstream.UpstreamError(broken, "reset"));
+    };
+    earl.expect(await settle(fleet, fakes.readResult(owner.run(id)))).toEqual("4003 unknown");
+    earl.expect(await settle(fleet, fakes.readResult(entry.run(id)))).toEqual("4003 unknown");
+    earl.expect(count()).toEqual(1);
+  });
+
+  test.it("does not run when it was paused past the deadline, and says so for good", async () => {
+    const { fleet, owner, entry, id, count } = createFleet();
+    let release: () => void = () => undefined;
+    fleet.beforeHandle = (kind) =>
+      kind === messages.INTENT.kind ? new Promise((done) => (release = done)) : Promise.resolve();
+    const call = fakes.readResult(owner.run(id, 500));
+    await fleet.clock.advance(10);
+    owner.clock.pause();
+    await fleet.clock.advance(20_000);
+    release();
+    await fleet.clock.settle();
+    owner.clock.resume();
+    earl.expect(await settle(fleet, call)).toEqual("3001 no");
+    earl.expect(await settle(fleet, fakes.readResult(entry.run(id)))).toEqual("3001 no");
+    fleet.nodes.delete("owner");
+    earl.expect(await settle(fleet, fakes.readResult(entry.run(id)))).toEqual("3001 no");
+    earl.expect(count()).toEqual(0);
+  });
+
+  test.it("records the result though its caller has gone", async () => {
+    const { fleet, owner, entry, id, count } = createFleet();
+    const caller = new AbortController();
+    const call = fakes.readResult(owner.run(id, 5000, caller.signal));
+    caller.abort();
+    earl.expect(await settle(fleet, call)).toEqual("3005 unknown");
+    earl.expect(await settle(fleet, fakes.readResult(entry.run(id)))).toEqual(201);
+    earl.expect(count()).toEqual(1);
+  });
+
+  test.it("refuses new ids while leaving and replays the known", async () => {
+    const { fleet, owner, entry, id, count } = createFleet();
+    earl.expect(await settle(fleet, fakes.readResult(owner.run(id)))).toEqual(201);
+    fleet.setState("owner", membership.MEMBER_STATE.leaving);
+    earl.expect(await settle(fleet, fakes.readResult(entry.run(id)))).toEqual(201);
+    const other = id.replace(/1$/, "2");
+    earl.expect(await settle(fleet, fakes.readResult(entry.run(other)))).toEqual("2003 no");
+    earl.expect(count()).toEqual(1);
+    earl.expect(owner.parse(`${owner.createSession()}.1`).session.owner.vm).not.toEqual("owner");
+  });
+});
