--- a/src/protocol/result-codes.ts
+++ b/src/protocol/result-codes.ts
@@ -41,6 +41,7 @@
   refusedByRecord: { number: 4002, status: 503, message: "request was given up before it ran" },
   superseded: { number: 4004, status: 409, message: "a newer attempt answers this request" },
   outcomeUnknown: { number: 4003, status: 504, message: "outcome unknown" },
+  resultNotKept: { number: 4004, status: 410, message: "request ran; its result was not kept" },
 } as const satisfies Record<string, ResultCode>;
 
 /** A final answer other than success. */
