Check references of documents, match operations, and add the caller's client

Cross-references, duplicates, shared addresses and ambiguous operations are faults with path and reason. The client keeps one id over broken attempts and takes a new one only after a refusal that speaks of the request itself (codes from 3000); a leaving node's refusal of a second attempt proves nothing about the first.

--- /dev/null
+++ b/src/client/exchange.ts
@@ -0,0 +1,188 @@
+/** One HTTP exchange with a node, with limits on time and size. */
+import type * as http from "node:http";
+import * as wreck from "@hapi/wreck";
+import * as zod from "zod";
+import type * as clocks from "../kernel/clock.js";
+import * as codes from "../protocol/result-codes.js";
+import type * as addresses from "./address-book.js";
+import * as outcome from "./outcome.js";
+
+/** A request to a node. */
+export interface NodeRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body?: string | Buffer;
+  /** Longest wait for the response's headers. */
+  readonly timeoutMs: number;
+}
+
+const MS_PER_SECOND = 1000;
+
+/** Errors of the network that show that nothing was sent. */
+const NOT_CONNECTED_CODES: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "EADDRNOTAVAIL",
+]);
+
+const errorBodySchema = zod.object({
+  error: zod.object({
+    code: zod.int(),
+    message: zod.string(),
+    ran: zod.enum(codes.RAN),
+    retryAfterMs: zod.number().min(0).optional(),
+    session: zod.string().optional(),
+  }),
+});
+
+/**
+ * Sends a request over a new connection and waits for the response's headers.
+ *
+ * @throws AttemptError `notConnected` or `broken`.
+ */
+export async function sendRequest(
+  clock: clocks.Clock,
+  node: addresses.NodeAddress,
+  request: NodeRequest,
+  signal: AbortSignal,
+): Promise<http.IncomingMessage> {
+  signal.throwIfAborted();
+  const host = node.host.includes(":") ? `[${node.host}]` : node.host;
+  const pending = wreck.default.request(
+    request.method,
+    `http://${host}:${node.port}${request.path}`,
+    { headers: { ...request.headers }, payload: request.body },
+  ) as Promise<http.IncomingMessage> & { readonly req: http.ClientRequest };
+  const onAbort = (): void => {
+    pending.req.destroy(new Error("request was aborted"));
+  };
+  signal.addEventListener("abort", onAbort, { once: true });
+  const cancelLimit = clock.schedule(request.timeoutMs, () => {
+    pending.req.destroy(new Error(`no response within ${request.timeoutMs} ms`));
+  });
+  try {
+    const response = await pending;
+    response.once("close", () => {
+      signal.removeEventListener("abort", onAbort);
+    });
+    return response;
+  } catch (error) {
+    signal.removeEventListener("abort", onAbort);
+    throw createConnectionError(error, node);
+  } finally {
+    cancelLimit();
+  }
+}
+
+/**
+ * Yields the parts of a body and destroys the response when its reader stops.
+ *
+ * @param silenceMs - longest wait for the next part.
+ * @throws AttemptError `broken` when the body breaks off, goes silent or exceeds `maxBytes`.
+ */
+export async function* streamBody(
+  clock: clocks.Clock,
+  response: http.IncomingMessage,
+  maxBytes: number,
+  silenceMs: number,
+): AsyncGenerator<Buffer> {
+  let bytes = 0;
+  const onSilence = (): void => {
+    response.destroy(new Error(`nothing received for ${silenceMs} ms`));
+  };
+  let cancelLimit = clock.schedule(silenceMs, onSilence);
+  try {
+    for await (const part of response as AsyncIterable<Buffer>) {
+      cancelLimit();
+      bytes += part.length;
+      if (bytes > maxBytes) throw new Error(`body exceeds ${maxBytes} bytes`);
+      yield part;
+      cancelLimit = clock.schedule(silenceMs, onSilence);
+    }
+  } catch (error) {
+    throw createBroken(error);
+  } finally {
+    cancelLimit();
+    response.destroy();
+  }
+}
+
+/** Reads a whole body. @throws AttemptError `broken` */
+export async function readBody(
+  clock: clocks.Clock,
+  response: http.IncomingMessage,
+  maxBytes: number,
+  silenceMs: number,
+): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  for await (const part of streamBody(clock, response, maxBytes, silenceMs)) parts.push(part);
+  if (!response.complete) throw createBroken(new Error("body is not whole"));
+  return Buffer.concat(parts);
+}
+
+/** Parses JSON; returns `undefined` when it is malformed. */
+export function parseJson(body: Buffer | string): unknown {
+  try {
+    return JSON.parse(body.toString());
+  } catch {
+    return undefined;
+  }
+}
+
+/** Creates the error of a response that is not a success. */
+export function createRefusal(
+  response: Pick<http.IncomingMessage, "statusCode" | "headers">,
+  body: Buffer,
+): outcome.AttemptError {
+  const refusal = parseRefusal(parseJson(body));
+  const retryAfterMs = refusal?.retryAfterMs ?? parseRetryAfter(response.headers["retry-after"]);
+  if (refusal !== undefined) {
+    const { message, code, ran, session } = refusal;
+    const options = { code, ran, retryAfterMs, session };
+    return new outcome.AttemptError(outcome.ATTEMPT_FAILURE.refused, message, options);
+  }
+  const message = `status ${response.statusCode ?? 0} without a result code`;
+  return new outcome.AttemptError(outcome.ATTEMPT_FAILURE.refused, message, { retryAfterMs });
+}
+
+/** Parses a node's `{"error": ...}`; returns `undefined` for anything else. */
+export function parseRefusal(
+  body: unknown,
+): zod.infer<typeof errorBodySchema>["error"] | undefined {
+  const parsed = errorBodySchema.safeParse(body);
+  return parsed.success ? parsed.data.error : undefined;
+}
+
+function parseRetryAfter(header: string | undefined): number | undefined {
+  return header !== undefined && /^\d{1,6}$/.test(header)
+    ? Number(header) * MS_PER_SECOND
+    : undefined;
+}
+
+function createConnectionError(error: unknown, node: addresses.NodeAddress): outcome.AttemptError {
+  const code = findNetworkCode(error);
+  const isUnsent = code !== undefined && NOT_CONNECTED_CODES.has(code);
+  const kind = isUnsent ? outcome.ATTEMPT_FAILURE.notConnected : outcome.ATTEMPT_FAILURE.broken;
+  const message = `request to ${node.host}:${node.port} failed`;
+  return new outcome.AttemptError(kind, message, { cause: error });
+}
+
+function createBroken(error: unknown): outcome.AttemptError {
+  const message = "response broke off";
+  return new outcome.AttemptError(outcome.ATTEMPT_FAILURE.broken, message, { cause: error });
+}
+
+/** Finds the system's error code in an error or in the error it wraps. */
+function findNetworkCode(error: unknown): string | undefined {
+  if (!(error instanceof Error)) return undefined;
+  const { code, data } = error as NodeJS.ErrnoException & { readonly data?: unknown };
+  return code ?? findNetworkCode(data ?? error.cause);
+}
+
+/** Returns whether a response is the router's numbered error and not a service's answer. */
+export function isRefusal(response: http.IncomingMessage, body: Buffer): boolean {
+  const isError = (response.statusCode ?? 0) >= 400;
+  return isError && parseRefusal(parseJson(body)) !== undefined;
+}
--- /dev/null
+++ b/src/settings/document-effects.ts
@@ -0,0 +1,190 @@
+/** Predicts what a published document makes the fleet do: what drains, what loads and how long. */
+import type * as documents from "./document.js";
+
+/** What happens to a runner, backend or caller. */
+export const EFFECT_KIND = {
+  /** Gets no new work; its running requests end first. */
+  drain: "drain",
+  /** Reads weights from the weight store. */
+  load: "load",
+  /** Changes role without loading. */
+  role: "role",
+  /** Begins to receive work. */
+  join: "join",
+  /** Callers are refused what they could call before. */
+  refuse: "refuse",
+} as const;
+
+/** One of the values of `EFFECT_KIND`. */
+export type EffectKind = (typeof EFFECT_KIND)[keyof typeof EFFECT_KIND];
+
+/** One effect of a document. */
+export interface DocumentEffect {
+  readonly kind: EffectKind;
+  /** Name of what it concerns. */
+  readonly target: string;
+  readonly message: string;
+  /** Bytes read from the weight store. */
+  readonly loadBytes: number;
+  /** Time of that read alone at the store's full rate. */
+  readonly loadMs: number;
+}
+
+/** What a runner serves by a document. */
+interface Assignment {
+  readonly role: documents.Pool["role"];
+  readonly model: documents.Model;
+}
+
+const MS_PER_SECOND = 1000;
+
+/**
+ * Computes the effects of replacing `before` by `after`.
+ *
+ * @example const totalMs = computeLoadMs(computeEffects(inForce, edited));
+ */
+export function computeEffects(
+  before: documents.FleetDocument | undefined,
+  after: documents.FleetDocument,
+): DocumentEffect[] {
+  return [
+    ...computeRunnerEffects(before, after),
+    ...computeBackendEffects(before, after),
+    ...computeCallerEffects(before, after),
+  ];
+}
+
+/** Computes the time of all loads together, as they share the weight store's rate. */
+export function computeLoadMs(list: readonly DocumentEffect[]): number {
+  return list.reduce((sum, effect) => sum + effect.loadMs, 0);
+}
+
+function computeRunnerEffects(
+  before: documents.FleetDocument | undefined,
+  after: documents.FleetDocument,
+): DocumentEffect[] {
+  const oldRunners = new Map(before?.runners.map((runner) => [runner.name, runner]));
+  const kept = new Set(after.runners.map((runner) => runner.name));
+  const removed = [...oldRunners.keys()]
+    .filter((name) => !kept.has(name))
+    .map((name) =>
+      createEffect(EFFECT_KIND.drain, name, "gets no new work and finishes what runs"),
+    );
+  const changed = after.runners.flatMap((runner) => {
+    const old = oldRunners.get(runner.name);
+    const oldAssignment =
+      old === undefined || before === undefined ? undefined : findAssignment(before, old);
+    return computeAssignmentEffects(
+      runner.name,
+      oldAssignment,
+      findAssignment(after, runner),
+      after,
+    );
+  });
+  return [...removed, ...changed];
+}
+
+function computeAssignmentEffects(
+  name: string,
+  before: Assignment | undefined,
+  after: Assignment | undefined,
+  document: documents.FleetDocument,
+): DocumentEffect[] {
+  if (after === undefined) return [];
+  if (before === undefined) {
+    return [
+      createEffect(EFFECT_KIND.join, name, `joins as ${after.role} of ${formatModel(after.model)}`),
+      createLoad(name, after.model, document),
+    ];
+  }
+  const effects: DocumentEffect[] = [];
+  const loads = isOtherWeights(before.model, after.model);
+  if (loads || before.role !== after.role) {
+    effects.push(createEffect(EFFECT_KIND.drain, name, "finishes what runs before it changes"));
+  }
+  if (before.role !== after.role) {
+    const message = `changes role from ${before.role} to ${after.role}`;
+    effects.push(createEffect(EFFECT_KIND.role, name, message));
+  }
+  if (loads) effects.push(createLoad(name, after.model, document));
+  const adapters = after.model.adapters.filter((one) => !before.model.adapters.includes(one));
+  if (!loads && adapters.length > 0) {
+    const message = `loads adapters ${adapters.join(", ")}, whose size the document does not state`;
+    effects.push(createEffect(EFFECT_KIND.load, name, message));
+  }
+  return effects;
+}
+
+function computeBackendEffects(
+  before: documents.FleetDocument | undefined,
+  after: documents.FleetDocument,
+): DocumentEffect[] {
+  const oldNames = new Set(before === undefined ? [] : listBackends(before));
+  const newNames = new Set(listBackends(after));
+  const removed = [...oldNames].filter((name) => !newNames.has(name));
+  const added = [...newNames].filter((name) => !oldNames.has(name));
+  return [
+    ...removed.map((name) =>
+      createEffect(EFFECT_KIND.drain, name, "gets no new calls and finishes what runs"),
+    ),
+    ...added.map((name) => createEffect(EFFECT_KIND.join, name, "receives calls")),
+  ];
+}
+
+function computeCallerEffects(
+  before: documents.FleetDocument | undefined,
+  after: documents.FleetDocument,
+): DocumentEffect[] {
+  const newCallers = new Map(after.callers.map((caller) => [caller.name, caller]));
+  return (before?.callers ?? []).flatMap((old) => {
+    const caller = newCallers.get(old.name);
+    if (caller === undefined) {
+      return [createEffect(EFFECT_KIND.refuse, old.name, "is refused as an unknown caller")];
+    }
+    const lost = [
+      ...old.models.filter((name) => !caller.models.includes(name)),
+      ...old.services.filter((name) => !caller.services.includes(name)),
+    ];
+    if (caller.credentialSha256 !== old.credentialSha256) lost.push("its old credential");
+    if (lost.length === 0) return [];
+    return [createEffect(EFFECT_KIND.refuse, old.name, `may no longer use ${lost.join(", ")}`)];
+  });
+}
+
+function listBackends(document: documents.FleetDocument): string[] {
+  return document.services.flatMap((service) =>
+    service.backends.map((backend) => `${service.name}/${backend.name}`),
+  );
+}
+
+function findAssignment(
+  document: documents.FleetDocument,
+  runner: documents.Runner,
+): Assignment | undefined {
+  const pool = document.pools.find((one) => one.name === runner.pool);
+  const model = document.models.find((one) => one.name === pool?.model);
+  return pool === undefined || model === undefined ? undefined : { role: pool.role, model };
+}
+
+function isOtherWeights(before: documents.Model, after: documents.Model): boolean {
+  return before.name !== after.name || before.version !== after.version;
+}
+
+function createLoad(
+  target: string,
+  model: documents.Model,
+  document: documents.FleetDocument,
+): DocumentEffect {
+  const loadBytes = model.weightBytes;
+  const loadMs = (loadBytes / document.weightStore.bytesPerSecond) * MS_PER_SECOND;
+  const message = `loads ${formatModel(model)}, ${loadBytes} bytes`;
+  return { kind: EFFECT_KIND.load, target, message, loadBytes, loadMs };
+}
+
+function createEffect(kind: EffectKind, target: string, message: string): DocumentEffect {
+  return { kind, target, message, loadBytes: 0, loadMs: 0 };
+}
+
+function formatModel(model: documents.Model): string {
+  return `${model.name} ${model.version}`;
+}
--- a/src/settings/document.ts
+++ b/src/settings/document.ts
@@ -1,8 +1,11 @@
 /** The one validated document that says what the fleet does. Shared by node, console and command line. */
 import * as zod from "zod";
+import * as references from "./document-references.js";
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/;
 const MAX_ITEMS = 10_000;
+/** Largest document as JSON text; the platform holds no larger value. */
+export const MAX_DOCUMENT_BYTES = 1_000_000;
 
 const name = zod.string().regex(NAME_PATTERN, "lower-case letters, digits, '.', '_' and '-'");
 const port = zod.int().min(1).max(65_535);
@@ -120,6 +123,10 @@
 export type Runner = zod.infer<typeof runner>;
 /** A plain service. */
 export type PlainService = zod.infer<typeof plainService>;
+/** A backend of a plain service. */
+export type Backend = zod.infer<typeof backend>;
+/** A transfer link between two zones. */
+export type Link = zod.infer<typeof link>;
 /** An operation of a plain service. */
 export type Operation = zod.infer<typeof operation>;
 
@@ -138,16 +145,36 @@
 /**
  * Validates a document and lists every fault with its path.
  *
+ * References between items are checked once each item by itself is valid.
+ *
  * @example const result = validateDocument(JSON.parse(text)); if (!result.ok) print(result.faults);
  */
 export function validateDocument(input: unknown): Validation {
   const parsed = documentSchema.safeParse(input);
-  if (parsed.success) return { ok: true, document: parsed.data };
-  const faults = parsed.error.issues.map((issue) => ({
-    path: formatPath(issue.path),
-    reason: issue.message,
-  }));
-  return { ok: false, faults };
+  if (!parsed.success) {
+    const faults = parsed.error.issues.map((issue) => ({
+      path: formatPath(issue.path),
+      reason: issue.message,
+    }));
+    return { ok: false, faults };
+  }
+  const faults = [...checkSize(parsed.data), ...references.checkReferences(parsed.data)];
+  return faults.length === 0 ? { ok: true, document: parsed.data } : { ok: false, faults };
+}
+
+/**
+ * Creates the JSON Schema (draft 2020-12) of the document, without the cross-references.
+ *
+ * @example JSON.stringify(createDocumentJsonSchema());
+ */
+export function createDocumentJsonSchema(): object {
+  return zod.toJSONSchema(documentSchema);
+}
+
+function checkSize(document: FleetDocument): readonly DocumentFault[] {
+  const bytes = Buffer.byteLength(JSON.stringify(document));
+  if (bytes <= MAX_DOCUMENT_BYTES) return [];
+  return [{ path: "", reason: `has ${bytes} bytes, at most ${MAX_DOCUMENT_BYTES} are allowed` }];
 }
 
 function formatPath(path: readonly PropertyKey[]): string {
--- /dev/null
+++ b/test/client/caller-client.test.ts
@@ -0,0 +1,127 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import type * as addressBook from "../../src/client/address-book.js";
+import * as callerClient from "../../src/client/caller-client.js";
+import type * as results from "../../src/client/results.js";
+import * as random from "../../src/kernel/random.js";
+import * as fakeNode from "./fake-node.js";
+
+const COMPLETION = { model: "iono-llm", prompt: "log", maxTokens: 8 };
+const REGISTRATION = {
+  service: "corr-api",
+  method: "POST",
+  path: "/registrations",
+  body: "{}",
+  idempotent: false,
+};
+
+function createClient(nodes: addressBook.NodeAddress[]): callerClient.CallerClient {
+  return new callerClient.CallerClient({
+    nodes,
+    credential: "demo",
+    random: random.createSeededRandom(1),
+    maxAttempts: 4,
+  });
+}
+
+function sendText(text: string): fakeNode.Answer {
+  return (response) => response.end(text);
+}
+
+test.describe("CallerClient.streamModel", () => {
+  test.it("runs a broken stream again and delivers each offset once", async () => {
+    await using node = await fakeNode.createFakeNode([
+      fakeNode.sendTokens(["a ", "b "], true),
+      fakeNode.sendTokens(["a ", "b ", "c"]),
+    ]);
+    const events: results.ModelStreamEvent[] = [];
+    for await (const event of createClient([node.address]).streamModel(COMPLETION)) {
+      events.push(event);
+    }
+    const tokens = events.flatMap((event) => (event.type === "token" ? [event] : []));
+    earl.expect(tokens.map((token) => token.text)).toEqual(["a ", "b ", "c"]);
+    earl.expect(tokens.map((token) => token.offset)).toEqual([0, 1, 2]);
+    const last = events.at(-1);
+    earl.expect(last?.type === "end" && last.answer.text).toEqual("a b c");
+    earl.expect(node.received.map((one) => one.attempt)).toEqual(["1", "2"]);
+    earl.expect(new Set(node.received.map((one) => one.id)).size).toEqual(1);
+  });
+
+  test.it("never mixes two different answers", async () => {
+    await using node = await fakeNode.createFakeNode([
+      fakeNode.sendTokens(["a "], true),
+      fakeNode.sendTokens(["x ", "y "]),
+      fakeNode.sendTokens(["x ", "y "]),
+      fakeNode.sendTokens(["x ", "y "]),
+    ]);
+    const texts: string[] = [];
+    let failed = false;
+    for await (const event of createClient([node.address]).streamModel(COMPLETION)) {
+      if (event.type === "token") texts.push(event.text);
+      failed = event.type === "failed";
+    }
+    earl.expect(texts).toEqual(["a "]);
+    earl.expect(failed).toEqual(true);
+  });
+});
+
+test.describe("CallerClient.sendModel", () => {
+  test.it("goes on at another address when a node is gone", async () => {
+    await using node = await fakeNode.createFakeNode([fakeNode.sendWhole("done")]);
+    const gone = await fakeNode.createFakeNode([]);
+    await gone[Symbol.asyncDispose]();
+    node.named.push(gone.address, node.address);
+    const result = await createClient([gone.address, node.address]).sendModel(COMPLETION);
+    earl.expect(result.ok && result.text).toEqual("done");
+    earl.expect(node.received[0]?.attempt).toEqual("2");
+  });
+
+  test.it("does not repeat what is the caller's fault", async () => {
+    await using node = await fakeNode.createFakeNode([
+      fakeNode.sendRefusal(404, { code: 1003, ran: "no" }),
+    ]);
+    const result = await createClient([node.address]).sendModel(COMPLETION);
+    earl.expect(!result.ok && result.code).toEqual(1003);
+    earl.expect(node.received.length).toEqual(1);
+  });
+});
+
+test.describe("CallerClient.callService, non-idempotent", () => {
+  test.it("keeps the id after a broken connection", async () => {
+    await using node = await fakeNode.createFakeNode([fakeNode.breakConnection, sendText("once")]);
+    const result = await createClient([node.address]).callService(REGISTRATION);
+    earl.expect(result.ok && result.body.toString()).toEqual("once");
+    earl.expect(node.received.map((one) => one.attempt)).toEqual(["1", "2"]);
+    earl.expect(new Set(node.received.map((one) => one.id)).size).toEqual(1);
+  });
+
+  test.it("takes a fresh session when told that it did not run", async () => {
+    await using node = await fakeNode.createFakeNode([
+      fakeNode.sendRefusal(503, { code: 4001, ran: "no", session: "fresh", retryAfterMs: 1 }),
+      sendText("once"),
+    ]);
+    const result = await createClient([node.address]).callService(REGISTRATION);
+    earl.expect(result.ok).toEqual(true);
+    earl.expect(node.received.map((one) => one.id)).toEqual(["session1.1", "fresh.2"]);
+    earl.expect(node.received.map((one) => one.attempt)).toEqual(["1", "1"]);
+  });
+
+  test.it("takes an unknown outcome as final", async () => {
+    await using node = await fakeNode.createFakeNode([
+      fakeNode.sendRefusal(504, { code: 4003, ran: "unknown" }),
+    ]);
+    const result = await createClient([node.address]).callService(REGISTRATION);
+    earl.expect(!result.ok && result.ran).toEqual("unknown");
+    earl.expect(node.received.length).toEqual(1);
+  });
+
+  test.it("makes no new id when a leaving node refuses after a broken attempt", async () => {
+    await using node = await fakeNode.createFakeNode([
+      fakeNode.breakConnection,
+      fakeNode.sendRefusal(503, { code: 2003, ran: "no", session: "fresh", retryAfterMs: 1 }),
+      sendText("once"),
+    ]);
+    await createClient([node.address]).callService(REGISTRATION);
+    earl.expect(new Set(node.received.map((one) => one.id)).size).toEqual(1);
+  });
+});
--- /dev/null
+++ b/test/settings/document.test.ts
@@ -0,0 +1,140 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as documents from "../../src/settings/document.js";
+import * as examples from "./examples.js";
+
+type Mutable<Value> = { -readonly [Key in keyof Value]: Mutable<Value[Key]> };
+type Change = (document: Mutable<documents.FleetDocument>) => void;
+
+function listFaultPaths(change: Change): readonly string[] {
+  const document = examples.readExample("lagos.json");
+  change(document);
+  const result = documents.validateDocument(document);
+  return result.ok ? [] : result.faults.map((fault) => fault.path);
+}
+
+function getFirst<Item>(items: readonly Item[]): Item {
+  const [first] = items;
+  if (first === undefined) throw new Error("the list is empty");
+  return first;
+}
+
+const FAULTY: readonly { name: string; change: Change; path: string }[] = [
+  {
+    name: "an unknown zone of a runner",
+    change: (document) => (getFirst(document.runners).zone = "epe"),
+    path: "runners[0].zone",
+  },
+  {
+    name: "an unknown pool",
+    change: (document) => (getFirst(document.runners).pool = "none"),
+    path: "runners[0].pool",
+  },
+  {
+    name: "an unknown model of a caller",
+    change: (document) => getFirst(document.callers).models.push("none"),
+    path: "callers[0].models[0]",
+  },
+  {
+    name: "an unknown service of a caller",
+    change: (document) => getFirst(document.callers).services.push("none"),
+    path: "callers[0].services[1]",
+  },
+  {
+    name: "two callers of one credential",
+    change: (document) => {
+      getFirst(document.callers.slice(1)).credentialSha256 = getFirst(
+        document.callers,
+      ).credentialSha256;
+    },
+    path: "callers[1].credentialSha256",
+  },
+  {
+    name: "a deadline below the first-token target",
+    change: (document) => (getFirst(document.callers).tolerance.firstTokenMs = 3000),
+    path: "callers[0].tolerance.deadlineMs",
+  },
+  {
+    name: "a pool without its partner",
+    change: (document) => {
+      document.pools = document.pools.slice(0, 1);
+      document.runners = document.runners.filter((runner) => runner.pool === "iono-prefill");
+    },
+    path: "pools[0].role",
+  },
+  {
+    name: "two runners of one name",
+    change: (document) => (getFirst(document.runners.slice(1)).name = "iono-p1"),
+    path: "runners[1].name",
+  },
+  {
+    name: "an address used twice, across kinds",
+    change: (document) => (getFirst(getFirst(document.services).backends).port = 7101),
+    path: "services[0].backends[0].port",
+  },
+  {
+    name: "a zone in two regions",
+    change: (document) => document.regions.push({ name: "oyo", zones: ["lekki"] }),
+    path: "regions[1].zones[0]",
+  },
+  {
+    name: "a link to an unknown zone",
+    change: (document) => (getFirst(document.links).to = "epe"),
+    path: "links[0].to",
+  },
+  {
+    name: "ambiguous operations",
+    change: (document) => {
+      getFirst(document.services).operations = [
+        { method: "GET", path: "/a/*", idempotent: true, deadlineMs: 1 },
+        { method: "GET", path: "/*/b", idempotent: false, deadlineMs: 1 },
+      ];
+    },
+    path: "services[0].operations[1]",
+  },
+  {
+    name: "a misplaced rest wildcard",
+    change: (document) => (getFirst(getFirst(document.services).operations).path = "/**/x"),
+    path: "services[0].operations[0].path",
+  },
+  {
+    name: "an undeclared field",
+    change: (document) => Object.assign(document, { extra: 1 }),
+    path: "",
+  },
+];
+
+test.describe("validateDocument", () => {
+  for (const name of examples.EXAMPLES) {
+    test.it(`accepts ${name}`, () => {
+      earl.expect(documents.validateDocument(examples.readExample(name)).ok).toEqual(true);
+    });
+  }
+
+  for (const faulty of FAULTY) {
+    test.it(`refuses ${faulty.name} with its path`, () => {
+      earl.expect(listFaultPaths(faulty.change)).toInclude(faulty.path);
+    });
+  }
+
+  test.it("lists every fault at once", () => {
+    const paths = listFaultPaths((document) => {
+      getFirst(document.runners).zone = "epe";
+      getFirst(document.callers).models.push("none");
+    });
+    earl.expect(paths).toEqual(["callers[0].models[0]", "runners[0].zone"]);
+  });
+
+  test.it("keeps the operators' names with their diacritics", () => {
+    const document = examples.readExample("cisty-vzduch.json");
+    earl.expect(document.operator).toEqual("Čistý Vzduch Servis, o.z.");
+  });
+});
+
+test.describe("createDocumentJsonSchema", () => {
+  test.it("declares every section and forbids others", () => {
+    const schema = documents.createDocumentJsonSchema() as Record<string, object>;
+    earl.expect(Object.keys(schema.properties ?? {})).toInclude("runners", "callers", "links");
+    earl.expect(schema.additionalProperties).toEqual(false);
+  });
+});
--- /dev/null
+++ b/test/settings/node-settings-catalogue.test.ts
@@ -0,0 +1,54 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as catalogue from "../../src/settings/node-settings-catalogue.js";
+
+const VALID: catalogue.RawSettings = {
+  vm: "vm-1",
+  region: "lagos",
+  zone: "ikeja",
+  host: "127.0.0.1",
+  callerPort: "0",
+  peerPort: "65535",
+  platformUrl: "http://127.0.0.1:7000",
+  fleetKeys: "fleet-key-for-tests-1, fleet-key-for-tests-2",
+};
+
+test.describe("validateNodeSettings", () => {
+  test.it("fills in the defaults", () => {
+    const check = catalogue.validateNodeSettings(VALID);
+    earl.expect(check.ok && check.settings).toEqual({
+      vm: "vm-1",
+      region: "lagos",
+      zone: "ikeja",
+      host: "127.0.0.1",
+      callerPort: 0,
+      peerPort: 65_535,
+      platformUrl: "http://127.0.0.1:7000",
+      fleetKeys: ["fleet-key-for-tests-1", "fleet-key-for-tests-2"],
+      adminToken: undefined,
+      logFormat: "json",
+      logLevel: "info",
+      otlpUrl: undefined,
+      drainLimitMs: 60_000,
+    });
+  });
+
+  test.it("names flag and variable of every fault, never a secret", () => {
+    const check = catalogue.validateNodeSettings({
+      ...VALID,
+      callerPort: "65536",
+      platformUrl: "ftp://x",
+      adminToken: "short-secret",
+      zone: undefined,
+    });
+    const faults = check.ok ? [] : check.faults;
+    earl
+      .expect(faults)
+      .toEqual([
+        "--zone (EBONYHOOK_ZONE): is required",
+        "--caller-port (EBONYHOOK_CALLER_PORT): must be a whole number from 0 to 65535",
+        "--platform-url (EBONYHOOK_PLATFORM_URL): must be an http or https URL",
+        "--admin-token (EBONYHOOK_ADMIN_TOKEN): must have at least 16 characters",
+      ]);
+  });
+});
