--- /dev/null
+++ b/src/admin/routes.ts
@@ -0,0 +1,36 @@
+/** The administration API: read only, by bearer token. */
+import type * as hapi from "@hapi/hapi";
+import type * as kernels from "../kernel/container.js";
+import * as codes from "../protocol/result-codes.js";
+import * as credentials from "../settings/credentials.js";
+import * as status from "./status.js";
+
+/**
+ * Creates the routes of the administration API; none when the node has no administration token.
+ *
+ * @example server.route([...createAdminRoutes(kernel)]);
+ */
+export function createAdminRoutes(kernel: kernels.Kernel): hapi.ServerRoute[] {
+  const token = kernel.use("settings").adminToken;
+  if (token === undefined) return [];
+  const tokenHash = credentials.computeCredentialHash(token);
+  return [
+    {
+      method: "GET",
+      path: "/admin/v1/status",
+      handler: (request, toolkit) => {
+        checkToken(request.headers.authorization, tokenHash);
+        return toolkit
+          .response(status.createNodeStatus(kernel))
+          .header("cache-control", "no-store");
+      },
+    },
+  ];
+}
+
+function checkToken(authorization: unknown, tokenHash: string): void {
+  const header = typeof authorization === "string" ? authorization : undefined;
+  const given = credentials.parseBearer(header);
+  if (given !== undefined && credentials.checkCredential(given, tokenHash)) return;
+  throw new codes.RequestError(codes.RESULT_CODES.adminTokenInvalid, codes.RAN.no);
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,6 +5,7 @@
 import * as exitCodes from "./exit-codes.js";
 import * as nodeCommand from "./node-command.js";
 import * as sendCommand from "./send-command.js";
+import * as statusCommand from "./status-command.js";
 import type * as terminals from "./terminal.js";
 
 /** What cmd-ts returns: the value of a command, wrapped once for each level of subcommands. */
@@ -45,6 +46,7 @@
     cmds: {
       node: nodeCommand.createNodeCommand(terminal),
       send: sendCommand.createSendCommand(terminal),
+      status: statusCommand.createStatusCommand(terminal),
       config: configCommand.createConfigCommand(terminal),
     },
   });
--- a/src/cli/node-command.ts
+++ b/src/cli/node-command.ts
@@ -3,7 +3,6 @@
 import type * as nodeSettings from "../settings/node-settings.js";
 import * as catalogue from "../settings/node-settings-catalogue.js";
 import * as exitCodes from "./exit-codes.js";
-import * as node from "./node-placeholder.js";
 import * as options from "./settings-options.js";
 import type * as terminals from "./terminal.js";
 
@@ -36,6 +35,8 @@
         });
         return exitCodes.EXIT_CODE.usage;
       }
+      // The other commands start faster without the node's libraries.
+      const node = await import("../node.js");
       await node.runNode(check.settings);
       return exitCodes.EXIT_CODE.ok;
     },
--- /dev/null
+++ b/src/cli/table.ts
@@ -0,0 +1,22 @@
+/** Tables for terminals. */
+
+/**
+ * Formats rows in columns of equal width.
+ *
+ * @example formatTable(["VM", "STATE"], [["vm-1", "alive"]]);
+ */
+export function formatTable(
+  header: readonly string[],
+  rows: readonly (readonly string[])[],
+): string[] {
+  const all = [header, ...rows];
+  const widths = header.map((_title, column) =>
+    Math.max(...all.map((row) => (row[column] ?? "").length)),
+  );
+  return all.map((row) =>
+    widths
+      .map((width, column) => (row[column] ?? "").padEnd(width))
+      .join("  ")
+      .trimEnd(),
+  );
+}
--- /dev/null
+++ b/test/admin/fake-kernel.ts
@@ -0,0 +1,55 @@
+/** A kernel whose services tell a fixed state, for tests of the administration API. */
+import * as container from "../../src/kernel/container.js";
+import type * as membership from "../../src/membership/types.js";
+import * as examples from "../settings/examples.js";
+
+/** Administration token of the fake node. */
+export const ADMIN_TOKEN = "admin-token-for-tests";
+/** Id of the one request that holds a lease. */
+export const REQUEST_ID = "sealed-session.7";
+
+const SELF: membership.Member = {
+  vm: "vm-1",
+  incarnation: 5,
+  region: "lagos",
+  zone: "ikeja",
+  peer: { host: "127.0.0.1", port: 1 },
+  caller: { host: "127.0.0.1", port: 2 },
+  state: "alive",
+};
+
+/** Creates a kernel; without a token the administration API is off. */
+export function createFakeKernel(adminToken: string | undefined): container.Kernel {
+  const kernel = container.createKernel();
+  const document = examples.readExample("lagos.json");
+  const services = {
+    settings: { adminToken },
+    membership: { self: SELF, listMembers: () => [SELF] },
+    configuration: {
+      ready: true,
+      current: { document, revision: 1, digest: "abc" },
+      lastRefusal: { revision: 2, faults: ["runners[0].zone: unknown zone"] },
+    },
+    capacity: {
+      findAllocator: (runner: string) => (runner === "iono-p1" ? "vm-1" : undefined),
+      listLeases: () => [
+        {
+          id: REQUEST_ID,
+          attempt: 1,
+          runner: "iono-d1",
+          holder: "vm-1",
+          caller: "surveyors",
+          slots: 1,
+          pieces: 40,
+        },
+      ],
+    },
+    crashes: { listQuarantined: () => ["f1"] },
+    modelCalls: { active: 1 },
+    plainCalls: { active: 2 },
+  };
+  for (const [name, service] of Object.entries(services)) {
+    kernel.register(name as "settings", () => service as never);
+  }
+  return kernel;
+}
