--- /dev/null
+++ b/src/console/item-page.ts
@@ -0,0 +1,134 @@
+/** The form of one item, each fault beside its field. */
+import type * as documents from "../settings/document.js";
+import * as kinds from "./field-kinds.js";
+import * as html from "./html.js";
+import * as page from "./page.js";
+import type * as sections from "./sections.js";
+import * as working from "./working-document.js";
+
+/** What a form shows. */
+export interface ItemForm {
+  readonly title: string;
+  /** Path of the item in the document; empty for the document itself. */
+  readonly path: string;
+  readonly item: working.JsonObject;
+  readonly fields: readonly sections.Field[];
+  readonly document: working.JsonObject;
+  /** Faults of the whole document. */
+  readonly faults: readonly documents.DocumentFault[];
+  /** Action of the button that keeps the values. */
+  readonly saveAction: string;
+  /** Text shown after the values were kept. */
+  readonly notice: string | undefined;
+}
+
+/** Name of a field's input in the submitted form. */
+export const FIELD_PREFIX = "field.";
+
+/** Renders the page of an item. */
+export function renderItemPage(state: page.PageState, form: ItemForm): string {
+  const own = form.faults.filter((fault) => isBelow(fault.path, form.path));
+  const shown = form.path === "" ? [] : own;
+  const inputs = form.fields.map((field) => renderField(form, field, listFieldFaults(form, field)));
+  const notice =
+    form.notice === undefined
+      ? undefined
+      : html.renderHtml`<p class="notice" role="status">${form.notice}</p>`;
+  const content = html.renderHtml`${notice}
+${shown.length === 0 ? undefined : page.renderFaults(shown)}
+${inputs}
+<p>${page.renderButton(form.saveAction, "Save")}</p>`;
+  return page.renderPage(form.title, page.renderDocumentForm(state, content, form.saveAction));
+}
+
+/** Returns whether a fault's path is `path` or lies below it. */
+export function isBelow(faultPath: string, path: string): boolean {
+  if (path === "" || faultPath === path) return true;
+  return faultPath.startsWith(`${path}.`) || faultPath.startsWith(`${path}[`);
+}
+
+function listFieldFaults(
+  form: ItemForm,
+  field: sections.Field,
+): readonly documents.DocumentFault[] {
+  const path = form.path === "" ? field.key : `${form.path}.${field.key}`;
+  return form.faults.filter((fault) => isBelow(fault.path, path));
+}
+
+function renderField(
+  form: ItemForm,
+  field: sections.Field,
+  faults: readonly documents.DocumentFault[],
+): html.SafeHtml {
+  const id = field.key.replaceAll(".", "-");
+  const hint =
+    field.hint === undefined
+      ? undefined
+      : html.renderHtml`<span class="hint" id="${id}-hint">${field.hint}</span>`;
+  const faultList = faults.map(
+    (fault) => html.renderHtml`<span>${formatFault(form, fault)}</span>`,
+  );
+  const invalid =
+    faults.length === 0
+      ? undefined
+      : html.renderHtml`<span class="fault" id="${id}-fault">${faultList}</span>`;
+  const value = kinds.formatFieldValue(
+    field.kind,
+    working.findValue(form.item, field.key),
+    field.columns,
+  );
+  const attributes = html.renderHtml`id="${id}" name="${FIELD_PREFIX}${field.key}" aria-describedby="${id}-hint ${id}-fault" aria-invalid="${faults.length === 0 ? "false" : "true"}"`;
+  const input = INPUT_RENDERERS[field.kind](
+    attributes,
+    value,
+    working.listOptions(form.document, field),
+  );
+  return html.renderHtml`<div class="field"><label for="${id}">${field.label}</label>${hint}
+${input}${invalid}</div>`;
+}
+
+/** Names the line of a fault inside a list, since the field shows the list as text. */
+function formatFault(form: ItemForm, fault: documents.DocumentFault): string {
+  const inner = /\[(\d+)\](.*)$/.exec(fault.path.slice(form.path.length));
+  if (inner === null) return fault.reason;
+  const [, index = "0", rest = ""] = inner;
+  return `line ${Number(index) + 1}${rest.replace(".", " ")}: ${fault.reason}`;
+}
+
+type InputRenderer = (
+  attributes: html.SafeHtml,
+  value: string,
+  options: readonly string[],
+) => html.SafeHtml;
+
+const INPUT_RENDERERS: Record<kinds.FieldKind, InputRenderer> = {
+  [kinds.FIELD_KIND.text]: (attributes, value) =>
+    html.renderHtml`<input type="text" ${attributes} value="${value}">`,
+  [kinds.FIELD_KIND.number]: (attributes, value) =>
+    html.renderHtml`<input type="text" inputmode="decimal" ${attributes} value="${value}">`,
+  [kinds.FIELD_KIND.yesNo]: renderSelect,
+  [kinds.FIELD_KIND.choice]: renderSelect,
+  [kinds.FIELD_KIND.lines]: renderTextArea,
+  [kinds.FIELD_KIND.rows]: renderTextArea,
+  [kinds.FIELD_KIND.credential]: (attributes) =>
+    html.renderHtml`<input type="password" autocomplete="new-password" ${attributes} value="">`,
+};
+
+function renderTextArea(attributes: html.SafeHtml, value: string): html.SafeHtml {
+  return html.renderHtml`<textarea rows="5" cols="60" spellcheck="false" ${attributes}>
+${value}</textarea>`;
+}
+
+/** A value that is no option stays selected, so that saving does not change it unseen. */
+function renderSelect(
+  attributes: html.SafeHtml,
+  value: string,
+  options: readonly string[],
+): html.SafeHtml {
+  const all = options.includes(value) ? options : [value, ...options];
+  const entries = all.map((option) => {
+    const selected = option === value ? html.renderHtml` selected` : undefined;
+    return html.renderHtml`<option value="${option}"${selected}>${option}</option>`;
+  });
+  return html.renderHtml`<select ${attributes}>${entries}</select>`;
+}
