Add the engine client and the emulated engine behind HTTP

Commands open their own connections; every long read has a silence limit that the engine's heartbeats keep away.

--- /dev/null
+++ b/src/upstream/http-call.ts
@@ -0,0 +1,129 @@
+/** One HTTP call to an upstream that tells honestly how far it got when it fails. */
+import type * as http from "node:http";
+import type * as net from "node:net";
+import * as wreck from "@hapi/wreck";
+import * as otel from "@opentelemetry/api";
+import * as verror from "verror";
+import type * as clocks from "../kernel/clock.js";
+import * as types from "./types.js";
+
+/** A connection to a VM in the same region opens within a few milliseconds. */
+const CONNECT_LIMIT_MS = 1_000;
+
+/** What to send and how long to wait. */
+export interface HttpCall {
+  readonly upstream: types.Upstream;
+  readonly method: string;
+  /** Path and query, beginning with a slash. */
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string | Buffer;
+  /** A pool of kept connections; `false` opens a connection for this call alone. */
+  readonly agent: http.Agent | false;
+  /** Longest wait for the response's headers. */
+  readonly headLimitMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** Progress of the call's connection. */
+interface Connection {
+  connected: boolean;
+}
+
+/**
+ * Sends a request and returns the response as soon as its headers are there. The caller must read
+ * or destroy it. Aborting the signal closes the connection, also while the body is read.
+ *
+ * @throws UpstreamError `notConnected` only when no TCP connection was made, else `broken`.
+ * @example const response = await sendCall(clock, call);
+ */
+export async function sendCall(clock: clocks.Clock, call: HttpCall): Promise<http.IncomingMessage> {
+  if (call.signal.aborted) throw createCallError(call, { connected: false }, call.signal.reason);
+  const { host, port } = call.upstream;
+  const sending = wreck.default.request(call.method, `http://${host}:${port}${call.path}`, {
+    agent: call.agent,
+    headers: createHeaders(call),
+    payload: call.body,
+  });
+  const connection = watchConnection(clock, sending.req);
+  const release = closeOnAbort(sending.req, call.signal);
+  const cancelLimit = clock.schedule(call.headLimitMs, () => {
+    sending.req.destroy(new Error(`no response headers within ${call.headLimitMs} ms`));
+  });
+  try {
+    const response = await sending;
+    response.once("close", release);
+    return response;
+  } catch (error) {
+    release();
+    throw createCallError(call, connection, error);
+  } finally {
+    cancelLimit();
+  }
+}
+
+/** Adds the active span's `traceparent`. */
+function createHeaders(call: HttpCall): Record<string, string> {
+  const headers: Record<string, string> = { ...call.headers };
+  otel.propagation.inject(otel.context.active(), headers);
+  return headers;
+}
+
+function watchConnection(clock: clocks.Clock, request: http.ClientRequest): Connection {
+  const connection: Connection = { connected: false };
+  const cancelLimit = clock.schedule(CONNECT_LIMIT_MS, () => {
+    request.destroy(new Error(`no connection within ${CONNECT_LIMIT_MS} ms`));
+  });
+  const onConnect = (): void => {
+    cancelLimit();
+    connection.connected = true;
+  };
+  request.once("close", cancelLimit);
+  request.once("socket", (socket: net.Socket) => {
+    if (socket.connecting) socket.once("connect", onConnect);
+    else onConnect();
+  });
+  return connection;
+}
+
+function closeOnAbort(request: http.ClientRequest, signal: AbortSignal): () => void {
+  const onAbort = (): void => {
+    request.destroy(signal.reason as Error);
+  };
+  signal.addEventListener("abort", onAbort, { once: true });
+  return () => {
+    signal.removeEventListener("abort", onAbort);
+  };
+}
+
+function createCallError(
+  call: HttpCall,
+  connection: Connection,
+  reason: unknown,
+): types.UpstreamError {
+  const failure = connection.connected
+    ? types.UPSTREAM_FAILURE.broken
+    : types.UPSTREAM_FAILURE.notConnected;
+  return createUpstreamError(failure, call, reason);
+}
+
+/** Wraps what went wrong in an error that names the upstream. */
+export function createUpstreamError(
+  failure: types.UpstreamFailure,
+  call: Pick<HttpCall, "method" | "path" | "upstream">,
+  reason: unknown,
+): types.UpstreamError {
+  const text = reason instanceof Error ? reason.message : String(reason);
+  const cause = new verror.default.VError(
+    { info: { upstream: call.upstream.name, path: call.path }, ...formatCause(reason) },
+    "%s %s",
+    call.method,
+    call.path,
+  );
+  const message = `${call.upstream.name}: ${text}`;
+  return new types.UpstreamError(failure, message, undefined, { cause });
+}
+
+function formatCause(reason: unknown): { cause?: Error } {
+  return reason instanceof Error ? { cause: reason } : {};
+}
--- /dev/null
+++ b/src/upstream/service-client.ts
@@ -0,0 +1,115 @@
+/** Calls plain services over HTTP; bodies pass through unread. */
+import * as http from "node:http";
+import type * as kernels from "../kernel/container.js";
+import type * as clocks from "../kernel/clock.js";
+import * as httpCall from "./http-call.js";
+import * as responseReader from "./response-reader.js";
+import * as types from "./types.js";
+
+const MAX_BODY_BYTES = 4_000_000;
+/** An operation's own deadline aborts earlier; this bounds a call without one. */
+const LONGEST_CALL_MS = 3_600_000;
+const MAX_CONNECTIONS_PER_BACKEND = 64;
+/** Kept connections are replaced well before something between the ends forgets them. */
+const IDLE_CONNECTION_LIMIT_MS = 4_000;
+/** Headers that concern one connection only (RFC 9110, section 7.6.1), and those set anew. */
+const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "host",
+  "content-length",
+  "expect",
+]);
+
+/**
+ * Creates the client of all plain services.
+ *
+ * @example kernel.register("backends", createServiceClient);
+ */
+export function createServiceClient(kernel: kernels.Kernel): types.ServiceClient & AsyncDisposable {
+  return new HttpServiceClient(kernel.use("clock"));
+}
+
+class HttpServiceClient implements types.ServiceClient, AsyncDisposable {
+  readonly #clock: clocks.Clock;
+  readonly #agent = new http.Agent({
+    keepAlive: true,
+    maxSockets: MAX_CONNECTIONS_PER_BACKEND,
+    timeout: IDLE_CONNECTION_LIMIT_MS,
+  });
+
+  constructor(clock: clocks.Clock) {
+    this.#clock = clock;
+  }
+
+  async send(
+    backend: types.Upstream,
+    request: types.PlainRequest,
+    options: { readonly fresh: boolean; readonly signal: AbortSignal },
+  ): Promise<types.PlainResponse> {
+    const call: httpCall.HttpCall = {
+      upstream: backend,
+      method: request.method,
+      path: request.path,
+      headers: removeHopByHopHeaders(request.headers),
+      body: Buffer.from(request.body),
+      agent: options.fresh ? false : this.#agent,
+      headLimitMs: LONGEST_CALL_MS,
+      signal: options.signal,
+    };
+    const response = await httpCall.sendCall(this.#clock, call);
+    const limits = { maxBytes: MAX_BODY_BYTES, silenceMs: LONGEST_CALL_MS };
+    const body = await responseReader
+      .readBody(this.#clock, response, limits)
+      .catch((error: unknown) => {
+        throw httpCall.createUpstreamError(types.UPSTREAM_FAILURE.broken, call, error);
+      });
+    return {
+      status: response.statusCode ?? 0,
+      headers: removeHopByHopHeaders(parseHeaders(response.headers)),
+      body,
+    };
+  }
+
+  /** Closes the kept connections. */
+  [Symbol.asyncDispose](): Promise<void> {
+    this.#agent.destroy();
+    return Promise.resolve();
+  }
+}
+
+function removeHopByHopHeaders(
+  headers: Readonly<Record<string, string>>,
+): Readonly<Record<string, string>> {
+  const named = new Set(parseConnectionOptions(headers));
+  const isPassed = (name: string): boolean => !HOP_BY_HOP_HEADERS.has(name) && !named.has(name);
+  return Object.fromEntries(
+    Object.entries(headers).filter(([name]) => isPassed(name.toLowerCase())),
+  );
+}
+
+/** Returns the header names that a `Connection` header makes hop-by-hop. */
+function parseConnectionOptions(headers: Readonly<Record<string, string>>): string[] {
+  const options = Object.entries(headers)
+    .filter(([name]) => name.toLowerCase() === "connection")
+    .map(([, value]) => value);
+  return options
+    .join(",")
+    .split(",")
+    .map((option) => option.trim().toLowerCase());
+}
+
+function parseHeaders(headers: http.IncomingHttpHeaders): Record<string, string> {
+  const flat: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined) flat[name] = Array.isArray(value) ? value.join(", ") : value;
+  }
+  return flat;
+}
--- /dev/null
+++ b/standins/engine/engine-server.ts
@@ -0,0 +1,211 @@
+/** The emulated engine behind HTTP. */
+import type * as http from "node:http";
+import * as wreck from "@hapi/wreck";
+import type * as upstream from "../../src/upstream/types.js";
+import * as httpServer from "../http-server.js";
+import type * as engineModel from "./engine-model.js";
+import type * as engineOptions from "./engine-options.js";
+import * as engineRefusal from "./engine-refusal.js";
+
+const HEARTBEAT_MS = 500;
+const FETCH_LIMIT_MS = 1_000;
+const KV_PREFIX = "GET /kv/";
+
+type EngineHandler = (
+  engine: engineModel.EngineModel,
+  exchange: httpServer.Exchange,
+) => Promise<void> | void;
+
+const HANDLERS: Readonly<Record<string, EngineHandler>> = {
+  "POST /prefill": handlePrefill,
+  "POST /decode": handleDecode,
+  "POST /resume": handleResume,
+  "POST /cancel": handleCancel,
+  "GET /load": handleLoad,
+  "GET /events": handleEvents,
+  "POST /orders": handleOrder,
+  "GET /judge": handleJudge,
+  "POST /control": handleControl,
+};
+
+/**
+ * Serves an engine.
+ *
+ * @example const server = await startEngineServer(engine, { host: "127.0.0.1", port: 0 });
+ */
+export function startEngineServer(
+  engine: engineModel.EngineModel,
+  address: httpServer.ListenAddress,
+): Promise<httpServer.RunningServer> {
+  return httpServer.startServer(address, (route) => {
+    const handler = route.startsWith(KV_PREFIX) ? handleKv : HANDLERS[route];
+    if (handler === undefined) return undefined;
+    return (exchange) => {
+      if (!engine.alive) exchange.request.socket.resetAndDestroy();
+      else return handleSafely(engine, exchange, handler);
+    };
+  });
+}
+
+/** Fetches the description of a KV cache from another engine's server. */
+export async function fetchKvOverHttp(
+  source: upstream.Upstream,
+  handle: string,
+): Promise<engineOptions.KvExport | undefined> {
+  const url = `http://${source.host}:${source.port}/kv/${encodeURIComponent(handle)}`;
+  try {
+    const answer = await wreck.default.get<engineOptions.KvExport>(url, {
+      agent: false,
+      timeout: FETCH_LIMIT_MS,
+      json: true,
+    });
+    return answer.payload;
+  } catch {
+    return undefined;
+  }
+}
+
+async function handleSafely(
+  engine: engineModel.EngineModel,
+  exchange: httpServer.Exchange,
+  handler: EngineHandler,
+): Promise<void> {
+  try {
+    await handler(engine, exchange);
+  } catch (error) {
+    if (error instanceof engineRefusal.EngineRefusal && !exchange.response.headersSent) {
+      httpServer.sendJson(exchange.response, error.status, createErrorMessage(error));
+    } else {
+      exchange.request.socket.resetAndDestroy();
+    }
+  }
+}
+
+function createErrorMessage(error: engineRefusal.EngineRefusal): object {
+  return { error: { status: error.status, message: error.message, ran: false } };
+}
+
+/** Sends heartbeats of white space until the result is known, which JSON allows. */
+async function handlePrefill(
+  engine: engineModel.EngineModel,
+  exchange: httpServer.Exchange,
+): Promise<void> {
+  const running = engine.prefill(httpServer.parseJson(exchange) as upstream.PrefillCommand);
+  const early = await Promise.race([running.catch((error: unknown) => error), waitForNextTurn()]);
+  if (early instanceof engineRefusal.EngineRefusal) throw early;
+  exchange.response.writeHead(200, { "content-type": "application/json" });
+  exchange.response.flushHeaders();
+  using heartbeat = createHeartbeat(exchange.response, " ");
+  heartbeat.start();
+  try {
+    exchange.response.end(JSON.stringify(await running));
+  } catch (error) {
+    if (!(error instanceof engineRefusal.EngineRefusal)) throw error;
+    exchange.response.end(JSON.stringify(createErrorMessage(error)));
+  }
+}
+
+function waitForNextTurn(): Promise<undefined> {
+  return new Promise((resolve) => {
+    setImmediate(() => {
+      resolve(undefined);
+    });
+  });
+}
+
+async function handleDecode(
+  engine: engineModel.EngineModel,
+  exchange: httpServer.Exchange,
+): Promise<void> {
+  const command = httpServer.parseJson(exchange) as upstream.DecodeCommand;
+  await writeEvents(exchange.response, engine.decode(command));
+}
+
+async function handleResume(
+  engine: engineModel.EngineModel,
+  exchange: httpServer.Exchange,
+): Promise<void> {
+  const resumption = httpServer.parseJson(exchange) as upstream.AttemptId & { offset: number };
+  await writeEvents(exchange.response, engine.resume(resumption, resumption.offset));
+}
+
+async function writeEvents(
+  response: http.ServerResponse,
+  events: AsyncIterable<upstream.DecodeEvent>,
+): Promise<void> {
+  response.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-store" });
+  response.flushHeaders();
+  using heartbeat = createHeartbeat(response, ": heartbeat\n\n");
+  heartbeat.start();
+  try {
+    for await (const event of events) {
+      if (response.destroyed) return;
+      response.write(`data: ${JSON.stringify(event)}\n\n`);
+    }
+    response.end();
+  } catch (error) {
+    if (!(error instanceof engineRefusal.EngineRefusal)) throw error;
+    response.end(`event: error\ndata: ${JSON.stringify(createErrorMessage(error))}\n\n`);
+  }
+}
+
+interface Heartbeat extends Disposable {
+  start(): void;
+}
+
+function createHeartbeat(response: http.ServerResponse, text: string): Heartbeat {
+  let timer: NodeJS.Timeout | undefined;
+  return {
+    start: () => {
+      timer = setInterval(() => response.write(text), HEARTBEAT_MS);
+    },
+    [Symbol.dispose]: () => {
+      clearInterval(timer);
+    },
+  };
+}
+
+function handleCancel(engine: engineModel.EngineModel, exchange: httpServer.Exchange): void {
+  engine.cancel(httpServer.parseJson(exchange) as upstream.AttemptId);
+  httpServer.sendJson(exchange.response, 200, {});
+}
+
+function handleLoad(engine: engineModel.EngineModel, { response }: httpServer.Exchange): void {
+  httpServer.sendJson(response, 200, engine.getLoad());
+}
+
+function handleEvents(engine: engineModel.EngineModel, exchange: httpServer.Exchange): void {
+  const after = Number(exchange.url.searchParams.get("after") ?? "0");
+  httpServer.sendJson(exchange.response, 200, { events: engine.listCacheEvents(after) });
+}
+
+function handleOrder(engine: engineModel.EngineModel, exchange: httpServer.Exchange): void {
+  engine.applyOrder(httpServer.parseJson(exchange) as upstream.RunnerOrder);
+  httpServer.sendJson(exchange.response, 200, {});
+}
+
+function handleJudge(engine: engineModel.EngineModel, { response }: httpServer.Exchange): void {
+  httpServer.sendJson(response, 200, engine.getJudge());
+}
+
+function handleKv(engine: engineModel.EngineModel, exchange: httpServer.Exchange): void {
+  const handle = decodeURIComponent(exchange.url.pathname.slice("/kv/".length));
+  const kv = engine.popKv(handle);
+  if (kv === undefined) httpServer.sendJson(exchange.response, 404, { error: "gone" });
+  else httpServer.sendJson(exchange.response, 200, kv);
+}
+
+/** Faults that a test injects. */
+interface Control {
+  readonly crash?: boolean;
+  readonly stallTransfers?: boolean;
+  readonly slowDown?: number;
+}
+
+function handleControl(engine: engineModel.EngineModel, exchange: httpServer.Exchange): void {
+  const control = httpServer.parseJson(exchange) as Control;
+  if (control.stallTransfers !== undefined) engine.stallTransfers(control.stallTransfers);
+  if (control.slowDown !== undefined) engine.slowDown(control.slowDown);
+  httpServer.sendJson(exchange.response, 200, {});
+  if (control.crash === true) engine.crash();
+}
