--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -19,6 +19,11 @@
   configurationRefused: { number: 3002, level: "error", message: "configuration refused" },
   configurationConflict: { number: 3003, level: "error", message: "two documents of one revision" },
   platformUnavailable: { number: 3004, level: "warn", message: "platform unavailable" },
+  configurationPullFailed: {
+    number: 3005,
+    level: "warn",
+    message: "configuration not pulled from peer",
+  },
   requestRefused: { number: 4001, level: "info", message: "request refused" },
   requestFinished: { number: 4002, level: "debug", message: "request finished" },
   requestRetried: { number: 4003, level: "info", message: "request runs again" },
