Add membership and the configuration that spreads between nodes

Two readers a zone watch the service; all others hear versions in the probes and pull from peers. Seam: Configuration.lastConflict (optional), log event configurationPullFailed.

--- /dev/null
+++ b/src/membership/membership.ts
@@ -0,0 +1,130 @@
+/** The fleet as this node sees it: probes, news, and the platform's list brought together. */
+import type * as container from "../kernel/container.js";
+import * as incarnations from "../protocol/incarnation.js";
+import type * as network from "../protocol/network.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
+import * as gossip from "./gossip.js";
+import * as records from "./member-record.js";
+import * as memberTable from "./member-table.js";
+import * as calls from "./membership-calls.js";
+import * as prober from "./prober.js";
+import * as types from "./types.js";
+import * as vmListReader from "./vm-list-reader.js";
+
+/** Nodes told at once that a node leaves; in larger fleets a random choice, gossip does the rest. */
+const MAX_ANNOUNCEMENTS = 32;
+const ANNOUNCE_LIMIT_MS = 500;
+
+class SwimMembership implements types.Membership {
+  readonly #network: network.PeerNetwork;
+  readonly #random: prober.ProberOptions["random"];
+  readonly #log: telemetry.EventLog;
+  readonly #table: memberTable.MemberTable;
+  readonly #gossiper: gossip.Gossiper;
+  readonly #prober: prober.Prober;
+  readonly #listReader: vmListReader.VmListReader;
+  readonly #controller = new AbortController();
+  readonly #tasks: Promise<void>[] = [];
+
+  constructor(kernel: container.Kernel) {
+    const clock = kernel.use("clock");
+    const own = records.createOwnRecord(
+      kernel.use("settings"),
+      incarnations.useIncarnation(kernel),
+    );
+    this.#network = kernel.use("network");
+    this.#random = kernel.use("random");
+    this.#log = kernel.use("log");
+    this.#table = new memberTable.MemberTable(own, clock);
+    this.#gossiper = new gossip.Gossiper(this.#table, this.#log);
+    const shared = {
+      network: this.#network,
+      table: this.#table,
+      clock,
+      random: this.#random,
+    };
+    this.#prober = new prober.Prober({ ...shared, gossiper: this.#gossiper });
+    this.#listReader = new vmListReader.VmListReader({
+      ...shared,
+      platform: kernel.use("platform"),
+      prober: this.#prober,
+      log: this.#log,
+      onLeaving: (vm) => void this.#announce(vm),
+    });
+    this.#table.onChange((member) => {
+      this.#handleChange(member);
+    });
+  }
+
+  get self(): types.Member {
+    return records.createMember(this.#table.own);
+  }
+
+  listMembers(): readonly types.Member[] {
+    const members = this.#table.list().map(records.createMember);
+    return members.filter((member) => member.state !== types.MEMBER_STATE.dead);
+  }
+
+  listAlive(): readonly types.Member[] {
+    const members = this.#table.list().map(records.createMember);
+    return members.filter((member) => member.state === types.MEMBER_STATE.alive);
+  }
+
+  findMember(vm: string): types.Member | undefined {
+    const record = this.#table.find(vm);
+    return record === undefined ? undefined : records.createMember(record);
+  }
+
+  onChange(listener: (member: types.Member) => void): Disposable {
+    return this.#table.onChange(listener);
+  }
+
+  onGossip(topic: string, handler: types.GossipTopic): void {
+    this.#gossiper.addTopic(topic, handler);
+  }
+
+  async startLeaving(): Promise<void> {
+    const { vm } = this.#table.own;
+    if (this.#table.markLeaving(vm)) await this.#announce(vm);
+  }
+
+  /** Reads the list and meets the first peers, as far as they answer, then goes on by itself. */
+  async start(): Promise<void> {
+    const { signal } = this.#controller;
+    await this.#listReader.read(signal);
+    this.#tasks.push(this.#prober.run(signal), this.#listReader.run(signal));
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#controller.abort(new Error("node stops"));
+    await Promise.all(this.#tasks);
+  }
+
+  /** Tells others of one member's record at once. */
+  async #announce(vm: string): Promise<void> {
+    const request = { updates: [this.#table.get(vm)] };
+    const options = { timeoutMs: ANNOUNCE_LIMIT_MS };
+    const told = prober.shuffle(this.#table.listOthers(), this.#random).slice(0, MAX_ANNOUNCEMENTS);
+    const sends = told.map((other) =>
+      this.#network.call(other.vm, calls.ANNOUNCE, request, options),
+    );
+    await Promise.allSettled(sends);
+  }
+
+  #handleChange(member: types.Member): void {
+    const isOwn = member.vm === this.#table.own.vm;
+    if (!isOwn) this.#network.setAddress(member.vm, member.peer);
+    const { vm, state, incarnation } = member;
+    this.#log.write(logEvents.LOG_EVENTS.memberChanged, { vm, state, incarnation });
+  }
+}
+
+/**
+ * Creates the membership of a node.
+ *
+ * @example kernel.register("membership", (services) => createMembership(services));
+ */
+export function createMembership(kernel: container.Kernel): types.Membership {
+  return new SwimMembership(kernel);
+}
--- /dev/null
+++ b/src/membership/vm-list-reader.ts
@@ -0,0 +1,107 @@
+/** Reads the platform's list of VMs: to find the first peers, to heal, and to learn who leaves. */
+import * as clocks from "../kernel/clock.js";
+import type * as random from "../kernel/random.js";
+import type * as platform from "../platform/types.js";
+import type * as network from "../protocol/network.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
+import * as records from "./member-record.js";
+import type * as memberTable from "./member-table.js";
+import * as prober from "./prober.js";
+import * as rendezvous from "./rendezvous.js";
+
+/** Time between two reads, before jitter. */
+const READ_PERIOD_MS = 5000;
+/** Time between two reads while no peer is known. */
+const ALONE_PERIOD_MS = 1000;
+const MAX_BACKOFF_MS = 15_000;
+const READ_LIMIT_MS = 2000;
+/** Nodes of a zone that read the list. */
+const READERS_PER_ZONE = 2;
+/** Listed but unknown or dead VMs tried after one read. */
+const MAX_TRIES = 4;
+
+/** What the reader works with. */
+export interface VmListOptions {
+  readonly platform: platform.PlatformClient;
+  readonly network: network.PeerNetwork;
+  readonly table: memberTable.MemberTable;
+  readonly prober: prober.Prober;
+  readonly clock: clocks.Clock;
+  readonly random: random.RandomSource;
+  readonly log: telemetry.EventLog;
+  /** Called with a VM that the list newly shows as leaving. */
+  readonly onLeaving: (vm: string) => void;
+}
+
+/** Reads the list now and then, while this node is one of its zone's readers. */
+export class VmListReader {
+  readonly #options: VmListOptions;
+  #failures = 0;
+
+  constructor(options: VmListOptions) {
+    this.#options = options;
+  }
+
+  /** Reads until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const waitMs = this.#computeWait();
+      await clocks.sleep(this.#options.clock, waitMs, signal).catch(() => undefined);
+      if (this.#isReader()) await this.read(signal);
+    }
+  }
+
+  /** Reads the list once and acts on it; failures are logged, not thrown. */
+  async read(signal: AbortSignal): Promise<void> {
+    using limit = clocks.createTimeLimit(this.#options.clock, READ_LIMIT_MS, signal);
+    try {
+      const listed = await this.#options.platform.listVms(limit.signal);
+      this.#failures = 0;
+      await this.#handleList(listed);
+    } catch (error) {
+      this.#failures += 1;
+      const isFirst = this.#failures === 1;
+      const fields = { what: "vm list", error: String(error) };
+      if (isFirst && !signal.aborted)
+        this.#options.log.write(logEvents.LOG_EVENTS.platformUnavailable, fields);
+    }
+  }
+
+  async #handleList(listed: readonly platform.ListedVm[]): Promise<void> {
+    const { table, network: peers, random, onLeaving } = this.#options;
+    const others = listed.filter((entry) => entry.vm !== table.own.vm);
+    for (const entry of listed) {
+      if (entry.state === "leaving" && table.markLeaving(entry.vm)) onLeaving(entry.vm);
+    }
+    const missing = others.filter((entry) => isMissing(table.find(entry.vm)));
+    const tried = prober.shuffle(missing, random).slice(0, MAX_TRIES);
+    for (const entry of tried) {
+      peers.setAddress(entry.vm, { host: entry.host, port: entry.peerPort });
+    }
+    await Promise.all(tried.map((entry) => this.#options.prober.sync(entry.vm)));
+  }
+
+  #computeWait(): number {
+    const { table, random } = this.#options;
+    const isAlone = table.listOthers().length === 0;
+    const periodMs = isAlone ? ALONE_PERIOD_MS : READ_PERIOD_MS;
+    const backoffMs = Math.min(periodMs * 2 ** Math.min(this.#failures, 10), MAX_BACKOFF_MS);
+    return backoffMs * (0.5 + random.nextFloat());
+  }
+
+  #isReader(): boolean {
+    const { table } = this.#options;
+    const { own } = table;
+    const candidates = table
+      .list()
+      .filter((record) => record.zone === own.zone && record.liveness === records.LIVENESS.alive)
+      .map((record) => record.vm);
+    const readers = rendezvous.chooseByRendezvous("vm-list", candidates, READERS_PER_ZONE);
+    return readers.includes(own.vm);
+  }
+}
+
+function isMissing(record: records.MemberRecord | undefined): boolean {
+  return record === undefined || record.liveness === records.LIVENESS.dead;
+}
--- /dev/null
+++ b/src/platform/document-spreader.ts
@@ -0,0 +1,198 @@
+/**
+ * Spreads documents between nodes: versions travel in the probes and, right after a change, to a
+ * few random peers; whoever hears of a newer version pulls the document from the node that told it.
+ */
+import * as zlib from "node:zlib";
+import * as zod from "zod";
+import * as clocks from "../kernel/clock.js";
+import type * as random from "../kernel/random.js";
+import * as prober from "../membership/prober.js";
+import type * as membership from "../membership/types.js";
+import * as fields from "../protocol/field-codec.js";
+import type * as network from "../protocol/network.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
+import * as calls from "./configuration-calls.js";
+import type * as configurationStore from "./configuration-store.js";
+import * as digests from "./document-digest.js";
+import type * as types from "./types.js";
+
+const TOPIC = "configuration";
+/** Hexadecimal digits of a digest that travel in the probes. */
+const SHORT_DIGEST_DIGITS = 16;
+/** Peers told right after a change. */
+const ANNOUNCE_COUNT = 3;
+/** Peers asked by a starting node. */
+const ASKED_PEERS = 3;
+const CALL_LIMIT_MS = 1000;
+const PULL_LIMIT_MS = 5000;
+/** Versions remembered as not applicable, so that they are not pulled again and again. */
+const MAX_REJECTED = 16;
+
+const shortVersionCodec = fields.createFieldCodec(
+  zod.object({
+    revision: zod.int().min(1),
+    digest: zod.string().regex(/^[0-9a-f]{16}$/),
+  }),
+);
+
+/** What the spreader works with. */
+export interface SpreaderOptions {
+  readonly network: network.PeerNetwork;
+  readonly membership: membership.Membership;
+  readonly store: configurationStore.ConfigurationStore;
+  readonly clock: clocks.Clock;
+  readonly random: random.RandomSource;
+  readonly log: telemetry.EventLog;
+}
+
+/** A document as it is sent to peers. */
+interface Packed {
+  readonly digest: string;
+  readonly bytes: Uint8Array;
+}
+
+/** Tells, hears and pulls. */
+export class DocumentSpreader {
+  readonly #options: SpreaderOptions;
+  readonly #rejected: string[] = [];
+  #packed: Packed | undefined;
+  #isPulling = false;
+
+  constructor(options: SpreaderOptions) {
+    this.#options = options;
+    const { network: peers, membership: members, store } = options;
+    members.onGossip(TOPIC, {
+      create: () => encodeVersion(store.current),
+      onReceive: (payload, from) => {
+        this.#handleVersion(shortVersionCodec.decode(payload), from);
+      },
+    });
+    peers.onCall(calls.READ_VERSION, () => ({ version: store.current }));
+    peers.onCall(calls.ANNOUNCE_VERSION, (version, from) => {
+      this.#handleVersion(version, from);
+      return {};
+    });
+    peers.onStream(calls.PULL, () => this.#sendChunks());
+    store.onChange((inForce) => void this.#announce(inForce));
+  }
+
+  /**
+   * Asks a few peers for their document and takes the newest.
+   *
+   * @returns whether one answered, or there is none to ask.
+   */
+  async askPeers(): Promise<boolean> {
+    const asked = this.#chooseOthers(ASKED_PEERS);
+    const answers = asked.map(async (peer) => {
+      const options = { timeoutMs: CALL_LIMIT_MS };
+      const reply = await this.#options.network.call(peer.vm, calls.READ_VERSION, {}, options);
+      return { vm: peer.vm, version: reply.version };
+    });
+    const settled = await Promise.allSettled(answers);
+    const replies = settled.flatMap((result) =>
+      result.status === "fulfilled" ? [result.value] : [],
+    );
+    for (const { version, vm } of replies) {
+      if (version !== undefined && this.#isWanted(version)) await this.#pullGuarded(version, vm);
+    }
+    return asked.length === 0 || replies.length > 0;
+  }
+
+  #handleVersion(version: digests.DocumentVersion, from: network.PeerIdentity): void {
+    if (this.#isPulling || !this.#isWanted(version)) return;
+    void this.#pullGuarded(version, from.vm);
+  }
+
+  async #pullGuarded(version: digests.DocumentVersion, vm: string): Promise<void> {
+    this.#isPulling = true;
+    try {
+      await this.#pull(vm);
+      if (this.#isWanted(version)) this.#addRejected(version);
+    } catch (error) {
+      const details = { vm, error: String(error) };
+      this.#options.log.write(logEvents.LOG_EVENTS.configurationPullFailed, details);
+    } finally {
+      this.#isPulling = false;
+    }
+  }
+
+  #isWanted(version: digests.DocumentVersion): boolean {
+    const told = shortenVersion(version);
+    if (this.#rejected.includes(formatVersion(told))) return false;
+    const { current } = this.#options.store;
+    return digests.isNewer(told, current === undefined ? undefined : shortenVersion(current));
+  }
+
+  #addRejected(version: digests.DocumentVersion): void {
+    this.#rejected.push(formatVersion(shortenVersion(version)));
+    if (this.#rejected.length > MAX_REJECTED) this.#rejected.shift();
+  }
+
+  /** Reads the document in force at a peer and applies it. */
+  async #pull(vm: string): Promise<void> {
+    const chunks: Uint8Array[] = [];
+    let size = 0;
+    using limit = clocks.createTimeLimit(this.#options.clock, PULL_LIMIT_MS);
+    const options = { timeoutMs: PULL_LIMIT_MS, signal: limit.signal };
+    for await (const item of this.#options.network.stream(vm, calls.PULL, {}, options)) {
+      size += item.chunk.byteLength;
+      if (size > calls.MAX_DOCUMENT_BYTES) throw new Error(`document of ${vm} is too large`);
+      chunks.push(item.chunk);
+    }
+    if (size === 0) return;
+    const limits = { maxOutputLength: calls.MAX_DOCUMENT_BYTES };
+    const text = zlib.inflateRawSync(Buffer.concat(chunks), limits).toString("utf8");
+    const input: unknown = JSON.parse(text);
+    this.#options.store.apply({ revision: findRevision(input), document: input });
+  }
+
+  async *#sendChunks(): AsyncGenerator<{ chunk: Uint8Array }> {
+    const { bytes } = this.#usePacked();
+    for (let start = 0; start < bytes.byteLength; start += calls.CHUNK_BYTES) {
+      yield await Promise.resolve({ chunk: bytes.subarray(start, start + calls.CHUNK_BYTES) });
+    }
+  }
+
+  /** Returns the compressed document, made once for each version. */
+  #usePacked(): Packed {
+    const { store } = this.#options;
+    const digest = store.current?.digest ?? "";
+    if (this.#packed?.digest === digest) return this.#packed;
+    const bytes = digest === "" ? Buffer.alloc(0) : zlib.deflateRawSync(store.canonicalText);
+    this.#packed = { digest, bytes };
+    return this.#packed;
+  }
+
+  async #announce(version: types.InForce): Promise<void> {
+    const { revision, digest } = version;
+    const options = { timeoutMs: CALL_LIMIT_MS };
+    const sends = this.#chooseOthers(ANNOUNCE_COUNT).map((peer) =>
+      this.#options.network.call(peer.vm, calls.ANNOUNCE_VERSION, { revision, digest }, options),
+    );
+    await Promise.allSettled(sends);
+  }
+
+  #chooseOthers(count: number): readonly membership.Member[] {
+    const { membership: members, random } = this.#options;
+    const others = members.listAlive().filter((member) => member.vm !== members.self.vm);
+    return prober.shuffle(others, random).slice(0, count);
+  }
+}
+
+function shortenVersion(version: digests.DocumentVersion): digests.DocumentVersion {
+  return { revision: version.revision, digest: version.digest.slice(0, SHORT_DIGEST_DIGITS) };
+}
+
+function encodeVersion(version: digests.DocumentVersion | undefined): unknown {
+  return version === undefined ? undefined : shortVersionCodec.encode(shortenVersion(version));
+}
+
+function formatVersion(version: digests.DocumentVersion): string {
+  return `${version.revision}/${version.digest}`;
+}
+
+function findRevision(input: unknown): number {
+  const isRecord = typeof input === "object" && input !== null && "revision" in input;
+  return isRecord && typeof input.revision === "number" ? input.revision : 0;
+}
--- /dev/null
+++ b/src/platform/service-reader.ts
@@ -0,0 +1,121 @@
+/** Watches the configuration service, while this node is one of the few readers of its zone. */
+import * as clocks from "../kernel/clock.js";
+import type * as random from "../kernel/random.js";
+import * as rendezvous from "../membership/rendezvous.js";
+import type * as membership from "../membership/types.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
+import type * as configurationStore from "./configuration-store.js";
+import type * as types from "./types.js";
+
+/** Nodes of a zone that watch the service. */
+export const READERS_PER_ZONE = 2;
+/** How long one watch waits at the service. */
+const WATCH_MS = 20_000;
+const ANSWER_LIMIT_MS = 2000;
+/** Time between two full reads, which find a document that replaced another of its revision. */
+const READ_PERIOD_MS = 30_000;
+/** Time between two looks whether this node became a reader. */
+const READER_CHECK_PERIOD_MS = 1000;
+/** Shortest time between two watches that brought nothing new. */
+const MIN_PAUSE_MS = 500;
+const MAX_BACKOFF_MS = 5000;
+
+/** What the reader works with. */
+export interface ServiceReaderOptions {
+  readonly platform: types.PlatformClient;
+  readonly membership: membership.Membership;
+  readonly store: configurationStore.ConfigurationStore;
+  readonly clock: clocks.Clock;
+  readonly random: random.RandomSource;
+  readonly log: telemetry.EventLog;
+}
+
+/** Reads and watches the service. */
+export class ServiceReader {
+  readonly #options: ServiceReaderOptions;
+  #seenRevision = 0;
+  #readDue = 0;
+  #failures = 0;
+
+  constructor(options: ServiceReaderOptions) {
+    this.#options = options;
+  }
+
+  /** Watches until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const waitMs = this.#isReader() ? await this.#readOnce(signal) : READER_CHECK_PERIOD_MS;
+      await clocks.sleep(this.#options.clock, waitMs, signal).catch(() => undefined);
+    }
+  }
+
+  /** Reads the document once; returns whether the service answered. */
+  async read(signal: AbortSignal): Promise<boolean> {
+    return await this.#runGuarded(ANSWER_LIMIT_MS, signal, async (limit) => {
+      this.#readDue = this.#options.clock.now() + READ_PERIOD_MS * this.#createJitter();
+      this.#applyPublished(await this.#options.platform.readConfiguration(limit));
+    });
+  }
+
+  /** Reads or watches once; returns how long to wait before the next time. */
+  async #readOnce(signal: AbortSignal): Promise<number> {
+    const isReadDue = this.#options.clock.now() >= this.#readDue;
+    const hasAnswered = isReadDue ? await this.read(signal) : await this.#watch(signal);
+    if (hasAnswered) return MIN_PAUSE_MS * this.#createJitter();
+    const backoffMs = MIN_PAUSE_MS * 2 ** Math.min(this.#failures, 10);
+    return Math.min(backoffMs, MAX_BACKOFF_MS) * this.#createJitter();
+  }
+
+  async #watch(signal: AbortSignal): Promise<boolean> {
+    const { platform, store } = this.#options;
+    const limitMs = WATCH_MS + ANSWER_LIMIT_MS;
+    return await this.#runGuarded(limitMs, signal, async (limit) => {
+      const after = Math.max(this.#seenRevision, store.current?.revision ?? 0);
+      const published = await platform.watchConfiguration(after, WATCH_MS, limit);
+      if (published !== undefined) this.#applyPublished(published);
+    });
+  }
+
+  #applyPublished(published: types.PublishedDocument): void {
+    this.#seenRevision = Math.max(this.#seenRevision, published.revision);
+    this.#options.store.apply(published);
+  }
+
+  /** Runs a read with a time limit; returns whether it succeeded. */
+  async #runGuarded(
+    limitMs: number,
+    signal: AbortSignal,
+    run: (limit: AbortSignal) => Promise<void>,
+  ): Promise<boolean> {
+    using limit = clocks.createTimeLimit(this.#options.clock, limitMs, signal);
+    try {
+      await run(limit.signal);
+      this.#failures = 0;
+      return true;
+    } catch (error) {
+      this.#failures += 1;
+      this.#logFailure(error, signal);
+      return false;
+    }
+  }
+
+  /** Logs the first failure of an outage. */
+  #logFailure(error: unknown, signal: AbortSignal): void {
+    if (this.#failures > 1 || signal.aborted) return;
+    const fields = { what: "configuration", error: String(error) };
+    this.#options.log.write(logEvents.LOG_EVENTS.platformUnavailable, fields);
+  }
+
+  #isReader(): boolean {
+    const { membership: members } = this.#options;
+    const { self } = members;
+    const candidates = members.listAlive().filter((member) => member.zone === self.zone);
+    const vms = candidates.map((member) => member.vm);
+    return rendezvous.chooseByRendezvous("configuration", vms, READERS_PER_ZONE).includes(self.vm);
+  }
+
+  #createJitter(): number {
+    return 0.5 + this.#options.random.nextFloat();
+  }
+}
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -40,6 +40,12 @@
   readonly digest: string;
 }
 
+/** Two documents of one revision were published; the greater digest is in force. */
+export interface RevisionConflict {
+  readonly revision: number;
+  readonly digests: readonly string[];
+}
+
 /** The configuration in force at this node; it only ever moves to a higher (revision, digest). */
 export interface Configuration extends AsyncDisposable {
   /** Returns what is in force, or `undefined` before the first document. */
@@ -49,6 +55,8 @@
   /** Faults of the newest refused document, for status. */
   readonly lastRefusal:
     { readonly revision: number; readonly faults: readonly string[] } | undefined;
+  /** The newest pair of documents of one revision that this node met, for status. */
+  readonly lastConflict?: RevisionConflict | undefined;
   /** Validates and applies a document if it is newer; returns whether it is in force now. */
   apply(published: PublishedDocument): boolean;
   onChange(listener: (inForce: InForce) => void): Disposable;
--- /dev/null
+++ b/test/membership/documents.ts
@@ -0,0 +1,19 @@
+/** Small valid documents for tests. */
+import type * as document from "../../src/settings/document.js";
+
+/** Returns a valid document of a revision; `operator` makes two of one revision differ. */
+export function createDocument(revision: number, operator = "operator-1"): document.FleetDocument {
+  return {
+    format: 1,
+    revision,
+    operator,
+    regions: [{ name: "region-1", zones: ["zone-a", "zone-b", "zone-c"] }],
+    callers: [],
+    models: [],
+    pools: [],
+    runners: [],
+    services: [],
+    links: [],
+    weightStore: { bytesPerSecond: 1_000_000 },
+  };
+}
--- /dev/null
+++ b/test/membership/fake-platform.ts
@@ -0,0 +1,80 @@
+/** The platform in memory: a document that can be read and watched, and a list of VMs. */
+import type * as clocks from "../../src/kernel/clock.js";
+import * as clock from "../../src/kernel/clock.js";
+import type * as platform from "../../src/platform/types.js";
+
+const ANSWER_DELAY_MS = 3;
+
+/** Counts each call, as the platform does. */
+export interface CallCounts {
+  configuration: number;
+  list: number;
+}
+
+/** Stand-in with outages and stale replies. */
+export class FakePlatform {
+  readonly counts: CallCounts = { configuration: 0, list: 0 };
+  /** Decides which nodes reach the service. */
+  isReachable: (vm: string) => boolean = () => true;
+  readonly #clock: clocks.Clock;
+  readonly #vms = new Map<string, platform.ListedVm>();
+  #publication = new AbortController();
+  #published: platform.PublishedDocument | undefined;
+
+  constructor(virtualClock: clocks.Clock) {
+    this.#clock = virtualClock;
+  }
+
+  /** Publishes a document, also an older one, as a stale service does. */
+  publish(document: { readonly revision: number }): void {
+    this.#published = { revision: document.revision, document };
+    this.#publication.abort(new Error("published"));
+    this.#publication = new AbortController();
+  }
+
+  addVm(listed: platform.ListedVm): void {
+    this.#vms.set(listed.vm, listed);
+  }
+
+  removeVm(vm: string): void {
+    this.#vms.delete(vm);
+  }
+
+  createClient(vm: string): platform.PlatformClient {
+    return {
+      readConfiguration: async (signal) => {
+        this.counts.configuration += 1;
+        await this.#answer(vm, signal);
+        if (this.#published === undefined) throw new Error("no document");
+        return this.#published;
+      },
+      watchConfiguration: async (after, waitMs, signal) => {
+        this.counts.configuration += 1;
+        const end = this.#clock.now() + waitMs;
+        await this.#answer(vm, signal);
+        while (this.#clock.now() < end && (this.#published?.revision ?? 0) <= after) {
+          await this.#waitForPublication(end - this.#clock.now(), signal);
+          if (!this.isReachable(vm)) throw new Error("service unreachable");
+        }
+        return (this.#published?.revision ?? 0) > after ? this.#published : undefined;
+      },
+      listVms: async (signal) => {
+        this.counts.list += 1;
+        await this.#answer(vm, signal);
+        return [...this.#vms.values()];
+      },
+    };
+  }
+
+  /** Waits for the next publication, but not longer than `limitMs`. */
+  async #waitForPublication(limitMs: number, signal: AbortSignal): Promise<void> {
+    const either = AbortSignal.any([signal, this.#publication.signal]);
+    await clock.sleep(this.#clock, limitMs, either).catch(() => undefined);
+    signal.throwIfAborted();
+  }
+
+  async #answer(vm: string, signal: AbortSignal): Promise<void> {
+    await clock.sleep(this.#clock, ANSWER_DELAY_MS, signal);
+    if (!this.isReachable(vm)) throw new Error("service unreachable");
+  }
+}
--- /dev/null
+++ b/test/platform/configuration.test.ts
@@ -0,0 +1,115 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as documents from "../membership/documents.js";
+import * as fleets from "../membership/fleet.js";
+
+const NODES = 8;
+
+async function startFleet(revision: number): Promise<fleets.TestFleet> {
+  const fleet = new fleets.TestFleet();
+  fleet.platform.publish(documents.createDocument(revision));
+  await fleet.start(NODES);
+  await fleet.waitUntil(() => fleet.isAliveCount(NODES) && fleet.isInForce(revision), 10_000);
+  return fleet;
+}
+
+test.describe("Configuration", () => {
+  test.it("is in force everywhere within seconds", async () => {
+    await using fleet = await startFleet(1);
+    fleet.platform.publish(documents.createDocument(2));
+    const took = await fleet.waitUntil(() => fleet.isInForce(2), 6000);
+    earl.expect(took < 6000).toEqual(true);
+  });
+
+  test.it("is in force within seconds when one reader alone reaches the service", async () => {
+    await using fleet = await startFleet(1);
+    let only: string | undefined;
+    fleet.platform.isReachable = (vm) => vm === (only ??= vm);
+    await fleet.clock.advance(30_000);
+    fleet.platform.publish(documents.createDocument(2));
+    await fleet.waitUntil(() => fleet.isInForce(2), 6000);
+  });
+
+  test.it("does not revert to a stale reply, nor do nodes that restart", async () => {
+    await using fleet = await startFleet(5);
+    fleet.platform.publish(documents.createDocument(4));
+    for (const { vm } of fleet.nodes) {
+      await fleet.kill(vm);
+      const start = fleet.startNode(vm);
+      await fleet.waitUntil(() => fleet.getNode(vm).configuration.ready, 10_000);
+      const node = await start;
+      earl.expect(node.configuration.current?.revision).toEqual(5);
+    }
+    await fleet.clock.advance(60_000);
+    earl.expect(fleet.isInForce(5)).toEqual(true);
+  });
+
+  test.it("settles on one of two documents of one revision and says so", async () => {
+    await using fleet = await startFleet(1);
+    fleet.getNode("vm-0").configuration.apply({
+      revision: 2,
+      document: documents.createDocument(2, "operator-1"),
+    });
+    fleet.getNode("vm-5").configuration.apply({
+      revision: 2,
+      document: documents.createDocument(2, "operator-2"),
+    });
+    await fleet.waitUntil(() => fleet.isInForce(2) && countDigests(fleet) === 1, 10_000);
+    const told = fleet.nodes.filter((node) => node.configuration.lastConflict?.revision === 2);
+    earl.expect(told.length > 0).toEqual(true);
+  });
+
+  test.it("refuses a bad document whole and keeps the old one", async () => {
+    await using fleet = await startFleet(1);
+    fleet.platform.publish({ ...documents.createDocument(2), format: 2 } as never);
+    await fleet.clock.advance(5000);
+    earl.expect(fleet.isInForce(1)).toEqual(true);
+    const refusals = fleet.nodes.filter((node) => node.configuration.lastRefusal?.revision === 2);
+    earl.expect(refusals.length > 0).toEqual(true);
+    fleet.platform.publish(documents.createDocument(3));
+    await fleet.waitUntil(() => fleet.isInForce(3), 6000);
+  });
+
+  test.it("starts from peers while the service is down", async () => {
+    await using fleet = await startFleet(3);
+    fleet.platform.isReachable = () => false;
+    await fleet.kill("vm-2");
+    const start = fleet.startNode("vm-2");
+    await fleet.waitUntil(() => fleet.getNode("vm-2").configuration.ready, 20_000);
+    await start;
+    earl.expect(fleet.isInForce(3)).toEqual(true);
+  });
+
+  test.it("takes up a new document soon after an outage", async () => {
+    await using fleet = await startFleet(3);
+    fleet.platform.isReachable = () => false;
+    await fleet.clock.advance(60_000);
+    earl.expect(fleet.isInForce(3)).toEqual(true);
+    fleet.platform.publish(documents.createDocument(4));
+    fleet.platform.isReachable = () => true;
+    await fleet.waitUntil(() => fleet.isInForce(4), 12_000);
+  });
+
+  test.it("asks the service as often in a fleet of 24 as of 8", async () => {
+    const small = await countCalls(8);
+    const large = await countCalls(24);
+    earl.expect(large <= small * 1.5).toEqual(true);
+  });
+});
+
+function countDigests(fleet: fleets.TestFleet): number {
+  return new Set(fleet.nodes.map((node) => node.configuration.current?.digest)).size;
+}
+
+/** Returns the calls to the platform in a quiet minute. */
+async function countCalls(nodes: number): Promise<number> {
+  await using fleet = new fleets.TestFleet();
+  fleet.platform.publish(documents.createDocument(1));
+  await fleet.start(nodes);
+  await fleet.waitUntil(() => fleet.isAliveCount(nodes) && fleet.isInForce(1), 30_000);
+  await fleet.clock.advance(10_000);
+  const before = { ...fleet.platform.counts };
+  await fleet.clock.advance(60_000);
+  const { counts } = fleet.platform;
+  return counts.configuration + counts.list - before.configuration - before.list;
+}
