--- a/src/protocol/result-codes.ts
+++ b/src/protocol/result-codes.ts
@@ -39,7 +39,7 @@
   callerGone: { number: 3005, status: 499, message: "caller closed the request" },
   backupUnreachable: { number: 4001, status: 503, message: "backup unreachable" },
   refusedByRecord: { number: 4002, status: 503, message: "request was given up before it ran" },
-  superseded: { number: 4004, status: 409, message: "a newer attempt answers this request" },
+  superseded: { number: 4005, status: 409, message: "a newer attempt answers this request" },
   outcomeUnknown: { number: 4003, status: 504, message: "outcome unknown" },
   resultNotKept: { number: 4004, status: 410, message: "request ran; its result was not kept" },
 } as const satisfies Record<string, ResultCode>;
--- a/src/request/model-attempts.ts
+++ b/src/request/model-attempts.ts
@@ -104,16 +104,17 @@
       reservation,
       signal: AbortSignal.any([signal, reservation.revoked]),
     };
-    let runner = reservation.prefill;
+    let isPrefilled = false;
     try {
       const prefilled = await this.#prefill(step);
-      runner = reservation.decode;
+      isPrefilled = true;
       await this.#decode(step, prefilled);
       return undefined;
     } catch (error) {
       this.#cancelStep(step);
       if (error instanceof codes.RequestError || !(error instanceof Error)) throw error;
       if (signal.aborted) return error;
+      const runner = isPrefilled ? reservation.decode : reservation.prefill;
       this.#recordFailure(step, runner, error);
       failed.push(runner.name);
       return error;
