Add the console

Server-rendered forms over one document that travels in the form. Faults stand beside their fields; the review shows the difference from what is in force, what drains and loads, and warns when the base revision is no longer in force or another document took its number. Bound beyond loopback it needs a token; forms of other sites and foreign host names are refused.

--- /dev/null
+++ b/src/console/actions.ts
@@ -0,0 +1,187 @@
+/** What the buttons of the console's forms do. */
+import * as digests from "../platform/document-digest.js";
+import * as documents from "../settings/document.js";
+import * as itemPage from "./item-page.js";
+import type * as page from "./page.js";
+import * as reviewPage from "./review-page.js";
+import * as reviews from "./review.js";
+import * as sectionPage from "./section-page.js";
+import * as sections from "./sections.js";
+import * as working from "./working-document.js";
+
+/** Reads what the platform publishes. */
+export type InForceReader = () => Promise<reviews.InForce>;
+
+/** One submitted form. */
+export interface Submission {
+  readonly document: working.JsonObject;
+  readonly base: reviews.Base;
+  /** Texts of the item's fields by field key. */
+  readonly texts: working.FieldTexts;
+  readonly readInForce: InForceReader;
+}
+
+/** What a button leads to: a page, or a file to download. */
+export type ActionResult =
+  | { readonly type: "page"; readonly text: string }
+  | { readonly type: "file"; readonly name: string; readonly text: string };
+
+/** A button's value that no page offers. */
+export class ActionError extends Error {
+  override readonly name = "ActionError";
+}
+
+/** Parts of a button's value, such as `edit runners 3`. */
+interface ActionTarget {
+  readonly section: sections.SectionName;
+  readonly index: number;
+}
+
+type ActionHandler = (
+  submission: Submission,
+  target: ActionTarget,
+) => ActionResult | Promise<ActionResult>;
+
+const MAX_INDEX = 10_000;
+
+/** Handlers by the first word of a button's value. */
+const ACTION_HANDLERS: Readonly<Record<string, ActionHandler>> = {
+  top: (submission) => createTopPage(submission, undefined),
+  "save-top": handleSaveTop,
+  section: (submission, { section }) => createSectionPage(submission, section),
+  edit: (submission, target) => createItemPage(submission, target, undefined),
+  add: (submission, { section }) => {
+    const index = working.listItems(submission.document, section).length;
+    return createItemPage(submission, { section, index }, undefined);
+  },
+  save: handleSave,
+  remove: (submission, { section, index }) => {
+    const document = working.removeItem(submission.document, section, index);
+    return createSectionPage({ ...submission, document }, section);
+  },
+  review: handleReview,
+  revise: handleRevise,
+  download: handleDownload,
+};
+
+/**
+ * Runs the action of a button.
+ *
+ * @throws ActionError when no page offers it.
+ * @example await runAction("edit runners 3", submission);
+ */
+export function runAction(
+  action: string,
+  submission: Submission,
+): ActionResult | Promise<ActionResult> {
+  const [verb = "", section = "callers", index = "0"] = action.split(" ");
+  const isKnown = Object.hasOwn(ACTION_HANDLERS, verb) && sections.isSectionName(section);
+  const handler = isKnown ? ACTION_HANDLERS[verb] : undefined;
+  if (handler === undefined || !sections.isSectionName(section) || !/^\d{1,5}$/.test(index)) {
+    throw new ActionError("unknown action");
+  }
+  if (Number(index) >= MAX_INDEX) throw new ActionError("unknown item");
+  return handler(submission, { section, index: Number(index) });
+}
+
+/** Computes the digest of a document as the nodes do. */
+export function computeDocumentDigest(document: unknown): string {
+  return digests.computeDigest(digests.formatCanonical(document));
+}
+
+/** Creates the page that editing begins with. */
+export function createTopPage(submission: Submission, notice: string | undefined): ActionResult {
+  const { document } = submission;
+  const text = itemPage.renderItemPage(createState(submission), {
+    title: "Operator and revision",
+    path: "",
+    item: document,
+    fields: sections.TOP_LEVEL_FIELDS,
+    document,
+    faults: listFaults(document),
+    saveAction: "save-top",
+    notice,
+  });
+  return { type: "page", text };
+}
+
+function handleSaveTop(submission: Submission): ActionResult {
+  const { document, texts } = submission;
+  const changed = working.applyFields(document, sections.TOP_LEVEL_FIELDS, texts);
+  return createTopPage({ ...submission, document: changed }, "Kept in the document.");
+}
+
+function handleSave(submission: Submission, { section, index }: ActionTarget): ActionResult {
+  const items = working.listItems(submission.document, section);
+  const at = Math.min(index, items.length);
+  const { fields } = sections.SECTIONS[section];
+  const item = working.applyFields(items[at] ?? {}, fields, submission.texts);
+  const document = working.replaceItem(submission.document, section, at, item);
+  const notice = "Kept in the document.";
+  return createItemPage({ ...submission, document }, { section, index: at }, notice);
+}
+
+async function handleReview(submission: Submission): Promise<ActionResult> {
+  const inForce = await submission.readInForce();
+  const { document, base } = submission;
+  const review = reviews.computeReview(document, base, inForce, computeDocumentDigest);
+  return { type: "page", text: reviewPage.renderReviewPage(createState(submission), review) };
+}
+
+async function handleRevise(submission: Submission): Promise<ActionResult> {
+  const inForce = await submission.readInForce();
+  if (inForce.state !== "known") return handleReview(submission);
+  const document = { ...submission.document, revision: inForce.document.revision + 1 };
+  return handleReview({ ...submission, document });
+}
+
+function handleDownload(submission: Submission): ActionResult | Promise<ActionResult> {
+  const validation = documents.validateDocument(submission.document);
+  if (!validation.ok) return handleReview(submission);
+  const { document } = validation;
+  const text = `${JSON.stringify(document, undefined, 2)}\n`;
+  return { type: "file", name: `ebonyhook-${document.revision}.json`, text };
+}
+
+function createSectionPage(submission: Submission, section: sections.SectionName): ActionResult {
+  const { document } = submission;
+  const state = createState(submission);
+  const faults = listFaults(document);
+  return { type: "page", text: sectionPage.renderSectionPage(state, section, document, faults) };
+}
+
+function createItemPage(
+  submission: Submission,
+  { section, index }: ActionTarget,
+  notice: string | undefined,
+): ActionResult {
+  const { document } = submission;
+  const { fields, itemTitle } = sections.SECTIONS[section];
+  const item = working.listItems(document, section)[index];
+  const name = item === undefined ? "new" : sectionPage.formatItemName(item, index);
+  const text = itemPage.renderItemPage(createState(submission), {
+    title: `Edit ${itemTitle}: ${name}`,
+    path: `${section}[${index}]`,
+    item: item ?? {},
+    fields,
+    document,
+    faults: listFaults(document),
+    saveAction: `save ${section} ${index}`,
+    notice,
+  });
+  return { type: "page", text };
+}
+
+function createState(submission: Submission): page.PageState {
+  const { revision, digest } = submission.base;
+  return {
+    documentText: JSON.stringify(submission.document),
+    baseRevision: revision === undefined ? "" : String(revision),
+    baseDigest: digest,
+  };
+}
+
+function listFaults(document: working.JsonObject): readonly documents.DocumentFault[] {
+  const validation = documents.validateDocument(document);
+  return validation.ok ? [] : validation.faults;
+}
--- a/src/console/review.ts
+++ b/src/console/review.ts
@@ -7,7 +7,7 @@
 export type InForce =
   | { readonly state: "known"; readonly document: documents.FleetDocument }
   /** The published document has faults, so that no node applies it. */
-  | { readonly state: "faulty"; readonly revision: number | undefined }
+  | { readonly state: "faulty" }
   /** The console has no platform URL. */
   | { readonly state: "unconfigured" }
   | { readonly state: "unreachable"; readonly reason: string };
--- /dev/null
+++ b/test/console/server.test.ts
@@ -0,0 +1,253 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as fastCheck from "fast-check";
+import type * as hapi from "@hapi/hapi";
+import * as consoleServer from "../../src/console/server.js";
+import * as documents from "../../src/settings/document.js";
+import * as examples from "../settings/examples.js";
+
+const SEED = 5;
+const TOKEN = "console-token-for-tests";
+const CISTY = examples.readExample("cisty-vzduch.json");
+
+type Overrides = Partial<consoleServer.ConsoleSettings>;
+
+function createServer(overrides: Overrides = {}): hapi.Server {
+  return consoleServer.createConsoleServer({
+    host: "127.0.0.1",
+    port: 0,
+    token: undefined,
+    readPublished: () => Promise.resolve(CISTY),
+    ...overrides,
+  });
+}
+
+function sendForm(
+  server: hapi.Server,
+  fields: Record<string, string>,
+  headers: Record<string, string> = {},
+): Promise<hapi.ServerInjectResponse> {
+  return server.inject({
+    method: "POST",
+    url: "/edit",
+    headers: {
+      host: "127.0.0.1",
+      "content-type": "application/x-www-form-urlencoded",
+      ...headers,
+    },
+    payload: new URLSearchParams(fields).toString(),
+  });
+}
+
+function createForm(document: unknown, action: string, base = CISTY): Record<string, string> {
+  return {
+    document: JSON.stringify(document),
+    baseRevision: String(base.revision),
+    baseDigest: "",
+    action,
+  };
+}
+
+/** Returns the document that a page carries. */
+function readDocument(page: string): documents.FleetDocument {
+  const value = /name="document" value="([^"]*)"/.exec(page)?.[1] ?? "";
+  const text = value
+    .replaceAll("&quot;", '"')
+    .replaceAll("&#39;", "'")
+    .replaceAll("&lt;", "<")
+    .replaceAll("&gt;", ">")
+    .replaceAll("&amp;", "&");
+  return JSON.parse(text) as documents.FleetDocument;
+}
+
+test.describe("the console's forms", () => {
+  test.it("keep a change and show its fault beside the field", async () => {
+    const fields = { ...createForm(CISTY, "save runners 0"), "field.zone": "sk-east" };
+    const { payload } = await sendForm(createServer(), fields);
+    earl.expect(readDocument(payload).runners[0]?.zone).toEqual("sk-east");
+    earl.expect(payload).toInclude('<span class="fault" id="zone-fault"><span>unknown zone');
+    earl.expect(payload).toInclude('aria-describedby="zone-hint zone-fault" aria-invalid="true"');
+  });
+
+  test.it("add, edit and remove items, rows and lists", async () => {
+    const server = createServer();
+    const added = await sendForm(server, {
+      ...createForm(CISTY, "save services 1"),
+      "field.name": "notes",
+      "field.displayName": "Poznámky",
+      "field.backends": "notes-1 127.0.0.1 7501 sk-west-a\r\nnotes-2 127.0.0.1 7502 sk-west-b",
+      "field.operations": "POST /notes no 3000",
+    });
+    const document = readDocument(added.payload);
+    earl.expect(documents.validateDocument(document).ok).toEqual(true);
+    earl.expect(document.services[1]?.backends.length).toEqual(2);
+    earl.expect(document.services[1]?.operations[0]?.idempotent).toEqual(false);
+    const removed = await sendForm(server, createForm(document, "remove services 1"));
+    earl.expect(readDocument(removed.payload).services.length).toEqual(1);
+  });
+
+  test.it("keep only the hash of a credential", async () => {
+    const fields = { ...createForm(CISTY, "save callers 0"), "field.credential": "new-secret-1" };
+    const { payload } = await sendForm(createServer(), fields);
+    const hash = readDocument(payload).callers[0]?.credentialSha256;
+    earl.expect(hash === CISTY.callers[0]?.credentialSha256).toEqual(false);
+    earl.expect(payload.includes("new-secret-1")).toEqual(false);
+  });
+
+  test.it("show what a change does and how long it loads", async () => {
+    const models = CISTY.models.map((model) => ({ ...model, version: "4.3" }));
+    const changed = { ...CISTY, revision: 2, models };
+    const { payload } = await sendForm(createServer(), createForm(changed, "review"));
+    earl.expect(payload).toInclude("All loads together take at least 448 s");
+    earl.expect(payload).toInclude("Download revision 2");
+  });
+
+  test.it("download the valid document and nothing else", async () => {
+    const server = createServer();
+    const good = await sendForm(server, createForm(CISTY, "download"));
+    earl
+      .expect(good.headers["content-disposition"])
+      .toEqual('attachment; filename="ebonyhook-1.json"');
+    earl.expect(JSON.parse(good.payload)).toEqual(CISTY);
+    const bad = await sendForm(server, createForm({ ...CISTY, runners: [{}] }, "download"));
+    earl.expect(bad.headers["content-disposition"]).toEqual(undefined);
+    earl.expect(bad.payload).toInclude("runners[0].name");
+  });
+
+  test.it("open a pasted text and an uploaded file", async () => {
+    for (const [name, disposition] of [
+      ["text", 'name="text"'],
+      ["file", 'name="file"; filename="a.json"'],
+    ]) {
+      const type = name === "file" ? "content-type: application/json\r\n" : "";
+      const response = await createServer().inject({
+        method: "POST",
+        url: "/open",
+        headers: { host: "127.0.0.1", "content-type": "multipart/form-data; boundary=b" },
+        payload:
+          `--b\r\ncontent-disposition: form-data; name="action"\r\n\r\n${name ?? ""}\r\n` +
+          `--b\r\ncontent-disposition: form-data; ${disposition ?? ""}\r\n${type}\r\n` +
+          `${JSON.stringify(CISTY)}\r\n--b--\r\n`,
+      });
+      earl.expect(readDocument(response.payload)).toEqual(CISTY);
+    }
+  });
+});
+
+test.describe("the console's warnings", () => {
+  async function readReview(overrides: Overrides, fields: Record<string, string>) {
+    return (await sendForm(createServer(overrides), fields)).payload;
+  }
+
+  test.it("tell that the base revision is no longer in force", async () => {
+    const readPublished = () => Promise.resolve({ ...CISTY, revision: 4 });
+    const page = await readReview({ readPublished }, createForm(CISTY, "review"));
+    earl.expect(page).toInclude("The base revision 1 is no longer in force: revision 4 is.");
+    earl.expect(page).toInclude("Use revision 5");
+  });
+
+  test.it("tell that another document took the same revision", async () => {
+    const other = { ...CISTY, operator: "other" };
+    const readPublished = () => Promise.resolve(other);
+    const page = await readReview({ readPublished }, createForm(CISTY, "review"));
+    earl.expect(page).toInclude("Another document took revision 1 since editing began.");
+    earl.expect(page).toInclude("Another document already has revision 1.");
+  });
+
+  test.it("tell that the platform can't be read", async () => {
+    const readPublished = () => Promise.reject(new Error("down"));
+    const page = await readReview({ readPublished }, createForm(CISTY, "review"));
+    earl.expect(page).toInclude("The platform can&#39;t be read (down)");
+  });
+});
+
+test.describe("the console's access", () => {
+  const form = createForm(CISTY, "top");
+
+  test.it("never stands open beyond loopback without a token", () => {
+    earl.expect(() => createServer({ host: "10.0.0.1" })).toThrow("needs a token");
+  });
+
+  test.it("asks for the token, as password or bearer", async () => {
+    const server = createServer({ token: TOKEN });
+    const basic = `Basic ${Buffer.from(`operator:${TOKEN}`).toString("base64")}`;
+    for (const [authorization, status] of [
+      ["", 401],
+      ["Basic bm9uZQ==", 401],
+      ["Bearer wrong", 401],
+      [basic, 200],
+      [`Bearer ${TOKEN}`, 200],
+    ] as const) {
+      const response = await sendForm(server, form, { authorization });
+      earl.expect(response.statusCode).toEqual(status);
+    }
+  });
+
+  test.it("refuses other sites' forms and names", async () => {
+    const server = createServer();
+    for (const headers of [
+      { "sec-fetch-site": "cross-site" },
+      { origin: "http://evil.example" },
+      { host: "evil.example" },
+    ]) {
+      earl.expect((await sendForm(server, form, headers as never)).statusCode).toEqual(403);
+    }
+  });
+
+  test.it("sets the security headers, also on errors", async () => {
+    const server = createServer();
+    for (const url of ["/", "/none"]) {
+      const { headers } = await server.inject({ url, headers: { host: "localhost" } });
+      earl
+        .expect(headers["content-security-policy"])
+        .toEqual(earl.expect.includes("default-src 'none'"));
+      earl.expect(headers["cache-control"]).toEqual("no-store");
+    }
+  });
+});
+
+test.describe("the console's input", () => {
+  test.it("accepts only what is declared", async () => {
+    const server = createServer();
+    const good = createForm(CISTY, "top");
+    const changes: Record<string, string>[] = [
+      { extra: "1" },
+      { "field.nope": "1" },
+      { action: "explode" },
+      { action: "edit nothing 1" },
+      { action: "edit runners -1" },
+      { document: "[]" },
+      { document: "{" },
+      { baseRevision: "x" },
+    ];
+    for (const change of changes) {
+      earl.expect((await sendForm(server, { ...good, ...change })).statusCode).toEqual(400);
+    }
+  });
+
+  test.it("escapes everything it shows", async () => {
+    const server = createServer();
+    const marker = "<img src=x onerror=alert(1)>\"'";
+    const runners = CISTY.runners.map((runner) => ({ ...runner, name: marker, zone: marker }));
+    const hostile = { ...CISTY, operator: marker, runners };
+    for (const action of ["top", "section runners", "edit runners 0", "review"]) {
+      const { payload } = await sendForm(server, createForm(hostile, action));
+      earl.expect(payload.includes("<img")).toEqual(false);
+      earl.expect(readDocument(payload).operator).toEqual(marker);
+    }
+  });
+
+  test.it("shows a page for any JSON in place of the document", async () => {
+    const server = createServer();
+    const actions = fastCheck.constantFrom("top", "section runners", "edit callers 0", "review");
+    const document = fastCheck.record(
+      { operator: fastCheck.json(), runners: fastCheck.array(fastCheck.jsonValue()) },
+      { requiredKeys: [] },
+    );
+    const property = fastCheck.asyncProperty(document, actions, async (value, action) => {
+      const response = await sendForm(server, createForm({ ...CISTY, ...value }, action));
+      earl.expect(response.statusCode).toEqual(200);
+    });
+    await fastCheck.assert(property, { seed: SEED, numRuns: 60 });
+  });
+});
