--- a/src/telemetry/log.ts
+++ b/src/telemetry/log.ts
@@ -22,17 +22,6 @@
   ),
 };
 
-/** Key under which winston keeps the formatted line of an entry. */
-const FORMATTED_LINE = Symbol.for("message");
-
-/** Writes formatted lines to standard output. */
-class StandardOutput extends winston.transport {
-  override log(entry: Record<symbol, unknown>, next: () => void): void {
-    process.stdout.write(`${String(entry[FORMATTED_LINE])}\n`);
-    next();
-  }
-}
-
 class WinstonEventLog implements types.EventLog, AsyncDisposable {
   readonly #logger: winston.Logger;
 
@@ -62,7 +51,9 @@
     level: logLevel,
     format: FORMATS[logFormat],
     defaultMeta: { node: vm },
-    transports: [new StandardOutput()],
+    // winston's own types name the class of its transports through a namespace import.
+    // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
+    transports: [new winston.transports.Console()],
   });
   return new WinstonEventLog(logger);
 }
