--- a/src/cli/settings-options.ts
+++ b/src/cli/settings-options.ts
@@ -10,8 +10,10 @@
     description: formatDescription(definition),
     type: cmd.optional(cmd.string),
   });
-  const helpTopics = () => option.helpTopics().map((topic) => ({ ...topic, defaults: [] }));
-  return { ...option, helpTopics };
+  return {
+    ...option,
+    helpTopics: () => option.helpTopics().map((topic) => ({ ...topic, defaults: [] })),
+  };
 }
 
 /**
--- a/src/client/address-book.ts
+++ b/src/client/address-book.ts
@@ -93,7 +93,7 @@
     let lastError: unknown;
     for (const node of this.#listCandidates()) {
       try {
-        const answer = await this.#askNode(node, signal);
+        const answer = await this.#callNode(node, signal);
         this.#answer = answer;
         this.#known = answer.addresses;
         return answer;
@@ -105,7 +105,7 @@
     throw createAskError(lastError);
   }
 
-  async #askNode(node: NodeAddress, signal: AbortSignal): Promise<AddressAnswer> {
+  async #callNode(node: NodeAddress, signal: AbortSignal): Promise<AddressAnswer> {
     const response = await exchange.sendRequest(
       this.#clock,
       node,
