--- a/src/console/item-page.ts
+++ b/src/console/item-page.ts
@@ -77,7 +77,11 @@
     working.findValue(form.item, field.key),
     field.columns,
   );
-  const attributes = html.renderHtml`id="${id}" name="${FIELD_PREFIX}${field.key}" aria-describedby="${id}-hint ${id}-fault" aria-invalid="${faults.length === 0 ? "false" : "true"}"`;
+  const described = [
+    ...(hint === undefined ? [] : [`${id}-hint`]),
+    ...(invalid === undefined ? [] : [`${id}-fault`]),
+  ].join(" ");
+  const attributes = html.renderHtml`id="${id}" name="${FIELD_PREFIX}${field.key}" aria-describedby="${described}" aria-invalid="${faults.length === 0 ? "false" : "true"}"`;
   const input = INPUT_RENDERERS[field.kind](
     attributes,
     value,
--- a/src/console/page.ts
+++ b/src/console/page.ts
@@ -35,7 +35,7 @@
   return page.text;
 }
 
-/** Renders a form that carries the document, with the menu of sections after its content. */
+/** Renders a form that carries the document, with the menu of sections before its content. */
 export function renderDocumentForm(
   state: PageState,
   content: html.SafeHtml,
@@ -46,8 +46,8 @@
 <input type="hidden" name="baseRevision" value="${state.baseRevision}">
 <input type="hidden" name="baseDigest" value="${state.baseDigest}">
 ${defaultAction === undefined ? undefined : renderDefaultButton(defaultAction)}
-${content}
 ${renderMenu()}
+${content}
 </form>`;
 }
 
--- a/src/console/review-page.ts
+++ b/src/console/review-page.ts
@@ -38,7 +38,7 @@
   if (list.length === 0) return html.renderHtml`<p>No runner, backend or caller is affected.</p>`;
   const rows = list.map(
     (effect) => html.renderHtml`<tr><td>${effect.kind}</td><td>${effect.target}</td>
-<td>${effect.message}</td><td>${formatSeconds(effect.loadMs)}</td></tr>`,
+<td>${effect.message}</td><td>${effect.loadMs === 0 ? "none" : formatSeconds(effect.loadMs)}</td></tr>`,
   );
   return html.renderHtml`<table>
 <thead><tr><th scope="col">Effect</th><th scope="col">On</th><th scope="col">What happens</th>
--- a/src/console/style.ts
+++ b/src/console/style.ts
@@ -7,8 +7,8 @@
 header { padding: 0.6rem 1.5rem; border-bottom: 1px solid #8888; font-weight: 600; }
 main { padding: 0 1.5rem 2rem; max-width: 75rem; }
 form.document { display: flex; flex-direction: column; gap: 0.8rem; }
-nav { display: flex; flex-wrap: wrap; gap: 0.4rem; margin-top: 1.5rem; padding-top: 1rem;
-  border-top: 1px solid #8888; }
+nav { display: flex; flex-wrap: wrap; gap: 0.4rem; padding-bottom: 0.8rem;
+  border-bottom: 1px solid #8888; }
 button, input, select, textarea { font: inherit; padding: 0.3rem 0.6rem; }
 input[type="text"], input[type="password"], select { min-width: 20rem; }
 textarea { max-width: 100%; font-family: ui-monospace, monospace; }
--- /dev/null
+++ b/src/settings/checked-items.ts
@@ -0,0 +1,89 @@
+/** Reads the valid items of a document that may have faults elsewhere. */
+import type * as documents from "./document.js";
+
+/** An item that is valid by itself, and its place in the section. */
+export interface Placed<Item> {
+  readonly index: number;
+  readonly item: Item;
+}
+
+/** Parsers of the items of each section; they return `undefined` for an item with faults. */
+export type ItemParsers = {
+  readonly [Section in documents.SectionName]: (
+    item: unknown,
+  ) => documents.FleetDocument[Section][number] | undefined;
+};
+
+/** The valid items of each section, and the names that other items may refer to. */
+export interface CheckedItems {
+  readonly regions: readonly Placed<documents.Region>[];
+  readonly callers: readonly Placed<documents.Caller>[];
+  readonly models: readonly Placed<documents.Model>[];
+  readonly pools: readonly Placed<documents.Pool>[];
+  readonly runners: readonly Placed<documents.Runner>[];
+  readonly services: readonly Placed<documents.PlainService>[];
+  readonly links: readonly Placed<documents.Link>[];
+  readonly zoneNames: ReadonlySet<string>;
+  readonly modelNames: ReadonlySet<string>;
+  readonly poolNames: ReadonlySet<string>;
+  readonly serviceNames: ReadonlySet<string>;
+}
+
+/**
+ * Reads the items that are valid by themselves. The names of the others count as known, so that
+ * one fault does not bring forth more.
+ */
+export function readCheckedItems(input: unknown, parsers: ItemParsers): CheckedItems {
+  const zones = listRawItems(input, "regions").flatMap((region) => listEntries(region, "zones"));
+  return {
+    regions: listValid(input, "regions", parsers.regions),
+    callers: listValid(input, "callers", parsers.callers),
+    models: listValid(input, "models", parsers.models),
+    pools: listValid(input, "pools", parsers.pools),
+    runners: listValid(input, "runners", parsers.runners),
+    services: listValid(input, "services", parsers.services),
+    links: listValid(input, "links", parsers.links),
+    zoneNames: createNameSet(zones),
+    modelNames: createNameSet(listRawNames(input, "models")),
+    poolNames: createNameSet(listRawNames(input, "pools")),
+    serviceNames: createNameSet(listRawNames(input, "services")),
+  };
+}
+
+/** Returns each item with its place. */
+export function listPlaced<Item>(items: readonly Item[]): readonly Placed<Item>[] {
+  return items.map((item, index) => ({ item, index }));
+}
+
+function listValid<Item>(
+  input: unknown,
+  section: documents.SectionName,
+  parse: (item: unknown) => Item | undefined,
+): readonly Placed<Item>[] {
+  return listRawItems(input, section).flatMap((raw, index) => {
+    const item = parse(raw);
+    return item === undefined ? [] : [{ item, index }];
+  });
+}
+
+function listRawItems(input: unknown, section: documents.SectionName): readonly unknown[] {
+  return listEntries(input, section);
+}
+
+function listRawNames(input: unknown, section: documents.SectionName): readonly unknown[] {
+  return listRawItems(input, section).map((item) => findProperty(item, "name"));
+}
+
+function listEntries(value: unknown, key: string): readonly unknown[] {
+  const list = findProperty(value, key);
+  return Array.isArray(list) ? (list as readonly unknown[]) : [];
+}
+
+function findProperty(value: unknown, key: string): unknown {
+  if (typeof value !== "object" || value === null) return undefined;
+  return (value as Readonly<Record<string, unknown>>)[key];
+}
+
+function createNameSet(names: readonly unknown[]): ReadonlySet<string> {
+  return new Set(names.filter((name): name is string => typeof name === "string"));
+}
--- a/src/settings/document-effects.ts
+++ b/src/settings/document-effects.ts
@@ -37,6 +37,7 @@
 }
 
 const MS_PER_SECOND = 1000;
+const BYTES_PER_GIGABYTE = 1_000_000_000;
 
 /**
  * Computes the effects of replacing `before` by `after`.
@@ -177,7 +178,7 @@
 ): DocumentEffect {
   const loadBytes = model.weightBytes;
   const loadMs = (loadBytes / document.weightStore.bytesPerSecond) * MS_PER_SECOND;
-  const message = `loads ${formatModel(model)}, ${loadBytes} bytes`;
+  const message = `loads ${formatModel(model)}, ${formatGigabytes(loadBytes)}`;
   return { kind: EFFECT_KIND.load, target, message, loadBytes, loadMs };
 }
 
@@ -188,3 +189,7 @@
 function formatModel(model: documents.Model): string {
   return `${model.name} ${model.version}`;
 }
+
+function formatGigabytes(bytes: number): string {
+  return `${(bytes / BYTES_PER_GIGABYTE).toFixed(1)} GB`;
+}
--- a/src/settings/document-references.ts
+++ b/src/settings/document-references.ts
@@ -1,5 +1,6 @@
 /** Checks of a document that span several of its items: references, duplicates and conflicts. */
 import type * as documents from "./document.js";
+import * as checkedItems from "./checked-items.js";
 import * as operations from "./operations.js";
 
 type Fault = documents.DocumentFault;
@@ -10,27 +11,29 @@
 }
 
 /**
- * Lists the faults of a document whose items are each valid by themselves.
+ * Lists the faults that span several items. An item with faults of its own is left out, but its
+ * name counts as known.
  *
- * @example checkReferences(document).length === 0;
+ * @example checkReferences(input, parsers).length === 0;
  */
-export function checkReferences(document: documents.FleetDocument): Fault[] {
+export function checkReferences(input: unknown, parsers: checkedItems.ItemParsers): Fault[] {
+  const items = checkedItems.readCheckedItems(input, parsers);
   return [
-    ...checkZones(document),
-    ...checkCallers(document),
-    ...checkModels(document),
-    ...checkPools(document),
-    ...checkRunners(document),
-    ...checkServices(document),
-    ...checkLinks(document),
-    ...checkAddresses(document),
+    ...checkZones(items),
+    ...checkCallers(items),
+    ...checkModels(items),
+    ...checkPools(items),
+    ...checkRunners(items),
+    ...checkServices(items),
+    ...checkLinks(items),
+    ...checkAddresses(items),
   ];
 }
 
-function checkZones(document: documents.FleetDocument): Fault[] {
-  const faults = checkDuplicates("regions", document.regions);
+function checkZones(items: checkedItems.CheckedItems): Fault[] {
+  const faults = checkDuplicates("regions", items.regions);
   const regionByZone = new Map<string, string>();
-  document.regions.forEach((region, regionIndex) => {
+  items.regions.forEach(({ item: region, index: regionIndex }) => {
     region.zones.forEach((zone, zoneIndex) => {
       const path = `regions[${regionIndex}].zones[${zoneIndex}]`;
       const other = regionByZone.get(zone);
@@ -43,15 +46,13 @@
   return faults;
 }
 
-function checkCallers(document: documents.FleetDocument): Fault[] {
-  const faults = checkDuplicates("callers", document.callers);
-  const models = listNames(document.models);
-  const services = listNames(document.services);
+function checkCallers(items: checkedItems.CheckedItems): Fault[] {
+  const faults = checkDuplicates("callers", items.callers);
   const callerByHash = new Map<string, string>();
-  document.callers.forEach((caller, index) => {
+  items.callers.forEach(({ item: caller, index: index }) => {
     const path = `callers[${index}]`;
-    faults.push(...checkKnown(`${path}.models`, "model", caller.models, models));
-    faults.push(...checkKnown(`${path}.services`, "service", caller.services, services));
+    faults.push(...checkKnown(`${path}.models`, "model", caller.models, items.modelNames));
+    faults.push(...checkKnown(`${path}.services`, "service", caller.services, items.serviceNames));
     faults.push(...checkTolerance(`${path}.tolerance`, caller.tolerance));
     const other = callerByHash.get(caller.credentialSha256);
     if (other !== undefined) {
@@ -76,26 +77,25 @@
   return faults;
 }
 
-function checkModels(document: documents.FleetDocument): Fault[] {
-  const faults = checkDuplicates("models", document.models);
-  document.models.forEach((model, index) => {
+function checkModels(items: checkedItems.CheckedItems): Fault[] {
+  const faults = checkDuplicates("models", items.models);
+  items.models.forEach(({ item: model, index: index }) => {
     faults.push(...checkRepeated(`models[${index}].adapters`, "adapter", model.adapters));
   });
   return faults;
 }
 
-function checkPools(document: documents.FleetDocument): Fault[] {
-  const faults = checkDuplicates("pools", document.pools);
-  const models = listNames(document.models);
-  document.pools.forEach((pool, index) => {
+function checkPools(items: checkedItems.CheckedItems): Fault[] {
+  const faults = checkDuplicates("pools", items.pools);
+  items.pools.forEach(({ item: pool, index: index }) => {
     const path = `pools[${index}]`;
-    if (!models.has(pool.model)) {
+    if (!items.modelNames.has(pool.model)) {
       faults.push({ path: `${path}.model`, reason: `unknown model "${pool.model}"` });
       return;
     }
     const partner = pool.role === "prefill" ? "decode" : "prefill";
-    const hasPartner = document.pools.some(
-      (other) => other.model === pool.model && other.role === partner,
+    const hasPartner = items.pools.some(
+      ({ item: other }) => other.model === pool.model && other.role === partner,
     );
     if (!hasPartner) {
       const reason = `model "${pool.model}" has no ${partner} pool`;
@@ -105,30 +105,27 @@
   return faults;
 }
 
-function checkRunners(document: documents.FleetDocument): Fault[] {
-  const faults = checkDuplicates("runners", document.runners);
-  const zones = listZones(document);
-  const pools = listNames(document.pools);
-  document.runners.forEach((runner, index) => {
+function checkRunners(items: checkedItems.CheckedItems): Fault[] {
+  const faults = checkDuplicates("runners", items.runners);
+  items.runners.forEach(({ item: runner, index: index }) => {
     const path = `runners[${index}]`;
-    if (!zones.has(runner.zone)) {
+    if (!items.zoneNames.has(runner.zone)) {
       faults.push({ path: `${path}.zone`, reason: `unknown zone "${runner.zone}"` });
     }
-    if (!pools.has(runner.pool)) {
+    if (!items.poolNames.has(runner.pool)) {
       faults.push({ path: `${path}.pool`, reason: `unknown pool "${runner.pool}"` });
     }
   });
   return faults;
 }
 
-function checkServices(document: documents.FleetDocument): Fault[] {
-  const faults = checkDuplicates("services", document.services);
-  const zones = listZones(document);
-  document.services.forEach((service, index) => {
+function checkServices(items: checkedItems.CheckedItems): Fault[] {
+  const faults = checkDuplicates("services", items.services);
+  items.services.forEach(({ item: service, index: index }) => {
     const path = `services[${index}]`;
-    faults.push(...checkDuplicates(`${path}.backends`, service.backends));
+    faults.push(...checkDuplicates(`${path}.backends`, checkedItems.listPlaced(service.backends)));
     service.backends.forEach((backend, backendIndex) => {
-      if (zones.has(backend.zone)) return;
+      if (items.zoneNames.has(backend.zone)) return;
       const reason = `unknown zone "${backend.zone}"`;
       faults.push({ path: `${path}.backends[${backendIndex}].zone`, reason });
     });
@@ -155,14 +152,13 @@
   return faults;
 }
 
-function checkLinks(document: documents.FleetDocument): Fault[] {
+function checkLinks(items: checkedItems.CheckedItems): Fault[] {
   const faults: Fault[] = [];
-  const zones = listZones(document);
   const seen = new Set<string>();
-  document.links.forEach((link, index) => {
+  items.links.forEach(({ item: link, index: index }) => {
     const path = `links[${index}]`;
     for (const end of ["from", "to"] as const) {
-      if (zones.has(link[end])) continue;
+      if (items.zoneNames.has(link[end])) continue;
       faults.push({ path: `${path}.${end}`, reason: `unknown zone "${link[end]}"` });
     }
     const key = JSON.stringify([link.from, link.to]);
@@ -175,7 +171,7 @@
 }
 
 /** Checks that no two upstreams share an address. */
-function checkAddresses(document: documents.FleetDocument): Fault[] {
+function checkAddresses(items: checkedItems.CheckedItems): Fault[] {
   const faults: Fault[] = [];
   const pathByAddress = new Map<string, string>();
   const checkAddress = (path: string, host: string, port: number): void => {
@@ -187,10 +183,10 @@
     }
     faults.push({ path: `${path}.port`, reason: `address ${address} is also that of ${other}` });
   };
-  document.runners.forEach((runner, index) => {
+  items.runners.forEach(({ item: runner, index: index }) => {
     checkAddress(`runners[${index}]`, runner.host, runner.port);
   });
-  document.services.forEach((service, index) => {
+  items.services.forEach(({ item: service, index: index }) => {
     service.backends.forEach((backend, backendIndex) => {
       checkAddress(`services[${index}].backends[${backendIndex}]`, backend.host, backend.port);
     });
@@ -198,10 +194,10 @@
   return faults;
 }
 
-function checkDuplicates(path: string, items: readonly Named[]): Fault[] {
+function checkDuplicates(path: string, items: readonly checkedItems.Placed<Named>[]): Fault[] {
   const seen = new Set<string>();
   const faults: Fault[] = [];
-  items.forEach((item, index) => {
+  items.forEach(({ item, index }) => {
     if (seen.has(item.name)) {
       faults.push({ path: `${path}[${index}].name`, reason: `duplicate name "${item.name}"` });
     }
@@ -232,14 +228,6 @@
   );
 }
 
-function listNames(items: readonly Named[]): ReadonlySet<string> {
-  return new Set(items.map((item) => item.name));
-}
-
-function listZones(document: documents.FleetDocument): ReadonlySet<string> {
-  return new Set(document.regions.flatMap((region) => region.zones));
-}
-
 function formatOperation(operation: documents.Operation | undefined): string {
   return operation === undefined ? "" : `${operation.method} ${operation.path}`;
 }
--- a/src/settings/document.ts
+++ b/src/settings/document.ts
@@ -1,5 +1,6 @@
 /** The one validated document that says what the fleet does. Shared by node, console and command line. */
 import * as zod from "zod";
+import type * as checkedItems from "./checked-items.js";
 import * as references from "./document-references.js";
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/;
@@ -113,6 +114,8 @@
 
 /** A valid document. */
 export type FleetDocument = zod.infer<typeof documentSchema>;
+/** A region and its zones. */
+export type Region = zod.infer<typeof region>;
 /** A calling team or service. */
 export type Caller = zod.infer<typeof caller>;
 /** A model. */
@@ -142,24 +145,35 @@
   | { readonly ok: true; readonly document: FleetDocument }
   | { readonly ok: false; readonly faults: readonly DocumentFault[] };
 
+/** Names of the sections that are lists of items. */
+export type SectionName =
+  "regions" | "callers" | "models" | "pools" | "runners" | "services" | "links";
+
+const ITEM_PARSERS: checkedItems.ItemParsers = {
+  regions: (item) => region.safeParse(item).data,
+  callers: (item) => caller.safeParse(item).data,
+  models: (item) => model.safeParse(item).data,
+  pools: (item) => pool.safeParse(item).data,
+  runners: (item) => runner.safeParse(item).data,
+  services: (item) => plainService.safeParse(item).data,
+  links: (item) => link.safeParse(item).data,
+};
+
 /**
  * Validates a document and lists every fault with its path.
  *
- * References between items are checked once each item by itself is valid.
- *
  * @example const result = validateDocument(JSON.parse(text)); if (!result.ok) print(result.faults);
  */
 export function validateDocument(input: unknown): Validation {
   const parsed = documentSchema.safeParse(input);
-  if (!parsed.success) {
-    const faults = parsed.error.issues.map((issue) => ({
-      path: formatPath(issue.path),
-      reason: issue.message,
-    }));
-    return { ok: false, faults };
-  }
-  const faults = [...checkSize(parsed.data), ...references.checkReferences(parsed.data)];
-  return faults.length === 0 ? { ok: true, document: parsed.data } : { ok: false, faults };
+  const issues = parsed.error?.issues ?? [];
+  const faults = [
+    ...issues.map((issue) => ({ path: formatPath(issue.path), reason: issue.message })),
+    ...checkSize(input),
+    ...references.checkReferences(input, ITEM_PARSERS),
+  ];
+  const isValid = parsed.success && faults.length === 0;
+  return isValid ? { ok: true, document: parsed.data } : { ok: false, faults };
 }
 
 /**
@@ -171,8 +185,9 @@
   return zod.toJSONSchema(documentSchema);
 }
 
-function checkSize(document: FleetDocument): readonly DocumentFault[] {
-  const bytes = Buffer.byteLength(JSON.stringify(document));
+function checkSize(input: unknown): readonly DocumentFault[] {
+  const text = JSON.stringify(input) as string | undefined;
+  const bytes = Buffer.byteLength(text ?? "");
   if (bytes <= MAX_DOCUMENT_BYTES) return [];
   return [{ path: "", reason: `has ${bytes} bytes, at most ${MAX_DOCUMENT_BYTES} are allowed` }];
 }
--- a/test/settings/document.test.ts
+++ b/test/settings/document.test.ts
@@ -1,5 +1,6 @@
 import * as test from "node:test";
 import * as earl from "earl";
+import * as fastCheck from "fast-check";
 import * as documents from "../../src/settings/document.js";
 import * as examples from "./examples.js";
 
@@ -129,6 +130,22 @@
     earl.expect(paths).toEqual(["callers[0].models[0]", "runners[0].zone"]);
   });
 
+  test.it("lists faults of one item beside those that span items", () => {
+    const paths = listFaultPaths((document) => {
+      getFirst(document.runners).port = 70_000;
+      getFirst(document.runners.slice(1)).zone = "epe";
+      getFirst(document.pools).name = "Iono";
+    });
+    earl.expect(paths).toInclude("runners[0].port", "runners[1].zone", "pools[0].name");
+  });
+
+  test.it("lists faults of any JSON without failing", () => {
+    const property = fastCheck.property(fastCheck.jsonValue(), (value) => {
+      earl.expect(documents.validateDocument(value).ok).toEqual(false);
+    });
+    fastCheck.assert(property, { seed: 3, numRuns: 300 });
+  });
+
   test.it("keeps the operators' names with their diacritics", () => {
     const document = examples.readExample("cisty-vzduch.json");
     earl.expect(document.operator).toEqual("Čistý Vzduch Servis, o.z.");
