--- a/src/settings/document.ts
+++ b/src/settings/document.ts
@@ -159,6 +159,17 @@
   links: (item) => link.safeParse(item).data,
 };
 
+/** Parsers of items that are known to be valid. */
+const TRUSTING_PARSERS: checkedItems.ItemParsers = {
+  regions: (item) => item as Region,
+  callers: (item) => item as Caller,
+  models: (item) => item as Model,
+  pools: (item) => item as Pool,
+  runners: (item) => item as Runner,
+  services: (item) => item as PlainService,
+  links: (item) => item as Link,
+};
+
 /**
  * Validates a document and lists every fault with its path.
  *
@@ -167,10 +178,11 @@
 export function validateDocument(input: unknown): Validation {
   const parsed = documentSchema.safeParse(input);
   const issues = parsed.error?.issues ?? [];
+  const parsers = parsed.success ? TRUSTING_PARSERS : ITEM_PARSERS;
   const faults = [
     ...issues.map((issue) => ({ path: formatPath(issue.path), reason: issue.message })),
     ...checkSize(input),
-    ...references.checkReferences(input, ITEM_PARSERS),
+    ...references.checkReferences(input, parsers),
   ];
   const isValid = parsed.success && faults.length === 0;
   return isValid ? { ok: true, document: parsed.data } : { ok: false, faults };
