--- /dev/null
+++ b/standins/demo-checks.ts
@@ -0,0 +1,239 @@
+/** What the demo checks, each against judges outside the router. */
+import * as callerClient from "../src/client/caller-client.js";
+import type * as results from "../src/client/results.js";
+import * as expectedTokens from "./engine/expected-tokens.js";
+import type * as processFleet from "./process-fleet.js";
+
+const HOST = "127.0.0.1";
+const MAX_TOKENS = 48;
+const LOAD_REQUESTS = 60;
+const KILL_AFTER_REQUESTS = 20;
+const RELEASE_WAIT_MS = 3_000;
+const POLL_MS = 50;
+
+/** A deployment and the calls that stand for it. */
+export interface Deployment {
+  readonly file: string;
+  readonly modelCaller: string;
+  readonly plainCaller: string;
+  readonly service: string;
+  readonly nonIdempotent: { readonly method: string; readonly path: string };
+  readonly idempotent: { readonly method: string; readonly path: string };
+  readonly prompt: string;
+}
+
+/** One check; returns what was missed. */
+export interface DemoCheck {
+  readonly name: string;
+  run(fleet: processFleet.ProcessFleet, deployment: Deployment): Promise<string | undefined>;
+}
+
+/** The checks in their order; each leaves the fleet usable for the next. */
+export const DEMO_CHECKS: readonly DemoCheck[] = [
+  { name: "a streamed model answer is whole", run: checkStreamedAnswer },
+  { name: "a whole model answer carries its usage", run: checkWholeAnswer },
+  { name: "an idempotent plain call is answered", run: checkIdempotentCall },
+  { name: "a non-idempotent call sent twice under one id runs once", run: checkRunsOnce },
+  { name: "a caller that leaves frees the engines", run: checkCallerLeaves },
+  { name: "killing a node under load loses no repeatable request", run: checkKilledNode },
+  { name: "draining a node cuts off nothing", run: checkDrainedNode },
+];
+
+/** Creates a client of the fleet in a caller's name. */
+export function createClient(
+  fleet: processFleet.ProcessFleet,
+  caller: string,
+): callerClient.CallerClient {
+  const nodes = fleet.places.map((place) => ({ host: HOST, port: place.callerPort }));
+  return new callerClient.CallerClient({ nodes, credential: `demo-${caller}` });
+}
+
+function createRequest(fleet: processFleet.ProcessFleet, prompt: string): results.ModelRequest {
+  return { model: fleet.document.models[0]?.name ?? "", maxTokens: MAX_TOKENS, prompt };
+}
+
+/** Returns the text that the engines generate for a prompt. */
+export function computeExpectedText(prompt: string): string {
+  return expectedTokens.computeExpectedTokens(prompt, MAX_TOKENS).join("");
+}
+
+async function checkStreamedAnswer(
+  fleet: processFleet.ProcessFleet,
+  deployment: Deployment,
+): Promise<string | undefined> {
+  const client = createClient(fleet, deployment.modelCaller);
+  const prompt = `${deployment.prompt}streamed`;
+  for await (const event of client.streamModel(createRequest(fleet, prompt))) {
+    if (event.type === "failed") return event.failure.message;
+    if (event.type === "end") return compareText(event.answer.text, prompt);
+  }
+  return "no end";
+}
+
+async function checkWholeAnswer(
+  fleet: processFleet.ProcessFleet,
+  deployment: Deployment,
+): Promise<string | undefined> {
+  const prompt = `${deployment.prompt}whole`;
+  const client = createClient(fleet, deployment.modelCaller);
+  const answer = await client.sendModel(createRequest(fleet, prompt));
+  if (!answer.ok) return answer.message;
+  if (answer.usage.completionTokens === 0) return "no usage";
+  return compareText(answer.text, prompt);
+}
+
+async function checkIdempotentCall(
+  fleet: processFleet.ProcessFleet,
+  deployment: Deployment,
+): Promise<string | undefined> {
+  const client = createClient(fleet, deployment.plainCaller);
+  const { service, idempotent } = deployment;
+  const answer = await client.callService({ service, ...idempotent, idempotent: true });
+  return answer.ok && answer.status === 200 ? undefined : JSON.stringify(answer);
+}
+
+/** Sends one id to two nodes at once, past the client that would not do so. */
+async function checkRunsOnce(
+  fleet: processFleet.ProcessFleet,
+  deployment: Deployment,
+): Promise<string | undefined> {
+  const authorization = `Bearer demo-${deployment.plainCaller}`;
+  const [first, second] = fleet.places;
+  if (first === undefined || second === undefined) return "two nodes are needed";
+  const asked = await fetch(`http://${HOST}:${first.callerPort}/v1/address`, {
+    headers: { authorization },
+  });
+  const { session } = (await asked.json()) as { session: string };
+  const id = `${session}.1`;
+  const { method, path } = deployment.nonIdempotent;
+  const responses = await Promise.all(
+    [first, second].map((place, index) =>
+      fetch(`http://${HOST}:${place.callerPort}/services/${deployment.service}${path}`, {
+        method,
+        headers: { authorization, "idempotency-key": id, "x-attempt": String(index + 1) },
+        body: "{}",
+      }),
+    ),
+  );
+  const executions = await countExecutions(fleet, deployment, id);
+  if (executions !== 1) return `ran ${executions} times`;
+  return responses.every((response) => response.ok)
+    ? undefined
+    : responses.map((response) => response.status).join(" ");
+}
+
+/** Asks every backend how often it ran an id. */
+export async function countExecutions(
+  fleet: processFleet.ProcessFleet,
+  deployment: Deployment,
+  id: string,
+): Promise<number> {
+  const service = fleet.document.services.find((each) => each.name === deployment.service);
+  let total = 0;
+  for (const backend of service?.backends ?? []) {
+    const report = await readJudge<{ executions: Record<string, number> }>(backend.port);
+    total += report.executions[id] ?? 0;
+  }
+  return total;
+}
+
+async function checkCallerLeaves(
+  fleet: processFleet.ProcessFleet,
+  deployment: Deployment,
+): Promise<string | undefined> {
+  const client = createClient(fleet, deployment.modelCaller);
+  const abort = new AbortController();
+  const request = createRequest(fleet, `${deployment.prompt}left #tokens=4000`);
+  const long = { ...request, maxTokens: 1_000 };
+  for await (const event of client.streamModel(long, { signal: abort.signal })) {
+    if (event.type === "token" && event.offset >= 2) abort.abort();
+    if (event.type !== "token") break;
+  }
+  return waitUntilNothingHeld(fleet);
+}
+
+/** Returns what engines still hold after three seconds. */
+export async function waitUntilNothingHeld(
+  fleet: processFleet.ProcessFleet,
+): Promise<string | undefined> {
+  const giveUpAt = Date.now() + RELEASE_WAIT_MS;
+  for (;;) {
+    const held = await countHeld(fleet);
+    if (held === 0) return undefined;
+    if (Date.now() > giveUpAt) return `${held} requests still held`;
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+}
+
+async function countHeld(fleet: processFleet.ProcessFleet): Promise<number> {
+  let held = 0;
+  for (const runner of fleet.document.runners) {
+    const report = await readJudge<{ slotsHeld: unknown[] }>(runner.port);
+    held += report.slotsHeld.length;
+  }
+  return held;
+}
+
+async function checkKilledNode(
+  fleet: processFleet.ProcessFleet,
+  deployment: Deployment,
+): Promise<string | undefined> {
+  const [victim] = fleet.places;
+  if (victim === undefined) return "no node";
+  const misses = await runLoad(fleet, deployment, "kill", () => {
+    fleet.getProcess(victim.vm).send("SIGKILL");
+  });
+  await fleet.startNode(victim);
+  return misses;
+}
+
+async function checkDrainedNode(
+  fleet: processFleet.ProcessFleet,
+  deployment: Deployment,
+): Promise<string | undefined> {
+  const victim = fleet.places[1];
+  if (victim === undefined) return "two nodes are needed";
+  const leaving = fleet.getProcess(victim.vm);
+  const misses = await runLoad(fleet, deployment, "drain", () => {
+    leaving.send("SIGTERM");
+  });
+  const code = await leaving.exited;
+  return misses ?? (code === 0 ? undefined : `the drained node exited with ${String(code)}`);
+}
+
+/** Sends requests one shortly after the other and strikes in their midst. */
+async function runLoad(
+  fleet: processFleet.ProcessFleet,
+  deployment: Deployment,
+  label: string,
+  strike: () => void,
+): Promise<string | undefined> {
+  const pending: Promise<string | undefined>[] = [];
+  for (let number = 0; number < LOAD_REQUESTS; number += 1) {
+    if (number === KILL_AFTER_REQUESTS) strike();
+    pending.push(sendOne(fleet, deployment, `${deployment.prompt}${label} ${number}`));
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+  const misses = (await Promise.all(pending)).filter((miss) => miss !== undefined);
+  return misses.length === 0 ? undefined : `${misses.length} of ${LOAD_REQUESTS}: ${misses[0]}`;
+}
+
+async function sendOne(
+  fleet: processFleet.ProcessFleet,
+  deployment: Deployment,
+  prompt: string,
+): Promise<string | undefined> {
+  const client = createClient(fleet, deployment.modelCaller);
+  const answer = await client.sendModel(createRequest(fleet, prompt));
+  return answer.ok ? compareText(answer.text, prompt) : `${String(answer.code)} ${answer.message}`;
+}
+
+function compareText(text: string, prompt: string): string | undefined {
+  return text === computeExpectedText(prompt) ? undefined : `the answer is not whole: ${text}`;
+}
+
+/** Reads what a stand-in reports to judges. */
+export async function readJudge<Report>(port: number): Promise<Report> {
+  const response = await fetch(`http://${HOST}:${port}/judge`);
+  return (await response.json()) as Report;
+}
--- /dev/null
+++ b/standins/platform.ts
@@ -0,0 +1,154 @@
+/** The platform's stand-in: configuration service with read and watch, and a lagging VM list. */
+import type * as clocks from "../src/kernel/clock.js";
+import type * as types from "../src/platform/types.js";
+
+/** How the service misbehaves. */
+export interface PlatformFaults {
+  /** Answers nothing but errors. */
+  readonly outage: boolean;
+  /** Answers with the document of this revision, as a stale replica does. */
+  readonly staleRevision: number | undefined;
+}
+
+/** Calls received; a waiting watch counts as one. */
+export interface PlatformReport {
+  readonly reads: number;
+  readonly watches: number;
+  readonly vmLists: number;
+  readonly total: number;
+}
+
+interface ListVersion {
+  readonly publishedAt: number;
+  readonly vms: readonly types.ListedVm[];
+}
+
+/** A call came during an outage. */
+export class PlatformOutage extends Error {
+  override readonly name = "PlatformOutage";
+}
+
+const NO_FAULTS: PlatformFaults = { outage: false, staleRevision: undefined };
+const MAX_DOCUMENTS = 1_000;
+
+/**
+ * State of the platform, served in-process or over HTTP.
+ *
+ * @example
+ * const platform = new Platform(clock);
+ * platform.publish({ revision: 1, document });
+ */
+export class Platform {
+  readonly #clock: clocks.Clock;
+  readonly #documents: types.PublishedDocument[] = [];
+  readonly #watchers = new Set<() => void>();
+  #lists: ListVersion[] = [];
+  #listLagMs = 0;
+  #faults = NO_FAULTS;
+  #reads = 0;
+  #watches = 0;
+  #vmLists = 0;
+
+  constructor(clock: clocks.Clock) {
+    this.#clock = clock;
+  }
+
+  /** Publishes a document; whichever came last is the newest, whatever its revision. */
+  publish(published: types.PublishedDocument): void {
+    this.#documents.push(published);
+    if (this.#documents.length > MAX_DOCUMENTS) this.#documents.shift();
+    this.#wakeWatchers();
+  }
+
+  /** Sets faults; those not named are off. */
+  setFaults(faults: Partial<PlatformFaults>): void {
+    this.#faults = { ...NO_FAULTS, ...faults };
+    this.#wakeWatchers();
+  }
+
+  /** Sets the VM list; readers see it after the lag. */
+  setVms(vms: readonly types.ListedVm[]): void {
+    this.#lists.push({ publishedAt: this.#clock.now() + this.#listLagMs, vms });
+  }
+
+  /** Sets the lag of lists that are set from now on. */
+  setListLag(lagMs: number): void {
+    this.#listLagMs = lagMs;
+  }
+
+  /** @throws PlatformOutage, also when nothing is published. */
+  readConfiguration(): types.PublishedDocument {
+    this.#reads += 1;
+    const newest = this.#findNewest();
+    if (newest === undefined) throw new PlatformOutage("nothing is published");
+    return newest;
+  }
+
+  /**
+   * Waits for a revision above `after`.
+   *
+   * @returns `undefined` when there was none within `waitMs`.
+   * @throws PlatformOutage
+   */
+  async watchConfiguration(
+    after: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<types.PublishedDocument | undefined> {
+    this.#watches += 1;
+    const endsAt = this.#clock.now() + waitMs;
+    for (;;) {
+      signal.throwIfAborted();
+      const newest = this.#findNewest();
+      if (newest !== undefined && newest.revision > after) return newest;
+      const remainingMs = endsAt - this.#clock.now();
+      if (remainingMs <= 0) return undefined;
+      await this.#waitForChange(remainingMs, signal);
+    }
+  }
+
+  /** @throws PlatformOutage */
+  listVms(): readonly types.ListedVm[] {
+    this.#vmLists += 1;
+    this.#checkOutage();
+    const now = this.#clock.now();
+    const visible = this.#lists.filter((list) => list.publishedAt <= now);
+    const current = visible.at(-1);
+    if (current !== undefined) this.#lists = this.#lists.slice(this.#lists.indexOf(current));
+    return current?.vms ?? [];
+  }
+
+  getJudge(): PlatformReport {
+    const total = this.#reads + this.#watches + this.#vmLists;
+    return { reads: this.#reads, watches: this.#watches, vmLists: this.#vmLists, total };
+  }
+
+  #findNewest(): types.PublishedDocument | undefined {
+    this.#checkOutage();
+    const { staleRevision } = this.#faults;
+    if (staleRevision === undefined) return this.#documents.at(-1);
+    return this.#documents.filter((document) => document.revision === staleRevision).at(-1);
+  }
+
+  #checkOutage(): void {
+    if (this.#faults.outage) throw new PlatformOutage("platform is down");
+  }
+
+  #wakeWatchers(): void {
+    for (const wake of [...this.#watchers]) wake();
+  }
+
+  #waitForChange(limitMs: number, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        cancel();
+        signal.removeEventListener("abort", wake);
+        this.#watchers.delete(wake);
+        resolve();
+      };
+      const cancel = this.#clock.schedule(limitMs, wake);
+      signal.addEventListener("abort", wake, { once: true });
+      this.#watchers.add(wake);
+    });
+  }
+}
--- /dev/null
+++ b/standins/process-fleet.ts
@@ -0,0 +1,218 @@
+/** Starts a whole fleet as processes on loopback: platform, upstreams of a document, and nodes. */
+import * as fs from "node:fs/promises";
+import * as os from "node:os";
+import * as path from "node:path";
+import type * as document from "../src/settings/document.js";
+import type * as upstream from "../src/upstream/types.js";
+import * as processes from "./processes.js";
+
+const HOST = "127.0.0.1";
+const FLEET_KEY = "demo-fleet-key-0001";
+/** Token of the administration API of every started node. */
+export const ADMIN_TOKEN = "demo-admin-token-0001";
+const LISTENING = /listening /;
+const NODE_STARTED = /"event":1001/;
+
+/** Where a started node listens. */
+export interface NodePlace {
+  readonly vm: string;
+  readonly zone: string;
+  readonly callerPort: number;
+  readonly peerPort: number;
+}
+
+/** Settings of a fleet. */
+export interface FleetOptions {
+  /** Its upstreams get free ports of loopback. */
+  readonly document: document.FleetDocument;
+  readonly nodes: number;
+  /** Directory of the compiled code. */
+  readonly codeDirectory: string;
+  /** More flags for every engine. */
+  readonly engineFlags?: readonly string[];
+}
+
+/** A running fleet of processes. */
+export class ProcessFleet implements AsyncDisposable {
+  readonly places: readonly NodePlace[];
+  readonly document: document.FleetDocument;
+  readonly platformPort: number;
+  readonly #options: FleetOptions;
+  readonly #processes = new Map<string, processes.ManagedProcess>();
+
+  constructor(
+    options: FleetOptions,
+    placed: document.FleetDocument,
+    places: readonly NodePlace[],
+    platformPort: number,
+  ) {
+    this.#options = options;
+    this.document = placed;
+    this.places = places;
+    this.platformPort = platformPort;
+  }
+
+  /** Starts every process and waits until each node is ready. */
+  static async start(options: FleetOptions): Promise<ProcessFleet> {
+    const placed = await createPlacedDocument(options.document);
+    const places = await createPlaces(placed, options.nodes);
+    const fleet = new ProcessFleet(options, placed, places, await processes.findFreePort());
+    await fleet.#startAll();
+    return fleet;
+  }
+
+  /** Returns a started process by the name of its node, runner or backend, or `platform`. */
+  getProcess(name: string): processes.ManagedProcess {
+    const found = this.#processes.get(name);
+    if (found === undefined) throw new Error(`no process ${name}`);
+    return found;
+  }
+
+  /** Starts a node, again after it ended. */
+  async startNode(place: NodePlace): Promise<void> {
+    const node = this.#spawn(place.vm, "bin/ebonyhook.js", [
+      "node",
+      ...createFlags({
+        vm: place.vm,
+        region: this.document.regions[0]?.name ?? "",
+        zone: place.zone,
+        host: HOST,
+        "caller-port": place.callerPort,
+        "peer-port": place.peerPort,
+        "platform-url": `http://${HOST}:${this.platformPort}`,
+        "fleet-keys": FLEET_KEY,
+        "admin-token": ADMIN_TOKEN,
+      }),
+    ]);
+    await node.waitForLine(NODE_STARTED);
+    await this.#waitUntilReady(place);
+  }
+
+  /** Starts a runner's engine, again after it ended. */
+  async startEngine(runner: document.Runner): Promise<void> {
+    const pool = this.document.pools.find((candidate) => candidate.name === runner.pool);
+    const model = this.document.models.find((candidate) => candidate.name === pool?.model);
+    if (pool === undefined || model === undefined) throw new Error(`no pool for ${runner.name}`);
+    const flags = createFlags({
+      host: runner.host,
+      port: runner.port,
+      name: runner.name,
+      role: pool.role,
+      model: model.name,
+      "model-version": model.version,
+      adapters: model.adapters.join(","),
+      slots: runner.slots,
+      pieces: runner.pieces,
+      "tokens-per-piece": model.tokensPerPiece,
+      "kv-bytes-per-token": model.kvBytesPerToken,
+      "prefill-tokens-per-second": runner.prefillTokensPerSecond,
+      "step-ms": runner.stepMs,
+    });
+    const fencing = runner.checksFencing ? [] : ["--ignore-fencing"];
+    const extra = this.#options.engineFlags ?? [];
+    const script = "standins/bin/engine.js";
+    const engine = this.#spawn(runner.name, script, [...flags, ...fencing, ...extra]);
+    await engine.waitForLine(LISTENING);
+  }
+
+  /** Starts a plain service's backend, again after it ended. */
+  async startBackend(backend: upstream.Upstream): Promise<void> {
+    const { name, host, port } = backend;
+    const flags = createFlags({ name, host, port });
+    await this.#spawn(name, "standins/bin/service.js", flags).waitForLine(LISTENING);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await Promise.all([...this.#processes.values()].map((each) => each[Symbol.asyncDispose]()));
+  }
+
+  async #startAll(): Promise<void> {
+    await this.#startPlatform();
+    const backends = this.document.services.flatMap((service) => service.backends);
+    await Promise.all([
+      ...this.document.runners.map((runner) => this.startEngine(runner)),
+      ...backends.map((backend) => this.startBackend(backend)),
+    ]);
+    await Promise.all(this.places.map((place) => this.startNode(place)));
+  }
+
+  async #startPlatform(): Promise<void> {
+    const directory = await fs.mkdtemp(path.join(os.tmpdir(), "ebonyhook-"));
+    const file = path.join(directory, "document.json");
+    await fs.writeFile(file, JSON.stringify(this.document));
+    const flags = createFlags({ host: HOST, port: this.platformPort, document: file });
+    await this.#spawn("platform", "standins/bin/platform.js", flags).waitForLine(LISTENING);
+    await this.#publishVms();
+  }
+
+  async #publishVms(): Promise<void> {
+    const region = this.document.regions[0]?.name ?? "";
+    const vms = this.places.map((place) => ({ ...place, host: HOST, region, state: "live" }));
+    const response = await fetch(`http://${HOST}:${this.platformPort}/control`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify({ vms }),
+    });
+    if (!response.ok) throw new Error(`platform refused the VM list: ${response.status}`);
+  }
+
+  async #waitUntilReady(place: NodePlace): Promise<void> {
+    for (;;) {
+      const response = await fetch(`http://${HOST}:${place.callerPort}/readyz`).catch(() => null);
+      if (response?.ok === true) return;
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+  }
+
+  #spawn(name: string, script: string, flags: readonly string[]): processes.ManagedProcess {
+    const file = path.join(this.#options.codeDirectory, script);
+    const started = new processes.ManagedProcess(name, file, flags);
+    this.#processes.set(name, started);
+    return started;
+  }
+}
+
+function createFlags(values: Readonly<Record<string, string | number>>): string[] {
+  return Object.entries(values).flatMap(([name, value]) => [`--${name}`, String(value)]);
+}
+
+async function createPlaces(
+  fleet: document.FleetDocument,
+  count: number,
+): Promise<readonly NodePlace[]> {
+  const zones = fleet.regions.flatMap((region) => region.zones);
+  const places: NodePlace[] = [];
+  for (let index = 0; index < count; index += 1) {
+    places.push({
+      vm: `vm-${index + 1}`,
+      zone: zones[index % zones.length] ?? "",
+      callerPort: await processes.findFreePort(),
+      peerPort: await processes.findFreePort(),
+    });
+  }
+  return places;
+}
+
+async function createPlacedDocument(
+  fleet: document.FleetDocument,
+): Promise<document.FleetDocument> {
+  const runners: document.Runner[] = [];
+  for (const runner of fleet.runners) {
+    runners.push({ ...runner, host: HOST, port: await processes.findFreePort() });
+  }
+  const services: document.PlainService[] = [];
+  for (const service of fleet.services) {
+    services.push({ ...service, backends: await createPlacedBackends(service) });
+  }
+  return { ...fleet, runners, services };
+}
+
+async function createPlacedBackends(
+  service: document.PlainService,
+): Promise<document.PlainService["backends"]> {
+  const backends: document.PlainService["backends"] = [];
+  for (const backend of service.backends) {
+    backends.push({ ...backend, host: HOST, port: await processes.findFreePort() });
+  }
+  return backends;
+}
