Add orders to runners, reconciled by each runner's allocator

Desired orders are a pure function of the document; a pass compares them with a fresh load report and sends what differs. Fencing number = revision. Weights are loaded in wall-clock turns computed from the document, so loads never overlap. Seam: Orders in src/platform/types.ts, service name "orders".

--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -30,6 +30,7 @@
   capacity: capacity.Capacity;
   engines: upstream.EngineClient;
   backends: upstream.ServiceClient;
+  orders: configuration.Orders;
 }
 
 /** The name of a service in the kernel. */
--- /dev/null
+++ b/src/platform/orders.ts
@@ -0,0 +1,215 @@
+/**
+ * Orders to runners: level-based reconciliation of what the document asks for with what the runner
+ * reports. Each pass starts from the current document and a fresh report, sends only what differs
+ * and is safe to repeat, so that lost orders, drift and changes of allocator need no cases of their
+ * own. Idea from "Kubernetes Controller Reconciliation: Idempotent Desired-State Loops".
+ */
+import * as clocks from "../kernel/clock.js";
+import type * as container from "../kernel/container.js";
+import type * as random from "../kernel/random.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
+import type * as upstream from "../upstream/types.js";
+import * as orderRights from "./order-rights.js";
+import * as runnerOrder from "./runner-order.js";
+import * as types from "./types.js";
+import * as weightPacing from "./weight-pacing.js";
+
+/** Time between two passes, before jitter. */
+const PASS_PERIOD_MS = 2000;
+/** A wait longer by this than it was meant to be shows that the process was paused. */
+const PAUSE_MS = 2000;
+const READ_LOAD_LIMIT_MS = 1000;
+/** Time after which an order that the runner does not seem to have got is sent again. */
+const REPEAT_MS = 10_000;
+
+const { DRIFT_REASON } = types;
+
+class ReconcilingOrders implements types.Orders {
+  readonly #clock: clocks.Clock;
+  readonly #random: random.RandomSource;
+  readonly #log: telemetry.EventLog;
+  readonly #engines: upstream.EngineClient;
+  readonly #configuration: types.Configuration;
+  readonly #findAllocator: (runner: string) => string | undefined;
+  readonly #ownVm: string;
+  readonly #rights: orderRights.OrderRights;
+  readonly #controller = new AbortController();
+  readonly #drifts = new Map<string, types.DriftReason>();
+  /** Monotonic times of the last orders; an entry for each runner allocated here. */
+  readonly #orderedAt = new Map<string, number>();
+  #wake = new AbortController();
+  /** Wall-clock time of the next turn to load weights that a runner waits for. */
+  #nextTurnAt = Infinity;
+  #task: Promise<void> = Promise.resolve();
+
+  constructor(kernel: container.Kernel) {
+    const members = kernel.use("membership");
+    this.#clock = kernel.use("clock");
+    this.#random = kernel.use("random");
+    this.#log = kernel.use("log");
+    this.#engines = kernel.use("engines");
+    this.#configuration = kernel.use("configuration");
+    this.#findAllocator = (runner) => kernel.use("capacity").findAllocator(runner);
+    this.#ownVm = members.self.vm;
+    this.#rights = new orderRights.OrderRights({
+      network: kernel.use("network"),
+      membership: members,
+      clock: this.#clock,
+      random: this.#random,
+      findAllocator: this.#findAllocator,
+      getVersion: () => this.#configuration.current,
+    });
+    this.#configuration.onChange(() => {
+      this.#wake.abort();
+    });
+  }
+
+  listDrifts(): readonly types.RunnerDrift[] {
+    return [...this.#drifts].map(([runner, reason]) => ({ runner, reason }));
+  }
+
+  start(): Promise<void> {
+    this.#task = this.#run(this.#controller.signal);
+    return Promise.resolve();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#controller.abort(new Error("node stops"));
+    await this.#task;
+  }
+
+  async #run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.#wake = new AbortController();
+      await this.#runPass(signal);
+      await this.#waitForPass(signal);
+    }
+  }
+
+  /** Waits for the next period, the next turn to load, or a new document. */
+  async #waitForPass(signal: AbortSignal): Promise<void> {
+    const periodMs = PASS_PERIOD_MS * (0.75 + 0.5 * this.#random.nextFloat());
+    const turnMs = Math.max(0, this.#nextTurnAt - this.#clock.wallTime());
+    const waitMs = Math.min(periodMs, turnMs);
+    const either = AbortSignal.any([signal, this.#wake.signal]);
+    const startedAt = this.#clock.now();
+    await clocks.sleep(this.#clock, waitMs, either).catch(() => undefined);
+    if (this.#clock.now() - startedAt > waitMs + PAUSE_MS) this.#rights.renew();
+  }
+
+  async #runPass(signal: AbortSignal): Promise<void> {
+    const document = this.#configuration.current?.document;
+    if (document === undefined || !this.#configuration.ready) return;
+    const desired = runnerOrder.computeDesiredRunners(document);
+    const own = desired.filter((entry) => this.#findAllocator(entry.runner.name) === this.#ownVm);
+    const names = own.map((entry) => entry.runner.name);
+    this.#rights.updateAllocated(names);
+    this.#removeOthers(names);
+    this.#nextTurnAt = Infinity;
+    const turns = { desired, bytesPerSecond: document.weightStore.bytesPerSecond };
+    await Promise.all(own.map((entry) => this.#reconcile(entry, turns, signal)));
+  }
+
+  #removeOthers(ownRunners: readonly string[]): void {
+    for (const runner of [...this.#drifts.keys(), ...this.#orderedAt.keys()]) {
+      if (ownRunners.includes(runner)) continue;
+      this.#drifts.delete(runner);
+      this.#orderedAt.delete(runner);
+    }
+  }
+
+  async #reconcile(
+    entry: runnerOrder.DesiredRunner,
+    turns: Turns,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { name } = entry.runner;
+    try {
+      const reason = await this.#reconcileOnce(entry, turns, signal);
+      if (reason === undefined) this.#drifts.delete(name);
+      else this.#drifts.set(name, reason);
+    } catch (error) {
+      if (signal.aborted) return;
+      const isNew = this.#drifts.get(name) !== DRIFT_REASON.unreachable;
+      const details = { runner: name, error: String(error) };
+      if (isNew) this.#log.write(logEvents.LOG_EVENTS.runnerUnavailable, details);
+      this.#drifts.set(name, DRIFT_REASON.unreachable);
+    }
+  }
+
+  /** Compares, and orders where that is due; returns why the runner still differs. */
+  async #reconcileOnce(
+    entry: runnerOrder.DesiredRunner,
+    turns: Turns,
+    signal: AbortSignal,
+  ): Promise<types.DriftReason | undefined> {
+    const { runner, order } = entry;
+    using limit = clocks.createTimeLimit(this.#clock, READ_LOAD_LIMIT_MS, signal);
+    const load = await this.#engines.readLoad(runner, limit.signal);
+    if (!runnerOrder.hasDrift(order, load)) return undefined;
+    const refusal = this.#checkRight(entry, load, turns);
+    if (refusal !== undefined) return refusal;
+    const confirmedAt = this.#clock.now();
+    if (!(await this.#rights.confirm(runner.name))) return DRIFT_REASON.unconfirmed;
+    return await this.#sendOrder(entry, confirmedAt, signal);
+  }
+
+  /** Returns why no order may be sent now, as far as this node knows by itself. */
+  #checkRight(
+    entry: runnerOrder.DesiredRunner,
+    load: upstream.RunnerLoad,
+    turns: Turns,
+  ): types.DriftReason | undefined {
+    const { runner, order } = entry;
+    if (load.fencing > order.fencing) return DRIFT_REASON.overtaken;
+    const orderedAt = this.#orderedAt.get(runner.name);
+    const isFresh = orderedAt !== undefined && this.#clock.now() - orderedAt < REPEAT_MS;
+    if (isFresh && load.fencing === order.fencing) return DRIFT_REASON.ordered;
+    if (!runner.checksFencing && !this.#rights.hasWaited(runner.name)) return DRIFT_REASON.leased;
+    if (!runnerOrder.needsWeights(order, load)) return undefined;
+    return this.#isTurn(runner.name, turns) ? undefined : DRIFT_REASON.paced;
+  }
+
+  #isTurn(runner: string, turns: Turns): boolean {
+    const { desired, bytesPerSecond } = turns;
+    const wallTime = this.#clock.wallTime();
+    const turn = weightPacing.computeLoadTurn(desired, bytesPerSecond, runner, wallTime);
+    if (!turn.isOpen) this.#nextTurnAt = Math.min(this.#nextTurnAt, turn.nextAt);
+    return turn.isOpen;
+  }
+
+  /** Sends an order while the right that was confirmed lasts. */
+  async #sendOrder(
+    entry: runnerOrder.DesiredRunner,
+    confirmedAt: number,
+    signal: AbortSignal,
+  ): Promise<types.DriftReason> {
+    const { runner, order } = entry;
+    const leftMs = confirmedAt + orderRights.ORDER_RIGHT_MS - this.#clock.now();
+    const isOutdated = this.#configuration.current?.revision !== order.fencing;
+    if (leftMs <= 0 || isOutdated) return DRIFT_REASON.unconfirmed;
+    using limit = clocks.createTimeLimit(this.#clock, leftMs, signal);
+    this.#orderedAt.set(runner.name, this.#clock.now());
+    await this.#engines.sendOrder(runner, order, limit.signal);
+    const { fencing, model, version, role } = order;
+    const details = { runner: runner.name, fencing, model, version, role };
+    this.#log.write(logEvents.LOG_EVENTS.orderSent, details);
+    return DRIFT_REASON.ordered;
+  }
+}
+
+/** What the turns to load weights are computed from. */
+interface Turns {
+  readonly desired: readonly runnerOrder.DesiredRunner[];
+  readonly bytesPerSecond: number;
+}
+
+/**
+ * Creates the orders of a node; needs "engines", "capacity" and "configuration".
+ *
+ * @example kernel.register("orders", (services) => createOrders(services));
+ */
+export function createOrders(kernel: container.Kernel): types.Orders {
+  return new ReconcilingOrders(kernel);
+}
--- /dev/null
+++ b/src/platform/runner-order.ts
@@ -0,0 +1,52 @@
+/** What the document asks of a runner, and how that differs from what the runner reports. */
+import type * as document from "../settings/document.js";
+import type * as upstream from "../upstream/types.js";
+
+/** A runner of the document with the order that follows from it. */
+export interface DesiredRunner {
+  readonly runner: document.Runner;
+  readonly model: document.Model;
+  readonly order: upstream.RunnerOrder;
+}
+
+/** Returns the desired state of every runner whose pool and model exist. */
+export function computeDesiredRunners(fleet: document.FleetDocument): readonly DesiredRunner[] {
+  const pools = new Map(fleet.pools.map((pool) => [pool.name, pool]));
+  const models = new Map(fleet.models.map((model) => [model.name, model]));
+  return fleet.runners.flatMap((runner) => {
+    const pool = pools.get(runner.pool);
+    const model = models.get(pool?.model ?? "");
+    if (pool === undefined || model === undefined) return [];
+    return [{ runner, model, order: createOrder(fleet.revision, pool, model) }];
+  });
+}
+
+/** Whether a runner would have to change to carry out the order. */
+export function hasDrift(order: upstream.RunnerOrder, load: upstream.RunnerLoad): boolean {
+  const hasOtherRole = order.role !== load.role;
+  return hasOtherRole || needsWeights(order, load) || !hasSameAdapters(order, load);
+}
+
+/** Whether a runner would have to load the weights of a model. */
+export function needsWeights(order: upstream.RunnerOrder, load: upstream.RunnerLoad): boolean {
+  return order.model !== load.model || order.version !== load.version;
+}
+
+function createOrder(
+  revision: number,
+  pool: document.Pool,
+  model: document.Model,
+): upstream.RunnerOrder {
+  return {
+    fencing: revision,
+    model: model.name,
+    version: model.version,
+    adapters: [...model.adapters].sort(),
+    role: pool.role,
+  };
+}
+
+function hasSameAdapters(order: upstream.RunnerOrder, load: upstream.RunnerLoad): boolean {
+  const wanted = [...order.adapters].sort().join("/");
+  return wanted === [...load.adapters].sort().join("/");
+}
--- a/test/membership/fleet.ts
+++ b/test/membership/fleet.ts
@@ -28,6 +28,9 @@
   readonly clock = fakeClock.createFakeClock();
   readonly network = new memoryTransport.MemoryNetwork(this.clock);
   readonly platform = new fakePlatform.FakePlatform(this.clock);
+  /** Registers and starts further services of a node, before and after its own ones. */
+  registerMore: (kernel: container.Kernel, vm: string) => void = () => undefined;
+  startMore: (kernel: container.Kernel) => Promise<void> = () => Promise.resolve();
   readonly #nodes = new Map<string, FleetNode>();
   #seed: number;
 
@@ -70,6 +73,7 @@
     kernel.register("network", (services) => peerNetwork.createPeerNetwork(services));
     kernel.register("membership", (services) => membership.createMembership(services));
     kernel.register("configuration", (services) => configuration.createConfiguration(services));
+    this.registerMore(kernel, vm);
     const node = {
       vm,
       kernel,
@@ -81,6 +85,7 @@
     await kernel.use("network").start();
     await node.membership.start();
     await node.configuration.start();
+    await this.startMore(kernel);
     return node;
   }
 
--- /dev/null
+++ b/test/platform/orders.test.ts
@@ -0,0 +1,129 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import type * as capacity from "../../src/capacity/types.js";
+import * as rendezvous from "../../src/membership/rendezvous.js";
+import type * as membership from "../../src/membership/types.js";
+import * as orderRights from "../../src/platform/order-rights.js";
+import * as orders from "../../src/platform/orders.js";
+import * as runnerOrder from "../../src/platform/runner-order.js";
+import type * as document from "../../src/settings/document.js";
+import * as fleets from "../membership/fleet.js";
+import * as fakeRunners from "./fake-runners.js";
+
+const NODES = 6;
+
+interface OrdersFleet extends AsyncDisposable {
+  readonly fleet: fleets.TestFleet;
+  readonly runners: fakeRunners.FakeRunners;
+}
+
+/** Starts a fleet whose runners serve version 1 and whose document asks for that too. */
+async function startFleet(checksFencing: boolean): Promise<OrdersFleet> {
+  const fleet = new fleets.TestFleet();
+  const runners = new fakeRunners.FakeRunners(fleet.clock);
+  const first = fakeRunners.createRunnersDocument(1, "v1", checksFencing);
+  for (const entry of runnerOrder.computeDesiredRunners(first)) {
+    runners.setServed(entry.runner.name, entry.order);
+  }
+  fleet.registerMore = (kernel, vm) => {
+    kernel.register("engines", () => runners.createClient(vm));
+    kernel.register("capacity", (services) => createFakeCapacity(services.use("membership")));
+    kernel.register("orders", (services) => orders.createOrders(services));
+  };
+  fleet.startMore = (kernel) => kernel.use("orders").start();
+  fleet.platform.publish(first);
+  await fleet.start(NODES);
+  await fleet.waitUntil(() => fleet.isAliveCount(NODES) && fleet.isInForce(1), 10_000);
+  await fleet.clock.advance(orderRights.ORDER_LEASE_MS + 5000);
+  return { fleet, runners, [Symbol.asyncDispose]: () => fleet[Symbol.asyncDispose]() };
+}
+
+function createFakeCapacity(members: membership.Membership): capacity.Capacity {
+  const fake: Partial<capacity.Capacity> = {
+    findAllocator: (runner) => findAllocator(members, runner),
+  };
+  return fake as capacity.Capacity;
+}
+
+function findAllocator(members: membership.Membership, runner: string): string | undefined {
+  const vms = members.listAlive().map((member) => member.vm);
+  return rendezvous.chooseByRendezvous(runner, vms, 1)[0];
+}
+
+function isServedBy(runners: fakeRunners.FakeRunners, wanted: document.FleetDocument): boolean {
+  const version = wanted.models[0]?.version ?? "";
+  return wanted.runners.every((runner) => runners.isServing(runner.name, version));
+}
+
+test.describe("Orders", () => {
+  test.it("sends none while runners serve what the document asks for", async () => {
+    await using started = await startFleet(true);
+    earl.expect(started.runners.received).toEqual([]);
+  });
+
+  test.it(
+    "brings every runner to a new version, one load at a time, each ordered once",
+    async () => {
+      await using started = await startFleet(true);
+      const { fleet, runners } = started;
+      const next = fakeRunners.createRunnersDocument(2, "v2", true);
+      fleet.platform.publish(next);
+      await fleet.waitUntil(() => isServedBy(runners, next), 120_000);
+      earl.expect(runners.maxLoading).toEqual(1);
+      earl.expect(runners.received).toHaveLength(next.runners.length);
+    },
+  );
+
+  test.it("reaches the state when answers to orders are lost", async () => {
+    await using started = await startFleet(true);
+    const { fleet, runners } = started;
+    runners.isAnswerLost = () => true;
+    const next = fakeRunners.createRunnersDocument(2, "v2", true);
+    fleet.platform.publish(next);
+    await fleet.waitUntil(() => isServedBy(runners, next), 120_000);
+  });
+
+  test.it("puts drift right", async () => {
+    await using started = await startFleet(true);
+    const { fleet, runners } = started;
+    runners.setServed("d1", { ...runners.getServed("d1"), role: "prefill" });
+    await fleet.waitUntil(() => runners.getServed("d1").role === "decode", 5000);
+  });
+
+  test.it("does not order a runner that carries out a newer document", async () => {
+    await using started = await startFleet(true);
+    const { fleet, runners } = started;
+    runners.setServed("d1", { ...runners.getServed("d1"), role: "prefill", fencing: 9 });
+    await fleet.clock.advance(20_000);
+    earl.expect(runners.received).toEqual([]);
+  });
+
+  test.it("waits out the earlier allocator of a runner that ignores fencing", async () => {
+    await using started = await startFleet(false);
+    const { fleet, runners } = started;
+    const before = findAllocator(fleet.getNode("vm-0").membership, "d1") ?? "";
+    const killedAt = fleet.clock.now();
+    await fleet.kill(before);
+    runners.setServed("d1", { ...runners.getServed("d1"), role: "prefill" });
+    await fleet.waitUntil(() => runners.getServed("d1").role === "decode", 30_000);
+    const first = runners.received[0];
+    earl.expect((first?.at ?? 0) - killedAt >= orderRights.ORDER_LEASE_MS).toEqual(true);
+  });
+
+  test.it("sends no old order from an allocator that was paused and wakes", async () => {
+    await using started = await startFleet(false);
+    const { fleet, runners } = started;
+    const paused = findAllocator(fleet.getNode("vm-0").membership, "d1") ?? "";
+    fleet.pause(paused);
+    await fleet.clock.advance(10_000);
+    const next = fakeRunners.createRunnersDocument(2, "v2", false);
+    fleet.platform.publish(next);
+    await fleet.waitUntil(() => isServedBy(runners, next), 150_000);
+    const wokenAt = fleet.clock.now();
+    fleet.resume(paused);
+    await fleet.clock.advance(60_000);
+    const late = runners.received.filter((received) => received.at > wokenAt);
+    earl.expect(late).toEqual([]);
+    earl.expect(isServedBy(runners, next)).toEqual(true);
+  });
+});
