--- /dev/null
+++ b/bench/model-engine-client.ts
@@ -0,0 +1,96 @@
+/** The modelled runners as the capacity service sees them: late load reports, and cancel. */
+import type * as upstream from "../src/upstream/types.js";
+import type * as scenario from "./scenario.js";
+
+const SAMPLE_PERIOD_MS = 100;
+
+/** Takes samples of every runner's load and returns the one that is old enough. */
+class LoadHistory {
+  readonly #world: scenario.World;
+  readonly #ageMs: number;
+  readonly #samples: { readonly at: number; readonly loads: Map<string, upstream.RunnerLoad> }[] =
+    [];
+
+  constructor(world: scenario.World, ageMs: number) {
+    this.#world = world;
+    this.#ageMs = ageMs;
+    this.#readAll();
+  }
+
+  find(runner: string): upstream.RunnerLoad | undefined {
+    const before = this.#world.clock.now() - this.#ageMs;
+    const old = this.#samples.filter((sample) => sample.at <= before);
+    const known = old[old.length - 1] ?? this.#samples[0];
+    return known?.loads.get(runner);
+  }
+
+  #readAll(): void {
+    const { clock, decodes, prefills } = this.#world;
+    const at = clock.now();
+    const loads = new Map<string, upstream.RunnerLoad>();
+    for (const runner of decodes) {
+      loads.set(runner.name, this.#createLoad("decode", runner.listHeld(), 0));
+    }
+    for (const runner of prefills) {
+      loads.set(runner.name, this.#createLoad("prefill", [], runner.queuedTokens));
+    }
+    this.#samples.push({ at, loads });
+    while ((this.#samples[1]?.at ?? Infinity) <= at - this.#ageMs) this.#samples.shift();
+    clock.schedule(SAMPLE_PERIOD_MS, () => {
+      this.#readAll();
+    });
+  }
+
+  #createLoad(
+    role: upstream.RunnerLoad["role"],
+    held: readonly upstream.AttemptId[],
+    queuedPrefillTokens: number,
+  ): upstream.RunnerLoad {
+    return {
+      slotsUsed: held.length,
+      slotsTotal: 20,
+      piecesUsed: held.length,
+      piecesTotal: 4000,
+      queuedPrefillTokens,
+      model: "model",
+      adapters: [],
+      version: "1",
+      role,
+      fencing: 1,
+      ageMs: this.#ageMs,
+      held,
+    };
+  }
+}
+
+const histories = new WeakMap<scenario.World, LoadHistory>();
+
+/** Creates a client whose load reports are `ageMs` old. Prefill and decode are run by the bench. */
+export function createModelEngineClient(
+  world: scenario.World,
+  ageMs: number,
+): upstream.EngineClient {
+  const history = histories.get(world) ?? new LoadHistory(world, ageMs);
+  histories.set(world, history);
+  const refuse = (): never => {
+    throw new Error("the bench runs this itself");
+  };
+  return {
+    prefill: refuse,
+    decode: refuse,
+    resume: refuse,
+    sendOrder: refuse,
+    cancel: (runner, attempt) => {
+      world.prefills.find(({ name }) => name === runner.name)?.cancel(attempt.id);
+      world.decodes.find(({ name }) => name === runner.name)?.cancel(attempt);
+      return Promise.resolve();
+    },
+    readCacheEvents: () => Promise.resolve([]),
+    readLoad: (runner) => {
+      const isDown = world.decodes.some(({ name, down }) => name === runner.name && down);
+      const load = history.find(runner.name);
+      if (isDown || load === undefined) return Promise.reject(new Error("runner is down"));
+      return Promise.resolve(load);
+    },
+  };
+}
--- a/bench/model-runners.ts
+++ b/bench/model-runners.ts
@@ -132,7 +132,7 @@
 /** What a decode tells its reader. */
 export interface DecodeObserver {
   onImported(): void;
-  onFirstToken(): void;
+  onFirstToken(gapMs: number): void;
   onEnd(gapMs: number): void;
   onFailed(error: Error): void;
 }
@@ -304,7 +304,7 @@
   #startTokens(job: DecodeJob): void {
     const gapMs = this.#model.stepMs * this.slowness;
     job.cancelTimer = this.#clock.schedule(gapMs, () => {
-      job.observer.onFirstToken();
+      job.observer.onFirstToken(gapMs);
       job.cancelTimer = this.#clock.schedule(gapMs * (job.request.outputTokens - 1), () => {
         this.#countSlotTime();
         this.#running.delete(job.request.id);
--- /dev/null
+++ b/bench/naive-router.ts
@@ -0,0 +1,35 @@
+/** Round robin over prefill runners; the decode runner by the last report, once prefill has ended. */
+import type * as reports from "./reports.js";
+import * as requestRun from "./request-run.js";
+import * as routers from "./router.js";
+import type * as scenario from "./scenario.js";
+
+/** Creates the naive policy: no leases, no refusal, no cancel. */
+export function createNaiveRouter(
+  world: scenario.World,
+  late: reports.LateReports,
+): routers.Router {
+  const next = new Map<number, number>();
+  return {
+    ...routers.NO_NODE_FAULTS,
+    start: () => Promise.resolve(),
+    countMessages: () => 0,
+    [Symbol.asyncDispose]: () => Promise.resolve(),
+    run: async (outcome, left) => {
+      const node = outcome.arrival.node;
+      const turn = next.get(node) ?? node;
+      next.set(node, turn + 1);
+      const prefill = world.prefills[turn % world.prefills.length];
+      if (prefill === undefined) return;
+      const result = await requestRun.runPrefill(outcome, world, prefill);
+      const [decode] = world.decodes
+        .filter((runner) => !late.get(runner.name).down)
+        .sort((a, b) => late.get(a.name).load - late.get(b.name).load);
+      if (decode === undefined) return;
+      left.addEventListener("abort", () => {
+        decode.markAbandoned(outcome.arrival.id);
+      });
+      outcome.failed = !(await requestRun.runDecode(outcome, world, decode, result));
+    },
+  };
+}
--- /dev/null
+++ b/bench/policy.ts
@@ -0,0 +1,122 @@
+/**
+ * Bench of the policy under load and faults; prints one line of JSON for each case, policy and load.
+ *
+ * The bound is what the decode slots can serve: slots / (mean output tokens x step time), by the
+ * output lengths of the requests that came; below it, their rate. `shareOfBound` is goodput by that.
+ */
+import * as cmd from "cmd-ts";
+import * as scenario from "./scenario.js";
+import * as simulation from "./simulation.js";
+
+const LOADS = [0.5, 0.7, 0.9, 1.0, 1.2, 1.5, 2.0];
+const FAULT_LOADS = [0.9, 1.2];
+const SEEDS = [1, 2, 3];
+const QUICK_LOADS = [0.9, 1.5];
+const QUICK_MEASURED_MS = 20_000;
+
+const POLICIES: readonly simulation.PolicyChoice[] = [
+  { name: "naive", kind: "naive", changes: {} },
+  { name: "strong", kind: "strong", changes: {} },
+  { name: "ours", kind: "ours", changes: {} },
+];
+
+/** Our policy without one term each. */
+const ABLATIONS: readonly simulation.PolicyChoice[] = [
+  { name: "ours", kind: "ours", changes: {} },
+  { name: "no leasing ahead", kind: "ours", changes: { leaseAhead: false } },
+  { name: "no extra leases", kind: "ours", changes: { extraLeases: 0 } },
+  { name: "three extra leases", kind: "ours", changes: { extraLeases: 3 } },
+  { name: "one choice", kind: "ours", changes: { choices: 1 } },
+  { name: "best of all", kind: "ours", changes: { choices: 100 } },
+  { name: "one runner asked", kind: "ours", changes: { maxAsked: 1 } },
+  { name: "all runners asked", kind: "ours", changes: { maxAsked: 5 } },
+  { name: "no prefix affinity", kind: "ours", changes: { prefixAffinity: false } },
+  { name: "no link term", kind: "ours", changes: { linkTerm: false } },
+  { name: "no shares", kind: "ours", changes: { shares: false } },
+  { name: "short queue", kind: "ours", changes: { queueFraction: 0.2 } },
+  { name: "long queue", kind: "ours", changes: { queueFraction: 0.9 } },
+];
+
+type Figure = keyof simulation.RunFigures;
+
+interface Plan {
+  readonly policies: readonly simulation.PolicyChoice[];
+  readonly cases: readonly scenario.FaultCase[];
+  readonly loads: readonly number[];
+  readonly seeds: readonly number[];
+  readonly measuredMs: number;
+}
+
+async function runPlan(plan: Plan): Promise<void> {
+  for (const faultCase of plan.cases) {
+    for (const load of plan.loads) {
+      for (const policy of plan.policies) {
+        const runs: simulation.RunFigures[] = [];
+        for (const seed of plan.seeds) {
+          const { measuredMs } = plan;
+          runs.push(await simulation.runSimulation({ policy, load, faultCase, seed, measuredMs }));
+        }
+        printLine(faultCase.name, policy.name, load, runs);
+      }
+    }
+  }
+}
+
+function printLine(
+  faultCase: string,
+  policy: string,
+  load: number,
+  runs: readonly simulation.RunFigures[],
+): void {
+  const line: Record<string, unknown> = { case: faultCase, policy, load };
+  for (const figure of Object.keys(runs[0] ?? {}) as Figure[]) {
+    line[figure] = computeMedian(runs.map((run) => run[figure]));
+  }
+  const shares = runs.map((run) => run.shareOfBound);
+  line.shareOfBoundSpread = formatNumber(Math.max(...shares) - Math.min(...shares));
+  line.seeds = runs.length;
+  console.log(JSON.stringify(line));
+}
+
+function computeMedian(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return formatNumber(sorted[Math.floor(sorted.length / 2)] ?? 0);
+}
+
+function formatNumber(value: number): number {
+  return Number(value.toFixed(value >= 100 ? 0 : 4));
+}
+
+const bench = cmd.command({
+  name: "bench",
+  args: {
+    quick: cmd.flag({ long: "quick", description: "few loads, one seed, a short time" }),
+    ablation: cmd.flag({ long: "ablation", description: "our policy without one term each" }),
+    only: cmd.option({
+      long: "only",
+      type: cmd.optional(cmd.string),
+      description: "only this case",
+    }),
+    policy: cmd.option({
+      long: "policy",
+      type: cmd.optional(cmd.string),
+      description: "only this policy",
+    }),
+  },
+  handler: async ({ quick, ablation, only, policy }) => {
+    const policies = (ablation ? ABLATIONS : POLICIES).filter(
+      ({ name }) => policy === undefined || name === policy,
+    );
+    const seeds = quick ? SEEDS.slice(0, 1) : SEEDS;
+    const measuredMs = quick ? QUICK_MEASURED_MS : scenario.TIMES.measuredMs;
+    const cases = scenario.CASES.filter(({ name }) => only === undefined || name === only);
+    const quiet = cases.filter(({ name }) => name === "none");
+    const faulty = cases.filter(({ name }) => name !== "none");
+    const shared = { policies, seeds, measuredMs };
+    await runPlan({ ...shared, cases: quiet, loads: quick || ablation ? QUICK_LOADS : LOADS });
+    if (ablation && only === undefined) return;
+    await runPlan({ ...shared, cases: faulty, loads: quick ? [0.9] : FAULT_LOADS });
+  },
+});
+
+await cmd.run(bench, process.argv.slice(2));
--- /dev/null
+++ b/bench/reports.ts
@@ -0,0 +1,53 @@
+/** Late load reports of the modelled runners, as routers without allocators read them. */
+import type * as scenario from "./scenario.js";
+
+/** One report of a runner. */
+export interface LateReport {
+  readonly at: number;
+  /** Slots used and requests waiting, of decode runners. */
+  readonly load: number;
+  /** Tokens that wait or are being computed, of prefill runners. */
+  readonly queuedTokens: number;
+  readonly down: boolean;
+}
+
+const REPORT_PERIOD_MS = 500;
+const NO_LOAD: LateReport = { at: -Infinity, load: 0, queuedTokens: 0, down: false };
+
+/** Takes a report of every runner each period and shows it `ageMs` later. */
+export class LateReports {
+  readonly #world: scenario.World;
+  readonly #ageMs: number;
+  readonly #shown = new Map<string, LateReport>();
+
+  constructor(world: scenario.World, ageMs: number) {
+    this.#world = world;
+    this.#ageMs = ageMs;
+    this.#readAll();
+  }
+
+  /** Returns the newest report that may be seen. */
+  get(runner: string): LateReport {
+    return this.#shown.get(runner) ?? NO_LOAD;
+  }
+
+  #readAll(): void {
+    const { clock, decodes, prefills } = this.#world;
+    const at = clock.now();
+    const reports = new Map<string, LateReport>();
+    for (const runner of decodes) {
+      const load = runner.used + runner.waiting;
+      reports.set(runner.name, { at, load, queuedTokens: 0, down: runner.down });
+    }
+    for (const runner of prefills) {
+      const { queuedTokens, down } = runner;
+      reports.set(runner.name, { at, load: 0, queuedTokens, down });
+    }
+    clock.schedule(this.#ageMs, () => {
+      for (const [name, report] of reports) this.#shown.set(name, report);
+    });
+    clock.schedule(REPORT_PERIOD_MS, () => {
+      this.#readAll();
+    });
+  }
+}
--- /dev/null
+++ b/bench/router.ts
@@ -0,0 +1,23 @@
+/** What the bench asks of a routing policy. */
+import type * as requestRun from "./request-run.js";
+import type * as scenario from "./scenario.js";
+
+/** A fleet of routers under one policy. */
+export interface Router extends AsyncDisposable, scenario.NodeFaults {
+  /** Begins the routers' own tasks. */
+  start(): Promise<void>;
+  /** Runs one request to its end, refusal or failure. `left` aborts when its caller goes away. */
+  run(outcome: requestRun.Outcome, left: AbortSignal): Promise<void>;
+  /** Messages sent between nodes so far. */
+  countMessages(): number;
+}
+
+/** Attempts of a request whose answer has not begun. */
+export const MAX_ATTEMPTS = 2;
+
+/** Faults of nodes for a policy whose nodes share nothing: they change nothing there. */
+export const NO_NODE_FAULTS: scenario.NodeFaults = {
+  stopNode: () => undefined,
+  setPartition: () => undefined,
+  removePartition: () => undefined,
+};
--- /dev/null
+++ b/bench/simulation.ts
@@ -0,0 +1,172 @@
+/** One run: a policy, a load, a case and a seed; and the figures of its measured time. */
+import * as leased from "./leased-router.js";
+import * as naive from "./naive-router.js";
+import * as reports from "./reports.js";
+import * as requestRun from "./request-run.js";
+import type * as routers from "./router.js";
+import * as scenario from "./scenario.js";
+import type * as policies from "../src/capacity/policy.js";
+import * as strong from "./strong-router.js";
+import * as virtualClock from "./virtual-clock.js";
+import * as workload from "./workload.js";
+
+const MS_PER_SECOND = 1000;
+
+/** A policy by its name in the output. */
+export interface PolicyChoice {
+  readonly name: string;
+  readonly kind: "naive" | "strong" | "ours";
+  /** Replaced constants of our policy. */
+  readonly changes: Partial<policies.CapacityPolicy>;
+}
+
+/** What to run. */
+export interface RunOptions {
+  readonly policy: PolicyChoice;
+  readonly load: number;
+  readonly faultCase: scenario.FaultCase;
+  readonly seed: number;
+  readonly measuredMs: number;
+}
+
+/** Figures of one run. Times are milliseconds; shares are of 1. */
+export interface RunFigures {
+  /** Requests a second that met both targets. */
+  readonly goodput: number;
+  /** Requests a second that the runners could serve at most of what arrived. */
+  readonly bound: number;
+  readonly shareOfBound: number;
+  readonly wastedPrefill: number;
+  readonly cancelledPrefill: number;
+  readonly refusals: number;
+  readonly wronglyRefused: number;
+  readonly firstTokenP95: number;
+  readonly betweenTokenP95: number;
+  readonly slotsHeldForNobody: number;
+  /** Good requests of the callers that do not flood, by what they sent. */
+  readonly wellBehavedGood: number;
+  readonly messagesPerRequest: number;
+}
+
+/** Mean output tokens of the workload, from a sample. */
+export const MEAN_OUTPUT_TOKENS = computeMeanTokens();
+
+/** Runs one simulation. */
+export async function runSimulation(options: RunOptions): Promise<RunFigures> {
+  const { faultCase, load, seed, measuredMs } = options;
+  const clock = new virtualClock.VirtualClock();
+  const world = scenario.createWorld(clock);
+  await using router = createRouter(options, world);
+  await router.start();
+  const fullBound = scenario.computeBound(MEAN_OUTPUT_TOKENS, scenario.FLEET.decodeRunners);
+  const arrivals = workload.createArrivals({
+    seed,
+    rate: load * fullBound,
+    durationMs: scenario.TIMES.warmupMs + measuredMs,
+    cancelledPart: faultCase.cancelledPart,
+    floodRate: faultCase.floods ? workload.computeFloodRate(fullBound) : 0,
+  });
+  faultCase.schedule(world, router);
+  const outcomes = arrivals.map((arrival) => scheduleArrival(world, router, arrival));
+  await clock.run(scenario.TIMES.warmupMs + measuredMs + scenario.TIMES.drainMs);
+  return computeFigures(options, world, router, outcomes);
+}
+
+function createRouter(options: RunOptions, world: scenario.World): routers.Router {
+  const { policy, faultCase } = options;
+  if (policy.kind === "ours") {
+    const { reportAgeMs } = faultCase;
+    return new leased.LeasedRouter(world, { policy: policy.changes, reportAgeMs });
+  }
+  const late = new reports.LateReports(world, faultCase.reportAgeMs);
+  const lifeMs = MEAN_OUTPUT_TOKENS * scenario.RUNNER_MODEL.stepMs;
+  return policy.kind === "naive"
+    ? naive.createNaiveRouter(world, late)
+    : strong.createStrongRouter(world, late, lifeMs);
+}
+
+function scheduleArrival(
+  world: scenario.World,
+  router: routers.Router,
+  arrival: workload.Arrival,
+): requestRun.Outcome {
+  const outcome = requestRun.createOutcome(arrival);
+  const left = new AbortController();
+  world.clock.schedule(arrival.at, () => {
+    void router.run(outcome, left.signal);
+    if (!Number.isFinite(arrival.leavesAfterMs)) return;
+    world.clock.schedule(arrival.leavesAfterMs, () => {
+      if (outcome.ended || outcome.refused) return;
+      outcome.left = true;
+      left.abort(new Error("caller left"));
+    });
+  });
+  return outcome;
+}
+
+function computeFigures(
+  options: RunOptions,
+  world: scenario.World,
+  router: routers.Router,
+  all: readonly requestRun.Outcome[],
+): RunFigures {
+  const { warmupMs } = scenario.TIMES;
+  const seconds = options.measuredMs / MS_PER_SECOND;
+  const counted = all.filter(({ arrival }) => arrival.at >= warmupMs);
+  const offered = counted.filter((outcome) => !outcome.left);
+  const good = counted.filter(requestRun.isGood);
+  const normal = offered.filter(({ arrival }) => !arrival.isFlood);
+  const bound = Math.min(offered.length / seconds, computeCaseBound(options, counted));
+  const computed = sum(counted.map((outcome) => outcome.computedTokens));
+  const slotTimes = world.decodes.map((runner) => runner.readSlotTime());
+  return {
+    goodput: good.length / seconds,
+    bound,
+    shareOfBound: good.length / seconds / bound,
+    wastedPrefill: sum(counted.map((outcome) => outcome.wastedTokens)) / computed,
+    cancelledPrefill: sum(counted.map((outcome) => outcome.cancelledTokens)) / computed,
+    refusals: counted.filter((outcome) => outcome.refused).length / counted.length,
+    wronglyRefused: counted.filter((outcome) => outcome.wronglyRefused).length / counted.length,
+    firstTokenP95: computeP95(counted.map((outcome) => outcome.firstTokenMs)),
+    betweenTokenP95: computeP95(counted.map((outcome) => outcome.gapMs)),
+    slotsHeldForNobody:
+      sum(slotTimes.map((time) => time.abandonedMs)) / sum(slotTimes.map((time) => time.usedMs)),
+    wellBehavedGood: normal.filter(requestRun.isGood).length / normal.length,
+    messagesPerRequest: router.countMessages() / all.length,
+  };
+}
+
+/** Bound of the runners for the requests that came, with slots lost by the case taken off. */
+function computeCaseBound(options: RunOptions, counted: readonly requestRun.Outcome[]): number {
+  const slotTokens = counted.map(({ arrival }) => {
+    const generatedMs = Math.min(
+      arrival.outputTokens * scenario.RUNNER_MODEL.stepMs,
+      arrival.leavesAfterMs,
+    );
+    return generatedMs / scenario.RUNNER_MODEL.stepMs;
+  });
+  const meanTokens = sum(slotTokens) / slotTokens.length;
+  const { remainingDecoders } = options.faultCase;
+  const staying = counted.filter((outcome) => !outcome.left).length / counted.length;
+  return scenario.computeBound(meanTokens, remainingDecoders) * staying;
+}
+
+function computeMeanTokens(): number {
+  const arrivals = workload.createArrivals({
+    seed: 1,
+    rate: 1000,
+    durationMs: 20_000,
+    cancelledPart: 0,
+    floodRate: 0,
+  });
+  return sum(arrivals.map((arrival) => arrival.outputTokens)) / arrivals.length;
+}
+
+function computeP95(values: readonly (number | undefined)[]): number {
+  const known = values.filter((value) => value !== undefined).sort((a, b) => a - b);
+  return known[Math.floor(known.length * 0.95)] ?? 0;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- /dev/null
+++ b/bench/workload.ts
@@ -0,0 +1,142 @@
+/** Open-loop arrivals with seeded draws: the same seed and load give the same requests. */
+import * as random from "../src/kernel/random.js";
+import * as modelRunners from "./model-runners.js";
+
+const MS_PER_SECOND = 1000;
+const PROMPT_MEDIAN_TOKENS = 800;
+const PROMPT_SIGMA = 1.3;
+const MIN_PROMPT_TOKENS = 20;
+const MAX_PROMPT_TOKENS = 30_000;
+const OUTPUT_MEDIAN_TOKENS = 85;
+const OUTPUT_SIGMA = 0.6;
+const MAX_OUTPUT_TOKENS = 400;
+/** Part of the requests whose prompt begins with a shared prefix. */
+const SHARED_PART = 0.6;
+const SHARED_PREFIXES = 40;
+const MAX_SHARED_BLOCKS = 32;
+const CALLERS = 100;
+/** Each period begins with a burst at a multiple of the mean rate; the rest makes up for it. */
+const BURST_PERIOD_MS = 10_000;
+const BURST_MS = 1000;
+const BURST_FACTOR = 1.5;
+/** The flooding caller's rate, as a part of the bound. */
+const FLOOD_PART = 1;
+const FLOODER = "flooder";
+
+/** Shape of a workload. */
+export interface WorkloadOptions {
+  readonly seed: number;
+  /** Arrivals a second, without the flooding caller's. */
+  readonly rate: number;
+  readonly durationMs: number;
+  /** Part of the callers that go away during their answer. */
+  readonly cancelledPart: number;
+  /** Requests a second of one caller beside the others. */
+  readonly floodRate: number;
+}
+
+/** One request of the workload. */
+export interface Arrival extends modelRunners.ModelRequest {
+  readonly at: number;
+  readonly caller: string;
+  readonly maxTokens: number;
+  readonly node: number;
+  /** Time from the arrival after which the caller goes away. */
+  readonly leavesAfterMs: number;
+  readonly isFlood: boolean;
+}
+
+/** Returns the flooding caller's rate for a bound. */
+export function computeFloodRate(bound: number): number {
+  return FLOOD_PART * bound;
+}
+
+/** Creates the arrivals of one run, in order of time. */
+export function createArrivals(options: WorkloadOptions): Arrival[] {
+  const draw = random.createSeededRandom(options.seed);
+  const arrivals = createStream(options, draw, options.rate, false);
+  const flood = createStream(options, draw, options.floodRate, true);
+  return [...arrivals, ...flood].sort((left, right) => left.at - right.at);
+}
+
+function createStream(
+  options: WorkloadOptions,
+  draw: random.RandomSource,
+  rate: number,
+  isFlood: boolean,
+): Arrival[] {
+  const arrivals: Arrival[] = [];
+  if (rate <= 0) return arrivals;
+  let at = 0;
+  for (;;) {
+    const gapMs = (-Math.log(1 - draw.nextFloat()) / rate) * MS_PER_SECOND;
+    at += gapMs / computeBurstFactor(at);
+    if (at >= options.durationMs) return arrivals;
+    arrivals.push(createArrival(options, draw, at, arrivals.length, isFlood));
+  }
+}
+
+function createArrival(
+  options: WorkloadOptions,
+  draw: random.RandomSource,
+  at: number,
+  index: number,
+  isFlood: boolean,
+): Arrival {
+  const promptTokens = drawTokens(
+    draw,
+    PROMPT_MEDIAN_TOKENS,
+    PROMPT_SIGMA,
+    MIN_PROMPT_TOKENS,
+    MAX_PROMPT_TOKENS,
+  );
+  const isLeaving = draw.nextFloat() < options.cancelledPart;
+  const leavesAfterMs = draw.nextFloat() * 4000;
+  const id = `${isFlood ? FLOODER : "r"}${index}`;
+  return {
+    id,
+    attempt: 1,
+    at,
+    caller: isFlood ? FLOODER : `caller${chooseSkewed(draw, CALLERS)}`,
+    promptTokens,
+    outputTokens: drawTokens(draw, OUTPUT_MEDIAN_TOKENS, OUTPUT_SIGMA, 2, MAX_OUTPUT_TOKENS),
+    maxTokens: MAX_OUTPUT_TOKENS,
+    prefixes: createPrefixes(draw, id, promptTokens),
+    node: draw.nextInteger(1000),
+    leavesAfterMs: isLeaving ? leavesAfterMs : Infinity,
+    isFlood,
+  };
+}
+
+function createPrefixes(draw: random.RandomSource, id: string, promptTokens: number): string[] {
+  const blocks = Math.floor(promptTokens / modelRunners.BLOCK_TOKENS);
+  const shared = chooseSkewed(draw, SHARED_PREFIXES);
+  const isShared = draw.nextFloat() < SHARED_PART;
+  const sharedBlocks = isShared ? 4 + ((shared * 7) % (MAX_SHARED_BLOCKS - 4)) : 0;
+  return Array.from({ length: blocks }, (_, block) =>
+    block < sharedBlocks ? `shared${shared}/${block}` : `${id}/${block}`,
+  );
+}
+
+/** Draws an index below `count`, small ones more often. */
+function chooseSkewed(draw: random.RandomSource, count: number): number {
+  return Math.floor(count * draw.nextFloat() ** 2);
+}
+
+function drawTokens(
+  draw: random.RandomSource,
+  median: number,
+  sigma: number,
+  least: number,
+  most: number,
+): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - draw.nextFloat()));
+  const normal = radius * Math.cos(2 * Math.PI * draw.nextFloat());
+  return Math.round(Math.min(most, Math.max(least, median * Math.exp(sigma * normal))));
+}
+
+function computeBurstFactor(at: number): number {
+  const isBurst = at % BURST_PERIOD_MS < BURST_MS;
+  const rest = BURST_PERIOD_MS - BURST_MS;
+  return isBurst ? BURST_FACTOR : (BURST_PERIOD_MS - BURST_FACTOR * BURST_MS) / rest;
+}
--- a/src/capacity/allocator.ts
+++ b/src/capacity/allocator.ts
@@ -76,7 +76,11 @@
   removeRunner(name: string): void {
     const entry = this.#runners.get(name);
     this.#runners.delete(name);
-    for (const lease of entry?.decode?.listLeases() ?? []) {
+    const leases = [
+      ...(entry?.decode?.listLeases() ?? []),
+      ...(entry?.prefill?.listLeases() ?? []),
+    ];
+    for (const lease of leases) {
       lease.onTurn?.({ turn: false, known: false, share: false });
     }
   }
@@ -93,11 +97,12 @@
     return { ...decision.answer, better: this.#findBetter(request) };
   }
 
-  /** Handles a wait for the turn of a queued lease. */
+  /** Handles a wait for the turn of a queued lease, of a decode or a prefill runner. */
   handleWait(id: messages.LeaseId, signal: AbortSignal): Promise<messages.Turn> | messages.Turn {
-    const lease = this.#runners.get(id.runner)?.decode?.findLease(id.id);
-    if (lease?.request.attempt !== id.attempt) return { turn: false, known: false, share: false };
-    if (lease.phase !== messages.PHASE.queued) return { turn: true, known: true, share: false };
+    const entry = this.#runners.get(id.runner);
+    const lease = entry?.decode?.findLease(id.id) ?? entry?.prefill?.findLease(id.id);
+    if (lease?.attempt !== id.attempt) return { turn: false, known: false, share: false };
+    if (lease.sentAt !== undefined) return { turn: true, known: true, share: false };
     return new Promise((resolve) => {
       lease.onTurn = resolve;
       signal.addEventListener(
@@ -130,14 +135,14 @@
 
   /** Handles changes of leases. */
   handleChanges(changes: readonly messages.LeaseChange[]): void {
-    for (const { runner, id, attempt, phase } of changes) {
+    for (const { runner, id, attempt, phase, tokens } of changes) {
       const entry = this.#runners.get(runner);
       if (phase === undefined) {
         entry?.decode?.release(id, attempt);
         entry?.prefill?.release(id, attempt);
       } else if (phase === messages.PHASE.running) {
         entry?.decode?.setPhase(id, attempt, phase);
-        entry?.prefill?.recordEnd(id, attempt);
+        entry?.prefill?.recordEnd(id, attempt, tokens);
       }
     }
     for (const entry of this.#runners.values()) entry.decode?.startQueued();
@@ -191,6 +196,7 @@
       runner: runner.name,
       waitMs: decode?.computeWait("") ?? prefill?.computeWait() ?? 0,
       free: decode?.countFree() ?? 0,
+      slowness: prefill?.slowness ?? 1,
       available: occupancy.available,
     }));
   }
--- a/src/capacity/capacity.ts
+++ b/src/capacity/capacity.ts
@@ -127,6 +127,7 @@
       holdings: this.#holdings,
       observer: this.#observer,
       waitTurn: (grant, stop) => this.#leasing.waitTurn(demand, grant, onRevoke, stop),
+      waitPrefillTurn: (grant, stop) => this.#leasing.waitPrefillTurn(grant, stop),
       leasePrefill: (grant, stop) => this.#leasing.leasePrefill(demand, grant, onRevoke, stop),
     };
     if (!decode.turn) {
--- a/src/capacity/decode-ledger.ts
+++ b/src/capacity/decode-ledger.ts
@@ -19,14 +19,15 @@
 /** A lease in the ledger. */
 export interface DecodeLease {
   readonly request: messages.LeaseRequest;
+  readonly attempt: number;
   readonly holder: network.PeerIdentity;
   readonly grantedAt: number;
   /** Time after which the turn is of no use. */
   readonly startBy: number;
   phase: messages.Phase;
   phaseAt: number;
-  /** When its holder last reported it. */
-  confirmedAt: number;
+  /** When its turn came. */
+  sentAt: number | undefined;
   /** Called once when the turn comes or the lease is refused. */
   onTurn: ((turn: messages.Turn) => void) | undefined;
 }
@@ -98,7 +99,6 @@
     const known = this.#leases.get(held.id);
     if (known !== undefined && known.request.attempt > held.attempt) return false;
     if (known?.request.attempt === held.attempt && known.holder.vm === holder.vm) {
-      known.confirmedAt = now;
       if (held.phase > known.phase) this.setPhase(held.id, held.attempt, held.phase);
       return true;
     }
@@ -108,9 +108,10 @@
       holder,
       grantedAt: now - held.ageMs,
       startBy: now,
+      attempt: held.attempt,
       phase: held.phase === messages.PHASE.queued ? messages.PHASE.sent : held.phase,
       phaseAt: now,
-      confirmedAt: now,
+      sentAt: now,
       onTurn: undefined,
     });
     return true;
@@ -121,9 +122,6 @@
     const lease = this.#leases.get(id);
     if (lease?.request.attempt !== attempt || phase <= lease.phase) return;
     const now = this.#parts.clock.now();
-    if (phase === messages.PHASE.running && lease.phase === messages.PHASE.sent) {
-      this.#lead.add(now - lease.phaseAt);
-    }
     lease.phase = phase;
     lease.phaseAt = now;
   }
@@ -212,12 +210,13 @@
     const now = this.#parts.clock.now();
     const lease: DecodeLease = {
       request,
+      attempt: request.attempt,
       holder,
       grantedAt: now,
       startBy: now + request.startWithinMs,
       phase: messages.PHASE.queued,
       phaseAt: now,
-      confirmedAt: now,
+      sentAt: undefined,
       onTurn: undefined,
     };
     this.#leases.set(request.id, lease);
@@ -227,6 +226,8 @@
   #startLease(lease: DecodeLease, now: number): void {
     lease.phase = messages.PHASE.sent;
     lease.phaseAt = now;
+    lease.sentAt = now;
+    this.#lead.add(lease.request.leadMs);
     this.#parts.shares.record(lease.request.caller, lease.request.share);
     lease.onTurn?.(TURN);
     lease.onTurn = undefined;
--- a/src/capacity/holdings.ts
+++ b/src/capacity/holdings.ts
@@ -48,8 +48,8 @@
     this.#held.set(createKey(holding.runner, holding.id, holding.attempt), holding);
   }
 
-  /** Moves a lease to a later phase and tells its allocator. */
-  setPhase(holding: Holding, phase: messages.Phase): void {
+  /** Moves a lease to a later phase and tells its allocator, with the tokens computed so far. */
+  setPhase(holding: Holding, phase: messages.Phase, tokens?: number): void {
     holding.phase = phase;
     if (this.#held.get(createKey(holding.runner, holding.id, holding.attempt)) !== holding) return;
     this.#pushChange({
@@ -57,6 +57,7 @@
       id: holding.id,
       attempt: holding.attempt,
       phase,
+      tokens,
     });
   }
 
--- a/src/capacity/leasing.ts
+++ b/src/capacity/leasing.ts
@@ -137,6 +137,19 @@
     throw refusals.createError(this.#parts.random);
   }
 
+  /**
+   * Waits for the turn of a prefill lease. If the allocator lost the lease, the prefill goes ahead.
+   *
+   * @throws RequestError when the turn cannot come in time.
+   */
+  async waitPrefillTurn(grant: reservations.PrefillGrant, signal: AbortSignal): Promise<void> {
+    if (grant.turn) return;
+    const turn = await this.#waitForTurn(grant, signal);
+    signal.throwIfAborted();
+    if (turn.turn || !turn.known) return;
+    throw this.#createTurnError(turn);
+  }
+
   /**
    * Returns the prefill runner that is expected to end first.
    *
@@ -171,9 +184,12 @@
     runner: catalogs.CatalogRunner,
     signal: AbortSignal,
   ): Promise<messages.Answer> {
-    const leadMs = this.#computeLead(demand, prefill, runner);
-    const now = this.#parts.clock.now();
-    const startBy = Math.min(demand.firstTokenBy, demand.deadline) - leadMs;
+    const { clock, selection, getCatalog, views: known } = this.#parts;
+    const sizes = [getCatalog(), demand.promptTokens, prefill.runner, runner] as const;
+    const readyMs = prefill.waitMs + prefill.workMs;
+    const leadMs = readyMs + selection.computeLink(...sizes);
+    const firstTokenMs = readyMs + selection.computeTransfer(...sizes) + runner.stepMs;
+    const startBy = Math.min(demand.firstTokenBy, demand.deadline) - firstTokenMs;
     const pieces = Math.ceil((demand.promptTokens + demand.maxTokens) / runner.tokensPerPiece);
     const answer = await this.#callAllocator(
       runner.name,
@@ -186,12 +202,12 @@
         share: demand.share,
         priority: demand.priority,
         pieces,
-        startWithinMs: startBy - now,
+        startWithinMs: startBy - clock.now(),
         leadMs,
       },
       signal,
     );
-    this.#parts.views.updateWait(runner.name, Math.max(answer.waitMs, answer.retryAfterMs));
+    known.updateWait(runner.name, Math.max(answer.waitMs, answer.retryAfterMs));
     return answer;
   }
 
@@ -258,20 +274,6 @@
     }
   }
 
-  #computeLead(
-    demand: types.Demand,
-    prefill: selections.PrefillChoice,
-    runner: catalogs.CatalogRunner,
-  ): number {
-    const transferMs = this.#parts.selection.computeTransfer(
-      this.#parts.getCatalog(),
-      demand.promptTokens,
-      prefill.runner,
-      runner,
-    );
-    return prefill.waitMs + prefill.workMs + transferMs + runner.stepMs;
-  }
-
   #addDecode(
     demand: types.Demand,
     runner: catalogs.CatalogRunner,
@@ -299,7 +301,8 @@
     const { runner } = choice;
     const holding = createHolding(demand, runner, { pieces: 0, tokens, phase, now, onRevoke });
     this.#parts.holdings.add(holding);
-    return { runner, holding, startAt: now + answer.waitMs, workMs: answer.workMs };
+    const { turn, workMs } = answer;
+    return { runner, holding, turn, workMs, startBy: demand.firstTokenBy - workMs };
   }
 
   #createTurnError(turn: messages.Turn): resultCodes.RequestError {
--- a/src/capacity/messages.ts
+++ b/src/capacity/messages.ts
@@ -59,7 +59,7 @@
   pieces: zod.number().min(0),
   /** Longest wait for the turn that the request can bear. */
   startWithinMs: duration,
-  /** Expected time from the turn to the start of decode. */
+  /** Expected time from the turn to the end of the transfer, without a wait for the slot. */
   leadMs: duration,
 });
 
@@ -90,7 +90,14 @@
 /** Answer to a wait for a turn; `known` is false when the allocator has no such lease. */
 export type Turn = zod.infer<typeof turn>;
 
-const change = zod.object({ runner: text, id: text, attempt, phase: phase.optional() });
+const change = zod.object({
+  runner: text,
+  id: text,
+  attempt,
+  phase: phase.optional(),
+  /** Prompt tokens that were computed and not cached. */
+  tokens: zod.number().optional(),
+});
 
 /** A change of a lease; without `phase` it is released. */
 export type LeaseChange = zod.infer<typeof change>;
@@ -119,6 +126,8 @@
   waitMs: duration,
   /** Free slots, of decode runners. */
   free: zod.number(),
+  /** Ratio of real to nominal prefill time, of prefill runners. */
+  slowness: zod.number(),
   available: zod.boolean(),
 });
 
@@ -165,17 +174,24 @@
   return { granted: false, turn: false, waitMs: 0, workMs: 0, reason, retryAfterMs };
 }
 
-/** Picks at most `MAX_PREFIXES` evenly spaced prefixes, the longest included. */
+/** Picks at most `MAX_PREFIXES` prefixes, whose lengths are multiples of a power of two. */
 export function choosePrefixes(
   prefixes: readonly string[],
   promptTokens: number,
 ): PrefillRequest["prefixes"] {
   const blockTokens = Math.floor(promptTokens / Math.max(1, prefixes.length));
-  const step = Math.max(1, Math.ceil(prefixes.length / MAX_PREFIXES));
   const chosen: PrefillRequest["prefixes"] = [];
-  for (let end = prefixes.length; end > 0; end -= step) {
+  const step = computeStep(prefixes.length);
+  for (let end = step; end <= prefixes.length; end += step) {
     const hash = prefixes[end - 1];
-    if (hash !== undefined) chosen.unshift({ hash, tokens: end * blockTokens });
+    if (hash !== undefined) chosen.push({ hash, tokens: end * blockTokens });
   }
   return chosen;
 }
+
+/** Least power of two by which at most `MAX_PREFIXES` of `count` are chosen. */
+function computeStep(count: number): number {
+  let step = 1;
+  while (count / step > MAX_PREFIXES) step *= 2;
+  return step;
+}
--- a/src/capacity/observer.ts
+++ b/src/capacity/observer.ts
@@ -7,8 +7,6 @@
 import * as selections from "./selection.js";
 import type * as transfers from "./transfer-times.js";
 
-const MS_PER_SECOND = 1000;
-
 /** Estimates that learn from reservations. */
 export interface ObserverParts {
   readonly clock: clocks.Clock;
@@ -22,12 +20,9 @@
 export function createObserver(parts: ObserverParts): reservations.Observer {
   const { clock, health: observed, transfers: links, prefixIndex, getCatalog } = parts;
   return {
-    onPrefillEnd: ({ runner }, demand, cachedTokens, ms) => {
+    onPrefillEnd: ({ runner }, demand) => {
       observed.recordSuccess(runner.name);
       prefixIndex.add(runner.name, demand.prefixes, clock.now());
-      const computed = demand.promptTokens - cachedTokens;
-      const nominalMs = (computed / runner.prefillTokensPerSecond) * MS_PER_SECOND;
-      if (nominalMs > 1) observed.recordSlowness(runner.name, ms / nominalMs);
     },
     onDecodeStart: (prefill, decode, demand, ms) => {
       observed.recordSuccess(decode.runner.name);
--- a/src/capacity/prefill-ledger.ts
+++ b/src/capacity/prefill-ledger.ts
@@ -11,9 +11,14 @@
 /** Bounds of the learned ratio of real to nominal prefill time. */
 const MIN_SLOWNESS = 0.5;
 const MAX_SLOWNESS = 20;
+/** Prefills shorter than this tell more of messages than of the runner. */
+const MIN_LEARNED_MS = 20;
 /** Time that an overdue prefill is expected to need yet, as a part of its time so far. */
 const OVERDUE_PART = 0.2;
 
+/** Prefills sent to the runner at once, so that it never waits for the next. */
+const MAX_SENT = 2;
+
 /** A lease of queue time. */
 export interface PrefillLease {
   readonly id: string;
@@ -21,10 +26,11 @@
   readonly holder: network.PeerIdentity;
   readonly tokens: number;
   readonly grantedAt: number;
-  /** Expected start, by the queue at the grant. */
-  startAt: number;
-  endAt: number;
-  confirmedAt: number;
+  readonly workMs: number;
+  /** When the prefill was let go to the runner. */
+  sentAt: number | undefined;
+  /** Called once when the turn comes or the lease is released. */
+  onTurn: ((turn: messages.Turn) => void) | undefined;
 }
 
 /** Ledger of one prefill runner, which computes one prompt after the other. */
@@ -33,6 +39,7 @@
   readonly #clock: clocks.Clock;
   readonly #occupancy: occupancy.Occupancy;
   readonly #leases = new Map<string, PrefillLease>();
+  #lastEndAt = 0;
   readonly #slowness = new estimates.Estimate();
 
   constructor(
@@ -45,6 +52,11 @@
     this.#occupancy = runnerOccupancy;
   }
 
+  /** Learned ratio of real to nominal prefill time. */
+  get slowness(): number {
+    return Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, this.#slowness.mean ?? 1));
+  }
+
   /** Returns all leases. */
   listLeases(): readonly PrefillLease[] {
     return [...this.#leases.values()];
@@ -58,12 +70,13 @@
   /** Expected wait before a new prefill starts. */
   computeWait(): number {
     const now = this.#clock.now();
-    let freeAt = now;
+    let waitMs = 0;
+    let isFirst = true;
     for (const lease of this.#leases.values()) {
-      const overdueMs = lease.endAt < now ? OVERDUE_PART * (now - lease.startAt) : 0;
-      freeAt = Math.max(freeAt, lease.endAt, now + overdueMs);
+      waitMs += isFirst ? this.#computeRemaining(lease, now) : lease.workMs;
+      isFirst = false;
     }
-    return freeAt - now;
+    return waitMs;
   }
 
   /** Decides on a request for `tokens` of work, cached ones already taken off. */
@@ -86,50 +99,32 @@
     if (lateMs > 0 || this.#leases.size >= MAX_LEASES) {
       return messages.createRefusal(messages.REFUSAL.overloaded, Math.max(MIN_RETRY_MS, lateMs));
     }
-    const now = this.#clock.now();
-    this.#leases.set(request.id, {
-      id: request.id,
-      attempt: request.attempt,
-      holder,
-      tokens,
-      grantedAt: now,
-      startAt: now + waitMs,
-      endAt: now + waitMs + workMs,
-      confirmedAt: now,
-    });
-    return { granted: true, turn: true, waitMs, workMs, retryAfterMs: 0 };
+    const lease = this.#addLease(request, tokens, holder);
+    this.#startQueued();
+    const turn = lease.sentAt !== undefined;
+    return { granted: true, turn, waitMs, workMs, retryAfterMs: 0 };
   }
 
   /** Adds a lease that its holder reports and this ledger does not know. */
   addReported(held: messages.HeldLease, holder: network.PeerIdentity): boolean {
-    const now = this.#clock.now();
     const known = this.#leases.get(held.id);
     if (known !== undefined && known.attempt > held.attempt) return false;
-    if (known?.attempt === held.attempt) {
-      known.confirmedAt = now;
-      return true;
-    }
-    const startAt = now + this.computeWait();
-    this.#leases.set(held.id, {
-      id: held.id,
-      attempt: held.attempt,
-      holder,
-      tokens: held.tokens,
-      grantedAt: now - held.ageMs,
-      startAt,
-      endAt: startAt + this.#computeWork(held.tokens),
-      confirmedAt: now,
-    });
+    if (known?.attempt === held.attempt) return true;
+    this.#addLease(held, held.tokens, holder).sentAt = this.#clock.now();
     return true;
   }
 
-  /** Ends a lease whose prefill ended now, learns from its time, and moves those behind it. */
-  recordEnd(id: string, attempt: number): void {
+  /** Ends a lease whose prefill ended now, and learns from its time. */
+  recordEnd(id: string, attempt: number, tokens?: number): void {
     const lease = this.#leases.get(id);
     if (lease?.attempt !== attempt) return;
     const now = this.#clock.now();
-    const nominalMs = (lease.tokens / this.#runner.prefillTokensPerSecond) * 1000;
-    if (nominalMs > 0 && now > lease.startAt) this.#slowness.add((now - lease.startAt) / nominalMs);
+    const nominalMs = ((tokens ?? lease.tokens) / this.#runner.prefillTokensPerSecond) * 1000;
+    if (nominalMs >= MIN_LEARNED_MS && lease.sentAt !== undefined) {
+      const startedAt = Math.max(lease.sentAt, this.#lastEndAt);
+      this.#slowness.add((now - startedAt) / nominalMs);
+    }
+    this.#lastEndAt = now;
     this.release(id, attempt);
   }
 
@@ -138,23 +133,49 @@
     const lease = this.#leases.get(id);
     if (lease === undefined || lease.attempt > attempt) return;
     this.#leases.delete(id);
-    this.#updateTimes();
+    lease.onTurn?.({ turn: false, known: false, share: false });
+    this.#startQueued();
   }
 
-  #updateTimes(): void {
-    const now = this.#clock.now();
-    let freeAt = now;
+  #addLease(
+    request: { readonly id: string; readonly attempt: number },
+    tokens: number,
+    holder: network.PeerIdentity,
+  ): PrefillLease {
+    const lease: PrefillLease = {
+      id: request.id,
+      attempt: request.attempt,
+      holder,
+      tokens,
+      grantedAt: this.#clock.now(),
+      workMs: this.#computeWork(tokens),
+      sentAt: undefined,
+      onTurn: undefined,
+    };
+    this.#leases.set(request.id, lease);
+    return lease;
+  }
+
+  /** Lets the next prefills go, in the order of their grants. */
+  #startQueued(): void {
+    let sent = 0;
     for (const lease of this.#leases.values()) {
-      const workMs = lease.endAt - lease.startAt;
-      if (lease.startAt > now) lease.startAt = Math.min(lease.startAt, freeAt);
-      lease.endAt = lease.startAt + workMs;
-      freeAt = Math.max(freeAt, lease.endAt);
+      if (sent >= MAX_SENT) return;
+      sent += 1;
+      if (lease.sentAt !== undefined) continue;
+      lease.sentAt = this.#clock.now();
+      lease.onTurn?.({ turn: true, known: true, share: false });
+      lease.onTurn = undefined;
     }
   }
 
+  #computeRemaining(lease: PrefillLease, now: number): number {
+    const startedAt = Math.max(lease.sentAt ?? now, this.#lastEndAt);
+    const elapsedMs = now - startedAt;
+    return Math.max(lease.workMs - elapsedMs, elapsedMs * OVERDUE_PART);
+  }
+
   #computeWork(tokens: number): number {
-    const ratio = this.#slowness.mean ?? 1;
-    const slowness = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, ratio));
-    return (tokens / this.#runner.prefillTokensPerSecond) * 1000 * slowness;
+    return (tokens / this.#runner.prefillTokensPerSecond) * 1000 * this.slowness;
   }
 }
--- a/src/capacity/reservation.ts
+++ b/src/capacity/reservation.ts
@@ -1,5 +1,5 @@
 /** Places held for one request, from the grant to the end of its answer. */
-import * as clocks from "../kernel/clock.js";
+import type * as clocks from "../kernel/clock.js";
 import * as resultCodes from "../protocol/result-codes.js";
 import type * as upstream from "../upstream/types.js";
 import type * as catalogs from "./catalog.js";
@@ -7,15 +7,14 @@
 import * as messages from "./messages.js";
 import type * as types from "./types.js";
 
-/** How early a prefill is sent, so that the runner has it when the one before ends. */
-const PREFILL_EARLY_MS = 20;
-
-/** A prefill lease and when its turn comes. */
+/** A prefill lease, with or without its turn. */
 export interface PrefillGrant {
   readonly runner: catalogs.CatalogRunner;
   readonly holding: holdings.Holding;
-  readonly startAt: number;
+  readonly turn: boolean;
   readonly workMs: number;
+  /** Time after which the turn is of no use. */
+  readonly startBy: number;
 }
 
 /** A decode lease, with or without its turn. */
@@ -35,13 +34,14 @@
   /** Waits for the turn of a queued decode lease, and for one elsewhere if its allocator is lost. */
   readonly waitTurn: (grant: DecodeGrant, signal: AbortSignal) => Promise<DecodeGrant>;
   readonly leasePrefill: (decode: DecodeGrant, signal: AbortSignal) => Promise<PrefillGrant>;
+  readonly waitPrefillTurn: (grant: PrefillGrant, signal: AbortSignal) => Promise<void>;
   readonly holdings: holdings.Holdings;
   readonly observer: Observer;
 }
 
 /** Takes in what a reservation observed of its runners. */
 export interface Observer {
-  onPrefillEnd(grant: PrefillGrant, demand: types.Demand, cachedTokens: number, ms: number): void;
+  onPrefillEnd(grant: PrefillGrant, demand: types.Demand): void;
   onDecodeStart(prefill: PrefillGrant, decode: DecodeGrant, demand: types.Demand, ms: number): void;
   onTokenGap(runner: string, gapMs: number): void;
   onFailure(runner: string): void;
@@ -53,7 +53,6 @@
   readonly #plannedPrefill: catalogs.CatalogRunner;
   #decode: DecodeGrant;
   #prefill: PrefillGrant | undefined;
-  #sentAt = 0;
   #prefillEndedAt = 0;
   #disposed = false;
 
@@ -88,11 +87,9 @@
     const stop = AbortSignal.any([signal, this.revoked]);
     if (!this.#decode.turn) this.#decode = await this.#parts.waitTurn(this.#decode, stop);
     this.#prefill ??= await this.#parts.leasePrefill(this.#decode, stop);
-    const delayMs = this.#prefill.startAt - PREFILL_EARLY_MS - clock.now();
-    if (delayMs > 0) await clocks.sleep(clock, delayMs, stop);
+    await this.#parts.waitPrefillTurn(this.#prefill, stop);
     stop.throwIfAborted();
-    this.#sentAt = clock.now();
-    if (this.#sentAt + this.#prefill.workMs <= demand.firstTokenBy) return;
+    if (clock.now() + this.#prefill.workMs <= demand.firstTokenBy) return;
     throw new resultCodes.RequestError(resultCodes.RESULT_CODES.overloaded, resultCodes.RAN.no, {
       detail: "first-token target can no longer be met",
       retryAfterMs: this.#prefill.workMs,
@@ -103,15 +100,10 @@
     if (this.#prefill === undefined || this.#prefillEndedAt > 0) return;
     const { clock, holdings: held, observer, demand } = this.#parts;
     this.#prefillEndedAt = clock.now();
-    const startedAt = Math.max(this.#sentAt, this.#prefill.startAt);
-    held.setPhase(this.#prefill.holding, messages.PHASE.running);
+    const computedTokens = Math.max(0, demand.promptTokens - cachedTokens);
+    held.setPhase(this.#prefill.holding, messages.PHASE.running, computedTokens);
     held.release(this.#prefill.holding);
-    observer.onPrefillEnd(
-      this.#prefill,
-      demand,
-      cachedTokens,
-      Math.max(0, this.#prefillEndedAt - startedAt),
-    );
+    observer.onPrefillEnd(this.#prefill, demand);
   }
 
   recordDecodeStart(): void {
--- a/src/capacity/runner-health.ts
+++ b/src/capacity/runner-health.ts
@@ -1,4 +1,4 @@
-/** What this node observed of runners: failures, token gaps and prefill times. */
+/** What this node observed of runners: failures and token gaps. */
 import type * as clocks from "../kernel/clock.js";
 import * as lru from "lru-cache";
 import * as estimates from "./estimates.js";
@@ -11,7 +11,6 @@
 
 interface RunnerRecord {
   readonly gaps: estimates.Estimate;
-  readonly slowness: estimates.Estimate;
   failures: number;
   excludedUntil: number;
   nextProbeAt: number;
@@ -46,16 +45,6 @@
     this.#getRecord(runner).gaps.add(gapMs);
   }
 
-  /** Records the ratio of a prefill's real to its nominal time. */
-  recordSlowness(runner: string, ratio: number): void {
-    this.#getRecord(runner).slowness.add(ratio);
-  }
-
-  /** Ratio of real to nominal prefill time. */
-  getSlowness(runner: string): number {
-    return Math.max(0.5, this.#getRecord(runner).slowness.mean ?? 1);
-  }
-
   /** Whether the runner failed lately and is left out. */
   isExcluded(runner: string): boolean {
     return this.#getRecord(runner).excludedUntil > this.#clock.now();
@@ -77,7 +66,6 @@
     if (record === undefined) {
       record = {
         gaps: new estimates.Estimate(),
-        slowness: new estimates.Estimate(),
         failures: 0,
         excludedUntil: 0,
         nextProbeAt: 0,
--- a/src/capacity/runner-views.ts
+++ b/src/capacity/runner-views.ts
@@ -10,6 +10,7 @@
 interface KnownState {
   waitMs: number;
   free: number;
+  slowness: number;
   available: boolean;
   at: number;
 }
@@ -26,15 +27,17 @@
   /** Takes in the states that an allocator told. */
   update(views: readonly messages.RunnerView[]): void {
     const at = this.#clock.now();
-    for (const { runner, waitMs, free, available } of views) {
-      this.#states.set(runner, { waitMs, free, available, at });
+    for (const { runner, waitMs, free, slowness, available } of views) {
+      this.#states.set(runner, { waitMs, free, slowness, available, at });
     }
   }
 
   /** Takes in a wait that an answer told. */
   updateWait(runner: string, waitMs: number): void {
-    const free = waitMs > 0 ? 0 : (this.#states.get(runner)?.free ?? 1);
-    this.update([{ runner, waitMs, free, available: true }]);
+    const known = this.#states.get(runner);
+    const free = waitMs > 0 ? 0 : (known?.free ?? 1);
+    const slowness = known?.slowness ?? 1;
+    this.update([{ runner, waitMs, free, slowness, available: true }]);
   }
 
   /** Records work of `workMs` that this node just sent. */
@@ -56,6 +59,11 @@
     return this.#states.get(runner)?.free ?? 0;
   }
 
+  /** Ratio of real to nominal prefill time. */
+  getSlowness(runner: string): number {
+    return this.#states.get(runner)?.slowness ?? 1;
+  }
+
   /** Whether the runner answered its allocator when last told. */
   isAvailable(runner: string): boolean {
     const state = this.#states.get(runner);
--- a/src/capacity/selection.ts
+++ b/src/capacity/selection.ts
@@ -91,8 +91,19 @@
     return this.#parts.transfers.compute(prefill.zone, decode.zone, nominalMs);
   }
 
+  /** Expected time of the transfer alone. */
+  computeLink(
+    catalog: catalogs.Catalog,
+    promptTokens: number,
+    prefill: catalogs.CatalogRunner,
+    decode: catalogs.CatalogRunner,
+  ): number {
+    const nominalMs = computeNominalTransfer(catalog, promptTokens, prefill, decode);
+    return this.#parts.transfers.computeLink(prefill.zone, decode.zone, nominalMs);
+  }
+
   #computePrefill(runner: catalogs.CatalogRunner, demand: types.Demand): PrefillChoice {
-    const { policy, prefixIndex, views: known, health: observed, now } = this.#parts;
+    const { policy, prefixIndex, views: known, now } = this.#parts;
     const matched = policy.prefixAffinity
       ? prefixIndex.findMatch(
           runner.name,
@@ -105,7 +116,7 @@
     return {
       runner,
       waitMs: known.computeWait(runner.name),
-      workMs: nominalMs * observed.getSlowness(runner.name),
+      workMs: nominalMs * known.getSlowness(runner.name),
     };
   }
 
--- a/src/capacity/transfer-times.ts
+++ b/src/capacity/transfer-times.ts
@@ -29,6 +29,11 @@
     link.residual.add(Math.max(0, observedMs - nominalMs * link.slowness));
   }
 
+  /** Expected time of the transfer alone. */
+  computeLink(from: string, to: string, nominalMs: number): number {
+    return nominalMs * this.#getLink(from, to).slowness;
+  }
+
   /** Expected hand-over time, with a margin of the observed spread. */
   compute(from: string, to: string, nominalMs: number): number {
     const link = this.#getLink(from, to);
