Keep a node alive when the time limit of an upstream call ends it

Cause: aborting a call destroyed its request with the signal's reason. A time limit's reason is a DOMException, which the HTTP library's error wrapper refuses; it threw inside an event handler, an uncaught exception that ends the process. Ruled out: the time limit itself, for an abort with a plain Error passed. Conclusion: the reason travels as the cause of a plain error.

--- a/src/upstream/http-call.ts
+++ b/src/upstream/http-call.ts
@@ -88,7 +88,8 @@
 
 function closeOnAbort(request: http.ClientRequest, signal: AbortSignal): () => void {
   const onAbort = (): void => {
-    request.destroy(signal.reason as Error);
+    // The HTTP library cannot wrap a DOMException, which a timeout's reason is.
+    request.destroy(new Error("call was aborted", { cause: signal.reason }));
   };
   signal.addEventListener("abort", onAbort, { once: true });
   return () => {
--- /dev/null
+++ b/test/upstream/service-client.test.ts
@@ -0,0 +1,100 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import type * as types from "../../src/upstream/types.js";
+import * as plainService from "../../standins/plain-service.js";
+import * as fixture from "./kernel-fixture.js";
+
+interface ListeningService extends AsyncDisposable {
+  readonly service: plainService.PlainService;
+  readonly backend: types.Upstream;
+}
+
+async function startService(): Promise<ListeningService> {
+  const service = new plainService.PlainService("booking");
+  const server = await plainService.startPlainService(service, { host: "127.0.0.1", port: 0 });
+  return {
+    service,
+    backend: { name: "booking-1", host: server.host, port: server.port },
+    [Symbol.asyncDispose]: () => server[Symbol.asyncDispose](),
+  };
+}
+
+function createRequest(changes: Partial<types.PlainRequest> = {}): types.PlainRequest {
+  const headers = { "idempotency-key": "k1" };
+  return { method: "POST", path: "/visits?a=b", headers, body: Buffer.from("ň"), ...changes };
+}
+
+function createOptions(fresh = true): { fresh: boolean; signal: AbortSignal } {
+  return { fresh, signal: AbortSignal.timeout(5_000) };
+}
+
+test.describe("createServiceClient", () => {
+  test.it("passes method, path, key and body through", async () => {
+    await using kernel = fixture.createClientKernel();
+    await using running = await startService();
+    const client = kernel.use("backends");
+    const response = await client.send(running.backend, createRequest(), createOptions());
+    earl.expect(response.status).toEqual(200);
+    const answer = JSON.parse(Buffer.from(response.body).toString()) as Record<string, unknown>;
+    earl.expect([answer.method, answer.path, answer.body]).toEqual(["POST", "/visits?a=b", "ň"]);
+    earl.expect(running.service.getJudge().executions).toEqual({ k1: 1 });
+  });
+
+  test.it("drops hop-by-hop headers both ways", async () => {
+    await using kernel = fixture.createClientKernel();
+    let sent = "";
+    await using server = await fixture.startRawServer((socket) => {
+      socket.once("data", (bytes) => {
+        sent = bytes.toString();
+        socket.end(
+          "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nX-A: 1\r\nConnection: close\r\n\r\n",
+        );
+      });
+    });
+    const headers = { connection: "x-private", "x-private": "1", te: "trailers", "x-kept": "2" };
+    const request = createRequest({ headers });
+    const response = await kernel.use("backends").send(server.upstream, request, createOptions());
+    earl.expect(sent).toMatchRegex(/x-kept: 2/);
+    earl.expect(sent).not.toMatchRegex(/x-private|te: trailers/);
+    earl.expect(response.headers).toEqual({ "x-a": "1" });
+  });
+
+  test.it("uses a new connection when it must, else a kept one", async () => {
+    await using kernel = fixture.createClientKernel();
+    let connections = 0;
+    await using server = await fixture.startRawServer((socket) => {
+      connections += 1;
+      socket.on("data", () => socket.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"));
+    });
+    const client = kernel.use("backends");
+    for (const fresh of [false, false, true, true]) {
+      await client.send(server.upstream, createRequest(), createOptions(fresh));
+    }
+    earl.expect(connections).toEqual(3);
+  });
+
+  test.it("says broken when the reply is lost after the call ran", async () => {
+    await using kernel = fixture.createClientKernel();
+    await using running = await startService();
+    running.service.setFaults({ dropReply: true });
+    const sending = kernel.use("backends").send(running.backend, createRequest(), createOptions());
+    earl.expect(await fixture.getFailure(sending)).toEqual("broken");
+    earl.expect(running.service.getJudge().executions).toEqual({ k1: 1 });
+  });
+
+  test.it("says not-connected when nothing listens", async () => {
+    await using kernel = fixture.createClientKernel();
+    const closed = await fixture.findClosedPort();
+    const sending = kernel.use("backends").send(closed, createRequest(), createOptions());
+    earl.expect(await fixture.getFailure(sending)).toEqual("not-connected");
+  });
+
+  test.it("gives up when its signal aborts, and a silent backend counts as broken", async () => {
+    await using kernel = fixture.createClientKernel();
+    await using running = await startService();
+    running.service.setFaults({ silent: true });
+    const options = { fresh: true, signal: AbortSignal.timeout(100) };
+    const sending = kernel.use("backends").send(running.backend, createRequest(), options);
+    earl.expect(await fixture.getFailure(sending)).toEqual("broken");
+  });
+});
