--- a/src/caller/addresses.ts
+++ b/src/caller/addresses.ts
@@ -1,7 +1,7 @@
 /** Answers which nodes a caller should connect to. */
 import type * as kernels from "../kernel/container.js";
 import type * as membership from "../membership/types.js";
-import type * as random from "../kernel/random.js";
+import * as random from "../kernel/random.js";
 
 /** How long a caller may keep an answer. */
 export const ADDRESS_TTL_MS = 30_000;
@@ -23,7 +23,7 @@
   const fleet = kernel.use("membership");
   const others = fleet.listAlive().filter((member) => member.vm !== fleet.self.vm);
   const own = fleet.listAlive().filter((member) => member.vm === fleet.self.vm);
-  return [...own, ...createShuffled(others, kernel.use("random"))]
+  return [...own, ...random.createShuffled(others, kernel.use("random"))]
     .slice(0, MAX_ADDRESSES)
     .map(formatAddress);
 }
@@ -31,10 +31,3 @@
 function formatAddress(member: membership.Member): CallerAddress {
   return { vm: member.vm, host: member.caller.host, port: member.caller.port, zone: member.zone };
 }
-
-function createShuffled<Item>(items: readonly Item[], source: random.RandomSource): Item[] {
-  return items
-    .map((item) => ({ item, order: source.nextFloat() }))
-    .sort((left, right) => left.order - right.order)
-    .map((entry) => entry.item);
-}
--- a/src/caller/model-measures.ts
+++ b/src/caller/model-measures.ts
@@ -22,7 +22,7 @@
   }
 
   /** Passes an answer on and records its latencies. */
-  async *measure(answer: AsyncIterable<types.ModelEvent>): AsyncGenerator<types.ModelEvent> {
+  async *recordAnswer(answer: AsyncIterable<types.ModelEvent>): AsyncGenerator<types.ModelEvent> {
     for await (const event of answer) {
       if (event.type === "token") this.#recordToken();
       else this.#recordEnd();
--- a/src/caller/model-routes.ts
+++ b/src/caller/model-routes.ts
@@ -47,15 +47,15 @@
   request: hapi.Request,
   toolkit: hapi.ResponseToolkit,
 ): Promise<hapi.Lifecycle.ReturnValue> {
-  const prepared = prepareCall(kernel, endpoint, request);
+  const prepared = createCall(kernel, endpoint, request);
   const signal = callerSignal.createCallerSignal(request);
   const measures = new modelMeasures.ModelMeasures(kernel, prepared.call);
-  const answer = measures.measure(kernel.use("modelCalls").run(prepared.call, signal));
-  if (!prepared.query.stream) return collectAnswer(prepared, answer);
+  const answer = measures.recordAnswer(kernel.use("modelCalls").run(prepared.call, signal));
+  if (!prepared.query.stream) return readAnswer(prepared, answer);
   return startStream(kernel, prepared, answer, signal, toolkit);
 }
 
-function prepareCall(
+function createCall(
   kernel: kernels.Kernel,
   endpoint: openai.Endpoint,
   request: hapi.Request,
@@ -101,7 +101,7 @@
   return model;
 }
 
-async function collectAnswer(
+async function readAnswer(
   prepared: Prepared,
   answer: AsyncIterable<types.ModelEvent>,
 ): Promise<object> {
--- a/src/caller/openai.ts
+++ b/src/caller/openai.ts
@@ -101,11 +101,16 @@
   chat: { whole: "chat.completion", chunk: "chat.completion.chunk" },
 };
 
-const CHOICES: Record<Endpoint, { whole(text: string): object; chunk(text: string): object }> = {
-  completions: { whole: (text) => ({ text }), chunk: (text) => ({ text }) },
+interface ChoiceFormats {
+  createWhole(text: string): object;
+  createChunk(text: string): object;
+}
+
+const CHOICES: Record<Endpoint, ChoiceFormats> = {
+  completions: { createWhole: (text) => ({ text }), createChunk: (text) => ({ text }) },
   chat: {
-    whole: (text) => ({ message: { role: "assistant", content: text } }),
-    chunk: (text) => ({ delta: text === "" ? {} : { content: text } }),
+    createWhole: (text) => ({ message: { role: "assistant", content: text } }),
+    createChunk: (text) => ({ delta: text === "" ? {} : { content: text } }),
   },
 };
 
@@ -116,7 +121,7 @@
   text: string,
   end: EndEvent | undefined,
 ): object {
-  const choice = CHOICES[endpoint].chunk(text);
+  const choice = CHOICES[endpoint].createChunk(text);
   return {
     ...head,
     object: OBJECT_NAMES[endpoint].chunk,
@@ -132,7 +137,7 @@
   text: string,
   end: EndEvent,
 ): object {
-  const choice = CHOICES[endpoint].whole(text);
+  const choice = CHOICES[endpoint].createWhole(text);
   return {
     ...head,
     object: OBJECT_NAMES[endpoint].whole,
--- a/src/caller/plain-routes.ts
+++ b/src/caller/plain-routes.ts
@@ -57,7 +57,7 @@
   request: hapi.Request,
   toolkit: hapi.ResponseToolkit,
 ): Promise<hapi.ResponseObject> {
-  const call = prepareCall(kernel, request);
+  const call = createCall(kernel, request);
   const signal = callerSignal.createCallerSignal(request);
   const response = await kernel.use("plainCalls").run(call, signal);
   const answer = toolkit.response(Buffer.from(response.body)).code(response.status);
@@ -65,7 +65,7 @@
   return answer;
 }
 
-function prepareCall(kernel: kernels.Kernel, request: hapi.Request): types.PlainCall {
+function createCall(kernel: kernels.Kernel, request: hapi.Request): types.PlainCall {
   const { inForce, caller } = admission.checkCaller(kernel, request.headers);
   const service = findService(inForce.document, caller, String(request.params.name));
   const path = getServicePath(request);
--- a/src/capacity/holdings.ts
+++ b/src/capacity/holdings.ts
@@ -98,17 +98,17 @@
 
   [Symbol.dispose](): void {
     this.#cancelFlush?.();
-    this.#flush();
+    this.#sendAll();
   }
 
   #pushChange(change: messages.LeaseChange): void {
     this.#changes.push(change);
     this.#cancelFlush ??= this.#clock.schedule(FLUSH_DELAY_MS, () => {
-      this.#flush();
+      this.#sendAll();
     });
   }
 
-  #flush(): void {
+  #sendAll(): void {
     this.#cancelFlush = undefined;
     const changes = this.#changes;
     this.#changes = [];
--- a/src/kernel/random.ts
+++ b/src/kernel/random.ts
@@ -27,3 +27,19 @@
 export function createSystemRandom(): RandomSource {
   return createSeededRandom(crypto.randomInt(UINT32_RANGE));
 }
+
+/**
+ * Returns the items in a random order.
+ *
+ * @example createShuffled(members, random)[0];
+ */
+export function createShuffled<Item>(items: readonly Item[], source: RandomSource): Item[] {
+  const shuffled = [...items];
+  for (let last = shuffled.length - 1; last > 0; last -= 1) {
+    const other = source.nextInteger(last + 1);
+    const moved = shuffled[last] as Item;
+    shuffled[last] = shuffled[other] as Item;
+    shuffled[other] = moved;
+  }
+  return shuffled;
+}
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -8,6 +8,7 @@
 import * as records from "./member-record.js";
 import * as memberTable from "./member-table.js";
 import * as calls from "./membership-calls.js";
+import * as randoms from "../kernel/random.js";
 import * as prober from "./prober.js";
 import * as types from "./types.js";
 import * as vmListReader from "./vm-list-reader.js";
@@ -50,7 +51,7 @@
       platform: kernel.use("platform"),
       prober: this.#prober,
       log: this.#log,
-      onLeaving: (vm) => void this.#announce(vm),
+      onLeaving: (vm) => void this.#sendState(vm),
     });
     this.#table.onChange((member) => {
       this.#handleChange(member);
@@ -86,7 +87,7 @@
 
   async startLeaving(): Promise<void> {
     const { vm } = this.#table.own;
-    if (this.#table.markLeaving(vm)) await this.#announce(vm);
+    if (this.#table.markLeaving(vm)) await this.#sendState(vm);
   }
 
   /** Reads the list and meets the first peers, as far as they answer, then goes on by itself. */
@@ -102,10 +103,12 @@
   }
 
   /** Tells others of one member's record at once. */
-  async #announce(vm: string): Promise<void> {
+  async #sendState(vm: string): Promise<void> {
     const request = { updates: [this.#table.get(vm)] };
     const options = { timeoutMs: ANNOUNCE_LIMIT_MS };
-    const told = prober.shuffle(this.#table.listOthers(), this.#random).slice(0, MAX_ANNOUNCEMENTS);
+    const told = randoms
+      .createShuffled(this.#table.listOthers(), this.#random)
+      .slice(0, MAX_ANNOUNCEMENTS);
     const sends = told.map((other) =>
       this.#network.call(other.vm, calls.ANNOUNCE, request, options),
     );
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -4,7 +4,7 @@
  * refutes that. What peers say against a member is believed only after an own probe failed too.
  */
 import * as clocks from "../kernel/clock.js";
-import type * as random from "../kernel/random.js";
+import * as randoms from "../kernel/random.js";
 import * as network from "../protocol/network.js";
 import * as calls from "./membership-calls.js";
 import type * as gossip from "./gossip.js";
@@ -37,7 +37,7 @@
   readonly table: memberTable.MemberTable;
   readonly gossiper: gossip.Gossiper;
   readonly clock: clocks.Clock;
-  readonly random: random.RandomSource;
+  readonly random: randoms.RandomSource;
 }
 
 /** Probes members and finds out which fail. */
@@ -73,7 +73,7 @@
       const jitter = 0.9 + 0.2 * random.nextFloat();
       await clocks.sleep(clock, PROBE_PERIOD_MS * jitter, signal).catch(() => undefined);
       const wasPaused = clock.now() - lastAt > PAUSE_MS;
-      if (wasPaused) await this.#recheck();
+      if (wasPaused) await this.#checkPeers();
       lastAt = clock.now();
       table.expire(SUSPICION_MS);
       this.#startProbes();
@@ -81,7 +81,7 @@
   }
 
   /** Exchanges everything with a node; returns whether it answered. */
-  async sync(vm: string): Promise<boolean> {
+  async callMember(vm: string): Promise<boolean> {
     const { network: peers, table, gossiper } = this.#options;
     try {
       const request = { members: [...table.list()] };
@@ -95,10 +95,10 @@
   }
 
   /** Asks a few peers for their view, before suspicions of before the pause count. */
-  async #recheck(): Promise<void> {
+  async #checkPeers(): Promise<void> {
     this.#options.table.renewSuspicions();
     const peers = this.#chooseOthers(WAKE_SYNC_COUNT, "");
-    await Promise.all(peers.map((peer) => this.sync(peer.vm)));
+    await Promise.all(peers.map((peer) => this.callMember(peer.vm)));
   }
 
   #startProbes(): void {
@@ -116,7 +116,7 @@
     this.#deadProbeDue = clock.now() + DEAD_PROBE_PERIOD_MS * (0.5 + random.nextFloat());
     const dead = table.listDead();
     const chosen = dead[random.nextInteger(dead.length)];
-    if (chosen !== undefined) void this.sync(chosen.vm);
+    if (chosen !== undefined) void this.callMember(chosen.vm);
   }
 
   /** Returns the next member of the shuffled round. */
@@ -124,7 +124,7 @@
     const { table, random } = this.#options;
     if (this.#round.length === 0) {
       const vms = table.listOthers().map((record) => record.vm);
-      this.#round = shuffle(vms, random);
+      this.#round = randoms.createShuffled(vms, random);
     }
     const vm = this.#round.pop();
     if (vm === undefined) return undefined;
@@ -153,7 +153,7 @@
     const failure = await this.#probeDirectly(member);
     if (failure === undefined) return;
     const isGone = failure === network.CALL_FAILURE.gone;
-    if (isGone && (await this.sync(member.vm))) return;
+    if (isGone && (await this.callMember(member.vm))) return;
     if (await this.#probeThroughOthers(member.vm)) return;
     const liveness = isGone ? records.LIVENESS.dead : records.LIVENESS.suspect;
     this.#options.table.markLiveness(member, liveness);
@@ -215,7 +215,7 @@
     const isUnequal = table.settled && digest !== table.digest && clock.now() >= this.#syncDue;
     if (!isUnknown && !isUnequal) return;
     this.#syncDue = clock.now() + SYNC_PERIOD_MS;
-    void this.sync(vm);
+    void this.callMember(vm);
   }
 
   #chooseOthers(count: number, except: string): readonly types.Member[] {
@@ -223,18 +223,6 @@
     const alive = table
       .listOthers()
       .filter((record) => record.vm !== except && record.liveness === records.LIVENESS.alive);
-    return shuffle(alive, random).slice(0, count).map(records.createMember);
+    return randoms.createShuffled(alive, random).slice(0, count).map(records.createMember);
   }
 }
-
-/** Returns the items in a random order. */
-export function shuffle<Item>(items: readonly Item[], source: random.RandomSource): Item[] {
-  const shuffled = [...items];
-  for (let last = shuffled.length - 1; last > 0; last -= 1) {
-    const other = source.nextInteger(last + 1);
-    const moved = shuffled[last] as Item;
-    shuffled[last] = shuffled[other] as Item;
-    shuffled[other] = moved;
-  }
-  return shuffled;
-}
--- a/src/membership/vm-list-reader.ts
+++ b/src/membership/vm-list-reader.ts
@@ -1,13 +1,13 @@
 /** Reads the platform's list of VMs: to find the first peers, to heal, and to learn who leaves. */
 import * as clocks from "../kernel/clock.js";
-import type * as random from "../kernel/random.js";
+import * as randoms from "../kernel/random.js";
 import type * as platform from "../platform/types.js";
 import type * as network from "../protocol/network.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
 import * as records from "./member-record.js";
 import type * as memberTable from "./member-table.js";
-import * as prober from "./prober.js";
+import type * as prober from "./prober.js";
 import * as rendezvous from "./rendezvous.js";
 
 /** Time between two reads, before jitter. */
@@ -28,7 +28,7 @@
   readonly table: memberTable.MemberTable;
   readonly prober: prober.Prober;
   readonly clock: clocks.Clock;
-  readonly random: random.RandomSource;
+  readonly random: randoms.RandomSource;
   readonly log: telemetry.EventLog;
   /** Called with a VM that the list newly shows as leaving. */
   readonly onLeaving: (vm: string) => void;
@@ -75,11 +75,11 @@
       if (entry.state === "leaving" && table.markLeaving(entry.vm)) onLeaving(entry.vm);
     }
     const missing = others.filter((entry) => isMissing(table.find(entry.vm)));
-    const tried = prober.shuffle(missing, random).slice(0, MAX_TRIES);
+    const tried = randoms.createShuffled(missing, random).slice(0, MAX_TRIES);
     for (const entry of tried) {
       peers.setAddress(entry.vm, { host: entry.host, port: entry.peerPort });
     }
-    await Promise.all(tried.map((entry) => this.#options.prober.sync(entry.vm)));
+    await Promise.all(tried.map((entry) => this.#options.prober.callMember(entry.vm)));
   }
 
   #computeWait(): number {
--- a/src/node.ts
+++ b/src/node.ts
@@ -8,6 +8,7 @@
 import * as random from "./kernel/random.js";
 import * as membership from "./membership/membership.js";
 import * as configuration from "./platform/configuration.js";
+import * as orders from "./platform/orders.js";
 import * as platformClient from "./platform/platform-client.js";
 import * as peerNetwork from "./protocol/peer-network.js";
 import * as tcpTransport from "./protocol/tcp-transport.js";
@@ -44,6 +45,7 @@
   kernel.register("membership", membership.createMembership);
   kernel.register("platform", platformClient.createPlatformClient);
   kernel.register("configuration", configuration.createConfiguration);
+  kernel.register("orders", orders.createOrders);
   kernel.register("sessions", sessions.createSessions);
   kernel.register("plainCalls", plainCalls.createPlainCalls);
   kernel.register("modelCalls", modelCalls.createModelCalls);
@@ -97,6 +99,7 @@
   await kernel.use("membership").start();
   await kernel.use("configuration").start();
   await kernel.use("capacity").start();
+  await kernel.use("orders").start();
 }
 
 /**
--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -75,14 +75,14 @@
 
   /** Asks peers and the service, then watches. */
   async #run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this.#askPeers(signal), this.#reader.read(signal)]);
+    await Promise.all([this.#callPeers(signal), this.#reader.read(signal)]);
     this.#hasAsked = true;
     await this.#reader.run(signal);
   }
 
-  async #askPeers(signal: AbortSignal): Promise<void> {
+  async #callPeers(signal: AbortSignal): Promise<void> {
     for (let round = 0; round < MAX_ROUNDS && !signal.aborted; round += 1) {
-      if (await this.#spreader.askPeers()) return;
+      if (await this.#spreader.callPeers()) return;
       await clocks.sleep(this.#clock, ROUND_PERIOD_MS, signal).catch(() => undefined);
     }
   }
--- a/src/platform/document-spreader.ts
+++ b/src/platform/document-spreader.ts
@@ -5,8 +5,7 @@
 import * as zlib from "node:zlib";
 import * as zod from "zod";
 import * as clocks from "../kernel/clock.js";
-import type * as random from "../kernel/random.js";
-import * as prober from "../membership/prober.js";
+import * as randoms from "../kernel/random.js";
 import type * as membership from "../membership/types.js";
 import * as fields from "../protocol/field-codec.js";
 import type * as network from "../protocol/network.js";
@@ -42,7 +41,7 @@
   readonly membership: membership.Membership;
   readonly store: configurationStore.ConfigurationStore;
   readonly clock: clocks.Clock;
-  readonly random: random.RandomSource;
+  readonly random: randoms.RandomSource;
   readonly log: telemetry.EventLog;
 }
 
@@ -74,7 +73,7 @@
       return {};
     });
     peers.onStream(calls.PULL, () => this.#sendChunks());
-    store.onChange((inForce) => void this.#announce(inForce));
+    store.onChange((inForce) => void this.#sendVersion(inForce));
   }
 
   /**
@@ -82,7 +81,7 @@
    *
    * @returns whether one answered, or there is none to ask.
    */
-  async askPeers(): Promise<boolean> {
+  async callPeers(): Promise<boolean> {
     const asked = this.#chooseOthers(ASKED_PEERS);
     const answers = asked.map(async (peer) => {
       const options = { timeoutMs: CALL_LIMIT_MS };
@@ -94,20 +93,20 @@
       result.status === "fulfilled" ? [result.value] : [],
     );
     for (const { version, vm } of replies) {
-      if (version !== undefined && this.#isWanted(version)) await this.#pullGuarded(version, vm);
+      if (version !== undefined && this.#isWanted(version)) await this.#readGuarded(version, vm);
     }
     return asked.length === 0 || replies.length > 0;
   }
 
   #handleVersion(version: digests.DocumentVersion, from: network.PeerIdentity): void {
     if (this.#isPulling || !this.#isWanted(version)) return;
-    void this.#pullGuarded(version, from.vm);
+    void this.#readGuarded(version, from.vm);
   }
 
-  async #pullGuarded(version: digests.DocumentVersion, vm: string): Promise<void> {
+  async #readGuarded(version: digests.DocumentVersion, vm: string): Promise<void> {
     this.#isPulling = true;
     try {
-      await this.#pull(vm);
+      await this.#readDocument(vm);
       if (this.#isWanted(version)) this.#addRejected(version);
     } catch (error) {
       const details = { vm, error: String(error) };
@@ -118,19 +117,19 @@
   }
 
   #isWanted(version: digests.DocumentVersion): boolean {
-    const told = shortenVersion(version);
+    const told = formatShortVersion(version);
     if (this.#rejected.includes(formatVersion(told))) return false;
     const { current } = this.#options.store;
-    return digests.isNewer(told, current === undefined ? undefined : shortenVersion(current));
+    return digests.isNewer(told, current === undefined ? undefined : formatShortVersion(current));
   }
 
   #addRejected(version: digests.DocumentVersion): void {
-    this.#rejected.push(formatVersion(shortenVersion(version)));
+    this.#rejected.push(formatVersion(formatShortVersion(version)));
     if (this.#rejected.length > MAX_REJECTED) this.#rejected.shift();
   }
 
   /** Reads the document in force at a peer and applies it. */
-  async #pull(vm: string): Promise<void> {
+  async #readDocument(vm: string): Promise<void> {
     const chunks: Uint8Array[] = [];
     let size = 0;
     using limit = clocks.createTimeLimit(this.#options.clock, PULL_LIMIT_MS);
@@ -164,7 +163,7 @@
     return this.#packed;
   }
 
-  async #announce(version: types.InForce): Promise<void> {
+  async #sendVersion(version: types.InForce): Promise<void> {
     const { revision, digest } = version;
     const options = { timeoutMs: CALL_LIMIT_MS };
     const sends = this.#chooseOthers(ANNOUNCE_COUNT).map((peer) =>
@@ -176,16 +175,16 @@
   #chooseOthers(count: number): readonly membership.Member[] {
     const { membership: members, random } = this.#options;
     const others = members.listAlive().filter((member) => member.vm !== members.self.vm);
-    return prober.shuffle(others, random).slice(0, count);
+    return randoms.createShuffled(others, random).slice(0, count);
   }
 }
 
-function shortenVersion(version: digests.DocumentVersion): digests.DocumentVersion {
+function formatShortVersion(version: digests.DocumentVersion): digests.DocumentVersion {
   return { revision: version.revision, digest: version.digest.slice(0, SHORT_DIGEST_DIGITS) };
 }
 
 function encodeVersion(version: digests.DocumentVersion | undefined): unknown {
-  return version === undefined ? undefined : shortVersionCodec.encode(shortenVersion(version));
+  return version === undefined ? undefined : shortVersionCodec.encode(formatShortVersion(version));
 }
 
 function formatVersion(version: digests.DocumentVersion): string {
--- a/src/platform/order-rights.ts
+++ b/src/platform/order-rights.ts
@@ -6,8 +6,7 @@
  */
 import * as zod from "zod";
 import * as clocks from "../kernel/clock.js";
-import type * as random from "../kernel/random.js";
-import * as prober from "../membership/prober.js";
+import * as randoms from "../kernel/random.js";
 import type * as membership from "../membership/types.js";
 import * as network from "../protocol/network.js";
 import * as calls from "./configuration-calls.js";
@@ -36,7 +35,7 @@
   readonly network: network.PeerNetwork;
   readonly membership: membership.Membership;
   readonly clock: clocks.Clock;
-  readonly random: random.RandomSource;
+  readonly random: randoms.RandomSource;
   readonly findAllocator: (runner: string) => string | undefined;
   readonly getVersion: () => digests.DocumentVersion | undefined;
 }
@@ -80,10 +79,10 @@
    * Asks a few peers, suspects among them; returns whether none objects and, unless all others are
    * dead, one confirms.
    */
-  async confirm(runner: string): Promise<boolean> {
+  async checkRights(runner: string): Promise<boolean> {
     const { network: peers, membership: members, random } = this.#options;
     const others = members.listMembers().filter((member) => member.vm !== members.self.vm);
-    const asked = prober.shuffle(others, random).slice(0, CONFIRMING_PEERS);
+    const asked = randoms.createShuffled(others, random).slice(0, CONFIRMING_PEERS);
     const answers = asked.map(async (peer) => {
       const options = { timeoutMs: CONFIRM_LIMIT_MS };
       const reply = await peers.call(peer.vm, READ_ALLOCATOR, { runner }, options);
--- a/src/platform/orders.ts
+++ b/src/platform/orders.ts
@@ -108,7 +108,7 @@
     this.#removeOthers(names);
     this.#nextTurnAt = Infinity;
     const turns = { desired, bytesPerSecond: document.weightStore.bytesPerSecond };
-    await Promise.all(own.map((entry) => this.#reconcile(entry, turns, signal)));
+    await Promise.all(own.map((entry) => this.#applyDocument(entry, turns, signal)));
   }
 
   #removeOthers(ownRunners: readonly string[]): void {
@@ -119,14 +119,14 @@
     }
   }
 
-  async #reconcile(
+  async #applyDocument(
     entry: runnerOrder.DesiredRunner,
     turns: Turns,
     signal: AbortSignal,
   ): Promise<void> {
     const { name } = entry.runner;
     try {
-      const reason = await this.#reconcileOnce(entry, turns, signal);
+      const reason = await this.#applyOnce(entry, turns, signal);
       if (reason === undefined) this.#drifts.delete(name);
       else this.#drifts.set(name, reason);
     } catch (error) {
@@ -139,7 +139,7 @@
   }
 
   /** Compares, and orders where that is due; returns why the runner still differs. */
-  async #reconcileOnce(
+  async #applyOnce(
     entry: runnerOrder.DesiredRunner,
     turns: Turns,
     signal: AbortSignal,
@@ -151,7 +151,7 @@
     const refusal = this.#checkRight(entry, load, turns);
     if (refusal !== undefined) return refusal;
     const confirmedAt = this.#clock.now();
-    if (!(await this.#rights.confirm(runner.name))) return DRIFT_REASON.unconfirmed;
+    if (!(await this.#rights.checkRights(runner.name))) return DRIFT_REASON.unconfirmed;
     return await this.#sendOrder(entry, confirmedAt, signal);
   }
 
@@ -167,7 +167,7 @@
     const isFresh = orderedAt !== undefined && this.#clock.now() - orderedAt < REPEAT_MS;
     if (isFresh && load.fencing === order.fencing) return DRIFT_REASON.ordered;
     if (!runner.checksFencing && !this.#rights.hasWaited(runner.name)) return DRIFT_REASON.leased;
-    if (!runnerOrder.needsWeights(order, load)) return undefined;
+    if (!runnerOrder.hasWeightChange(order, load)) return undefined;
     return this.#isTurn(runner.name, turns) ? undefined : DRIFT_REASON.paced;
   }
 
--- a/src/platform/runner-order.ts
+++ b/src/platform/runner-order.ts
@@ -24,11 +24,11 @@
 /** Whether a runner would have to change to carry out the order. */
 export function hasDrift(order: upstream.RunnerOrder, load: upstream.RunnerLoad): boolean {
   const hasOtherRole = order.role !== load.role;
-  return hasOtherRole || needsWeights(order, load) || !hasSameAdapters(order, load);
+  return hasOtherRole || hasWeightChange(order, load) || !hasSameAdapters(order, load);
 }
 
 /** Whether a runner would have to load the weights of a model. */
-export function needsWeights(order: upstream.RunnerOrder, load: upstream.RunnerLoad): boolean {
+export function hasWeightChange(order: upstream.RunnerOrder, load: upstream.RunnerLoad): boolean {
   return order.model !== load.model || order.version !== load.version;
 }
 
--- a/src/platform/service-reader.ts
+++ b/src/platform/service-reader.ts
@@ -95,13 +95,13 @@
       return true;
     } catch (error) {
       this.#failures += 1;
-      this.#logFailure(error, signal);
+      this.#recordFailure(error, signal);
       return false;
     }
   }
 
   /** Logs the first failure of an outage. */
-  #logFailure(error: unknown, signal: AbortSignal): void {
+  #recordFailure(error: unknown, signal: AbortSignal): void {
     if (this.#failures > 1 || signal.aborted) return;
     const fields = { what: "configuration", error: String(error) };
     this.#options.log.write(logEvents.LOG_EVENTS.platformUnavailable, fields);
--- a/src/protocol/connection-pool.ts
+++ b/src/protocol/connection-pool.ts
@@ -57,13 +57,13 @@
   }
 
   #startDial(vm: string): Promise<outgoing.OutgoingConnection> {
-    const dial = this.#dial(vm).finally(() => this.#dials.delete(vm));
+    const dial = this.#addConnection(vm).finally(() => this.#dials.delete(vm));
     dial.catch(() => undefined);
     this.#dials.set(vm, dial);
     return dial;
   }
 
-  async #dial(vm: string): Promise<outgoing.OutgoingConnection> {
+  async #addConnection(vm: string): Promise<outgoing.OutgoingConnection> {
     const address = this.#addresses.get(vm);
     if (address === undefined) throw createNotSent(`no address of ${vm} is known`);
     if (!this.#releasePlace()) throw createNotSent("too many connections are in use");
@@ -86,7 +86,7 @@
       return await outgoing.connectToPeer(address, this.#options);
     } catch (error) {
       if (error instanceof network.ConnectionRefusedError) throw createGone(vm, error);
-      this.#logRejection(vm, error);
+      this.#recordRejection(vm, error);
       throw createNotSent(`no connection to ${vm}`, error);
     }
   }
@@ -96,14 +96,14 @@
     try {
       await connection.run();
     } catch (error) {
-      this.#logRejection(vm, error);
+      this.#recordRejection(vm, error);
     } finally {
       this.#running.delete(connection);
       if (this.#connections.get(vm) === connection) this.#connections.delete(vm);
     }
   }
 
-  #logRejection(vm: string, error: unknown): void {
+  #recordRejection(vm: string, error: unknown): void {
     if (!handshake.isRejection(error)) return;
     this.#log.write(logEvents.LOG_EVENTS.peerRejected, { vm, error: String(error) });
   }
--- a/src/protocol/field-codec.ts
+++ b/src/protocol/field-codec.ts
@@ -14,11 +14,11 @@
 }
 
 interface Packer {
-  pack(value: unknown): unknown;
-  unpack(wire: unknown): unknown;
+  encode(value: unknown): unknown;
+  decode(wire: unknown): unknown;
 }
 
-const IDENTITY: Packer = { pack: (value) => value, unpack: (wire) => wire };
+const IDENTITY: Packer = { encode: (value) => value, decode: (wire) => wire };
 
 /**
  * Creates the codec of a schema. Objects below objects, arrays and optionals lose their names too;
@@ -29,8 +29,8 @@
 export function createFieldCodec<Value>(schema: zod.ZodType<Value>): FieldCodec<Value> {
   const packer = createPacker(schema);
   return {
-    encode: (value) => packer.pack(value),
-    decode: (wire) => schema.parse(packer.unpack(wire)),
+    encode: (value) => packer.encode(value),
+    decode: (wire) => schema.parse(packer.decode(wire)),
   };
 }
 
@@ -47,15 +47,17 @@
     packer: createPacker(field),
   }));
   return {
-    pack: (value) => {
+    encode: (value) => {
       const record = value as Readonly<Record<string, unknown>>;
-      return removeTrailingUndefined(fields.map((field) => field.packer.pack(record[field.name])));
+      return removeTrailingUndefined(
+        fields.map((field) => field.packer.encode(record[field.name])),
+      );
     },
-    unpack: (wire) => {
+    decode: (wire) => {
       if (!Array.isArray(wire)) return wire;
       const record: Record<string, unknown> = {};
       fields.forEach((field, index) => {
-        const value: unknown = field.packer.unpack(wire[index]);
+        const value: unknown = field.packer.decode(wire[index]);
         if (value !== undefined) record[field.name] = value;
       });
       return record;
@@ -65,15 +67,15 @@
 
 function createArrayPacker(item: Packer): Packer {
   return {
-    pack: (value) => (value as unknown[]).map((entry) => item.pack(entry)),
-    unpack: (wire) => (Array.isArray(wire) ? wire.map((entry) => item.unpack(entry)) : wire),
+    encode: (value) => (value as unknown[]).map((entry) => item.encode(entry)),
+    decode: (wire) => (Array.isArray(wire) ? wire.map((entry) => item.decode(entry)) : wire),
   };
 }
 
 function createOptionalPacker(inner: Packer): Packer {
   return {
-    pack: (value) => (value === undefined ? undefined : inner.pack(value)),
-    unpack: (wire) => (wire === undefined ? undefined : inner.unpack(wire)),
+    encode: (value) => (value === undefined ? undefined : inner.encode(value)),
+    decode: (wire) => (wire === undefined ? undefined : inner.decode(wire)),
   };
 }
 
--- a/src/protocol/handshake.ts
+++ b/src/protocol/handshake.ts
@@ -16,7 +16,7 @@
 /** How long the whole exchange may take. */
 export const HANDSHAKE_LIMIT_MS = 2000;
 
-const bytes = (size: number): zod.ZodType<Uint8Array> =>
+const createBytesSchema = (size: number): zod.ZodType<Uint8Array> =>
   zod.instanceof(Uint8Array).refine((value) => value.byteLength === size);
 const vm = zod.string().min(1).max(100);
 const incarnation = zod.int().min(0);
@@ -26,13 +26,18 @@
     version: zod.literal(PROTOCOL_VERSION),
     vm,
     incarnation,
-    nonce: bytes(NONCE_BYTES),
+    nonce: createBytesSchema(NONCE_BYTES),
   }),
 );
 const challengeCodec = fields.createFieldCodec(
-  zod.object({ vm, incarnation, nonce: bytes(NONCE_BYTES), mac: bytes(MAC_BYTES) }),
+  zod.object({
+    vm,
+    incarnation,
+    nonce: createBytesSchema(NONCE_BYTES),
+    mac: createBytesSchema(MAC_BYTES),
+  }),
 );
-const proofCodec = fields.createFieldCodec(zod.object({ mac: bytes(MAC_BYTES) }));
+const proofCodec = fields.createFieldCodec(zod.object({ mac: createBytesSchema(MAC_BYTES) }));
 const welcomeCodec = fields.createFieldCodec(zod.object({}));
 
 /** The peer did not prove that it belongs to the fleet. */
--- a/src/protocol/incoming-calls.ts
+++ b/src/protocol/incoming-calls.ts
@@ -84,10 +84,10 @@
       onCredit: undefined,
     };
     this.#served.set(message.correlation, served);
-    void this.#serve(message, served, run);
+    void this.#handle(message, served, run);
   }
 
-  async #serve(
+  async #handle(
     message: messages.Message,
     served: ServedCall,
     run: (served: ServedCall) => Promise<void>,
--- a/src/protocol/incoming-connection.ts
+++ b/src/protocol/incoming-connection.ts
@@ -18,7 +18,7 @@
  *
  * @throws HandshakeError, MalformedMessageError, FrameLengthError or a network error.
  */
-export async function serveConnection(
+export async function handleConnection(
   channel: network.FrameChannel,
   options: ServeOptions,
 ): Promise<void> {
--- a/src/protocol/peer-network.ts
+++ b/src/protocol/peer-network.ts
@@ -71,7 +71,7 @@
     options: network.CallOptions,
   ): AsyncGenerator<Item, undefined> {
     using wait = createFirstItemLimit(this.#clock, options);
-    const items = await this.#openStream(vm, call, request, options.incarnation, wait.signal);
+    const items = await this.#startStream(vm, call, request, options.incarnation, wait.signal);
     for await (const item of items) {
       wait.stop();
       yield item;
@@ -112,7 +112,7 @@
 
   async start(): Promise<void> {
     this.#listener = await this.#transport.listen(this.#address, (channel) => {
-      void this.#serve(channel);
+      void this.#handle(channel);
     });
   }
 
@@ -123,7 +123,7 @@
     await this.#listener?.[Symbol.asyncDispose]();
   }
 
-  async #openStream<Request, Item>(
+  async #startStream<Request, Item>(
     vm: string,
     call: network.PeerCall<Request, Item>,
     request: Request,
@@ -138,7 +138,7 @@
     return connection.stream(call, request, signal);
   }
 
-  async #serve(channel: network.FrameChannel): Promise<void> {
+  async #handle(channel: network.FrameChannel): Promise<void> {
     if (this.#accepted.size >= MAX_ACCEPTED_CONNECTIONS) {
       this.#log.write(logEvents.LOG_EVENTS.peerRejected, { error: "too many connections" });
       await channel[Symbol.asyncDispose]();
@@ -146,7 +146,7 @@
     }
     this.#accepted.add(channel);
     try {
-      await incoming.serveConnection(channel, {
+      await incoming.handleConnection(channel, {
         credentials: this.#credentials,
         handlers: this.#handlers,
         onHandlerError: (error) => {
--- a/src/request/model-attempts.ts
+++ b/src/request/model-attempts.ts
@@ -55,7 +55,7 @@
    *
    * @throws RequestError when the request is refused or given up.
    */
-  async execute(order: RunOrder, run: modelRun.ModelRun, signal: AbortSignal): Promise<void> {
+  async run(order: RunOrder, run: modelRun.ModelRun, signal: AbortSignal): Promise<void> {
     const failed: string[] = [];
     for (let number = 0; ; number += 1) {
       const attempt = { id: run.id, attempt: order.attempt * ATTEMPT_STRIDE + number };
--- a/src/request/model-calls.ts
+++ b/src/request/model-calls.ts
@@ -86,7 +86,7 @@
     }
     const holder = this.#claims.claim(this.#createClaim(identified, undefined));
     if (this.#isSelf(holder)) yield* this.#runHere(identified, 0, signal);
-    else yield* this.#followHolder(identified, holder, signal);
+    else yield* this.#attachToHolder(identified, holder, signal);
   }
 
   /** Serves a request whose session another node owns. */
@@ -99,12 +99,12 @@
       this.#startSupersede(identified, identified.id.session.owner);
       yield* this.#runHere(identified, 0, signal);
     } else {
-      yield* this.#followHolder(identified, holder, signal);
+      yield* this.#attachToHolder(identified, holder, signal);
     }
   }
 
   /** Reads the run at its holder; takes the request over when the holder is lost. */
-  async *#followHolder(
+  async *#attachToHolder(
     identified: IdentifiedCall,
     first: types.NodeRef,
     signal: AbortSignal,
@@ -165,16 +165,16 @@
       },
     });
     this.#runs.add(run);
-    void this.#execute(identified, run);
+    void this.#runToEnd(identified, run);
     return run;
   }
 
-  async #execute(identified: IdentifiedCall, run: modelRun.ModelRun): Promise<void> {
+  async #runToEnd(identified: IdentifiedCall, run: modelRun.ModelRun): Promise<void> {
     const timeSource = this.#kernel.use("clock");
     using limit = clocks.createTimeLimit(timeSource, identified.call.deadlineMs, run.abort.signal);
     const order = { ...identified, startedAt: timeSource.now() };
     try {
-      await this.#attempts.execute(order, run, limit.signal);
+      await this.#attempts.run(order, run, limit.signal);
     } catch (error) {
       run.markFailed(this.#createFailure(error, run, limit.signal));
     } finally {
@@ -256,10 +256,10 @@
 
   /** Tells a node until it answers or the request has expired that its run is superseded. */
   #startSupersede(identified: IdentifiedCall, holder: types.NodeRef): void {
-    void this.#supersede(identified, holder);
+    void this.#sendSupersede(identified, holder);
   }
 
-  async #supersede(identified: IdentifiedCall, holder: types.NodeRef): Promise<void> {
+  async #sendSupersede(identified: IdentifiedCall, holder: types.NodeRef): Promise<void> {
     const timeSource = this.#kernel.use("clock");
     const giveUpAt = timeSource.now() + identified.call.deadlineMs;
     const request = { id: identified.id.text, attempt: identified.attempt };
--- a/test/platform/fake-runners.ts
+++ b/test/platform/fake-runners.ts
@@ -31,10 +31,10 @@
   version: string,
   checksFencing: boolean,
 ): document.FleetDocument {
-  const runner = (name: string, pool: string, zone: string): document.Runner => ({
+  const runner = (name: string, pool: string, zone: string, port: number): document.Runner => ({
     name,
     host: "10.1.0.1",
-    port: 8000,
+    port,
     zone,
     pool,
     slots: 20,
@@ -61,10 +61,10 @@
       { name: "decode", role: "decode", model: "model-1" },
     ],
     runners: [
-      runner("p1", "prefill", "zone-a"),
-      runner("p2", "prefill", "zone-b"),
-      runner("d1", "decode", "zone-a"),
-      runner("d2", "decode", "zone-c"),
+      runner("p1", "prefill", "zone-a", 8001),
+      runner("p2", "prefill", "zone-b", 8002),
+      runner("d1", "decode", "zone-a", 8003),
+      runner("d2", "decode", "zone-c", 8004),
     ],
     weightStore: { bytesPerSecond: BYTES_PER_SECOND },
   };
@@ -131,8 +131,8 @@
     const state = this.#getState(runner);
     this.received.push({ from: vm, runner, order, at: this.#clock.now() });
     state.fencing = order.fencing;
-    const needsWeights = order.version !== state.served.version;
-    if (!needsWeights) state.served = order;
+    const hasWeightChange = order.version !== state.served.version;
+    if (!hasWeightChange) state.served = order;
     else if (!state.loading) this.#startLoading(state, order);
     return this.isAnswerLost() ? Promise.reject(new Error("answer lost")) : Promise.resolve();
   }
