Say 'not run' only when no attempt may have begun

Cause: a leaving front refused retries of requests that had run with 'ran: no', and a model request refused for capacity after a broken run said the same. Ruled out: the records, which held the truth. A known plain request now goes to the records; refusals of later attempts or later runs say unknown.

--- a/src/caller/admission.ts
+++ b/src/caller/admission.ts
@@ -31,10 +31,19 @@
   return { inForce, caller: requestHeaders.findCallerByHeaders(inForce, headers) };
 }
 
-/** Refuses new work at a node that leaves. @throws RequestError `leaving` with a fresh session */
-export function checkTakesWork(kernel: kernels.Kernel, caller: document.Caller): void {
+/**
+ * Refuses new work at a node that leaves.
+ *
+ * @param attempt - the caller's attempt; an earlier one may have run elsewhere.
+ * @throws RequestError `leaving` with a fresh session
+ */
+export function checkTakesWork(
+  kernel: kernels.Kernel,
+  caller: document.Caller,
+  attempt: number,
+): void {
   if (kernel.use("membership").self.state !== membership.MEMBER_STATE.leaving) return;
-  throw new codes.RequestError(codes.RESULT_CODES.leaving, codes.RAN.no, {
+  throw new codes.RequestError(codes.RESULT_CODES.leaving, codes.getRanBefore(attempt), {
     retryAfterMs: LEAVING_RETRY_MS,
     session: kernel.use("sessions").create(caller.name),
   });
--- a/src/caller/model-routes.ts
+++ b/src/caller/model-routes.ts
@@ -65,7 +65,7 @@
   const model = findModel(inForce.document, caller, query);
   const id = requestHeaders.parseRequestId(request.headers, kernel.use("sessions"), caller);
   const attempt = requestHeaders.parseAttempt(request.headers);
-  admission.checkTakesWork(kernel, caller);
+  if (!isKnown(kernel, id)) admission.checkTakesWork(kernel, caller, attempt);
   const call: types.ModelCall = {
     caller,
     model,
@@ -81,6 +81,11 @@
   return { endpoint, query, head, call };
 }
 
+/** A retry of a request that runs here is no new work. */
+function isKnown(kernel: kernels.Kernel, id: types.RequestId | undefined): boolean {
+  return id !== undefined && kernel.use("modelCalls").has(id);
+}
+
 function findModel(
   fleet: document.FleetDocument,
   caller: document.Caller,
--- a/src/caller/plain-routes.ts
+++ b/src/caller/plain-routes.ts
@@ -78,7 +78,6 @@
   }
   const id = requestHeaders.parseRequestId(request.headers, kernel.use("sessions"), caller);
   const attempt = requestHeaders.parseAttempt(request.headers);
-  admission.checkTakesWork(kernel, caller);
   return {
     caller,
     service,
--- a/src/caller/types.ts
+++ b/src/caller/types.ts
@@ -88,6 +88,8 @@
 
 /** Runs model requests. */
 export interface ModelCalls extends AsyncDisposable {
+  /** Whether this node runs the request now, or keeps its whole answer. */
+  has(id: RequestId): boolean;
   /** Yields the answer; aborting `signal` means the caller is gone. @throws RequestError */
   run(call: ModelCall, signal: AbortSignal): AsyncIterable<ModelEvent>;
   readonly active: number;
--- a/src/protocol/result-codes.ts
+++ b/src/protocol/result-codes.ts
@@ -72,6 +72,11 @@
   }
 }
 
+/** Returns whether a request may have run before this attempt, of which nothing was sent. */
+export function getRanBefore(attempt: number): Ran {
+  return attempt === 1 ? RAN.no : RAN.unknown;
+}
+
 /** Returns the code of a number as another node sent it; unknown numbers are internal errors. */
 export function findResultCode(number: number): ResultCode {
   const known = Object.values(RESULT_CODES).find((code) => code.number === number);
--- a/src/request/model-attempts.ts
+++ b/src/request/model-attempts.ts
@@ -59,7 +59,11 @@
     const failed: string[] = [];
     for (let number = 0; ; number += 1) {
       const attempt = { id: run.id, attempt: order.attempt * ATTEMPT_STRIDE + number };
-      const failure = await this.#runOnce(order, run, attempt, failed, signal);
+      const failure = await this.#runOnce(order, run, attempt, failed, signal).catch(
+        (error: unknown) => {
+          throw createHonestRefusal(error, order.attempt + number);
+        },
+      );
       if (failure === undefined) return;
       this.#checkMayRunAgain(order, number, failure, signal);
       this.#kernel.use("log").write(events.LOG_EVENTS.requestRetried, {
@@ -266,3 +270,11 @@
     return Math.max(1, Math.round(deadline - this.#kernel.use("clock").now()));
   }
 }
+
+/** A refusal before anything was sent says "not run" only when no earlier run may have begun. */
+function createHonestRefusal(error: unknown, runs: number): unknown {
+  if (!(error instanceof codes.RequestError) || error.ran !== codes.RAN.no) return error;
+  const { code, message, retryAfterMs, session, cause } = error;
+  const options = { detail: message, retryAfterMs, session, cause };
+  return new codes.RequestError(code, codes.getRanBefore(runs), options);
+}
--- a/src/request/model-calls.ts
+++ b/src/request/model-calls.ts
@@ -48,12 +48,19 @@
     return this.#runs.active + this.#attempts.pendingCancels;
   }
 
+  has(id: types.RequestId): boolean {
+    return this.#findLiveRun(id.text) !== undefined;
+  }
+
   async *run(call: types.ModelCall, signal: AbortSignal): AsyncGenerator<types.ModelEvent> {
     const crashes = this.#kernel.use("crashes");
     const content = `${call.adapter ?? ""} ${call.prompt}`;
     const fingerprint = crashes.computeFingerprint(call.caller.name, call.model.name, content);
     if (crashes.isQuarantined(fingerprint)) {
-      throw new codes.RequestError(codes.RESULT_CODES.quarantined, codes.RAN.no);
+      throw new codes.RequestError(
+        codes.RESULT_CODES.quarantined,
+        codes.getRanBefore(call.attempt),
+      );
     }
     const id = call.id ?? this.#kernel.use("sessions").createRequestId(call.caller.name);
     const identified = { call, id, attempt: call.attempt, fingerprint };
--- /dev/null
+++ b/test/request/model-attempts.test.ts
@@ -0,0 +1,177 @@
+import * as test from "node:test";
+import * as otel from "@opentelemetry/api";
+import * as earl from "earl";
+import type * as capacity from "../../src/capacity/types.js";
+import type * as types from "../../src/caller/types.js";
+import * as clocks from "../../src/kernel/clock.js";
+import * as container from "../../src/kernel/container.js";
+import * as codes from "../../src/protocol/result-codes.js";
+import * as modelAttempts from "../../src/request/model-attempts.js";
+import * as modelRun from "../../src/request/model-run.js";
+import * as upstream from "../../src/upstream/types.js";
+import * as examples from "../settings/examples.js";
+
+const PREFILL = { name: "p1", host: "127.0.0.1", port: 1 };
+const DECODE = { name: "d1", host: "127.0.0.1", port: 2 };
+const OVERLOADED = new codes.RequestError(codes.RESULT_CODES.overloaded, codes.RAN.no, {
+  retryAfterMs: 700,
+});
+
+/** Steps of the fake engine, one for each decode. */
+type DecodeScript = (command: upstream.DecodeCommand) => AsyncIterable<upstream.DecodeEvent>;
+
+interface Scenario {
+  readonly kernel: container.Kernel;
+  readonly prefills: upstream.PrefillCommand[];
+  readonly cancels: string[];
+  refuseReservationFrom: number;
+}
+
+function createScenario(decodes: DecodeScript[]): Scenario {
+  const kernel = container.createKernel();
+  const prefills: upstream.PrefillCommand[] = [];
+  const cancels: string[] = [];
+  const scenario: Scenario = { kernel, prefills, cancels, refuseReservationFrom: Infinity };
+  let reservations = 0;
+  const services = {
+    clock: clocks.createSystemClock(),
+    log: { write: () => undefined },
+    tracer: otel.trace.getTracer("test"),
+    crashes: {
+      isQuarantined: () => false,
+      recordSuccess: () => undefined,
+      recordCrash: () => undefined,
+    },
+    capacity: {
+      reserve: () => {
+        reservations += 1;
+        if (reservations >= scenario.refuseReservationFrom) return Promise.reject(OVERLOADED);
+        return Promise.resolve(createReservation());
+      },
+    },
+    engines: {
+      prefill: (_runner: upstream.Upstream, command: upstream.PrefillCommand) => {
+        prefills.push(command);
+        return Promise.resolve({
+          handle: "h",
+          promptTokens: 3,
+          cachedTokens: 0,
+          pieces: 1,
+          expiresInMs: 800,
+        });
+      },
+      decode: (_runner: upstream.Upstream, command: upstream.DecodeCommand) =>
+        (decodes.shift() ?? failDecode)(command),
+      resume: () => failDecode(),
+      cancel: (runner: upstream.Upstream, attempt: upstream.AttemptId) => {
+        cancels.push(`${runner.name} ${attempt.attempt}`);
+        return Promise.resolve();
+      },
+    },
+  };
+  for (const [name, service] of Object.entries(services)) {
+    kernel.register(name as "settings", () => service as never);
+  }
+  return scenario;
+}
+
+function createReservation(): capacity.Reservation {
+  return {
+    prefill: PREFILL,
+    decode: DECODE,
+    revoked: new AbortController().signal,
+    waitForPrefill: () => Promise.resolve(),
+    recordPrefillEnd: () => undefined,
+    recordDecodeStart: () => undefined,
+    recordTokenGap: () => undefined,
+    recordFailure: () => undefined,
+    [Symbol.asyncDispose]: () => Promise.resolve(),
+  };
+}
+
+// eslint-disable-next-line @typescript-eslint/require-await -- an engine that is down
+async function* failDecode(): AsyncGenerator<upstream.DecodeEvent> {
+  yield* [];
+  throw new upstream.UpstreamError(upstream.UPSTREAM_FAILURE.notConnected, "down");
+}
+
+function createTokens(offset: number, texts: readonly string[], last: "end" | "break") {
+  return async function* (command: upstream.DecodeCommand): AsyncGenerator<upstream.DecodeEvent> {
+    const { id, attempt } = command;
+    yield await Promise.resolve({ id, attempt, type: "imported" as const });
+    // A frame of an older attempt, which must be dropped.
+    yield { id, attempt: attempt - 1, type: "token", offset, text: "old" };
+    for (const [index, text] of texts.entries()) {
+      yield { id, attempt, type: "token", offset: offset + index, text };
+    }
+    if (last === "break") return;
+    yield { id, attempt, type: "end", tokens: texts.length, finishReason: "stop" };
+  };
+}
+
+function createOrder(attempt: number): modelAttempts.RunOrder {
+  const document = examples.readExample("lagos.json");
+  const caller = document.callers[1];
+  const model = document.models[0];
+  if (caller === undefined || model === undefined) throw new Error("the example lacks a caller");
+  const call: types.ModelCall = {
+    caller,
+    model,
+    id: undefined,
+    attempt,
+    prompt: "log",
+    maxTokens: 8,
+    ...caller.tolerance,
+  };
+  return { call, attempt, fingerprint: "f", startedAt: 0 };
+}
+
+function createRun(attempt: number): modelRun.ModelRun {
+  return new modelRun.ModelRun("id", attempt, { onAbandoned: () => undefined });
+}
+
+const SIGNAL = new AbortController().signal;
+
+test.describe("ModelAttempts", () => {
+  test.it("drops frames of older attempts and splices a second run by offset", async () => {
+    const scenario = createScenario([
+      createTokens(0, ["a", "b"], "break"),
+      createTokens(2, ["c"], "end"),
+    ]);
+    const run = createRun(1);
+    await new modelAttempts.ModelAttempts(scenario.kernel).run(createOrder(1), run, SIGNAL);
+    earl.expect(run.text).toEqual("abc");
+    earl.expect(scenario.prefills.map((each) => each.continuation)).toEqual(["", "ab"]);
+    earl.expect(scenario.prefills.map((each) => each.attempt)).toEqual([100, 101]);
+    earl.expect(scenario.cancels).toEqual(["d1 100", "p1 100"]);
+  });
+
+  test.it("says `not run` only when nothing was sent for any attempt", async () => {
+    const fresh = createScenario([]);
+    fresh.refuseReservationFrom = 1;
+    earl.expect(await readRan(fresh, 1)).toEqual(codes.RAN.no);
+    const retried = createScenario([]);
+    retried.refuseReservationFrom = 1;
+    earl.expect(await readRan(retried, 2)).toEqual(codes.RAN.unknown);
+    const broken = createScenario([createTokens(0, ["a"], "break")]);
+    broken.refuseReservationFrom = 2;
+    earl.expect(await readRan(broken, 1)).toEqual(codes.RAN.unknown);
+  });
+
+  test.it("gives up after four runs and cancels each at both runners", async () => {
+    const scenario = createScenario([]);
+    earl.expect(await readRan(scenario, 1)).toEqual(codes.RAN.unknown);
+    earl.expect(scenario.prefills.length).toEqual(4);
+    earl.expect(scenario.cancels.length).toEqual(8);
+  });
+});
+
+async function readRan(scenario: Scenario, attempt: number): Promise<codes.Ran | undefined> {
+  const attempts = new modelAttempts.ModelAttempts(scenario.kernel);
+  try {
+    await attempts.run(createOrder(attempt), createRun(attempt), SIGNAL);
+    return undefined;
+  } catch (error) {
+    return error instanceof codes.RequestError ? error.ran : undefined;
+  }
+}
