Tell fewer records on twice after a fleet starts

Cause: records learnt from a full exchange were queued for piggybacking again, so that at 64 nodes the start's news still travelled 35 s later. Ruled out: repeated full exchanges (none after 11 s) and refutations (all versions 0).

--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -47,9 +47,9 @@
   }
 
   /** Takes in records; accusations of members held alive wait for an own probe. */
-  receiveRecords(told: readonly records.MemberRecord[]): void {
+  receiveRecords(told: readonly records.MemberRecord[], isNews = true): void {
     for (const record of told) {
-      const result = this.#table.merge(record);
+      const result = this.#table.merge(record, isNews);
       const isAccusation = result === memberTable.MERGE_RESULT.accusation;
       if (isAccusation && this.#accusations.size < MAX_ACCUSATIONS) {
         this.#accusations.set(record.vm, record);
--- a/src/membership/member-table.ts
+++ b/src/membership/member-table.ts
@@ -100,11 +100,16 @@
     return this.#queue.shift().flatMap((vm) => this.find(vm) ?? []);
   }
 
-  /** Merges a record that a peer told; accusations of members held alive are left to be checked. */
-  merge(told: records.MemberRecord): MergeResult {
+  /**
+   * Merges a record that a peer told; accusations of members held alive are left to be checked.
+   *
+   * @param isNews - whether a member not known before is to be told on; not so for those in a list
+   *   of all, which others have too.
+   */
+  merge(told: records.MemberRecord, isNews = true): MergeResult {
     if (told.vm === this.#ownVm) return this.#mergeOwn(told);
     const known = this.find(told.vm);
-    if (known === undefined) return this.#addNew(told);
+    if (known === undefined) return this.#addNew(told, isNews);
     const merged = records.mergeRecords(known, told);
     if (records.isSameRecord(merged, known)) return MERGE_RESULT.known;
     const isHeldAlive = known.liveness === records.LIVENESS.alive;
@@ -164,7 +169,7 @@
     return MERGE_RESULT.applied;
   }
 
-  #addNew(told: records.MemberRecord): MergeResult {
+  #addNew(told: records.MemberRecord, isNews: boolean): MergeResult {
     if (told.liveness === records.LIVENESS.dead) return MERGE_RESULT.known;
     if (this.#entries.size >= MAX_MEMBERS) {
       const forgotten = this.listDead()[0];
@@ -172,6 +177,7 @@
       this.#remove(forgotten);
     }
     this.#apply(told);
+    if (!isNews) this.#queue.remove(told.vm);
     return MERGE_RESULT.applied;
   }
 
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -87,7 +87,7 @@
       const request = { members: [...table.list()] };
       const options = { timeoutMs: SYNC_LIMIT_MS };
       const reply = await peers.call(vm, calls.SYNC, request, options);
-      gossiper.receiveRecords(reply.members);
+      gossiper.receiveRecords(reply.members, false);
       return true;
     } catch {
       return false;
--- a/src/membership/update-queue.ts
+++ b/src/membership/update-queue.ts
@@ -3,7 +3,7 @@
 /** Records told in one probe or acknowledgement at most. */
 export const MAX_UPDATES = 8;
 /** Times a change is told by one node, for each doubling of the fleet. */
-const TELLS_PER_DOUBLING = 3;
+const TELLS_PER_DOUBLING = 2;
 
 /** Queue of the VMs whose records changed; at most one entry for each member. */
 export class UpdateQueue {
