--- a/test/membership/fake-platform.ts
+++ b/test/membership/fake-platform.ts
@@ -18,6 +18,7 @@
   /** Decides which nodes reach the service. */
   isReachable: (vm: string) => boolean = () => true;
   readonly #clock: clocks.Clock;
+  readonly #watchers = new Set<string>();
   readonly #vms = new Map<string, platform.ListedVm>();
   #publication = new AbortController();
   #published: platform.PublishedDocument | undefined;
@@ -41,6 +42,11 @@
     this.#vms.delete(vm);
   }
 
+  /** Returns the nodes whose watch waits at the service. */
+  listWatchers(): readonly string[] {
+    return [...this.#watchers];
+  }
+
   createClient(vm: string): platform.PlatformClient {
     return {
       readConfiguration: async (signal) => {
@@ -51,13 +57,12 @@
       },
       watchConfiguration: async (after, waitMs, signal) => {
         this.counts.configuration += 1;
-        const end = this.#clock.now() + waitMs;
-        await this.#answer(vm, signal);
-        while (this.#clock.now() < end && (this.#published?.revision ?? 0) <= after) {
-          await this.#waitForPublication(end - this.#clock.now(), signal);
-          if (!this.isReachable(vm)) throw new Error("service unreachable");
+        this.#watchers.add(vm);
+        try {
+          return await this.#watch(vm, after, waitMs, signal);
+        } finally {
+          this.#watchers.delete(vm);
         }
-        return (this.#published?.revision ?? 0) > after ? this.#published : undefined;
       },
       listVms: async (signal) => {
         this.counts.list += 1;
@@ -67,6 +72,21 @@
     };
   }
 
+  async #watch(
+    vm: string,
+    after: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<platform.PublishedDocument | undefined> {
+    const end = this.#clock.now() + waitMs;
+    await this.#answer(vm, signal);
+    while (this.#clock.now() < end && (this.#published?.revision ?? 0) <= after) {
+      await this.#waitForPublication(end - this.#clock.now(), signal);
+      if (!this.isReachable(vm)) throw new Error("service unreachable");
+    }
+    return (this.#published?.revision ?? 0) > after ? this.#published : undefined;
+  }
+
   /** Waits for the next publication, but not longer than `limitMs`. */
   async #waitForPublication(limitMs: number, signal: AbortSignal): Promise<void> {
     const either = AbortSignal.any([signal, this.#publication.signal]);
--- /dev/null
+++ b/test/membership/faults.test.ts
@@ -0,0 +1,103 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as types from "../../src/membership/types.js";
+import * as documents from "./documents.js";
+import * as fleets from "./fleet.js";
+
+const { MEMBER_STATE } = types;
+const NODES = 8;
+const FIRST = ["vm-0", "vm-1", "vm-2"];
+const SECOND = ["vm-3", "vm-4", "vm-5", "vm-6", "vm-7"];
+
+async function startFleet(nodes = NODES): Promise<fleets.TestFleet> {
+  const fleet = new fleets.TestFleet(7);
+  fleet.platform.publish(documents.createDocument(1));
+  await fleet.start(nodes);
+  await fleet.waitUntil(() => fleet.isAliveCount(nodes) && fleet.isInForce(1), 20_000);
+  return fleet;
+}
+
+/** Cuts the fleet in two and waits until each side sees only itself. */
+async function cutInTwo(fleet: fleets.TestFleet): Promise<void> {
+  fleet.setPartition(FIRST, SECOND, true);
+  await fleet.waitUntil(
+    () =>
+      fleet.nodes.every((node) => {
+        const side = FIRST.includes(node.vm) ? FIRST : SECOND;
+        return node.membership.listAlive().length === side.length;
+      }),
+    30_000,
+  );
+}
+
+test.describe("Fleet under faults", () => {
+  test.it("agrees after two nodes die and a third is paused and wakes late", async () => {
+    await using fleet = await startFleet();
+    fleet.pause("vm-5");
+    await fleet.kill("vm-1");
+    await fleet.clock.advance(2000);
+    await fleet.kill("vm-6");
+    await fleet.clock.advance(30_000);
+    fleet.resume("vm-5");
+    await fleet.waitUntil(() => fleet.isAliveCount(NODES - 2), 30_000);
+  });
+
+  test.it("holds no member of the own side for failed when a partition heals", async () => {
+    await using fleet = await startFleet();
+    await cutInTwo(fleet);
+    const wrong: string[] = [];
+    for (const node of fleet.nodes) {
+      node.membership.onChange((member) => {
+        const isOwnSide = FIRST.includes(node.vm) === FIRST.includes(member.vm);
+        const isFailed = member.state !== MEMBER_STATE.alive;
+        if (isOwnSide && isFailed) wrong.push(`${node.vm} holds ${member.vm} ${member.state}`);
+      });
+    }
+    fleet.setPartition(FIRST, SECOND, false);
+    await fleet.waitUntil(() => fleet.isAliveCount(NODES), 30_000);
+    await fleet.clock.advance(20_000);
+    earl.expect(wrong).toEqual([]);
+  });
+
+  test.it(
+    "keeps both sides of a partition in service, and the newer document after it",
+    async () => {
+      await using fleet = await startFleet();
+      fleet.platform.isReachable = (vm) => FIRST.includes(vm);
+      await cutInTwo(fleet);
+      fleet.platform.publish(documents.createDocument(2));
+      await fleet.clock.advance(10_000);
+      const second = SECOND.map((vm) => fleet.getNode(vm).configuration);
+      earl.expect(second.every(({ current }) => current?.revision === 1)).toEqual(true);
+      fleet.setPartition(FIRST, SECOND, false);
+      await fleet.waitUntil(() => fleet.isInForce(2), 20_000);
+    },
+  );
+
+  test.it("knows a leaving node as leaving still when it was paused meanwhile", async () => {
+    await using fleet = await startFleet();
+    const { membership } = fleet.getNode("vm-4");
+    void membership.startLeaving();
+    await fleet.waitUntil(() => fleet.isSeenAs("vm-4", MEMBER_STATE.leaving), 3000);
+    fleet.pause("vm-4");
+    await fleet.clock.advance(20_000);
+    fleet.resume("vm-4");
+    await fleet.waitUntil(() => fleet.isSeenAs("vm-4", MEMBER_STATE.leaving), 30_000);
+  });
+
+  test.it("spreads a document though its readers die one after another", async () => {
+    await using fleet = await startFleet();
+    for (const revision of [2, 3]) {
+      for (const vm of fleet.platform.listWatchers().slice(0, 2)) await fleet.kill(vm);
+      fleet.platform.publish(documents.createDocument(revision));
+      await fleet.waitUntil(() => fleet.isInForce(revision), 20_000);
+    }
+  });
+
+  test.it("tells all of a larger fleet within three seconds that a node leaves", async () => {
+    const nodes = 34;
+    await using fleet = await startFleet(nodes);
+    void fleet.getNode("vm-9").membership.startLeaving();
+    await fleet.waitUntil(() => fleet.isSeenAs("vm-9", MEMBER_STATE.leaving), 3000);
+  });
+});
--- /dev/null
+++ b/test/protocol/connection-faults.test.ts
@@ -0,0 +1,79 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as zod from "zod";
+import * as network from "../../src/protocol/network.js";
+import * as fleets from "../membership/fleet.js";
+
+const HANG = network.createPeerCall(40, "hang", zod.object({}), zod.object({}));
+const ECHO = network.createPeerCall(41, "echo", zod.object({}), zod.object({}));
+const LIMITS = { timeoutMs: 60_000 };
+/** Three silent heartbeats of 500 ms, and the running one. */
+const SILENCE_LIMIT_MS = 2500;
+
+interface Outcome {
+  failure: network.CallFailure | undefined;
+}
+
+/** Starts two nodes, of which vm-1 answers one call and never another. */
+async function startPair(): Promise<fleets.TestFleet> {
+  const fleet = new fleets.TestFleet();
+  fleet.registerMore = (kernel) => {
+    kernel.use("network").onCall(HANG, () => new Promise<never>(() => undefined));
+    kernel.use("network").onCall(ECHO, () => ({}));
+  };
+  await fleet.start(2);
+  await fleet.waitUntil(() => fleet.isAliveCount(2), 10_000);
+  return fleet;
+}
+
+/** Starts a call that gets no answer. */
+function startHanging(fleet: fleets.TestFleet): Outcome {
+  const outcome: Outcome = { failure: undefined };
+  const peers = fleet.getNode("vm-0").kernel.use("network");
+  peers.call("vm-1", HANG, {}, LIMITS).catch((error: unknown) => {
+    outcome.failure = (error as network.PeerCallError).failure;
+  });
+  return outcome;
+}
+
+test.describe("Peer connections under faults", () => {
+  test.it("fails waiting calls when the connection goes silent, and connects anew", async () => {
+    await using fleet = await startPair();
+    const outcome = startHanging(fleet);
+    await fleet.clock.advance(100);
+    fleet.network.silence("vm-0", "vm-1");
+    await fleet.waitUntil(() => outcome.failure !== undefined, SILENCE_LIMIT_MS);
+    earl.expect(outcome.failure).toEqual(network.CALL_FAILURE.noReply);
+    const echo = fleet.getNode("vm-0").kernel.use("network").call("vm-1", ECHO, {}, LIMITS);
+    await fleet.clock.advance(100);
+    earl.expect(await echo).toEqual({});
+  });
+
+  test.it("keeps a connection on which nothing but heartbeats pass", async () => {
+    await using fleet = await startPair();
+    const outcome = startHanging(fleet);
+    await fleet.clock.advance(30_000);
+    earl.expect(outcome.failure).toEqual(undefined);
+  });
+
+  test.it("says not sent when the peer can't be reached at all", async () => {
+    await using fleet = await startPair();
+    fleet.network.reset("vm-0", "vm-1");
+    fleet.network.cut("vm-0", "vm-1");
+    await fleet.clock.advance(10);
+    const outcome = startHanging(fleet);
+    await fleet.waitUntil(() => outcome.failure !== undefined, 5000);
+    earl.expect(outcome.failure).toEqual(network.CALL_FAILURE.notSent);
+  });
+
+  test.it("doesn't take its own pause for the peer's silence", async () => {
+    await using fleet = await startPair();
+    const outcome = startHanging(fleet);
+    await fleet.clock.advance(100);
+    fleet.getNode("vm-0").clock.pause();
+    await fleet.clock.advance(1400);
+    fleet.getNode("vm-0").clock.resume();
+    await fleet.clock.advance(5000);
+    earl.expect(outcome.failure).toEqual(undefined);
+  });
+});
