--- a/bench/leased-router.ts
+++ b/bench/leased-router.ts
@@ -100,6 +100,7 @@
     } catch (error) {
       if (error instanceof resultCodes.RequestError) {
         requestRun.markRefused(outcome, this.#world);
+        outcome.reason = `reserve: ${error.code.message}`;
       }
       return false;
     }
@@ -108,6 +109,7 @@
     } catch (error) {
       if (error instanceof resultCodes.RequestError) {
         requestRun.markRefused(outcome, this.#world);
+        outcome.reason = `wait: ${error.code.message}`;
       }
       await reservation[Symbol.asyncDispose]();
       return false;
@@ -137,7 +139,7 @@
       decode.cancel(attempt);
     };
     const onStopped = (): void => {
-      outcome.left = true;
+      outcome.failed = true;
       decode.markAbandoned(arrival.id);
     };
     const end = AbortSignal.any([left, reservation.revoked]);
--- a/bench/request-run.ts
+++ b/bench/request-run.ts
@@ -10,6 +10,8 @@
   refused: boolean;
   /** Refused although a slot was free, promised to no one, and the first token would have been in time. */
   wronglyRefused: boolean;
+  /** Result code and place of the refusal, to look into a run. */
+  reason: string;
   failed: boolean;
   left: boolean;
   firstTokenMs: number | undefined;
@@ -29,6 +31,7 @@
     attempt: 1,
     refused: false,
     wronglyRefused: false,
+    reason: "",
     failed: false,
     left: false,
     firstTokenMs: undefined,
@@ -57,6 +60,7 @@
   const hasSlot = world.decodes.some(
     (runner) =>
       !runner.down &&
+      runner.slowness * scenario.RUNNER_MODEL.stepMs <= scenario.TARGETS.betweenTokensMs &&
       runner.used + runner.waiting + (world.promised.get(runner.name) ?? 0) <
         scenario.RUNNER_MODEL.slots,
   );
--- a/bench/scenario.ts
+++ b/bench/scenario.ts
@@ -28,7 +28,8 @@
 /** Times of one run. Arrivals before `warmupMs` and in the last `tailMs` are not counted. */
 export const TIMES = { warmupMs: 15_000, measuredMs: 60_000, drainMs: 20_000 } as const;
 
-const FAULT_AT_MS = 20_000;
+/** Time of a case's fault. */
+export const FAULT_AT_MS = 20_000;
 const PARTITION_MS = 30_000;
 const DETECT_MS = 1500;
 
@@ -55,7 +56,7 @@
   readonly cancelledPart: number;
   readonly floods: boolean;
   readonly reportAgeMs: number;
-  /** Decode runners that remain after the fault. */
+  /** Decode runners that can meet the targets after the fault. */
   readonly remainingDecoders: number;
   /** Schedules the faults of the run. */
   readonly schedule: (world: World, nodes: NodeFaults) => void;
@@ -104,6 +105,7 @@
   {
     ...NO_FAULT,
     name: "slow decode runner",
+    remainingDecoders: FLEET.decodeRunners - 1,
     schedule: ({ clock, decodes }) => {
       clock.schedule(FAULT_AT_MS, () => {
         const [runner] = decodes;
--- a/bench/simulation.ts
+++ b/bench/simulation.ts
@@ -27,6 +27,8 @@
   readonly faultCase: scenario.FaultCase;
   readonly seed: number;
   readonly measuredMs: number;
+  /** Called with what came of each arrival. */
+  readonly onOutcomes?: (outcomes: readonly requestRun.Outcome[]) => void;
 }
 
 /** Figures of one run. Times are milliseconds; shares are of 1. */
@@ -69,6 +71,7 @@
   faultCase.schedule(world, router);
   const outcomes = arrivals.map((arrival) => scheduleArrival(world, router, arrival));
   await clock.run(scenario.TIMES.warmupMs + measuredMs + scenario.TIMES.drainMs);
+  options.onOutcomes?.(outcomes);
   return computeFigures(options, world, router, outcomes);
 }
 
@@ -146,9 +149,11 @@
     return generatedMs / scenario.RUNNER_MODEL.stepMs;
   });
   const meanTokens = sum(slotTokens) / slotTokens.length;
-  const { remainingDecoders } = options.faultCase;
+  const intactPart = (scenario.FAULT_AT_MS - scenario.TIMES.warmupMs) / options.measuredMs;
+  const lost = scenario.FLEET.decodeRunners - options.faultCase.remainingDecoders;
+  const decoders = scenario.FLEET.decodeRunners - lost * (1 - intactPart);
   const staying = counted.filter((outcome) => !outcome.left).length / counted.length;
-  return scenario.computeBound(meanTokens, remainingDecoders) * staying;
+  return scenario.computeBound(meanTokens, decoders) * staying;
 }
 
 function computeMeanTokens(): number {
--- a/src/capacity/allocator.ts
+++ b/src/capacity/allocator.ts
@@ -3,6 +3,7 @@
 import type * as network from "../protocol/network.js";
 import type * as catalogs from "./catalog.js";
 import * as decodeLedgers from "./decode-ledger.js";
+import * as gapMonitors from "./gap-monitor.js";
 import * as messages from "./messages.js";
 import * as occupancies from "./occupancy.js";
 import type * as policies from "./policy.js";
@@ -21,6 +22,7 @@
   readonly occupancy: occupancies.Occupancy;
   readonly decode: decodeLedgers.DecodeLedger | undefined;
   readonly prefill: prefillLedgers.PrefillLedger | undefined;
+  readonly gaps: gapMonitors.GapMonitor;
   readonly allocatedSince: number;
 }
 
@@ -38,6 +40,7 @@
 export class Allocator {
   readonly #parts: AllocatorParts;
   readonly #runners = new Map<string, AllocatedRunner>();
+  readonly #shares = new Map<string, shares.CallerShares>();
   /** Prefixes that allocated runners have, from cache events and leases. */
   readonly prefixIndex = new prefixes.PrefixIndex();
 
@@ -59,13 +62,14 @@
   addRunner(runner: catalogs.CatalogRunner): AllocatedRunner {
     const { clock, policy } = this.#parts;
     const occupancy = new occupancies.Occupancy(clock, policy.loadPeriodMs);
-    const parts = { runner, clock, policy, shares: new shares.CallerShares(clock), occupancy };
+    const parts = { runner, clock, policy, shares: this.#getShares(runner.model), occupancy };
     const isDecode = runner.role === "decode";
     const entry: AllocatedRunner = {
       runner,
       occupancy,
       decode: isDecode ? new decodeLedgers.DecodeLedger(parts) : undefined,
       prefill: isDecode ? undefined : new prefillLedgers.PrefillLedger(runner, clock, occupancy),
+      gaps: new gapMonitors.GapMonitor(clock),
       allocatedSince: clock.now(),
     };
     this.#runners.set(runner.name, entry);
@@ -91,7 +95,12 @@
     if (entry?.decode === undefined) {
       return messages.createRefusal(messages.REFUSAL.notAllocator, MIN_RETRY_MS);
     }
+    if (entry.gaps.isTooSlow(request.betweenTokensMs)) {
+      const refusal = messages.createRefusal(messages.REFUSAL.slow, MIN_RETRY_MS);
+      return { ...refusal, better: this.#findBetter(request) };
+    }
     const decision = entry.decode.grant(request, from);
+    if (decision.answer.granted) entry.gaps.recordGrant(request.betweenTokensMs);
     for (const lease of decision.revoked) this.#replaceLease(entry, lease, request.attempt);
     if (decision.answer.granted) return decision.answer;
     return { ...decision.answer, better: this.#findBetter(request) };
@@ -151,8 +160,10 @@
   /** Handles what a holder says it holds: adopts the unknown, releases the missing. */
   handleReport(
     leases: readonly messages.HeldLease[],
+    gaps: readonly messages.RunnerGap[],
     from: network.PeerIdentity,
   ): { views: messages.RunnerView[]; revoked: messages.LeaseId[] } {
+    for (const { runner, gapMs } of gaps) this.#runners.get(runner)?.gaps.record(gapMs);
     const revoked: messages.LeaseId[] = [];
     const held = new Set<string>();
     for (const lease of leases) {
@@ -192,12 +203,14 @@
 
   /** Returns the state of the allocated runners, as told to holders. */
   listViews(): messages.RunnerView[] {
-    return this.listRunners().map(({ runner, occupancy, decode, prefill }) => ({
+    return this.listRunners().map(({ runner, occupancy, decode, prefill, gaps }) => ({
       runner: runner.name,
       waitMs: decode?.computeWait("") ?? prefill?.computeWait() ?? 0,
       free: decode?.countFree() ?? 0,
       slowness: prefill?.slowness ?? 1,
       available: occupancy.available,
+      gapMs: gaps.gapMs,
+      probeDue: gaps.probeDue,
     }));
   }
 
@@ -216,6 +229,16 @@
     );
   }
 
+  /** Callers compete for all runners of a model that this node allocates. */
+  #getShares(model: string): shares.CallerShares {
+    let modelShares = this.#shares.get(model);
+    if (modelShares === undefined) {
+      modelShares = new shares.CallerShares(this.#parts.clock);
+      this.#shares.set(model, modelShares);
+    }
+    return modelShares;
+  }
+
   #replaceLease(entry: AllocatedRunner, lease: decodeLedgers.DecodeLease, attempt: number): void {
     const { id } = lease.request;
     this.#parts.sendRevoke(lease.holder, [
@@ -227,10 +250,11 @@
   #findBetter(request: messages.LeaseRequest): string | undefined {
     const model = this.#runners.get(request.runner)?.runner.model;
     const better = this.listRunners().find(
-      ({ runner, decode, occupancy }) =>
+      ({ runner, decode, occupancy, gaps }) =>
         runner.model === model &&
         runner.name !== request.runner &&
         occupancy.available &&
+        gaps.gapMs <= request.betweenTokensMs &&
         decode !== undefined &&
         decode.computeWait(request.caller) <= request.startWithinMs / 2,
     );
--- a/src/capacity/capacity.ts
+++ b/src/capacity/capacity.ts
@@ -24,6 +24,12 @@
 const CALL_TIMEOUT_MS = 500;
 const FULL_RETRY_MS = 1000;
 
+/** What a holder tells an allocator each period. */
+interface LeaseReport {
+  leases: messages.HeldLease[];
+  gaps: messages.RunnerGap[];
+}
+
 /**
  * Creates the capacity service of a node and registers its handlers of peer calls.
  *
@@ -45,6 +51,7 @@
   readonly #allocator: allocators.Allocator;
   readonly #holdings: holdings.Holdings;
   readonly #views: views.RunnerViews;
+  readonly #health: health.RunnerHealth;
   readonly #leasing: leasing.Leasing;
   readonly #upkeep: upkeeps.Upkeep;
   readonly #observer: reservations.Observer;
@@ -74,12 +81,13 @@
       this.#sendChanges(changes);
     });
     this.#views = new views.RunnerViews(this.#clock);
+    this.#health = new health.RunnerHealth(this.#clock);
     const shared = {
       clock: this.#clock,
       random: kernel.use("random"),
       policy,
       views: this.#views,
-      health: new health.RunnerHealth(this.#clock),
+      health: this.#health,
       transfers: new transfers.TransferTimes(),
       prefixIndex: this.#allocator.prefixIndex,
       membership: this.#membership,
@@ -179,8 +187,8 @@
       allocator.handleChanges(changes);
       return {};
     });
-    peers.onCall(messages.REPORT_LEASES, ({ leases }, from) =>
-      allocator.handleReport(leases, from),
+    peers.onCall(messages.REPORT_LEASES, ({ leases, gaps }, from) =>
+      allocator.handleReport(leases, gaps, from),
     );
     peers.onCall(messages.REVOKE_LEASES, ({ leases }) => {
       this.#holdings.handleRevoke(leases);
@@ -223,24 +231,25 @@
     }
   }
 
-  /** Tells each allocator what this node holds of it. */
+  /** Tells each allocator what this node holds of it and observed of its runners. */
   async #sendReports(): Promise<void> {
-    const held = this.#holdings.listHeld();
-    const byAllocator = new Map<string, messages.HeldLease[]>();
-    for (const runner of this.#catalog.listRunners()) {
-      const allocator = this.findAllocator(runner.name);
-      if (allocator !== undefined && !byAllocator.has(allocator)) byAllocator.set(allocator, []);
+    const held = this.#groupByAllocator(this.#holdings.listHeld());
+    const gaps = this.#groupByAllocator(this.#health.shiftGaps());
+    const allocators = new Set<string>();
+    for (const { name } of this.#catalog.listRunners()) {
+      const allocator = this.findAllocator(name);
+      if (allocator !== undefined) allocators.add(allocator);
     }
-    for (const lease of held) {
-      byAllocator.get(this.findAllocator(lease.runner) ?? "")?.push(lease);
-    }
-    await Promise.all([...byAllocator].map(([vm, leases]) => this.#sendReport(vm, leases)));
+    const sends = [...allocators].map((vm) =>
+      this.#sendReport(vm, { leases: held.get(vm) ?? [], gaps: gaps.get(vm) ?? [] }),
+    );
+    await Promise.all(sends);
   }
 
-  async #sendReport(vm: string, leases: messages.HeldLease[]): Promise<void> {
+  async #sendReport(vm: string, report: LeaseReport): Promise<void> {
     try {
       const options = { timeoutMs: CALL_TIMEOUT_MS, signal: this.#stopping.signal };
-      const reply = await this.#network.call(vm, messages.REPORT_LEASES, { leases }, options);
+      const reply = await this.#network.call(vm, messages.REPORT_LEASES, report, options);
       this.#views.update(reply.views);
       this.#holdings.handleRevoke(reply.revoked);
     } catch {
@@ -248,17 +257,23 @@
     }
   }
 
-  #sendChanges(changes: readonly messages.LeaseChange[]): void {
-    const byAllocator = new Map<string, messages.LeaseChange[]>();
-    for (const change of changes) {
-      const allocator = this.findAllocator(change.runner);
+  #groupByAllocator<Item extends { readonly runner: string }>(
+    items: readonly Item[],
+  ): ReadonlyMap<string, Item[]> {
+    const groups = new Map<string, Item[]>();
+    for (const item of items) {
+      const allocator = this.findAllocator(item.runner);
       if (allocator === undefined) continue;
-      const list = byAllocator.get(allocator);
-      if (list === undefined) byAllocator.set(allocator, [change]);
-      else list.push(change);
+      const group = groups.get(allocator);
+      if (group === undefined) groups.set(allocator, [item]);
+      else group.push(item);
     }
-    for (const [vm, list] of byAllocator) {
-      this.#sendQuietly(vm, messages.CHANGE_LEASES, { changes: list });
+    return groups;
+  }
+
+  #sendChanges(changes: readonly messages.LeaseChange[]): void {
+    for (const [vm, group] of this.#groupByAllocator(changes)) {
+      this.#sendQuietly(vm, messages.CHANGE_LEASES, { changes: group });
     }
   }
 
--- a/src/capacity/decode-ledger.ts
+++ b/src/capacity/decode-ledger.ts
@@ -79,6 +79,7 @@
     if (known !== undefined && known.request.attempt >= request.attempt) {
       return this.#createKnownAnswer(known, request, holder);
     }
+    if (request.isFirst) this.#parts.shares.recordRequest(request.caller, request.share);
     const revoked = known === undefined ? [] : [known];
     if (known !== undefined) this.release(request.id, known.request.attempt);
     const refusal = this.#checkAdmission(request);
@@ -102,7 +103,13 @@
       if (held.phase > known.phase) this.setPhase(held.id, held.attempt, held.phase);
       return true;
     }
-    const request = { ...held, startWithinMs: 0, leadMs: this.#lead.mean ?? 0 };
+    const request = {
+      ...held,
+      isFirst: false,
+      betweenTokensMs: Infinity,
+      startWithinMs: 0,
+      leadMs: this.#lead.mean ?? 0,
+    };
     this.#leases.set(held.id, {
       request,
       holder,
@@ -228,7 +235,7 @@
     lease.phaseAt = now;
     lease.sentAt = now;
     this.#lead.add(lease.request.leadMs);
-    this.#parts.shares.record(lease.request.caller, lease.request.share);
+    this.#parts.shares.recordGrant();
     lease.onTurn?.(TURN);
     lease.onTurn = undefined;
   }
@@ -243,24 +250,26 @@
   #listQueue(): DecodeLease[] {
     const queue = this.listLeases().filter((lease) => lease.phase === messages.PHASE.queued);
     if (queue.length < 2) return queue;
-    const over = new Map<string, number>();
-    for (const { request } of queue) over.set(request.caller, this.#computeClass(request.caller));
+    const excess = new Map<string, number>();
+    for (const { request } of queue) {
+      excess.set(request.caller, this.#computeExcess(request.caller));
+    }
     return queue.sort(
       (left, right) =>
-        (over.get(left.request.caller) ?? 0) - (over.get(right.request.caller) ?? 0) ||
+        (excess.get(left.request.caller) ?? 0) - (excess.get(right.request.caller) ?? 0) ||
         left.request.priority - right.request.priority ||
         left.grantedAt - right.grantedAt,
     );
   }
 
-  #computeClass(caller: string): number {
-    return this.#parts.policy.shares && this.#parts.shares.isExceeded(caller) ? 1 : 0;
+  #computeExcess(caller: string): number {
+    return this.#parts.policy.shares ? this.#parts.shares.computeExcess(caller) : 0;
   }
 
   #countAhead(caller: string, queue: readonly DecodeLease[]): number {
     if (queue.length === 0) return 0;
-    const ownClass = this.#computeClass(caller);
-    return queue.filter((lease) => this.#computeClass(lease.request.caller) <= ownClass).length;
+    const own = this.#computeExcess(caller);
+    return queue.filter((lease) => this.#computeExcess(lease.request.caller) <= own).length;
   }
 
   #countPhase(...phases: readonly messages.Phase[]): number {
--- a/src/capacity/leasing.ts
+++ b/src/capacity/leasing.ts
@@ -32,6 +32,14 @@
   readonly findAllocator: (runner: string) => string | undefined;
 }
 
+/** Which decode runner to ask for, behind which prefill. */
+interface DecodeQuestion {
+  readonly prefill: selections.PrefillChoice;
+  readonly runner: catalogs.CatalogRunner;
+  /** Whether no other runner was asked before. */
+  readonly isFirst: boolean;
+}
+
 /** Collects the refusals of one request, to answer with the soonest time to come back. */
 class Refusals {
   #retryAfterMs = Infinity;
@@ -81,7 +89,8 @@
       const runner = this.#chooseNext(demand, prefill, asked, better);
       if (runner === undefined) break;
       asked.add(runner.name);
-      const answer = await this.#callDecodeAllocator(demand, prefill, runner, signal);
+      const question = { prefill, runner, isFirst: count === 0 };
+      const answer = await this.#callDecodeAllocator(demand, question, signal);
       if (answer.granted) return this.#addDecode(demand, runner, answer, onRevoke);
       refusals.add(answer);
       better = answer.better;
@@ -180,8 +189,7 @@
 
   async #callDecodeAllocator(
     demand: types.Demand,
-    prefill: selections.PrefillChoice,
-    runner: catalogs.CatalogRunner,
+    { prefill, runner, isFirst }: DecodeQuestion,
     signal: AbortSignal,
   ): Promise<messages.Answer> {
     const { clock, selection, getCatalog, views: known } = this.#parts;
@@ -202,6 +210,8 @@
         share: demand.share,
         priority: demand.priority,
         pieces,
+        isFirst,
+        betweenTokensMs: demand.betweenTokensMs,
         startWithinMs: startBy - clock.now(),
         leadMs,
       },
--- a/src/capacity/messages.ts
+++ b/src/capacity/messages.ts
@@ -21,6 +21,8 @@
 export const REFUSAL = {
   overloaded: "overloaded",
   share: "share",
+  /** The runner's gaps between tokens are above the request's target. */
+  slow: "slow",
   /** The runner does not answer. */
   unavailable: "unavailable",
   /** The node is not the runner's allocator in its own view. */
@@ -30,7 +32,7 @@
 /** One of the values of `REFUSAL`. */
 export type Refusal = (typeof REFUSAL)[keyof typeof REFUSAL];
 
-const refusal = zod.enum(["overloaded", "share", "unavailable", "not-allocator"]);
+const refusal = zod.enum(["overloaded", "share", "slow", "unavailable", "not-allocator"]);
 
 const answer = zod.object({
   granted: zod.boolean(),
@@ -57,6 +59,10 @@
   share: zod.number().positive(),
   priority: zod.int(),
   pieces: zod.number().min(0),
+  /** Whether no other runner was asked for this request before. */
+  isFirst: zod.boolean(),
+  /** Target for the time between two tokens. */
+  betweenTokensMs: duration,
   /** Longest wait for the turn that the request can bear. */
   startWithinMs: duration,
   /** Expected time from the turn to the end of the transfer, without a wait for the slot. */
@@ -129,11 +135,20 @@
   /** Ratio of real to nominal prefill time, of prefill runners. */
   slowness: zod.number(),
   available: zod.boolean(),
+  /** Mean gap between tokens, of decode runners. */
+  gapMs: duration,
+  /** Whether the allocator would let a request through although the runner is slow. */
+  probeDue: zod.boolean(),
 });
 
 /** A runner's state as its allocator tells it to holders. */
 export type RunnerView = zod.infer<typeof runnerView>;
 
+const runnerGap = zod.object({ runner: text, gapMs: duration });
+
+/** Mean gap between tokens at a runner, as a holder observed it since its last report. */
+export type RunnerGap = zod.infer<typeof runnerGap>;
+
 /** Asks for a decode slot and pieces. */
 export const LEASE_DECODE = network.createPeerCall(60, "leaseDecode", leaseRequest, answer);
 /** Waits until a queued decode lease may start its prefill. */
@@ -151,7 +166,10 @@
 export const REPORT_LEASES = network.createPeerCall(
   64,
   "reportLeases",
-  zod.object({ leases: zod.array(heldLease).max(MAX_BATCH) }),
+  zod.object({
+    leases: zod.array(heldLease).max(MAX_BATCH),
+    gaps: zod.array(runnerGap).max(MAX_BATCH),
+  }),
   zod.object({ views: zod.array(runnerView), revoked: zod.array(leaseId) }),
 );
 /** Takes leases back from their holder. */
--- a/src/capacity/runner-health.ts
+++ b/src/capacity/runner-health.ts
@@ -1,19 +1,17 @@
 /** What this node observed of runners: failures and token gaps. */
 import type * as clocks from "../kernel/clock.js";
 import * as lru from "lru-cache";
-import * as estimates from "./estimates.js";
+import type * as messages from "./messages.js";
 
 const MAX_RUNNERS = 10_000;
 const FIRST_EXCLUSION_MS = 1000;
 const MAX_EXCLUSION_MS = 30_000;
-/** Interval between requests sent to a slow runner to learn whether it recovered. */
-const SLOW_PROBE_INTERVAL_MS = 5000;
 
 interface RunnerRecord {
-  readonly gaps: estimates.Estimate;
+  gapSumMs: number;
+  gapCount: number;
   failures: number;
   excludedUntil: number;
-  nextProbeAt: number;
 }
 
 /** Observations by runner; those longest unused are forgotten beyond the limit. */
@@ -42,7 +40,9 @@
 
   /** Records an observed gap between tokens. */
   recordGap(runner: string, gapMs: number): void {
-    this.#getRecord(runner).gaps.add(gapMs);
+    const record = this.#getRecord(runner);
+    record.gapSumMs += gapMs;
+    record.gapCount += 1;
   }
 
   /** Whether the runner failed lately and is left out. */
@@ -50,25 +50,26 @@
     return this.#getRecord(runner).excludedUntil > this.#clock.now();
   }
 
-  /** Whether the runner's gaps are above the target and no probe is due. */
-  isSlow(runner: string, targetMs: number): boolean {
-    const record = this.#getRecord(runner);
-    return (record.gaps.mean ?? 0) > targetMs && record.nextProbeAt > this.#clock.now();
-  }
-
-  /** Records that a request goes to the runner, which is the probe when it is slow. */
-  recordSend(runner: string): void {
-    this.#getRecord(runner).nextProbeAt = this.#clock.now() + SLOW_PROBE_INTERVAL_MS;
+  /** Returns the mean gaps since the last call, of the runners that had any. */
+  shiftGaps(): readonly messages.RunnerGap[] {
+    const gaps: messages.RunnerGap[] = [];
+    for (const [runner, record] of this.#runners.entries()) {
+      if (record.gapCount === 0) continue;
+      gaps.push({ runner, gapMs: record.gapSumMs / record.gapCount });
+      record.gapSumMs = 0;
+      record.gapCount = 0;
+    }
+    return gaps;
   }
 
   #getRecord(runner: string): RunnerRecord {
     let record = this.#runners.get(runner);
     if (record === undefined) {
       record = {
-        gaps: new estimates.Estimate(),
+        gapSumMs: 0,
+        gapCount: 0,
         failures: 0,
         excludedUntil: 0,
-        nextProbeAt: 0,
       };
       this.#runners.set(runner, record);
     }
--- a/src/capacity/runner-views.ts
+++ b/src/capacity/runner-views.ts
@@ -7,14 +7,21 @@
 /** Time in which a told state loses half its weight. */
 const HALF_LIFE_MS = 1000;
 
-interface KnownState {
+interface KnownState extends messages.RunnerView {
   waitMs: number;
   free: number;
-  slowness: number;
-  available: boolean;
-  at: number;
+  readonly at: number;
 }
 
+const NOTHING_KNOWN = {
+  waitMs: 0,
+  free: 1,
+  slowness: 1,
+  available: true,
+  gapMs: 0,
+  probeDue: false,
+} as const;
+
 /** Told states by runner. */
 export class RunnerViews {
   readonly #clock: clocks.Clock;
@@ -27,17 +34,13 @@
   /** Takes in the states that an allocator told. */
   update(views: readonly messages.RunnerView[]): void {
     const at = this.#clock.now();
-    for (const { runner, waitMs, free, slowness, available } of views) {
-      this.#states.set(runner, { waitMs, free, slowness, available, at });
-    }
+    for (const view of views) this.#states.set(view.runner, { ...view, at });
   }
 
   /** Takes in a wait that an answer told. */
   updateWait(runner: string, waitMs: number): void {
-    const known = this.#states.get(runner);
-    const free = waitMs > 0 ? 0 : (known?.free ?? 1);
-    const slowness = known?.slowness ?? 1;
-    this.update([{ runner, waitMs, free, slowness, available: true }]);
+    const known = this.#states.get(runner) ?? { ...NOTHING_KNOWN, runner };
+    this.update([{ ...known, waitMs, free: waitMs > 0 ? 0 : known.free, available: true }]);
   }
 
   /** Records work of `workMs` that this node just sent. */
@@ -64,6 +67,12 @@
     return this.#states.get(runner)?.slowness ?? 1;
   }
 
+  /** Whether the runner's gaps are above the target and no probe is due. */
+  isSlow(runner: string, targetMs: number): boolean {
+    const state = this.#states.get(runner);
+    return state !== undefined && state.gapMs > targetMs && !state.probeDue;
+  }
+
   /** Whether the runner answered its allocator when last told. */
   isAvailable(runner: string): boolean {
     const state = this.#states.get(runner);
--- a/src/capacity/selection.ts
+++ b/src/capacity/selection.ts
@@ -69,7 +69,7 @@
   ): catalogs.CatalogRunner | undefined {
     const usable = this.#listUsable(catalog.listServing(demand.model, "decode"), excluded);
     const quick = usable.filter(
-      (runner) => !this.#parts.health.isSlow(runner.name, demand.betweenTokensMs),
+      (runner) => !this.#parts.views.isSlow(runner.name, demand.betweenTokensMs),
     );
     const drawn = this.#chooseRandom(quick, this.#parts.policy.choices);
     const scored = drawn.map((runner) => ({
--- /dev/null
+++ b/test/capacity/decode-ledger.test.ts
@@ -0,0 +1,143 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as fastCheck from "fast-check";
+import * as virtualClock from "../../bench/virtual-clock.js";
+import type * as catalogs from "../../src/capacity/catalog.js";
+import * as ledgers from "../../src/capacity/decode-ledger.js";
+import * as messages from "../../src/capacity/messages.js";
+import * as occupancies from "../../src/capacity/occupancy.js";
+import * as policies from "../../src/capacity/policy.js";
+import * as shares from "../../src/capacity/shares.js";
+
+const HOLDER = { vm: "vm0", incarnation: 1 };
+const RUNNER: catalogs.CatalogRunner = {
+  name: "d0",
+  zone: "zone",
+  region: "region",
+  host: "127.0.0.1",
+  port: 1,
+  role: "decode",
+  slots: 4,
+  pieces: 100,
+  prefillTokensPerSecond: 1000,
+  stepMs: 10,
+  model: "m",
+  tokensPerPiece: 16,
+  kvBytesPerToken: 1,
+};
+
+function createLedger(policy: Partial<policies.CapacityPolicy> = {}) {
+  const clock = new virtualClock.VirtualClock();
+  const occupancy = new occupancies.Occupancy(clock, 500);
+  const ledger = new ledgers.DecodeLedger({
+    runner: RUNNER,
+    clock,
+    policy: { ...policies.DEFAULT_POLICY, ...policy },
+    shares: new shares.CallerShares(clock),
+    occupancy,
+  });
+  return { clock, ledger, occupancy };
+}
+
+function createRequest(id: string, changes: Partial<messages.LeaseRequest> = {}) {
+  return {
+    runner: "d0",
+    id,
+    attempt: 1,
+    caller: "caller",
+    share: 1,
+    priority: 5,
+    pieces: 1,
+    isFirst: true,
+    betweenTokensMs: 60,
+    startWithinMs: 100_000,
+    leadMs: 100,
+    ...changes,
+  };
+}
+
+test.describe("DecodeLedger", () => {
+  test.it("gives turns in the order of priority, then of age", () => {
+    const { ledger } = createLedger({ leaseAhead: false });
+    for (const id of ["a", "b", "c", "d"]) ledger.grant(createRequest(id), HOLDER);
+    ledger.grant(createRequest("late"), HOLDER);
+    ledger.grant(createRequest("later"), HOLDER);
+    ledger.grant(createRequest("urgent", { priority: 0 }), HOLDER);
+    const listSent = () =>
+      ledger
+        .listLeases()
+        .filter((lease) => lease.phase === messages.PHASE.sent)
+        .map((lease) => lease.request.id);
+    earl.expect(listSent()).toEqual(["a", "b", "c", "d"]);
+    ledger.release("a", 1);
+    earl.expect(listSent()).toEqual(["b", "c", "d", "urgent"]);
+    ledger.release("b", 1);
+    earl.expect(listSent()).toEqual(["c", "d", "late", "urgent"]);
+  });
+
+  test.it(
+    "leases ahead of expected releases, but only once it has seen how long they take",
+    async () => {
+      const { clock, ledger } = createLedger();
+      for (let index = 0; index < 20; index += 1) {
+        ledger.grant(createRequest(`r${index}`, { leadMs: 1000 }), HOLDER);
+        ledger.setPhase(`r${index}`, 1, messages.PHASE.running);
+        await clock.run(clock.now() + 1000);
+        ledger.release(`r${index}`, 1);
+      }
+      const answers = ["a", "b", "c", "d", "e", "f"].map((id) => {
+        const { answer } = ledger.grant(createRequest(id, { leadMs: 1000 }), HOLDER);
+        ledger.setPhase(id, 1, messages.PHASE.running);
+        return answer.turn;
+      });
+      earl.expect(answers).toEqual([true, true, true, true, true, true]);
+      const { answer } = ledger.grant(createRequest("g", { leadMs: 1000 }), HOLDER);
+      earl.expect(answer.turn).toEqual(false);
+    },
+  );
+
+  test.it("refuses an older attempt and lets a newer one take its place", () => {
+    const { ledger } = createLedger();
+    ledger.grant(createRequest("a", { attempt: 2 }), HOLDER);
+    earl.expect(ledger.grant(createRequest("a"), HOLDER).answer.granted).toEqual(false);
+    const newer = ledger.grant(createRequest("a", { attempt: 3 }), HOLDER);
+    earl.expect(newer.answer.granted).toEqual(true);
+    earl.expect(newer.revoked.map((lease) => lease.attempt)).toEqual([2]);
+    ledger.release("a", 2);
+    earl.expect(ledger.listLeases().map((lease) => lease.attempt)).toEqual([3]);
+  });
+
+  test.it("keeps a margin free while leases of others may be unknown", () => {
+    const { ledger, occupancy } = createLedger();
+    occupancy.guarded = true;
+    const turns = ["a", "b", "c"].map((id) => ledger.grant(createRequest(id), HOLDER).answer.turn);
+    earl.expect(turns).toEqual([true, true, false]);
+  });
+
+  test.it("never lets more go than slots and pieces, whatever happens", () => {
+    const step = fastCheck.record({
+      id: fastCheck.integer({ min: 0, max: 12 }),
+      attempt: fastCheck.integer({ min: 1, max: 3 }),
+      pieces: fastCheck.integer({ min: 1, max: 60 }),
+      action: fastCheck.constantFrom("grant", "run", "release", "wait"),
+    });
+    const property = fastCheck.asyncProperty(
+      fastCheck.array(step, { maxLength: 60 }),
+      async (steps) => {
+        const { clock, ledger } = createLedger({ leaseAhead: false });
+        for (const { id, attempt, pieces, action } of steps) {
+          const name = `r${id}`;
+          if (action === "grant") ledger.grant(createRequest(name, { attempt, pieces }), HOLDER);
+          if (action === "run") ledger.setPhase(name, attempt, messages.PHASE.running);
+          if (action === "release") ledger.release(name, attempt);
+          if (action === "wait") await clock.run(clock.now() + 100);
+          const sent = ledger.listLeases().filter((lease) => lease.phase !== messages.PHASE.queued);
+          const used = sent.reduce((sum, lease) => sum + lease.request.pieces, 0);
+          if (sent.length > RUNNER.slots || used > RUNNER.pieces) return false;
+        }
+        return true;
+      },
+    );
+    return fastCheck.assert(property, { seed: 7, numRuns: 100 });
+  });
+});
