Free what a lost holder's request left once the engine no longer shows it

In a partition the old allocator kept leases of holders on the other side for 30 s although their requests had ended.

--- a/src/capacity/decode-ledger.ts
+++ b/src/capacity/decode-ledger.ts
@@ -146,6 +146,22 @@
     this.startQueued();
   }
 
+  /**
+   * Releases leases of holders that cannot tell their end, once the engine no longer shows them.
+   *
+   * @param before - leases that started later may not be shown yet.
+   */
+  releaseEnded(
+    isLost: (holder: network.PeerIdentity) => boolean,
+    held: ReadonlySet<string>,
+    before: number,
+  ): void {
+    for (const { request, holder, phaseAt } of this.listLeases()) {
+      if (phaseAt > before || held.has(request.id) || !isLost(holder)) continue;
+      this.release(request.id, request.attempt);
+    }
+  }
+
   /** Gives the turn to queued leases while there is room, and refuses those that are too late. */
   startQueued(): void {
     const now = this.#parts.clock.now();
--- a/src/capacity/upkeep.ts
+++ b/src/capacity/upkeep.ts
@@ -14,6 +14,8 @@
 const PARTITION_GRACE_MS = 30_000;
 /** How long work that no one claims is left alone. */
 const ORPHAN_GRACE_MS = 3000;
+/** How long a lease may take from its turn until the engine shows it. */
+const ENDED_GRACE_MS = 2500;
 const CALL_TIMEOUT_MS = 1000;
 /** Report periods in which a new allocator waits for the holders. */
 const SETTLING_PERIODS = 2;
@@ -121,6 +123,7 @@
       entry.occupancy.recordLoad(load, isKnown);
       entry.occupancy.guarded = this.#isGuarded(entry);
       if (entry.prefill !== undefined) await this.#readEvents(runner, limit.signal);
+      this.#releaseEnded(entry, load);
       this.#cancelOrphans(entry);
       entry.decode?.startQueued();
     } catch {
@@ -138,6 +141,13 @@
     allocator.prefixIndex.applyEvents(runner.name, events, clock.now());
   }
 
+  #releaseEnded(entry: allocators.AllocatedRunner, load: upstream.RunnerLoad): void {
+    if (this.#lost.size === 0) return;
+    const held = new Set(load.held.map(({ id }) => id));
+    const before = this.#parts.clock.now() - load.ageMs - ENDED_GRACE_MS;
+    entry.decode?.releaseEnded((holder) => this.#lost.has(holder.vm), held, before);
+  }
+
   #isGuarded(entry: allocators.AllocatedRunner): boolean {
     const { clock, policy } = this.#parts;
     const ageMs = clock.now() - entry.allocatedSince;
--- a/test/capacity/decode-ledger.test.ts
+++ b/test/capacity/decode-ledger.test.ts
@@ -114,6 +114,22 @@
     earl.expect(turns).toEqual([true, true, false]);
   });
 
+  test.it(
+    "frees what a lost holder's request left when the engine no longer shows it",
+    async () => {
+      const { clock, ledger } = createLedger();
+      for (const id of ["ended", "shown", "new"]) {
+        ledger.grant(createRequest(id), HOLDER);
+        ledger.setPhase(id, 1, messages.PHASE.running);
+        await clock.run(clock.now() + 1000);
+      }
+      ledger.releaseEnded(() => true, new Set(["shown"]), 1500);
+      earl.expect(ledger.listLeases().map(({ request }) => request.id)).toEqual(["shown", "new"]);
+      ledger.releaseEnded(() => false, new Set(), 5000);
+      earl.expect(ledger.listLeases().length).toEqual(2);
+    },
+  );
+
   test.it("never lets more go than slots and pieces, whatever happens", () => {
     const step = fastCheck.record({
       id: fastCheck.integer({ min: 0, max: 12 }),
