--- /dev/null
+++ b/src/protocol/connection-pool.ts
@@ -0,0 +1,154 @@
+/** Kept connections to peers, one each, dialled on demand. */
+import type * as telemetry from "../telemetry/types.js";
+import * as logEvents from "../telemetry/log-events.js";
+import * as handshake from "./handshake.js";
+import * as network from "./network.js";
+import * as outgoing from "./outgoing-connection.js";
+
+/** Connections kept at once; at the limit the longest unused idle one is closed for a new one. */
+export const MAX_CONNECTIONS = 1024;
+/** Known addresses; further VMs are refused. */
+const MAX_ADDRESSES = 16_384;
+
+/** Keeps the connections of one node. */
+export class ConnectionPool {
+  readonly #options: outgoing.DialOptions;
+  readonly #log: telemetry.EventLog;
+  readonly #addresses = new Map<string, network.PeerAddress>();
+  readonly #connections = new Map<string, outgoing.OutgoingConnection>();
+  /** Kept and retired ones, until they end. */
+  readonly #running = new Set<outgoing.OutgoingConnection>();
+  readonly #dials = new Map<string, Promise<outgoing.OutgoingConnection>>();
+
+  constructor(options: outgoing.DialOptions, log: telemetry.EventLog) {
+    this.#options = options;
+    this.#log = log;
+  }
+
+  setAddress(vm: string, address: network.PeerAddress): void {
+    if (!this.#addresses.has(vm) && this.#addresses.size >= MAX_ADDRESSES) return;
+    this.#addresses.set(vm, address);
+  }
+
+  /**
+   * Returns the kept connection to a peer, or dials one.
+   *
+   * @throws PeerCallError `notSent` or `gone`.
+   */
+  async connect(
+    vm: string,
+    incarnation: number | undefined,
+    signal: AbortSignal,
+  ): Promise<outgoing.OutgoingConnection> {
+    const kept = this.#connections.get(vm);
+    if (kept?.usable === true && isExpected(kept.peer, incarnation)) return kept;
+    if (kept !== undefined && incarnation !== undefined && kept.peer.incarnation > incarnation) {
+      throw createGone(vm);
+    }
+    const dial = this.#dials.get(vm) ?? this.#startDial(vm);
+    const dialled = await waitForDial(vm, dial, signal);
+    if (!isExpected(dialled.peer, incarnation)) throw createGone(vm);
+    return dialled;
+  }
+
+  close(): void {
+    for (const connection of this.#running) connection.close("node stops");
+    this.#connections.clear();
+  }
+
+  #startDial(vm: string): Promise<outgoing.OutgoingConnection> {
+    const dial = this.#dial(vm).finally(() => this.#dials.delete(vm));
+    dial.catch(() => undefined);
+    this.#dials.set(vm, dial);
+    return dial;
+  }
+
+  async #dial(vm: string): Promise<outgoing.OutgoingConnection> {
+    const address = this.#addresses.get(vm);
+    if (address === undefined) throw createNotSent(`no address of ${vm} is known`);
+    if (!this.#releasePlace()) throw createNotSent("too many connections are in use");
+    const connection = await this.#connect(vm, address);
+    if (connection.peer.vm !== vm) {
+      connection.close("address belongs to another VM");
+      throw createNotSent(`${connection.peer.vm} answers at the address of ${vm}`);
+    }
+    if (this.#options.signal.aborted) {
+      connection.close("node stops");
+      throw createNotSent("node stops");
+    }
+    this.#connections.set(vm, connection);
+    void this.#run(vm, connection);
+    return connection;
+  }
+
+  async #connect(vm: string, address: network.PeerAddress): Promise<outgoing.OutgoingConnection> {
+    try {
+      return await outgoing.connectToPeer(address, this.#options);
+    } catch (error) {
+      if (error instanceof network.ConnectionRefusedError) throw createGone(vm, error);
+      this.#logRejection(vm, error);
+      throw createNotSent(`no connection to ${vm}`, error);
+    }
+  }
+
+  async #run(vm: string, connection: outgoing.OutgoingConnection): Promise<void> {
+    this.#running.add(connection);
+    try {
+      await connection.run();
+    } catch (error) {
+      this.#logRejection(vm, error);
+    } finally {
+      this.#running.delete(connection);
+      if (this.#connections.get(vm) === connection) this.#connections.delete(vm);
+    }
+  }
+
+  #logRejection(vm: string, error: unknown): void {
+    if (!handshake.isRejection(error)) return;
+    this.#log.write(logEvents.LOG_EVENTS.peerRejected, { vm, error: String(error) });
+  }
+
+  /** Makes room for one more connection; returns whether there is any. */
+  #releasePlace(): boolean {
+    if (this.#connections.size < MAX_CONNECTIONS) return true;
+    let oldest: outgoing.OutgoingConnection | undefined;
+    for (const connection of this.#connections.values()) {
+      const isOlder = connection.usedAt < (oldest?.usedAt ?? Infinity);
+      if (connection.idle && isOlder) oldest = connection;
+    }
+    if (oldest === undefined) return false;
+    oldest.close("place is needed");
+    this.#connections.delete(oldest.peer.vm);
+    return true;
+  }
+}
+
+function isExpected(peer: network.PeerIdentity, incarnation: number | undefined): boolean {
+  return incarnation === undefined || peer.incarnation === incarnation;
+}
+
+function waitForDial(
+  vm: string,
+  dial: Promise<outgoing.OutgoingConnection>,
+  signal: AbortSignal,
+): Promise<outgoing.OutgoingConnection> {
+  return new Promise((resolve, reject) => {
+    const onAbort = (): void => {
+      reject(createNotSent(`no connection to ${vm} in time`, signal.reason));
+    };
+    if (signal.aborted) onAbort();
+    signal.addEventListener("abort", onAbort, { once: true });
+    dial.then(resolve, reject).finally(() => {
+      signal.removeEventListener("abort", onAbort);
+    });
+  });
+}
+
+function createNotSent(text: string, cause?: unknown): network.PeerCallError {
+  return new network.PeerCallError(network.CALL_FAILURE.notSent, text, { cause });
+}
+
+function createGone(vm: string, cause?: unknown): network.PeerCallError {
+  const text = `that process of ${vm} is gone`;
+  return new network.PeerCallError(network.CALL_FAILURE.gone, text, { cause });
+}
--- /dev/null
+++ b/src/protocol/message-codec.ts
@@ -0,0 +1,76 @@
+/** Messages between nodes: `[type, correlation, kind, fields]` in CBOR. */
+import * as cbor from "cbor-x";
+
+/** What a message is for. */
+export const MESSAGE_TYPE = {
+  hello: 1,
+  challenge: 2,
+  proof: 3,
+  welcome: 4,
+  ping: 5,
+  pong: 6,
+  /** A call; answered by one `reply` or `error`. */
+  call: 7,
+  /** A streamed call; answered by `item`s and an `end` or `error`. */
+  stream: 8,
+  reply: 9,
+  error: 10,
+  item: 11,
+  end: 12,
+  /** The caller no longer waits. */
+  cancel: 13,
+  /** The reader of a stream took as many items as the kind says. */
+  credit: 14,
+} as const;
+
+/** One message. */
+export interface Message {
+  readonly type: number;
+  /** Number of the call on its connection; 0 where there is none. */
+  readonly correlation: number;
+  /** The call's kind; a count in `credit`; 0 elsewhere. */
+  readonly kind: number;
+  readonly fields: unknown;
+}
+
+/** A frame that is no message. */
+export class MalformedMessageError extends Error {
+  override readonly name = "MalformedMessageError";
+}
+
+const encoder = new cbor.Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
+
+/** Encodes a message. */
+export function encodeMessage(message: Message): Uint8Array {
+  const { type, correlation, kind, fields } = message;
+  return Uint8Array.from(encoder.encode([type, correlation, kind, fields]));
+}
+
+/**
+ * Decodes a frame.
+ *
+ * @throws MalformedMessageError
+ */
+export function decodeMessage(frame: Uint8Array): Message {
+  const list = decodeList(frame);
+  const [type, correlation, kind, fields] = list;
+  if (!isCount(type) || !isCount(correlation) || !isCount(kind)) {
+    throw new MalformedMessageError("header of a message is not made of whole numbers");
+  }
+  return { type, correlation, kind, fields };
+}
+
+function decodeList(frame: Uint8Array): readonly unknown[] {
+  let value: unknown;
+  try {
+    value = encoder.decode(frame);
+  } catch (error) {
+    throw new MalformedMessageError("frame is not CBOR", { cause: error });
+  }
+  if (Array.isArray(value)) return value;
+  throw new MalformedMessageError("message is not a list");
+}
+
+function isCount(value: unknown): value is number {
+  return typeof value === "number" && Number.isSafeInteger(value) && value >= 0;
+}
--- a/src/protocol/network.ts
+++ b/src/protocol/network.ts
@@ -17,6 +17,11 @@
   readonly bufferedBytes: number;
 }
 
+/** Nothing listens at the address: the process that did is gone. */
+export class ConnectionRefusedError extends Error {
+  override readonly name = "ConnectionRefusedError";
+}
+
 /** Opens and accepts channels: TCP in production, an in-memory pair in tests. */
 export interface Transport {
   /** @throws `ConnectionRefusedError` when nothing listens there, else any network error. */
--- /dev/null
+++ b/src/protocol/outgoing-calls.ts
@@ -0,0 +1,215 @@
+/** Calls that wait for their answers on one connection. */
+import * as asyncQueue from "./async-queue.js";
+import * as handlers from "./call-handlers.js";
+import * as messages from "./message-codec.js";
+import * as network from "./network.js";
+import type * as peerLink from "./peer-link.js";
+
+/** Calls that may wait for their answers on one connection; further ones are refused, not sent. */
+export const MAX_OUTSTANDING_CALLS = 4096;
+/** Items a streamed answer may be ahead of its reader. */
+export const STREAM_WINDOW_ITEMS = 64;
+/** Items taken after which the reader allows as many more. */
+const CREDIT_STEP_ITEMS = STREAM_WINDOW_ITEMS / 2;
+
+interface PendingCall {
+  onReply(fields: unknown): void;
+  onItem(fields: unknown): void;
+  onEnd(): void;
+  /** Ends the call without an answer. */
+  onFailure(error: network.PeerCallError): void;
+}
+
+/** Sends calls over a link and matches the answers to them. */
+export class OutgoingCalls {
+  readonly #link: peerLink.PeerLink;
+  readonly #pending = new Map<number, PendingCall>();
+  #lastCorrelation = 0;
+
+  readonly #messageHandlers: Readonly<
+    Record<number, (pending: PendingCall, message: messages.Message) => void>
+  > = {
+    [messages.MESSAGE_TYPE.reply]: (pending, message) => {
+      this.#pending.delete(message.correlation);
+      pending.onReply(message.fields);
+    },
+    [messages.MESSAGE_TYPE.item]: (pending, message) => {
+      pending.onItem(message.fields);
+    },
+    [messages.MESSAGE_TYPE.end]: (pending, message) => {
+      this.#pending.delete(message.correlation);
+      pending.onEnd();
+    },
+    [messages.MESSAGE_TYPE.error]: (pending, message) => {
+      this.#pending.delete(message.correlation);
+      const text = typeof message.fields === "string" ? message.fields : "no reason given";
+      pending.onFailure(new network.PeerCallError(network.CALL_FAILURE.failed, text));
+    },
+  };
+
+  constructor(link: peerLink.PeerLink) {
+    this.#link = link;
+  }
+
+  /** Number of calls that wait for an answer. */
+  get size(): number {
+    return this.#pending.size;
+  }
+
+  /** Handles an answer; one to a call that is no longer waited for is dropped. */
+  handleMessage(message: messages.Message): void {
+    const pending = this.#pending.get(message.correlation);
+    if (pending !== undefined) this.#messageHandlers[message.type]?.(pending, message);
+  }
+
+  /** Fails every call that waits: the connection is lost. */
+  close(cause: unknown): void {
+    const failure = createNoReply("connection was lost", cause);
+    const waiting = [...this.#pending.values()];
+    this.#pending.clear();
+    for (const pending of waiting) pending.onFailure(failure);
+  }
+
+  /** @throws PeerCallError */
+  call<Request, Reply>(
+    call: network.PeerCall<Request, Reply>,
+    request: Request,
+    signal: AbortSignal,
+  ): Promise<Reply> {
+    const codecs = handlers.useCallCodecs(call);
+    return new Promise<Reply>((resolve, reject) => {
+      const onAbort = (): void => {
+        this.#cancel(correlation);
+        reject(createNoReply(`no reply to ${call.name}`, signal.reason));
+      };
+      const release = (): void => {
+        signal.removeEventListener("abort", onAbort);
+      };
+      const pending: PendingCall = {
+        onReply: (fields) => {
+          release();
+          try {
+            resolve(codecs.reply.decode(fields));
+          } catch (error) {
+            reject(createMalformed(call.name, error));
+          }
+        },
+        onItem: () => undefined,
+        onEnd: () => {
+          release();
+          reject(createMalformed(call.name, new Error("end in place of a reply")));
+        },
+        onFailure: (error) => {
+          release();
+          reject(error);
+        },
+      };
+      const correlation = this.#send(messages.MESSAGE_TYPE.call, call, request, pending);
+      signal.addEventListener("abort", onAbort, { once: true });
+    });
+  }
+
+  /** @throws PeerCallError */
+  async *stream<Request, Item>(
+    call: network.PeerCall<Request, Item>,
+    request: Request,
+    signal: AbortSignal,
+  ): AsyncGenerator<Item, undefined> {
+    const codecs = handlers.useCallCodecs(call);
+    const queue = new asyncQueue.AsyncQueue<unknown>();
+    const pending = this.#createStreamEnd(call.name, queue);
+    const correlation = this.#send(messages.MESSAGE_TYPE.stream, call, request, pending);
+    const onAbort = (): void => {
+      queue.close(createNoReply(`${call.name} was given up`, signal.reason));
+    };
+    signal.addEventListener("abort", onAbort, { once: true });
+    let taken = 0;
+    try {
+      for await (const item of queue) {
+        taken += 1;
+        if (taken % CREDIT_STEP_ITEMS === 0) this.#sendCredit(correlation);
+        yield this.#decodeItem(call.name, codecs, item);
+      }
+    } finally {
+      signal.removeEventListener("abort", onAbort);
+      this.#cancel(correlation);
+    }
+  }
+
+  #createStreamEnd(name: string, queue: asyncQueue.AsyncQueue<unknown>): PendingCall {
+    return {
+      onReply: () => {
+        queue.close(createMalformed(name, new Error("reply in place of items")));
+      },
+      onItem: (fields) => {
+        queue.push(fields);
+        if (queue.length > STREAM_WINDOW_ITEMS) this.#link.close("peer exceeds the stream window");
+      },
+      onEnd: () => {
+        queue.close();
+      },
+      onFailure: (error) => {
+        queue.close(error);
+      },
+    };
+  }
+
+  #decodeItem<Request, Item>(
+    name: string,
+    codecs: handlers.CallCodecs<Request, Item>,
+    item: unknown,
+  ): Item {
+    try {
+      return codecs.reply.decode(item);
+    } catch (error) {
+      throw createMalformed(name, error);
+    }
+  }
+
+  /** Sends the first message of a call; throws when nothing was sent. */
+  #send<Request, Reply>(
+    type: number,
+    call: network.PeerCall<Request, Reply>,
+    request: Request,
+    pending: PendingCall,
+  ): number {
+    if (this.#pending.size >= MAX_OUTSTANDING_CALLS) throw createNotSent("too many calls wait");
+    this.#lastCorrelation += 1;
+    const correlation = this.#lastCorrelation;
+    const fields = handlers.useCallCodecs(call).request.encode(request);
+    this.#pending.set(correlation, pending);
+    try {
+      if (this.#link.send({ type, correlation, kind: call.kind, fields })) return correlation;
+    } catch (error) {
+      this.#pending.delete(correlation);
+      throw createNotSent(`${call.name} was not sent`, error);
+    }
+    this.#pending.delete(correlation);
+    throw createNotSent("connection has ended");
+  }
+
+  #sendCredit(correlation: number): void {
+    if (!this.#pending.has(correlation)) return;
+    const type = messages.MESSAGE_TYPE.credit;
+    this.#link.send({ type, correlation, kind: CREDIT_STEP_ITEMS, fields: undefined });
+  }
+
+  /** Tells the peer that the answer is no longer waited for, unless it came. */
+  #cancel(correlation: number): void {
+    if (!this.#pending.delete(correlation)) return;
+    const type = messages.MESSAGE_TYPE.cancel;
+    this.#link.send({ type, correlation, kind: 0, fields: undefined });
+  }
+}
+
+function createNotSent(text: string, cause?: unknown): network.PeerCallError {
+  return new network.PeerCallError(network.CALL_FAILURE.notSent, text, { cause });
+}
+
+function createNoReply(text: string, cause: unknown): network.PeerCallError {
+  return new network.PeerCallError(network.CALL_FAILURE.noReply, text, { cause });
+}
+
+function createMalformed(name: string, cause: unknown): network.PeerCallError {
+  return createNoReply(`reply to ${name} is malformed`, cause);
+}
--- /dev/null
+++ b/src/protocol/peer-network.ts
@@ -0,0 +1,209 @@
+/** Typed calls between nodes over proved, watched connections. */
+import type * as container from "../kernel/container.js";
+import * as clocks from "../kernel/clock.js";
+import type * as telemetry from "../telemetry/types.js";
+import * as logEvents from "../telemetry/log-events.js";
+import * as callHandlers from "./call-handlers.js";
+import * as connectionPool from "./connection-pool.js";
+import * as handshake from "./handshake.js";
+import * as incarnations from "./incarnation.js";
+import * as incoming from "./incoming-connection.js";
+import * as network from "./network.js";
+import * as ownCalls from "./own-calls.js";
+
+/** Accepted connections served at once; further ones are closed at once. */
+const MAX_ACCEPTED_CONNECTIONS = 2048;
+
+class KeptPeerNetwork implements network.PeerNetwork {
+  readonly #transport: network.Transport;
+  readonly #clock: clocks.Clock;
+  readonly #log: telemetry.EventLog;
+  readonly #address: network.PeerAddress;
+  readonly #credentials: handshake.Credentials;
+  readonly #handlers = new callHandlers.CallHandlers();
+  readonly #controller = new AbortController();
+  readonly #pool: connectionPool.ConnectionPool;
+  readonly #ownCalls: ownCalls.OwnCalls;
+  readonly #accepted = new Set<network.FrameChannel>();
+  #listener: AsyncDisposable | undefined;
+
+  constructor(kernel: container.Kernel) {
+    const settings = kernel.use("settings");
+    this.#transport = kernel.use("transport");
+    this.#clock = kernel.use("clock");
+    this.#log = kernel.use("log");
+    this.#address = { host: settings.host, port: settings.peerPort };
+    this.#credentials = {
+      self: { vm: settings.vm, incarnation: incarnations.useIncarnation(kernel) },
+      keys: settings.fleetKeys,
+      clock: this.#clock,
+    };
+    this.#pool = new connectionPool.ConnectionPool(
+      {
+        transport: this.#transport,
+        credentials: this.#credentials,
+        signal: this.#controller.signal,
+      },
+      this.#log,
+    );
+    this.#ownCalls = new ownCalls.OwnCalls(this.#credentials.self, this.#handlers);
+  }
+
+  async call<Request, Reply>(
+    vm: string,
+    call: network.PeerCall<Request, Reply>,
+    request: Request,
+    options: network.CallOptions,
+  ): Promise<Reply> {
+    using limit = clocks.createTimeLimit(this.#clock, options.timeoutMs, options.signal);
+    if (vm === this.#credentials.self.vm) {
+      return await this.#ownCalls.call(call, request, options.incarnation, limit.signal);
+    }
+    const connection = await this.#pool.connect(vm, options.incarnation, limit.signal);
+    checkNotAborted(limit.signal);
+    return await connection.call(call, request, limit.signal);
+  }
+
+  async *stream<Request, Item>(
+    vm: string,
+    call: network.PeerCall<Request, Item>,
+    request: Request,
+    options: network.CallOptions,
+  ): AsyncGenerator<Item, undefined> {
+    using wait = createFirstItemLimit(this.#clock, options);
+    const items = await this.#openStream(vm, call, request, options.incarnation, wait.signal);
+    for await (const item of items) {
+      wait.stop();
+      yield item;
+    }
+  }
+
+  onCall<Request, Reply>(
+    call: network.PeerCall<Request, Reply>,
+    handler: (
+      request: Request,
+      from: network.PeerIdentity,
+      signal: AbortSignal,
+    ) => Promise<Reply> | Reply,
+  ): void {
+    this.#handlers.addUnary(call.kind, {
+      codecs: callHandlers.useCallCodecs(call),
+      run: async (request, from, signal) => await handler(request as Request, from, signal),
+    });
+  }
+
+  onStream<Request, Item>(
+    call: network.PeerCall<Request, Item>,
+    handler: (
+      request: Request,
+      from: network.PeerIdentity,
+      signal: AbortSignal,
+    ) => AsyncIterable<Item>,
+  ): void {
+    this.#handlers.addStream(call.kind, {
+      codecs: callHandlers.useCallCodecs(call),
+      run: (request, from, signal) => handler(request as Request, from, signal),
+    });
+  }
+
+  setAddress(vm: string, address: network.PeerAddress): void {
+    this.#pool.setAddress(vm, address);
+  }
+
+  async start(): Promise<void> {
+    this.#listener = await this.#transport.listen(this.#address, (channel) => {
+      void this.#serve(channel);
+    });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#controller.abort(new Error("node stops"));
+    this.#pool.close();
+    for (const channel of this.#accepted) await channel[Symbol.asyncDispose]();
+    await this.#listener?.[Symbol.asyncDispose]();
+  }
+
+  async #openStream<Request, Item>(
+    vm: string,
+    call: network.PeerCall<Request, Item>,
+    request: Request,
+    incarnation: number | undefined,
+    signal: AbortSignal,
+  ): Promise<AsyncIterable<Item>> {
+    if (vm === this.#credentials.self.vm) {
+      return this.#ownCalls.stream(call, request, incarnation, signal);
+    }
+    const connection = await this.#pool.connect(vm, incarnation, signal);
+    checkNotAborted(signal);
+    return connection.stream(call, request, signal);
+  }
+
+  async #serve(channel: network.FrameChannel): Promise<void> {
+    if (this.#accepted.size >= MAX_ACCEPTED_CONNECTIONS) {
+      this.#log.write(logEvents.LOG_EVENTS.peerRejected, { error: "too many connections" });
+      await channel[Symbol.asyncDispose]();
+      return;
+    }
+    this.#accepted.add(channel);
+    try {
+      await incoming.serveConnection(channel, {
+        credentials: this.#credentials,
+        handlers: this.#handlers,
+        onHandlerError: (error) => {
+          this.#log.write(logEvents.LOG_EVENTS.unexpectedError, { error: String(error) });
+        },
+      });
+    } catch (error) {
+      if (!handshake.isRejection(error)) return;
+      this.#log.write(logEvents.LOG_EVENTS.peerRejected, { error: String(error) });
+    } finally {
+      this.#accepted.delete(channel);
+    }
+  }
+}
+
+/** Signal that aborts with the caller's, or when the first item takes too long. */
+interface FirstItemLimit extends Disposable {
+  readonly signal: AbortSignal;
+  /** Ends the time limit; the caller's signal goes on to count. */
+  stop(): void;
+}
+
+function createFirstItemLimit(clock: clocks.Clock, options: network.CallOptions): FirstItemLimit {
+  const controller = new AbortController();
+  const onAbort = (): void => {
+    controller.abort(options.signal?.reason);
+  };
+  const stop = clock.schedule(options.timeoutMs, () => {
+    controller.abort(new DOMException(`no item within ${options.timeoutMs} ms`, "TimeoutError"));
+  });
+  if (options.signal?.aborted === true) onAbort();
+  options.signal?.addEventListener("abort", onAbort, { once: true });
+  return {
+    signal: controller.signal,
+    stop,
+    [Symbol.dispose]: () => {
+      stop();
+      options.signal?.removeEventListener("abort", onAbort);
+    },
+  };
+}
+
+function checkNotAborted(signal: AbortSignal): void {
+  if (!signal.aborted) return;
+  const options = { cause: signal.reason as unknown };
+  throw new network.PeerCallError(network.CALL_FAILURE.notSent, "given up before sending", options);
+}
+
+/**
+ * Creates the network of a node. A dialled connection carries the dialler's calls only, so that the
+ * dialler alone decides when it is no longer needed.
+ *
+ * The time limit of a streamed call is for its first item; later ones are bounded by the caller's
+ * signal and by the heartbeats of the connection.
+ *
+ * @example kernel.register("network", (services) => createPeerNetwork(services));
+ */
+export function createPeerNetwork(kernel: container.Kernel): network.PeerNetwork {
+  return new KeptPeerNetwork(kernel);
+}
