--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -40,6 +40,12 @@
   readonly digest: string;
 }
 
+/** Two documents of one revision were published; the greater digest is in force. */
+export interface RevisionConflict {
+  readonly revision: number;
+  readonly digests: readonly string[];
+}
+
 /** The configuration in force at this node; it only ever moves to a higher (revision, digest). */
 export interface Configuration extends AsyncDisposable {
   /** Returns what is in force, or `undefined` before the first document. */
@@ -49,8 +55,42 @@
   /** Faults of the newest refused document, for status. */
   readonly lastRefusal:
     { readonly revision: number; readonly faults: readonly string[] } | undefined;
+  /** The newest pair of documents of one revision that this node met, for status. */
+  readonly lastConflict?: RevisionConflict | undefined;
   /** Validates and applies a document if it is newer; returns whether it is in force now. */
   apply(published: PublishedDocument): boolean;
   onChange(listener: (inForce: InForce) => void): Disposable;
   start(): Promise<void>;
 }
+
+/** Why a runner does not serve yet what the document asks for. */
+export const DRIFT_REASON = {
+  /** Its load cannot be read, or the order failed. */
+  unreachable: "unreachable",
+  /** The order was sent; the runner loads. */
+  ordered: "ordered",
+  /** Its turn to load weights comes later. */
+  paced: "paced",
+  /** An earlier allocator may still order it. */
+  leased: "leased",
+  /** Peers do not confirm that this node allocates it. */
+  unconfirmed: "unconfirmed",
+  /** It carries out an order of a newer document than the one in force here. */
+  overtaken: "overtaken",
+} as const;
+
+/** One of the values of `DRIFT_REASON`. */
+export type DriftReason = (typeof DRIFT_REASON)[keyof typeof DRIFT_REASON];
+
+/** A runner that differs from the document. */
+export interface RunnerDrift {
+  readonly runner: string;
+  readonly reason: DriftReason;
+}
+
+/** Brings the runners that this node allocates to what the document asks for. */
+export interface Orders extends AsyncDisposable {
+  /** Returns runners found different in the last pass, for status. */
+  listDrifts(): readonly RunnerDrift[];
+  start(): Promise<void>;
+}
--- a/src/protocol/outgoing-connection.ts
+++ b/src/protocol/outgoing-connection.ts
@@ -8,7 +8,7 @@
 /** Age after which new calls go to a new connection. */
 const MAX_AGE_MS = 600_000;
 /** Time without a call after which a connection is closed. */
-const MAX_IDLE_MS = 15_000;
+const MAX_IDLE_MS = 5000;
 /** How long a replaced connection may take to finish its calls. */
 const MAX_RETIREMENT_MS = 600_000;
 /** How long connecting may take, before the handshake. */
--- a/test/protocol/peer-network.test.ts
+++ b/test/protocol/peer-network.test.ts
@@ -104,7 +104,7 @@
 
   test.it("answers an unknown kind with an error", async () => {
     await using pair = await startPair();
-    const { first, second } = pair;
+    const { first } = pair;
     const call = first.network.call("vm-b", GREET, { name: "x" }, LIMITS);
     earl.expect(await findFailure(call)).toEqual(network.CALL_FAILURE.failed);
   });
