--- a/standins/matrix/cells.ts
+++ b/standins/matrix/cells.ts
@@ -7,7 +7,13 @@
 import * as worlds from "./world.js";
 
 /** What a cell showed. */
-export const VERDICT = { proved: "proved", failed: "failed", notProved: "not proved" } as const;
+export const VERDICT = {
+  proved: "proved",
+  failed: "failed",
+  notProved: "not proved",
+  /** The fault cannot befall the victim at the step. */
+  cannotOccur: "cannot occur",
+} as const;
 
 /** One of the values of `VERDICT`, and why. */
 export interface Verdict {
@@ -17,6 +23,7 @@
 
 /** A fault at a step on a victim, with the caller connected in one of two ways. */
 export interface CellGroup extends scenarios.Injection {
+  readonly path: scenarios.Path;
   readonly topology: scenarios.Topology;
 }
 
@@ -30,44 +37,57 @@
 const SEED = 20_261_203;
 const REAL_ONLY_VICTIMS: ReadonlySet<faults.Victim> = new Set([
   faults.VICTIM.backup,
+  faults.VICTIM.allocator,
   faults.VICTIM.platform,
 ]);
 
+const STEPS: Readonly<Record<scenarios.Path, readonly steps.Step[]>> = {
+  plain: steps.PLAIN_STEPS,
+  model: steps.MODEL_STEPS,
+};
+
 /** Lists every fault, step and victim; a victim that stands for two is listed once. */
-export function listCellGroups(): readonly CellGroup[] {
-  const groups: CellGroup[] = [];
-  for (const topology of Object.values(scenarios.TOPOLOGY)) {
-    for (const fault of faults.FAULTS) {
-      for (const victim of fault.victims) {
-        const isDouble = topology === scenarios.TOPOLOGY.atOwner && victim === faults.VICTIM.entry;
-        if (isDouble) continue;
-        for (const step of Object.values(steps.STEP))
-          groups.push({ topology, fault, victim, step });
-      }
-    }
-  }
-  return groups;
+export function listCellGroups(path: scenarios.Path): readonly CellGroup[] {
+  const topologies = Object.values(scenarios.TOPOLOGY);
+  return topologies.flatMap((topology) =>
+    faults.FAULTS[path].flatMap((fault) =>
+      listVictims(fault, path, topology).flatMap((victim) =>
+        STEPS[path].map((step) => ({ path, topology, fault, victim, step })),
+      ),
+    ),
+  );
 }
 
-/** Runs a group on the real and on the naive router and judges both. */
-export async function runCellGroup(
+function listVictims(
+  fault: faults.Fault,
+  path: scenarios.Path,
+  topology: scenarios.Topology,
+): readonly faults.Victim[] {
+  const isOwnerEntry = topology === scenarios.TOPOLOGY.atOwner;
+  return fault.victims
+    .filter((victim) => faults.PATH_VICTIMS[path].has(victim))
+    .filter((victim) => !(isOwnerEntry && victim === faults.VICTIM.owner));
+}
+
+/** One cell of the real router, or of a mutant of it. */
+export type RealCell = Omit<Cell, "naive">;
+
+/** Runs a group on the real router, or on a mutant of it. */
+export async function runRealGroup(
   group: CellGroup,
   mutant?: observed.Mutant,
-): Promise<readonly Cell[]> {
+): Promise<readonly RealCell[]> {
   const real = await runJudged(group, worlds.ROUTER.real, mutant);
-  const naive = await runJudged(group, worlds.ROUTER.naive);
-  return listPromises(group.fault).map((promise) => ({
-    ...group,
-    promise,
-    real: real(promise),
-    naive: naive(promise),
-  }));
+  const { fault, path } = group;
+  const promises = judges.listPromises(path, fault.isLeaving === true, fault.poison !== undefined);
+  return promises.map((promise) => ({ ...group, promise, real: real(promise) }));
 }
 
-function listPromises(fault: faults.Fault): readonly judges.Promised[] {
-  return Object.values(judges.PROMISE).filter(
-    (promise) => fault.isLeaving === true || !judges.DEPARTURE_PROMISES.has(promise),
-  );
+/** Runs a group on the real and on the naive router and judges both. */
+export async function runCellGroup(group: CellGroup): Promise<readonly Cell[]> {
+  const real = await runRealGroup(group);
+  const naive = await runJudged(group, worlds.ROUTER.naive);
+  return real.map((cell) => ({ ...cell, naive: naive(cell.promise) }));
 }
 
 async function runJudged(
@@ -77,17 +97,23 @@
 ): Promise<(promise: judges.Promised) => Verdict> {
   const isNaive = router === worlds.ROUTER.naive;
   if (isNaive && REAL_ONLY_VICTIMS.has(group.victim)) {
-    return () => createNotProved(`has no ${group.victim}`);
+    return () => ({ verdict: VERDICT.cannotOccur, reason: `has no ${group.victim}` });
   }
   // The naive router has no owner: the node that the caller reached runs the call.
   const victim =
     isNaive && group.victim === faults.VICTIM.owner ? faults.VICTIM.entry : group.victim;
-  const { topology, fault, step } = group;
+  const { path, topology, fault, step } = group;
   const injections = [{ fault, victim, step }];
-  const options = { router, topology, injections, seed: SEED, mutant };
-  const { evidence, missedSteps } = await scenarios.runScenario(options);
-  if (missedSteps.length > 0) return () => createNotProved("step not reached");
-  return (promise) => judgeEvidence(promise, evidence);
+  const options = { router, path, topology, injections, seed: SEED, mutant };
+  try {
+    const { evidence, missed } = await scenarios.runScenario(options);
+    const [reason] = missed;
+    if (reason !== undefined) return () => ({ verdict: VERDICT.cannotOccur, reason });
+    return (promise) => judgeEvidence(promise, evidence);
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return () => ({ verdict: VERDICT.failed, reason });
+  }
 }
 
 /** Returns the verdict of one promise's judge. */
@@ -96,7 +122,3 @@
   if (reason === undefined) return { verdict: VERDICT.proved, reason: "" };
   return { verdict: VERDICT.failed, reason };
 }
-
-function createNotProved(reason: string): Verdict {
-  return { verdict: VERDICT.notProved, reason };
-}
--- a/standins/matrix/faults.ts
+++ b/standins/matrix/faults.ts
@@ -1,5 +1,5 @@
 /** The faults of the matrix: what each does to a victim, and when it ends. */
-import type * as bookingCaller from "./booking-caller.js";
+import type * as matrixCaller from "./matrix-caller.js";
 import * as fixtures from "./fixtures.js";
 import type * as world from "./world.js";
 
@@ -9,6 +9,7 @@
 const BACKEND_DOWN_MS = 8000;
 const SLOW_LINK_MS = 700;
 const LATE_REPLY_MS = 3000;
+const STALL_MS = 5000;
 const CLOCK_JUMP_MS = 900_000;
 /** Time after which every fault that ends by itself has ended. */
 export const LONGEST_FAULT_MS = 21_000;
@@ -18,6 +19,8 @@
   entry: "entry",
   owner: "owner",
   backup: "backup",
+  allocator: "allocator",
+  runner: "runner",
   service: "service",
   platform: "platform",
   caller: "caller",
@@ -31,8 +34,9 @@
   readonly world: world.World;
   /** VM or backend of the victim. */
   readonly name: string;
-  readonly caller: bookingCaller.BookingCaller;
+  readonly caller: matrixCaller.MatrixCaller;
   readonly entry: string;
+  readonly allocator: string;
   readonly others: readonly string[];
 }
 
@@ -42,10 +46,20 @@
   readonly victims: readonly Victim[];
   /** Whether its victims leave, which the promises about leaving judge. */
   readonly isLeaving?: boolean;
-  inject(target: Target): void;
+  /** Text that makes the caller's request crash whatever runs it. */
+  readonly poison?: string;
+  /** @returns `NOTHING_HIT` when there was nothing that the fault could befall. */
+  inject(target: Target): unknown;
 }
 
-const NODES = [VICTIM.entry, VICTIM.owner, VICTIM.backup] as const;
+/** Tells that a fault found no open connection. */
+export const NOTHING_HIT = "no open connection";
+
+function checkHit(count: number): typeof NOTHING_HIT | undefined {
+  return count === 0 ? NOTHING_HIT : undefined;
+}
+
+const NODES = [VICTIM.entry, VICTIM.owner, VICTIM.backup, VICTIM.allocator] as const;
 
 function getVm(name: string): fixtures.MatrixVm {
   const vm = fixtures.VMS.find((candidate) => candidate.vm === name);
@@ -109,8 +123,17 @@
   });
 }
 
-/** All faults of the plain path. */
-export const FAULTS: readonly Fault[] = [
+function doNothing(): void {
+  // The request itself is the fault.
+}
+
+function killAndCancel(target: Target): void {
+  killNode(target);
+  target.caller.cancel();
+}
+
+/** Faults of nodes, the platform and callers, on every path. */
+const COMMON_FAULTS: readonly Fault[] = [
   { name: "kill", victims: NODES, inject: killNode },
   {
     name: "kill and restart",
@@ -153,6 +176,45 @@
       world.nodes.get(name)?.startLeaving();
     },
   },
+  {
+    name: "VM list down",
+    victims: [VICTIM.platform],
+    inject: ({ world }) => {
+      world.platform.isDown = true;
+    },
+  },
+  {
+    name: "cancel",
+    victims: [VICTIM.caller],
+    inject: ({ caller }) => {
+      caller.cancel();
+    },
+  },
+  {
+    name: "retry at same node",
+    victims: [VICTIM.caller],
+    inject: (target) => {
+      sendAgain(target, [target.entry]);
+    },
+  },
+  {
+    name: "retry at other node",
+    victims: [VICTIM.caller],
+    inject: (target) => {
+      sendAgain(target, target.others.slice(0, 1));
+    },
+  },
+  {
+    name: "several retries at once",
+    victims: [VICTIM.caller],
+    inject: (target) => {
+      sendAgain(target, [target.entry, ...target.others, target.entry]);
+    },
+  },
+];
+
+/** Faults of the plain service. */
+const SERVICE_FAULTS: readonly Fault[] = [
   {
     name: "backend killed, restarted",
     victims: [VICTIM.service],
@@ -176,16 +238,12 @@
   {
     name: "reply lost",
     victims: [VICTIM.service],
-    inject: ({ world, name }) => {
-      world.service.reset(name);
-    },
+    inject: ({ world, name }) => checkHit(world.service.reset(name)),
   },
   {
     name: "connection silent",
     victims: [VICTIM.service],
-    inject: ({ world, name }) => {
-      world.service.silence(name);
-    },
+    inject: ({ world, name }) => checkHit(world.service.silence(name)),
   },
   {
     name: "reply 3 s late",
@@ -198,42 +256,79 @@
     name: "poison request",
     victims: [VICTIM.service],
     inject: ({ world, caller }) => {
-      world.service.poison = caller.body;
+      world.service.poison = caller.workload.body;
     },
   },
+];
+
+/** Faults of model runners, and of callers that do not come back. */
+const RUNNER_FAULTS: readonly Fault[] = [
   {
-    name: "VM list down",
-    victims: [VICTIM.platform],
-    inject: ({ world }) => {
-      world.platform.isDown = true;
+    name: "engine crash, restarted",
+    victims: [VICTIM.runner],
+    inject: ({ world, name }) => {
+      world.engines.crash(name);
     },
   },
   {
-    name: "cancel",
-    victims: [VICTIM.caller],
-    inject: ({ caller }) => {
-      caller.cancel();
-    },
+    name: "streams reset",
+    victims: [VICTIM.runner],
+    inject: ({ world, name }) => checkHit(world.engines.reset(name)),
   },
   {
-    name: "retry at same node",
-    victims: [VICTIM.caller],
-    inject: (target) => {
-      sendAgain(target, [target.entry]);
+    name: "streams silent",
+    victims: [VICTIM.runner],
+    inject: ({ world, name }) => checkHit(world.engines.silence(name)),
+  },
+  {
+    name: "transfers stall 5 s",
+    victims: [VICTIM.runner],
+    inject: ({ world }) => {
+      const setStalled = (isStalled: boolean): void => {
+        for (const { name } of fixtures.RUNNERS) world.engines.stallTransfers(name, isStalled);
+      };
+      setStalled(true);
+      world.clock.schedule(STALL_MS, () => {
+        setStalled(false);
+      });
     },
   },
   {
-    name: "retry at other node",
-    victims: [VICTIM.caller],
-    inject: (target) => {
-      sendAgain(target, target.others.slice(0, 1));
+    name: "crossed and old frames",
+    victims: [VICTIM.runner],
+    inject: ({ world }) => {
+      for (const { name } of fixtures.RUNNERS) world.engines.crossFrames(name);
     },
   },
+  { name: "poison decode", victims: [VICTIM.runner], poison: "#crash-decode", inject: doNothing },
+  { name: "poison prefill", victims: [VICTIM.runner], poison: "#crash-prefill", inject: doNothing },
   {
-    name: "several retries at once",
-    victims: [VICTIM.caller],
+    name: "kill, caller gone",
+    victims: [VICTIM.entry, VICTIM.owner, VICTIM.allocator],
+    inject: killAndCancel,
+  },
+  {
+    name: "kill with allocator, caller gone",
+    victims: [VICTIM.entry],
     inject: (target) => {
-      sendAgain(target, [target.entry, ...target.others, target.entry]);
+      killNode({ ...target, name: target.allocator });
+      killAndCancel(target);
     },
   },
 ];
+
+/** Faults by the path of the request. */
+export const FAULTS = {
+  plain: [...COMMON_FAULTS, ...SERVICE_FAULTS],
+  model: [...COMMON_FAULTS, ...RUNNER_FAULTS],
+} as const;
+
+/** Victims by the path of the request. */
+export const PATH_VICTIMS: Readonly<Record<"plain" | "model", ReadonlySet<Victim>>> = {
+  plain: new Set(Object.values(VICTIM).filter((victim) => !isOfModels(victim))),
+  model: new Set(Object.values(VICTIM).filter((victim) => victim !== VICTIM.service)),
+};
+
+function isOfModels(victim: Victim): boolean {
+  return victim === VICTIM.allocator || victim === VICTIM.runner;
+}
--- a/standins/matrix/fixtures.ts
+++ b/standins/matrix/fixtures.ts
@@ -37,6 +37,31 @@
   ],
 };
 
+/** Name of the one model. */
+export const MODEL_NAME = "notes";
+const KV_BYTES_PER_TOKEN = 100_000;
+
+function createRunner(name: string, pool: string, index: number): document.Runner {
+  return {
+    name,
+    host: "127.0.8.1",
+    port: 9100 + index,
+    zone: ZONES[index % ZONES.length] ?? ZONES[0],
+    pool,
+    slots: 20,
+    pieces: 4000,
+    prefillTokensPerSecond: 8000,
+    stepMs: 25,
+    checksFencing: true,
+  };
+}
+
+/** Three prefill and three decode runners, one of each in a zone. */
+export const RUNNERS: readonly document.Runner[] = [
+  ...[0, 1, 2].map((index) => createRunner(`prefill-${index}`, "prefill", index)),
+  ...[3, 4, 5].map((index) => createRunner(`decode-${index - 3}`, "decode", index)),
+];
+
 /** The document in force. */
 export const DOCUMENT: document.FleetDocument = {
   format: 1,
@@ -50,15 +75,28 @@
       credentialSha256: "0".repeat(64),
       priority: 0,
       share: 1,
-      models: [],
+      models: [MODEL_NAME],
       services: [SERVICE.name],
-      tolerance: { firstTokenMs: 1000, betweenTokensMs: 100, deadlineMs: DEADLINE_MS },
+      tolerance: { firstTokenMs: 4000, betweenTokensMs: 200, deadlineMs: 30_000 },
     },
   ],
-  models: [],
-  pools: [],
-  runners: [],
+  models: [
+    {
+      name: MODEL_NAME,
+      version: "1",
+      adapters: [],
+      weightBytes: 1_000_000_000,
+      tokensPerPiece: 16,
+      kvBytesPerToken: KV_BYTES_PER_TOKEN,
+      maxOutputTokens: 1000,
+    },
+  ],
+  pools: [
+    { name: "prefill", role: "prefill", model: MODEL_NAME },
+    { name: "decode", role: "decode", model: MODEL_NAME },
+  ],
+  runners: [...RUNNERS],
   services: [SERVICE],
-  links: [],
-  weightStore: { bytesPerSecond: 1 },
+  links: ZONES.flatMap((from) => ZONES.map((to) => ({ from, to, bytesPerSecond: 10e9 }))),
+  weightStore: { bytesPerSecond: 10e9 },
 };
--- /dev/null
+++ b/standins/matrix/mutants.ts
@@ -0,0 +1,91 @@
+/** Deliberate faults of the real router: each must turn a cell red, or the matrix proves nothing. */
+import * as messages from "../../src/request/messages.js";
+import * as upstream from "../../src/upstream/types.js";
+import * as faults from "./faults.js";
+import type * as observed from "./observed-network.js";
+import * as steps from "./steps.js";
+
+/** Runs without asking the backup. */
+const SKIP_BACKUP: observed.Mutant = {
+  name: "skips the backup",
+  replaceCall: (kind) =>
+    kind === messages.INTENT.kind ? { reply: messages.INTENT_REPLY.accepted } : undefined,
+};
+
+/** Runs although the backup holds a tombstone. */
+const RUN_AFTER_TOMBSTONE: observed.Mutant = {
+  name: "runs after a tombstone",
+  replaceReply: (kind, reply) => {
+    const isTombstoned =
+      kind === messages.INTENT.kind &&
+      (reply as { reply: string }).reply === messages.INTENT_REPLY.tombstoned;
+    return isTombstoned ? { reply: messages.INTENT_REPLY.accepted } : reply;
+  },
+};
+
+/** Says "not run" of a request that the owner had leave to run. */
+const DENY_INTENT: observed.Mutant = {
+  name: "says not run of an intent",
+  replaceReply: (kind, reply) => {
+    const isIntent =
+      kind === messages.RESOLVE.kind &&
+      (reply as { reply: string }).reply === messages.RESOLVE_REPLY.intentOnly;
+    return isIntent ? { reply: messages.RESOLVE_REPLY.tombstoned } : reply;
+  },
+};
+
+/** Says "not run" without writing a tombstone. */
+const NO_TOMBSTONE: observed.Mutant = {
+  name: "writes no tombstone",
+  replaceCall: (kind) =>
+    kind === messages.RESOLVE.kind ? { reply: messages.RESOLVE_REPLY.tombstoned } : undefined,
+};
+
+/** Takes a broken connection for one that was never made, and runs the call again. */
+const RETRY_BROKEN: observed.Mutant = {
+  name: "retries a broken call",
+  replaceBackends: (backends) => ({
+    send: async (...parameters) => {
+      try {
+        return await backends.send(...parameters);
+      } catch (error) {
+        const { notConnected } = upstream.UPSTREAM_FAILURE;
+        throw new upstream.UpstreamError(notConnected, String(error));
+      }
+    },
+  }),
+};
+
+/** A cell that shows a mutant, for the fast part of the matrix. */
+export interface RevealingCell {
+  readonly fault: string;
+  readonly step: steps.Step;
+  readonly victim: faults.Victim;
+}
+
+/** Mutants of the plain path, each with a cell that shows it. */
+export const MUTANTS: readonly {
+  readonly mutant: observed.Mutant;
+  readonly cell: RevealingCell;
+}[] = [
+  {
+    mutant: SKIP_BACKUP,
+    cell: { fault: "kill", step: steps.STEP.ran, victim: faults.VICTIM.owner },
+  },
+  {
+    mutant: RUN_AFTER_TOMBSTONE,
+    cell: { fault: "partition 8 s, healed", step: steps.STEP.asked, victim: faults.VICTIM.owner },
+  },
+  {
+    mutant: DENY_INTENT,
+    cell: { fault: "kill", step: steps.STEP.ran, victim: faults.VICTIM.owner },
+  },
+  {
+    mutant: NO_TOMBSTONE,
+    cell: { fault: "partition 8 s, healed", step: steps.STEP.asked, victim: faults.VICTIM.owner },
+  },
+  {
+    mutant: RETRY_BROKEN,
+    cell: { fault: "reply lost", step: steps.STEP.ran, victim: faults.VICTIM.service },
+  },
+];
--- a/standins/matrix/observed-network.ts
+++ b/standins/matrix/observed-network.ts
@@ -1,6 +1,8 @@
 /** Wraps a node's peer network: reports steps, holds a stopped process, and lets mutants interfere. */
+import type * as capacity from "../../src/capacity/types.js";
 import type * as network from "../../src/protocol/network.js";
 import * as messages from "../../src/request/messages.js";
+import type * as upstream from "../../src/upstream/types.js";
 import type * as nodeProcess from "./node-process.js";
 import * as steps from "./steps.js";
 
@@ -9,6 +11,8 @@
   readonly name: string;
   /** Returns a reply in place of the call. */
   readonly replaceCall?: (kind: number) => object | undefined;
+  /** Returns the client of plain services that the router is to use. */
+  readonly replaceBackends?: (backends: upstream.ServiceClient) => upstream.ServiceClient;
   /** Returns the reply that the router is to see. */
   readonly replaceReply?: (kind: number, reply: unknown) => unknown;
 }
@@ -42,7 +46,12 @@
       });
     },
     onStream: (call, handler) => {
-      inner.onStream(call, handler);
+      inner.onStream(call, async function* (request, from, signal) {
+        for await (const item of handler(request, from, signal)) {
+          await process.waitRunning();
+          yield item;
+        }
+      });
     },
     setAddress: (vm, address) => {
       inner.setAddress(vm, address);
@@ -52,6 +61,28 @@
   };
 }
 
+/** Creates the capacity service that the node under test uses in place of `inner`. */
+export function createObservedCapacity(
+  inner: capacity.Capacity,
+  process: nodeProcess.NodeProcess,
+  onStep: steps.StepListener,
+): capacity.Capacity {
+  return {
+    reserve: async (demand, signal) => {
+      onStep(steps.STEP.queued);
+      await process.waitRunning();
+      const reservation = await inner.reserve(demand, signal);
+      onStep(steps.STEP.leased);
+      await process.waitRunning();
+      return reservation;
+    },
+    findAllocator: (runner) => inner.findAllocator(runner),
+    listLeases: () => inner.listLeases(),
+    start: () => inner.start(),
+    [Symbol.asyncDispose]: () => inner[Symbol.asyncDispose](),
+  };
+}
+
 /** Creates the transport of a process: a killed one connects nowhere. */
 export function createProcessTransport(
   inner: network.Transport,
--- a/standins/matrix/plain-service.ts
+++ b/standins/matrix/plain-service.ts
@@ -73,14 +73,18 @@
     this.#getState(backend).isDown = false;
   }
 
-  /** Breaks the open connections of a backend. */
-  reset(backend: string): void {
-    for (const { broken } of this.#getState(backend).connections) broken.abort();
+  /** Breaks the open connections of a backend; returns their number. */
+  reset(backend: string): number {
+    const { connections } = this.#getState(backend);
+    for (const { broken } of connections) broken.abort();
+    return connections.size;
   }
 
-  /** Makes the open connections of a backend lose what is sent on them. */
-  silence(backend: string): void {
-    for (const connection of this.#getState(backend).connections) connection.isSilent = true;
+  /** Makes the open connections of a backend lose what is sent on them; returns their number. */
+  silence(backend: string): number {
+    const { connections } = this.#getState(backend);
+    for (const connection of connections) connection.isSilent = true;
+    return connections.size;
   }
 
   pause(backend: string): void {
--- a/standins/matrix/real-node.ts
+++ b/standins/matrix/real-node.ts
@@ -1,18 +1,16 @@
-/** A whole node of the router on fakes: real sessions, records, peer network and membership. */
-import * as callerSessions from "../../src/caller/sessions.js";
-import * as container from "../../src/kernel/container.js";
+/** A whole node of the router: all its services below the HTTP front, on fakes of the outside. */
+import * as capacities from "../../src/capacity/capacity.js";
+import type * as container from "../../src/kernel/container.js";
 import * as random from "../../src/kernel/random.js";
-import * as memberships from "../../src/membership/membership.js";
-import * as membershipTypes from "../../src/membership/types.js";
+import * as nodes from "../../src/node.js";
 import type * as platform from "../../src/platform/types.js";
 import * as peerNetwork from "../../src/protocol/peer-network.js";
-import * as codes from "../../src/protocol/result-codes.js";
-import * as crashRecords from "../../src/request/crash-records.js";
-import * as plainCalls from "../../src/request/plain-calls.js";
 import type * as document from "../../src/settings/document.js";
 import type * as nodeSettings from "../../src/settings/node-settings.js";
 import type * as upstream from "../../src/upstream/types.js";
 import type * as memoryTransport from "../memory-transport.js";
+import type * as engineFleet from "./engine-fleet.js";
+import type * as matrixCaller from "./matrix-caller.js";
 import type * as nodeProcess from "./node-process.js";
 import * as observed from "./observed-network.js";
 import type * as plainService from "./plain-service.js";
@@ -21,7 +19,7 @@
 
 const FLEET_KEYS = ["key of the fault matrix"];
 const CALLER_NAME = "cranes";
-const DRAIN_CHECK_MS = 50;
+const DRAIN_LIMIT_MS = 60_000;
 
 /** What a node is made of. */
 export interface RealNodeOptions {
@@ -34,6 +32,7 @@
   readonly platform: platform.PlatformClient;
   readonly document: document.FleetDocument;
   readonly service: plainService.PlainServiceStandin;
+  readonly engines: engineFleet.EngineFleet;
   readonly onStep: steps.StepListener;
   readonly mutant: observed.Mutant | undefined;
 }
@@ -41,7 +40,7 @@
 /** A node of the real router. */
 export class RealNode implements router.RouterNode {
   readonly process: nodeProcess.NodeProcess;
-  readonly kernel = container.createKernel();
+  readonly kernel: container.Kernel;
   readonly #options: RealNodeOptions;
   #isOpen = true;
   #waiting = 0;
@@ -49,20 +48,18 @@
   constructor(options: RealNodeOptions) {
     this.#options = options;
     this.process = options.process;
+    this.kernel = nodes.createNodeKernel(this.#createSettings());
     this.#registerFakes();
-    this.#registerServices();
+    this.#registerObservers();
   }
 
   get isOpen(): boolean {
     return this.#isOpen;
   }
 
-  /** Starts to listen and to probe. */
+  /** Starts to listen, to probe, and to read the configuration. */
   async start(): Promise<void> {
-    this.kernel.use("crashes");
-    this.kernel.use("plainCalls");
-    await this.kernel.use("network").start();
-    await this.kernel.use("membership").start();
+    await nodes.startServices(this.kernel);
   }
 
   handleAddressQuestion(): { readonly vms: readonly string[]; readonly session: string } {
@@ -74,7 +71,7 @@
   }
 
   async handleBooking(
-    request: router.BookingRequest,
+    request: router.MatrixRequest,
     signal: AbortSignal,
   ): Promise<upstream.PlainResponse> {
     const { deadlineMs, attempt, body } = request;
@@ -96,52 +93,71 @@
     }
   }
 
+  async *handleModel(
+    request: router.MatrixRequest,
+    signal: AbortSignal,
+  ): AsyncGenerator<matrixCaller.ReceivedToken> {
+    const caller = this.#options.document.callers[0];
+    const model = this.#options.document.models[0];
+    if (!caller || !model) throw new Error("incomplete document");
+    const id =
+      request.id === undefined
+        ? undefined
+        : this.kernel.use("sessions").parse(request.id, caller.name);
+    const { attempt, body: prompt, deadlineMs } = request;
+    const { firstTokenMs, betweenTokensMs } = caller.tolerance;
+    const maxTokens = model.maxOutputTokens;
+    const limits = { maxTokens, firstTokenMs, betweenTokensMs, deadlineMs };
+    const call = { caller, model, id, attempt, prompt, ...limits };
+    this.#waiting += 1;
+    try {
+      for await (const event of this.kernel.use("modelCalls").run(call, signal)) {
+        if (event.type === "end") return;
+        yield event;
+      }
+      throw new Error("answer without its end");
+    } finally {
+      this.#waiting -= 1;
+    }
+  }
+
   startLeaving(): void {
-    void this.kernel.use("membership").startLeaving();
-    this.#checkDrained();
+    void this.#drain();
   }
 
-  /** Closes once nothing is in progress, as the daemon does on SIGTERM. */
-  #checkDrained(): void {
-    this.process.clock.schedule(DRAIN_CHECK_MS, () => {
-      const isIdle = this.#waiting === 0 && this.kernel.use("plainCalls").active === 0;
-      if (!isIdle) {
-        this.#checkDrained();
-        return;
-      }
-      this.#isOpen = false;
-      this.#options.net.kill(this.#options.host);
-      this.process.kill();
-    });
+  /** Drains as the daemon does on SIGTERM, then ends the process. */
+  async #drain(): Promise<void> {
+    await nodes.drainNode(this.kernel, () => this.#waiting);
+    this.#isOpen = false;
+    this.#options.net.kill(this.#options.host);
+    this.process.kill();
   }
 
   #registerFakes(): void {
-    const { process, host, seed, net, platform, document, service } = this.#options;
+    const { process, host, seed, net, platform, service, engines, mutant } = this.#options;
     const { kernel } = this;
+    const backends = service.createClient(process);
     kernel.register("clock", () => process.clock);
     kernel.register("random", () => random.createSeededRandom(seed));
-    kernel.register("settings", () => this.#createSettings());
     kernel.register("log", () => ({ write: () => undefined }));
     kernel.register("transport", () =>
       observed.createProcessTransport(net.createTransport(host), process),
     );
     kernel.register("platform", () => platform);
-    const current = { document, revision: document.revision, digest: "" };
-    kernel.register("configuration", () => ({ current }) as platform.Configuration);
-    kernel.register("backends", () => service.createClient(process));
+    kernel.register("engines", () => engines.createClient(process));
+    kernel.register("backends", () => mutant?.replaceBackends?.(backends) ?? backends);
   }
 
-  #registerServices(): void {
+  #registerObservers(): void {
     const { process, onStep, mutant } = this.#options;
-    const { kernel } = this;
-    kernel.register("network", () => {
-      const inner = peerNetwork.createPeerNetwork(kernel);
+    this.kernel.register("network", () => {
+      const inner = peerNetwork.createPeerNetwork(this.kernel);
       return observed.createObservedNetwork(inner, process, onStep, mutant);
     });
-    kernel.register("membership", memberships.createMembership);
-    kernel.register("sessions", callerSessions.createSessions);
-    kernel.register("crashes", crashRecords.createCrashRecords);
-    kernel.register("plainCalls", plainCalls.createPlainCalls);
+    this.kernel.register("capacity", () => {
+      const inner = capacities.createCapacity(this.kernel);
+      return observed.createObservedCapacity(inner, process, onStep);
+    });
   }
 
   #createSettings(): nodeSettings.NodeSettings {
@@ -159,18 +175,7 @@
       logFormat: "json",
       logLevel: "error",
       otlpUrl: undefined,
-      drainLimitMs: 60_000,
+      drainLimitMs: DRAIN_LIMIT_MS,
     };
   }
 }
-
-/** Whether an error is a final answer of the router. */
-export function isRequestError(error: unknown): error is codes.RequestError {
-  return error instanceof codes.RequestError;
-}
-
-/** Whether a node believes that it leaves. */
-export function isLeaving(node: RealNode): boolean {
-  const { state } = node.kernel.use("membership").self;
-  return state === membershipTypes.MEMBER_STATE.leaving;
-}
--- a/standins/matrix/scenario.ts
+++ b/standins/matrix/scenario.ts
@@ -1,5 +1,5 @@
 /** Runs one booking through a world with faults at steps, and collects the evidence. */
-import * as bookingCaller from "./booking-caller.js";
+import * as matrixCaller from "./matrix-caller.js";
 import * as faults from "./faults.js";
 import type * as judges from "./judges.js";
 import type * as observed from "./observed-network.js";
@@ -8,12 +8,35 @@
 import * as worlds from "./world.js";
 
 const OWNER = "vm-a1";
-const BODY = "booking 4711";
-const BOOKING_LIMIT_MS = 90_000;
+const DEFAULT_RUNNER = "decode-0";
+const WORKLOADS: Readonly<Record<Path, matrixCaller.Workload>> = {
+  plain: { path: "plain", body: "booking 4711", deadlineMs: 5000, isRepeatable: false },
+  model: {
+    path: "model",
+    body: `${"scintillation log ".repeat(400)}#tokens=400`,
+    deadlineMs: 30_000,
+    isRepeatable: true,
+  },
+};
+const REQUEST_LIMIT_MS = 200_000;
+/** Time after which engines hold nothing for a caller that is gone. */
+const HELD_LIMIT_MS = 3000;
+/** The same when a node failed too. */
+const HELD_AFTER_FAILURE_MS = 5000;
 const ECHO_LIMIT_MS = 60_000;
 const LEAVING_LIMIT_MS = 3000;
 const SETTLING_MS = 5000;
 
+const NODE_VICTIMS: ReadonlySet<faults.Victim> = new Set([
+  faults.VICTIM.entry,
+  faults.VICTIM.owner,
+  faults.VICTIM.backup,
+  faults.VICTIM.allocator,
+]);
+
+/** Path of a request. */
+export type Path = "plain" | "model";
+
 /** Where the caller connects first. */
 export const TOPOLOGY = { atOwner: "at owner", elsewhere: "elsewhere" } as const;
 
@@ -30,6 +53,7 @@
 /** What to run. */
 export interface ScenarioOptions {
   readonly router: worlds.Router;
+  readonly path: Path;
   readonly topology: Topology;
   readonly injections: readonly Injection[];
   readonly seed: number;
@@ -39,8 +63,8 @@
 /** What a scenario showed. */
 export interface ScenarioResult {
   readonly evidence: judges.Evidence;
-  /** Steps of injections that were never reached. */
-  readonly missedSteps: readonly steps.Step[];
+  /** Why injections did not take place. */
+  readonly missed: readonly string[];
 }
 
 interface Roles {
@@ -49,27 +73,30 @@
   readonly backup: string;
 }
 
-/** Runs a scenario to its end: the booking, the healing, and every id once more at every node. */
+/** Runs a scenario to its end: the request, the healing, and every id once more at every node. */
 export async function runScenario(options: ScenarioOptions): Promise<ScenarioResult> {
   const world = new worlds.World(options);
   await world.start();
-  const caller = new bookingCaller.BookingCaller(world, BODY);
+  const caller = new matrixCaller.MatrixCaller(world, createWorkload(options));
   const roles = chooseRoles(world, options);
   const departures: DepartureWatch[] = [];
+  const missed: string[] = [];
   for (const injection of options.injections) {
     world.onStep(injection.step, () => {
       const target = createTarget(world, caller, roles, injection.victim);
       if (injection.fault.isLeaving) departures.push(new DepartureWatch(world, target.name));
-      injection.fault.inject(target);
+      if (injection.fault.inject(target) === faults.NOTHING_HIT) missed.push(faults.NOTHING_HIT);
     });
   }
   world.markStep(steps.STEP.asked);
-  const booking = caller.book(roles.entry, roles.session, roles.vms);
-  if (!(await world.waitFor(booking, BOOKING_LIMIT_MS))) throw new Error("booking never ended");
-  await world.clock.advance(faults.LONGEST_FAULT_MS + SETTLING_MS);
+  const request = caller.run(roles.entry, roles.session, roles.vms);
+  if (!(await world.waitFor(request, REQUEST_LIMIT_MS))) throw new Error("request never ended");
+  const held = await readHeld(world, options);
+  if (options.path === "plain") await world.clock.advance(faults.LONGEST_FAULT_MS + SETTLING_MS);
   const hasIds = options.router === worlds.ROUTER.real;
-  // Without ids, a request sent again is another request.
-  const echoes = hasIds ? caller.sendEchoes(world.listHealthy()) : Promise.resolve();
+  // Without ids, a request sent again is another request; a model request may run again anyhow.
+  const isEchoed = hasIds && options.path === "plain";
+  const echoes = isEchoed ? caller.sendEchoes(world.listHealthy()) : Promise.resolve();
   if (!(await world.waitFor(echoes, ECHO_LIMIT_MS))) throw new Error("echoes never ended");
   return {
     evidence: {
@@ -77,13 +104,36 @@
       executions: world.service.executions,
       departure: departures[0]?.departure,
       hasIds,
+      path: options.path,
+      held,
+      crashes: world.engines.countCrashes(),
     },
-    missedSteps: options.injections
-      .map(({ step }) => step)
-      .filter((step) => !world.reached.has(step)),
+    missed: [...missed, ...listMissedSteps(world, options.injections)],
   };
 }
 
+function listMissedSteps(world: worlds.World, injections: readonly Injection[]): readonly string[] {
+  const missed = injections.filter(({ step }) => !world.reached.has(step));
+  return missed.map(() => "step not reached");
+}
+
+function createWorkload({ path, injections }: ScenarioOptions): matrixCaller.Workload {
+  const workload = WORKLOADS[path];
+  const poison = injections.map(({ fault }) => fault.poison ?? "").join("");
+  return { ...workload, body: `${workload.body}${poison}` };
+}
+
+/** Returns what the engines hold after the limit; for nobody waits any more. */
+async function readHeld(
+  world: worlds.World,
+  { path, injections }: ScenarioOptions,
+): Promise<readonly string[]> {
+  if (path === "plain") return [];
+  const isNodeFault = injections.some(({ victim }) => NODE_VICTIMS.has(victim));
+  await world.clock.advance(isNodeFault ? HELD_AFTER_FAILURE_MS : HELD_LIMIT_MS);
+  return world.engines.listHeld();
+}
+
 /** Observes what the fleet says of a leaving node after the limit. */
 class DepartureWatch {
   readonly #vm: string;
@@ -120,6 +170,17 @@
   return kernel.use("sessions").parse(`${session}.0`, "cranes").session;
 }
 
+function findAllocator(world: worlds.World, runner: string): string {
+  for (const vm of world.listHealthy()) {
+    const node = world.nodes.get(vm);
+    if (!node || !("kernel" in node)) continue;
+    const { kernel } = node as realNode.RealNode;
+    const found = kernel.use("capacity").findAllocator(runner);
+    if (found !== undefined) return found;
+  }
+  return OWNER;
+}
+
 function chooseRoles(
   world: worlds.World,
   options: ScenarioOptions,
@@ -135,19 +196,24 @@
 
 function createTarget(
   world: worlds.World,
-  caller: bookingCaller.BookingCaller,
+  caller: matrixCaller.MatrixCaller,
   roles: Roles & { readonly vms: readonly string[] },
   victim: faults.Victim,
 ): faults.Target {
   const others = roles.vms.filter((vm) => vm !== roles.entry);
   const busy = world.service.listBusy()[0] ?? "back-a";
+  const runner = world.engines.listBusy()[0] ?? DEFAULT_RUNNER;
+  const decodeRunner = runner.startsWith("decode") ? runner : DEFAULT_RUNNER;
+  const allocator = findAllocator(world, decodeRunner);
   const names: Readonly<Record<faults.Victim, string>> = {
     entry: roles.entry,
     owner: roles.owner,
     backup: roles.backup,
+    allocator,
+    runner,
     service: busy,
     platform: "platform",
     caller: "caller",
   };
-  return { world, name: names[victim], caller, entry: roles.entry, others };
+  return { world, name: names[victim], caller, entry: roles.entry, allocator, others };
 }
--- a/standins/matrix/world.ts
+++ b/standins/matrix/world.ts
@@ -3,7 +3,8 @@
 import type * as platform from "../../src/platform/types.js";
 import * as fakeClock from "../fake-clock.js";
 import * as memoryTransport from "../memory-transport.js";
-import type * as bookingCaller from "./booking-caller.js";
+import type * as matrixCaller from "./matrix-caller.js";
+import * as engineFleet from "./engine-fleet.js";
 import * as fixtures from "./fixtures.js";
 import * as naiveRouter from "./naive-router.js";
 import * as nodeProcess from "./node-process.js";
@@ -37,12 +38,13 @@
 }
 
 /** A fleet in virtual time and everything around it. */
-export class World implements bookingCaller.CallerPorts {
+export class World implements matrixCaller.CallerPorts {
   readonly clock = fakeClock.createFakeClock();
   readonly net = new memoryTransport.MemoryNetwork(this.clock);
   readonly nodes = new Map<string, router.RouterNode>();
   readonly service: plainService.PlainServiceStandin;
   readonly platform: PlatformState = { isDown: false };
+  readonly engines: engineFleet.EngineFleet;
   readonly reached = new Set<steps.Step>();
   readonly #options: WorldOptions;
   readonly #actions: { readonly step: steps.Step; readonly action: () => void }[] = [];
@@ -50,9 +52,11 @@
 
   constructor(options: WorldOptions) {
     this.#options = options;
-    this.service = new plainService.PlainServiceStandin(this.clock, fixtures.SERVICE, (step) => {
+    const onStep = (step: steps.Step): void => {
       this.markStep(step);
-    });
+    };
+    this.service = new plainService.PlainServiceStandin(this.clock, fixtures.SERVICE, onStep);
+    this.engines = new engineFleet.EngineFleet(this.clock, onStep);
   }
 
   /** Starts every node and waits until they know each other. */
@@ -119,30 +123,60 @@
     return undefined;
   }
 
-  async send(vm: string, request: router.BookingRequest, signal: AbortSignal): Promise<string> {
+  countExecutions(id: string): number {
+    const runs = this.service.executions.filter((execution) => execution.id === id).length;
+    return runs + this.engines.countExecutions(id);
+  }
+
+  async send(
+    vm: string,
+    request: router.MatrixRequest,
+    signal: AbortSignal,
+    onToken: (token: matrixCaller.ReceivedToken) => void,
+  ): Promise<string> {
     const node = this.nodes.get(vm);
     if (!node?.isOpen || node.process.killed.aborted) throw new Error("connection refused");
-    const { process } = node;
-    const connection = AbortSignal.any([signal, process.killed]);
+    const connection = AbortSignal.any([signal, node.process.killed]);
     await clocks.sleep(this.clock, HOP_MS, connection);
-    const serving = async (): Promise<string> => {
-      await process.waitRunning();
-      this.markStep(steps.STEP.accepted);
-      await process.waitRunning();
-      const response = await node.handleBooking(request, signal);
-      this.markStep(steps.STEP.reply);
-      await process.waitRunning();
-      return Buffer.from(response.body).toString();
-    };
-    const text = await Promise.race([serving(), waitForAbort(connection)]);
+    const serving = this.#serve(node, request, signal, onToken);
+    const text = await Promise.race([serving, waitForAbort(connection)]);
     await clocks.sleep(this.clock, HOP_MS);
     return text;
   }
 
+  /** What the HTTP front of a node does. */
+  async #serve(
+    node: router.RouterNode,
+    request: router.MatrixRequest,
+    signal: AbortSignal,
+    onToken: (token: matrixCaller.ReceivedToken) => void,
+  ): Promise<string> {
+    const { process } = node;
+    await process.waitRunning();
+    this.markStep(steps.STEP.accepted);
+    await process.waitRunning();
+    let text = "";
+    if (request.path === "plain") {
+      const response = await node.handleBooking(request, signal);
+      text = Buffer.from(response.body).toString();
+    } else {
+      for await (const token of node.handleModel(request, signal)) {
+        await process.waitRunning();
+        if (signal.aborted) break;
+        text += token.text;
+        onToken(token);
+      }
+    }
+    this.markStep(steps.STEP.reply);
+    await process.waitRunning();
+    return text;
+  }
+
   #createNaiveNode(process: nodeProcess.NodeProcess): router.RouterNode {
     const vms = fixtures.VMS.map(({ vm }) => vm);
     const client = this.service.createClient(process);
-    return new naiveRouter.NaiveNode(process, client, fixtures.SERVICE, vms);
+    const engines = this.engines.createClient(process);
+    return new naiveRouter.NaiveNode({ process, backends: client, engines, vms });
   }
 
   #createRealNode(
@@ -159,6 +193,7 @@
       platform: this.#createPlatform(),
       document: fixtures.DOCUMENT,
       service: this.service,
+      engines: this.engines,
       onStep: (step) => {
         this.markStep(step);
       },
@@ -177,9 +212,14 @@
       zone,
       state: "live",
     }));
+    const published = { revision: fixtures.DOCUMENT.revision, document: fixtures.DOCUMENT };
     return {
-      readConfiguration: fail,
-      watchConfiguration: fail,
+      readConfiguration: () => (this.platform.isDown ? fail() : Promise.resolve(published)),
+      watchConfiguration: async (_after, waitMs, signal) => {
+        if (this.platform.isDown) return await fail();
+        await clocks.sleep(this.clock, waitMs, signal);
+        return undefined;
+      },
       listVms: () => (this.platform.isDown ? fail() : Promise.resolve(listed)),
     };
   }
