--- a/src/admin/fleet-status.ts
+++ b/src/admin/fleet-status.ts
@@ -29,6 +29,8 @@
   readonly isUniform: boolean;
   /** Different digests under the newest revision, more than one after a race of two operators. */
   readonly newestDigests: readonly string[];
+  /** Revisions under which a node saw two documents, each once. */
+  readonly conflicts: readonly number[];
   /** Refused documents with their faults, by node. */
   readonly refusals: readonly {
     readonly node: string;
@@ -73,6 +75,11 @@
     newestRevision,
     isUniform: newest.length === answers.length && newestDigests.length === 1,
     newestDigests,
+    conflicts: [
+      ...new Set(
+        known.flatMap(({ status: one }) => one.configuration.lastConflict?.revision ?? []),
+      ),
+    ],
     refusals: known.flatMap(({ node, status: one }) => {
       const refusal = one.configuration.lastRefusal;
       return refusal === undefined ? [] : [{ node, ...refusal }];
--- a/src/admin/status.ts
+++ b/src/admin/status.ts
@@ -38,6 +38,10 @@
     revision: zod.number().optional(),
     digest: zod.string().optional(),
     lastRefusal: zod.object({ revision: zod.number(), faults: zod.array(zod.string()) }).optional(),
+    /** Two documents that were seen under one revision. */
+    lastConflict: zod
+      .object({ revision: zod.number(), digests: zod.array(zod.string()) })
+      .optional(),
   }),
   /** Which VM allocates each runner, from this node's view. */
   allocators: zod.array(zod.object({ runner: zod.string(), vm: zod.string().optional() })),
@@ -94,16 +98,13 @@
 }
 
 function createConfigurationView(kernel: kernels.Kernel): NodeStatus["configuration"] {
-  const { current, ready, lastRefusal } = kernel.use("configuration");
-  const refusal =
-    lastRefusal === undefined
-      ? undefined
-      : { revision: lastRefusal.revision, faults: [...lastRefusal.faults] };
+  const { current, ready, lastRefusal, lastConflict } = kernel.use("configuration");
   return {
     ready,
     revision: current?.revision,
     digest: current?.digest,
-    lastRefusal: refusal,
+    lastRefusal: lastRefusal && { ...lastRefusal, faults: [...lastRefusal.faults] },
+    lastConflict: lastConflict && { ...lastConflict, digests: [...lastConflict.digests] },
   };
 }
 
--- a/src/cli/status-command.ts
+++ b/src/cli/status-command.ts
@@ -66,6 +66,7 @@
       ["RUNNER", "ALLOCATOR", "LEASES", "SLOTS", "PIECES", "CALLERS"],
       fleet.runners.map(formatRunner),
     ),
+    ...fleet.conflicts.map((revision) => `two documents were published as revision ${revision}`),
     ...formatRefusals(fleet),
   ];
 }
--- a/src/client/caller-client.ts
+++ b/src/client/caller-client.ts
@@ -23,7 +23,7 @@
 }
 
 const DEFAULT_MAX_ATTEMPTS = 6;
-const DEFAULT_ATTEMPT_TIMEOUT_MS = 15_000;
+const DEFAULT_ATTEMPT_TIMEOUT_MS = 30_000;
 const DEFAULT_SILENCE_MS = 10_000;
 const DEFAULT_DEADLINE_MS = 60_000;
 /** Never aborts. */
--- a/test/admin/fake-kernel.ts
+++ b/test/admin/fake-kernel.ts
@@ -28,6 +28,7 @@
     configuration: {
       ready: true,
       current: { document, revision: 1, digest: "abc" },
+      lastConflict: { revision: 1, digests: ["abc", "abd"] },
       lastRefusal: { revision: 2, faults: ["runners[0].zone: unknown zone"] },
     },
     capacity: {
--- a/test/admin/fleet-status.test.ts
+++ b/test/admin/fleet-status.test.ts
@@ -41,5 +41,6 @@
     const text = statusCommand.formatFleet(fleet).join("\n");
     earl.expect(text).toInclude("a refused revision 2:\n  runners[0].zone: unknown zone");
     earl.expect(text).toInclude("every node is on revision 1");
+    earl.expect(text).toInclude("two documents were published as revision 1");
   });
 });
