--- a/src/settings/document-effects.ts
+++ b/src/settings/document-effects.ts
@@ -75,16 +75,27 @@
     const old = oldRunners.get(runner.name);
     const oldAssignment =
       old === undefined || before === undefined ? undefined : findAssignment(before, old);
-    return computeAssignmentEffects(
-      runner.name,
-      oldAssignment,
-      findAssignment(after, runner),
-      after,
-    );
+    const assignment = findAssignment(after, runner);
+    return [
+      ...computeMoveEffects(old, runner),
+      ...computeAssignmentEffects(runner.name, oldAssignment, assignment, after),
+    ];
   });
   return [...removed, ...changed];
 }
 
+/** A runner at another address is another process, which the old one's work does not reach. */
+function computeMoveEffects(
+  before: documents.Runner | undefined,
+  after: documents.Runner,
+): DocumentEffect[] {
+  if (before === undefined) return [];
+  if (before.host === after.host && before.port === after.port) return [];
+  const address = `${after.host}:${after.port}`;
+  const message = `moves to ${address}; ${before.host}:${before.port} finishes what runs`;
+  return [createEffect(EFFECT_KIND.drain, after.name, message)];
+}
+
 function computeAssignmentEffects(
   name: string,
   before: Assignment | undefined,
--- a/test/settings/document-diff.test.ts
+++ b/test/settings/document-diff.test.ts
@@ -37,6 +37,13 @@
     earl.expect(diff.effects.map((effect) => effect.kind)).toEqual(["drain", "role"]);
   });
 
+  test.it("tells that a runner moves to another address", () => {
+    const runners = before.runners.map((runner) => ({ ...runner, host: "127.0.0.2" }));
+    const diff = diffs.computeDocumentDiff(before, { ...before, runners });
+    earl.expect(diff.effects.length).toEqual(6);
+    earl.expect(diff.effects[0]?.message ?? "").toInclude("moves to 127.0.0.2:7101");
+  });
+
   test.it("tells who is refused and what leaves", () => {
     const diff = diffs.computeDocumentDiff(before, {
       ...before,
