Count a crash when a broken stream cannot be resumed, and give later runs their own time

Ruled out: the crash records and the allocators, which did what they were told. Also: the client's default signal was one object for all requests and collected listeners. Tests: model-attempts (two new cells, red before).

--- a/src/client/caller-client.ts
+++ b/src/client/caller-client.ts
@@ -26,8 +26,6 @@
 const DEFAULT_ATTEMPT_TIMEOUT_MS = 30_000;
 const DEFAULT_SILENCE_MS = 10_000;
 const DEFAULT_DEADLINE_MS = 60_000;
-/** Never aborts. */
-const NO_ABORT = new AbortController().signal;
 
 /** Sends model requests and plain calls to the fleet. */
 export class CallerClient {
@@ -145,7 +143,7 @@
 
   #createLimit(options: results.RequestOptions): clocks.TimeLimit {
     const deadlineMs = options.deadlineMs ?? DEFAULT_DEADLINE_MS;
-    return clocks.createTimeLimit(this.#clock, deadlineMs, options.signal ?? NO_ABORT);
+    return clocks.createTimeLimit(this.#clock, deadlineMs, options.signal);
   }
 }
 
--- a/src/request/model-attempts.ts
+++ b/src/request/model-attempts.ts
@@ -132,6 +132,7 @@
     exclude: readonly string[],
   ): capacity.Demand {
     const call = order.call;
+    const isFirstRun = exclude.length === 0 && run.offset === 0;
     const prompt = call.prompt + run.text;
     return {
       ...attempt,
@@ -143,7 +144,7 @@
       prefixes: prompts.computePrefixes(call.model.name, prompt),
       priority: call.caller.priority,
       share: call.caller.share,
-      firstTokenBy: order.startedAt + call.firstTokenMs,
+      firstTokenBy: this.#computeFirstTokenBy(order, isFirstRun),
       betweenTokensMs: call.betweenTokensMs,
       deadline: order.startedAt + call.deadlineMs,
       exclude,
@@ -190,11 +191,14 @@
     const attributes = { runner: reservation.decode.name };
     await spans.runInSpan(this.#kernel.use("tracer"), "decode", attributes, async () => {
       let stream = engines.decode(reservation.decode, command, signal);
+      let firstBreak: upstream.UpstreamError | undefined;
       for (let resumes = 0; ; resumes += 1) {
-        const broken = await this.#readStream(step, prefilled, stream);
-        if (broken === undefined) return;
-        if (signal.aborted || resumes >= MAX_STREAM_RESUMES) throw broken;
-        if (broken.failure !== upstream.UPSTREAM_FAILURE.broken) throw broken;
+        const failure = await this.#readStream(step, prefilled, stream);
+        if (failure === undefined) return;
+        // The first break tells of a crash; a resume after it fails in any way.
+        firstBreak ??= failure;
+        if (signal.aborted || resumes >= MAX_STREAM_RESUMES) throw firstBreak;
+        if (failure.failure !== upstream.UPSTREAM_FAILURE.broken) throw firstBreak;
         stream = engines.resume(reservation.decode, { ...attempt, offset: run.offset }, signal);
       }
     });
@@ -265,6 +269,12 @@
     if (accused.length > 0) this.#kernel.use("crashes").recordCrash(runner.name, accused);
   }
 
+  /** An accepted request that runs again is answered late rather than given up. */
+  #computeFirstTokenBy(order: RunOrder, isFirstRun: boolean): number {
+    const start = isFirstRun ? order.startedAt : this.#kernel.use("clock").now();
+    return start + order.call.firstTokenMs;
+  }
+
   #getRemainingMs(order: RunOrder): number {
     const deadline = order.startedAt + order.call.deadlineMs;
     return Math.max(1, Math.round(deadline - this.#kernel.use("clock").now()));
--- a/test/request/model-attempts.test.ts
+++ b/test/request/model-attempts.test.ts
@@ -24,6 +24,8 @@
   readonly kernel: container.Kernel;
   readonly prefills: upstream.PrefillCommand[];
   readonly cancels: string[];
+  readonly demands: capacity.Demand[];
+  readonly crashes: string[];
   refuseReservationFrom: number;
 }
 
@@ -31,7 +33,16 @@
   const kernel = container.createKernel();
   const prefills: upstream.PrefillCommand[] = [];
   const cancels: string[] = [];
-  const scenario: Scenario = { kernel, prefills, cancels, refuseReservationFrom: Infinity };
+  const demands: capacity.Demand[] = [];
+  const crashes: string[] = [];
+  const scenario: Scenario = {
+    kernel,
+    prefills,
+    cancels,
+    demands,
+    crashes,
+    refuseReservationFrom: Infinity,
+  };
   let reservations = 0;
   const services = {
     clock: clocks.createSystemClock(),
@@ -40,10 +51,13 @@
     crashes: {
       isQuarantined: () => false,
       recordSuccess: () => undefined,
-      recordCrash: () => undefined,
+      recordCrash: (runner: string) => {
+        crashes.push(runner);
+      },
     },
     capacity: {
-      reserve: () => {
+      reserve: (demand: capacity.Demand) => {
+        demands.push(demand);
         reservations += 1;
         if (reservations >= scenario.refuseReservationFrom) return Promise.reject(OVERLOADED);
         return Promise.resolve(createReservation());
@@ -158,6 +172,27 @@
     earl.expect(await readRan(broken, 1)).toEqual(codes.RAN.unknown);
   });
 
+  test.it("records a crash when the stream broke and the engine cannot resume it", async () => {
+    const scenario = createScenario([
+      createTokens(0, ["a"], "break"),
+      createTokens(1, ["b"], "end"),
+    ]);
+    await new modelAttempts.ModelAttempts(scenario.kernel).run(createOrder(1), createRun(1), SIGNAL);
+    earl.expect(scenario.crashes).toEqual(["d1"]);
+  });
+
+  test.it("gives a later run its own time for the next token", async () => {
+    const scenario = createScenario([
+      createTokens(0, ["a"], "break"),
+      createTokens(1, ["b"], "end"),
+    ]);
+    await new modelAttempts.ModelAttempts(scenario.kernel).run(createOrder(1), createRun(1), SIGNAL);
+    const [first, second] = scenario.demands;
+    const target = createOrder(1).call.firstTokenMs;
+    earl.expect(first?.firstTokenBy).toEqual(target);
+    earl.expect((second?.firstTokenBy ?? 0) > target).toEqual(true);
+  });
+
   test.it("gives up after four runs and cancels each at both runners", async () => {
     const scenario = createScenario([]);
     earl.expect(await readRan(scenario, 1)).toEqual(codes.RAN.unknown);
