--- /dev/null
+++ b/bench/model-links.ts
@@ -0,0 +1,30 @@
+/** Model of the links between zones. */
+import type * as clocks from "../src/kernel/clock.js";
+import type * as modelRunners from "./model-runners.js";
+
+const MS_PER_SECOND = 1000;
+
+/** Links between zones; each carries one transfer at a time. */
+export class ModelLinks {
+  readonly #clock: clocks.Clock;
+  readonly #model: modelRunners.RunnerModel;
+  readonly #freeAt = new Map<string, number>();
+  /** Slowness by `from\nto`. */
+  readonly slowness = new Map<string, number>();
+
+  constructor(clock: clocks.Clock, model: modelRunners.RunnerModel) {
+    this.#clock = clock;
+    this.#model = model;
+  }
+
+  /** Takes a place on the link and returns the time until the transfer has ended. */
+  reserve(from: string, to: string, tokens: number): number {
+    const key = `${from}\n${to}`;
+    const now = this.#clock.now();
+    const bytes = tokens * this.#model.kvBytesPerToken;
+    const rate = this.#model.linkBytesPerSecond / (this.slowness.get(key) ?? 1);
+    const endAt = Math.max(now, this.#freeAt.get(key) ?? 0) + (bytes / rate) * MS_PER_SECOND;
+    this.#freeAt.set(key, endAt);
+    return endAt - now;
+  }
+}
--- /dev/null
+++ b/bench/model-prefill.ts
@@ -0,0 +1,98 @@
+/** Model of a prefill runner: one prompt after the other, with a cache of prompt prefixes. */
+import type * as clocks from "../src/kernel/clock.js";
+import * as upstream from "../src/upstream/types.js";
+import * as modelRunners from "./model-runners.js";
+
+const MS_PER_SECOND = 1000;
+
+interface PrefillJob {
+  readonly request: modelRunners.ModelRequest;
+  readonly resolve: (result: modelRunners.ModelResult) => void;
+  readonly reject: (error: Error) => void;
+}
+
+/** A prefill runner. */
+export class ModelPrefill {
+  readonly name: string;
+  readonly zone: string;
+  readonly #clock: clocks.Clock;
+  readonly #model: modelRunners.RunnerModel;
+  readonly #queue: PrefillJob[] = [];
+  readonly #cache = new Map<string, true>();
+  #running: PrefillJob | undefined;
+  #busyUntil = 0;
+  /** Tokens computed so far. */
+  computedTokens = 0;
+  down = false;
+
+  constructor(name: string, zone: string, clock: clocks.Clock, model: modelRunners.RunnerModel) {
+    this.name = name;
+    this.zone = zone;
+    this.#clock = clock;
+    this.#model = model;
+  }
+
+  /** Tokens that wait or are being computed. */
+  get queuedTokens(): number {
+    const left = Math.max(0, this.#busyUntil - this.#clock.now());
+    const running = (left / MS_PER_SECOND) * this.#model.prefillTokensPerSecond;
+    return this.#queue.reduce((sum, job) => sum + job.request.promptTokens, running);
+  }
+
+  /** Computes a prompt after those before it. */
+  prefill(request: modelRunners.ModelRequest): Promise<modelRunners.ModelResult> {
+    return new Promise((resolve, reject) => {
+      if (this.down) {
+        reject(new upstream.UpstreamError(upstream.UPSTREAM_FAILURE.notConnected, "down"));
+        return;
+      }
+      this.#queue.push({ request, resolve, reject });
+      this.#startNext();
+    });
+  }
+
+  /** Drops a prompt that was not begun. */
+  cancel(id: string): void {
+    const index = this.#queue.findIndex((job) => job.request.id === id);
+    if (index < 0) return;
+    const [job] = this.#queue.splice(index, 1);
+    job?.reject(new upstream.UpstreamError(upstream.UPSTREAM_FAILURE.broken, "cancelled"));
+  }
+
+  #startNext(): void {
+    if (this.#running !== undefined) return;
+    const job = this.#queue.shift();
+    if (job === undefined) return;
+    this.#running = job;
+    const { promptTokens, prefixes } = job.request;
+    const cachedTokens = this.#countCached(prefixes);
+    const computedTokens = Math.max(1, promptTokens - cachedTokens);
+    const workMs = (computedTokens / this.#model.prefillTokensPerSecond) * MS_PER_SECOND;
+    this.#busyUntil = this.#clock.now() + workMs;
+    this.#clock.schedule(workMs, () => {
+      this.#running = undefined;
+      this.computedTokens += computedTokens;
+      this.#addToCache(prefixes);
+      const expiresAt = this.#clock.now() + this.#model.resultLifeMs;
+      job.resolve({ expiresAt, computedTokens, cachedTokens, zone: this.zone, used: false });
+      this.#startNext();
+    });
+  }
+
+  #countCached(prefixes: readonly string[]): number {
+    let blocks = 0;
+    while (blocks < prefixes.length && this.#cache.has(prefixes[blocks] ?? "")) blocks += 1;
+    return blocks * modelRunners.BLOCK_TOKENS;
+  }
+
+  #addToCache(prefixes: readonly string[]): void {
+    for (const prefix of prefixes) {
+      this.#cache.delete(prefix);
+      this.#cache.set(prefix, true);
+    }
+    for (const prefix of this.#cache.keys()) {
+      if (this.#cache.size <= this.#model.cacheBlocks) break;
+      this.#cache.delete(prefix);
+    }
+  }
+}
--- a/bench/request-run.ts
+++ b/bench/request-run.ts
@@ -1,4 +1,6 @@
 /** One request against the modelled runners, and what came of it. */
+import type * as modelDecode from "./model-decode.js";
+import type * as modelPrefill from "./model-prefill.js";
 import * as modelRunners from "./model-runners.js";
 import * as scenario from "./scenario.js";
 import type * as workload from "./workload.js";
@@ -75,8 +77,8 @@
 export async function runPrefill(
   outcome: Outcome,
   world: scenario.World,
-  runner: modelRunners.ModelPrefill,
-  decode?: modelRunners.ModelDecode,
+  runner: modelPrefill.ModelPrefill,
+  decode?: modelDecode.ModelDecode,
 ): Promise<modelRunners.ModelResult> {
   addPromised(world, decode, 1);
   try {
@@ -90,7 +92,7 @@
 
 function addPromised(
   world: scenario.World,
-  decode: modelRunners.ModelDecode | undefined,
+  decode: modelDecode.ModelDecode | undefined,
   count: number,
 ): void {
   if (decode === undefined) return;
@@ -108,7 +110,7 @@
 export function runDecode(
   outcome: Outcome,
   world: scenario.World,
-  runner: modelRunners.ModelDecode,
+  runner: modelDecode.ModelDecode,
   result: modelRunners.ModelResult,
   onImported: () => void = () => undefined,
   onGap: (gapMs: number) => void = () => undefined,
--- a/bench/scenario.ts
+++ b/bench/scenario.ts
@@ -1,5 +1,8 @@
 /** The modelled fleet, its latency targets and the faults of a run. */
 import * as virtualClock from "./virtual-clock.js";
+import * as modelDecode from "./model-decode.js";
+import * as modelLinks from "./model-links.js";
+import * as modelPrefill from "./model-prefill.js";
 import * as modelRunners from "./model-runners.js";
 
 /** Zones, nodes and runners of the modelled fleet. */
@@ -36,9 +39,9 @@
 /** The runners of one run. */
 export interface World {
   readonly clock: virtualClock.VirtualClock;
-  readonly prefills: readonly modelRunners.ModelPrefill[];
-  readonly decodes: readonly modelRunners.ModelDecode[];
-  readonly links: modelRunners.ModelLinks;
+  readonly prefills: readonly modelPrefill.ModelPrefill[];
+  readonly decodes: readonly modelDecode.ModelDecode[];
+  readonly links: modelLinks.ModelLinks;
   /** Requests by decode runner that are being prefilled for it. */
   readonly promised: Map<string, number>;
 }
@@ -136,7 +139,7 @@
 
 /** Creates the runners of a run. */
 export function createWorld(clock: virtualClock.VirtualClock): World {
-  const links = new modelRunners.ModelLinks(clock, RUNNER_MODEL);
+  const links = new modelLinks.ModelLinks(clock, RUNNER_MODEL);
   const getZone = (index: number): string => FLEET.zones[index % FLEET.zones.length] ?? "";
   return {
     clock,
@@ -144,12 +147,12 @@
     promised: new Map(),
     prefills: Array.from(
       { length: FLEET.prefillRunners },
-      (_, index) => new modelRunners.ModelPrefill(`p${index}`, getZone(index), clock, RUNNER_MODEL),
+      (_, index) => new modelPrefill.ModelPrefill(`p${index}`, getZone(index), clock, RUNNER_MODEL),
     ),
     decodes: Array.from(
       { length: FLEET.decodeRunners },
       (_, index) =>
-        new modelRunners.ModelDecode(`d${index}`, getZone(index), clock, RUNNER_MODEL, links),
+        new modelDecode.ModelDecode(`d${index}`, getZone(index), clock, RUNNER_MODEL, links),
     ),
   };
 }
--- a/bench/strong-router.ts
+++ b/bench/strong-router.ts
@@ -3,7 +3,8 @@
  * node corrects by its own sends since; sheds what it estimates to be late.
  */
 import * as random from "../src/kernel/random.js";
-import type * as modelRunners from "./model-runners.js";
+import type * as modelDecode from "./model-decode.js";
+import type * as modelPrefill from "./model-prefill.js";
 import type * as reports from "./reports.js";
 import * as requestRun from "./request-run.js";
 import * as routers from "./router.js";
@@ -33,24 +34,24 @@
     this.#lifeMs = lifeMs;
   }
 
-  choosePrefill(): modelRunners.ModelPrefill | undefined {
+  choosePrefill(): modelPrefill.ModelPrefill | undefined {
     return this.#chooseOfTwo(this.#world.prefills, (runner) => this.computePrefillWait(runner));
   }
 
-  chooseDecode(): modelRunners.ModelDecode | undefined {
+  chooseDecode(): modelDecode.ModelDecode | undefined {
     const usable = this.#world.decodes.filter((runner) => !this.#late.get(runner.name).down);
     return this.#chooseOfTwo(usable, (runner) => this.#countDecode(runner.name));
   }
 
   /** Expected wait for a slot. */
-  computeDecodeWait(runner: modelRunners.ModelDecode): number {
+  computeDecodeWait(runner: modelDecode.ModelDecode): number {
     const { slots } = scenario.RUNNER_MODEL;
     const missing = this.#countDecode(runner.name) + 1 - slots;
     return Math.max(0, (missing * this.#lifeMs) / slots);
   }
 
   /** Expected wait for the prefills before. */
-  computePrefillWait(runner: modelRunners.ModelPrefill): number {
+  computePrefillWait(runner: modelPrefill.ModelPrefill): number {
     const report = this.#late.get(runner.name);
     const { prefillTokensPerSecond } = scenario.RUNNER_MODEL;
     const own = this.#listSends(runner.name).reduce((sum, send) => sum + send.tokens, 0);
--- /dev/null
+++ b/src/capacity/allocated-runner.ts
@@ -0,0 +1,60 @@
+/** What an allocator keeps of one runner. */
+import type * as clocks from "../kernel/clock.js";
+import type * as network from "../protocol/network.js";
+import type * as catalogs from "./catalog.js";
+import * as decodeLedgers from "./decode-ledger.js";
+import * as gapMonitors from "./gap-monitor.js";
+import * as occupancies from "./occupancy.js";
+import type * as policies from "./policy.js";
+import * as prefillLedgers from "./prefill-ledger.js";
+import type * as shares from "./shares.js";
+
+/** One allocated runner. */
+export interface AllocatedRunner {
+  readonly runner: catalogs.CatalogRunner;
+  readonly occupancy: occupancies.Occupancy;
+  readonly decode: decodeLedgers.DecodeLedger | undefined;
+  readonly prefill: prefillLedgers.PrefillLedger | undefined;
+  readonly gaps: gapMonitors.GapMonitor;
+  readonly allocatedSince: number;
+}
+
+/** Creates the state of a runner whose leases are not known yet. */
+export function createAllocatedRunner(
+  runner: catalogs.CatalogRunner,
+  clock: clocks.Clock,
+  policy: policies.CapacityPolicy,
+  modelShares: shares.CallerShares,
+): AllocatedRunner {
+  const occupancy = new occupancies.Occupancy(clock, policy.loadPeriodMs);
+  const parts = { runner, clock, policy, shares: modelShares, occupancy };
+  const isDecode = runner.role === "decode";
+  return {
+    runner,
+    occupancy,
+    decode: isDecode ? new decodeLedgers.DecodeLedger(parts) : undefined,
+    prefill: isDecode ? undefined : new prefillLedgers.PrefillLedger(runner, clock, occupancy),
+    gaps: new gapMonitors.GapMonitor(clock),
+    allocatedSince: clock.now(),
+  };
+}
+
+/** What decode and prefill leases have in common. */
+export interface EntryLease {
+  readonly id: string;
+  readonly attempt: number;
+  readonly holder: network.PeerIdentity;
+  readonly caller: string;
+  readonly pieces: number;
+  readonly grantedAt: number;
+}
+
+/** Returns the leases of a runner of either role. */
+export function listEntryLeases(entry: AllocatedRunner): readonly EntryLease[] {
+  const decode = entry.decode?.listLeases() ?? [];
+  const prefill = entry.prefill?.listLeases() ?? [];
+  return [
+    ...decode.map(({ request, holder, grantedAt }) => ({ ...request, holder, grantedAt })),
+    ...prefill.map((lease) => ({ ...lease, caller: "", pieces: 0 })),
+  ];
+}
--- a/src/capacity/allocator.ts
+++ b/src/capacity/allocator.ts
@@ -2,12 +2,10 @@
 import type * as clocks from "../kernel/clock.js";
 import type * as network from "../protocol/network.js";
 import type * as catalogs from "./catalog.js";
-import * as decodeLedgers from "./decode-ledger.js";
-import * as gapMonitors from "./gap-monitor.js";
+import * as allocatedRunners from "./allocated-runner.js";
+import type * as decodeLeases from "./decode-lease.js";
 import * as messages from "./messages.js";
-import * as occupancies from "./occupancy.js";
 import type * as policies from "./policy.js";
-import * as prefillLedgers from "./prefill-ledger.js";
 import * as prefixes from "./prefix-index.js";
 import * as shares from "./shares.js";
 import type * as types from "./types.js";
@@ -16,16 +14,6 @@
 /** Time in which a lease that its holder's report misses may still be on its way to the holder. */
 const REPORT_GRACE_MS = 500;
 
-/** One allocated runner. */
-export interface AllocatedRunner {
-  readonly runner: catalogs.CatalogRunner;
-  readonly occupancy: occupancies.Occupancy;
-  readonly decode: decodeLedgers.DecodeLedger | undefined;
-  readonly prefill: prefillLedgers.PrefillLedger | undefined;
-  readonly gaps: gapMonitors.GapMonitor;
-  readonly allocatedSince: number;
-}
-
 /** What an allocator works with. */
 export interface AllocatorParts {
   readonly clock: clocks.Clock;
@@ -39,7 +27,7 @@
 /** Keeps the ledgers of the allocated runners and answers the calls about them. */
 export class Allocator {
   readonly #parts: AllocatorParts;
-  readonly #runners = new Map<string, AllocatedRunner>();
+  readonly #runners = new Map<string, allocatedRunners.AllocatedRunner>();
   readonly #shares = new Map<string, shares.CallerShares>();
   /** Prefixes that allocated runners have, from cache events and leases. */
   readonly prefixIndex = new prefixes.PrefixIndex();
@@ -49,29 +37,20 @@
   }
 
   /** Returns the allocated runners. */
-  listRunners(): readonly AllocatedRunner[] {
+  listRunners(): readonly allocatedRunners.AllocatedRunner[] {
     return [...this.#runners.values()];
   }
 
   /** Returns an allocated runner. */
-  findRunner(name: string): AllocatedRunner | undefined {
+  findRunner(name: string): allocatedRunners.AllocatedRunner | undefined {
     return this.#runners.get(name);
   }
 
   /** Begins to allocate a runner, with an empty ledger. */
-  addRunner(runner: catalogs.CatalogRunner): AllocatedRunner {
+  addRunner(runner: catalogs.CatalogRunner): allocatedRunners.AllocatedRunner {
     const { clock, policy } = this.#parts;
-    const occupancy = new occupancies.Occupancy(clock, policy.loadPeriodMs);
-    const parts = { runner, clock, policy, shares: this.#getShares(runner.model), occupancy };
-    const isDecode = runner.role === "decode";
-    const entry: AllocatedRunner = {
-      runner,
-      occupancy,
-      decode: isDecode ? new decodeLedgers.DecodeLedger(parts) : undefined,
-      prefill: isDecode ? undefined : new prefillLedgers.PrefillLedger(runner, clock, occupancy),
-      gaps: new gapMonitors.GapMonitor(clock),
-      allocatedSince: clock.now(),
-    };
+    const modelShares = this.#getShares(runner.model);
+    const entry = allocatedRunners.createAllocatedRunner(runner, clock, policy, modelShares);
     this.#runners.set(runner.name, entry);
     return entry;
   }
@@ -191,7 +170,7 @@
   removeHolder(isLost: (holder: network.PeerIdentity) => boolean): readonly messages.LeaseId[] {
     const removed: messages.LeaseId[] = [];
     for (const entry of this.#runners.values()) {
-      for (const lease of listEntryLeases(entry)) {
+      for (const lease of allocatedRunners.listEntryLeases(entry)) {
         if (!isLost(lease.holder)) continue;
         (entry.decode ?? entry.prefill)?.release(lease.id, lease.attempt);
         this.#parts.cancel(entry.runner, lease.id, lease.attempt);
@@ -217,7 +196,7 @@
   /** Returns the granted leases. */
   listLeases(): readonly types.LeaseView[] {
     return this.listRunners().flatMap((entry) =>
-      listEntryLeases(entry).map((lease) => ({
+      allocatedRunners.listEntryLeases(entry).map((lease) => ({
         id: lease.id,
         attempt: lease.attempt,
         runner: entry.runner.name,
@@ -239,7 +218,11 @@
     return modelShares;
   }
 
-  #replaceLease(entry: AllocatedRunner, lease: decodeLedgers.DecodeLease, attempt: number): void {
+  #replaceLease(
+    entry: allocatedRunners.AllocatedRunner,
+    lease: decodeLeases.DecodeLease,
+    attempt: number,
+  ): void {
     const { id } = lease.request;
     this.#parts.sendRevoke(lease.holder, [
       { runner: entry.runner.name, id, attempt: lease.request.attempt },
@@ -264,7 +247,7 @@
   #releaseMissing(from: network.PeerIdentity, held: ReadonlySet<string>): void {
     const before = this.#parts.clock.now() - REPORT_GRACE_MS;
     for (const entry of this.#runners.values()) {
-      for (const lease of listEntryLeases(entry)) {
+      for (const lease of allocatedRunners.listEntryLeases(entry)) {
         const isMissing = !held.has(`${entry.runner.name}\n${lease.id}`);
         if (lease.holder.vm !== from.vm || lease.grantedAt > before || !isMissing) continue;
         (entry.decode ?? entry.prefill)?.release(lease.id, lease.attempt);
@@ -272,22 +255,3 @@
     }
   }
 }
-
-/** What decode and prefill leases have in common. */
-interface EntryLease {
-  readonly id: string;
-  readonly attempt: number;
-  readonly holder: network.PeerIdentity;
-  readonly caller: string;
-  readonly pieces: number;
-  readonly grantedAt: number;
-}
-
-function listEntryLeases(entry: AllocatedRunner): readonly EntryLease[] {
-  const decode = entry.decode?.listLeases() ?? [];
-  const prefill = entry.prefill?.listLeases() ?? [];
-  return [
-    ...decode.map(({ request, holder, grantedAt }) => ({ ...request, holder, grantedAt })),
-    ...prefill.map((lease) => ({ ...lease, caller: "", pieces: 0 })),
-  ];
-}
--- a/src/capacity/capacity.ts
+++ b/src/capacity/capacity.ts
@@ -1,13 +1,16 @@
 /** The capacity service: a holder of leases and an allocator of runners in one node. */
 import * as events from "node:events";
-import * as clocks from "../kernel/clock.js";
+import type * as clocks from "../kernel/clock.js";
 import type * as container from "../kernel/container.js";
 import type * as membership from "../membership/types.js";
 import type * as network from "../protocol/network.js";
 import * as resultCodes from "../protocol/result-codes.js";
+import * as allocatorCalls from "./allocator-calls.js";
 import * as allocators from "./allocator.js";
 import * as catalogs from "./catalog.js";
 import * as holdings from "./holdings.js";
+import * as leaseRequests from "./lease-requests.js";
+import * as messengers from "./lease-messenger.js";
 import * as leasing from "./leasing.js";
 import * as messages from "./messages.js";
 import * as observers from "./observer.js";
@@ -21,15 +24,8 @@
 import type * as types from "./types.js";
 import * as upkeeps from "./upkeep.js";
 
-const CALL_TIMEOUT_MS = 500;
 const FULL_RETRY_MS = 1000;
 
-/** What a holder tells an allocator each period. */
-interface LeaseReport {
-  leases: messages.HeldLease[];
-  gaps: messages.RunnerGap[];
-}
-
 /**
  * Creates the capacity service of a node and registers its handlers of peer calls.
  *
@@ -46,12 +42,10 @@
   readonly #clock: clocks.Clock;
   readonly #network: network.PeerNetwork;
   readonly #membership: membership.Membership;
-  readonly #policy: policies.CapacityPolicy;
   readonly #stopping = new AbortController();
   readonly #allocator: allocators.Allocator;
   readonly #holdings: holdings.Holdings;
-  readonly #views: views.RunnerViews;
-  readonly #health: health.RunnerHealth;
+  readonly #messenger: messengers.LeaseMessenger;
   readonly #leasing: leasing.Leasing;
   readonly #upkeep: upkeeps.Upkeep;
   readonly #observer: reservations.Observer;
@@ -64,30 +58,27 @@
     this.#clock = kernel.use("clock");
     this.#network = kernel.use("network");
     this.#membership = kernel.use("membership");
-    this.#policy = policy;
     const configuration = kernel.use("configuration");
     this.#catalog = new catalogs.Catalog(configuration.current?.document);
     this.#allocator = new allocators.Allocator({
       clock: this.#clock,
       policy,
       sendRevoke: (holder, leases) => {
-        this.#sendRevoke(holder, leases);
+        this.#messenger.sendRevoke(holder, leases);
       },
       cancel: (runner, id, attempt) => {
         this.#upkeep.cancel(runner, id, attempt);
       },
     });
     this.#holdings = new holdings.Holdings(this.#clock, (changes) => {
-      this.#sendChanges(changes);
+      this.#messenger.sendChanges(changes);
     });
-    this.#views = new views.RunnerViews(this.#clock);
-    this.#health = new health.RunnerHealth(this.#clock);
     const shared = {
       clock: this.#clock,
       random: kernel.use("random"),
       policy,
-      views: this.#views,
-      health: this.#health,
+      views: new views.RunnerViews(this.#clock),
+      health: new health.RunnerHealth(this.#clock),
       transfers: new transfers.TransferTimes(),
       prefixIndex: this.#allocator.prefixIndex,
       membership: this.#membership,
@@ -100,8 +91,11 @@
       getCatalog: () => this.#catalog,
       findAllocator: (runner: string) => this.findAllocator(runner),
     };
+    this.#messenger = new messengers.LeaseMessenger(shared, this.#stopping.signal);
     const selection = new selections.Selection(shared);
-    this.#leasing = new leasing.Leasing({ ...shared, selection });
+    const calls = new allocatorCalls.AllocatorCalls(shared);
+    const requests = new leaseRequests.LeaseRequests({ ...shared, selection, calls });
+    this.#leasing = new leasing.Leasing({ ...shared, selection, calls, requests });
     this.#upkeep = new upkeeps.Upkeep(shared, this.#stopping.signal);
     this.#observer = observers.createObserver(shared);
     this.#registerHandlers();
@@ -114,14 +108,14 @@
       this.#membership.onChange((member) => {
         this.#allocatorCache.clear();
         this.#upkeep.handleMember(member);
-        void this.#sendReports();
+        void this.#messenger.sendReports();
       }),
     );
   }
 
   async reserve(demand: types.Demand, signal: AbortSignal): Promise<types.Reservation> {
     this.#checkDemand(demand);
-    if (demand.attempt > 1) this.#sendSupersede(demand);
+    if (demand.attempt > 1) this.#messenger.sendSupersede(demand);
     const revoked = new AbortController();
     const onRevoke = (): void => {
       revoked.abort(new Error("lease was taken back"));
@@ -166,7 +160,7 @@
 
   start(): Promise<void> {
     this.#upkeep.updateRunners();
-    void this.#runReports();
+    void this.#messenger.runReports();
     return Promise.resolve();
   }
 
@@ -218,83 +212,4 @@
       retryAfterMs: FULL_RETRY_MS,
     });
   }
-
-  async #runReports(): Promise<void> {
-    const { signal } = this.#stopping;
-    while (!signal.aborted) {
-      await this.#sendReports();
-      try {
-        await clocks.sleep(this.#clock, this.#policy.reportPeriodMs, signal);
-      } catch {
-        return;
-      }
-    }
-  }
-
-  /** Tells each allocator what this node holds of it and observed of its runners. */
-  async #sendReports(): Promise<void> {
-    const held = this.#groupByAllocator(this.#holdings.listHeld());
-    const gaps = this.#groupByAllocator(this.#health.shiftGaps());
-    const allocators = new Set<string>();
-    for (const { name } of this.#catalog.listRunners()) {
-      const allocator = this.findAllocator(name);
-      if (allocator !== undefined) allocators.add(allocator);
-    }
-    const sends = [...allocators].map((vm) =>
-      this.#sendReport(vm, { leases: held.get(vm) ?? [], gaps: gaps.get(vm) ?? [] }),
-    );
-    await Promise.all(sends);
-  }
-
-  async #sendReport(vm: string, report: LeaseReport): Promise<void> {
-    try {
-      const options = { timeoutMs: CALL_TIMEOUT_MS, signal: this.#stopping.signal };
-      const reply = await this.#network.call(vm, messages.REPORT_LEASES, report, options);
-      this.#views.update(reply.views);
-      this.#holdings.handleRevoke(reply.revoked);
-    } catch {
-      // The next period's report repeats it.
-    }
-  }
-
-  #groupByAllocator<Item extends { readonly runner: string }>(
-    items: readonly Item[],
-  ): ReadonlyMap<string, Item[]> {
-    const groups = new Map<string, Item[]>();
-    for (const item of items) {
-      const allocator = this.findAllocator(item.runner);
-      if (allocator === undefined) continue;
-      const group = groups.get(allocator);
-      if (group === undefined) groups.set(allocator, [item]);
-      else group.push(item);
-    }
-    return groups;
-  }
-
-  #sendChanges(changes: readonly messages.LeaseChange[]): void {
-    for (const [vm, group] of this.#groupByAllocator(changes)) {
-      this.#sendQuietly(vm, messages.CHANGE_LEASES, { changes: group });
-    }
-  }
-
-  #sendRevoke(holder: network.PeerIdentity, leases: readonly messages.LeaseId[]): void {
-    this.#sendQuietly(holder.vm, messages.REVOKE_LEASES, { leases: [...leases] });
-  }
-
-  /** A newer attempt is rare, so every node is told: any may allocate the older one's runner. */
-  #sendSupersede({ id, attempt }: types.Demand): void {
-    for (const { vm } of this.#membership.listAlive()) {
-      this.#sendQuietly(vm, messages.SUPERSEDE, { id, attempt });
-    }
-  }
-
-  /** Sends without waiting; periodic reports repair what is lost. */
-  #sendQuietly<Request, Reply>(
-    vm: string,
-    call: network.PeerCall<Request, Reply>,
-    request: Request,
-  ): void {
-    const options = { timeoutMs: CALL_TIMEOUT_MS };
-    this.#network.call(vm, call, request, options).catch(() => undefined);
-  }
 }
--- a/src/capacity/decode-ledger.ts
+++ b/src/capacity/decode-ledger.ts
@@ -2,43 +2,25 @@
 import type * as clocks from "../kernel/clock.js";
 import type * as network from "../protocol/network.js";
 import type * as catalogs from "./catalog.js";
+import * as decodeLeases from "./decode-lease.js";
 import * as estimates from "./estimates.js";
 import * as messages from "./messages.js";
 import type * as occupancy from "./occupancy.js";
 import type * as policies from "./policy.js";
 import type * as shares from "./shares.js";
+import * as turnOrder from "./turn-order.js";
 
 /** Most leases, queued ones included, for each slot of the runner. */
 const MAX_LEASES_PER_SLOT = 10;
 /** Output tokens assumed before any life was seen. */
 const ASSUMED_TOKENS = 200;
 const MIN_RETRY_MS = 100;
+const MAX_RETRY_MS = 30_000;
+/** Time in which half of those refused are taken to have given up. */
+const REFUSAL_HALF_LIFE_MS = 5000;
 /** Most slots leased ahead, as a part of all. */
 const MAX_AHEAD = 0.5;
 
-/** A lease in the ledger. */
-export interface DecodeLease {
-  readonly request: messages.LeaseRequest;
-  readonly attempt: number;
-  readonly holder: network.PeerIdentity;
-  readonly grantedAt: number;
-  /** Time after which the turn is of no use. */
-  readonly startBy: number;
-  phase: messages.Phase;
-  phaseAt: number;
-  /** When its turn came. */
-  sentAt: number | undefined;
-  /** Called once when the turn comes or the lease is refused. */
-  onTurn: ((turn: messages.Turn) => void) | undefined;
-}
-
-/** Outcome of a request for a lease. */
-export interface Decision {
-  readonly answer: messages.Answer;
-  /** Leases of older attempts, or displaced ones, to take back from their holders. */
-  readonly revoked: readonly DecodeLease[];
-}
-
 const TURN: messages.Turn = { turn: true, known: true, share: false };
 const NO_TURN: messages.Turn = { turn: false, known: true, share: false };
 const NO_SHARE: messages.Turn = { turn: false, known: true, share: true };
@@ -55,26 +37,28 @@
 /** Ledger of one decode runner. */
 export class DecodeLedger {
   readonly #parts: LedgerParts;
-  readonly #leases = new Map<string, DecodeLease>();
+  readonly #leases = new Map<string, decodeLeases.DecodeLease>();
   readonly #life = new estimates.Estimate(0.05);
   readonly #lead = new estimates.Estimate();
+  #refusals = 0;
+  #refusedAt = 0;
 
   constructor(parts: LedgerParts) {
     this.#parts = parts;
   }
 
   /** Returns the lease of a request. */
-  findLease(id: string): DecodeLease | undefined {
+  findLease(id: string): decodeLeases.DecodeLease | undefined {
     return this.#leases.get(id);
   }
 
   /** Returns all leases. */
-  listLeases(): readonly DecodeLease[] {
+  listLeases(): readonly decodeLeases.DecodeLease[] {
     return [...this.#leases.values()];
   }
 
   /** Decides on a request for a lease; a newer attempt takes the place of an older one. */
-  grant(request: messages.LeaseRequest, holder: network.PeerIdentity): Decision {
+  grant(request: messages.LeaseRequest, holder: network.PeerIdentity): decodeLeases.Decision {
     const known = this.#leases.get(request.id);
     if (known !== undefined && known.request.attempt >= request.attempt) {
       return this.#createKnownAnswer(known, request, holder);
@@ -84,14 +68,11 @@
     if (known !== undefined) this.release(request.id, known.request.attempt);
     const refusal = this.#checkAdmission(request);
     if (refusal !== undefined) return { answer: refusal, revoked };
-    const lease = this.#addLease(request, holder);
+    const now = this.#parts.clock.now();
+    const lease = decodeLeases.createQueuedLease(request, holder, now);
+    this.#leases.set(request.id, lease);
     this.startQueued();
-    const turn = lease.phase !== messages.PHASE.queued;
-    const waitMs = turn ? 0 : this.computeWait(request.caller, request.id);
-    return {
-      answer: { granted: true, turn, waitMs, workMs: 0, retryAfterMs: 0 },
-      revoked,
-    };
+    return { answer: this.#createGrant(lease), revoked };
   }
 
   /** Adds a lease that its holder reports and this ledger does not know. */
@@ -103,24 +84,7 @@
       if (held.phase > known.phase) this.setPhase(held.id, held.attempt, held.phase);
       return true;
     }
-    const request = {
-      ...held,
-      isFirst: false,
-      betweenTokensMs: Infinity,
-      startWithinMs: 0,
-      leadMs: this.#lead.mean ?? 0,
-    };
-    this.#leases.set(held.id, {
-      request,
-      holder,
-      grantedAt: now - held.ageMs,
-      startBy: now,
-      attempt: held.attempt,
-      phase: held.phase === messages.PHASE.queued ? messages.PHASE.sent : held.phase,
-      phaseAt: now,
-      sentAt: now,
-      onTurn: undefined,
-    });
+    this.#leases.set(held.id, decodeLeases.createReportedLease(held, holder, now));
     return true;
   }
 
@@ -175,7 +139,10 @@
   computeWait(caller: string, id?: string): number {
     const queue = this.#listQueue();
     const position = queue.findIndex((lease) => lease.request.id === id);
-    const ahead = position >= 0 ? position : this.#countAhead(caller, queue);
+    const ahead =
+      position >= 0
+        ? position
+        : turnOrder.countAhead(queue, caller, (name) => this.#computeExcess(name));
     const missing = ahead + 1 - this.countFree();
     return missing <= 0 ? 0 : (missing * this.#getLifeMs()) / this.#parts.runner.slots;
   }
@@ -194,23 +161,22 @@
   }
 
   #createKnownAnswer(
-    known: DecodeLease,
+    known: decodeLeases.DecodeLease,
     request: messages.LeaseRequest,
     holder: network.PeerIdentity,
-  ): Decision {
-    const isSame = known.request.attempt === request.attempt && known.holder.vm === holder.vm;
-    if (!isSame) {
-      return {
-        answer: messages.createRefusal(messages.REFUSAL.overloaded, MIN_RETRY_MS),
-        revoked: [],
-      };
-    }
-    const turn = known.phase !== messages.PHASE.queued;
-    const waitMs = turn ? 0 : this.computeWait(request.caller, request.id);
-    return {
-      answer: { granted: true, turn, waitMs, workMs: 0, retryAfterMs: 0 },
-      revoked: [],
-    };
+  ): decodeLeases.Decision {
+    const isSame = known.attempt === request.attempt && known.holder.vm === holder.vm;
+    const answer = isSame
+      ? this.#createGrant(known)
+      : messages.createRefusal(messages.REFUSAL.overloaded, MIN_RETRY_MS);
+    return { answer, revoked: [] };
+  }
+
+  #createGrant(lease: decodeLeases.DecodeLease): messages.Answer {
+    const turn = lease.phase !== messages.PHASE.queued;
+    const { caller, id } = lease.request;
+    const waitMs = turn ? 0 : this.computeWait(caller, id);
+    return { granted: true, turn, waitMs, workMs: 0, retryAfterMs: 0 };
   }
 
   #checkAdmission(request: messages.LeaseRequest): messages.Answer | undefined {
@@ -226,27 +192,20 @@
     if (boundMs >= 0 && waitMs <= boundMs) return undefined;
     const isOver = policy.shares && callerShares.isExceeded(request.caller);
     const reason = isOver ? messages.REFUSAL.share : messages.REFUSAL.overloaded;
-    return messages.createRefusal(reason, Math.max(MIN_RETRY_MS, waitMs - Math.max(0, boundMs)));
+    return messages.createRefusal(reason, this.#computeRetry(waitMs - Math.max(0, boundMs)));
   }
 
-  #addLease(request: messages.LeaseRequest, holder: network.PeerIdentity): DecodeLease {
+  /** Time after which the wait fits, when all that were refused lately are served before. */
+  #computeRetry(excessMs: number): number {
     const now = this.#parts.clock.now();
-    const lease: DecodeLease = {
-      request,
-      attempt: request.attempt,
-      holder,
-      grantedAt: now,
-      startBy: now + request.startWithinMs,
-      phase: messages.PHASE.queued,
-      phaseAt: now,
-      sentAt: undefined,
-      onTurn: undefined,
-    };
-    this.#leases.set(request.id, lease);
-    return lease;
+    this.#refusals *= 2 ** ((this.#refusedAt - now) / REFUSAL_HALF_LIFE_MS);
+    this.#refusedAt = now;
+    const servedMs = (this.#refusals * this.#getLifeMs()) / this.#parts.runner.slots;
+    this.#refusals += 1;
+    return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, excessMs + servedMs));
   }
 
-  #startLease(lease: DecodeLease, now: number): void {
+  #startLease(lease: decodeLeases.DecodeLease, now: number): void {
     lease.phase = messages.PHASE.sent;
     lease.phaseAt = now;
     lease.sentAt = now;
@@ -256,38 +215,21 @@
     lease.onTurn = undefined;
   }
 
-  #refuseQueued(lease: DecodeLease, turn: messages.Turn): void {
+  #refuseQueued(lease: decodeLeases.DecodeLease, turn: messages.Turn): void {
     const isOver = this.#parts.policy.shares && this.#parts.shares.isExceeded(lease.request.caller);
     this.#leases.delete(lease.request.id);
     lease.onTurn?.(isOver ? NO_SHARE : turn);
   }
 
-  /** Queued leases in the order of their turns: within shares first, then priority, then age. */
-  #listQueue(): DecodeLease[] {
+  #listQueue(): readonly decodeLeases.DecodeLease[] {
     const queue = this.listLeases().filter((lease) => lease.phase === messages.PHASE.queued);
-    if (queue.length < 2) return queue;
-    const excess = new Map<string, number>();
-    for (const { request } of queue) {
-      excess.set(request.caller, this.#computeExcess(request.caller));
-    }
-    return queue.sort(
-      (left, right) =>
-        (excess.get(left.request.caller) ?? 0) - (excess.get(right.request.caller) ?? 0) ||
-        left.request.priority - right.request.priority ||
-        left.grantedAt - right.grantedAt,
-    );
+    return turnOrder.listByTurn(queue, (caller) => this.#computeExcess(caller));
   }
 
   #computeExcess(caller: string): number {
     return this.#parts.policy.shares ? this.#parts.shares.computeExcess(caller) : 0;
   }
 
-  #countAhead(caller: string, queue: readonly DecodeLease[]): number {
-    if (queue.length === 0) return 0;
-    const own = this.#computeExcess(caller);
-    return queue.filter((lease) => this.#computeExcess(lease.request.caller) <= own).length;
-  }
-
   #countPhase(...phases: readonly messages.Phase[]): number {
     let count = 0;
     for (const lease of this.#leases.values()) if (phases.includes(lease.phase)) count += 1;
--- a/src/capacity/upkeep.ts
+++ b/src/capacity/upkeep.ts
@@ -4,6 +4,7 @@
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
 import type * as upstream from "../upstream/types.js";
+import type * as allocatedRunners from "./allocated-runner.js";
 import type * as allocators from "./allocator.js";
 import type * as catalogs from "./catalog.js";
 import type * as policies from "./policy.js";
@@ -141,20 +142,20 @@
     allocator.prefixIndex.applyEvents(runner.name, events, clock.now());
   }
 
-  #releaseEnded(entry: allocators.AllocatedRunner, load: upstream.RunnerLoad): void {
+  #releaseEnded(entry: allocatedRunners.AllocatedRunner, load: upstream.RunnerLoad): void {
     if (this.#lost.size === 0) return;
     const held = new Set(load.held.map(({ id }) => id));
     const before = this.#parts.clock.now() - load.ageMs - ENDED_GRACE_MS;
     entry.decode?.releaseEnded((holder) => this.#lost.has(holder.vm), held, before);
   }
 
-  #isGuarded(entry: allocators.AllocatedRunner): boolean {
+  #isGuarded(entry: allocatedRunners.AllocatedRunner): boolean {
     const { clock, policy } = this.#parts;
     const ageMs = clock.now() - entry.allocatedSince;
     return ageMs < SETTLING_PERIODS * policy.reportPeriodMs || this.isPartitioned();
   }
 
-  #cancelOrphans(entry: allocators.AllocatedRunner): void {
+  #cancelOrphans(entry: allocatedRunners.AllocatedRunner): void {
     if (entry.occupancy.guarded) return;
     const isKnown = (id: string): boolean => hasLease(entry, id);
     for (const { id, attempt } of entry.occupancy.listUnclaimed(ORPHAN_GRACE_MS, isKnown)) {
@@ -210,6 +211,6 @@
   }
 }
 
-function hasLease(entry: allocators.AllocatedRunner, id: string): boolean {
+function hasLease(entry: allocatedRunners.AllocatedRunner, id: string): boolean {
   return (entry.decode ?? entry.prefill)?.findLease(id) !== undefined;
 }
