--- a/src/settings/document.ts
+++ b/src/settings/document.ts
@@ -1,8 +1,12 @@
 /** The one validated document that says what the fleet does. Shared by node, console and command line. */
 import * as zod from "zod";
+import type * as checkedItems from "./checked-items.js";
+import * as references from "./document-references.js";
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/;
 const MAX_ITEMS = 10_000;
+/** Largest document as JSON text; the platform holds no larger value. */
+export const MAX_DOCUMENT_BYTES = 1_000_000;
 
 const name = zod.string().regex(NAME_PATTERN, "lower-case letters, digits, '.', '_' and '-'");
 const port = zod.int().min(1).max(65_535);
@@ -110,6 +114,8 @@
 
 /** A valid document. */
 export type FleetDocument = zod.infer<typeof documentSchema>;
+/** A region and its zones. */
+export type Region = zod.infer<typeof region>;
 /** A calling team or service. */
 export type Caller = zod.infer<typeof caller>;
 /** A model. */
@@ -120,6 +126,10 @@
 export type Runner = zod.infer<typeof runner>;
 /** A plain service. */
 export type PlainService = zod.infer<typeof plainService>;
+/** A backend of a plain service. */
+export type Backend = zod.infer<typeof backend>;
+/** A transfer link between two zones. */
+export type Link = zod.infer<typeof link>;
 /** An operation of a plain service. */
 export type Operation = zod.infer<typeof operation>;
 
@@ -135,6 +145,31 @@
   | { readonly ok: true; readonly document: FleetDocument }
   | { readonly ok: false; readonly faults: readonly DocumentFault[] };
 
+/** Names of the sections that are lists of items. */
+export type SectionName =
+  "regions" | "callers" | "models" | "pools" | "runners" | "services" | "links";
+
+const ITEM_PARSERS: checkedItems.ItemParsers = {
+  regions: (item) => region.safeParse(item).data,
+  callers: (item) => caller.safeParse(item).data,
+  models: (item) => model.safeParse(item).data,
+  pools: (item) => pool.safeParse(item).data,
+  runners: (item) => runner.safeParse(item).data,
+  services: (item) => plainService.safeParse(item).data,
+  links: (item) => link.safeParse(item).data,
+};
+
+/** Parsers of items that are known to be valid. */
+const TRUSTING_PARSERS: checkedItems.ItemParsers = {
+  regions: (item) => item as Region,
+  callers: (item) => item as Caller,
+  models: (item) => item as Model,
+  pools: (item) => item as Pool,
+  runners: (item) => item as Runner,
+  services: (item) => item as PlainService,
+  links: (item) => item as Link,
+};
+
 /**
  * Validates a document and lists every fault with its path.
  *
@@ -142,12 +177,31 @@
  */
 export function validateDocument(input: unknown): Validation {
   const parsed = documentSchema.safeParse(input);
-  if (parsed.success) return { ok: true, document: parsed.data };
-  const faults = parsed.error.issues.map((issue) => ({
-    path: formatPath(issue.path),
-    reason: issue.message,
-  }));
-  return { ok: false, faults };
+  const issues = parsed.error?.issues ?? [];
+  const parsers = parsed.success ? TRUSTING_PARSERS : ITEM_PARSERS;
+  const faults = [
+    ...issues.map((issue) => ({ path: formatPath(issue.path), reason: issue.message })),
+    ...checkSize(input),
+    ...references.checkReferences(input, parsers),
+  ];
+  const isValid = parsed.success && faults.length === 0;
+  return isValid ? { ok: true, document: parsed.data } : { ok: false, faults };
+}
+
+/**
+ * Creates the JSON Schema (draft 2020-12) of the document, without the cross-references.
+ *
+ * @example JSON.stringify(createDocumentJsonSchema());
+ */
+export function createDocumentJsonSchema(): object {
+  return zod.toJSONSchema(documentSchema);
+}
+
+function checkSize(input: unknown): readonly DocumentFault[] {
+  const text = JSON.stringify(input) as string | undefined;
+  const bytes = Buffer.byteLength(text ?? "");
+  if (bytes <= MAX_DOCUMENT_BYTES) return [];
+  return [{ path: "", reason: `has ${bytes} bytes, at most ${MAX_DOCUMENT_BYTES} are allowed` }];
 }
 
 function formatPath(path: readonly PropertyKey[]): string {
