Let a demand say that it is the first attempt

Attempts of model runs are numbered from 100, so every one looked like a retry and was told to every node. Seam: Demand has an optional isFirstAttempt; without it an attempt above 1 counts as a retry, as before. Ids of 1,000 characters, the front's limit, now fit into lease messages.

--- a/src/capacity/capacity.ts
+++ b/src/capacity/capacity.ts
@@ -115,7 +115,8 @@
 
   async reserve(demand: types.Demand, signal: AbortSignal): Promise<types.Reservation> {
     this.#checkDemand(demand);
-    if (demand.attempt > 1) this.#messenger.sendSupersede(demand);
+    const isFirst = demand.isFirstAttempt ?? demand.attempt === 1;
+    if (!isFirst) this.#messenger.sendSupersede(demand);
     const revoked = new AbortController();
     const onRevoke = (): void => {
       revoked.abort(new Error("lease was taken back"));
--- a/src/capacity/lease-messenger.ts
+++ b/src/capacity/lease-messenger.ts
@@ -57,8 +57,8 @@
   /** Tells each allocator what this node holds of it and observed of its runners. */
   async sendReports(): Promise<void> {
     const { holdings: held, health: observed, getCatalog, findAllocator } = this.#parts;
-    const leases = this.#groupByAllocator(held.listHeld());
-    const gaps = this.#groupByAllocator(observed.shiftGaps());
+    const leases = this.#listByAllocator(held.listHeld());
+    const gaps = this.#listByAllocator(observed.shiftGaps());
     const allocators = new Set<string>();
     for (const { name } of getCatalog().listRunners()) {
       const allocator = findAllocator(name);
@@ -72,7 +72,7 @@
 
   /** Tells allocators of changes. */
   sendChanges(changes: readonly messages.LeaseChange[]): void {
-    for (const [vm, group] of this.#groupByAllocator(changes)) {
+    for (const [vm, group] of this.#listByAllocator(changes)) {
       this.#sendQuietly(vm, messages.CHANGE_LEASES, { changes: group });
     }
   }
@@ -101,7 +101,7 @@
     }
   }
 
-  #groupByAllocator<Item extends { readonly runner: string }>(
+  #listByAllocator<Item extends { readonly runner: string }>(
     items: readonly Item[],
   ): ReadonlyMap<string, Item[]> {
     const groups = new Map<string, Item[]>();
--- a/src/capacity/messages.ts
+++ b/src/capacity/messages.ts
@@ -6,6 +6,7 @@
 const MAX_PREFIXES = 32;
 
 const text = zod.string().max(500);
+const requestId = zod.string().max(1000);
 const duration = zod.number();
 const attempt = zod.int().min(1);
 
@@ -53,7 +54,7 @@
 
 const leaseRequest = zod.object({
   runner: text,
-  id: text,
+  id: requestId,
   attempt,
   caller: text,
   share: zod.number().positive(),
@@ -74,7 +75,7 @@
 
 const prefillRequest = zod.object({
   runner: text,
-  id: text,
+  id: requestId,
   attempt,
   tokens: zod.number().min(0),
   /** Evenly spaced prefixes of the prompt, shortest first, with the tokens that each covers. */
@@ -86,7 +87,7 @@
 /** What a node asks of a prefill runner's allocator. */
 export type PrefillRequest = zod.infer<typeof prefillRequest>;
 
-const leaseId = zod.object({ runner: text, id: text, attempt });
+const leaseId = zod.object({ runner: text, id: requestId, attempt });
 
 /** Names a lease. */
 export type LeaseId = zod.infer<typeof leaseId>;
@@ -98,7 +99,7 @@
 
 const change = zod.object({
   runner: text,
-  id: text,
+  id: requestId,
   attempt,
   phase: phase.optional(),
   /** Prompt tokens that were computed and not cached. */
@@ -110,7 +111,7 @@
 
 const heldLease = zod.object({
   runner: text,
-  id: text,
+  id: requestId,
   attempt,
   caller: text,
   share: zod.number().positive(),
@@ -183,7 +184,7 @@
 export const SUPERSEDE = network.createPeerCall(
   66,
   "supersede",
-  zod.object({ id: text, attempt }),
+  zod.object({ id: requestId, attempt }),
   zod.object({}),
 );
 
--- a/src/capacity/types.ts
+++ b/src/capacity/types.ts
@@ -3,6 +3,8 @@
 
 /** What one model request needs. Times are monotonic milliseconds of the own clock. */
 export interface Demand extends upstream.AttemptId {
+  /** Whether no other attempt of the request was ever made; then no other node is told of this one. */
+  readonly isFirstAttempt?: boolean;
   readonly caller: string;
   readonly model: string;
   readonly adapter?: string;
--- /dev/null
+++ b/test/capacity/wire.test.ts
@@ -0,0 +1,27 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as messages from "../../src/capacity/messages.js";
+import * as codecs from "../../src/protocol/field-codec.js";
+
+test.describe("capacity messages on the wire", () => {
+  test.it("come back as they were sent", () => {
+    const request: messages.LeaseRequest = {
+      runner: "d0",
+      id: "id",
+      attempt: 1,
+      caller: "caller",
+      share: 1.5,
+      priority: 5,
+      pieces: 10,
+      isFirst: true,
+      betweenTokensMs: 60,
+      startWithinMs: -5.5,
+      leadMs: 100.25,
+    };
+    const codec = codecs.createFieldCodec(messages.LEASE_DECODE.request);
+    earl.expect(codec.decode(codec.encode(request))).toEqual(request);
+    const refusal = messages.createRefusal(messages.REFUSAL.share, 250);
+    const answers = codecs.createFieldCodec(messages.LEASE_DECODE.reply);
+    earl.expect(answers.decode(answers.encode(refusal))).toEqual(refusal);
+  });
+});
