--- a/bench/leased-router.ts
+++ b/bench/leased-router.ts
@@ -47,6 +47,10 @@
     return this.#fleet.messages;
   }
 
+  countBytes(): number {
+    return this.#fleet.bytes;
+  }
+
   async run(outcome: requestRun.Outcome, left: AbortSignal): Promise<void> {
     const index = this.#findNode(outcome.arrival.node);
     const capacity = this.#capacities[index];
--- a/bench/local-fleet.ts
+++ b/bench/local-fleet.ts
@@ -1,10 +1,21 @@
 /** Nodes of one process: peer calls with a delay and faults, and a membership that is told. */
 import type * as clocks from "../src/kernel/clock.js";
 import * as membership from "../src/membership/types.js";
+import * as fieldCodec from "../src/protocol/field-codec.js";
+import * as messageCodec from "../src/protocol/message-codec.js";
 import * as network from "../src/protocol/network.js";
 
 type Handler = (request: unknown, from: network.PeerIdentity, signal: AbortSignal) => unknown;
 
+type AnyCall = network.PeerCall<unknown, unknown>;
+
+interface CallCodec {
+  readonly request: fieldCodec.FieldCodec<unknown>;
+  readonly reply: fieldCodec.FieldCodec<unknown>;
+}
+
+const FRAME_HEADER_BYTES = 4;
+
 /** One node. */
 export interface LocalNode {
   readonly vm: string;
@@ -18,9 +29,12 @@
   readonly #delayMs: number;
   readonly #nodes = new Map<string, LocalNode & { readonly handlers: Map<number, Handler> }>();
   readonly #stopped = new Set<string>();
+  readonly #codecs = new Map<number, CallCodec>();
   #groups: readonly ReadonlySet<string>[] = [];
   /** Messages sent between different nodes. */
   messages = 0;
+  /** Bytes of these messages as frames. */
+  bytes = 0;
 
   constructor(clock: clocks.Clock, delayMs: number) {
     this.#clock = clock;
@@ -106,7 +120,7 @@
         call: network.PeerCall<Request, Reply>,
         request: Request,
         options: network.CallOptions,
-      ) => this.#call(vm, to, call.kind, request, options) as Promise<Reply>,
+      ) => this.#call(vm, to, call, request, options) as Promise<Reply>,
       stream: () => {
         throw new Error("streams are not part of the local fleet");
       },
@@ -123,7 +137,7 @@
   #call(
     from: string,
     to: string,
-    kind: number,
+    call: AnyCall,
     request: unknown,
     options: network.CallOptions,
   ): Promise<unknown> {
@@ -153,31 +167,44 @@
         stopTimers();
         resolve(reply);
       };
-      void this.#sendRequest(from, to, kind, request, remote.signal).then(handleReply, cancelCall);
+      void this.#sendRequest(from, to, call, request, remote.signal).then(handleReply, cancelCall);
     });
   }
 
   async #sendRequest(
     from: string,
     to: string,
-    kind: number,
+    call: AnyCall,
     request: unknown,
     signal: AbortSignal,
   ): Promise<unknown> {
-    await this.#waitLink(from, to);
-    const handler = this.#nodes.get(to)?.handlers.get(kind);
+    const codec = this.#useCodec(call);
+    await this.#waitLink(from, to, call.kind, codec.request.encode(request));
+    const handler = this.#nodes.get(to)?.handlers.get(call.kind);
     if (handler === undefined) {
       throw new network.PeerCallError(network.CALL_FAILURE.failed, `no handler at ${to}`);
     }
     const reply = await handler(request, { vm: from, incarnation: 1 }, signal);
-    await this.#waitLink(to, from);
+    await this.#waitLink(to, from, call.kind, codec.reply.encode(reply));
     return reply;
   }
 
+  #useCodec(call: AnyCall): CallCodec {
+    let codec = this.#codecs.get(call.kind);
+    if (codec === undefined) {
+      const request = fieldCodec.createFieldCodec(call.request);
+      codec = { request, reply: fieldCodec.createFieldCodec(call.reply) };
+      this.#codecs.set(call.kind, codec);
+    }
+    return codec;
+  }
+
   /** Takes the message's delay; a message over a cut link never arrives. */
-  async #waitLink(from: string, to: string): Promise<void> {
+  async #waitLink(from: string, to: string, kind: number, fields: unknown): Promise<void> {
     if (from === to && !this.#stopped.has(from)) return;
     this.messages += 1;
+    const message = { type: 1, correlation: this.messages, kind, fields };
+    this.bytes += FRAME_HEADER_BYTES + messageCodec.encodeMessage(message).length;
     await new Promise<void>((resolve) => {
       if (!this.#isConnected(from, to)) return;
       this.#clock.schedule(this.#delayMs, resolve);
--- a/bench/naive-router.ts
+++ b/bench/naive-router.ts
@@ -14,6 +14,7 @@
     ...routers.NO_NODE_FAULTS,
     start: () => Promise.resolve(),
     countMessages: () => 0,
+    countBytes: () => 0,
     [Symbol.asyncDispose]: () => Promise.resolve(),
     run: async (outcome, left) => {
       const node = outcome.arrival.node;
--- a/bench/router.ts
+++ b/bench/router.ts
@@ -10,6 +10,8 @@
   run(outcome: requestRun.Outcome, left: AbortSignal): Promise<void>;
   /** Messages sent between nodes so far. */
   countMessages(): number;
+  /** Bytes of these messages. */
+  countBytes(): number;
 }
 
 /** Attempts of a request whose answer has not begun. */
--- a/bench/simulation.ts
+++ b/bench/simulation.ts
@@ -47,7 +47,9 @@
   readonly slotsHeldForNobody: number;
   /** Good requests of the callers that do not flood, by what they sent. */
   readonly wellBehavedGood: number;
+  /** Control messages between nodes, and their bytes. */
   readonly messagesPerRequest: number;
+  readonly bytesPerRequest: number;
 }
 
 /** Mean output tokens of the workload, from a sample. */
@@ -136,6 +138,7 @@
       sum(slotTimes.map((time) => time.abandonedMs)) / sum(slotTimes.map((time) => time.usedMs)),
     wellBehavedGood: normal.filter(requestRun.isGood).length / normal.length,
     messagesPerRequest: router.countMessages() / all.length,
+    bytesPerRequest: router.countBytes() / all.length,
   };
 }
 
--- a/bench/strong-router.ts
+++ b/bench/strong-router.ts
@@ -101,6 +101,7 @@
     ...routers.NO_NODE_FAULTS,
     start: () => Promise.resolve(),
     countMessages: () => 0,
+    countBytes: () => 0,
     [Symbol.asyncDispose]: () => Promise.resolve(),
     run: async (outcome, left) => {
       const node = nodes[outcome.arrival.node % nodes.length];
--- a/bench/workload.ts
+++ b/bench/workload.ts
@@ -22,6 +22,8 @@
 /** The flooding caller's rate, as a part of the bound. */
 const FLOOD_PART = 1;
 const FLOODER = "flooder";
+/** Stands for the session in a request id, of the usual length. */
+const SESSION = "s".repeat(160);
 
 /** Shape of a workload. */
 export interface WorkloadOptions {
@@ -92,7 +94,7 @@
   );
   const isLeaving = draw.nextFloat() < options.cancelledPart;
   const leavesAfterMs = draw.nextFloat() * 4000;
-  const id = `${isFlood ? FLOODER : "r"}${index}`;
+  const id = `${SESSION}.${isFlood ? FLOODER : "r"}${index}`;
   return {
     id,
     attempt: 1,
