--- a/src/request/backup-client.ts
+++ b/src/request/backup-client.ts
@@ -69,7 +69,8 @@
   async sendResult(id: sessions.RequestId, outcome: outcomes.Outcome): Promise<void> {
     const { backup } = id.session;
     if (!backup) return;
-    const request = { ...createRecordRef(id, backup), outcome };
+    const kept = outcomes.createKeptOutcome(outcome, () => true);
+    const request = { ...createRecordRef(id, backup), outcome: kept };
     const options = { timeoutMs: RESULT_LIMIT_MS, incarnation: backup.incarnation };
     for (let tries = 0; tries < RESULT_TRIES; tries += 1) {
       try {
--- a/src/request/backup-records.ts
+++ b/src/request/backup-records.ts
@@ -14,8 +14,6 @@
   maxRecords: 200_000,
   maxBytes: 128 * 1024 * 1024,
 };
-/** Larger results are kept only as the fact that the request ran. */
-export const MAX_RESULT_BYTES = 256 * 1024;
 const RECORD_BYTES = 256;
 
 interface IntentRecord {
@@ -80,11 +78,9 @@
     const isOwner =
       existing?.owner?.vm === owner.vm && existing.owner.incarnation === owner.incarnation;
     if (!isOwner || existing.outcome !== undefined) return false;
-    const bytes = outcomes.computeOutcomeBytes(outcome);
-    const fits = bytes <= MAX_RESULT_BYTES && this.#records.hasRoom(bytes);
-    const kept = fits ? outcome : outcomes.createDiscardedOutcome();
+    const kept = outcomes.createKeptOutcome(outcome, (bytes) => this.#records.hasRoom(bytes));
     const record = { owner: existing.owner, outcome: kept };
-    const keptBytes = RECORD_BYTES + (fits ? bytes : 0);
+    const keptBytes = RECORD_BYTES + outcomes.computeOutcomeBytes(kept);
     this.#records.set(ref.key, record, ref.expiresAt, keptBytes);
     return true;
   }
--- a/src/request/outcome.ts
+++ b/src/request/outcome.ts
@@ -26,6 +26,8 @@
 /** What became of a request: the upstream's response, or a refusal with what is known of the run. */
 export type Outcome = zod.infer<typeof outcomeSchema>;
 
+/** Largest outcome that is recorded whole. */
+export const MAX_KEPT_BYTES = 256 * 1024;
 const OVERHEAD_BYTES = 256;
 const codesByNumber = new Map<number, codes.ResultCode>(
   Object.values(codes.RESULT_CODES).map((code) => [code.number, code]),
@@ -46,8 +48,10 @@
   return { type: "refusal", code: code.number, ran, ...options };
 }
 
-/** Creates the outcome that stands for a response too large to keep. */
-export function createDiscardedOutcome(): Outcome {
+/** Returns what is kept of an outcome: a large response only as the fact that the request ran. */
+export function createKeptOutcome(outcome: Outcome, hasRoom: (bytes: number) => boolean): Outcome {
+  const bytes = computeOutcomeBytes(outcome);
+  if (bytes <= MAX_KEPT_BYTES && hasRoom(bytes)) return outcome;
   return createRefusal(codes.RESULT_CODES.resultNotKept, codes.RAN.yes);
 }
 
--- a/src/request/owner-records.ts
+++ b/src/request/owner-records.ts
@@ -9,8 +9,6 @@
   maxRecords: 200_000,
   maxBytes: 128 * 1024 * 1024,
 };
-/** Larger results are kept only as the fact that the request ran. */
-const MAX_RESULT_BYTES = 256 * 1024;
 const RECORD_BYTES = 256;
 
 /** Returns the key of a request's records: unique in the fleet. */
@@ -57,10 +55,8 @@
     const { expiresAt } = id.session;
     this.#records.set(key, running, expiresAt, RECORD_BYTES);
     void running.then((outcome) => {
-      const bytes = outcomes.computeOutcomeBytes(outcome);
-      const fits = bytes <= MAX_RESULT_BYTES && this.#records.hasRoom(bytes);
-      const kept = fits ? outcome : outcomes.createDiscardedOutcome();
-      const keptBytes = RECORD_BYTES + (fits ? bytes : 0);
+      const kept = outcomes.createKeptOutcome(outcome, (bytes) => this.#records.hasRoom(bytes));
+      const keptBytes = RECORD_BYTES + outcomes.computeOutcomeBytes(kept);
       this.#records.set(key, Promise.resolve(kept), expiresAt, keptBytes);
     });
   }
--- a/standins/matrix/observed-network.ts
+++ b/standins/matrix/observed-network.ts
@@ -13,6 +13,8 @@
   readonly replaceCall?: (kind: number) => object | undefined;
   /** Returns the client of plain services that the router is to use. */
   readonly replaceBackends?: (backends: upstream.ServiceClient) => upstream.ServiceClient;
+  /** Returns the client of engines that the router is to use. */
+  readonly replaceEngines?: (engines: upstream.EngineClient) => upstream.EngineClient;
   /** Returns the reply that the router is to see. */
   readonly replaceReply?: (kind: number, reply: unknown) => unknown;
 }
--- a/standins/matrix/real-node.ts
+++ b/standins/matrix/real-node.ts
@@ -144,7 +144,8 @@
       observed.createProcessTransport(net.createTransport(host), process),
     );
     kernel.register("platform", () => platform);
-    kernel.register("engines", () => engines.createClient(process));
+    const engineClient = engines.createClient(process);
+    kernel.register("engines", () => mutant?.replaceEngines?.(engineClient) ?? engineClient);
     kernel.register("backends", () => mutant?.replaceBackends?.(backends) ?? backends);
   }
 
