--- a/bench/request-run.ts
+++ b/bench/request-run.ts
@@ -1,4 +1,6 @@
 /** One request against the modelled runners, and what came of it. */
+import type * as modelDecode from "./model-decode.js";
+import type * as modelPrefill from "./model-prefill.js";
 import * as modelRunners from "./model-runners.js";
 import * as scenario from "./scenario.js";
 import type * as workload from "./workload.js";
@@ -10,6 +12,8 @@
   refused: boolean;
   /** Refused although a slot was free, promised to no one, and the first token would have been in time. */
   wronglyRefused: boolean;
+  /** Result code and place of the refusal, to look into a run. */
+  reason: string;
   failed: boolean;
   left: boolean;
   firstTokenMs: number | undefined;
@@ -29,6 +33,7 @@
     attempt: 1,
     refused: false,
     wronglyRefused: false,
+    reason: "",
     failed: false,
     left: false,
     firstTokenMs: undefined,
@@ -57,6 +62,7 @@
   const hasSlot = world.decodes.some(
     (runner) =>
       !runner.down &&
+      runner.slowness * scenario.RUNNER_MODEL.stepMs <= scenario.TARGETS.betweenTokensMs &&
       runner.used + runner.waiting + (world.promised.get(runner.name) ?? 0) <
         scenario.RUNNER_MODEL.slots,
   );
@@ -71,8 +77,8 @@
 export async function runPrefill(
   outcome: Outcome,
   world: scenario.World,
-  runner: modelRunners.ModelPrefill,
-  decode?: modelRunners.ModelDecode,
+  runner: modelPrefill.ModelPrefill,
+  decode?: modelDecode.ModelDecode,
 ): Promise<modelRunners.ModelResult> {
   addPromised(world, decode, 1);
   try {
@@ -86,7 +92,7 @@
 
 function addPromised(
   world: scenario.World,
-  decode: modelRunners.ModelDecode | undefined,
+  decode: modelDecode.ModelDecode | undefined,
   count: number,
 ): void {
   if (decode === undefined) return;
@@ -104,7 +110,7 @@
 export function runDecode(
   outcome: Outcome,
   world: scenario.World,
-  runner: modelRunners.ModelDecode,
+  runner: modelDecode.ModelDecode,
   result: modelRunners.ModelResult,
   onImported: () => void = () => undefined,
   onGap: (gapMs: number) => void = () => undefined,
--- a/bench/scenario.ts
+++ b/bench/scenario.ts
@@ -1,5 +1,8 @@
 /** The modelled fleet, its latency targets and the faults of a run. */
 import * as virtualClock from "./virtual-clock.js";
+import * as modelDecode from "./model-decode.js";
+import * as modelLinks from "./model-links.js";
+import * as modelPrefill from "./model-prefill.js";
 import * as modelRunners from "./model-runners.js";
 
 /** Zones, nodes and runners of the modelled fleet. */
@@ -28,16 +31,17 @@
 /** Times of one run. Arrivals before `warmupMs` and in the last `tailMs` are not counted. */
 export const TIMES = { warmupMs: 15_000, measuredMs: 60_000, drainMs: 20_000 } as const;
 
-const FAULT_AT_MS = 20_000;
+/** Time of a case's fault. */
+export const FAULT_AT_MS = 20_000;
 const PARTITION_MS = 30_000;
 const DETECT_MS = 1500;
 
 /** The runners of one run. */
 export interface World {
   readonly clock: virtualClock.VirtualClock;
-  readonly prefills: readonly modelRunners.ModelPrefill[];
-  readonly decodes: readonly modelRunners.ModelDecode[];
-  readonly links: modelRunners.ModelLinks;
+  readonly prefills: readonly modelPrefill.ModelPrefill[];
+  readonly decodes: readonly modelDecode.ModelDecode[];
+  readonly links: modelLinks.ModelLinks;
   /** Requests by decode runner that are being prefilled for it. */
   readonly promised: Map<string, number>;
 }
@@ -55,7 +59,7 @@
   readonly cancelledPart: number;
   readonly floods: boolean;
   readonly reportAgeMs: number;
-  /** Decode runners that remain after the fault. */
+  /** Decode runners that can meet the targets after the fault. */
   readonly remainingDecoders: number;
   /** Schedules the faults of the run. */
   readonly schedule: (world: World, nodes: NodeFaults) => void;
@@ -104,6 +108,7 @@
   {
     ...NO_FAULT,
     name: "slow decode runner",
+    remainingDecoders: FLEET.decodeRunners - 1,
     schedule: ({ clock, decodes }) => {
       clock.schedule(FAULT_AT_MS, () => {
         const [runner] = decodes;
@@ -134,7 +139,7 @@
 
 /** Creates the runners of a run. */
 export function createWorld(clock: virtualClock.VirtualClock): World {
-  const links = new modelRunners.ModelLinks(clock, RUNNER_MODEL);
+  const links = new modelLinks.ModelLinks(clock, RUNNER_MODEL);
   const getZone = (index: number): string => FLEET.zones[index % FLEET.zones.length] ?? "";
   return {
     clock,
@@ -142,12 +147,12 @@
     promised: new Map(),
     prefills: Array.from(
       { length: FLEET.prefillRunners },
-      (_, index) => new modelRunners.ModelPrefill(`p${index}`, getZone(index), clock, RUNNER_MODEL),
+      (_, index) => new modelPrefill.ModelPrefill(`p${index}`, getZone(index), clock, RUNNER_MODEL),
     ),
     decodes: Array.from(
       { length: FLEET.decodeRunners },
       (_, index) =>
-        new modelRunners.ModelDecode(`d${index}`, getZone(index), clock, RUNNER_MODEL, links),
+        new modelDecode.ModelDecode(`d${index}`, getZone(index), clock, RUNNER_MODEL, links),
     ),
   };
 }
--- a/src/caller/model-routes.ts
+++ b/src/caller/model-routes.ts
@@ -47,15 +47,15 @@
   request: hapi.Request,
   toolkit: hapi.ResponseToolkit,
 ): Promise<hapi.Lifecycle.ReturnValue> {
-  const prepared = prepareCall(kernel, endpoint, request);
+  const prepared = createCall(kernel, endpoint, request);
   const signal = callerSignal.createCallerSignal(request);
   const measures = new modelMeasures.ModelMeasures(kernel, prepared.call);
-  const answer = measures.measure(kernel.use("modelCalls").run(prepared.call, signal));
-  if (!prepared.query.stream) return collectAnswer(prepared, answer);
+  const answer = measures.recordAnswer(kernel.use("modelCalls").run(prepared.call, signal));
+  if (!prepared.query.stream) return readAnswer(prepared, answer);
   return startStream(kernel, prepared, answer, signal, toolkit);
 }
 
-function prepareCall(
+function createCall(
   kernel: kernels.Kernel,
   endpoint: openai.Endpoint,
   request: hapi.Request,
@@ -65,7 +65,7 @@
   const model = findModel(inForce.document, caller, query);
   const id = requestHeaders.parseRequestId(request.headers, kernel.use("sessions"), caller);
   const attempt = requestHeaders.parseAttempt(request.headers);
-  admission.checkTakesWork(kernel, caller);
+  if (!isKnown(kernel, id)) admission.checkTakesWork(kernel, caller, attempt);
   const call: types.ModelCall = {
     caller,
     model,
@@ -81,6 +81,11 @@
   return { endpoint, query, head, call };
 }
 
+/** A retry of a request that runs here is no new work. */
+function isKnown(kernel: kernels.Kernel, id: types.RequestId | undefined): boolean {
+  return id !== undefined && kernel.use("modelCalls").has(id);
+}
+
 function findModel(
   fleet: document.FleetDocument,
   caller: document.Caller,
@@ -101,7 +106,7 @@
   return model;
 }
 
-async function collectAnswer(
+async function readAnswer(
   prepared: Prepared,
   answer: AsyncIterable<types.ModelEvent>,
 ): Promise<object> {
--- a/src/capacity/allocator.ts
+++ b/src/capacity/allocator.ts
@@ -2,11 +2,10 @@
 import type * as clocks from "../kernel/clock.js";
 import type * as network from "../protocol/network.js";
 import type * as catalogs from "./catalog.js";
-import * as decodeLedgers from "./decode-ledger.js";
+import * as allocatedRunners from "./allocated-runner.js";
+import type * as decodeLeases from "./decode-lease.js";
 import * as messages from "./messages.js";
-import * as occupancies from "./occupancy.js";
 import type * as policies from "./policy.js";
-import * as prefillLedgers from "./prefill-ledger.js";
 import * as prefixes from "./prefix-index.js";
 import * as shares from "./shares.js";
 import type * as types from "./types.js";
@@ -15,15 +14,6 @@
 /** Time in which a lease that its holder's report misses may still be on its way to the holder. */
 const REPORT_GRACE_MS = 500;
 
-/** One allocated runner. */
-export interface AllocatedRunner {
-  readonly runner: catalogs.CatalogRunner;
-  readonly occupancy: occupancies.Occupancy;
-  readonly decode: decodeLedgers.DecodeLedger | undefined;
-  readonly prefill: prefillLedgers.PrefillLedger | undefined;
-  readonly allocatedSince: number;
-}
-
 /** What an allocator works with. */
 export interface AllocatorParts {
   readonly clock: clocks.Clock;
@@ -37,7 +27,8 @@
 /** Keeps the ledgers of the allocated runners and answers the calls about them. */
 export class Allocator {
   readonly #parts: AllocatorParts;
-  readonly #runners = new Map<string, AllocatedRunner>();
+  readonly #runners = new Map<string, allocatedRunners.AllocatedRunner>();
+  readonly #shares = new Map<string, shares.CallerShares>();
   /** Prefixes that allocated runners have, from cache events and leases. */
   readonly prefixIndex = new prefixes.PrefixIndex();
 
@@ -46,28 +37,20 @@
   }
 
   /** Returns the allocated runners. */
-  listRunners(): readonly AllocatedRunner[] {
+  listRunners(): readonly allocatedRunners.AllocatedRunner[] {
     return [...this.#runners.values()];
   }
 
   /** Returns an allocated runner. */
-  findRunner(name: string): AllocatedRunner | undefined {
+  findRunner(name: string): allocatedRunners.AllocatedRunner | undefined {
     return this.#runners.get(name);
   }
 
   /** Begins to allocate a runner, with an empty ledger. */
-  addRunner(runner: catalogs.CatalogRunner): AllocatedRunner {
+  addRunner(runner: catalogs.CatalogRunner): allocatedRunners.AllocatedRunner {
     const { clock, policy } = this.#parts;
-    const occupancy = new occupancies.Occupancy(clock, policy.loadPeriodMs);
-    const parts = { runner, clock, policy, shares: new shares.CallerShares(clock), occupancy };
-    const isDecode = runner.role === "decode";
-    const entry: AllocatedRunner = {
-      runner,
-      occupancy,
-      decode: isDecode ? new decodeLedgers.DecodeLedger(parts) : undefined,
-      prefill: isDecode ? undefined : new prefillLedgers.PrefillLedger(runner, clock, occupancy),
-      allocatedSince: clock.now(),
-    };
+    const modelShares = this.#getShares(runner.model);
+    const entry = allocatedRunners.createAllocatedRunner(runner, clock, policy, modelShares);
     this.#runners.set(runner.name, entry);
     return entry;
   }
@@ -91,7 +74,12 @@
     if (entry?.decode === undefined) {
       return messages.createRefusal(messages.REFUSAL.notAllocator, MIN_RETRY_MS);
     }
+    if (entry.gaps.isTooSlow(request.betweenTokensMs)) {
+      const refusal = messages.createRefusal(messages.REFUSAL.slow, MIN_RETRY_MS);
+      return { ...refusal, better: this.#findBetter(request) };
+    }
     const decision = entry.decode.grant(request, from);
+    if (decision.answer.granted) entry.gaps.recordGrant(request.betweenTokensMs);
     for (const lease of decision.revoked) this.#replaceLease(entry, lease, request.attempt);
     if (decision.answer.granted) return decision.answer;
     return { ...decision.answer, better: this.#findBetter(request) };
@@ -151,8 +139,10 @@
   /** Handles what a holder says it holds: adopts the unknown, releases the missing. */
   handleReport(
     leases: readonly messages.HeldLease[],
+    gaps: readonly messages.RunnerGap[],
     from: network.PeerIdentity,
   ): { views: messages.RunnerView[]; revoked: messages.LeaseId[] } {
+    for (const { runner, gapMs } of gaps) this.#runners.get(runner)?.gaps.record(gapMs);
     const revoked: messages.LeaseId[] = [];
     const held = new Set<string>();
     for (const lease of leases) {
@@ -180,7 +170,7 @@
   removeHolder(isLost: (holder: network.PeerIdentity) => boolean): readonly messages.LeaseId[] {
     const removed: messages.LeaseId[] = [];
     for (const entry of this.#runners.values()) {
-      for (const lease of listEntryLeases(entry)) {
+      for (const lease of allocatedRunners.listEntryLeases(entry)) {
         if (!isLost(lease.holder)) continue;
         (entry.decode ?? entry.prefill)?.release(lease.id, lease.attempt);
         this.#parts.cancel(entry.runner, lease.id, lease.attempt);
@@ -192,19 +182,21 @@
 
   /** Returns the state of the allocated runners, as told to holders. */
   listViews(): messages.RunnerView[] {
-    return this.listRunners().map(({ runner, occupancy, decode, prefill }) => ({
+    return this.listRunners().map(({ runner, occupancy, decode, prefill, gaps }) => ({
       runner: runner.name,
       waitMs: decode?.computeWait("") ?? prefill?.computeWait() ?? 0,
       free: decode?.countFree() ?? 0,
       slowness: prefill?.slowness ?? 1,
       available: occupancy.available,
+      gapMs: gaps.gapMs,
+      probeDue: gaps.probeDue,
     }));
   }
 
   /** Returns the granted leases. */
   listLeases(): readonly types.LeaseView[] {
     return this.listRunners().flatMap((entry) =>
-      listEntryLeases(entry).map((lease) => ({
+      allocatedRunners.listEntryLeases(entry).map((lease) => ({
         id: lease.id,
         attempt: lease.attempt,
         runner: entry.runner.name,
@@ -216,7 +208,21 @@
     );
   }
 
-  #replaceLease(entry: AllocatedRunner, lease: decodeLedgers.DecodeLease, attempt: number): void {
+  /** Callers compete for all runners of a model that this node allocates. */
+  #getShares(model: string): shares.CallerShares {
+    let modelShares = this.#shares.get(model);
+    if (modelShares === undefined) {
+      modelShares = new shares.CallerShares(this.#parts.clock);
+      this.#shares.set(model, modelShares);
+    }
+    return modelShares;
+  }
+
+  #replaceLease(
+    entry: allocatedRunners.AllocatedRunner,
+    lease: decodeLeases.DecodeLease,
+    attempt: number,
+  ): void {
     const { id } = lease.request;
     this.#parts.sendRevoke(lease.holder, [
       { runner: entry.runner.name, id, attempt: lease.request.attempt },
@@ -227,10 +233,11 @@
   #findBetter(request: messages.LeaseRequest): string | undefined {
     const model = this.#runners.get(request.runner)?.runner.model;
     const better = this.listRunners().find(
-      ({ runner, decode, occupancy }) =>
+      ({ runner, decode, occupancy, gaps }) =>
         runner.model === model &&
         runner.name !== request.runner &&
         occupancy.available &&
+        gaps.gapMs <= request.betweenTokensMs &&
         decode !== undefined &&
         decode.computeWait(request.caller) <= request.startWithinMs / 2,
     );
@@ -240,7 +247,7 @@
   #releaseMissing(from: network.PeerIdentity, held: ReadonlySet<string>): void {
     const before = this.#parts.clock.now() - REPORT_GRACE_MS;
     for (const entry of this.#runners.values()) {
-      for (const lease of listEntryLeases(entry)) {
+      for (const lease of allocatedRunners.listEntryLeases(entry)) {
         const isMissing = !held.has(`${entry.runner.name}\n${lease.id}`);
         if (lease.holder.vm !== from.vm || lease.grantedAt > before || !isMissing) continue;
         (entry.decode ?? entry.prefill)?.release(lease.id, lease.attempt);
@@ -248,22 +255,3 @@
     }
   }
 }
-
-/** What decode and prefill leases have in common. */
-interface EntryLease {
-  readonly id: string;
-  readonly attempt: number;
-  readonly holder: network.PeerIdentity;
-  readonly caller: string;
-  readonly pieces: number;
-  readonly grantedAt: number;
-}
-
-function listEntryLeases(entry: AllocatedRunner): readonly EntryLease[] {
-  const decode = entry.decode?.listLeases() ?? [];
-  const prefill = entry.prefill?.listLeases() ?? [];
-  return [
-    ...decode.map(({ request, holder, grantedAt }) => ({ ...request, holder, grantedAt })),
-    ...prefill.map((lease) => ({ ...lease, caller: "", pieces: 0 })),
-  ];
-}
