--- a/src/admin/fleet-status.ts
+++ b/src/admin/fleet-status.ts
@@ -16,6 +16,8 @@
   readonly leases: number;
   readonly slots: number;
   readonly pieces: number;
+  /** Why it does not serve yet what the document asks for. */
+  readonly drift: string | undefined;
   /** Callers that hold it. */
   readonly callers: readonly string[];
 }
@@ -120,6 +122,9 @@
   const allocators = new Map(
     statuses.flatMap((one) => one.allocators).map((entry) => [entry.runner, entry.vm]),
   );
+  const drifts = new Map(
+    statuses.flatMap((one) => one.drifts).map((drift) => [drift.runner, drift.reason]),
+  );
   const runners = new Set([...allocators.keys(), ...leases.map((lease) => lease.runner)]);
   return [...runners].sort().map((runner) => {
     const held = leases.filter((lease) => lease.runner === runner);
@@ -129,6 +134,7 @@
       leases: held.length,
       slots: held.reduce((sum, lease) => sum + lease.slots, 0),
       pieces: held.reduce((sum, lease) => sum + lease.pieces, 0),
+      drift: drifts.get(runner),
       callers: [...new Set(held.map((lease) => lease.caller))],
     };
   });
--- a/src/cli/status-command.ts
+++ b/src/cli/status-command.ts
@@ -63,7 +63,7 @@
     ),
     "",
     ...tables.formatTable(
-      ["RUNNER", "ALLOCATOR", "LEASES", "SLOTS", "PIECES", "CALLERS"],
+      ["RUNNER", "ALLOCATOR", "LEASES", "SLOTS", "PIECES", "DRIFT", "CALLERS"],
       fleet.runners.map(formatRunner),
     ),
     ...fleet.conflicts.map((revision) => `two documents were published as revision ${revision}`),
@@ -103,6 +103,7 @@
     String(use.leases),
     String(use.slots),
     String(use.pieces),
+    use.drift ?? "none",
     use.callers.join(", "),
   ];
 }
--- a/test/admin/fake-kernel.ts
+++ b/test/admin/fake-kernel.ts
@@ -45,6 +45,7 @@
         },
       ],
     },
+    orders: { listDrifts: () => [{ runner: "iono-d1", reason: "paced" }] },
     crashes: { listQuarantined: () => ["f1"] },
     modelCalls: { active: 1 },
     plainCalls: { active: 2 },
--- a/test/admin/fleet-status.test.ts
+++ b/test/admin/fleet-status.test.ts
@@ -30,6 +30,7 @@
     const fleet = fleetStatus.computeFleetStatus([createAnswer("a", 3, "x")]);
     const use = fleet.runners.find((one) => one.runner === "iono-d1");
     earl.expect(use?.pieces).toEqual(40);
+    earl.expect(use?.drift).toEqual("paced");
     earl.expect(use?.callers).toEqual(["surveyors"]);
   });
 });
--- a/test/docs/callers.test.ts
+++ b/test/docs/callers.test.ts
@@ -54,7 +54,7 @@
       ready: true,
       current: { document: examples.readExample("lagos.json"), revision: 1, digest: "d" },
     },
-    modelCalls: { active: 0, run: streamAnswer },
+    modelCalls: { active: 0, has: () => false, run: streamAnswer },
     plainCalls: {
       active: 0,
       run: (call: callerTypes.PlainCall) => Promise.resolve().then(() => runPlainCall(call)),
--- a/test/settings/document-diff.test.ts
+++ b/test/settings/document-diff.test.ts
@@ -41,7 +41,7 @@
     const runners = before.runners.map((runner) => ({ ...runner, host: "127.0.0.2" }));
     const diff = diffs.computeDocumentDiff(before, { ...before, runners });
     earl.expect(diff.effects.length).toEqual(6);
-    earl.expect(diff.effects[0]?.message).toInclude("moves to 127.0.0.2:7101");
+    earl.expect(diff.effects[0]?.message ?? "").toInclude("moves to 127.0.0.2:7101");
   });
 
   test.it("tells who is refused and what leaves", () => {
