--- /dev/null
+++ b/test/caller/front-fuzz.test.ts
@@ -0,0 +1,143 @@
+import * as net from "node:net";
+import * as test from "node:test";
+import * as earl from "earl";
+import * as fastCheck from "fast-check";
+import * as front from "../../src/caller/front.js";
+import type * as addressBook from "../../src/client/address-book.js";
+import * as exchange from "../../src/client/exchange.js";
+import * as clocks from "../../src/kernel/clock.js";
+import * as codes from "../../src/protocol/result-codes.js";
+import * as frontKernel from "./front-kernel.js";
+
+const RUNS = { seed: 17, numRuns: 150 };
+const TIMEOUT_MS = 5000;
+const TOO_LARGE_BYTES = 5_000_000;
+const MAX_BODY_BYTES = 1_000_000;
+const CODE_NUMBERS: ReadonlySet<number> = new Set(
+  Object.values(codes.RESULT_CODES).map((code) => code.number),
+);
+
+interface Answer {
+  readonly status: number;
+  readonly body: string;
+}
+
+async function send(
+  node: addressBook.NodeAddress,
+  request: Partial<exchange.NodeRequest>,
+): Promise<Answer> {
+  const clock = clocks.createSystemClock();
+  const whole = { method: "GET", path: "/healthz", headers: {}, timeoutMs: TIMEOUT_MS, ...request };
+  const response = await exchange.sendRequest(clock, node, whole, new AbortController().signal);
+  const body = await exchange.readBody(clock, response, MAX_BODY_BYTES, TIMEOUT_MS);
+  return { status: response.statusCode ?? 0, body: body.toString("utf8") };
+}
+
+/** Checks that an answer is a success or a numbered refusal that blames the request. */
+function checkAnswer(answer: Answer): void {
+  if (answer.status < 400) return;
+  const refusal = exchange.parseRefusal(exchange.parseJson(answer.body));
+  earl.expect(CODE_NUMBERS.has(refusal?.code ?? 0)).toEqual(true);
+  earl.expect(refusal?.code === codes.RESULT_CODES.internalError.number).toEqual(false);
+  earl.expect(answer.body.includes(".js:")).toEqual(false);
+}
+
+async function runWithFront(
+  check: (node: addressBook.NodeAddress) => Promise<void>,
+): Promise<void> {
+  await using kernel = frontKernel.createFrontKernel();
+  await using running = await front.startFront(kernel, []);
+  const node = { host: "127.0.0.1", port: running.port };
+  await check(node);
+  earl.expect((await send(node, {})).status).toEqual(200);
+}
+
+/** Text that may stand in a header. */
+const headerText = fastCheck
+  .string({ unit: "binary-ascii", maxLength: 80 })
+  .map((text) => text.replace(/[^\x20-\x7e]/g, ""));
+const authorization = fastCheck.constantFrom("Bearer demo-surveyors", "Bearer none", "");
+
+test.describe("the HTTP front, under any input", () => {
+  test.it("answers any JSON to the model routes with a numbered code", async () => {
+    await runWithFront(async (node) => {
+      const body = fastCheck.oneof(
+        fastCheck.json(),
+        fastCheck.string(),
+        fastCheck
+          .record({
+            model: fastCheck.constantFrom("iono-llm", "iono-llm:tile-summary", "iono-llm:", ":"),
+            prompt: fastCheck.oneof(fastCheck.string(), fastCheck.jsonValue()),
+            messages: fastCheck.jsonValue(),
+            max_tokens: fastCheck.oneof(fastCheck.integer(), fastCheck.double()),
+            stream: fastCheck.boolean(),
+          })
+          .map((value) => JSON.stringify(value)),
+      );
+      const path = fastCheck.constantFrom("/v1/completions", "/v1/chat/completions");
+      const property = fastCheck.asyncProperty(path, authorization, body, async (to, by, text) => {
+        const headers = { authorization: by, "content-type": "application/json" };
+        checkAnswer(await send(node, { method: "POST", path: to, headers, body: text }));
+      });
+      await fastCheck.assert(property, RUNS);
+    });
+  });
+
+  test.it("answers any id, attempt and path of a plain call with a numbered code", async () => {
+    await runWithFront(async (node) => {
+      const path = fastCheck.webPath({ size: "medium" });
+      const method = fastCheck.constantFrom("GET", "POST", "PUT", "DELETE", "PATCH");
+      const property = fastCheck.asyncProperty(
+        method,
+        fastCheck.oneof(path, fastCheck.constant("/registrations"), fastCheck.constant("/%zz")),
+        headerText,
+        headerText,
+        async (by, below, id, attempt) => {
+          const headers = {
+            authorization: "Bearer demo-surveyors",
+            "idempotency-key": id,
+            "x-attempt": attempt,
+          };
+          const to = `/services/corr-api${below}`;
+          checkAnswer(await send(node, { method: by, path: to, headers }));
+        },
+      );
+      await fastCheck.assert(property, RUNS);
+    });
+  });
+
+  test.it("survives garbage on its port", async () => {
+    await runWithFront(async (node) => {
+      const bytes = fastCheck.uint8Array({ minLength: 1, maxLength: 2000 });
+      const property = fastCheck.asyncProperty(bytes, async (garbage) => {
+        await sendBytes(node, Buffer.from(garbage));
+      });
+      await fastCheck.assert(property, RUNS);
+    });
+  });
+
+  test.it("refuses a body that is too large", async () => {
+    await runWithFront(async (node) => {
+      const headers = {
+        authorization: "Bearer demo-surveyors",
+        "content-type": "application/json",
+      };
+      const request = { method: "POST", path: "/v1/completions", headers };
+      const answer = await send(node, { ...request, body: Buffer.alloc(TOO_LARGE_BYTES, " ") });
+      earl.expect(answer.status).toEqual(codes.RESULT_CODES.bodyTooLarge.status);
+      checkAnswer(answer);
+    });
+  });
+});
+
+/** Sends bytes and ends the connection. */
+function sendBytes(node: addressBook.NodeAddress, bytes: Buffer): Promise<void> {
+  return new Promise((resolve) => {
+    const socket = net.connect(node.port, node.host, () => socket.end(bytes));
+    socket.on("error", () => undefined);
+    socket.on("close", () => {
+      resolve();
+    });
+    socket.resume();
+  });
+}
--- /dev/null
+++ b/test/caller/front-kernel.ts
@@ -0,0 +1,63 @@
+/** A node with the real front and sessions, and fakes behind them. */
+import * as otel from "@opentelemetry/api";
+import * as sessions from "../../src/caller/sessions.js";
+import type * as callerTypes from "../../src/caller/types.js";
+import * as clocks from "../../src/kernel/clock.js";
+import * as container from "../../src/kernel/container.js";
+import * as random from "../../src/kernel/random.js";
+import * as codes from "../../src/protocol/result-codes.js";
+import * as examples from "../settings/examples.js";
+
+const SELF = {
+  vm: "vm-1",
+  incarnation: 1,
+  region: "lagos",
+  zone: "ikeja",
+  state: "alive",
+  peer: { host: "127.0.0.1", port: 1 },
+  caller: { host: "127.0.0.1", port: 2 },
+};
+
+async function* streamAnswer(): AsyncGenerator<callerTypes.ModelEvent> {
+  await Promise.resolve();
+  yield { type: "token", offset: 0, text: "delay" };
+  const counts = { promptTokens: 2, cachedTokens: 0, completionTokens: 1 };
+  yield { type: "end", finishReason: "stop", ...counts };
+}
+
+/** Answers as the service does: it requires an id for what is not idempotent. */
+function runPlainCall(call: callerTypes.PlainCall) {
+  if (call.operation.idempotent) return { status: 200, headers: {}, body: Buffer.from("{}") };
+  if (call.id !== undefined) return { status: 201, headers: {}, body: Buffer.from("{}") };
+  throw new codes.RequestError(codes.RESULT_CODES.sessionRequired, codes.RAN.no, {
+    session: "fresh",
+  });
+}
+
+/** Creates the kernel of such a node, on the document of Lagos. */
+export function createFrontKernel(): container.Kernel {
+  const kernel = container.createKernel();
+  const services = {
+    clock: clocks.createSystemClock(),
+    random: random.createSeededRandom(1),
+    settings: { host: "127.0.0.1", callerPort: 0, fleetKeys: ["fleet-key-for-tests"] },
+    log: { write: () => undefined },
+    metrics: { count: () => undefined, recordDuration: () => undefined, set: () => undefined },
+    tracer: otel.trace.getTracer("test"),
+    membership: { self: SELF, listAlive: () => [SELF] },
+    configuration: {
+      ready: true,
+      current: { document: examples.readExample("lagos.json"), revision: 1, digest: "d" },
+    },
+    modelCalls: { active: 0, has: () => false, run: streamAnswer },
+    plainCalls: {
+      active: 0,
+      run: (call: callerTypes.PlainCall) => Promise.resolve().then(() => runPlainCall(call)),
+    },
+  };
+  for (const [name, service] of Object.entries(services)) {
+    kernel.register(name as "settings", () => service as never);
+  }
+  kernel.register("sessions", sessions.createSessions);
+  return kernel;
+}
