Send documents to peers as differences where they know the base

A changed port in a document of 2,000 runners takes less than a tenth of the bytes of the whole (asserted in document-transfer.test.ts). The result is checked against its digest. Dials in progress count towards the limit of connections.

--- a/src/platform/configuration-calls.ts
+++ b/src/platform/configuration-calls.ts
@@ -7,10 +7,13 @@
 /** Compressed bytes in one item of a pulled document. */
 export const CHUNK_BYTES = 65_536;
 
+const bytes: zod.ZodType<Uint8Array> = zod.instanceof(Uint8Array);
+const digest = zod.string().regex(/^[0-9a-f]{64}$/);
+
 /** Schema of what identifies a document. */
 export const versionSchema = zod.object({
   revision: zod.int().min(1),
-  digest: zod.string().regex(/^[0-9a-f]{64}$/),
+  digest,
 });
 
 /** Asks which document is in force at a peer; no version when there is none. */
@@ -29,10 +32,13 @@
   zod.object({}),
 );
 
-/** Pulls the document in force at a peer: its canonical text, deflated, in chunks. */
+/**
+ * Pulls the document in force at a peer, in chunks. The peer sends a difference where it still
+ * knows the document that the reader names as its base.
+ */
 export const PULL = network.createPeerCall(
   22,
   "pull-configuration",
-  zod.object({}),
-  zod.object({ chunk: zod.instanceof(Uint8Array) }),
+  zod.object({ base: digest.optional() }),
+  zod.object({ digest, isDifference: zod.boolean(), chunk: bytes }),
 );
--- a/src/platform/configuration-store.ts
+++ b/src/platform/configuration-store.ts
@@ -3,11 +3,15 @@
 import type * as telemetry from "../telemetry/types.js";
 import * as document from "../settings/document.js";
 import * as digests from "./document-digest.js";
+import type * as documentTransfer from "./document-transfer.js";
 import type * as types from "./types.js";
 
 /** Faults kept of a refused document. */
 const MAX_FAULTS = 50;
 
+/** Documents whose text is kept, as bases of differences. */
+const MAX_TEXTS = 4;
+
 /** A document that was refused. */
 export interface Refusal {
   readonly revision: number;
@@ -19,7 +23,8 @@
   readonly #log: telemetry.EventLog;
   readonly #listeners = new Set<(inForce: types.InForce) => void>();
   #current: types.InForce | undefined;
-  #canonicalText = "";
+  /** Texts by digest, the one in force last. */
+  readonly #texts = new Map<string, documentTransfer.DocumentText>();
   #lastRefusal: Refusal | undefined;
   #lastConflict: types.RevisionConflict | undefined;
 
@@ -31,11 +36,6 @@
     return this.#current;
   }
 
-  /** Canonical text of the document in force. */
-  get canonicalText(): string {
-    return this.#canonicalText;
-  }
-
   get lastRefusal(): Refusal | undefined {
     return this.#lastRefusal;
   }
@@ -44,6 +44,11 @@
     return this.#lastConflict;
   }
 
+  /** Returns the canonical text of the document in force or of one of the last before it. */
+  findText(digest: string): documentTransfer.DocumentText | undefined {
+    return this.#texts.get(digest);
+  }
+
   onChange(listener: (inForce: types.InForce) => void): Disposable {
     this.#listeners.add(listener);
     return {
@@ -84,7 +89,7 @@
     if (current?.revision === revision) this.#recordConflict(revision, current, inForce);
     if (!digests.isNewer(inForce, current)) return false;
     this.#current = inForce;
-    this.#canonicalText = canonicalText;
+    this.#addText({ digest: inForce.digest, text: canonicalText });
     this.#log.write(logEvents.LOG_EVENTS.configurationApplied, {
       revision,
       digest: inForce.digest,
@@ -93,6 +98,12 @@
     return true;
   }
 
+  #addText(document: documentTransfer.DocumentText): void {
+    this.#texts.set(document.digest, document);
+    const oldest = this.#texts.keys().next().value;
+    if (this.#texts.size > MAX_TEXTS && oldest !== undefined) this.#texts.delete(oldest);
+  }
+
   /** Records that two documents of one revision are about. */
   #recordConflict(
     revision: number,
--- a/src/platform/document-spreader.ts
+++ b/src/platform/document-spreader.ts
@@ -2,7 +2,6 @@
  * Spreads documents between nodes: versions travel in the probes and, right after a change, to a
  * few random peers; whoever hears of a newer version pulls the document from the node that told it.
  */
-import * as zlib from "node:zlib";
 import * as zod from "zod";
 import * as clocks from "../kernel/clock.js";
 import type * as random from "../kernel/random.js";
@@ -14,6 +13,7 @@
 import type * as telemetry from "../telemetry/types.js";
 import * as calls from "./configuration-calls.js";
 import type * as configurationStore from "./configuration-store.js";
+import * as documentTransfer from "./document-transfer.js";
 import * as digests from "./document-digest.js";
 import type * as types from "./types.js";
 
@@ -46,17 +46,13 @@
   readonly log: telemetry.EventLog;
 }
 
-/** A document as it is sent to peers. */
-interface Packed {
-  readonly digest: string;
-  readonly bytes: Uint8Array;
-}
+type PullItem = zod.infer<typeof calls.PULL.reply>;
 
 /** Tells, hears and pulls. */
 export class DocumentSpreader {
   readonly #options: SpreaderOptions;
   readonly #rejected: string[] = [];
-  #packed: Packed | undefined;
+  readonly #packer = new documentTransfer.DocumentPacker();
   #isPulling = false;
 
   constructor(options: SpreaderOptions) {
@@ -73,7 +69,7 @@
       this.#handleVersion(version, from);
       return {};
     });
-    peers.onStream(calls.PULL, () => this.#sendChunks());
+    peers.onStream(calls.PULL, (request) => this.#sendChunks(request.base));
     store.onChange((inForce) => void this.#announce(inForce));
   }
 
@@ -131,39 +127,45 @@
 
   /** Reads the document in force at a peer and applies it. */
   async #pull(vm: string): Promise<void> {
+    const { store } = this.#options;
+    const base = store.findText(store.current?.digest ?? "");
+    const packed = await this.#readPacked(vm, base?.digest);
+    if (packed === undefined) return;
+    const input: unknown = JSON.parse(documentTransfer.decodeDocument(packed, base));
+    store.apply({ revision: findRevision(input), document: input });
+  }
+
+  async #readPacked(
+    vm: string,
+    base: string | undefined,
+  ): Promise<documentTransfer.PackedDocument | undefined> {
     const chunks: Uint8Array[] = [];
     let size = 0;
+    let first: Omit<documentTransfer.PackedDocument, "bytes"> | undefined;
     using limit = clocks.createTimeLimit(this.#options.clock, PULL_LIMIT_MS);
     const options = { timeoutMs: PULL_LIMIT_MS, signal: limit.signal };
-    for await (const item of this.#options.network.stream(vm, calls.PULL, {}, options)) {
+    for await (const item of this.#options.network.stream(vm, calls.PULL, { base }, options)) {
+      first ??= item;
       size += item.chunk.byteLength;
       if (size > calls.MAX_DOCUMENT_BYTES) throw new Error(`document of ${vm} is too large`);
       chunks.push(item.chunk);
     }
-    if (size === 0) return;
-    const limits = { maxOutputLength: calls.MAX_DOCUMENT_BYTES };
-    const text = zlib.inflateRawSync(Buffer.concat(chunks), limits).toString("utf8");
-    const input: unknown = JSON.parse(text);
-    this.#options.store.apply({ revision: findRevision(input), document: input });
+    if (first === undefined) return undefined;
+    return { ...first, bytes: Buffer.concat(chunks) };
   }
 
-  async *#sendChunks(): AsyncGenerator<{ chunk: Uint8Array }> {
-    const { bytes } = this.#usePacked();
+  async *#sendChunks(baseDigest: string | undefined): AsyncGenerator<PullItem> {
+    const { store } = this.#options;
+    const document = store.findText(store.current?.digest ?? "");
+    if (document === undefined) return;
+    const base = store.findText(baseDigest ?? "");
+    const { digest, isDifference, bytes } = this.#packer.encode(document, base);
     for (let start = 0; start < bytes.byteLength; start += calls.CHUNK_BYTES) {
-      yield await Promise.resolve({ chunk: bytes.subarray(start, start + calls.CHUNK_BYTES) });
+      const chunk = bytes.subarray(start, start + calls.CHUNK_BYTES);
+      yield await Promise.resolve({ digest, isDifference, chunk });
     }
   }
 
-  /** Returns the compressed document, made once for each version. */
-  #usePacked(): Packed {
-    const { store } = this.#options;
-    const digest = store.current?.digest ?? "";
-    if (this.#packed?.digest === digest) return this.#packed;
-    const bytes = digest === "" ? Buffer.alloc(0) : zlib.deflateRawSync(store.canonicalText);
-    this.#packed = { digest, bytes };
-    return this.#packed;
-  }
-
   async #announce(version: types.InForce): Promise<void> {
     const { revision, digest } = version;
     const options = { timeoutMs: CALL_LIMIT_MS };
--- a/src/protocol/connection-pool.ts
+++ b/src/protocol/connection-pool.ts
@@ -1,11 +1,12 @@
 /** Kept connections to peers, one each, dialled on demand. */
+import * as events from "node:events";
 import type * as telemetry from "../telemetry/types.js";
 import * as logEvents from "../telemetry/log-events.js";
 import * as handshake from "./handshake.js";
 import * as network from "./network.js";
 import * as outgoing from "./outgoing-connection.js";
 
-/** Connections kept at once; at the limit the longest unused idle one is closed for a new one. */
+/** Connections kept or dialled at once; at the limit the longest unused idle one is closed for a new one. */
 export const MAX_CONNECTIONS = 1024;
 /** Known addresses; further VMs are refused. */
 const MAX_ADDRESSES = 16_384;
@@ -23,6 +24,8 @@
   constructor(options: outgoing.DialOptions, log: telemetry.EventLog) {
     this.#options = options;
     this.#log = log;
+    // Each dial in progress listens; their number is bounded above.
+    events.default.setMaxListeners(MAX_CONNECTIONS, options.signal);
   }
 
   setAddress(vm: string, address: network.PeerAddress): void {
@@ -110,7 +113,7 @@
 
   /** Makes room for one more connection; returns whether there is any. */
   #releasePlace(): boolean {
-    if (this.#connections.size < MAX_CONNECTIONS) return true;
+    if (this.#connections.size + this.#dials.size < MAX_CONNECTIONS) return true;
     let oldest: outgoing.OutgoingConnection | undefined;
     for (const connection of this.#connections.values()) {
       const isOlder = connection.usedAt < (oldest?.usedAt ?? Infinity);
