--- a/src/request/model-calls.ts
+++ b/src/request/model-calls.ts
@@ -7,6 +7,7 @@
 import type * as kernels from "../kernel/container.js";
 import type * as network from "../protocol/network.js";
 import * as codes from "../protocol/result-codes.js";
+import * as events from "../telemetry/log-events.js";
 import * as messages from "./messages-model.js";
 import * as modelAttempts from "./model-attempts.js";
 import * as modelRecords from "./model-records.js";
@@ -186,12 +187,27 @@
     } catch (error) {
       run.markFailed(this.#createFailure(error, run, limit.signal));
     } finally {
+      this.#writeEnd(identified, run);
       const keep = identified.call.id !== undefined && run.isWhole;
       this.#runs.markFinished(run, keep);
       if (!keep) this.#claims.remove(run.id);
     }
   }
 
+  #writeEnd(identified: IdentifiedCall, run: modelRun.ModelRun): void {
+    const event = run.abort.signal.aborted
+      ? events.LOG_EVENTS.requestCancelled
+      : events.LOG_EVENTS.requestFinished;
+    const { caller, model } = identified.call;
+    this.#kernel.use("log").write(event, {
+      caller: caller.name,
+      model: model.name,
+      attempt: identified.attempt,
+      tokens: run.offset,
+      whole: run.isWhole,
+    });
+  }
+
   #createFailure(error: unknown, run: modelRun.ModelRun, signal: AbortSignal): codes.RequestError {
     if (error instanceof codes.RequestError) return error;
     const options = { cause: error };
