Prove with real processes that a registration runs at most once

Free ports are now drawn below the range of outgoing connections: a fleet's start had failed with EADDRINUSE on port 44239 between the search for a port and its use. A fleet that fails to start stops what it started, and started processes end with their test.

--- a/standins/process-fleet.ts
+++ b/standins/process-fleet.ts
@@ -57,7 +57,12 @@
     const placed = await createPlacedDocument(options.document);
     const places = await createPlaces(placed, options.nodes);
     const fleet = new ProcessFleet(options, placed, places, await processes.findFreePort());
-    await fleet.#startAll();
+    try {
+      await fleet.#startAll();
+    } catch (error) {
+      await fleet[Symbol.asyncDispose]();
+      throw error;
+    }
     return fleet;
   }
 
--- a/standins/processes.ts
+++ b/standins/processes.ts
@@ -1,10 +1,25 @@
 /** Starts and signals processes of the demo and of the tests with real processes. */
 import * as childProcess from "node:child_process";
+import * as crypto from "node:crypto";
 import * as net from "node:net";
 import * as readline from "node:readline";
 
 const STOP_TIMEOUT_MS = 5_000;
 const MAX_KEPT_LINES = 2_000;
+const LOWEST_PORT = 10_000;
+const HIGHEST_PORT = 32_000;
+/** Exit codes after the signals that end a test or the demo. */
+const EXIT_CODES = { SIGINT: 130, SIGTERM: 143 } as const;
+
+/** Processes that end together with this one. */
+const running = new Set<childProcess.ChildProcess>();
+
+process.once("exit", () => {
+  for (const child of running) child.kill("SIGKILL");
+});
+for (const [signal, code] of Object.entries(EXIT_CODES)) {
+  process.once(signal, () => process.exit(code));
+}
 
 /** One started process. */
 export class ManagedProcess implements AsyncDisposable {
@@ -19,8 +34,10 @@
     this.#child = childProcess.spawn(process.execPath, [script, ...flags], {
       stdio: ["ignore", "pipe", "pipe"],
     });
+    running.add(this.#child);
     this.#exited = new Promise((resolve) => {
       this.#child.once("exit", (code) => {
+        running.delete(this.#child);
         resolve(code ?? undefined);
       });
     });
@@ -80,14 +97,27 @@
   }
 }
 
-/** Returns a port of 127.0.0.1 that is free now. */
+/**
+ * Returns a port of 127.0.0.1 that is free now, below the range from which the system serves
+ * outgoing connections, so that none of those takes it before it is used.
+ */
 export async function findFreePort(): Promise<number> {
+  for (;;) {
+    const port = crypto.randomInt(LOWEST_PORT, HIGHEST_PORT);
+    if (await isFree(port)) return port;
+  }
+}
+
+function isFree(port: number): Promise<boolean> {
   const server = net.createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, "127.0.0.1", resolve);
+  return new Promise((resolve) => {
+    server.once("error", () => {
+      resolve(false);
+    });
+    server.listen(port, "127.0.0.1", () => {
+      server.close(() => {
+        resolve(true);
+      });
+    });
   });
-  const address = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  if (address === null || typeof address === "string") throw new Error("no port");
-  return address.port;
 }
--- /dev/null
+++ b/test/processes/fleet-fixture.ts
@@ -0,0 +1,128 @@
+/** A fleet of real processes, and callers that send what no well-behaved client would. */
+import * as fs from "node:fs/promises";
+import * as path from "node:path";
+import * as url from "node:url";
+import * as documents from "../../src/settings/document.js";
+import * as processFleet from "../../standins/process-fleet.js";
+
+const DIST_DIRECTORY = path.resolve(path.dirname(url.fileURLToPath(import.meta.url)), "../..");
+const EXAMPLE = path.resolve(DIST_DIRECTORY, "../examples/lagos.json");
+const NODES = 4;
+const CALL_LIMIT_MS = 30_000;
+const POLL_MS = 50;
+export const HOST = "127.0.0.1";
+export const SERVICE = "corr-api";
+export const PLAIN_CALLER = "farm-tractors";
+export const MODEL_CALLER = "map-engineers";
+
+/** Starts four nodes with the upstreams of the Lagos example. */
+export async function startFleet(): Promise<processFleet.ProcessFleet> {
+  const validation = documents.validateDocument(JSON.parse(await fs.readFile(EXAMPLE, "utf8")));
+  if (!validation.ok) throw new Error(JSON.stringify(validation.faults));
+  return processFleet.ProcessFleet.start({
+    document: validation.document,
+    nodes: NODES,
+    codeDirectory: DIST_DIRECTORY,
+  });
+}
+
+/** What a node answered to a plain call. */
+export interface PlainAnswer {
+  readonly status: number;
+  /** Result code of a refusal. */
+  readonly code: number | undefined;
+  readonly ran: string | undefined;
+}
+
+/** Returns the nodes other than one. */
+export function listOthers(
+  fleet: processFleet.ProcessFleet,
+  place: processFleet.NodePlace,
+): processFleet.NodePlace[] {
+  return fleet.places.filter((other) => other.vm !== place.vm);
+}
+
+/** Returns a place of the fleet by its index. */
+export function getPlace(fleet: processFleet.ProcessFleet, index: number): processFleet.NodePlace {
+  const place = fleet.places[index];
+  if (place === undefined) throw new Error(`no node ${index}`);
+  return place;
+}
+
+/** Asks one node for a session; that node owns it. */
+export async function readSession(place: processFleet.NodePlace): Promise<string> {
+  const response = await fetch(`http://${HOST}:${place.callerPort}/v1/address`, {
+    headers: { authorization: `Bearer demo-${PLAIN_CALLER}` },
+  });
+  return ((await response.json()) as { session: string }).session;
+}
+
+/** Sends one attempt of a non-idempotent call to one node. */
+export async function sendRegistration(
+  place: processFleet.NodePlace,
+  id: string,
+  attempt: number,
+): Promise<PlainAnswer> {
+  const address = `http://${HOST}:${place.callerPort}/services/${SERVICE}/registrations`;
+  const response = await fetch(address, {
+    method: "POST",
+    headers: {
+      authorization: `Bearer demo-${PLAIN_CALLER}`,
+      "idempotency-key": id,
+      "x-attempt": String(attempt),
+    },
+    body: "{}",
+    signal: AbortSignal.timeout(CALL_LIMIT_MS),
+  });
+  const body = (await response.json()) as { error?: { code: number; ran: string } };
+  return { status: response.status, code: body.error?.code, ran: body.error?.ran };
+}
+
+/** Sets the same faults on every backend of the service. */
+export async function setServiceFaults(
+  fleet: processFleet.ProcessFleet,
+  faults: object,
+): Promise<void> {
+  for (const port of listBackendPorts(fleet)) await writeControl(port, faults);
+}
+
+/** Steers a stand-in. */
+export async function writeControl(port: number, control: object): Promise<void> {
+  await fetch(`http://${HOST}:${port}/control`, { method: "POST", body: JSON.stringify(control) });
+}
+
+/** Counts how often the service ran an id, at all its backends. */
+export async function countExecutions(
+  fleet: processFleet.ProcessFleet,
+  id: string,
+): Promise<number> {
+  let total = 0;
+  for (const port of listBackendPorts(fleet)) {
+    const response = await fetch(`http://${HOST}:${port}/judge`);
+    const report = (await response.json()) as { executions: Record<string, number> };
+    total += report.executions[id] ?? 0;
+  }
+  return total;
+}
+
+/** Waits until a condition holds. @throws after half a minute */
+export async function waitUntil(
+  what: string,
+  isReached: () => Promise<boolean> | boolean,
+): Promise<void> {
+  const giveUpAt = Date.now() + CALL_LIMIT_MS;
+  while (!(await isReached())) {
+    if (Date.now() > giveUpAt) throw new Error(`waited too long until ${what}`);
+    await sleep(POLL_MS);
+  }
+}
+
+/** Waits in real time. */
+export function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
+function listBackendPorts(fleet: processFleet.ProcessFleet): number[] {
+  const service = fleet.document.services.find((candidate) => candidate.name === SERVICE);
+  return (service?.backends ?? []).map((backend) => backend.port);
+}
--- /dev/null
+++ b/test/processes/plain-calls.test.ts
@@ -0,0 +1,94 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import type * as processFleet from "../../standins/process-fleet.js";
+import * as fixture from "./fleet-fixture.js";
+
+const PAUSE_MS = 20_000;
+const OUTCOME_UNKNOWN = 4003;
+
+test.describe("plain calls between processes", () => {
+  let fleet: processFleet.ProcessFleet;
+
+  test.before(async () => {
+    fleet = await fixture.startFleet();
+  });
+
+  test.after(async () => {
+    await fleet[Symbol.asyncDispose]();
+  });
+
+  test.it("answers unknown, once and for all, when the reply was lost after the run", async () => {
+    const owner = fixture.getPlace(fleet, 3);
+    const id = `${await fixture.readSession(owner)}.1`;
+    await fixture.setServiceFaults(fleet, { dropReply: true });
+    const first = await fixture.sendRegistration(owner, id, 1);
+    await fixture.setServiceFaults(fleet, {});
+    const answers = [first, ...(await sendToOthers(fleet, owner, id))];
+    expectEach(answers, { code: OUTCOME_UNKNOWN });
+    expectEach(answers, { ran: "unknown" });
+    earl.expect(await fixture.countExecutions(fleet, id)).toEqual(1);
+  });
+
+  test.it("runs no second time when the owner is killed between run and reply", async () => {
+    const owner = fixture.getPlace(fleet, 0);
+    const id = `${await fixture.readSession(owner)}.1`;
+    await fixture.setServiceFaults(fleet, { silentAfterRun: true });
+    const first = fixture.sendRegistration(owner, id, 1).catch(() => undefined);
+    await fixture.waitUntil("the call ran", async () => {
+      return (await fixture.countExecutions(fleet, id)) === 1;
+    });
+    fleet.getProcess(owner.vm).send("SIGKILL");
+    await first;
+    await fixture.setServiceFaults(fleet, {});
+    const answers = await sendToOthers(fleet, owner, id);
+    expectEach(answers, { code: OUTCOME_UNKNOWN });
+    await fleet.startNode(owner);
+    const late = await fixture.sendRegistration(owner, id, 5);
+    earl.expect(late.code).toEqual(OUTCOME_UNKNOWN);
+    earl.expect(await fixture.countExecutions(fleet, id)).toEqual(1);
+  });
+
+  test.it("keeps its word when the owner is paused for 20 s and then woken", async () => {
+    const owner = fixture.getPlace(fleet, 1);
+    const session = await fixture.readSession(owner);
+    const [ranId, heldId] = [`${session}.1`, `${session}.2`];
+    await fixture.setServiceFaults(fleet, { silentAfterRun: true });
+    const ran = fixture.sendRegistration(owner, ranId, 1).catch(() => undefined);
+    await fixture.waitUntil("the call ran", async () => {
+      return (await fixture.countExecutions(fleet, ranId)) === 1;
+    });
+    await fixture.setServiceFaults(fleet, {});
+    fleet.getProcess(owner.vm).send("SIGSTOP");
+    const held = fixture.sendRegistration(owner, heldId, 1).catch(() => undefined);
+    const pause = fixture.sleep(PAUSE_MS);
+    const afterRun = await sendToOthers(fleet, owner, ranId);
+    const notRun = await sendToOthers(fleet, owner, heldId);
+    expectEach(afterRun, { code: OUTCOME_UNKNOWN });
+    expectEach(notRun, { ran: "no" });
+    await pause;
+    fleet.getProcess(owner.vm).send("SIGCONT");
+    await Promise.all([ran, held]);
+    const late = await fixture.sendRegistration(owner, heldId, 5);
+    earl.expect(late.ran).toEqual("no");
+    earl.expect(await fixture.countExecutions(fleet, ranId)).toEqual(1);
+    earl.expect(await fixture.countExecutions(fleet, heldId)).toEqual(0);
+  });
+});
+
+/** Sends further attempts of an id to every node but its owner, at once. */
+async function sendToOthers(
+  fleet: processFleet.ProcessFleet,
+  owner: processFleet.NodePlace,
+  id: string,
+): Promise<fixture.PlainAnswer[]> {
+  const others = fixture.listOthers(fleet, owner);
+  return Promise.all(others.map((place, index) => fixture.sendRegistration(place, id, index + 2)));
+}
+
+/** Expects every answer to have these members. */
+function expectEach(
+  answers: readonly fixture.PlainAnswer[],
+  members: Partial<fixture.PlainAnswer>,
+): void {
+  for (const answer of answers) earl.expect(answer).toEqual({ ...answer, ...members });
+}
