--- /dev/null
+++ b/src/capacity/capacity.ts
@@ -0,0 +1,215 @@
+/** The capacity service: a holder of leases and an allocator of runners in one node. */
+import * as events from "node:events";
+import type * as clocks from "../kernel/clock.js";
+import type * as container from "../kernel/container.js";
+import type * as membership from "../membership/types.js";
+import type * as network from "../protocol/network.js";
+import * as resultCodes from "../protocol/result-codes.js";
+import * as allocatorCalls from "./allocator-calls.js";
+import * as allocators from "./allocator.js";
+import * as catalogs from "./catalog.js";
+import * as holdings from "./holdings.js";
+import * as leaseRequests from "./lease-requests.js";
+import * as messengers from "./lease-messenger.js";
+import * as leasing from "./leasing.js";
+import * as messages from "./messages.js";
+import * as observers from "./observer.js";
+import * as placement from "./placement.js";
+import * as policies from "./policy.js";
+import * as reservations from "./reservation.js";
+import * as health from "./runner-health.js";
+import * as views from "./runner-views.js";
+import * as selections from "./selection.js";
+import * as transfers from "./transfer-times.js";
+import type * as types from "./types.js";
+import * as upkeeps from "./upkeep.js";
+
+const FULL_RETRY_MS = 1000;
+
+/**
+ * Creates the capacity service of a node and registers its handlers of peer calls.
+ *
+ * @example kernel.register("capacity", (kernel) => createCapacity(kernel));
+ */
+export function createCapacity(
+  kernel: container.Kernel,
+  policy: Partial<policies.CapacityPolicy> = {},
+): types.Capacity {
+  return new CapacityService(kernel, { ...policies.DEFAULT_POLICY, ...policy });
+}
+
+class CapacityService implements types.Capacity {
+  readonly #clock: clocks.Clock;
+  readonly #network: network.PeerNetwork;
+  readonly #membership: membership.Membership;
+  readonly #stopping = new AbortController();
+  readonly #allocator: allocators.Allocator;
+  readonly #holdings: holdings.Holdings;
+  readonly #messenger: messengers.LeaseMessenger;
+  readonly #leasing: leasing.Leasing;
+  readonly #upkeep: upkeeps.Upkeep;
+  readonly #observer: reservations.Observer;
+  readonly #subscriptions: Disposable[] = [];
+  readonly #allocatorCache = new Map<string, string | undefined>();
+  #catalog: catalogs.Catalog;
+
+  constructor(kernel: container.Kernel, policy: policies.CapacityPolicy) {
+    events.EventEmitter.setMaxListeners(0, this.#stopping.signal);
+    this.#clock = kernel.use("clock");
+    this.#network = kernel.use("network");
+    this.#membership = kernel.use("membership");
+    const configuration = kernel.use("configuration");
+    this.#catalog = new catalogs.Catalog(configuration.current?.document);
+    this.#allocator = new allocators.Allocator({
+      clock: this.#clock,
+      policy,
+      sendRevoke: (holder, leases) => {
+        this.#messenger.sendRevoke(holder, leases);
+      },
+      cancel: (runner, id, attempt) => {
+        this.#upkeep.cancel(runner, id, attempt);
+      },
+    });
+    this.#holdings = new holdings.Holdings(this.#clock, (changes) => {
+      this.#messenger.sendChanges(changes);
+    });
+    const shared = {
+      clock: this.#clock,
+      random: kernel.use("random"),
+      policy,
+      views: new views.RunnerViews(this.#clock),
+      health: new health.RunnerHealth(this.#clock),
+      transfers: new transfers.TransferTimes(),
+      prefixIndex: this.#allocator.prefixIndex,
+      membership: this.#membership,
+      network: this.#network,
+      holdings: this.#holdings,
+      allocator: this.#allocator,
+      log: kernel.use("log"),
+      engines: kernel.use("engines"),
+      now: () => this.#clock.now(),
+      getCatalog: () => this.#catalog,
+      findAllocator: (runner: string) => this.findAllocator(runner),
+    };
+    this.#messenger = new messengers.LeaseMessenger(shared, this.#stopping.signal);
+    const selection = new selections.Selection(shared);
+    const calls = new allocatorCalls.AllocatorCalls(shared);
+    const requests = new leaseRequests.LeaseRequests({ ...shared, selection, calls });
+    this.#leasing = new leasing.Leasing({ ...shared, selection, calls, requests });
+    this.#upkeep = new upkeeps.Upkeep(shared, this.#stopping.signal);
+    this.#observer = observers.createObserver(shared);
+    this.#registerHandlers();
+    this.#subscriptions.push(
+      configuration.onChange(({ document }) => {
+        this.#catalog = new catalogs.Catalog(document);
+        this.#allocatorCache.clear();
+        this.#upkeep.updateRunners();
+      }),
+      this.#membership.onChange((member) => {
+        this.#allocatorCache.clear();
+        this.#upkeep.handleMember(member);
+        void this.#messenger.sendReports();
+      }),
+    );
+  }
+
+  async reserve(demand: types.Demand, signal: AbortSignal): Promise<types.Reservation> {
+    this.#checkDemand(demand);
+    if (demand.attempt > 1) this.#messenger.sendSupersede(demand);
+    const revoked = new AbortController();
+    const onRevoke = (): void => {
+      revoked.abort(new Error("lease was taken back"));
+    };
+    const planned = this.#leasing.choosePrefill(demand);
+    const decode = await this.#leasing.leaseDecode(demand, planned, onRevoke, signal);
+    const parts: reservations.ReservationParts = {
+      clock: this.#clock,
+      demand,
+      revoked,
+      holdings: this.#holdings,
+      observer: this.#observer,
+      waitTurn: (grant, stop) => this.#leasing.waitTurn(demand, grant, onRevoke, stop),
+      waitPrefillTurn: (grant, stop) => this.#leasing.waitPrefillTurn(grant, stop),
+      leasePrefill: (grant, stop) => this.#leasing.leasePrefill(demand, grant, onRevoke, stop),
+    };
+    if (!decode.turn) {
+      return new reservations.LeasedReservation(parts, decode, planned.runner, undefined);
+    }
+    try {
+      const prefill = await parts.leasePrefill(decode, signal);
+      return new reservations.LeasedReservation(parts, decode, planned.runner, prefill);
+    } catch (error) {
+      this.#holdings.release(decode.holding);
+      throw error;
+    }
+  }
+
+  findAllocator(runner: string): string | undefined {
+    const cached = this.#allocatorCache.get(runner);
+    if (cached !== undefined) return cached;
+    const entry = this.#catalog.findRunner(runner);
+    if (entry === undefined) return undefined;
+    const allocator = placement.findAllocator(entry, this.#membership.listAlive());
+    this.#allocatorCache.set(runner, allocator);
+    return allocator;
+  }
+
+  listLeases(): readonly types.LeaseView[] {
+    return this.#allocator.listLeases();
+  }
+
+  start(): Promise<void> {
+    this.#upkeep.updateRunners();
+    void this.#messenger.runReports();
+    return Promise.resolve();
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    for (const subscription of this.#subscriptions) subscription[Symbol.dispose]();
+    this.#holdings[Symbol.dispose]();
+    this.#stopping.abort(new Error("capacity service stopped"));
+    return Promise.resolve();
+  }
+
+  #registerHandlers(): void {
+    const peers = this.#network;
+    const allocator = this.#allocator;
+    peers.onCall(messages.LEASE_DECODE, (request, from) => allocator.handleLease(request, from));
+    peers.onCall(messages.WAIT_TURN, (id, _from, signal) => allocator.handleWait(id, signal));
+    peers.onCall(messages.LEASE_PREFILL, (request, from) => allocator.handlePrefill(request, from));
+    peers.onCall(messages.CHANGE_LEASES, ({ changes }) => {
+      allocator.handleChanges(changes);
+      return {};
+    });
+    peers.onCall(messages.REPORT_LEASES, ({ leases, gaps }, from) =>
+      allocator.handleReport(leases, gaps, from),
+    );
+    peers.onCall(messages.REVOKE_LEASES, ({ leases }) => {
+      this.#holdings.handleRevoke(leases);
+      return {};
+    });
+    peers.onCall(messages.SUPERSEDE, ({ id, attempt }) => {
+      allocator.handleSupersede(id, attempt);
+      return {};
+    });
+  }
+
+  #checkDemand(demand: types.Demand): void {
+    const decoders = this.#catalog.listServing(demand.model, "decode");
+    const tokens = demand.promptTokens + demand.maxTokens;
+    const isTooLong = decoders.every(
+      (runner) => Math.ceil(tokens / runner.tokensPerPiece) > runner.pieces,
+    );
+    if (decoders.length > 0 && isTooLong) {
+      throw new resultCodes.RequestError(
+        resultCodes.RESULT_CODES.promptTooLong,
+        resultCodes.RAN.no,
+      );
+    }
+    if (this.#holdings.hasRoom) return;
+    throw new resultCodes.RequestError(resultCodes.RESULT_CODES.overloaded, resultCodes.RAN.no, {
+      detail: "node holds as many leases as it may",
+      retryAfterMs: FULL_RETRY_MS,
+    });
+  }
+}
--- /dev/null
+++ b/src/capacity/runner-health.ts
@@ -0,0 +1,78 @@
+/** What this node observed of runners: failures and token gaps. */
+import type * as clocks from "../kernel/clock.js";
+import * as lru from "lru-cache";
+import type * as messages from "./messages.js";
+
+const MAX_RUNNERS = 10_000;
+const FIRST_EXCLUSION_MS = 1000;
+const MAX_EXCLUSION_MS = 30_000;
+
+interface RunnerRecord {
+  gapSumMs: number;
+  gapCount: number;
+  failures: number;
+  excludedUntil: number;
+}
+
+/** Observations by runner; those longest unused are forgotten beyond the limit. */
+export class RunnerHealth {
+  readonly #clock: clocks.Clock;
+  readonly #runners = new lru.LRUCache<string, RunnerRecord>({ max: MAX_RUNNERS });
+
+  constructor(clock: clocks.Clock) {
+    this.#clock = clock;
+  }
+
+  /** Records a failed request: the runner is left out for a time that doubles with each failure. */
+  recordFailure(runner: string): void {
+    const record = this.#getRecord(runner);
+    const exclusionMs = Math.min(MAX_EXCLUSION_MS, FIRST_EXCLUSION_MS * 2 ** record.failures);
+    record.failures += 1;
+    record.excludedUntil = this.#clock.now() + exclusionMs;
+  }
+
+  /** Records that the runner served a request. */
+  recordSuccess(runner: string): void {
+    const record = this.#getRecord(runner);
+    record.failures = 0;
+    record.excludedUntil = 0;
+  }
+
+  /** Records an observed gap between tokens. */
+  recordGap(runner: string, gapMs: number): void {
+    const record = this.#getRecord(runner);
+    record.gapSumMs += gapMs;
+    record.gapCount += 1;
+  }
+
+  /** Whether the runner failed lately and is left out. */
+  isExcluded(runner: string): boolean {
+    return this.#getRecord(runner).excludedUntil > this.#clock.now();
+  }
+
+  /** Returns the mean gaps since the last call, of the runners that had any. */
+  shiftGaps(): readonly messages.RunnerGap[] {
+    const gaps: messages.RunnerGap[] = [];
+    for (const [runner, record] of this.#runners.entries()) {
+      if (record.gapCount === 0) continue;
+      gaps.push({ runner, gapMs: record.gapSumMs / record.gapCount });
+      record.gapSumMs = 0;
+      record.gapCount = 0;
+    }
+    return gaps;
+  }
+
+  #getRecord(runner: string): RunnerRecord {
+    let record = this.#runners.get(runner);
+    if (record === undefined) {
+      record = {
+        gapSumMs: 0,
+        gapCount: 0,
+        failures: 0,
+        excludedUntil: 0,
+      };
+      this.#runners.set(runner, record);
+    }
+    return record;
+  }
+}
--- a/src/protocol/result-codes.ts
+++ b/src/protocol/result-codes.ts
@@ -27,6 +27,7 @@
   quarantined: { number: 1010, status: 422, message: "request crashed several upstreams" },
   headerOutOfRange: { number: 1011, status: 400, message: "header out of range" },
   promptTooLong: { number: 1012, status: 400, message: "prompt does not fit into engine memory" },
+  adminTokenInvalid: { number: 1013, status: 401, message: "administration token not valid" },
   overloaded: { number: 2001, status: 503, message: "no capacity within the latency targets" },
   shareExceeded: { number: 2002, status: 429, message: "caller is above its share" },
   leaving: { number: 2003, status: 503, message: "node is leaving" },
@@ -39,7 +40,9 @@
   callerGone: { number: 3005, status: 499, message: "caller closed the request" },
   backupUnreachable: { number: 4001, status: 503, message: "backup unreachable" },
   refusedByRecord: { number: 4002, status: 503, message: "request was given up before it ran" },
+  superseded: { number: 4005, status: 409, message: "a newer attempt answers this request" },
   outcomeUnknown: { number: 4003, status: 504, message: "outcome unknown" },
+  resultNotKept: { number: 4004, status: 410, message: "request ran; its result was not kept" },
 } as const satisfies Record<string, ResultCode>;
 
 /** A final answer other than success. */
@@ -68,3 +71,14 @@
     this.session = options.session;
   }
 }
+
+/** Returns whether a request may have run before this attempt, of which nothing was sent. */
+export function getRanBefore(attempt: number): Ran {
+  return attempt === 1 ? RAN.no : RAN.unknown;
+}
+
+/** Returns the code of a number as another node sent it; unknown numbers are internal errors. */
+export function findResultCode(number: number): ResultCode {
+  const known = Object.values(RESULT_CODES).find((code) => code.number === number);
+  return known ?? RESULT_CODES.internalError;
+}
--- /dev/null
+++ b/src/settings/document-references.ts
@@ -0,0 +1,233 @@
+/** Checks of a document that span several of its items: references, duplicates and conflicts. */
+import type * as documents from "./document.js";
+import * as checkedItems from "./checked-items.js";
+import * as operations from "./operations.js";
+
+type Fault = documents.DocumentFault;
+
+/** An item that others refer to by its name. */
+interface Named {
+  readonly name: string;
+}
+
+/**
+ * Lists the faults that span several items. An item with faults of its own is left out, but its
+ * name counts as known.
+ *
+ * @example checkReferences(input, parsers).length === 0;
+ */
+export function checkReferences(input: unknown, parsers: checkedItems.ItemParsers): Fault[] {
+  const items = checkedItems.readCheckedItems(input, parsers);
+  return [
+    ...checkZones(items),
+    ...checkCallers(items),
+    ...checkModels(items),
+    ...checkPools(items),
+    ...checkRunners(items),
+    ...checkServices(items),
+    ...checkLinks(items),
+    ...checkAddresses(items),
+  ];
+}
+
+function checkZones(items: checkedItems.CheckedItems): Fault[] {
+  const faults = checkDuplicates("regions", items.regions);
+  const regionByZone = new Map<string, string>();
+  items.regions.forEach(({ item: region, index: regionIndex }) => {
+    region.zones.forEach((zone, zoneIndex) => {
+      const path = `regions[${regionIndex}].zones[${zoneIndex}]`;
+      const other = regionByZone.get(zone);
+      if (other !== undefined) {
+        faults.push({ path, reason: `zone "${zone}" already stands in region "${other}"` });
+      }
+      regionByZone.set(zone, region.name);
+    });
+  });
+  return faults;
+}
+
+function checkCallers(items: checkedItems.CheckedItems): Fault[] {
+  const faults = checkDuplicates("callers", items.callers);
+  const callerByHash = new Map<string, string>();
+  items.callers.forEach(({ item: caller, index: index }) => {
+    const path = `callers[${index}]`;
+    faults.push(...checkKnown(`${path}.models`, "model", caller.models, items.modelNames));
+    faults.push(...checkKnown(`${path}.services`, "service", caller.services, items.serviceNames));
+    faults.push(...checkTolerance(`${path}.tolerance`, caller.tolerance));
+    const other = callerByHash.get(caller.credentialSha256);
+    if (other !== undefined) {
+      const reason = `caller "${other}" has the same credential`;
+      faults.push({ path: `${path}.credentialSha256`, reason });
+    }
+    callerByHash.set(caller.credentialSha256, caller.name);
+  });
+  return faults;
+}
+
+function checkTolerance(path: string, tolerance: documents.Caller["tolerance"]): Fault[] {
+  const faults: Fault[] = [];
+  if (tolerance.deadlineMs < tolerance.firstTokenMs) {
+    const reason = `is below firstTokenMs (${tolerance.firstTokenMs})`;
+    faults.push({ path: `${path}.deadlineMs`, reason });
+  }
+  if (tolerance.deadlineMs < tolerance.betweenTokensMs) {
+    const reason = `exceeds deadlineMs (${tolerance.deadlineMs})`;
+    faults.push({ path: `${path}.betweenTokensMs`, reason });
+  }
+  return faults;
+}
+
+function checkModels(items: checkedItems.CheckedItems): Fault[] {
+  const faults = checkDuplicates("models", items.models);
+  items.models.forEach(({ item: model, index: index }) => {
+    faults.push(...checkRepeated(`models[${index}].adapters`, "adapter", model.adapters));
+  });
+  return faults;
+}
+
+function checkPools(items: checkedItems.CheckedItems): Fault[] {
+  const faults = checkDuplicates("pools", items.pools);
+  items.pools.forEach(({ item: pool, index: index }) => {
+    const path = `pools[${index}]`;
+    if (!items.modelNames.has(pool.model)) {
+      faults.push({ path: `${path}.model`, reason: `unknown model "${pool.model}"` });
+      return;
+    }
+    const partner = pool.role === "prefill" ? "decode" : "prefill";
+    const hasPartner = items.pools.some(
+      ({ item: other }) => other.model === pool.model && other.role === partner,
+    );
+    if (!hasPartner) {
+      const reason = `model "${pool.model}" has no ${partner} pool`;
+      faults.push({ path: `${path}.role`, reason });
+    }
+  });
+  return faults;
+}
+
+function checkRunners(items: checkedItems.CheckedItems): Fault[] {
+  const faults = checkDuplicates("runners", items.runners);
+  items.runners.forEach(({ item: runner, index: index }) => {
+    const path = `runners[${index}]`;
+    if (!items.zoneNames.has(runner.zone)) {
+      faults.push({ path: `${path}.zone`, reason: `unknown zone "${runner.zone}"` });
+    }
+    if (!items.poolNames.has(runner.pool)) {
+      faults.push({ path: `${path}.pool`, reason: `unknown pool "${runner.pool}"` });
+    }
+  });
+  return faults;
+}
+
+function checkServices(items: checkedItems.CheckedItems): Fault[] {
+  const faults = checkDuplicates("services", items.services);
+  items.services.forEach(({ item: service, index: index }) => {
+    const path = `services[${index}]`;
+    faults.push(...checkDuplicates(`${path}.backends`, checkedItems.listPlaced(service.backends)));
+    service.backends.forEach((backend, backendIndex) => {
+      if (items.zoneNames.has(backend.zone)) return;
+      const reason = `unknown zone "${backend.zone}"`;
+      faults.push({ path: `${path}.backends[${backendIndex}].zone`, reason });
+    });
+    faults.push(...checkOperations(`${path}.operations`, service.operations));
+  });
+  return faults;
+}
+
+function checkOperations(path: string, list: readonly documents.Operation[]): Fault[] {
+  const faults: Fault[] = [];
+  list.forEach((operation, index) => {
+    const patternFault = operations.checkPattern(operation.path);
+    if (patternFault !== undefined) {
+      faults.push({ path: `${path}[${index}].path`, reason: patternFault });
+      return;
+    }
+    const conflict = list
+      .slice(0, index)
+      .findIndex((other) => operations.isAmbiguous(operation, other));
+    if (conflict === -1) return;
+    const reason = `overlaps ambiguously with operations[${conflict}] (${formatOperation(list[conflict])})`;
+    faults.push({ path: `${path}[${index}]`, reason });
+  });
+  return faults;
+}
+
+function checkLinks(items: checkedItems.CheckedItems): Fault[] {
+  const faults: Fault[] = [];
+  const seen = new Set<string>();
+  items.links.forEach(({ item: link, index: index }) => {
+    const path = `links[${index}]`;
+    for (const end of ["from", "to"] as const) {
+      if (items.zoneNames.has(link[end])) continue;
+      faults.push({ path: `${path}.${end}`, reason: `unknown zone "${link[end]}"` });
+    }
+    const key = JSON.stringify([link.from, link.to]);
+    if (seen.has(key)) {
+      faults.push({ path, reason: `duplicate link from "${link.from}" to "${link.to}"` });
+    }
+    seen.add(key);
+  });
+  return faults;
+}
+
+/** Checks that no two upstreams share an address. */
+function checkAddresses(items: checkedItems.CheckedItems): Fault[] {
+  const faults: Fault[] = [];
+  const pathByAddress = new Map<string, string>();
+  const checkAddress = (path: string, host: string, port: number): void => {
+    const address = `${host}:${port}`;
+    const other = pathByAddress.get(address);
+    if (other === undefined) {
+      pathByAddress.set(address, path);
+      return;
+    }
+    faults.push({ path: `${path}.port`, reason: `address ${address} is also that of ${other}` });
+  };
+  items.runners.forEach(({ item: runner, index: index }) => {
+    checkAddress(`runners[${index}]`, runner.host, runner.port);
+  });
+  items.services.forEach(({ item: service, index: index }) => {
+    service.backends.forEach((backend, backendIndex) => {
+      checkAddress(`services[${index}].backends[${backendIndex}]`, backend.host, backend.port);
+    });
+  });
+  return faults;
+}
+
+function checkDuplicates(path: string, items: readonly checkedItems.Placed<Named>[]): Fault[] {
+  const seen = new Set<string>();
+  const faults: Fault[] = [];
+  items.forEach(({ item, index }) => {
+    if (seen.has(item.name)) {
+      faults.push({ path: `${path}[${index}].name`, reason: `duplicate name "${item.name}"` });
+    }
+    seen.add(item.name);
+  });
+  return faults;
+}
+
+function checkKnown(
+  path: string,
+  kind: string,
+  names: readonly string[],
+  known: ReadonlySet<string>,
+): Fault[] {
+  const faults = checkRepeated(path, kind, names);
+  names.forEach((name, index) => {
+    if (known.has(name)) return;
+    faults.push({ path: `${path}[${index}]`, reason: `unknown ${kind} "${name}"` });
+  });
+  return faults;
+}
+
+function checkRepeated(path: string, kind: string, names: readonly string[]): Fault[] {
+  return names.flatMap((name, index) =>
+    names.indexOf(name) === index
+      ? []
+      : [{ path: `${path}[${index}]`, reason: `duplicate ${kind} "${name}"` }],
+  );
+}
+
+function formatOperation(operation: documents.Operation | undefined): string {
+  return operation === undefined ? "" : `${operation.method} ${operation.path}`;
+}
