Pull a version again after a peer's answer ended too early

Cause: a version that was not in force after a pull was remembered as not applicable even when the peer had sent nothing, so the node kept its old document until the next revision. Now only a document that arrived whole and was refused is remembered.

--- a/src/platform/document-spreader.ts
+++ b/src/platform/document-spreader.ts
@@ -102,8 +102,9 @@
   async #readGuarded(version: digests.DocumentVersion, vm: string): Promise<void> {
     this.#isPulling = true;
     try {
-      await this.#readDocument(vm);
-      if (this.#isWanted(version)) this.#addRejected(version);
+      const digest = await this.#readDocument(vm);
+      const hasTold = digest?.startsWith(version.digest) === true;
+      if (hasTold && this.#isWanted(version)) this.#addRejected(version);
     } catch (error) {
       const details = { vm, error: String(error) };
       this.#options.log.write(logEvents.LOG_EVENTS.configurationPullFailed, details);
@@ -124,14 +125,15 @@
     if (this.#rejected.length > MAX_REJECTED) this.#rejected.shift();
   }
 
-  /** Reads the document in force at a peer and applies it. */
-  async #readDocument(vm: string): Promise<void> {
+  /** Reads the document in force at a peer and applies it; returns its digest if there is one. */
+  async #readDocument(vm: string): Promise<string | undefined> {
     const { store } = this.#options;
     const base = store.findText(store.current?.digest ?? "");
     const packed = await this.#readPacked(vm, base?.digest);
-    if (packed === undefined) return;
+    if (packed === undefined) return undefined;
     const input: unknown = JSON.parse(documentTransfer.decodeDocument(packed, base));
     store.apply({ revision: findRevision(input), document: input });
+    return packed.digest;
   }
 
   async #readPacked(
--- a/src/platform/text-difference.ts
+++ b/src/platform/text-difference.ts
@@ -13,12 +13,12 @@
  * @example applyDifference(oldText, computeDifference(oldText, newText)) === newText;
  */
 export function computeDifference(oldText: string, newText: string): readonly Hunk[] {
-  const oldSegments = splitSegments(oldText);
+  const oldSegments = listSegments(oldText);
   const positions = new Map(oldSegments.map((segment, index) => [segment, index]));
   const hunks: Hunk[] = [];
   let hunk: Hunk = { from: 0, count: 0, text: "" };
-  for (const segment of splitSegments(newText)) {
-    const extended = extendHunk(hunk, segment, oldSegments);
+  for (const segment of listSegments(newText)) {
+    const extended = findExtension(hunk, segment, oldSegments);
     if (extended !== undefined) {
       hunk = extended;
       continue;
@@ -41,7 +41,7 @@
  * @throws RangeError when the difference names segments that the old text doesn't have.
  */
 export function applyDifference(oldText: string, hunks: readonly Hunk[]): string {
-  const oldSegments = splitSegments(oldText);
+  const oldSegments = listSegments(oldText);
   const parts = hunks.map(({ from, count, text }) => {
     if (from + count > oldSegments.length) throw new RangeError("difference to another text");
     return oldSegments.slice(from, from + count).join("") + text;
@@ -50,12 +50,12 @@
 }
 
 /** Returns the hunk with one more copied segment, if the segment follows the copied ones. */
-function extendHunk(hunk: Hunk, segment: string, oldSegments: readonly string[]): Hunk | undefined {
+function findExtension(hunk: Hunk, segment: string, oldSegments: readonly string[]): Hunk | undefined {
   const isNext = hunk.text === "" && oldSegments[hunk.from + hunk.count] === segment;
   return isNext ? { ...hunk, count: hunk.count + 1 } : undefined;
 }
 
 /** Cuts before each opening brace, so that each item of a list is a segment. */
-function splitSegments(text: string): readonly string[] {
+function listSegments(text: string): readonly string[] {
   return text.split(/(?=\{)/);
 }
