Keep probes going when a topic or a listener of another part fails

Cause: a topic payload above the frame limit made every probe fail, so that nodes held each other for dead; an error thrown by a listener of changes ended as an unhandled rejection or as a failed probe. Topics are limited to 4096 bytes and left out above it; listeners' errors are logged.

--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -1,4 +1,5 @@
 /** News in probes: changed records, and the topics of other parts. */
+import * as cbor from "cbor-x";
 import type * as network from "../protocol/network.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
@@ -7,6 +8,8 @@
 import * as memberTable from "./member-table.js";
 import type * as types from "./types.js";
 
+/** Bytes of one topic in a probe at most; a larger one is left out and logged. */
+const MAX_TOPIC_BYTES = 4096;
 /** Accusations that wait for an own probe at most; further ones come again by gossip. */
 const MAX_ACCUSATIONS = 256;
 
@@ -72,7 +75,9 @@
     for (const [topic, handler] of this.#topics) {
       this.#runGuarded(() => {
         const payload = handler.create();
-        if (payload !== undefined) topics.push({ topic, payload });
+        if (payload === undefined) return;
+        checkSize(topic, payload);
+        topics.push({ topic, payload });
       });
     }
     return topics;
@@ -86,3 +91,9 @@
     }
   }
 }
+
+/** @throws RangeError when a payload would make probes too large. */
+function checkSize(topic: string, payload: unknown): void {
+  const size = cbor.encode(payload).byteLength;
+  if (size > MAX_TOPIC_BYTES) throw new RangeError(`gossip topic ${topic} has ${size} bytes`);
+}
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -78,7 +78,13 @@
   }
 
   onChange(listener: (member: types.Member) => void): Disposable {
-    return this.#table.onChange(listener);
+    return this.#table.onChange((member) => {
+      try {
+        listener(member);
+      } catch (error) {
+        this.#log.write(logEvents.LOG_EVENTS.unexpectedError, { error: String(error) });
+      }
+    });
   }
 
   onGossip(topic: string, handler: types.GossipTopic): void {
--- a/src/platform/configuration-store.ts
+++ b/src/platform/configuration-store.ts
@@ -94,10 +94,19 @@
       revision,
       digest: inForce.digest,
     });
-    for (const listener of [...this.#listeners]) listener(inForce);
+    for (const listener of [...this.#listeners]) this.#sendTo(listener, inForce);
     return true;
   }
 
+  /** Tells one listener; its error must not keep others from what is in force. */
+  #sendTo(listener: (inForce: types.InForce) => void, inForce: types.InForce): void {
+    try {
+      listener(inForce);
+    } catch (error) {
+      this.#log.write(logEvents.LOG_EVENTS.unexpectedError, { error: String(error) });
+    }
+  }
+
   #addText(document: documentTransfer.DocumentText): void {
     this.#texts.set(document.digest, document);
     const oldest = this.#texts.keys().next().value;
--- a/src/platform/text-difference.ts
+++ b/src/platform/text-difference.ts
@@ -50,7 +50,11 @@
 }
 
 /** Returns the hunk with one more copied segment, if the segment follows the copied ones. */
-function findExtension(hunk: Hunk, segment: string, oldSegments: readonly string[]): Hunk | undefined {
+function findExtension(
+  hunk: Hunk,
+  segment: string,
+  oldSegments: readonly string[],
+): Hunk | undefined {
   const isNext = hunk.text === "" && oldSegments[hunk.from + hunk.count] === segment;
   return isNext ? { ...hunk, count: hunk.count + 1 } : undefined;
 }
