--- a/bench/workload.ts
+++ b/bench/workload.ts
@@ -103,7 +103,7 @@
     promptTokens,
     outputTokens: drawTokens(draw, OUTPUT_MEDIAN_TOKENS, OUTPUT_SIGMA, 2, MAX_OUTPUT_TOKENS),
     maxTokens: MAX_OUTPUT_TOKENS,
-    prefixes: createPrefixes(draw, id, promptTokens),
+    prefixes: createPrefixes(draw, `own${options.seed}${isFlood}${index}`, promptTokens),
     node: draw.nextInteger(1000),
     leavesAfterMs: isLeaving ? leavesAfterMs : Infinity,
     isFlood,
--- a/src/capacity/allocator-calls.ts
+++ b/src/capacity/allocator-calls.ts
@@ -50,13 +50,13 @@
   /** Waits for a lease's turn; not known if the allocator did not answer in time. */
   async waitTurn(lease: AwaitedLease, signal: AbortSignal): Promise<messages.Turn> {
     const { clock, network: peers } = this.#parts;
-    const { runner, id, attempt, startBy } = lease;
+    const { runner, key, attempt, startBy } = lease;
     const allocator = this.#parts.findAllocator(runner);
     if (allocator === undefined) return { turn: false, known: false, share: false };
     const timeoutMs = Math.max(0, startBy - clock.now()) + TURN_TIMEOUT_SLACK_MS;
     try {
       const options = { timeoutMs, signal };
-      return await peers.call(allocator, messages.WAIT_TURN, { runner, id, attempt }, options);
+      return await peers.call(allocator, messages.WAIT_TURN, { runner, key, attempt }, options);
     } catch {
       return { turn: false, known: clock.now() >= startBy, share: false };
     }
--- a/src/capacity/allocator.ts
+++ b/src/capacity/allocator.ts
@@ -1,11 +1,14 @@
 /** The runners that this node allocates: ledgers, handlers of calls, and the reading of load. */
 import type * as clocks from "../kernel/clock.js";
 import type * as network from "../protocol/network.js";
+import type * as upstream from "../upstream/types.js";
 import type * as catalogs from "./catalog.js";
 import * as allocatedRunners from "./allocated-runner.js";
 import type * as decodeLeases from "./decode-lease.js";
+import * as leaseMaps from "./lease-map.js";
 import * as messages from "./messages.js";
 import type * as policies from "./policy.js";
+import type * as prefillLedgers from "./prefill-ledger.js";
 import * as prefixes from "./prefix-index.js";
 import * as shares from "./shares.js";
 import type * as types from "./types.js";
@@ -24,6 +27,11 @@
   readonly cancel: (runner: catalogs.CatalogRunner, id: string, attempt: number) => void;
 }
 
+/** A lease that was taken from its holder. */
+export interface RemovedLease extends upstream.AttemptId {
+  readonly runner: string;
+}
+
 /** Keeps the ledgers of the allocated runners and answers the calls about them. */
 export class Allocator {
   readonly #parts: AllocatorParts;
@@ -86,10 +94,12 @@
   }
 
   /** Handles a wait for the turn of a queued lease, of a decode or a prefill runner. */
-  handleWait(id: messages.LeaseId, signal: AbortSignal): Promise<messages.Turn> | messages.Turn {
-    const entry = this.#runners.get(id.runner);
-    const lease = entry?.decode?.findLease(id.id) ?? entry?.prefill?.findLease(id.id);
-    if (lease?.attempt !== id.attempt) return { turn: false, known: false, share: false };
+  handleWait(
+    { runner, key, attempt }: messages.LeaseId,
+    signal: AbortSignal,
+  ): Promise<messages.Turn> | messages.Turn {
+    const lease = this.#findByKey(runner, key);
+    if (lease?.attempt !== attempt) return { turn: false, known: false, share: false };
     if (lease.sentAt !== undefined) return { turn: true, known: true, share: false };
     return new Promise((resolve) => {
       lease.onTurn = resolve;
@@ -123,37 +133,57 @@
 
   /** Handles changes of leases. */
   handleChanges(changes: readonly messages.LeaseChange[]): void {
-    for (const { runner, id, attempt, phase, tokens } of changes) {
+    for (const { runner, key, attempt, phase, tokens } of changes) {
       const entry = this.#runners.get(runner);
+      const id = this.#findByKey(runner, key)?.id;
+      if (entry === undefined || id === undefined) continue;
       if (phase === undefined) {
-        entry?.decode?.release(id, attempt);
-        entry?.prefill?.release(id, attempt);
+        (entry.decode ?? entry.prefill)?.release(id, attempt);
       } else if (phase === messages.PHASE.running) {
-        entry?.decode?.setPhase(id, attempt, phase);
-        entry?.prefill?.recordEnd(id, attempt, tokens);
+        entry.decode?.setPhase(id, attempt, phase);
+        entry.prefill?.recordEnd(id, attempt, tokens);
       }
     }
     for (const entry of this.#runners.values()) entry.decode?.startQueued();
   }
 
-  /** Handles what a holder says it holds: adopts the unknown, releases the missing. */
+  /** Handles what a holder says it holds: releases the missing, and asks for the unknown. */
   handleReport(
-    leases: readonly messages.HeldLease[],
-    gaps: readonly messages.RunnerGap[],
+    { leases, gaps }: messages.LeaseReport,
     from: network.PeerIdentity,
-  ): { views: messages.RunnerView[]; revoked: messages.LeaseId[] } {
+  ): messages.ReportAnswer {
     for (const { runner, gapMs } of gaps) this.#runners.get(runner)?.gaps.record(gapMs);
-    const revoked: messages.LeaseId[] = [];
+    const answer: messages.ReportAnswer = { views: this.listViews(), revoked: [], unknown: [] };
     const held = new Set<string>();
-    for (const lease of leases) {
-      const entry = this.#runners.get(lease.runner);
+    for (const { runner, key, attempt, phase } of leases) {
+      const entry = this.#runners.get(runner);
       if (entry === undefined) continue;
-      const adopted = (entry.decode ?? entry.prefill)?.addReported(lease, from) ?? false;
-      if (adopted) held.add(`${lease.runner}\n${lease.id}`);
-      else revoked.push({ runner: lease.runner, id: lease.id, attempt: lease.attempt });
+      const lease = this.#findByKey(runner, key);
+      if (lease !== undefined && lease.attempt > attempt) {
+        answer.revoked.push({ runner, key, attempt });
+      } else if (lease?.attempt === attempt && lease.holder.vm === from.vm) {
+        held.add(`${runner}\n${lease.id}`);
+        entry.decode?.setPhase(lease.id, attempt, phase);
+      } else {
+        answer.unknown.push({ runner, key, attempt });
+      }
     }
     this.#releaseMissing(from, held);
-    return { views: this.listViews(), revoked };
+    return answer;
+  }
+
+  /** Handles leases that their holder tells in full. Returns those that a newer attempt replaced. */
+  handleAdd(
+    leases: readonly messages.HeldLease[],
+    from: network.PeerIdentity,
+  ): readonly messages.LeaseId[] {
+    return leases
+      .filter((lease) => {
+        const entry = this.#runners.get(lease.runner);
+        const ledger = entry?.decode ?? entry?.prefill;
+        return ledger !== undefined && !ledger.addReported(lease, from);
+      })
+      .map(({ runner, id, attempt }) => createLeaseId(runner, id, attempt));
   }
 
   /** Releases an older attempt wherever it is, and cancels it at the engine. */
@@ -167,8 +197,8 @@
   }
 
   /** Releases and cancels everything that a holder had. */
-  removeHolder(isLost: (holder: network.PeerIdentity) => boolean): readonly messages.LeaseId[] {
-    const removed: messages.LeaseId[] = [];
+  removeHolder(isLost: (holder: network.PeerIdentity) => boolean): readonly RemovedLease[] {
+    const removed: RemovedLease[] = [];
     for (const entry of this.#runners.values()) {
       for (const lease of allocatedRunners.listEntryLeases(entry)) {
         if (!isLost(lease.holder)) continue;
@@ -223,11 +253,17 @@
     lease: decodeLeases.DecodeLease,
     attempt: number,
   ): void {
-    const { id } = lease.request;
-    this.#parts.sendRevoke(lease.holder, [
-      { runner: entry.runner.name, id, attempt: lease.request.attempt },
-    ]);
-    this.#parts.cancel(entry.runner, id, attempt - 1);
+    const leaseId = createLeaseId(entry.runner.name, lease.id, lease.attempt);
+    this.#parts.sendRevoke(lease.holder, [leaseId]);
+    this.#parts.cancel(entry.runner, lease.id, attempt - 1);
+  }
+
+  #findByKey(
+    runner: string,
+    key: string,
+  ): decodeLeases.DecodeLease | prefillLedgers.PrefillLease | undefined {
+    const entry = this.#runners.get(runner);
+    return (entry?.decode ?? entry?.prefill)?.findByKey(key);
   }
 
   #findBetter(request: messages.LeaseRequest): string | undefined {
@@ -255,3 +291,7 @@
     }
   }
 }
+
+function createLeaseId(runner: string, id: string, attempt: number): messages.LeaseId {
+  return { runner, key: leaseMaps.computeLeaseKey(id), attempt };
+}
--- a/src/capacity/capacity.ts
+++ b/src/capacity/capacity.ts
@@ -182,9 +182,10 @@
       allocator.handleChanges(changes);
       return {};
     });
-    peers.onCall(messages.REPORT_LEASES, ({ leases, gaps }, from) =>
-      allocator.handleReport(leases, gaps, from),
-    );
+    peers.onCall(messages.REPORT_LEASES, (report, from) => allocator.handleReport(report, from));
+    peers.onCall(messages.ADD_LEASES, ({ leases }, from) => ({
+      revoked: [...allocator.handleAdd(leases, from)],
+    }));
     peers.onCall(messages.REVOKE_LEASES, ({ leases }) => {
       this.#holdings.handleRevoke(leases);
       return {};
--- a/src/capacity/decode-lease.ts
+++ b/src/capacity/decode-lease.ts
@@ -4,6 +4,7 @@
 
 /** A lease in the ledger. */
 export interface DecodeLease {
+  readonly id: string;
   readonly request: messages.LeaseRequest;
   readonly attempt: number;
   readonly holder: network.PeerIdentity;
@@ -32,6 +33,7 @@
   now: number,
 ): DecodeLease {
   return {
+    id: request.id,
     request,
     attempt: request.attempt,
     holder,
@@ -58,6 +60,7 @@
     leadMs: 0,
   };
   return {
+    id: held.id,
     request,
     attempt: held.attempt,
     holder,
--- a/src/capacity/decode-ledger.ts
+++ b/src/capacity/decode-ledger.ts
@@ -4,6 +4,7 @@
 import type * as catalogs from "./catalog.js";
 import * as decodeLeases from "./decode-lease.js";
 import * as estimates from "./estimates.js";
+import * as leaseMaps from "./lease-map.js";
 import * as messages from "./messages.js";
 import type * as occupancy from "./occupancy.js";
 import type * as policies from "./policy.js";
@@ -37,7 +38,7 @@
 /** Ledger of one decode runner. */
 export class DecodeLedger {
   readonly #parts: LedgerParts;
-  readonly #leases = new Map<string, decodeLeases.DecodeLease>();
+  readonly #leases = new leaseMaps.LeaseMap<decodeLeases.DecodeLease>();
   readonly #life = new estimates.Estimate(0.05);
   readonly #lead = new estimates.Estimate();
   #refusals = 0;
@@ -49,17 +50,22 @@
 
   /** Returns the lease of a request. */
   findLease(id: string): decodeLeases.DecodeLease | undefined {
-    return this.#leases.get(id);
+    return this.#leases.find(id);
+  }
+
+  /** Returns the lease with that key. */
+  findByKey(key: string): decodeLeases.DecodeLease | undefined {
+    return this.#leases.findByKey(key);
   }
 
   /** Returns all leases. */
   listLeases(): readonly decodeLeases.DecodeLease[] {
-    return [...this.#leases.values()];
+    return [...this.#leases.list()];
   }
 
   /** Decides on a request for a lease; a newer attempt takes the place of an older one. */
   grant(request: messages.LeaseRequest, holder: network.PeerIdentity): decodeLeases.Decision {
-    const known = this.#leases.get(request.id);
+    const known = this.#leases.find(request.id);
     if (known !== undefined && known.request.attempt >= request.attempt) {
       return this.#createKnownAnswer(known, request, holder);
     }
@@ -78,7 +84,7 @@
   /** Adds a lease that its holder reports and this ledger does not know. */
   addReported(held: messages.HeldLease, holder: network.PeerIdentity): boolean {
     const now = this.#parts.clock.now();
-    const known = this.#leases.get(held.id);
+    const known = this.#leases.find(held.id);
     if (known !== undefined && known.request.attempt > held.attempt) return false;
     if (known?.request.attempt === held.attempt && known.holder.vm === holder.vm) {
       if (held.phase > known.phase) this.setPhase(held.id, held.attempt, held.phase);
@@ -90,7 +96,7 @@
 
   /** Records that a lease reached a later phase. */
   setPhase(id: string, attempt: number, phase: messages.Phase): void {
-    const lease = this.#leases.get(id);
+    const lease = this.#leases.find(id);
     if (lease?.request.attempt !== attempt || phase <= lease.phase) return;
     const now = this.#parts.clock.now();
     lease.phase = phase;
@@ -99,12 +105,12 @@
 
   /** Releases a lease of that attempt or an older one, and starts whom that makes room for. */
   release(id: string, attempt: number): void {
-    const lease = this.#leases.get(id);
+    const lease = this.#leases.find(id);
     if (lease === undefined || lease.request.attempt > attempt) return;
     if (lease.phase === messages.PHASE.running) {
       this.#life.add(this.#parts.clock.now() - lease.phaseAt);
     }
-    this.#leases.delete(id);
+    this.#leases.remove(id);
     this.#parts.occupancy.recordRelease(id);
     lease.onTurn?.({ turn: false, known: false, share: false });
     this.startQueued();
@@ -217,7 +223,7 @@
 
   #refuseQueued(lease: decodeLeases.DecodeLease, turn: messages.Turn): void {
     const isOver = this.#parts.policy.shares && this.#parts.shares.isExceeded(lease.request.caller);
-    this.#leases.delete(lease.request.id);
+    this.#leases.remove(lease.request.id);
     lease.onTurn?.(isOver ? NO_SHARE : turn);
   }
 
@@ -232,14 +238,14 @@
 
   #countPhase(...phases: readonly messages.Phase[]): number {
     let count = 0;
-    for (const lease of this.#leases.values()) if (phases.includes(lease.phase)) count += 1;
+    for (const lease of this.#leases.list()) if (phases.includes(lease.phase)) count += 1;
     return count;
   }
 
   #hasRoom(request: messages.LeaseRequest): boolean {
     if (!this.#parts.occupancy.available || this.countFree() < 1) return false;
     let pieces = request.pieces + this.#parts.occupancy.countForeignPieces();
-    for (const lease of this.#leases.values()) {
+    for (const lease of this.#leases.list()) {
       if (lease.phase !== messages.PHASE.queued) pieces += lease.request.pieces;
     }
     return pieces <= this.#parts.runner.pieces;
--- a/src/capacity/holdings.ts
+++ b/src/capacity/holdings.ts
@@ -10,6 +10,7 @@
 export interface Holding {
   readonly runner: string;
   readonly id: string;
+  readonly key: string;
   readonly attempt: number;
   readonly caller: string;
   readonly share: number;
@@ -45,16 +46,16 @@
 
   /** Adds a granted lease. */
   add(holding: Holding): void {
-    this.#held.set(createKey(holding.runner, holding.id, holding.attempt), holding);
+    this.#held.set(createMapKey(holding), holding);
   }
 
   /** Moves a lease to a later phase and tells its allocator, with the tokens computed so far. */
   setPhase(holding: Holding, phase: messages.Phase, tokens?: number): void {
     holding.phase = phase;
-    if (this.#held.get(createKey(holding.runner, holding.id, holding.attempt)) !== holding) return;
+    if (this.#held.get(createMapKey(holding)) !== holding) return;
     this.#pushChange({
       runner: holding.runner,
-      id: holding.id,
+      key: holding.key,
       attempt: holding.attempt,
       phase,
       tokens,
@@ -63,39 +64,47 @@
 
   /** Gives a lease back. Safe to repeat. */
   release(holding: Holding): void {
-    const key = createKey(holding.runner, holding.id, holding.attempt);
-    if (this.#held.get(key) !== holding) return;
-    this.#held.delete(key);
-    this.#pushChange({ runner: holding.runner, id: holding.id, attempt: holding.attempt });
+    const mapKey = createMapKey(holding);
+    if (this.#held.get(mapKey) !== holding) return;
+    this.#held.delete(mapKey);
+    const { runner, key, attempt } = holding;
+    this.#pushChange({ runner, key, attempt });
   }
 
   /** Ends leases that their allocator took back. */
   handleRevoke(leases: readonly messages.LeaseId[]): void {
-    for (const { runner, id, attempt } of leases) {
-      const key = createKey(runner, id, attempt);
-      const holding = this.#held.get(key);
-      this.#held.delete(key);
+    for (const lease of leases) {
+      const mapKey = createMapKey(lease);
+      const holding = this.#held.get(mapKey);
+      this.#held.delete(mapKey);
       holding?.onRevoke();
     }
   }
 
-  /** Returns what is held, as reported to allocators. */
-  listHeld(): readonly messages.HeldLease[] {
-    const now = this.#clock.now();
-    return [...this.#held.values()].map((holding) => ({
-      runner: holding.runner,
-      id: holding.id,
-      attempt: holding.attempt,
-      caller: holding.caller,
-      share: holding.share,
-      priority: holding.priority,
-      pieces: holding.pieces,
-      tokens: holding.tokens,
-      phase: holding.phase,
-      ageMs: now - holding.grantedAt,
+  /** Returns what is held, as reported to allocators each period. */
+  listHeld(): readonly messages.ReportedLease[] {
+    return [...this.#held.values()].map(({ runner, key, attempt, phase }) => ({
+      runner,
+      key,
+      attempt,
+      phase,
     }));
   }
 
+  /** Returns held leases in full, for an allocator that does not know them. */
+  listInFull(leases: readonly messages.LeaseId[]): messages.HeldLease[] {
+    const now = this.#clock.now();
+    const full: messages.HeldLease[] = [];
+    for (const lease of leases) {
+      const holding = this.#held.get(createMapKey(lease));
+      if (holding === undefined) continue;
+      const { runner, id, attempt, caller, share, priority, pieces, tokens, phase } = holding;
+      const ageMs = now - holding.grantedAt;
+      full.push({ runner, id, attempt, caller, share, priority, pieces, tokens, phase, ageMs });
+    }
+    return full;
+  }
+
   [Symbol.dispose](): void {
     this.#cancelFlush?.();
     this.#sendAll();
@@ -116,6 +125,6 @@
   }
 }
 
-function createKey(runner: string, id: string, attempt: number): string {
-  return `${runner}\n${id}\n${attempt}`;
+function createMapKey({ runner, key, attempt }: messages.LeaseId): string {
+  return `${runner}\n${key}\n${attempt}`;
 }
--- a/src/capacity/lease-messenger.ts
+++ b/src/capacity/lease-messenger.ts
@@ -25,12 +25,6 @@
   readonly findAllocator: (runner: string) => string | undefined;
 }
 
-/** What a holder tells an allocator each period. */
-interface LeaseReport {
-  leases: messages.HeldLease[];
-  gaps: messages.RunnerGap[];
-}
-
 /** Sends what this node holds; what is lost on the way is repaired by the next report. */
 export class LeaseMessenger {
   readonly #parts: MessengerParts;
@@ -89,13 +83,17 @@
     }
   }
 
-  async #sendReport(vm: string, report: LeaseReport): Promise<void> {
+  async #sendReport(vm: string, report: messages.LeaseReport): Promise<void> {
     const { holdings: held, network: peers, views: known } = this.#parts;
     try {
       const options = { timeoutMs: CALL_TIMEOUT_MS, signal: this.#signal };
       const reply = await peers.call(vm, messages.REPORT_LEASES, report, options);
       known.update(reply.views);
       held.handleRevoke(reply.revoked);
+      const leases = held.listInFull(reply.unknown);
+      if (leases.length === 0) return;
+      const added = await peers.call(vm, messages.ADD_LEASES, { leases }, options);
+      held.handleRevoke(added.revoked);
     } catch {
       // The next period's report repeats it.
     }
--- a/src/capacity/lease-requests.ts
+++ b/src/capacity/lease-requests.ts
@@ -3,6 +3,7 @@
 import type * as allocatorCalls from "./allocator-calls.js";
 import type * as catalogs from "./catalog.js";
 import type * as holdings from "./holdings.js";
+import * as leaseMaps from "./lease-map.js";
 import * as messages from "./messages.js";
 import type * as reservations from "./reservation.js";
 import type * as views from "./runner-views.js";
@@ -145,5 +146,6 @@
   now: number,
 ): holdings.Holding {
   const { id, attempt, caller, share, priority } = demand;
-  return { ...details, id, attempt, caller, share, priority, grantedAt: now };
+  const key = leaseMaps.computeLeaseKey(id);
+  return { ...details, id, key, attempt, caller, share, priority, grantedAt: now };
 }
--- a/src/capacity/leasing.ts
+++ b/src/capacity/leasing.ts
@@ -152,8 +152,8 @@
     { holding, startBy }: Pick<reservations.DecodeGrant, "holding" | "startBy">,
     signal: AbortSignal,
   ): Promise<messages.Turn> {
-    const { runner, id, attempt } = holding;
-    return this.#parts.calls.waitTurn({ runner, id, attempt, startBy }, signal);
+    const { runner, key, attempt } = holding;
+    return this.#parts.calls.waitTurn({ runner, key, attempt, startBy }, signal);
   }
 
   #createTurnError(turn: messages.Turn): resultCodes.RequestError {
--- a/src/capacity/messages.ts
+++ b/src/capacity/messages.ts
@@ -8,6 +8,8 @@
 const text = zod.string().max(500);
 const requestId = zod.string().max(1000);
 const duration = zod.number();
+/** Short name of a request's lease: `computeLeaseKey` of its id. */
+const key = zod.string().max(16);
 const attempt = zod.int().min(1);
 
 /** Phase of a lease: waiting for its turn, prefilling or transferring, generating. */
@@ -87,7 +89,7 @@
 /** What a node asks of a prefill runner's allocator. */
 export type PrefillRequest = zod.infer<typeof prefillRequest>;
 
-const leaseId = zod.object({ runner: text, id: requestId, attempt });
+const leaseId = zod.object({ runner: text, key, attempt });
 
 /** Names a lease. */
 export type LeaseId = zod.infer<typeof leaseId>;
@@ -99,7 +101,7 @@
 
 const change = zod.object({
   runner: text,
-  id: requestId,
+  key,
   attempt,
   phase: phase.optional(),
   /** Prompt tokens that were computed and not cached. */
@@ -124,9 +126,14 @@
   ageMs: duration,
 });
 
-/** A lease as its holder reports it. */
+/** A lease in full, as its holder tells it to an allocator that does not know it. */
 export type HeldLease = zod.infer<typeof heldLease>;
 
+const reportedLease = zod.object({ runner: text, key, attempt, phase });
+
+/** A lease as its holder reports it each period. */
+export type ReportedLease = zod.infer<typeof reportedLease>;
+
 const runnerView = zod.object({
   runner: text,
   /** Expected wait for a turn. */
@@ -150,6 +157,24 @@
 /** Mean gap between tokens at a runner, as a holder observed it since its last report. */
 export type RunnerGap = zod.infer<typeof runnerGap>;
 
+const leaseReport = zod.object({
+  leases: zod.array(reportedLease).max(MAX_BATCH),
+  gaps: zod.array(runnerGap).max(MAX_BATCH),
+});
+
+/** What a holder tells an allocator each period. */
+export type LeaseReport = zod.infer<typeof leaseReport>;
+
+const reportAnswer = zod.object({
+  views: zod.array(runnerView),
+  revoked: zod.array(leaseId),
+  /** Leases to be told in full. */
+  unknown: zod.array(leaseId),
+});
+
+/** What an allocator answers. */
+export type ReportAnswer = zod.infer<typeof reportAnswer>;
+
 /** Asks for a decode slot and pieces. */
 export const LEASE_DECODE = network.createPeerCall(60, "leaseDecode", leaseRequest, answer);
 /** Waits until a queued decode lease may start its prefill. */
@@ -164,14 +189,13 @@
   zod.object({}),
 );
 /** Tells everything that the sender holds of the receiver; answers with views and lost leases. */
-export const REPORT_LEASES = network.createPeerCall(
-  64,
-  "reportLeases",
-  zod.object({
-    leases: zod.array(heldLease).max(MAX_BATCH),
-    gaps: zod.array(runnerGap).max(MAX_BATCH),
-  }),
-  zod.object({ views: zod.array(runnerView), revoked: zod.array(leaseId) }),
+export const REPORT_LEASES = network.createPeerCall(64, "reportLeases", leaseReport, reportAnswer);
+/** Tells leases in full to an allocator that does not know them; answers with those it refuses. */
+export const ADD_LEASES = network.createPeerCall(
+  67,
+  "addLeases",
+  zod.object({ leases: zod.array(heldLease).max(MAX_BATCH) }),
+  zod.object({ revoked: zod.array(leaseId) }),
 );
 /** Takes leases back from their holder. */
 export const REVOKE_LEASES = network.createPeerCall(
--- a/src/capacity/prefill-ledger.ts
+++ b/src/capacity/prefill-ledger.ts
@@ -3,6 +3,7 @@
 import type * as network from "../protocol/network.js";
 import type * as catalogs from "./catalog.js";
 import * as estimates from "./estimates.js";
+import * as leaseMaps from "./lease-map.js";
 import * as messages from "./messages.js";
 import type * as occupancy from "./occupancy.js";
 
@@ -38,7 +39,7 @@
   readonly #runner: catalogs.CatalogRunner;
   readonly #clock: clocks.Clock;
   readonly #occupancy: occupancy.Occupancy;
-  readonly #leases = new Map<string, PrefillLease>();
+  readonly #leases = new leaseMaps.LeaseMap<PrefillLease>();
   #lastEndAt = 0;
   readonly #slowness = new estimates.Estimate();
 
@@ -57,14 +58,19 @@
     return Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, this.#slowness.mean ?? 1));
   }
 
+  /** Returns the lease with that key. */
+  findByKey(key: string): PrefillLease | undefined {
+    return this.#leases.findByKey(key);
+  }
+
   /** Returns all leases. */
   listLeases(): readonly PrefillLease[] {
-    return [...this.#leases.values()];
+    return [...this.#leases.list()];
   }
 
   /** Returns the lease of a request. */
   findLease(id: string): PrefillLease | undefined {
-    return this.#leases.get(id);
+    return this.#leases.find(id);
   }
 
   /** Expected wait before a new prefill starts. */
@@ -72,7 +78,7 @@
     const now = this.#clock.now();
     let waitMs = 0;
     let isFirst = true;
-    for (const lease of this.#leases.values()) {
+    for (const lease of this.#leases.list()) {
       waitMs += isFirst ? this.#computeRemaining(lease, now) : lease.workMs;
       isFirst = false;
     }
@@ -88,11 +94,11 @@
     if (!this.#occupancy.available) {
       return messages.createRefusal(messages.REFUSAL.unavailable, this.#occupancy.retryAfterMs);
     }
-    const known = this.#leases.get(request.id);
+    const known = this.#leases.find(request.id);
     if (known !== undefined && known.attempt > request.attempt) {
       return messages.createRefusal(messages.REFUSAL.overloaded, MIN_RETRY_MS);
     }
-    this.#leases.delete(request.id);
+    this.#leases.remove(request.id);
     const waitMs = this.computeWait();
     const workMs = this.#computeWork(tokens);
     const lateMs = waitMs + workMs - request.endWithinMs;
@@ -107,7 +113,7 @@
 
   /** Adds a lease that its holder reports and this ledger does not know. */
   addReported(held: messages.HeldLease, holder: network.PeerIdentity): boolean {
-    const known = this.#leases.get(held.id);
+    const known = this.#leases.find(held.id);
     if (known !== undefined && known.attempt > held.attempt) return false;
     if (known?.attempt === held.attempt) return true;
     this.#addLease(held, held.tokens, holder).sentAt = this.#clock.now();
@@ -116,7 +122,7 @@
 
   /** Ends a lease whose prefill ended now, and learns from its time. */
   recordEnd(id: string, attempt: number, tokens?: number): void {
-    const lease = this.#leases.get(id);
+    const lease = this.#leases.find(id);
     if (lease?.attempt !== attempt) return;
     const now = this.#clock.now();
     const nominalMs = ((tokens ?? lease.tokens) / this.#runner.prefillTokensPerSecond) * 1000;
@@ -130,9 +136,9 @@
 
   /** Releases a lease of that attempt or an older one. */
   release(id: string, attempt: number): void {
-    const lease = this.#leases.get(id);
+    const lease = this.#leases.find(id);
     if (lease === undefined || lease.attempt > attempt) return;
-    this.#leases.delete(id);
+    this.#leases.remove(id);
     lease.onTurn?.({ turn: false, known: false, share: false });
     this.#startQueued();
   }
@@ -159,7 +165,7 @@
   /** Lets the next prefills go, in the order of their grants. */
   #startQueued(): void {
     let sent = 0;
-    for (const lease of this.#leases.values()) {
+    for (const lease of this.#leases.list()) {
       if (sent >= MAX_SENT) return;
       sent += 1;
       if (lease.sentAt !== undefined) continue;
