--- a/bench/leased-router.ts
+++ b/bench/leased-router.ts
@@ -34,7 +34,7 @@
   constructor(world: scenario.World, options: LeasedOptions) {
     this.#world = world;
     this.#fleet = new localFleet.LocalFleet(world.clock, scenario.FLEET.messageDelayMs);
-    for (let index = 0; index < scenario.FLEET.nodes; index += 1) {
+    for (let index = 0; index < world.nodes; index += 1) {
       this.#addNode(index, options);
     }
   }
@@ -84,9 +84,9 @@
 
   /** Node that the caller reaches; callers of a stopped one use the next. */
   #findNode(chosen: number): number {
-    let index = chosen % scenario.FLEET.nodes;
+    let index = chosen % this.#world.nodes;
     while (this.#stopped.get(index)?.signal.aborted === true)
-      index = (index + 1) % scenario.FLEET.nodes;
+      index = (index + 1) % this.#world.nodes;
     return index;
   }
 
@@ -177,6 +177,10 @@
       }
       return hasEnded;
     } catch {
+      if (prefill.down) {
+        exclude.push(prefill.name);
+        reservation.recordFailure(prefill.name);
+      }
       return false;
     } finally {
       end.removeEventListener("abort", onEnd);
--- a/bench/model-engine-client.ts
+++ b/bench/model-engine-client.ts
@@ -87,7 +87,8 @@
     },
     readCacheEvents: () => Promise.resolve([]),
     readLoad: (runner) => {
-      const isDown = world.decodes.some(({ name, down }) => name === runner.name && down);
+      const runners = [...world.prefills, ...world.decodes];
+      const isDown = runners.some(({ name, down }) => name === runner.name && down);
       const load = history.find(runner.name);
       if (isDown || load === undefined) return Promise.reject(new Error("runner is down"));
       return Promise.resolve(load);
--- a/bench/model-prefill.ts
+++ b/bench/model-prefill.ts
@@ -59,6 +59,16 @@
     job?.reject(new upstream.UpstreamError(upstream.UPSTREAM_FAILURE.broken, "cancelled"));
   }
 
+  /** Loses everything at once and refuses connections. */
+  stop(): void {
+    this.down = true;
+    const jobs = this.#running === undefined ? this.#queue : [this.#running, ...this.#queue];
+    for (const job of jobs) {
+      job.reject(new upstream.UpstreamError(upstream.UPSTREAM_FAILURE.broken, "stopped"));
+    }
+    this.#queue.length = 0;
+  }
+
   #startNext(): void {
     if (this.#running !== undefined) return;
     const job = this.#queue.shift();
--- a/bench/naive-router.ts
+++ b/bench/naive-router.ts
@@ -22,7 +22,9 @@
       next.set(node, turn + 1);
       const prefill = world.prefills[turn % world.prefills.length];
       if (prefill === undefined) return;
-      const result = await requestRun.runPrefill(outcome, world, prefill);
+      const result = await requestRun.runPrefill(outcome, world, prefill).catch(() => undefined);
+      outcome.failed = result === undefined;
+      if (result === undefined) return;
       const [decode] = world.decodes
         .filter((runner) => !late.get(runner.name).down)
         .sort((a, b) => late.get(a.name).load - late.get(b.name).load);
--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -12,6 +12,7 @@
 const FAULT_LOADS = [0.9, 1.2];
 const SEEDS = [1, 2, 3];
 const QUICK_LOADS = [0.9, 1.5];
+const CONTROL_NODES = [8, 16, 32, 64];
 const QUICK_MEASURED_MS = 20_000;
 
 const POLICIES: readonly simulation.PolicyChoice[] = [
@@ -45,6 +46,7 @@
   readonly loads: readonly number[];
   readonly seeds: readonly number[];
   readonly measuredMs: number;
+  readonly nodes?: number;
 }
 
 async function runPlan(plan: Plan): Promise<void> {
@@ -53,22 +55,35 @@
       for (const policy of plan.policies) {
         const runs: simulation.RunFigures[] = [];
         for (const seed of plan.seeds) {
-          const { measuredMs } = plan;
-          runs.push(await simulation.runSimulation({ policy, load, faultCase, seed, measuredMs }));
+          const { measuredMs, nodes } = plan;
+          const options = { policy, load, faultCase, seed, measuredMs, nodes };
+          runs.push(await simulation.runSimulation(options));
         }
-        printLine(faultCase.name, policy.name, load, runs);
+        printLine({ case: faultCase.name, policy: policy.name, load, nodes: plan.nodes }, runs);
       }
     }
   }
 }
 
+/** Runs our policy without faults on ever more nodes, the callers' requests the same. */
+async function runControl(): Promise<void> {
+  for (const nodes of CONTROL_NODES) {
+    await runPlan({
+      policies: POLICIES.filter(({ kind }) => kind === "ours"),
+      cases: scenario.CASES.slice(0, 1),
+      loads: [0.9],
+      seeds: SEEDS.slice(0, 1),
+      measuredMs: QUICK_MEASURED_MS,
+      nodes,
+    });
+  }
+}
+
 function printLine(
-  faultCase: string,
-  policy: string,
-  load: number,
+  names: Readonly<Record<string, unknown>>,
   runs: readonly simulation.RunFigures[],
 ): void {
-  const line: Record<string, unknown> = { case: faultCase, policy, load };
+  const line: Record<string, unknown> = { ...names };
   for (const figure of Object.keys(runs[0] ?? {}) as Figure[]) {
     line[figure] = computeMedian(runs.map((run) => run[figure]));
   }
@@ -92,6 +107,7 @@
   args: {
     quick: cmd.flag({ long: "quick", description: "few loads, one seed, a short time" }),
     ablation: cmd.flag({ long: "ablation", description: "our policy without one term each" }),
+    control: cmd.flag({ long: "control", description: "cost of control by number of nodes" }),
     only: cmd.option({
       long: "only",
       type: cmd.optional(cmd.string),
@@ -103,7 +119,11 @@
       description: "only this policy",
     }),
   },
-  handler: async ({ quick, ablation, only, policy }) => {
+  handler: async ({ quick, ablation, control, only, policy }) => {
+    if (control) {
+      await runControl();
+      return;
+    }
     const policies = (ablation ? ABLATIONS : POLICIES).filter(
       ({ name }) => policy === undefined || name === policy,
     );
--- a/bench/scenario.ts
+++ b/bench/scenario.ts
@@ -38,6 +38,8 @@
 
 /** The runners of one run. */
 export interface World {
+  /** Number of router nodes. */
+  readonly nodes: number;
   readonly clock: virtualClock.VirtualClock;
   readonly prefills: readonly modelPrefill.ModelPrefill[];
   readonly decodes: readonly modelDecode.ModelDecode[];
@@ -87,6 +89,15 @@
       });
     },
   },
+  {
+    ...NO_FAULT,
+    name: "prefill runner lost",
+    schedule: ({ clock, prefills }) => {
+      clock.schedule(FAULT_AT_MS, () => {
+        prefills[0]?.stop();
+      });
+    },
+  },
   {
     ...NO_FAULT,
     name: "allocator killed",
@@ -138,10 +149,11 @@
 ];
 
 /** Creates the runners of a run. */
-export function createWorld(clock: virtualClock.VirtualClock): World {
+export function createWorld(clock: virtualClock.VirtualClock, nodes: number): World {
   const links = new modelLinks.ModelLinks(clock, RUNNER_MODEL);
   const getZone = (index: number): string => FLEET.zones[index % FLEET.zones.length] ?? "";
   return {
+    nodes,
     clock,
     links,
     promised: new Map(),
--- a/bench/simulation.ts
+++ b/bench/simulation.ts
@@ -27,6 +27,8 @@
   readonly faultCase: scenario.FaultCase;
   readonly seed: number;
   readonly measuredMs: number;
+  /** Router nodes; 8 without it. */
+  readonly nodes?: number;
   /** Called with what came of each arrival. */
   readonly onOutcomes?: (outcomes: readonly requestRun.Outcome[]) => void;
 }
@@ -50,6 +52,9 @@
   /** Control messages between nodes, and their bytes. */
   readonly messagesPerRequest: number;
   readonly bytesPerRequest: number;
+  /** The same for each node in a second, requests included. */
+  readonly messagesPerNodeSecond: number;
+  readonly bytesPerNodeSecond: number;
 }
 
 /** Mean output tokens of the workload, from a sample. */
@@ -59,7 +64,7 @@
 export async function runSimulation(options: RunOptions): Promise<RunFigures> {
   const { faultCase, load, seed, measuredMs } = options;
   const clock = new virtualClock.VirtualClock();
-  const world = scenario.createWorld(clock);
+  const world = scenario.createWorld(clock, options.nodes ?? scenario.FLEET.nodes);
   await using router = createRouter(options, world);
   await router.start();
   const fullBound = scenario.computeBound(MEAN_OUTPUT_TOKENS, scenario.FLEET.decodeRunners);
@@ -117,6 +122,7 @@
 ): RunFigures {
   const { warmupMs } = scenario.TIMES;
   const seconds = options.measuredMs / MS_PER_SECOND;
+  const arrivalSeconds = seconds + warmupMs / MS_PER_SECOND;
   const counted = all.filter(({ arrival }) => arrival.at >= warmupMs);
   const offered = counted.filter((outcome) => !outcome.left);
   const good = counted.filter(requestRun.isGood);
@@ -139,6 +145,8 @@
     wellBehavedGood: normal.filter(requestRun.isGood).length / normal.length,
     messagesPerRequest: router.countMessages() / all.length,
     bytesPerRequest: router.countBytes() / all.length,
+    messagesPerNodeSecond: router.countMessages() / world.nodes / arrivalSeconds,
+    bytesPerNodeSecond: router.countBytes() / world.nodes / arrivalSeconds,
   };
 }
 
--- a/bench/strong-router.ts
+++ b/bench/strong-router.ts
@@ -35,7 +35,8 @@
   }
 
   choosePrefill(): modelPrefill.ModelPrefill | undefined {
-    return this.#chooseOfTwo(this.#world.prefills, (runner) => this.computePrefillWait(runner));
+    const usable = this.#world.prefills.filter((runner) => !this.#late.get(runner.name).down);
+    return this.#chooseOfTwo(usable, (runner) => this.computePrefillWait(runner));
   }
 
   chooseDecode(): modelDecode.ModelDecode | undefined {
@@ -94,7 +95,7 @@
   lifeMs: number,
 ): routers.Router {
   const nodes = Array.from(
-    { length: scenario.FLEET.nodes },
+    { length: world.nodes },
     (_, index) => new StrongNode(world, late, index + 1, lifeMs),
   );
   return {
