--- a/src/capacity/capacity.ts
+++ b/src/capacity/capacity.ts
@@ -108,7 +108,7 @@
       this.#membership.onChange((member) => {
         this.#allocatorCache.clear();
         this.#upkeep.handleMember(member);
-        void this.#messenger.sendReports();
+        this.#messenger.scheduleReports();
       }),
     );
   }
--- a/src/capacity/lease-messenger.ts
+++ b/src/capacity/lease-messenger.ts
@@ -11,6 +11,8 @@
 import type * as views from "./runner-views.js";
 
 const CALL_TIMEOUT_MS = 500;
+/** How long changes of members are collected into one report. */
+const REPORT_DELAY_MS = 20;
 
 /** What the messenger works with. */
 export interface MessengerParts {
@@ -29,10 +31,12 @@
 export class LeaseMessenger {
   readonly #parts: MessengerParts;
   readonly #signal: AbortSignal;
+  #cancelReports: (() => void) | undefined;
 
   constructor(parts: MessengerParts, signal: AbortSignal) {
     this.#parts = parts;
     this.#signal = signal;
+    signal.addEventListener("abort", () => this.#cancelReports?.(), { once: true });
   }
 
   /** Reports each period until the service stops. */
@@ -48,6 +52,14 @@
     }
   }
 
+  /** Reports soon, for allocators may have changed. */
+  scheduleReports(): void {
+    this.#cancelReports ??= this.#parts.clock.schedule(REPORT_DELAY_MS, () => {
+      this.#cancelReports = undefined;
+      if (!this.#signal.aborted) void this.sendReports();
+    });
+  }
+
   /** Tells each allocator what this node holds of it and observed of its runners. */
   async sendReports(): Promise<void> {
     const { holdings: held, health: observed, getCatalog, findAllocator } = this.#parts;
