--- a/src/settings/checked-items.ts
+++ b/src/settings/checked-items.ts
@@ -1,38 +1,35 @@
-/** Reads the valid items of a document that may have faults elsewhere. */
+/** Reads the valid fields of the items of a document that may have faults elsewhere. */
 import type * as documents from "./document.js";
 
-/** An item that is valid by itself, and its place in the section. */
+/** An item and its place in the section. */
 export interface Placed<Item> {
   readonly index: number;
   readonly item: Item;
 }
 
-/** Parsers of the items of each section; they return `undefined` for an item with faults. */
+/** Parsers of the items of each section; they leave out fields with faults. */
 export type ItemParsers = {
   readonly [Section in documents.SectionName]: (
     item: unknown,
-  ) => documents.FleetDocument[Section][number] | undefined;
+  ) => Partial<documents.FleetDocument[Section][number]> | undefined;
 };
 
-/** The valid items of each section, and the names that other items may refer to. */
+/** The items of each section with their valid fields, and the names that items may refer to. */
 export interface CheckedItems {
-  readonly regions: readonly Placed<documents.Region>[];
-  readonly callers: readonly Placed<documents.Caller>[];
-  readonly models: readonly Placed<documents.Model>[];
-  readonly pools: readonly Placed<documents.Pool>[];
-  readonly runners: readonly Placed<documents.Runner>[];
-  readonly services: readonly Placed<documents.PlainService>[];
-  readonly links: readonly Placed<documents.Link>[];
+  readonly regions: readonly Placed<Partial<documents.Region>>[];
+  readonly callers: readonly Placed<Partial<documents.Caller>>[];
+  readonly models: readonly Placed<Partial<documents.Model>>[];
+  readonly pools: readonly Placed<Partial<documents.Pool>>[];
+  readonly runners: readonly Placed<Partial<documents.Runner>>[];
+  readonly services: readonly Placed<Partial<documents.PlainService>>[];
+  readonly links: readonly Placed<Partial<documents.Link>>[];
   readonly zoneNames: ReadonlySet<string>;
   readonly modelNames: ReadonlySet<string>;
   readonly poolNames: ReadonlySet<string>;
   readonly serviceNames: ReadonlySet<string>;
 }
 
-/**
- * Reads the items that are valid by themselves. The names of the others count as known, so that
- * one fault does not bring forth more.
- */
+/** Reads the items. Names with faults count as known, so that one fault does not bring forth more. */
 export function readCheckedItems(input: unknown, parsers: ItemParsers): CheckedItems {
   const zones = listRawItems(input, "regions").flatMap((region) => listEntries(region, "zones"));
   return {
--- a/src/settings/document-references.ts
+++ b/src/settings/document-references.ts
@@ -11,8 +11,8 @@
 }
 
 /**
- * Lists the faults that span several items. An item with faults of its own is left out, but its
- * name counts as known.
+ * Lists the faults that span several items. Fields with faults of their own are left out, but
+ * their names count as known.
  *
  * @example checkReferences(input, parsers).length === 0;
  */
@@ -34,13 +34,13 @@
   const faults = checkDuplicates("regions", items.regions);
   const regionByZone = new Map<string, string>();
   items.regions.forEach(({ item: region, index: regionIndex }) => {
-    region.zones.forEach((zone, zoneIndex) => {
+    region.zones?.forEach((zone, zoneIndex) => {
       const path = `regions[${regionIndex}].zones[${zoneIndex}]`;
       const other = regionByZone.get(zone);
       if (other !== undefined) {
         faults.push({ path, reason: `zone "${zone}" already stands in region "${other}"` });
       }
-      regionByZone.set(zone, region.name);
+      regionByZone.set(zone, region.name ?? "");
     });
   });
   return faults;
@@ -51,15 +51,18 @@
   const callerByHash = new Map<string, string>();
   items.callers.forEach(({ item: caller, index: index }) => {
     const path = `callers[${index}]`;
-    faults.push(...checkKnown(`${path}.models`, "model", caller.models, items.modelNames));
-    faults.push(...checkKnown(`${path}.services`, "service", caller.services, items.serviceNames));
-    faults.push(...checkTolerance(`${path}.tolerance`, caller.tolerance));
+    faults.push(...checkKnown(`${path}.models`, "model", caller.models ?? [], items.modelNames));
+    faults.push(
+      ...checkKnown(`${path}.services`, "service", caller.services ?? [], items.serviceNames),
+    );
+    if (caller.tolerance) faults.push(...checkTolerance(`${path}.tolerance`, caller.tolerance));
+    if (caller.credentialSha256 === undefined) return;
     const other = callerByHash.get(caller.credentialSha256);
     if (other !== undefined) {
       const reason = `caller "${other}" has the same credential`;
       faults.push({ path: `${path}.credentialSha256`, reason });
     }
-    callerByHash.set(caller.credentialSha256, caller.name);
+    callerByHash.set(caller.credentialSha256, caller.name ?? "");
   });
   return faults;
 }
@@ -80,7 +83,7 @@
 function checkModels(items: checkedItems.CheckedItems): Fault[] {
   const faults = checkDuplicates("models", items.models);
   items.models.forEach(({ item: model, index: index }) => {
-    faults.push(...checkRepeated(`models[${index}].adapters`, "adapter", model.adapters));
+    faults.push(...checkRepeated(`models[${index}].adapters`, "adapter", model.adapters ?? []));
   });
   return faults;
 }
@@ -89,10 +92,12 @@
   const faults = checkDuplicates("pools", items.pools);
   items.pools.forEach(({ item: pool, index: index }) => {
     const path = `pools[${index}]`;
+    if (pool.model === undefined) return;
     if (!items.modelNames.has(pool.model)) {
       faults.push({ path: `${path}.model`, reason: `unknown model "${pool.model}"` });
       return;
     }
+    if (pool.role === undefined) return;
     const partner = pool.role === "prefill" ? "decode" : "prefill";
     const hasPartner = items.pools.some(
       ({ item: other }) => other.model === pool.model && other.role === partner,
@@ -109,10 +114,10 @@
   const faults = checkDuplicates("runners", items.runners);
   items.runners.forEach(({ item: runner, index: index }) => {
     const path = `runners[${index}]`;
-    if (!items.zoneNames.has(runner.zone)) {
+    if (runner.zone !== undefined && !items.zoneNames.has(runner.zone)) {
       faults.push({ path: `${path}.zone`, reason: `unknown zone "${runner.zone}"` });
     }
-    if (!items.poolNames.has(runner.pool)) {
+    if (runner.pool !== undefined && !items.poolNames.has(runner.pool)) {
       faults.push({ path: `${path}.pool`, reason: `unknown pool "${runner.pool}"` });
     }
   });
@@ -123,13 +128,14 @@
   const faults = checkDuplicates("services", items.services);
   items.services.forEach(({ item: service, index: index }) => {
     const path = `services[${index}]`;
-    faults.push(...checkDuplicates(`${path}.backends`, checkedItems.listPlaced(service.backends)));
-    service.backends.forEach((backend, backendIndex) => {
+    const backends = service.backends ?? [];
+    faults.push(...checkDuplicates(`${path}.backends`, checkedItems.listPlaced(backends)));
+    backends.forEach((backend, backendIndex) => {
       if (items.zoneNames.has(backend.zone)) return;
       const reason = `unknown zone "${backend.zone}"`;
       faults.push({ path: `${path}.backends[${backendIndex}].zone`, reason });
     });
-    faults.push(...checkOperations(`${path}.operations`, service.operations));
+    faults.push(...checkOperations(`${path}.operations`, service.operations ?? []));
   });
   return faults;
 }
@@ -158,9 +164,11 @@
   items.links.forEach(({ item: link, index: index }) => {
     const path = `links[${index}]`;
     for (const end of ["from", "to"] as const) {
-      if (items.zoneNames.has(link[end])) continue;
-      faults.push({ path: `${path}.${end}`, reason: `unknown zone "${link[end]}"` });
+      const zone = link[end];
+      if (zone === undefined || items.zoneNames.has(zone)) continue;
+      faults.push({ path: `${path}.${end}`, reason: `unknown zone "${zone}"` });
     }
+    if (link.from === undefined || link.to === undefined) return;
     const key = JSON.stringify([link.from, link.to]);
     if (seen.has(key)) {
       faults.push({ path, reason: `duplicate link from "${link.from}" to "${link.to}"` });
@@ -174,7 +182,8 @@
 function checkAddresses(items: checkedItems.CheckedItems): Fault[] {
   const faults: Fault[] = [];
   const pathByAddress = new Map<string, string>();
-  const checkAddress = (path: string, host: string, port: number): void => {
+  const checkAddress = (path: string, host?: string, port?: number): void => {
+    if (host === undefined || port === undefined) return;
     const address = `${host}:${port}`;
     const other = pathByAddress.get(address);
     if (other === undefined) {
@@ -187,17 +196,21 @@
     checkAddress(`runners[${index}]`, runner.host, runner.port);
   });
   items.services.forEach(({ item: service, index: index }) => {
-    service.backends.forEach((backend, backendIndex) => {
+    service.backends?.forEach((backend, backendIndex) => {
       checkAddress(`services[${index}].backends[${backendIndex}]`, backend.host, backend.port);
     });
   });
   return faults;
 }
 
-function checkDuplicates(path: string, items: readonly checkedItems.Placed<Named>[]): Fault[] {
+function checkDuplicates(
+  path: string,
+  items: readonly checkedItems.Placed<Partial<Named>>[],
+): Fault[] {
   const seen = new Set<string>();
   const faults: Fault[] = [];
   items.forEach(({ item, index }) => {
+    if (item.name === undefined) return;
     if (seen.has(item.name)) {
       faults.push({ path: `${path}[${index}].name`, reason: `duplicate name "${item.name}"` });
     }
--- a/src/settings/document.ts
+++ b/src/settings/document.ts
@@ -150,13 +150,13 @@
   "regions" | "callers" | "models" | "pools" | "runners" | "services" | "links";
 
 const ITEM_PARSERS: checkedItems.ItemParsers = {
-  regions: (item) => region.safeParse(item).data,
-  callers: (item) => caller.safeParse(item).data,
-  models: (item) => model.safeParse(item).data,
-  pools: (item) => pool.safeParse(item).data,
-  runners: (item) => runner.safeParse(item).data,
-  services: (item) => plainService.safeParse(item).data,
-  links: (item) => link.safeParse(item).data,
+  regions: createLenientParser(region),
+  callers: createLenientParser(caller),
+  models: createLenientParser(model),
+  pools: createLenientParser(pool),
+  runners: createLenientParser(runner),
+  services: createLenientParser(plainService),
+  links: createLenientParser(link),
 };
 
 /** Parsers of items that are known to be valid. */
@@ -211,3 +211,14 @@
   }
   return text;
 }
+
+/** Creates a parser that leaves out the fields with faults. */
+function createLenientParser<Shape extends zod.ZodRawShape>(
+  schema: zod.ZodObject<Shape>,
+): (item: unknown) => Partial<zod.infer<typeof schema>> | undefined {
+  const fields = Object.entries(schema.shape) as [string, zod.ZodType][];
+  const lenient = zod.object(
+    Object.fromEntries(fields.map(([key, field]) => [key, field.optional().catch(undefined)])),
+  );
+  return (item) => lenient.safeParse(item).data as Partial<zod.infer<typeof schema>> | undefined;
+}
--- a/test/request/model-attempts.test.ts
+++ b/test/request/model-attempts.test.ts
@@ -177,7 +177,11 @@
       createTokens(0, ["a"], "break"),
       createTokens(1, ["b"], "end"),
     ]);
-    await new modelAttempts.ModelAttempts(scenario.kernel).run(createOrder(1), createRun(1), SIGNAL);
+    await new modelAttempts.ModelAttempts(scenario.kernel).run(
+      createOrder(1),
+      createRun(1),
+      SIGNAL,
+    );
     earl.expect(scenario.crashes).toEqual(["d1"]);
   });
 
@@ -186,7 +190,11 @@
       createTokens(0, ["a"], "break"),
       createTokens(1, ["b"], "end"),
     ]);
-    await new modelAttempts.ModelAttempts(scenario.kernel).run(createOrder(1), createRun(1), SIGNAL);
+    await new modelAttempts.ModelAttempts(scenario.kernel).run(
+      createOrder(1),
+      createRun(1),
+      SIGNAL,
+    );
     const [first, second] = scenario.demands;
     const target = createOrder(1).call.firstTokenMs;
     earl.expect(first?.firstTokenBy).toEqual(target);
--- a/test/settings/document.test.ts
+++ b/test/settings/document.test.ts
@@ -133,10 +133,13 @@
   test.it("lists faults of one item beside those that span items", () => {
     const paths = listFaultPaths((document) => {
       getFirst(document.runners).port = 70_000;
+      getFirst(document.runners).zone = "epe";
       getFirst(document.runners.slice(1)).zone = "epe";
       getFirst(document.pools).name = "Iono";
     });
-    earl.expect(paths).toInclude("runners[0].port", "runners[1].zone", "pools[0].name");
+    earl
+      .expect(paths)
+      .toInclude("runners[0].port", "runners[0].zone", "runners[1].zone", "pools[0].name");
   });
 
   test.it("lists faults of any JSON without failing", () => {
