--- a/src/cli/command-settings.ts
+++ b/src/cli/command-settings.ts
@@ -24,6 +24,7 @@
     description: "time for the request with all its attempts, in milliseconds",
     defaultText: "60000",
   },
+  maxTokens: { flag: "max-tokens", description: "longest answer, in tokens", defaultText: "256" },
   consoleHost: {
     flag: "console-host",
     description: "IP address that the console binds",
--- a/src/cli/send-command.ts
+++ b/src/cli/send-command.ts
@@ -12,12 +12,12 @@
 const MAX_OUTPUT_TOKENS = 1_000_000;
 const FIRST_ERROR_STATUS = 400;
 
-const { nodes, credential, deadlineMs } = commandSettings.COMMAND_SETTINGS;
-const MAX_TOKENS_SETTING = {
-  flag: "max-tokens",
-  description: "longest answer",
-  defaultText: "256",
-};
+const {
+  nodes,
+  credential,
+  deadlineMs,
+  maxTokens: maxTokensSetting,
+} = commandSettings.COMMAND_SETTINGS;
 
 const EXIT_CODE_BY_RAN: Record<codes.Ran, exitCodes.ExitCode> = {
   [codes.RAN.no]: exitCodes.EXIT_CODE.notRun,
@@ -56,19 +56,14 @@
       ...createSharedArguments(),
       model: cmd.option({ long: "model", description: "model, or model:adapter" }),
       prompt: cmd.option({ long: "prompt", description: "the prompt" }),
-      maxTokens: options.createSettingOption(MAX_TOKENS_SETTING),
+      maxTokens: options.createSettingOption(maxTokensSetting),
       chat: cmd.flag({ long: "chat", description: "send the prompt as a chat message" }),
       whole: cmd.flag({ long: "whole", description: "wait for the whole answer" }),
     },
     handler: async (flags): Promise<exitCodes.ExitCode> => {
       const client = createClient(terminal, flags);
-      const text = options.getSetting(terminal, MAX_TOKENS_SETTING, flags.maxTokens);
-      const maxTokens = commandSettings.parseInteger(
-        MAX_TOKENS_SETTING,
-        text,
-        1,
-        MAX_OUTPUT_TOKENS,
-      );
+      const text = options.getSetting(terminal, maxTokensSetting, flags.maxTokens);
+      const maxTokens = commandSettings.parseInteger(maxTokensSetting, text, 1, MAX_OUTPUT_TOKENS);
       const request = createModelRequest(flags, maxTokens);
       const limits = { deadlineMs: getDeadline(terminal, flags) };
       const result = flags.whole
--- a/test/cli/main.test.ts
+++ b/test/cli/main.test.ts
@@ -6,7 +6,18 @@
 import * as fakeTerminal from "./fake-terminal.js";
 
 const LAGOS = JSON.stringify(examples.readExample("lagos.json"));
-const COMMANDS = ["node", "send", "config"];
+const COMMANDS = ["node", "console", "send", "status", "config"];
+const LEAF_COMMANDS = [
+  "node",
+  "console",
+  "send model",
+  "send call",
+  "status",
+  "config validate",
+  "config show",
+  "config diff",
+  "config schema",
+];
 
 test.describe("ebonyhook --help", () => {
   test.it("names every command and the exit codes", async () => {
@@ -16,6 +27,16 @@
     for (const command of [...COMMANDS, "exit codes:"]) earl.expect(help).toInclude(command);
   });
 
+  for (const command of LEAF_COMMANDS) {
+    test.it(`explains ${command} and each of its flags`, async () => {
+      const terminal = fakeTerminal.createFakeTerminal();
+      earl.expect(await main.runMain([...command.split(" "), "--help"], terminal)).toEqual(0);
+      const help = terminal.output.join("\n");
+      earl.expect(help).toInclude("--help");
+      earl.expect(help.includes("self explanatory")).toEqual(false);
+    });
+  }
+
   test.it("names each flag's variable and never a variable's value", async () => {
     process.env.EBONYHOOK_FLEET_KEYS = "a-secret-of-the-fleet";
     const terminal = fakeTerminal.createFakeTerminal();
