--- a/src/request/model-calls.ts
+++ b/src/request/model-calls.ts
@@ -179,7 +179,8 @@
   async #runToEnd(identified: IdentifiedCall, run: modelRun.ModelRun): Promise<void> {
     const timeSource = this.#kernel.use("clock");
     using limit = clocks.createTimeLimit(timeSource, identified.call.deadlineMs, run.abort.signal);
-    const order = { ...identified, startedAt: timeSource.now() };
+    const isOwned = this.#isSelf(identified.id.session.owner);
+    const order = { ...identified, isOwned, startedAt: timeSource.now() };
     try {
       await this.#attempts.run(order, run, limit.signal);
     } catch (error) {
--- a/test/request/model-attempts.test.ts
+++ b/test/request/model-attempts.test.ts
@@ -137,7 +137,7 @@
     maxTokens: 8,
     ...caller.tolerance,
   };
-  return { call, attempt, fingerprint: "f", startedAt: 0 };
+  return { call, attempt, fingerprint: "f", startedAt: 0, isOwned: true };
 }
 
 function createRun(attempt: number): modelRun.ModelRun {
