--- a/src/capacity/reservation.ts
+++ b/src/capacity/reservation.ts
@@ -1,4 +1,5 @@
 /** Places held for one request, from the grant to the end of its answer. */
+import * as signals from "../kernel/signals.js";
 import type * as clocks from "../kernel/clock.js";
 import * as resultCodes from "../protocol/result-codes.js";
 import type * as upstream from "../upstream/types.js";
@@ -84,7 +85,8 @@
 
   async waitForPrefill(signal: AbortSignal): Promise<void> {
     const { clock, demand } = this.#parts;
-    const stop = AbortSignal.any([signal, this.revoked]);
+    using joined = signals.createJoinedSignal([signal, this.revoked]);
+    const stop = joined.signal;
     if (!this.#decode.turn) this.#decode = await this.#parts.waitTurn(this.#decode, stop);
     this.#prefill ??= await this.#parts.leasePrefill(this.#decode, stop);
     await this.#parts.waitPrefillTurn(this.#prefill, stop);
--- /dev/null
+++ b/src/kernel/signals.ts
@@ -0,0 +1,29 @@
+/** Joins abort signals without leaving listeners behind. */
+
+/** A signal that follows several others until it is disposed of. */
+export interface JoinedSignal extends Disposable {
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Creates a signal that aborts with the first of `sources`, with its reason. Unlike
+ * `AbortSignal.any` it leaves nothing at long-lived sources once it is disposed of.
+ *
+ * @example using joined = createJoinedSignal([signal, lease.revoked]); await send(joined.signal);
+ */
+export function createJoinedSignal(sources: readonly AbortSignal[]): JoinedSignal {
+  const controller = new AbortController();
+  const onAbort = (event: Event): void => {
+    controller.abort((event.target as AbortSignal).reason);
+  };
+  for (const source of sources) {
+    if (source.aborted) controller.abort(source.reason);
+    else source.addEventListener("abort", onAbort, { once: true });
+  }
+  return {
+    signal: controller.signal,
+    [Symbol.dispose]: () => {
+      for (const source of sources) source.removeEventListener("abort", onAbort);
+    },
+  };
+}
--- a/src/platform/orders.ts
+++ b/src/platform/orders.ts
@@ -6,6 +6,7 @@
  */
 import * as clocks from "../kernel/clock.js";
 import type * as container from "../kernel/container.js";
+import * as signals from "../kernel/signals.js";
 import type * as random from "../kernel/random.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
@@ -92,9 +93,9 @@
     const periodMs = PASS_PERIOD_MS * (0.75 + 0.5 * this.#random.nextFloat());
     const turnMs = Math.max(0, this.#nextTurnAt - this.#clock.wallTime());
     const waitMs = Math.min(periodMs, turnMs);
-    const either = AbortSignal.any([signal, this.#wake.signal]);
+    using either = signals.createJoinedSignal([signal, this.#wake.signal]);
     const startedAt = this.#clock.now();
-    await clocks.sleep(this.#clock, waitMs, either).catch(() => undefined);
+    await clocks.sleep(this.#clock, waitMs, either.signal).catch(() => undefined);
     if (this.#clock.now() - startedAt > waitMs + PAUSE_MS) this.#rights.renew();
   }
 
--- a/src/request/forwarded-calls.ts
+++ b/src/request/forwarded-calls.ts
@@ -1,5 +1,6 @@
 /** Hands non-idempotent plain calls to their owner, and asks the backup when the owner is silent. */
 import type * as container from "../kernel/container.js";
+import * as signals from "../kernel/signals.js";
 import type * as sessions from "../caller/types.js";
 import * as membership from "../membership/types.js";
 import type * as network from "../protocol/network.js";
@@ -41,11 +42,12 @@
     const { owner } = call.id.session;
     if (owner.vm === this.#membership.self.vm) return undefined;
     using lost = this.#watchOwner(owner);
+    using joined = signals.createJoinedSignal([signal, lost.signal]);
     try {
       const reply = await this.#peers.call(owner.vm, messages.FORWARD, createForward(call), {
         timeoutMs: call.deadlineMs + OWNER_GRACE_MS,
         incarnation: owner.incarnation,
-        signal: AbortSignal.any([signal, lost.signal]),
+        signal: joined.signal,
       });
       return reply.outcome;
     } catch {
--- a/src/request/model-attempts.ts
+++ b/src/request/model-attempts.ts
@@ -2,6 +2,7 @@
 import type * as capacity from "../capacity/types.js";
 import type * as types from "../caller/types.js";
 import type * as kernels from "../kernel/container.js";
+import * as signals from "../kernel/signals.js";
 import * as codes from "../protocol/result-codes.js";
 import * as events from "../telemetry/log-events.js";
 import * as spans from "../telemetry/spans.js";
@@ -33,6 +34,8 @@
   readonly attempt: upstream.AttemptId;
   readonly reservation: capacity.Reservation;
   readonly signal: AbortSignal;
+  /** Runners that were sent something, the latest last. */
+  readonly sentTo: upstream.Upstream[];
 }
 
 /** Executes runs on runners. */
@@ -103,26 +106,20 @@
     await using reservation = await spans.runInSpan(tracer, "reserve", {}, () =>
       this.#kernel.use("capacity").reserve(demand, signal),
     );
-    const step: Step = {
-      order,
-      run,
-      attempt,
-      reservation,
-      signal: AbortSignal.any([signal, reservation.revoked]),
-    };
-    let isPrefilled = false;
+    using joined = signals.createJoinedSignal([signal, reservation.revoked]);
+    const step: Step = { order, run, attempt, reservation, signal: joined.signal, sentTo: [] };
     try {
       const prefilled = await this.#prefill(step);
-      isPrefilled = true;
       await this.#decode(step, prefilled);
       return undefined;
     } catch (error) {
       this.#cancelStep(step);
       if (error instanceof codes.RequestError || !(error instanceof Error)) throw error;
-      if (signal.aborted) return error;
-      const runner = isPrefilled ? reservation.decode : reservation.prefill;
-      this.#recordFailure(step, runner, error);
-      failed.push(runner.name);
+      const failedRunner = step.sentTo.at(-1);
+      if (!joined.signal.aborted && failedRunner !== undefined) {
+        this.#recordFailure(step, failedRunner, error);
+        failed.push(failedRunner.name);
+      }
       return error;
     }
   }
@@ -169,6 +166,7 @@
       deadlineMs: this.#getRemainingMs(order),
     };
     const attributes = { runner: reservation.prefill.name };
+    step.sentTo.push(reservation.prefill);
     const result = await spans.runInSpan(tracer, "prefill", attributes, () =>
       this.#kernel.use("engines").prefill(reservation.prefill, command, signal),
     );
@@ -192,6 +190,7 @@
     };
     const engines = this.#kernel.use("engines");
     const attributes = { runner: reservation.decode.name };
+    step.sentTo.push(reservation.decode);
     await spans.runInSpan(this.#kernel.use("tracer"), "decode", attributes, async () => {
       let stream = engines.decode(reservation.decode, command, signal);
       let firstBreak: upstream.UpstreamError | undefined;
@@ -259,8 +258,7 @@
   }
 
   #cancelStep(step: Step): void {
-    this.#canceller.start(step.reservation.decode, step.attempt);
-    this.#canceller.start(step.reservation.prefill, step.attempt);
+    for (const runner of step.sentTo) this.#canceller.start(runner, step.attempt);
   }
 
   #recordFailure(step: Step, runner: upstream.Upstream, error: Error): void {
--- a/standins/processes.ts
+++ b/standins/processes.ts
@@ -31,7 +31,7 @@
 
   constructor(name: string, script: string, flags: readonly string[]) {
     this.name = name;
-    this.#child = childProcess.spawn(process.execPath, [script, ...flags], {
+    this.#child = childProcess.spawn(process.execPath, [...process.execArgv, script, ...flags], {
       stdio: ["ignore", "pipe", "pipe"],
     });
     running.add(this.#child);
@@ -49,6 +49,11 @@
     }
   }
 
+  /** Process id; 0 when it could not be started. */
+  get pid(): number {
+    return this.#child.pid ?? 0;
+  }
+
   /** The last lines of its output. */
   get lines(): readonly string[] {
     return this.#lines;
--- a/test/request/model-attempts.test.ts
+++ b/test/request/model-attempts.test.ts
@@ -27,6 +27,8 @@
   readonly demands: capacity.Demand[];
   readonly crashes: string[];
   refuseReservationFrom: number;
+  waitForPrefill: () => Promise<void>;
+  readonly revoked: AbortController;
 }
 
 function createScenario(decodes: DecodeScript[]): Scenario {
@@ -42,6 +44,8 @@
     demands,
     crashes,
     refuseReservationFrom: Infinity,
+    waitForPrefill: () => Promise.resolve(),
+    revoked: new AbortController(),
   };
   let reservations = 0;
   const services = {
@@ -60,7 +64,7 @@
         demands.push(demand);
         reservations += 1;
         if (reservations >= scenario.refuseReservationFrom) return Promise.reject(OVERLOADED);
-        return Promise.resolve(createReservation());
+        return Promise.resolve(createReservation(scenario));
       },
     },
     engines: {
@@ -89,12 +93,12 @@
   return scenario;
 }
 
-function createReservation(): capacity.Reservation {
+function createReservation(scenario: Scenario): capacity.Reservation {
   return {
     prefill: PREFILL,
     decode: DECODE,
-    revoked: new AbortController().signal,
-    waitForPrefill: () => Promise.resolve(),
+    revoked: scenario.revoked.signal,
+    waitForPrefill: () => scenario.waitForPrefill(),
     recordPrefillEnd: () => undefined,
     recordDecodeStart: () => undefined,
     recordTokenGap: () => undefined,
@@ -157,7 +161,7 @@
     earl.expect(run.text).toEqual("abc");
     earl.expect(scenario.prefills.map((each) => each.continuation)).toEqual(["", "ab"]);
     earl.expect(scenario.prefills.map((each) => each.attempt)).toEqual([100, 101]);
-    earl.expect(scenario.cancels).toEqual(["d1 100", "p1 100"]);
+    earl.expect(scenario.cancels).toEqual(["p1 100", "d1 100"]);
   });
 
   test.it("says `not run` only when nothing was sent for any attempt", async () => {
@@ -201,6 +205,20 @@
     earl.expect((second?.firstTokenBy ?? 0) > target).toEqual(true);
   });
 
+  test.it("cancels nothing and blames nobody when the wait for prefill was refused", async () => {
+    const scenario = createScenario([]);
+    scenario.waitForPrefill = () => Promise.reject(OVERLOADED);
+    earl.expect(await readRan(scenario, 1)).toEqual(codes.RAN.no);
+    earl.expect(scenario.cancels).toEqual([]);
+  });
+
+  test.it("blames no runner for a lease that was taken back", async () => {
+    const scenario = createScenario([createTokens(0, ["a"], "break")]);
+    scenario.revoked.abort(new Error("lease was taken back"));
+    await readRan(scenario, 1);
+    earl.expect(scenario.crashes).toEqual([]);
+  });
+
   test.it("gives up after four runs and cancels each at both runners", async () => {
     const scenario = createScenario([]);
     earl.expect(await readRan(scenario, 1)).toEqual(codes.RAN.unknown);
