--- a/test/processes/fleet-fixture.ts
+++ b/test/processes/fleet-fixture.ts
@@ -117,6 +117,20 @@
   }
 }
 
+/** Waits until a revision is in force at a node. */
+export async function waitForRevision(
+  place: processFleet.NodePlace,
+  revision: number,
+): Promise<void> {
+  await waitUntil(`revision ${revision} is in force at ${place.vm}`, async () => {
+    const response = await fetch(`http://${HOST}:${place.callerPort}/admin/v1/status`, {
+      headers: { authorization: `Bearer ${processFleet.ADMIN_TOKEN}` },
+    });
+    const status = (await response.json()) as { configuration?: { revision?: number } };
+    return status.configuration?.revision === revision;
+  });
+}
+
 /** Waits in real time. */
 export function sleep(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
