Pass the caller's trace on to upstreams also when nothing is exported

Cause: without an OTLP endpoint no propagator and no context manager were registered, so that a caller's traceparent ended at the node. Ruled out: the client, which injects the active context into every upstream call.

--- a/src/telemetry/tracing.ts
+++ b/src/telemetry/tracing.ts
@@ -9,14 +9,15 @@
 const TRACER_NAME = "ebonyhook";
 
 /**
- * Creates the tracer of a node. With `otlpUrl` in the settings, spans are exported there in batches
- * and the trace context travels in `traceparent` headers; without it spans cost nothing.
+ * Creates the tracer of a node. With `otlpUrl` in the settings, spans are exported there in batches;
+ * without it none is recorded. Either way a caller's trace goes on to the upstreams in
+ * `traceparent` headers.
  *
  * @example createTracer(kernel).startActiveSpan("prefill", (span) => span.end());
  */
 export function createTracer(kernel: kernels.Kernel): types.Tracer {
   const { otlpUrl, vm } = kernel.use("settings");
-  if (otlpUrl === undefined) return otel.trace.getTracer(TRACER_NAME);
+  if (otlpUrl === undefined) return createPassingTracer();
   const provider = new sdk.NodeTracerProvider({
     resource: resources.resourceFromAttributes({
       "service.name": TRACER_NAME,
@@ -27,3 +28,13 @@
   provider.register();
   return provider.getTracer(TRACER_NAME);
 }
+
+/**
+ * Creates a tracer whose spans stand for the caller's own, which passes unchanged. Registering a
+ * provider sets up context and headers; disabling it afterwards leaves only these.
+ */
+function createPassingTracer(): types.Tracer {
+  new sdk.NodeTracerProvider().register();
+  otel.trace.disable();
+  return otel.trace.getTracer(TRACER_NAME);
+}
--- /dev/null
+++ b/test/telemetry/settings.ts
@@ -0,0 +1,12 @@
+/** Kernels with the few settings that telemetry reads. */
+import * as container from "../../src/kernel/container.js";
+import type * as nodeSettings from "../../src/settings/node-settings.js";
+
+/** Creates a kernel whose settings have these members. */
+export function createSettingsKernel(
+  settings: Partial<nodeSettings.NodeSettings>,
+): container.Kernel {
+  const kernel = container.createKernel();
+  kernel.register("settings", () => ({ vm: "vm-1", ...settings }) as nodeSettings.NodeSettings);
+  return kernel;
+}
