--- a/standins/demo-checks.ts
+++ b/standins/demo-checks.ts
@@ -152,11 +152,12 @@
   return waitUntilNothingHeld(fleet);
 }
 
-/** Returns what engines still hold after three seconds. */
+/** Returns what engines still hold after a while, three seconds if not said. */
 export async function waitUntilNothingHeld(
   fleet: processFleet.ProcessFleet,
+  limitMs = RELEASE_WAIT_MS,
 ): Promise<string | undefined> {
-  const giveUpAt = Date.now() + RELEASE_WAIT_MS;
+  const giveUpAt = Date.now() + limitMs;
   for (;;) {
     const held = await countHeld(fleet);
     if (held === 0) return undefined;
--- a/test/processes/model-calls.test.ts
+++ b/test/processes/model-calls.test.ts
@@ -11,6 +11,9 @@
 const LOAD_REQUESTS = 24;
 const LOAD_PAUSE_MS = 40;
 const SUCCESS_EXIT_CODE = 0;
+/** Well before the request's natural end. */
+const ENTRY_GONE_LIMIT_MS = 5_000;
+const LONG_MAX_TOKENS = 1_000;
 
 test.describe("model calls between processes", () => {
   let fleet: processFleet.ProcessFleet;
@@ -27,7 +30,7 @@
     const abort = new AbortController();
     const request = createRequest("closed early #tokens=4000");
     const stream = createClient().streamModel(
-      { ...request, maxTokens: 1_000 },
+      { ...request, maxTokens: LONG_MAX_TOKENS },
       { signal: abort.signal },
     );
     let tokens = 0;
@@ -65,9 +68,30 @@
     await fleet.startNode(victim);
   });
 
-  test.it("crashes at most two runners with one poison prompt, and spares the others", async () => {
-    const prompt = "poison #crash-prefill";
-    const innocent = sendLoad("beside poison");
+  test.it("frees the engines when a caller and its node are gone together", async () => {
+    const victim = fixture.getPlace(fleet, 3);
+    const abort = new AbortController();
+    const prompt = "both gone #tokens=4000";
+    const reading = readStraight(victim, prompt, abort.signal).catch(() => "gone");
+    await fixture.waitUntil("an engine generates", async () => {
+      return (await demoChecks.waitUntilNothingHeld(fleet, 0)) !== undefined;
+    });
+    abort.abort();
+    fleet.getProcess(victim.vm).send("SIGKILL");
+    earl.expect(await reading).toEqual("gone");
+    const held = await demoChecks.waitUntilNothingHeld(fleet, ENTRY_GONE_LIMIT_MS);
+    earl.expect(held).toEqual(undefined);
+    await fleet.startNode(victim);
+  });
+
+  for (const step of ["prefill", "decode"]) {
+    test.it(`crashes at most two runners with a prompt poisonous to ${step}`, async () => {
+      await checkPoison(`poison #crash-${step}`);
+    });
+  }
+
+  async function checkPoison(prompt: string): Promise<void> {
+    const innocent = sendLoad(`beside ${prompt.replace("#", "")}`);
     const outcomes: (number | undefined)[] = [];
     for (let repeats = 0; repeats < 4; repeats += 1) {
       const answer = await createClient().sendModel(createRequest(prompt));
@@ -79,7 +103,7 @@
     earl.expect(outcomes.at(-1)).toEqual(QUARANTINED);
     earl.expect(await innocent).toEqual(Array<string>(LOAD_REQUESTS).fill("whole"));
     await Promise.all(crashed.map((name) => startEngine(name)));
-  });
+  }
 
   test.it("cuts off no running stream when a node is asked to stop", async () => {
     const leaving = fixture.getPlace(fleet, 2);
@@ -149,14 +173,19 @@
   }
 
   /** Streams from one node without any retry. */
-  async function readStraight(place: processFleet.NodePlace, prompt: string): Promise<string> {
+  async function readStraight(
+    place: processFleet.NodePlace,
+    prompt: string,
+    signal?: AbortSignal,
+  ): Promise<string> {
     const response = await fetch(`http://${fixture.HOST}:${place.callerPort}/v1/completions`, {
       method: "POST",
       headers: {
         authorization: `Bearer demo-${fixture.MODEL_CALLER}`,
         "content-type": "application/json",
       },
-      body: JSON.stringify({ ...createRequest(prompt), max_tokens: MAX_TOKENS, stream: true }),
+      body: JSON.stringify({ ...createRequest(prompt), max_tokens: LONG_MAX_TOKENS, stream: true }),
+      signal,
     });
     const body = await response.text();
     if (!body.includes("data: [DONE]")) return `no end mark: ${body.slice(-300)}`;
