--- a/test/membership/fleet.ts
+++ b/test/membership/fleet.ts
@@ -7,6 +7,7 @@
 import type * as membershipTypes from "../../src/membership/types.js";
 import * as configuration from "../../src/platform/configuration.js";
 import type * as platform from "../../src/platform/types.js";
+import type * as network from "../../src/protocol/network.js";
 import * as peerNetwork from "../../src/protocol/peer-network.js";
 import * as fakePlatform from "./fake-platform.js";
 
@@ -89,6 +90,23 @@
     return node;
   }
 
+  /** Creates the network of a further peer that is no member and calls `vm-0`. */
+  createBarePeer(vm: string): network.PeerNetwork {
+    const kernel = container.createKernel();
+    kernel.register("settings", () => createSettings(this.createListed(vm)));
+    kernel.register("clock", () => this.clock);
+    kernel.register("log", () => ({ write: () => undefined }));
+    kernel.register("transport", () => this.network.createTransport(vm));
+    const peer = peerNetwork.createPeerNetwork(kernel);
+    peer.setAddress("vm-0", this.getPeerAddress("vm-0"));
+    return peer;
+  }
+
+  getPeerAddress(vm: string): network.PeerAddress {
+    const { host, peerPort } = this.createListed(vm);
+    return { host, port: peerPort };
+  }
+
   /** Ends a process at once; the others see its connections break. */
   async kill(vm: string): Promise<void> {
     const node = this.getNode(vm);
