--- a/src/platform/orders.ts
+++ b/src/platform/orders.ts
@@ -82,7 +82,7 @@
   async #run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#wake = new AbortController();
-      await this.#runPass(signal);
+      await this.#runGuardedPass(signal);
       await this.#waitForPass(signal);
     }
   }
@@ -98,6 +98,15 @@
     if (this.#clock.now() - startedAt > waitMs + PAUSE_MS) this.#rights.renew();
   }
 
+  /** Runs one pass; an unexpected error is logged and must not end the passes. */
+  async #runGuardedPass(signal: AbortSignal): Promise<void> {
+    try {
+      await this.#runPass(signal);
+    } catch (error) {
+      this.#log.write(logEvents.LOG_EVENTS.unexpectedError, { error: String(error) });
+    }
+  }
+
   async #runPass(signal: AbortSignal): Promise<void> {
     const document = this.#configuration.current?.document;
     if (document === undefined || !this.#configuration.ready) return;
--- a/test/platform/orders.test.ts
+++ b/test/platform/orders.test.ts
@@ -11,6 +11,8 @@
 import * as fakeRunners from "./fake-runners.js";
 
 const NODES = 6;
+/** Whether allocators can't be found. */
+let isCapacityFaulty = false;
 
 interface OrdersFleet extends AsyncDisposable {
   readonly fleet: fleets.TestFleet;
@@ -40,7 +42,10 @@
 
 function createFakeCapacity(members: membership.Membership): capacity.Capacity {
   const fake: Partial<capacity.Capacity> = {
-    findAllocator: (runner) => findAllocator(members, runner),
+    findAllocator: (runner) => {
+      if (isCapacityFaulty) throw new Error("capacity failed");
+      return findAllocator(members, runner);
+    },
   };
   return fake as capacity.Capacity;
 }
@@ -90,6 +95,16 @@
     await fleet.waitUntil(() => runners.getServed("d1").role === "decode", 5000);
   });
 
+  test.it("goes on after a pass that failed", async () => {
+    await using started = await startFleet(true);
+    const { fleet, runners } = started;
+    isCapacityFaulty = true;
+    await fleet.clock.advance(5000);
+    isCapacityFaulty = false;
+    runners.setServed("d1", { ...runners.getServed("d1"), role: "prefill" });
+    await fleet.waitUntil(() => runners.getServed("d1").role === "decode", 5000);
+  });
+
   test.it("does not order a runner that carries out a newer document", async () => {
     await using started = await startFleet(true);
     const { fleet, runners } = started;
