--- a/src/request/model-attempts.ts
+++ b/src/request/model-attempts.ts
@@ -23,6 +23,8 @@
   readonly attempt: number;
   readonly fingerprint: string;
   readonly startedAt: number;
+  /** Whether this node owns the request's id. */
+  readonly isOwned: boolean;
 }
 
 interface Step {
@@ -136,6 +138,7 @@
     const prompt = call.prompt + run.text;
     return {
       ...attempt,
+      isFirstAttempt: isFirstRun && order.isOwned && order.attempt === 1,
       caller: call.caller.name,
       model: call.model.name,
       adapter: call.adapter,
