--- a/src/capacity/allocator.ts
+++ b/src/capacity/allocator.ts
@@ -214,11 +214,11 @@
   listViews(): messages.RunnerView[] {
     return this.listRunners().map(({ runner, occupancy, decode, prefill, gaps }) => ({
       runner: runner.name,
-      waitMs: decode?.computeWait("") ?? prefill?.computeWait() ?? 0,
-      free: decode?.countFree() ?? 0,
+      waitMs: Math.ceil(decode?.computeWait("") ?? prefill?.computeWait() ?? 0),
+      free: Math.round(decode?.countFree() ?? 0),
       slowness: prefill?.slowness ?? 1,
       available: occupancy.available,
-      gapMs: gaps.gapMs,
+      gapMs: Math.ceil(gaps.gapMs),
       probeDue: gaps.probeDue,
     }));
   }
--- a/src/capacity/decode-lease.ts
+++ b/src/capacity/decode-lease.ts
@@ -55,7 +55,7 @@
   const request = {
     ...held,
     isFirst: false,
-    betweenTokensMs: Infinity,
+    betweenTokensMs: Number.MAX_SAFE_INTEGER,
     startWithinMs: 0,
     leadMs: 0,
   };
--- a/src/capacity/decode-ledger.ts
+++ b/src/capacity/decode-ledger.ts
@@ -182,7 +182,7 @@
     const turn = lease.phase !== messages.PHASE.queued;
     const { caller, id } = lease.request;
     const waitMs = turn ? 0 : this.computeWait(caller, id);
-    return { granted: true, turn, waitMs, workMs: 0, retryAfterMs: 0 };
+    return messages.createGrant(turn, waitMs, 0);
   }
 
   #checkAdmission(request: messages.LeaseRequest): messages.Answer | undefined {
--- a/src/capacity/holdings.ts
+++ b/src/capacity/holdings.ts
@@ -99,7 +99,7 @@
       const holding = this.#held.get(createMapKey(lease));
       if (holding === undefined) continue;
       const { runner, id, attempt, caller, share, priority, pieces, tokens, phase } = holding;
-      const ageMs = now - holding.grantedAt;
+      const ageMs = Math.round(now - holding.grantedAt);
       full.push({ runner, id, attempt, caller, share, priority, pieces, tokens, phase, ageMs });
     }
     return full;
--- a/src/capacity/lease-requests.ts
+++ b/src/capacity/lease-requests.ts
@@ -72,9 +72,9 @@
       priority: demand.priority,
       pieces: Math.ceil((demand.promptTokens + demand.maxTokens) / runner.tokensPerPiece),
       isFirst: question.isFirst,
-      betweenTokensMs: demand.betweenTokensMs,
-      startWithinMs: startBy - clock.now(),
-      leadMs,
+      betweenTokensMs: Math.ceil(demand.betweenTokensMs),
+      startWithinMs: Math.floor(startBy - clock.now()),
+      leadMs: Math.ceil(leadMs),
     };
     const answer = await calls.callForLease(messages.LEASE_DECODE, request, signal);
     known.updateWait(runner.name, Math.max(answer.waitMs, answer.retryAfterMs));
@@ -104,7 +104,7 @@
       attempt: demand.attempt,
       tokens,
       prefixes: messages.choosePrefixes(demand.prefixes, tokens),
-      endWithinMs: endBy - clock.now(),
+      endWithinMs: Math.floor(endBy - clock.now()),
     };
     const answer = await calls.callForLease(messages.LEASE_PREFILL, request, signal);
     known.updateWait(runner.name, answer.granted ? answer.waitMs + answer.workMs : 0);
--- a/src/capacity/messages.ts
+++ b/src/capacity/messages.ts
@@ -3,11 +3,12 @@
 import * as network from "../protocol/network.js";
 
 const MAX_BATCH = 10_000;
-const MAX_PREFIXES = 32;
+const MAX_PREFIXES = 8;
 
 const text = zod.string().max(500);
 const requestId = zod.string().max(1000);
-const duration = zod.number();
+/** Whole milliseconds, which take fewer bytes than fractions. */
+const duration = zod.int();
 /** Short name of a request's lease: `computeLeaseKey` of its id. */
 const key = zod.string().max(16);
 const attempt = zod.int().min(1);
@@ -212,9 +213,21 @@
   zod.object({}),
 );
 
+/** Creates a grant. */
+export function createGrant(turn: boolean, waitMs: number, workMs: number): Answer {
+  return {
+    granted: true,
+    turn,
+    waitMs: Math.ceil(waitMs),
+    workMs: Math.ceil(workMs),
+    retryAfterMs: 0,
+  };
+}
+
 /** Creates a refusal. */
 export function createRefusal(reason: Refusal, retryAfterMs: number): Answer {
-  return { granted: false, turn: false, waitMs: 0, workMs: 0, reason, retryAfterMs };
+  const retry = Math.ceil(retryAfterMs);
+  return { granted: false, turn: false, waitMs: 0, workMs: 0, reason, retryAfterMs: retry };
 }
 
 /** Picks at most `MAX_PREFIXES` prefixes, whose lengths are multiples of a power of two. */
--- a/src/capacity/prefill-ledger.ts
+++ b/src/capacity/prefill-ledger.ts
@@ -108,7 +108,7 @@
     const lease = this.#addLease(request, tokens, holder);
     this.#startQueued();
     const turn = lease.sentAt !== undefined;
-    return { granted: true, turn, waitMs, workMs, retryAfterMs: 0 };
+    return messages.createGrant(turn, waitMs, workMs);
   }
 
   /** Adds a lease that its holder reports and this ledger does not know. */
--- a/src/capacity/runner-health.ts
+++ b/src/capacity/runner-health.ts
@@ -55,7 +55,7 @@
     const gaps: messages.RunnerGap[] = [];
     for (const [runner, record] of this.#runners.entries()) {
       if (record.gapCount === 0) continue;
-      gaps.push({ runner, gapMs: record.gapSumMs / record.gapCount });
+      gaps.push({ runner, gapMs: Math.ceil(record.gapSumMs / record.gapCount) });
       record.gapSumMs = 0;
       record.gapCount = 0;
     }
