--- a/test/matrix/matrix.test.ts
+++ b/test/matrix/matrix.test.ts
@@ -1,6 +1,7 @@
 import * as test from "node:test";
 import * as earl from "earl";
 import * as cells from "../../standins/matrix/cells.js";
+import * as configurationCells from "../../standins/matrix/configuration-cells.js";
 import * as faults from "../../standins/matrix/faults.js";
 import type * as judges from "../../standins/matrix/judges.js";
 import * as mutants from "../../standins/matrix/mutants.js";
@@ -23,6 +24,11 @@
   ["cancel", faults.VICTIM.caller],
   ["several retries at once", faults.VICTIM.caller],
 ] as const;
+const FAST_SPREAD_FAULTS = [
+  "service reachable by one node",
+  "two operators publish at once",
+  "all replaced one by one, service stale",
+] as const;
 const PAIR_RUNS = 15;
 const PAIR_SEED = 4711;
 
@@ -104,6 +110,16 @@
     });
   }
 
+  for (const name of FAST_SPREAD_FAULTS) {
+    test.it(`spreads the configuration and never reverts it: ${name}`, async () => {
+      const fault = configurationCells.SPREAD_FAULTS.find((each) => each.name === name);
+      if (!fault) throw new Error(`no fault ${name}`);
+      const judged = await configurationCells.runSpread(fault, "first node");
+      const expected = { verdict: cells.VERDICT.proved, reason: "" };
+      earl.expect(judged.map(({ real }) => real)).toEqual([expected, expected]);
+    });
+  }
+
   test.it("keeps every promise under pairs of faults", async () => {
     const { failure } = await pairs.runPairs("plain", PAIR_RUNS, PAIR_SEED);
     earl.expect(failure).toEqual(undefined);
