Run the matrix in slices, so that ended worlds free their memory

Cause: frozen processes of ended worlds keep their signals, about 10 MB a world; a worker with 350 worlds ran out of memory (the mutants' run, exit by V8).

--- a/bench/matrix-mutants.ts
+++ b/bench/matrix-mutants.ts
@@ -5,7 +5,9 @@
 
 async function run(): Promise<void> {
   let undetected = 0;
+  const wanted = process.argv[2] ?? "";
   for (const { mutant, cell } of mutants.MUTANTS) {
+    if (!mutant.name.includes(wanted)) continue;
     const red: cells.RealCell[] = [];
     let total = 0;
     const groups = cells.listCellGroups(cell.path);
--- a/bench/matrix.ts
+++ b/bench/matrix.ts
@@ -1,5 +1,5 @@
 /**
- * Prints the fault matrix: `npm run -s matrix [plain|model|configuration] [part of a fault's name]`. The cells run
+ * Prints the fault matrix: `npm run -s matrix [plain|model|configuration] [part of "fault, where the caller connects"]`. The cells run
  * in a few worker threads; the order of the table does not depend on them.
  */
 import * as process from "node:process";
@@ -9,6 +9,8 @@
 import * as pairs from "../standins/matrix/pairs.js";
 
 const WORKERS = 4;
+/** Groups that one worker runs; a new one starts with empty memory. */
+const GROUPS_PER_WORKER = 40;
 const PATHS = ["plain", "model"] as const;
 const PAIR_RUNS = { plain: 100, model: 40 } as const;
 const PAIR_SEED = 20_261_203;
@@ -42,16 +44,16 @@
 function listWanted(): readonly cells.CellGroup[] {
   const [path = "", wanted = ""] = process.argv.slice(2);
   const groups = PATHS.filter((name) => name.startsWith(path)).flatMap(cells.listCellGroups);
-  return groups.filter(({ fault }) => fault.name.includes(wanted));
+  return groups.filter(({ fault, topology }) => `${fault.name}, ${topology}`.includes(wanted));
 }
 
-/** Runs every group whose turn it is for this worker. */
-async function runWorker(worker: number): Promise<void> {
-  for (const [index, group] of listWanted().entries()) {
-    if (index % WORKERS !== worker) continue;
+/** Runs one slice of the groups. */
+async function runWorker(first: number): Promise<void> {
+  const groups = listWanted().slice(first, first + GROUPS_PER_WORKER);
+  for (const [offset, group] of groups.entries()) {
     const judged = await cells.runCellGroup(group);
     const result: GroupResult = {
-      index,
+      index: first + offset,
       rows: judged.map(formatCell),
       real: judged.map(({ real }) => real.verdict),
       naive: judged.map(({ naive }) => naive.verdict),
@@ -60,11 +62,11 @@
   }
 }
 
-function receiveResults(worker: number): Promise<readonly GroupResult[]> {
+function receiveResults(first: number): Promise<readonly GroupResult[]> {
   return new Promise((resolve, reject) => {
     const results: GroupResult[] = [];
     const argv = process.argv.slice(2);
-    const thread = new threads.Worker(new URL(import.meta.url), { workerData: worker, argv });
+    const thread = new threads.Worker(new URL(import.meta.url), { workerData: first, argv });
     thread.on("message", (result: GroupResult) => results.push(result));
     thread.on("error", reject);
     thread.on("exit", () => {
@@ -73,6 +75,22 @@
   });
 }
 
+/** Runs all groups, a few slices at once. */
+async function runGroups(): Promise<readonly GroupResult[]> {
+  const results: GroupResult[] = [];
+  const count = listWanted().length;
+  let next = 0;
+  const runSlices = async (): Promise<void> => {
+    while (next < count) {
+      const first = next;
+      next += GROUPS_PER_WORKER;
+      results.push(...(await receiveResults(first)));
+    }
+  };
+  await Promise.all(Array.from({ length: WORKERS }, runSlices));
+  return results.sort((first, second) => first.index - second.index);
+}
+
 function countVerdicts(verdicts: readonly Verdict[]): string {
   const count = (wanted: Verdict): number =>
     verdicts.filter((verdict) => verdict === wanted).length;
@@ -105,9 +123,7 @@
 }
 
 async function run(): Promise<void> {
-  const workers = Array.from({ length: WORKERS }, (_, worker) => receiveResults(worker));
-  const results = (await Promise.all(workers)).flat();
-  results.sort((first, second) => first.index - second.index);
+  const results = await runGroups();
   console.log(formatRow(["promise", "fault", "step", "victim", "caller", "real", "naive"]));
   for (const { rows } of results) for (const row of rows) console.log(row);
   const configured = await printConfiguration();
--- a/standins/matrix/configuration-cells.ts
+++ b/standins/matrix/configuration-cells.ts
@@ -227,7 +227,7 @@
   step: SpreadStep,
   router: worlds.Router,
 ): Promise<(promise: string) => cells.Verdict> {
-  const world = new worlds.World({ router, seed: SEED });
+  using world = new worlds.World({ router, seed: SEED });
   await world.start();
   const naive = router === worlds.ROUTER.naive ? startNaive(world) : undefined;
   const judge = new ConfigurationJudge(world, naive);
--- a/standins/matrix/matrix-caller.ts
+++ b/standins/matrix/matrix-caller.ts
@@ -206,6 +206,7 @@
     const dispose = (): void => {
       cancelSilence();
       limit[Symbol.dispose]();
+      silent.abort(new Error("connection closed"));
     };
     return { signal, renew, [Symbol.dispose]: dispose };
   }
--- a/standins/matrix/scenario.ts
+++ b/standins/matrix/scenario.ts
@@ -75,7 +75,7 @@
 
 /** Runs a scenario to its end: the request, the healing, and every id once more at every node. */
 export async function runScenario(options: ScenarioOptions): Promise<ScenarioResult> {
-  const world = new worlds.World(options);
+  using world = new worlds.World(options);
   await world.start();
   const caller = new matrixCaller.MatrixCaller(world, createWorkload(options));
   const roles = chooseRoles(world, options);
--- a/standins/matrix/world.ts
+++ b/standins/matrix/world.ts
@@ -33,7 +33,7 @@
 }
 
 /** A fleet in virtual time and everything around it. */
-export class World implements matrixCaller.CallerPorts {
+export class World implements matrixCaller.CallerPorts, Disposable {
   readonly clock = fakeClock.createFakeClock();
   readonly net = new memoryTransport.MemoryNetwork(this.clock);
   readonly nodes = new Map<string, router.RouterNode>();
@@ -74,6 +74,11 @@
     await node.start();
   }
 
+  /** Ends every process, so that nothing keeps the world in memory. */
+  [Symbol.dispose](): void {
+    for (const { process } of this.nodes.values()) process.kill();
+  }
+
   /** Runs `action` once, as soon as `step` is reached. */
   onStep(step: steps.Step, action: () => void): void {
     this.#actions.push({ step, action });
