--- a/src/capacity/lease-messenger.ts
+++ b/src/capacity/lease-messenger.ts
@@ -11,6 +11,8 @@
 import type * as views from "./runner-views.js";
 
 const CALL_TIMEOUT_MS = 500;
+/** How long changes of members are collected into one report. */
+const REPORT_DELAY_MS = 20;
 
 /** What the messenger works with. */
 export interface MessengerParts {
@@ -25,20 +27,16 @@
   readonly findAllocator: (runner: string) => string | undefined;
 }
 
-/** What a holder tells an allocator each period. */
-interface LeaseReport {
-  leases: messages.HeldLease[];
-  gaps: messages.RunnerGap[];
-}
-
 /** Sends what this node holds; what is lost on the way is repaired by the next report. */
 export class LeaseMessenger {
   readonly #parts: MessengerParts;
   readonly #signal: AbortSignal;
+  #cancelReports: (() => void) | undefined;
 
   constructor(parts: MessengerParts, signal: AbortSignal) {
     this.#parts = parts;
     this.#signal = signal;
+    signal.addEventListener("abort", () => this.#cancelReports?.(), { once: true });
   }
 
   /** Reports each period until the service stops. */
@@ -54,6 +52,14 @@
     }
   }
 
+  /** Reports soon, for allocators may have changed. */
+  scheduleReports(): void {
+    this.#cancelReports ??= this.#parts.clock.schedule(REPORT_DELAY_MS, () => {
+      this.#cancelReports = undefined;
+      if (!this.#signal.aborted) void this.sendReports();
+    });
+  }
+
   /** Tells each allocator what this node holds of it and observed of its runners. */
   async sendReports(): Promise<void> {
     const { holdings: held, health: observed, getCatalog, findAllocator } = this.#parts;
@@ -89,13 +95,17 @@
     }
   }
 
-  async #sendReport(vm: string, report: LeaseReport): Promise<void> {
+  async #sendReport(vm: string, report: messages.LeaseReport): Promise<void> {
     const { holdings: held, network: peers, views: known } = this.#parts;
     try {
       const options = { timeoutMs: CALL_TIMEOUT_MS, signal: this.#signal };
       const reply = await peers.call(vm, messages.REPORT_LEASES, report, options);
       known.update(reply.views);
       held.handleRevoke(reply.revoked);
+      const leases = held.listInFull(reply.unknown);
+      if (leases.length === 0) return;
+      const added = await peers.call(vm, messages.ADD_LEASES, { leases }, options);
+      held.handleRevoke(added.revoked);
     } catch {
       // The next period's report repeats it.
     }
