--- a/src/cli/config-command.ts
+++ b/src/cli/config-command.ts
@@ -58,7 +58,7 @@
     handler: async ({ file, platformUrl }): Promise<exitCodes.ExitCode> => {
       const document = await readValid(terminal, file, platformUrl);
       if (document === undefined) return exitCodes.EXIT_CODE.failed;
-      terminal.print(JSON.stringify(document, undefined, 2));
+      terminal.write(documents.formatDocument(document));
       return exitCodes.EXIT_CODE.ok;
     },
   });
--- a/src/console/actions.ts
+++ b/src/console/actions.ts
@@ -139,8 +139,8 @@
   const validation = documents.validateDocument(submission.document);
   if (!validation.ok) return handleReview(submission);
   const { document } = validation;
-  const text = `${JSON.stringify(document, undefined, 2)}\n`;
-  return { type: "file", name: `ebonyhook-${document.revision}.json`, text };
+  const name = `ebonyhook-${document.revision}.json`;
+  return { type: "file", name, text: documents.formatDocument(document) };
 }
 
 function createSectionPage(submission: Submission, section: sections.SectionName): ActionResult {
--- a/src/settings/document.ts
+++ b/src/settings/document.ts
@@ -197,6 +197,13 @@
   return zod.toJSONSchema(documentSchema);
 }
 
+/** Formats a document for publishing: indented, unless the platform would not hold that. */
+export function formatDocument(document: FleetDocument): string {
+  const indented = `${JSON.stringify(document, undefined, 2)}\n`;
+  const fits = Buffer.byteLength(indented) <= MAX_DOCUMENT_BYTES;
+  return fits ? indented : JSON.stringify(document);
+}
+
 function checkSize(input: unknown): readonly DocumentFault[] {
   const text = JSON.stringify(input) as string | undefined;
   const bytes = Buffer.byteLength(text ?? "");
--- a/test/settings/document.test.ts
+++ b/test/settings/document.test.ts
@@ -155,6 +155,24 @@
   });
 });
 
+test.describe("formatDocument", () => {
+  test.it("never writes more than the platform holds", () => {
+    const document = examples.readExample("lagos.json");
+    const caller = getFirst(document.callers);
+    const callers = Array.from({ length: 2500 }, (_item, index) => ({
+      ...caller,
+      name: `caller-${index}`,
+      credentialSha256: index.toString(16).padStart(64, "0"),
+    }));
+    const validation = documents.validateDocument({ ...document, callers });
+    if (!validation.ok) throw new Error("the document is valid");
+    const text = documents.formatDocument(validation.document);
+    earl.expect(Buffer.byteLength(text) <= documents.MAX_DOCUMENT_BYTES).toEqual(true);
+    earl.expect(JSON.parse(text)).toEqual(validation.document);
+    earl.expect(documents.formatDocument(document)).toInclude('\n  "format": 1,\n');
+  });
+});
+
 test.describe("createDocumentJsonSchema", () => {
   test.it("declares every section and forbids others", () => {
     const schema = documents.createDocumentJsonSchema() as SchemaOutline;
