Begin a registration anew after a deadline that passed before it ran

Seen in a trial of 600 registrations against four node processes, one killed, one stopped for 3 s, one drained: one ended as 3001 with ran: no, and the client gave up.

--- a/src/client/outcome.ts
+++ b/src/client/outcome.ts
@@ -99,8 +99,7 @@
   if (uncertain && error.code < FIRST_CODE_OF_REQUEST) {
     return isCallerFault(error.code) ? NEXT_STEP.stop : NEXT_STEP.retry;
   }
-  if (SESSION_CODES.has(error.code)) return NEXT_STEP.retryWithNewId;
-  const isFinal = isCallerFault(error.code) || FINAL_CODES.has(error.code);
+  const isFinal = isCallerFault(error.code) && !SESSION_CODES.has(error.code);
   return isFinal ? NEXT_STEP.stop : NEXT_STEP.retryWithNewId;
 }
 
--- a/test/client/caller-client.test.ts
+++ b/test/client/caller-client.test.ts
@@ -106,6 +106,15 @@
     earl.expect(node.received.map((one) => one.attempt)).toEqual(["1", "1"]);
   });
 
+  test.it("begins anew when its deadline passed at a node before it ran", async () => {
+    await using node = await fakeNode.createFakeNode([
+      fakeNode.sendRefusal(504, { code: 3001, ran: "no", session: "fresh" }),
+      sendText("once"),
+    ]);
+    const result = await createClient([node.address]).callService(REGISTRATION);
+    earl.expect(result.ok && result.id).toEqual("fresh.2");
+  });
+
   test.it("takes an unknown outcome as final", async () => {
     await using node = await fakeNode.createFakeNode([
       fakeNode.sendRefusal(504, { code: 4003, ran: "unknown" }),
