--- /dev/null
+++ b/bench/registrations.ts
@@ -0,0 +1,146 @@
+/**
+ * Sends registrations, which may not be repeated, to a fleet of processes while nodes are killed,
+ * stopped and drained, and compares what callers were told with what the service ran.
+ *
+ * Run: `npm run -s build && node dist/bench/registrations.js [runs]`. Ends non-zero when a
+ * registration ran twice, or when the answers and the executions do not agree. The draws are not
+ * seeded: processes interleave freely.
+ */
+import * as fs from "node:fs/promises";
+import * as path from "node:path";
+import * as url from "node:url";
+import * as zod from "zod";
+import * as callerClient from "../src/client/caller-client.js";
+import type * as results from "../src/client/results.js";
+import * as codes from "../src/protocol/result-codes.js";
+import * as documents from "../src/settings/document.js";
+import * as processFleet from "../standins/process-fleet.js";
+
+const HOST = "127.0.0.1";
+const NODES = 4;
+const REGISTRATIONS = 600;
+const CALLS_AT_ONCE = 16;
+const CLIENTS = 4;
+const ATTEMPT_TIMEOUT_MS = 4000;
+const DEADLINE_MS = 15_000;
+const STOPPED_MS = 3000;
+/** Time for results that are still on their way between nodes and service. */
+const SETTLE_MS = 3500;
+const CODE_DIRECTORY = path.resolve(path.dirname(url.fileURLToPath(import.meta.url)), "..");
+
+type Result = results.ServiceAnswer | results.Failure;
+
+/** Faults by the number of answers after which they come. */
+const FAULTS: ReadonlyMap<number, (fleet: processFleet.ProcessFleet) => void> = new Map([
+  [
+    100,
+    (fleet: processFleet.ProcessFleet) => {
+      getNode(fleet, 0).send("SIGKILL");
+    },
+  ],
+  [300, stopForAWhile],
+  [
+    450,
+    (fleet: processFleet.ProcessFleet) => {
+      getNode(fleet, 2).send("SIGTERM");
+    },
+  ],
+]);
+
+const reportSchema = zod.object({
+  total: zod.number(),
+  executions: zod.record(zod.string(), zod.number()),
+});
+
+async function runOnce(document: documents.FleetDocument): Promise<boolean> {
+  await using fleet = await processFleet.ProcessFleet.start({
+    document,
+    nodes: NODES,
+    codeDirectory: CODE_DIRECTORY,
+  });
+  const answers = await sendRegistrations(fleet);
+  await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+  const reports = await readReports(fleet);
+  const executions = reports.reduce((sum, report) => sum + report.total, 0);
+  const most = Math.max(0, ...reports.flatMap((report) => Object.values(report.executions)));
+  const answered = answers.filter((answer) => answer.ok).length;
+  const notRun = answers.filter((answer) => !answer.ok && answer.ran === codes.RAN.no).length;
+  const unknown = answers.length - answered - notRun;
+  const agrees = most <= 1 && executions >= answered && executions <= answered + unknown;
+  printLine({ sent: answers.length, answered, notRun, unknown, executions, most, agrees });
+  return agrees;
+}
+
+async function sendRegistrations(fleet: processFleet.ProcessFleet): Promise<readonly Result[]> {
+  const clients = Array.from({ length: CLIENTS }, (_item, index) => createClient(fleet, index));
+  const answers: Result[] = [];
+  let next = 0;
+  const sendSome = async (client: callerClient.CallerClient): Promise<void> => {
+    while (next < REGISTRATIONS) {
+      next += 1;
+      answers.push(await sendRegistration(client, next));
+      FAULTS.get(answers.length)?.(fleet);
+    }
+  };
+  const callers = Array.from({ length: CALLS_AT_ONCE }, (_item, index) => clients[index % CLIENTS]);
+  await Promise.all(callers.flatMap((client) => (client === undefined ? [] : [sendSome(client)])));
+  return answers;
+}
+
+function sendRegistration(client: callerClient.CallerClient, number: number): Promise<Result> {
+  const body = JSON.stringify({ receiver: `receiver-${number}` });
+  return client.callService(
+    { service: "corr-api", method: "POST", path: "/registrations", idempotent: false, body },
+    { deadlineMs: DEADLINE_MS },
+  );
+}
+
+function createClient(fleet: processFleet.ProcessFleet, first: number): callerClient.CallerClient {
+  const nodes = fleet.places.map((place) => ({ host: HOST, port: place.callerPort }));
+  return new callerClient.CallerClient({
+    nodes: [...nodes.slice(first), ...nodes.slice(0, first)],
+    credential: "demo-surveyors",
+    attemptTimeoutMs: ATTEMPT_TIMEOUT_MS,
+  });
+}
+
+function stopForAWhile(fleet: processFleet.ProcessFleet): void {
+  const node = getNode(fleet, 1);
+  node.send("SIGSTOP");
+  setTimeout(() => {
+    node.send("SIGCONT");
+  }, STOPPED_MS);
+}
+
+function getNode(
+  fleet: processFleet.ProcessFleet,
+  index: number,
+): ReturnType<processFleet.ProcessFleet["getProcess"]> {
+  return fleet.getProcess(fleet.places[index]?.vm ?? "");
+}
+
+function readReports(
+  fleet: processFleet.ProcessFleet,
+): Promise<readonly zod.infer<typeof reportSchema>[]> {
+  const backends = fleet.document.services.flatMap((service) => service.backends);
+  return Promise.all(
+    backends.map(async ({ port }) => {
+      const response = await fetch(`http://${HOST}:${port}/judge`);
+      return reportSchema.parse(await response.json());
+    }),
+  );
+}
+
+function printLine(line: object): void {
+  process.stdout.write(`${JSON.stringify(line)}\n`);
+}
+
+const lagos = path.resolve(CODE_DIRECTORY, "../examples/lagos.json");
+const validation = documents.validateDocument(JSON.parse(await fs.readFile(lagos, "utf8")));
+if (!validation.ok) throw new Error("examples/lagos.json is not valid");
+const runs = Number(process.argv[2] ?? "1");
+let misses = 0;
+for (let run = 0; run < runs; run += 1) {
+  if (!(await runOnce(validation.document))) misses += 1;
+}
+process.exitCode = misses === 0 ? 0 : 1;
