Start one suspect of a crash at a time on a decode runner

Ruled out: the gossip, which carried the accusations in time. The allocator starts one suspect at a time on a runner until its first steps are over; progress since a crash makes a request less suspect.

--- a/src/capacity/decode-ledger.ts
+++ b/src/capacity/decode-ledger.ts
@@ -19,6 +19,8 @@
 const MAX_RETRY_MS = 30_000;
 /** Time in which half of those refused are taken to have given up. */
 const REFUSAL_HALF_LIFE_MS = 5000;
+/** Time of decode after which a suspect is not taken to crash the runner by its first steps. */
+const PROBATION_MS = 300;
 /** Most slots leased ahead, as a part of all. */
 const MAX_AHEAD = 0.5;
 
@@ -242,7 +244,19 @@
     return count;
   }
 
+  /** Whether a suspect has begun whose first steps might still crash the runner. */
+  #hasSuspectOnProbation(): boolean {
+    const provenBefore = this.#parts.clock.now() - PROBATION_MS;
+    return this.listLeases().some(
+      ({ request, phase, phaseAt }) =>
+        request.isSuspect &&
+        (phase === messages.PHASE.sent ||
+          (phase === messages.PHASE.running && phaseAt > provenBefore)),
+    );
+  }
+
   #hasRoom(request: messages.LeaseRequest): boolean {
+    if (request.isSuspect && this.#hasSuspectOnProbation()) return false;
     if (!this.#parts.occupancy.available || this.countFree() < 1) return false;
     let pieces = request.pieces + this.#parts.occupancy.countForeignPieces();
     for (const lease of this.#leases.list()) {
--- a/src/capacity/lease-requests.ts
+++ b/src/capacity/lease-requests.ts
@@ -72,6 +72,7 @@
       priority: demand.priority,
       pieces: Math.ceil((demand.promptTokens + demand.maxTokens) / runner.tokensPerPiece),
       isFirst: question.isFirst,
+      isSuspect: demand.isSuspect === true ? true : undefined,
       betweenTokensMs: Math.ceil(demand.betweenTokensMs),
       startWithinMs: Math.floor(startBy - clock.now()),
       leadMs: Math.ceil(leadMs),
--- a/src/capacity/messages.ts
+++ b/src/capacity/messages.ts
@@ -65,6 +65,8 @@
   pieces: zod.number().min(0),
   /** Whether no other runner was asked for this request before. */
   isFirst: zod.boolean(),
+  /** Whether the request may have crashed a runner. */
+  isSuspect: zod.boolean().optional(),
   /** Target for the time between two tokens. */
   betweenTokensMs: duration,
   /** Longest wait for the turn that the request can bear. */
--- a/src/capacity/types.ts
+++ b/src/capacity/types.ts
@@ -5,6 +5,8 @@
 export interface Demand extends upstream.AttemptId {
   /** Whether no other attempt of the request was ever made; then no other node is told of this one. */
   readonly isFirstAttempt?: boolean;
+  /** Whether its content was in flight at a crash; a decode runner starts one such at a time. */
+  readonly isSuspect?: boolean;
   readonly caller: string;
   readonly model: string;
   readonly adapter?: string;
--- a/src/request/crash-records.ts
+++ b/src/request/crash-records.ts
@@ -20,6 +20,8 @@
 const TELLS_PER_ENTRY = 8;
 /** Sum of weights, over two upstreams at least, that quarantines. */
 const QUARANTINE_WEIGHT = 1.5;
+/** What earlier crashes count once a request has generated tokens after them. */
+const PROGRESS_FACTOR = 0.5;
 /** Sum of earlier weights that makes the one suspect of a crash clearly accused. */
 const CLEAR_WEIGHT = 0.5;
 
@@ -34,6 +36,8 @@
 interface Entry {
   readonly upstreams: Map<string, Accusation>;
   isQuarantined: boolean;
+  /** Whether it generated tokens after a crash. */
+  hasProgressed: boolean;
   changedAt: number;
   tells: number;
 }
@@ -91,6 +95,15 @@
     }
   }
 
+  isAccused(fingerprint: string): boolean {
+    return this.#findEntry(fingerprint) !== undefined;
+  }
+
+  recordProgress(fingerprint: string): void {
+    const entry = this.#findEntry(fingerprint);
+    if (entry !== undefined) entry.hasProgressed = true;
+  }
+
   recordSuccess(fingerprint: string): void {
     if (!this.#entries.delete(fingerprint)) return;
     this.#cleared.set(fingerprint, this.#clock.now());
@@ -104,7 +117,10 @@
     return [...this.#entries.keys()].filter((fingerprint) => this.isQuarantined(fingerprint));
   }
 
-  /** Whether the one suspect stands out: alone, present at two earlier crashes, or nearly alone before. */
+  /**
+   * Whether the one suspect stands out. Allocators start one accused request at a time on a runner,
+   * so a single one that was accused before and has not progressed since stands out.
+   */
   #isClearlyAccused(
     accused: readonly string[],
     suspects: readonly string[],
@@ -113,14 +129,16 @@
     const [suspect] = suspects;
     if (earlierCrashes === 0 || suspects.length > 1 || suspect === undefined) return false;
     return (
-      accused.length === 1 || earlierCrashes > 1 || this.#computeWeight(suspect) >= CLEAR_WEIGHT
+      accused.length === 1 || earlierCrashes >= 1 || this.#computeWeight(suspect) >= CLEAR_WEIGHT
     );
   }
 
+  /** Counts earlier crashes at other upstreams; progress since then counts against suspicion. */
   #countOthers(fingerprint: string, upstream: string): number {
-    const { upstreams } = this.#findEntry(fingerprint) ?? {};
-    if (!upstreams) return 0;
-    return upstreams.size - (upstreams.has(upstream) ? 1 : 0);
+    const entry = this.#findEntry(fingerprint);
+    if (entry === undefined) return 0;
+    const others = entry.upstreams.size - (entry.upstreams.has(upstream) ? 1 : 0);
+    return others * (entry.hasProgressed ? PROGRESS_FACTOR : 1);
   }
 
   #computeWeight(fingerprint: string): number {
@@ -168,6 +186,7 @@
     const entry: Entry = {
       upstreams: new Map(),
       isQuarantined: false,
+      hasProgressed: false,
       changedAt: this.#clock.now(),
       tells: TELLS_PER_ENTRY,
     };
--- a/src/request/model-attempts.ts
+++ b/src/request/model-attempts.ts
@@ -17,6 +17,8 @@
 /** Engine attempts are numbered `caller's attempt * ATTEMPT_STRIDE + run`, so that they only rise. */
 const ATTEMPT_STRIDE = 100;
 const MAX_STREAM_RESUMES = 2;
+/** Tokens after which a request that was in flight at a crash is suspected less. */
+const PROGRESS_TOKENS = 8;
 
 /** A model request with its times on the own clock. */
 export interface RunOrder {
@@ -135,6 +137,7 @@
     const prompt = call.prompt + run.text;
     return {
       ...attempt,
+      isSuspect: this.#kernel.use("crashes").isAccused(order.fingerprint),
       isFirstAttempt: isFirstRun && order.isOwned && order.attempt === 1,
       caller: call.caller.name,
       model: call.model.name,
@@ -213,7 +216,9 @@
     stream: AsyncIterable<upstream.DecodeEvent>,
   ): Promise<upstream.UpstreamError | undefined> {
     const timeSource = this.#kernel.use("clock");
+    const crashes = this.#kernel.use("crashes");
     let lastTokenAt: number | undefined;
+    let tokens = 0;
     try {
       for await (const event of stream) {
         if (event.id !== step.attempt.id || event.attempt !== step.attempt.attempt) continue;
@@ -224,6 +229,8 @@
           if (lastTokenAt !== undefined) step.reservation.recordTokenGap(now - lastTokenAt);
           lastTokenAt = now;
           step.run.addToken(event.offset, event.text);
+          tokens += 1;
+          if (tokens === PROGRESS_TOKENS) crashes.recordProgress(step.order.fingerprint);
         } else {
           this.#markEnd(step, prefilled, event);
           return undefined;
--- a/test/capacity/decode-ledger.test.ts
+++ b/test/capacity/decode-ledger.test.ts
@@ -57,6 +57,20 @@
 }
 
 test.describe("DecodeLedger", () => {
+  test.it("starts one suspect of a crash at a time, and others beside it", async () => {
+    const { clock, ledger } = createLedger({ leaseAhead: false });
+    for (const id of ["s1", "s2"]) ledger.grant(createRequest(id, { isSuspect: true }), HOLDER);
+    ledger.grant(createRequest("other"), HOLDER);
+    const getPhase = (id: string) => ledger.findLease(id)?.phase;
+    earl.expect(["s1", "s2", "other"].map(getPhase)).toEqual([1, 0, 1]);
+    ledger.setPhase("s1", 1, messages.PHASE.running);
+    ledger.startQueued();
+    earl.expect(getPhase("s2")).toEqual(messages.PHASE.queued);
+    await clock.run(clock.now() + 301);
+    ledger.startQueued();
+    earl.expect(getPhase("s2")).toEqual(messages.PHASE.sent);
+  });
+
   test.it("gives turns in the order of priority, then of age", () => {
     const { ledger } = createLedger({ leaseAhead: false });
     for (const id of ["a", "b", "c", "d"]) ledger.grant(createRequest(id), HOLDER);
--- a/test/request/crash-records.test.ts
+++ b/test/request/crash-records.test.ts
@@ -33,6 +33,17 @@
     earl.expect(crashes.listQuarantined()).toEqual([poison]);
   });
 
+  test.it("finds the one suspect that has not progressed since the first crash", () => {
+    const { crashes, create } = createCrashes();
+    const poison = create("poison");
+    const bystanders = Array.from({ length: 6 }, (_, index) => create(`innocent ${index}`));
+    crashes.recordCrash("u1", [poison, ...bystanders]);
+    earl.expect(crashes.isAccused(poison)).toEqual(true);
+    for (const bystander of bystanders) crashes.recordProgress(bystander);
+    crashes.recordCrash("u2", [poison, ...bystanders, create("newcomer")]);
+    earl.expect(crashes.listQuarantined()).toEqual([poison]);
+  });
+
   test.it("clears what succeeds, also against late gossip", () => {
     const { crashes, create, first, second } = createCrashes();
     const bystander = create("bystander");
--- a/test/request/model-attempts.test.ts
+++ b/test/request/model-attempts.test.ts
@@ -54,6 +54,8 @@
     tracer: otel.trace.getTracer("test"),
     crashes: {
       isQuarantined: () => false,
+      isAccused: () => false,
+      recordProgress: () => undefined,
       recordSuccess: () => undefined,
       recordCrash: (runner: string) => {
         crashes.push(runner);
