--- a/standins/engine/engine-refusal.ts
+++ b/standins/engine/engine-refusal.ts
@@ -27,3 +27,8 @@
   /** KV pieces do not fit. */
   noMemory: 507,
 } as const;
+
+/** Creates a refusal by the name of its status. */
+export function createRefusal(status: keyof typeof REFUSAL_STATUS, message: string): EngineRefusal {
+  return new EngineRefusal(REFUSAL_STATUS[status], message);
+}
