--- a/standins/processes.ts
+++ b/standins/processes.ts
@@ -1,6 +1,5 @@
 /** Starts and signals processes of the demo and of the tests with real processes. */
 import * as childProcess from "node:child_process";
-import * as crypto from "node:crypto";
 import * as net from "node:net";
 import * as readline from "node:readline";
 
@@ -8,9 +7,13 @@
 const MAX_KEPT_LINES = 2_000;
 const LOWEST_PORT = 10_000;
 const HIGHEST_PORT = 32_000;
+const PORTS_PER_PROCESS = 64;
+const PLACES = Math.floor((HIGHEST_PORT - LOWEST_PORT) / PORTS_PER_PROCESS);
 /** Exit codes after the signals that end a test or the demo. */
 const EXIT_CODES = { SIGINT: 130, SIGTERM: 143 } as const;
 
+let nextPort = LOWEST_PORT + (process.pid % PLACES) * PORTS_PER_PROCESS;
+
 /** Processes that end together with this one. */
 const running = new Set<childProcess.ChildProcess>();
 
@@ -103,12 +106,14 @@
 }
 
 /**
- * Returns a port of 127.0.0.1 that is free now, below the range from which the system serves
- * outgoing connections, so that none of those takes it before it is used.
+ * Returns a port of 127.0.0.1 that is free now. It lies below the range from which the system
+ * serves outgoing connections, and each process searches from a place of its own, so that nothing
+ * takes it before it is used.
  */
 export async function findFreePort(): Promise<number> {
   for (;;) {
-    const port = crypto.randomInt(LOWEST_PORT, HIGHEST_PORT);
+    const port = nextPort;
+    nextPort = nextPort + 1 < HIGHEST_PORT ? nextPort + 1 : LOWEST_PORT;
     if (await isFree(port)) return port;
   }
 }
