Stretch the limits of probes at a node whose own probes mostly fail

Cause: on a busy machine (load 20 to 28 on 12 cores) 64 nodes in one process held each other for dead and the false alarms made more work.

--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -2,6 +2,8 @@
  * Failure detection after SWIM: each period one member is probed, in shuffled rounds; without an
  * answer two others probe it; without theirs it is suspect, and dead some seconds later unless it
  * refutes that. What peers say against a member is believed only after an own probe failed too.
+ * A node most of whose probes fail waits longer, for it may be slow itself (after Lifeguard, Dadgar
+ * et al., 2018).
  */
 import * as clocks from "../kernel/clock.js";
 import * as randoms from "../kernel/random.js";
@@ -31,6 +33,9 @@
 /** Probes in flight at once; above it accusations wait. */
 const MAX_PROBES = 8;
 
+/** Failed probes in a row beyond successful ones that count towards the own slowness. */
+const MAX_SLOWNESS = 3;
+
 /** What the prober works with. */
 export interface ProberOptions {
   readonly network: network.PeerNetwork;
@@ -47,6 +52,8 @@
   #round: string[] = [];
   #deadProbeDue = DEAD_PROBE_PERIOD_MS;
   #syncDue = 0;
+  /** Rises with failed probes, falls with answered ones: perhaps this node itself is slow. */
+  #slowness = 0;
 
   constructor(options: ProberOptions) {
     this.#options = options;
@@ -75,7 +82,7 @@
       const wasPaused = clock.now() - lastAt > PAUSE_MS;
       if (wasPaused) await this.#checkPeers();
       lastAt = clock.now();
-      table.expire(SUSPICION_MS);
+      table.expire(SUSPICION_MS * this.#getPatience());
       this.#startProbes();
     }
   }
@@ -162,15 +169,21 @@
   /** Probes a member; returns how that failed, or `undefined` when it answered. */
   async #probeDirectly(member: records.MemberRecord): Promise<network.CallFailure | undefined> {
     const { network: peers, gossiper } = this.#options;
-    const options = { timeoutMs: PROBE_LIMIT_MS, incarnation: member.incarnation };
+    const timeoutMs = PROBE_LIMIT_MS * this.#getPatience();
+    const options = { timeoutMs, incarnation: member.incarnation };
     try {
       const request = gossiper.createGossip(member.vm);
       const reply = await peers.call(member.vm, calls.PROBE, request, options);
+      this.#slowness = Math.max(0, this.#slowness - 1);
       gossiper.receiveGossip(reply.gossip, member);
       this.#handleViews(member.vm, reply.isUnknown, reply.gossip.digest);
       return undefined;
     } catch (error) {
-      return error instanceof network.PeerCallError ? error.failure : network.CALL_FAILURE.notSent;
+      const failure =
+        error instanceof network.PeerCallError ? error.failure : network.CALL_FAILURE.notSent;
+      if (failure !== network.CALL_FAILURE.gone) this.#slowness += 1;
+      this.#slowness = Math.min(MAX_SLOWNESS, this.#slowness);
+      return failure;
     }
   }
 
@@ -178,7 +191,7 @@
     const { network: peers } = this.#options;
     const relays = this.#chooseOthers(PROBE_THROUGH_COUNT, vm);
     const answers = relays.map(async (relay) => {
-      const options = { timeoutMs: PROBE_THROUGH_LIMIT_MS };
+      const options = { timeoutMs: PROBE_THROUGH_LIMIT_MS * this.#getPatience() };
       const reply = await peers.call(relay.vm, calls.PROBE_THROUGH, { vm }, options);
       if (!reply.isReached) throw new Error(`${relay.vm} does not reach ${vm}`);
     });
@@ -190,6 +203,11 @@
     }
   }
 
+  /** Returns by how much limits are stretched: a node short of processor time finds others slow. */
+  #getPatience(): number {
+    return 1 + this.#slowness;
+  }
+
   async #isReached(vm: string): Promise<boolean> {
     const member = this.#options.table.find(vm);
     if (member === undefined) return false;
