--- a/src/capacity/allocator.ts
+++ b/src/capacity/allocator.ts
@@ -14,6 +14,8 @@
 import type * as types from "./types.js";
 
 const MIN_RETRY_MS = 100;
+/** Stands for the next request in the views, when it comes behind all that queue. */
+const ANY_REQUEST = { caller: "", priority: Number.MAX_SAFE_INTEGER };
 /** Time in which a lease that its holder's report misses may still be on its way to the holder. */
 const REPORT_GRACE_MS = 500;
 
@@ -214,7 +216,7 @@
   listViews(): messages.RunnerView[] {
     return this.listRunners().map(({ runner, occupancy, decode, prefill, gaps }) => ({
       runner: runner.name,
-      waitMs: Math.ceil(decode?.computeWait("") ?? prefill?.computeWait() ?? 0),
+      waitMs: Math.ceil(decode?.computeWait(ANY_REQUEST) ?? prefill?.computeWait() ?? 0),
       free: Math.round(decode?.countFree() ?? 0),
       slowness: prefill?.slowness ?? 1,
       available: occupancy.available,
@@ -275,7 +277,7 @@
         occupancy.available &&
         gaps.gapMs <= request.betweenTokensMs &&
         decode !== undefined &&
-        decode.computeWait(request.caller) <= request.startWithinMs / 2,
+        decode.computeWait(request) <= request.startWithinMs / 2,
     );
     return better?.runner.name;
   }
--- a/src/capacity/decode-ledger.ts
+++ b/src/capacity/decode-ledger.ts
@@ -142,13 +142,13 @@
   }
 
   /** Expected wait for a turn behind those queued ahead of the caller. */
-  computeWait(caller: string, id?: string): number {
+  computeWait(request: turnOrder.Ranked, id?: string): number {
     const queue = this.#listQueue();
     const position = queue.findIndex((lease) => lease.request.id === id);
     const ahead =
       position >= 0
         ? position
-        : turnOrder.countAhead(queue, caller, (name) => this.#computeExcess(name));
+        : turnOrder.countAhead(queue, request, (name) => this.#computeUse(name));
     const missing = ahead + 1 - this.countFree();
     return missing <= 0 ? 0 : (missing * this.#getLifeMs()) / this.#parts.runner.slots;
   }
@@ -180,8 +180,7 @@
 
   #createGrant(lease: decodeLeases.DecodeLease): messages.Answer {
     const turn = lease.phase !== messages.PHASE.queued;
-    const { caller, id } = lease.request;
-    const waitMs = turn ? 0 : this.computeWait(caller, id);
+    const waitMs = turn ? 0 : this.computeWait(lease.request, lease.id);
     return messages.createGrant(turn, waitMs, 0);
   }
 
@@ -193,7 +192,7 @@
     if (this.#leases.size >= runner.slots * MAX_LEASES_PER_SLOT) {
       return messages.createRefusal(messages.REFUSAL.overloaded, this.#getLifeMs());
     }
-    const waitMs = this.computeWait(request.caller);
+    const waitMs = this.computeWait(request);
     const boundMs = request.startWithinMs * (waitMs > 0 ? policy.queueFraction : 1);
     if (boundMs >= 0 && waitMs <= boundMs) return undefined;
     const isOver = policy.shares && callerShares.isExceeded(request.caller);
@@ -216,7 +215,7 @@
     lease.phaseAt = now;
     lease.sentAt = now;
     this.#lead.add(lease.request.leadMs);
-    this.#parts.shares.recordGrant();
+    this.#parts.shares.recordGrant(lease.request.caller);
     lease.onTurn?.(TURN);
     lease.onTurn = undefined;
   }
@@ -229,11 +228,11 @@
 
   #listQueue(): readonly decodeLeases.DecodeLease[] {
     const queue = this.listLeases().filter((lease) => lease.phase === messages.PHASE.queued);
-    return turnOrder.listByTurn(queue, (caller) => this.#computeExcess(caller));
+    return turnOrder.listByTurn(queue, (caller) => this.#computeUse(caller));
   }
 
-  #computeExcess(caller: string): number {
-    return this.#parts.policy.shares ? this.#parts.shares.computeExcess(caller) : 0;
+  #computeUse(caller: string): number {
+    return this.#parts.policy.shares ? this.#parts.shares.computeUse(caller) : 0;
   }
 
   #countPhase(...phases: readonly messages.Phase[]): number {
--- a/src/capacity/shares.ts
+++ b/src/capacity/shares.ts
@@ -1,4 +1,4 @@
-/** Recent demand of each caller at a runner, to tell who is above its max-min fair share. */
+/** Recent demand and grants of each caller, to tell who has had its max-min fair share. */
 import type * as clocks from "../kernel/clock.js";
 
 const HALF_LIFE_MS = 5000;
@@ -6,14 +6,17 @@
 const MAX_CALLERS = 10_000;
 /** How long a computed level stays in use. */
 const LEVEL_LIFE_MS = 200;
-/** How far above the fair level a caller counts as exceeding it. */
-const TOLERANCE = 1.5;
-/** Recent requests below which a caller is never above its share. */
+/** Recent requests up to which a caller is within its share. */
 const FREE_REQUESTS = 2;
+/** How far above the fair level a caller's requests may be, for their spread. */
+const TOLERANCE = 1.2;
+/** Least use of a caller that asks for more than its share. */
+const MIN_USE = 0.25;
 
 interface CallerDemand {
   share: number;
   requests: number;
+  grants: number;
   at: number;
 }
 
@@ -24,7 +27,7 @@
 }
 
 /**
- * Decayed counts of requests for each caller, and of grants in all. The fair level is the demand
+ * Decayed counts of requests and grants for each caller, and of grants in all. The fair level is the demand
  * for each unit of share up to which all can be served. Callers idle for a minute, or the longest
  * idle beyond the limit, are forgotten, which counts in their favour.
  */
@@ -49,42 +52,50 @@
   recordRequest(caller: string, share: number): void {
     const now = this.#clock.now();
     const known = this.#callers.get(caller);
-    const requests = known === undefined ? 1 : 1 + computeDecayed(known.requests, known.at, now);
+    const decay = known === undefined ? 0 : computeDecay(known.at, now);
+    const requests = 1 + decay * (known?.requests ?? 0);
+    const grants = decay * (known?.grants ?? 0);
     this.#callers.delete(caller);
-    this.#callers.set(caller, { share, requests, at: now });
+    this.#callers.set(caller, { share, requests, grants, at: now });
     this.#removeOldest(now);
   }
 
-  /** Records one grant. */
-  recordGrant(): void {
+  /** Records one grant to a caller whose request was recorded. */
+  recordGrant(caller: string): void {
     const now = this.#clock.now();
-    this.#grants = 1 + computeDecayed(this.#grants, this.#grantsAt, now);
+    this.#grants = 1 + this.#grants * computeDecay(this.#grantsAt, now);
     this.#grantsAt = now;
+    const known = this.#callers.get(caller);
+    if (known !== undefined) known.grants += 1 / computeDecay(known.at, now);
   }
 
   /** Returns whether the caller asks for more than its fair share while not all can be served. */
   isExceeded(caller: string): boolean {
-    return this.computeExcess(caller) > 0;
+    return this.computeUse(caller) > 0;
   }
 
-  /** Returns how many times its fair share the caller asks for, or 0 when it is within it. */
-  computeExcess(caller: string): number {
+  /**
+   * Returns what a caller that asks for more than its fair share has had, as a part of that share.
+   * 0 for all others, who can be served in full.
+   */
+  computeUse(caller: string): number {
     const now = this.#clock.now();
     const own = this.#callers.get(caller);
     if (own === undefined || this.#callers.size < 2) return 0;
-    const requests = computeDecayed(own.requests, own.at, now);
-    if (requests <= FREE_REQUESTS) return 0;
-    const excess = requests / own.share / this.#computeLevel(now);
-    return excess > TOLERANCE ? excess : 0;
+    const decay = computeDecay(own.at, now);
+    const requests = own.requests * decay;
+    const level = this.#computeLevel(now) * own.share;
+    if (requests <= FREE_REQUESTS || requests <= TOLERANCE * level) return 0;
+    return Math.max(MIN_USE, (own.grants * decay) / level);
   }
 
   #computeLevel(now: number): number {
     if (now < this.#levelUntil) return this.#level;
     const demands: WeighedDemand[] = [];
     for (const { share, requests, at } of this.#callers.values()) {
-      demands.push({ share, perShare: computeDecayed(requests, at, now) / share });
+      demands.push({ share, perShare: (requests * computeDecay(at, now)) / share });
     }
-    const grants = computeDecayed(this.#grants, this.#grantsAt, now);
+    const grants = this.#grants * computeDecay(this.#grantsAt, now);
     this.#level = computeFairLevel(demands, grants);
     this.#levelUntil = now + LEVEL_LIFE_MS;
     return this.#level;
@@ -115,6 +126,6 @@
   return Infinity;
 }
 
-function computeDecayed(count: number, at: number, now: number): number {
-  return count * 2 ** ((at - now) / HALF_LIFE_MS);
+function computeDecay(since: number, now: number): number {
+  return 2 ** ((since - now) / HALF_LIFE_MS);
 }
