--- a/src/admin/status.ts
+++ b/src/admin/status.ts
@@ -4,6 +4,7 @@
 import type * as capacity from "../capacity/types.js";
 import type * as kernels from "../kernel/container.js";
 import * as membership from "../membership/types.js";
+import * as platform from "../platform/types.js";
 
 /** Most leases and fingerprints that one answer lists; the totals count all. */
 const MAX_LISTED = 1000;
@@ -38,9 +39,15 @@
     revision: zod.number().optional(),
     digest: zod.string().optional(),
     lastRefusal: zod.object({ revision: zod.number(), faults: zod.array(zod.string()) }).optional(),
+    /** Two documents that were seen under one revision. */
+    lastConflict: zod
+      .object({ revision: zod.number(), digests: zod.array(zod.string()) })
+      .optional(),
   }),
   /** Which VM allocates each runner, from this node's view. */
   allocators: zod.array(zod.object({ runner: zod.string(), vm: zod.string().optional() })),
+  /** Runners allocated here that do not serve yet what the document asks for. */
+  drifts: zod.array(zod.object({ runner: zod.string(), reason: zod.enum(platform.DRIFT_REASON) })),
   /** Leases that this node granted as allocator. */
   leases: zod.array(leaseSchema),
   leasesTotal: zod.number(),
@@ -77,6 +84,7 @@
     members: members.listMembers().map(createMemberView),
     configuration: createConfigurationView(kernel),
     allocators: listAllocators(kernel),
+    drifts: kernel.use("orders").listDrifts().slice(0, MAX_LISTED),
     leases: leases.slice(0, MAX_LISTED).map(createLeaseView),
     leasesTotal: leases.length,
     usage: computeUsage(leases),
@@ -94,16 +102,13 @@
 }
 
 function createConfigurationView(kernel: kernels.Kernel): NodeStatus["configuration"] {
-  const { current, ready, lastRefusal } = kernel.use("configuration");
-  const refusal =
-    lastRefusal === undefined
-      ? undefined
-      : { revision: lastRefusal.revision, faults: [...lastRefusal.faults] };
+  const { current, ready, lastRefusal, lastConflict } = kernel.use("configuration");
   return {
     ready,
     revision: current?.revision,
     digest: current?.digest,
-    lastRefusal: refusal,
+    lastRefusal: lastRefusal && { ...lastRefusal, faults: [...lastRefusal.faults] },
+    lastConflict: lastConflict && { ...lastConflict, digests: [...lastConflict.digests] },
   };
 }
 
--- a/src/request/model-attempts.ts
+++ b/src/request/model-attempts.ts
@@ -23,6 +23,8 @@
   readonly attempt: number;
   readonly fingerprint: string;
   readonly startedAt: number;
+  /** Whether this node owns the request's id. */
+  readonly isOwned: boolean;
 }
 
 interface Step {
@@ -59,7 +61,11 @@
     const failed: string[] = [];
     for (let number = 0; ; number += 1) {
       const attempt = { id: run.id, attempt: order.attempt * ATTEMPT_STRIDE + number };
-      const failure = await this.#runOnce(order, run, attempt, failed, signal);
+      const failure = await this.#runOnce(order, run, attempt, failed, signal).catch(
+        (error: unknown) => {
+          throw createHonestRefusal(error, order.attempt + number);
+        },
+      );
       if (failure === undefined) return;
       this.#checkMayRunAgain(order, number, failure, signal);
       this.#kernel.use("log").write(events.LOG_EVENTS.requestRetried, {
@@ -128,9 +134,11 @@
     exclude: readonly string[],
   ): capacity.Demand {
     const call = order.call;
+    const isFirstRun = exclude.length === 0 && run.offset === 0;
     const prompt = call.prompt + run.text;
     return {
       ...attempt,
+      isFirstAttempt: isFirstRun && order.isOwned && order.attempt === 1,
       caller: call.caller.name,
       model: call.model.name,
       adapter: call.adapter,
@@ -139,7 +147,7 @@
       prefixes: prompts.computePrefixes(call.model.name, prompt),
       priority: call.caller.priority,
       share: call.caller.share,
-      firstTokenBy: order.startedAt + call.firstTokenMs,
+      firstTokenBy: this.#computeFirstTokenBy(order, isFirstRun),
       betweenTokensMs: call.betweenTokensMs,
       deadline: order.startedAt + call.deadlineMs,
       exclude,
@@ -186,11 +194,14 @@
     const attributes = { runner: reservation.decode.name };
     await spans.runInSpan(this.#kernel.use("tracer"), "decode", attributes, async () => {
       let stream = engines.decode(reservation.decode, command, signal);
+      let firstBreak: upstream.UpstreamError | undefined;
       for (let resumes = 0; ; resumes += 1) {
-        const broken = await this.#readStream(step, prefilled, stream);
-        if (broken === undefined) return;
-        if (signal.aborted || resumes >= MAX_STREAM_RESUMES) throw broken;
-        if (broken.failure !== upstream.UPSTREAM_FAILURE.broken) throw broken;
+        const failure = await this.#readStream(step, prefilled, stream);
+        if (failure === undefined) return;
+        // The first break tells of a crash; a resume after it fails in any way.
+        firstBreak ??= failure;
+        if (signal.aborted || resumes >= MAX_STREAM_RESUMES) throw firstBreak;
+        if (failure.failure !== upstream.UPSTREAM_FAILURE.broken) throw firstBreak;
         stream = engines.resume(reservation.decode, { ...attempt, offset: run.offset }, signal);
       }
     });
@@ -261,8 +272,22 @@
     if (accused.length > 0) this.#kernel.use("crashes").recordCrash(runner.name, accused);
   }
 
+  /** An accepted request that runs again is answered late rather than given up. */
+  #computeFirstTokenBy(order: RunOrder, isFirstRun: boolean): number {
+    const start = isFirstRun ? order.startedAt : this.#kernel.use("clock").now();
+    return start + order.call.firstTokenMs;
+  }
+
   #getRemainingMs(order: RunOrder): number {
     const deadline = order.startedAt + order.call.deadlineMs;
     return Math.max(1, Math.round(deadline - this.#kernel.use("clock").now()));
   }
 }
+
+/** A refusal before anything was sent says "not run" only when no earlier run may have begun. */
+function createHonestRefusal(error: unknown, runs: number): unknown {
+  if (!(error instanceof codes.RequestError) || error.ran !== codes.RAN.no) return error;
+  const { code, message, retryAfterMs, session, cause } = error;
+  const options = { detail: message, retryAfterMs, session, cause };
+  return new codes.RequestError(code, codes.getRanBefore(runs), options);
+}
--- a/test/admin/fleet-status.test.ts
+++ b/test/admin/fleet-status.test.ts
@@ -30,6 +30,7 @@
     const fleet = fleetStatus.computeFleetStatus([createAnswer("a", 3, "x")]);
     const use = fleet.runners.find((one) => one.runner === "iono-d1");
     earl.expect(use?.pieces).toEqual(40);
+    earl.expect(use?.drift).toEqual("paced");
     earl.expect(use?.callers).toEqual(["surveyors"]);
   });
 });
@@ -41,5 +42,6 @@
     const text = statusCommand.formatFleet(fleet).join("\n");
     earl.expect(text).toInclude("a refused revision 2:\n  runners[0].zone: unknown zone");
     earl.expect(text).toInclude("every node is on revision 1");
+    earl.expect(text).toInclude("two documents were published as revision 1");
   });
 });
--- /dev/null
+++ b/test/docs/callers.test.ts
@@ -0,0 +1,36 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as zod from "zod";
+import * as front from "../../src/caller/front.js";
+import * as frontKernel from "../caller/front-kernel.js";
+import * as curl from "./curl.js";
+import * as repository from "./repository.js";
+
+test.describe("the examples of docs/CALLERS.md", () => {
+  test.it("have the status that the page gives", async () => {
+    await using kernel = frontKernel.createFrontKernel();
+    await using caller = await front.startFront(kernel, []);
+    const node = { host: "127.0.0.1", port: caller.port };
+    const page = repository.readRepositoryFile("docs/CALLERS.md");
+    const variables: Record<string, string> = {
+      NODE: `127.0.0.1:${caller.port}`,
+      CREDENTIAL: "demo-surveyors",
+    };
+    const count = curl.parseCurlExamples(page, variables).length;
+    earl.expect(count).toEqual(9);
+    const results: number[] = [];
+    const expected: number[] = [];
+    for (let index = 0; index < count; index += 1) {
+      const example = curl.parseCurlExamples(page, variables)[index];
+      if (example === undefined) throw new Error("no example");
+      const { status, body } = await curl.sendExample(node, example);
+      results.push(status);
+      expected.push(example.status);
+      if (index === 0) {
+        variables.SESSION = zod.object({ session: zod.string() }).parse(JSON.parse(body)).session;
+      }
+      if (example.body?.includes('"stream":true')) earl.expect(body).toInclude("data: [DONE]");
+    }
+    earl.expect(results).toEqual(expected);
+  });
+});
--- /dev/null
+++ b/test/matrix/matrix.test.ts
@@ -0,0 +1,111 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as cells from "../../standins/matrix/cells.js";
+import * as faults from "../../standins/matrix/faults.js";
+import type * as judges from "../../standins/matrix/judges.js";
+import * as mutants from "../../standins/matrix/mutants.js";
+import * as pairs from "../../standins/matrix/pairs.js";
+import * as scenarios from "../../standins/matrix/scenario.js";
+import * as steps from "../../standins/matrix/steps.js";
+
+const FAST_FAULTS = ["kill", "pause 20 s, wake late", "partition 8 s, healed", "leaving"];
+const FAST_STEPS: readonly steps.Step[] = [
+  steps.STEP.accepted,
+  steps.STEP.intentAcknowledged,
+  steps.STEP.ran,
+];
+const FAST_MODEL_FAULTS = [
+  ["kill", faults.VICTIM.entry],
+  ["pause 20 s, wake late", faults.VICTIM.entry],
+  ["kill", faults.VICTIM.allocator],
+  ["engine crash, restarted", faults.VICTIM.runner],
+  ["crossed and old frames", faults.VICTIM.runner],
+  ["cancel", faults.VICTIM.caller],
+  ["several retries at once", faults.VICTIM.caller],
+] as const;
+const PAIR_RUNS = 15;
+const PAIR_SEED = 4711;
+
+function listGroups(
+  path: scenarios.Path,
+  isWanted: (group: cells.CellGroup) => boolean,
+): readonly cells.CellGroup[] {
+  return cells
+    .listCellGroups(path)
+    .filter(({ topology }) => topology === scenarios.TOPOLOGY.elsewhere)
+    .filter(isWanted);
+}
+
+function findGroup(cell: mutants.RevealingCell): cells.CellGroup {
+  const { path, fault, step, victim } = cell;
+  const [group] = listGroups(
+    path,
+    (entry) => entry.fault.name === fault && entry.step === step && entry.victim === victim,
+  );
+  if (!group) throw new Error(`no group ${fault} ${step} ${victim}`);
+  return group;
+}
+
+function listRed(judged: readonly cells.RealCell[]): readonly judges.Promised[] {
+  const red = judged.filter(({ real }) => real.verdict === cells.VERDICT.failed);
+  return red.map(({ promise }) => promise);
+}
+
+test.describe("fault matrix", () => {
+  for (const fault of FAST_FAULTS) {
+    test.it(`keeps every promise: ${fault} of owner and backup`, async () => {
+      const groups = listGroups(
+        "plain",
+        (group) =>
+          group.fault.name === fault &&
+          group.victim !== faults.VICTIM.entry &&
+          FAST_STEPS.includes(group.step),
+      );
+      earl.expect(groups.length).toEqual(6);
+      for (const group of groups) {
+        for (const { real, step, victim } of await cells.runRealGroup(group)) {
+          earl.expect({ step, victim, ...real }).toEqual({
+            step,
+            victim,
+            verdict: cells.VERDICT.proved,
+            reason: "",
+          });
+        }
+      }
+    });
+  }
+
+  for (const [fault, victim] of FAST_MODEL_FAULTS) {
+    test.it(`keeps every promise to a model request: ${fault} of ${victim}`, async () => {
+      const group = findGroup({ path: "model", fault, step: steps.STEP.decode, victim });
+      for (const { real, promise } of await cells.runRealGroup(group)) {
+        const expected = { promise, verdict: cells.VERDICT.proved, reason: "" };
+        earl.expect({ promise, ...real }).toEqual(expected);
+      }
+    });
+  }
+
+  test.it("sees the naive router run a booking twice", async () => {
+    const group = findGroup({
+      path: "plain",
+      fault: "reply lost",
+      step: steps.STEP.ran,
+      victim: faults.VICTIM.service,
+    });
+    const judged = await cells.runCellGroup(group);
+    const naive = judged.filter((cell) => cell.naive.verdict === cells.VERDICT.failed);
+    earl.expect(naive.map(({ promise }) => promise)).toEqual(["non-idempotent runs at most once"]);
+  });
+
+  for (const { mutant, cell } of mutants.MUTANTS) {
+    test.it(`sees a router that ${mutant.name}`, async () => {
+      const group = findGroup(cell);
+      earl.expect(listRed(await cells.runRealGroup(group, mutant)).length).toBeGreaterThan(0);
+    });
+  }
+
+  test.it("keeps every promise under pairs of faults", async () => {
+    const { failure } = await pairs.runPairs("plain", PAIR_RUNS, PAIR_SEED);
+    earl.expect(failure).toEqual(undefined);
+  });
+});
