Start one suspect of a crash at a time on a prefill runner too

Cause: suspects admitted by different decode runners met at one prefill runner, and a third one crashed.

--- a/src/capacity/lease-requests.ts
+++ b/src/capacity/lease-requests.ts
@@ -103,6 +103,7 @@
       runner: runner.name,
       id: demand.id,
       attempt: demand.attempt,
+      isSuspect: demand.isSuspect === true ? true : undefined,
       tokens,
       prefixes: messages.choosePrefixes(demand.prefixes, tokens),
       endWithinMs: Math.floor(endBy - clock.now()),
--- a/src/capacity/messages.ts
+++ b/src/capacity/messages.ts
@@ -82,6 +82,8 @@
   runner: text,
   id: requestId,
   attempt,
+  /** Whether the request may have crashed a runner. */
+  isSuspect: zod.boolean().optional(),
   tokens: zod.number().min(0),
   /** Evenly spaced prefixes of the prompt, shortest first, with the tokens that each covers. */
   prefixes: zod.array(zod.object({ hash: text, tokens: zod.number() })).max(MAX_PREFIXES),
--- a/src/capacity/prefill-ledger.ts
+++ b/src/capacity/prefill-ledger.ts
@@ -24,6 +24,8 @@
 export interface PrefillLease {
   readonly id: string;
   readonly attempt: number;
+  /** Whether the request may have crashed a runner. */
+  readonly isSuspect: boolean;
   readonly holder: network.PeerIdentity;
   readonly tokens: number;
   readonly grantedAt: number;
@@ -144,13 +146,18 @@
   }
 
   #addLease(
-    request: { readonly id: string; readonly attempt: number },
+    request: {
+      readonly id: string;
+      readonly attempt: number;
+      readonly isSuspect?: boolean | undefined;
+    },
     tokens: number,
     holder: network.PeerIdentity,
   ): PrefillLease {
     const lease: PrefillLease = {
       id: request.id,
       attempt: request.attempt,
+      isSuspect: request.isSuspect === true,
       holder,
       tokens,
       grantedAt: this.#clock.now(),
@@ -162,13 +169,16 @@
     return lease;
   }
 
-  /** Lets the next prefills go, in the order of their grants. */
+  /** Lets the next prefills go, in the order of their grants but one suspect at a time. */
   #startQueued(): void {
     let sent = 0;
+    let hasSuspect = this.listLeases().some((lease) => lease.isSuspect && isSent(lease));
     for (const lease of this.#leases.list()) {
       if (sent >= MAX_SENT) return;
+      if (lease.isSuspect && hasSuspect && !isSent(lease)) continue;
       sent += 1;
-      if (lease.sentAt !== undefined) continue;
+      if (isSent(lease)) continue;
+      hasSuspect ||= lease.isSuspect;
       lease.sentAt = this.#clock.now();
       lease.onTurn?.({ turn: true, known: true, share: false });
       lease.onTurn = undefined;
@@ -185,3 +195,7 @@
     return (tokens / this.#runner.prefillTokensPerSecond) * 1000 * this.slowness;
   }
 }
+
+function isSent(lease: PrefillLease): boolean {
+  return lease.sentAt !== undefined;
+}
