--- a/bench/local-fleet.ts
+++ b/bench/local-fleet.ts
@@ -1,9 +1,10 @@
-/** Nodes of one process: peer calls with a delay and faults, and a membership that is told. */
+/** Nodes of one process: peer calls with a delay, and faults of nodes and links. */
 import type * as clocks from "../src/kernel/clock.js";
 import * as membership from "../src/membership/types.js";
 import * as fieldCodec from "../src/protocol/field-codec.js";
 import * as messageCodec from "../src/protocol/message-codec.js";
 import * as network from "../src/protocol/network.js";
+import * as localMembership from "./local-membership.js";
 
 type Handler = (request: unknown, from: network.PeerIdentity, signal: AbortSignal) => unknown;
 
@@ -20,7 +21,7 @@
 export interface LocalNode {
   readonly vm: string;
   readonly network: network.PeerNetwork;
-  readonly membership: LocalMembership;
+  readonly membership: localMembership.LocalMembership;
 }
 
 /** Connects nodes; a pair can be cut, a node can be stopped. */
@@ -57,7 +58,7 @@
       vm,
       handlers,
       network: this.#createNetwork(vm, handlers),
-      membership: new LocalMembership(self),
+      membership: new localMembership.LocalMembership(self),
     };
     for (const other of this.#nodes.values()) {
       other.membership.update(self);
@@ -211,62 +212,3 @@
     });
   }
 }
-
-/** A membership that learns only what it is told. */
-export class LocalMembership implements membership.Membership {
-  readonly self: membership.Member;
-  readonly #members = new Map<string, membership.Member>();
-  readonly #listeners = new Set<(member: membership.Member) => void>();
-
-  constructor(self: membership.Member) {
-    this.self = self;
-    this.#members.set(self.vm, self);
-  }
-
-  /** Takes in a member's state. */
-  update(member: membership.Member): void {
-    this.#members.set(member.vm, member);
-    for (const listener of this.#listeners) listener(member);
-  }
-
-  listMembers(): readonly membership.Member[] {
-    return [...this.#members.values()].filter(
-      (member) => member.state !== membership.MEMBER_STATE.dead,
-    );
-  }
-
-  listAlive(): readonly membership.Member[] {
-    return [...this.#members.values()].filter(
-      (member) => member.state === membership.MEMBER_STATE.alive,
-    );
-  }
-
-  findMember(vm: string): membership.Member | undefined {
-    return this.#members.get(vm);
-  }
-
-  onChange(listener: (member: membership.Member) => void): Disposable {
-    this.#listeners.add(listener);
-    return {
-      [Symbol.dispose]: () => {
-        this.#listeners.delete(listener);
-      },
-    };
-  }
-
-  onGossip(): void {
-    // No topics travel in the local fleet.
-  }
-
-  startLeaving(): Promise<void> {
-    return Promise.resolve();
-  }
-
-  start(): Promise<void> {
-    return Promise.resolve();
-  }
-
-  [Symbol.asyncDispose](): Promise<void> {
-    return Promise.resolve();
-  }
-}
--- /dev/null
+++ b/bench/local-membership.ts
@@ -0,0 +1,61 @@
+/** Membership of a node in the local fleet. */
+import * as membership from "../src/membership/types.js";
+
+/** A membership that learns only what it is told. */
+export class LocalMembership implements membership.Membership {
+  readonly self: membership.Member;
+  readonly #members = new Map<string, membership.Member>();
+  readonly #listeners = new Set<(member: membership.Member) => void>();
+
+  constructor(self: membership.Member) {
+    this.self = self;
+    this.#members.set(self.vm, self);
+  }
+
+  /** Takes in a member's state. */
+  update(member: membership.Member): void {
+    this.#members.set(member.vm, member);
+    for (const listener of this.#listeners) listener(member);
+  }
+
+  listMembers(): readonly membership.Member[] {
+    return [...this.#members.values()].filter(
+      (member) => member.state !== membership.MEMBER_STATE.dead,
+    );
+  }
+
+  listAlive(): readonly membership.Member[] {
+    return [...this.#members.values()].filter(
+      (member) => member.state === membership.MEMBER_STATE.alive,
+    );
+  }
+
+  findMember(vm: string): membership.Member | undefined {
+    return this.#members.get(vm);
+  }
+
+  onChange(listener: (member: membership.Member) => void): Disposable {
+    this.#listeners.add(listener);
+    return {
+      [Symbol.dispose]: () => {
+        this.#listeners.delete(listener);
+      },
+    };
+  }
+
+  onGossip(): void {
+    // No topics travel in the local fleet.
+  }
+
+  startLeaving(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  start(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    return Promise.resolve();
+  }
+}
