--- /dev/null
+++ b/test/processes/model-cells.ts
@@ -0,0 +1,136 @@
+/** Model requests against a fleet of processes, and the faults that strike meanwhile. */
+import * as earl from "earl";
+import * as callerClient from "../../src/client/caller-client.js";
+import * as demoChecks from "../../standins/demo-checks.js";
+import * as expectedTokens from "../../standins/engine/expected-tokens.js";
+import type * as processFleet from "../../standins/process-fleet.js";
+import * as fixture from "./fleet-fixture.js";
+
+export const MAX_TOKENS = 200;
+export const QUARANTINED = 1010;
+export const POISON_REPEATS = 4;
+export const LOAD_REQUESTS = 24;
+export const LOAD_PAUSE_MS = 40;
+export const SUCCESS_EXIT_CODE = 0;
+/** Well before the request's natural end. */
+export const ENTRY_GONE_LIMIT_MS = 5_000;
+export const LONG_MAX_TOKENS = 1_000;
+
+/** A caller of one fleet. */
+export class ModelCells {
+  readonly #fleet: processFleet.ProcessFleet;
+
+  constructor(fleet: processFleet.ProcessFleet) {
+    this.#fleet = fleet;
+  }
+
+  createClient(): callerClient.CallerClient {
+    return demoChecks.createClient(this.#fleet, fixture.MODEL_CALLER);
+  }
+
+  createRequest(prompt: string): { model: string; maxTokens: number; prompt: string } {
+    const model = this.#fleet.document.models[0]?.name ?? "";
+    return { model, maxTokens: MAX_TOKENS, prompt };
+  }
+
+  async killDecodeEngine(): Promise<string> {
+    for (const runner of this.#fleet.document.runners) {
+      if (!runner.pool.endsWith("decode")) continue;
+      const report = await demoChecks.readJudge<{ slotsHeld: unknown[] }>(runner.port);
+      if (report.slotsHeld.length === 0) continue;
+      this.#fleet.getProcess(runner.name).send("SIGKILL");
+      return runner.name;
+    }
+    throw new Error("no engine holds the request");
+  }
+
+  async startEngine(name: string): Promise<void> {
+    const runner = this.#fleet.document.runners.find((candidate) => candidate.name === name);
+    if (runner === undefined) throw new Error(`no runner ${name}`);
+    await this.#fleet.startEngine(runner);
+  }
+
+  /**
+   * Sends a poison prompt again and again until it is refused for good; returns how many engines
+   * it crashed, which run again afterwards.
+   */
+  async sendPoison(prompt: string): Promise<number> {
+    let code: number | undefined;
+    for (let repeats = 0; repeats < POISON_REPEATS && code !== QUARANTINED; repeats += 1) {
+      const answer = await this.createClient().sendModel(this.createRequest(prompt));
+      code = answer.ok ? undefined : answer.code;
+    }
+    const again = await this.createClient().sendModel(this.createRequest(prompt));
+    const crashed = await this.listCrashed();
+    await Promise.all(crashed.map((name) => this.startEngine(name)));
+    await fixture.waitUntil("the fleet serves again", async () => {
+      return (await this.sendOne("after poison")) === "whole";
+    });
+    earl.expect(again.ok ? undefined : again.code).toEqual(QUARANTINED);
+    return crashed.length;
+  }
+
+  /** Names runners whose engine no longer listens. */
+  async listCrashed(): Promise<string[]> {
+    const crashed: string[] = [];
+    for (const runner of this.#fleet.document.runners) {
+      const report = await demoChecks.readJudge(runner.port).catch(() => undefined);
+      if (report === undefined) crashed.push(runner.name);
+    }
+    return crashed;
+  }
+
+  /** Sends requests shortly after one another and strikes after a third of them. */
+  async sendLoad(label: string, strike?: () => void): Promise<string[]> {
+    const pending: Promise<string>[] = [];
+    for (let number = 0; number < LOAD_REQUESTS; number += 1) {
+      if (number === LOAD_REQUESTS / 3) strike?.();
+      pending.push(this.sendOne(`${label} ${number}`));
+      await fixture.sleep(LOAD_PAUSE_MS);
+    }
+    return Promise.all(pending);
+  }
+
+  async sendOne(prompt: string): Promise<string> {
+    const answer = await this.createClient().sendModel(this.createRequest(prompt));
+    if (!answer.ok) return `${String(answer.code)} ${answer.message}`;
+    return answer.text === computeExpected(prompt) ? "whole" : answer.text;
+  }
+
+  /** Streams from one node without any retry. */
+  async readStraight(
+    place: processFleet.NodePlace,
+    prompt: string,
+    signal?: AbortSignal,
+  ): Promise<string> {
+    const response = await fetch(`http://${fixture.HOST}:${place.callerPort}/v1/completions`, {
+      method: "POST",
+      headers: {
+        authorization: `Bearer demo-${fixture.MODEL_CALLER}`,
+        "content-type": "application/json",
+      },
+      body: JSON.stringify({
+        ...this.createRequest(prompt),
+        max_tokens: LONG_MAX_TOKENS,
+        stream: true,
+      }),
+      signal,
+    });
+    const body = await response.text();
+    if (!body.includes("data: [DONE]")) return `no end mark: ${body.slice(-300)}`;
+    return parseText(body);
+  }
+}
+
+export function computeExpected(prompt: string): string {
+  return expectedTokens.computeExpectedTokens(prompt, MAX_TOKENS).join("");
+}
+
+/** Joins the texts of a completion stream's events. */
+function parseText(body: string): string {
+  const texts = body
+    .split("\n")
+    .filter((line) => line.startsWith("data: {"))
+    .map((line) => JSON.parse(line.slice("data: ".length)) as { choices?: { text?: string }[] });
+  return texts.map((event) => event.choices?.[0]?.text ?? "").join("");
+}
