--- a/src/capacity/decode-ledger.ts
+++ b/src/capacity/decode-ledger.ts
@@ -19,6 +19,8 @@
 const MAX_RETRY_MS = 30_000;
 /** Time in which half of those refused are taken to have given up. */
 const REFUSAL_HALF_LIFE_MS = 5000;
+/** Time of decode after which a suspect is not taken to crash the runner by its first steps. */
+const PROBATION_MS = 300;
 /** Most slots leased ahead, as a part of all. */
 const MAX_AHEAD = 0.5;
 
@@ -142,13 +144,13 @@
   }
 
   /** Expected wait for a turn behind those queued ahead of the caller. */
-  computeWait(caller: string, id?: string): number {
+  computeWait(request: turnOrder.Ranked, id?: string): number {
     const queue = this.#listQueue();
     const position = queue.findIndex((lease) => lease.request.id === id);
     const ahead =
       position >= 0
         ? position
-        : turnOrder.countAhead(queue, caller, (name) => this.#computeExcess(name));
+        : turnOrder.countAhead(queue, request, (name) => this.#computeUse(name));
     const missing = ahead + 1 - this.countFree();
     return missing <= 0 ? 0 : (missing * this.#getLifeMs()) / this.#parts.runner.slots;
   }
@@ -180,8 +182,7 @@
 
   #createGrant(lease: decodeLeases.DecodeLease): messages.Answer {
     const turn = lease.phase !== messages.PHASE.queued;
-    const { caller, id } = lease.request;
-    const waitMs = turn ? 0 : this.computeWait(caller, id);
+    const waitMs = turn ? 0 : this.computeWait(lease.request, lease.id);
     return messages.createGrant(turn, waitMs, 0);
   }
 
@@ -193,7 +194,7 @@
     if (this.#leases.size >= runner.slots * MAX_LEASES_PER_SLOT) {
       return messages.createRefusal(messages.REFUSAL.overloaded, this.#getLifeMs());
     }
-    const waitMs = this.computeWait(request.caller);
+    const waitMs = this.computeWait(request);
     const boundMs = request.startWithinMs * (waitMs > 0 ? policy.queueFraction : 1);
     if (boundMs >= 0 && waitMs <= boundMs) return undefined;
     const isOver = policy.shares && callerShares.isExceeded(request.caller);
@@ -216,7 +217,7 @@
     lease.phaseAt = now;
     lease.sentAt = now;
     this.#lead.add(lease.request.leadMs);
-    this.#parts.shares.recordGrant();
+    this.#parts.shares.recordGrant(lease.request.caller);
     lease.onTurn?.(TURN);
     lease.onTurn = undefined;
   }
@@ -229,11 +230,11 @@
 
   #listQueue(): readonly decodeLeases.DecodeLease[] {
     const queue = this.listLeases().filter((lease) => lease.phase === messages.PHASE.queued);
-    return turnOrder.listByTurn(queue, (caller) => this.#computeExcess(caller));
+    return turnOrder.listByTurn(queue, (caller) => this.#computeUse(caller));
   }
 
-  #computeExcess(caller: string): number {
-    return this.#parts.policy.shares ? this.#parts.shares.computeExcess(caller) : 0;
+  #computeUse(caller: string): number {
+    return this.#parts.policy.shares ? this.#parts.shares.computeUse(caller) : 0;
   }
 
   #countPhase(...phases: readonly messages.Phase[]): number {
@@ -242,7 +243,19 @@
     return count;
   }
 
+  /** Whether a suspect has begun whose first steps might still crash the runner. */
+  #hasSuspectOnProbation(): boolean {
+    const provenBefore = this.#parts.clock.now() - PROBATION_MS;
+    return this.listLeases().some(
+      ({ request, phase, phaseAt }) =>
+        request.isSuspect &&
+        (phase === messages.PHASE.sent ||
+          (phase === messages.PHASE.running && phaseAt > provenBefore)),
+    );
+  }
+
   #hasRoom(request: messages.LeaseRequest): boolean {
+    if (request.isSuspect && this.#hasSuspectOnProbation()) return false;
     if (!this.#parts.occupancy.available || this.countFree() < 1) return false;
     let pieces = request.pieces + this.#parts.occupancy.countForeignPieces();
     for (const lease of this.#leases.list()) {
