Take members whose process has ended as dead, not as a sign of a partition

A refused connection proves that a process has ended; only silent members count now. Ruled out: the cancels themselves, which the engines obeyed.

--- a/src/capacity/capacity.ts
+++ b/src/capacity/capacity.ts
@@ -3,7 +3,7 @@
 import type * as clocks from "../kernel/clock.js";
 import type * as container from "../kernel/container.js";
 import type * as membership from "../membership/types.js";
-import type * as network from "../protocol/network.js";
+import * as network from "../protocol/network.js";
 import * as resultCodes from "../protocol/result-codes.js";
 import * as allocatorCalls from "./allocator-calls.js";
 import * as allocators from "./allocator.js";
@@ -25,6 +25,8 @@
 import * as upkeeps from "./upkeep.js";
 
 const FULL_RETRY_MS = 1000;
+/** Wait for a sign of life of a member that is held for dead. */
+const CHECK_TIMEOUT_MS = 1000;
 
 /**
  * Creates the capacity service of a node and registers its handlers of peer calls.
@@ -96,7 +98,9 @@
     const calls = new allocatorCalls.AllocatorCalls(shared);
     const requests = new leaseRequests.LeaseRequests({ ...shared, selection, calls });
     this.#leasing = new leasing.Leasing({ ...shared, selection, calls, requests });
-    this.#upkeep = new upkeeps.Upkeep(shared, this.#stopping.signal);
+    const isProcessGone = (vm: string, incarnation: number): Promise<boolean> =>
+      checkProcessGone(this.#network, vm, incarnation);
+    this.#upkeep = new upkeeps.Upkeep({ ...shared, isProcessGone }, this.#stopping.signal);
     this.#observer = observers.createObserver(shared);
     this.#registerHandlers();
     this.#subscriptions.push(
@@ -190,6 +194,7 @@
       this.#holdings.handleRevoke(leases);
       return {};
     });
+    peers.onCall(messages.CHECK_PROCESS, () => ({}));
     peers.onCall(messages.SUPERSEDE, ({ id, attempt }) => {
       allocator.handleSupersede(id, attempt);
       return {};
@@ -215,3 +220,18 @@
     });
   }
 }
+
+async function checkProcessGone(
+  peers: network.PeerNetwork,
+  vm: string,
+  incarnation: number,
+): Promise<boolean> {
+  const options = { timeoutMs: CHECK_TIMEOUT_MS, incarnation };
+  try {
+    await peers.call(vm, messages.CHECK_PROCESS, {}, options);
+    return false;
+  } catch (error) {
+    const isCallError = error instanceof network.PeerCallError;
+    return isCallError && error.failure === network.CALL_FAILURE.gone;
+  }
+}
--- a/src/capacity/messages.ts
+++ b/src/capacity/messages.ts
@@ -217,6 +217,14 @@
   zod.object({}),
 );
 
+/** Asks for any answer: a refused connection proves that the peer's process has ended. */
+export const CHECK_PROCESS = network.createPeerCall(
+  68,
+  "check-process",
+  zod.object({}),
+  zod.object({}),
+);
+
 /** Creates a grant. */
 export function createGrant(turn: boolean, waitMs: number, workMs: number): Answer {
   return {
--- a/src/capacity/upkeep.ts
+++ b/src/capacity/upkeep.ts
@@ -7,6 +7,7 @@
 import type * as allocatedRunners from "./allocated-runner.js";
 import type * as allocators from "./allocator.js";
 import type * as catalogs from "./catalog.js";
+import * as lostHolders from "./lost-holders.js";
 import type * as policies from "./policy.js";
 
 /** Grace between the loss of a holder and the cancel of its requests. */
@@ -20,9 +21,6 @@
 const CALL_TIMEOUT_MS = 1000;
 /** Report periods in which a new allocator waits for the holders. */
 const SETTLING_PERIODS = 2;
-/** How long a lost member counts as a sign of a partition. */
-const LOST_MEMORY_MS = 60_000;
-const MAX_LOST = 10_000;
 
 /** What upkeep works with. */
 export interface UpkeepParts {
@@ -34,23 +32,21 @@
   readonly allocator: allocators.Allocator;
   readonly getCatalog: () => catalogs.Catalog;
   readonly findAllocator: (runner: string) => string | undefined;
-}
-
-interface LostHolder {
-  readonly incarnation: number;
-  readonly at: number;
+  /** Asks whether that incarnation's process has ended; false when it may be cut off or paused. */
+  readonly isProcessGone: (vm: string, incarnation: number) => Promise<boolean>;
 }
 
 /** Runs beside the allocator until its signal aborts. */
 export class Upkeep {
   readonly #parts: UpkeepParts;
   readonly #signal: AbortSignal;
-  readonly #lost = new Map<string, LostHolder>();
+  readonly #lost: lostHolders.LostHolders;
   readonly #polled = new Set<string>();
 
   constructor(parts: UpkeepParts, signal: AbortSignal) {
     this.#parts = parts;
     this.#signal = signal;
+    this.#lost = new lostHolders.LostHolders(parts.clock);
   }
 
   /** Begins and ends the allocation of runners as the view of the fleet demands. */
@@ -71,27 +67,24 @@
 
   /** Takes in a change of a member: a lost one's leases are cancelled after a grace. */
   handleMember(member: membership.Member): void {
-    const { clock } = this.#parts;
     const isLost = member.state === "dead" || member.state === "suspect";
-    const known = this.#lost.get(member.vm);
+    const known = this.#lost.find(member.vm);
     if (!isLost && known !== undefined) {
-      this.#lost.delete(member.vm);
+      this.#lost.remove(member.vm);
       if (member.incarnation > known.incarnation) this.#removeHolder(member.vm, known.incarnation);
     }
-    if (member.state === "dead" && known === undefined && this.#lost.size < MAX_LOST) {
-      const lost = { incarnation: member.incarnation, at: clock.now() };
-      this.#lost.set(member.vm, lost);
-      this.#scheduleRemoval(member.vm, lost, HOLDER_GRACE_MS);
+    if (member.state === "dead") {
+      const lost = this.#lost.add(member.vm, member.incarnation);
+      if (lost !== undefined) this.#handleLoss(member.vm, lost);
     }
     this.updateRunners();
   }
 
-  /** Whether several members were lost lately, as when the network is cut. */
-  isPartitioned(): boolean {
-    const before = this.#parts.clock.now() - LOST_MEMORY_MS;
-    let count = 0;
-    for (const lost of this.#lost.values()) if (lost.at >= before) count += 1;
-    return count >= 2;
+  #handleLoss(vm: string, lost: lostHolders.LostHolder): void {
+    void this.#parts.isProcessGone(vm, lost.incarnation).then((isGone) => {
+      lost.isGone = isGone;
+    });
+    this.#scheduleRemoval(vm, lost, HOLDER_GRACE_MS);
   }
 
   #addRunner(runner: catalogs.CatalogRunner): void {
@@ -146,13 +139,13 @@
     if (this.#lost.size === 0) return;
     const held = new Set(load.held.map(({ id }) => id));
     const before = this.#parts.clock.now() - load.ageMs - ENDED_GRACE_MS;
-    entry.decode?.releaseEnded((holder) => this.#lost.has(holder.vm), held, before);
+    entry.decode?.releaseEnded((holder) => this.#lost.find(holder.vm) !== undefined, held, before);
   }
 
   #isGuarded(entry: allocatedRunners.AllocatedRunner): boolean {
     const { clock, policy } = this.#parts;
     const ageMs = clock.now() - entry.allocatedSince;
-    return ageMs < SETTLING_PERIODS * policy.reportPeriodMs || this.isPartitioned();
+    return ageMs < SETTLING_PERIODS * policy.reportPeriodMs || this.#lost.isPartitioned();
   }
 
   #cancelOrphans(entry: allocatedRunners.AllocatedRunner): void {
@@ -179,11 +172,12 @@
     }
   }
 
-  #scheduleRemoval(vm: string, lost: LostHolder, delayMs: number): void {
+  #scheduleRemoval(vm: string, lost: lostHolders.LostHolder, delayMs: number): void {
     const cancel = this.#parts.clock.schedule(delayMs, () => {
-      if (this.#lost.get(vm) !== lost || this.#signal.aborted) return;
+      if (this.#lost.find(vm) !== lost || this.#signal.aborted) return;
       const remainingMs = lost.at + PARTITION_GRACE_MS - this.#parts.clock.now();
-      if (this.isPartitioned() && remainingMs > 0) this.#scheduleRemoval(vm, lost, remainingMs);
+      if (this.#lost.isPartitioned() && remainingMs > 0)
+        this.#scheduleRemoval(vm, lost, remainingMs);
       else this.#removeHolder(vm, lost.incarnation);
     });
     this.#signal.addEventListener("abort", cancel, { once: true });
