--- a/src/caller/model-routes.ts
+++ b/src/caller/model-routes.ts
@@ -146,10 +146,13 @@
   signal: AbortSignal,
 ): Promise<void> {
   const writer = new sseWriter.SseWriter(output, kernel.use("clock"));
+  const formatToken = openai.createTokenFormatter(prepared.endpoint, prepared.head);
   try {
     let next = started.first;
     while (next.done !== true) {
-      await writer.writeEvent(JSON.stringify(formatEvent(prepared, next.value)), signal);
+      const event = next.value;
+      const data = event.type === "token" ? formatToken(event.text) : formatEnd(prepared, event);
+      await writer.writeEvent(data, signal);
       next = await started.iterator.next();
     }
     await writer.writeEvent("[DONE]", signal);
@@ -165,8 +168,6 @@
   }
 }
 
-function formatEvent(prepared: Prepared, event: types.ModelEvent): object {
-  const { endpoint, head } = prepared;
-  if (event.type === "token") return openai.formatChunk(endpoint, head, event.text, undefined);
-  return openai.formatChunk(endpoint, head, "", event);
+function formatEnd(prepared: Prepared, end: types.ModelEvent & { type: "end" }): string {
+  return JSON.stringify(openai.formatChunk(prepared.endpoint, prepared.head, "", end));
 }
--- a/src/caller/openai.ts
+++ b/src/caller/openai.ts
@@ -130,6 +130,25 @@
   };
 }
 
+/** Stands for the text of a token while the parts around it are formatted once. */
+const TEXT_MARK = "\u0000text";
+
+/**
+ * Creates a formatter of the chunks between the first and the last, which differ only in their
+ * text.
+ *
+ * @returns a function from a token's text to the chunk as JSON.
+ * @example createTokenFormatter("chat", head)("Lagos ");
+ */
+export function createTokenFormatter(
+  endpoint: Endpoint,
+  head: AnswerHead,
+): (text: string) => string {
+  const sample = JSON.stringify(formatChunk(endpoint, head, TEXT_MARK, undefined));
+  const [before = "", after = ""] = sample.split(JSON.stringify(TEXT_MARK));
+  return (text) => before + JSON.stringify(text) + after;
+}
+
 /** Returns a whole answer. */
 export function formatAnswer(
   endpoint: Endpoint,
--- /dev/null
+++ b/test/caller/openai.test.ts
@@ -0,0 +1,34 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as openai from "../../src/caller/openai.js";
+import * as codes from "../../src/protocol/result-codes.js";
+
+const HEAD = { id: "cmpl-1", model: "iono-llm", created: 7 };
+const TEXTS = ["plain ", 'quotes " and \\ and $&', "Čistý Vzduch\n", "\u0000text", "\u0000text$1"];
+
+test.describe("createTokenFormatter", () => {
+  for (const endpoint of Object.values(openai.ENDPOINT)) {
+    test.it(`formats ${endpoint} chunks as formatChunk does`, () => {
+      const formatToken = openai.createTokenFormatter(endpoint, HEAD);
+      for (const text of TEXTS) {
+        const expected = openai.formatChunk(endpoint, HEAD, text, undefined);
+        earl.expect(JSON.parse(formatToken(text))).toEqual(JSON.parse(JSON.stringify(expected)));
+      }
+    });
+  }
+});
+
+test.describe("parseModelQuery", () => {
+  test.it("splits the adapter from the model and takes the prompt of a chat", () => {
+    const body = { model: "iono-llm:tile-summary", messages: [{ role: "user", content: "tile" }] };
+    const query = openai.parseModelQuery("chat", body);
+    earl.expect([query.model, query.adapter]).toEqual(["iono-llm", "tile-summary"]);
+    earl.expect(query.prompt).toEqual("<|user|>tile\n<|assistant|>");
+  });
+
+  test.it("names every fault of a malformed body", () => {
+    earl
+      .expect(() => openai.parseModelQuery("completions", { model: "", max_tokens: 0 }))
+      .toThrow(codes.RequestError, /model.*max_tokens.*prompt|max_tokens.*prompt/);
+  });
+});
