Hash the prefixes of an adapter's prompts as the engines do

Cause: the engine's cache keys hold the adapter, the router's did not, so requests with an adapter were predicted to hit blocks of the bare model. Wrong predictions only, no wrong answers.

--- a/src/request/model-attempts.ts
+++ b/src/request/model-attempts.ts
@@ -144,7 +144,7 @@
       adapter: call.adapter,
       promptTokens: prompts.countTokens(prompt),
       maxTokens: call.maxTokens - run.offset,
-      prefixes: prompts.computePrefixes(call.model.name, prompt),
+      prefixes: prompts.computePrefixes(call.model.name, call.adapter, prompt),
       priority: call.caller.priority,
       share: call.caller.share,
       firstTokenBy: this.#computeFirstTokenBy(order, isFirstRun),
--- a/src/request/prompts.ts
+++ b/src/request/prompts.ts
@@ -15,14 +15,19 @@
 }
 
 /**
- * Returns the hash of each prefix that ends at a full block, shortest first, at most 64.
+ * Returns the hash of each prefix that ends at a full block, shortest first, at most 64. Another
+ * adapter of the model has other hashes, for its KV cache differs.
  *
- * @example computePrefixes("iono-1", prompt)[0];
+ * @example computePrefixes("iono-1", "tile-summary", prompt)[0];
  */
-export function computePrefixes(model: string, prompt: string): readonly string[] {
+export function computePrefixes(
+  model: string,
+  adapter: string | undefined,
+  prompt: string,
+): readonly string[] {
   const blockLength = PREFIX_BLOCK_TOKENS * CHARACTERS_PER_TOKEN;
   const blocks = Math.min(MAX_PREFIXES, Math.floor(prompt.length / blockLength));
-  const hash = hasher.create64().update(model);
+  const hash = hasher.create64().update(adapter === undefined ? model : `${model}+${adapter}`);
   const prefixes: string[] = [];
   for (let block = 0; block < blocks; block += 1) {
     hash.update(prompt.slice(block * blockLength, (block + 1) * blockLength));
--- a/standins/engine/prefill-prompts.ts
+++ b/standins/engine/prefill-prompts.ts
@@ -5,9 +5,8 @@
 
 /** Returns the cached blocks' hashes; they depend on the adapter as well as on the model. */
 export function listPrefixes(command: upstream.PrefillCommand): readonly string[] {
-  const name =
-    command.adapter === undefined ? command.model : `${command.model}+${command.adapter}`;
-  return prompts.computePrefixes(name, command.prompt + command.continuation);
+  const { model, adapter, prompt, continuation } = command;
+  return prompts.computePrefixes(model, adapter, prompt + continuation);
 }
 
 /** Output that is to be continued. */
--- a/test/request/prompts.test.ts
+++ b/test/request/prompts.test.ts
@@ -6,8 +6,12 @@
 
 test.describe("computePrefixes", () => {
   test.it("gives equal hashes for equal beginnings only", () => {
-    const first = prompts.computePrefixes("iono-1", `${BLOCK}${BLOCK}a`);
-    const second = prompts.computePrefixes("iono-1", `${BLOCK}${"y".repeat(BLOCK.length)}`);
+    const first = prompts.computePrefixes("iono-1", undefined, `${BLOCK}${BLOCK}a`);
+    const second = prompts.computePrefixes(
+      "iono-1",
+      undefined,
+      `${BLOCK}${"y".repeat(BLOCK.length)}`,
+    );
     earl.expect(first.length).toEqual(2);
     earl.expect(second[0]).toEqual(first[0]);
     earl.expect(second[1] === first[1]).toEqual(false);
@@ -15,9 +19,12 @@
 
   test.it("separates models and bounds the number of prefixes", () => {
     const long = BLOCK.repeat(70);
-    earl.expect(prompts.computePrefixes("iono-1", long).length).toEqual(64);
+    earl.expect(prompts.computePrefixes("iono-1", undefined, long).length).toEqual(64);
     earl
-      .expect(prompts.computePrefixes("iono-1", BLOCK))
-      .not.toEqual(prompts.computePrefixes("iono-2", BLOCK));
+      .expect(prompts.computePrefixes("iono-1", undefined, BLOCK))
+      .not.toEqual(prompts.computePrefixes("iono-2", undefined, BLOCK));
+    earl
+      .expect(prompts.computePrefixes("iono-1", "tile-summary", BLOCK))
+      .not.toEqual(prompts.computePrefixes("iono-1", undefined, BLOCK));
   });
 });
