--- a/src/request/model-calls.ts
+++ b/src/request/model-calls.ts
@@ -10,36 +10,27 @@
 import * as events from "../telemetry/log-events.js";
 import * as messages from "./messages-model.js";
 import * as modelAttempts from "./model-attempts.js";
+import * as modelClaims from "./model-claims.js";
 import * as modelRecords from "./model-records.js";
 import * as modelRun from "./model-run.js";
 
-const CLAIM_TIMEOUT_MS = 400;
-/** Silence after which an attached reader asks again who runs the request. */
+/** Longest wait for the first event of an attached run; heartbeats find a silent holder sooner. */
 const ATTACH_TIMEOUT_MS = 3_600_000;
-const SUPERSEDE_TIMEOUT_MS = 500;
-const SUPERSEDE_RETRY_MS = 500;
 /** How long a run under a session waits for its caller to come back on another connection. */
 const REATTACH_GRACE_MS = 300;
 const MAX_HOLDER_CHANGES = 3;
 
-/** A model call whose id is known. */
-interface IdentifiedCall {
-  readonly call: types.ModelCall;
-  readonly id: types.RequestId;
-  readonly attempt: number;
-  readonly fingerprint: string;
-}
-
 class NodeModelCalls implements types.ModelCalls {
   readonly #kernel: kernels.Kernel;
   readonly #attempts: modelAttempts.ModelAttempts;
   readonly #claims: modelRecords.ModelClaims;
   readonly #runs: modelRecords.ModelRuns;
-  readonly #stopped = new AbortController();
+  readonly #claimClient: modelClaims.ClaimClient;
 
   constructor(kernel: kernels.Kernel) {
     this.#kernel = kernel;
     this.#attempts = new modelAttempts.ModelAttempts(kernel);
+    this.#claimClient = new modelClaims.ClaimClient(kernel);
     this.#claims = new modelRecords.ModelClaims(kernel.use("clock"));
     this.#runs = new modelRecords.ModelRuns(kernel.use("clock"));
     this.#registerHandlers(kernel.use("network"));
@@ -65,46 +56,36 @@
     }
     const id = call.id ?? this.#kernel.use("sessions").createRequestId(call.caller.name);
     const identified = { call, id, attempt: call.attempt, fingerprint };
-    if (this.#isSelf(id.session.owner)) yield* this.#runAsOwner(identified, signal);
+    if (this.#claimClient.isSelf(id.session.owner)) yield* this.#runAsOwner(identified, signal);
     else yield* this.#runForOwner(identified, signal);
   }
 
-  async [Symbol.asyncDispose](): Promise<void> {
-    this.#stopped.abort(new Error("node stopped"));
+  [Symbol.asyncDispose](): Promise<void> {
+    this.#claimClient[Symbol.dispose]();
     return Promise.resolve();
   }
 
-  #getSelf(): types.NodeRef {
-    const { vm, incarnation } = this.#kernel.use("membership").self;
-    return { vm, incarnation };
-  }
-
-  #isSelf(node: types.NodeRef): boolean {
-    const self = this.#getSelf();
-    return node.vm === self.vm && node.incarnation === self.incarnation;
-  }
-
   async *#runAsOwner(
-    identified: IdentifiedCall,
+    identified: modelClaims.IdentifiedCall,
     signal: AbortSignal,
   ): AsyncGenerator<types.ModelEvent> {
     if (identified.call.id === undefined) {
       yield* this.#runHere(identified, 0, signal);
       return;
     }
-    const holder = this.#claims.claim(this.#createClaim(identified, undefined));
-    if (this.#isSelf(holder)) yield* this.#runHere(identified, 0, signal);
+    const holder = this.#claims.claim(this.#claimClient.createClaim(identified, undefined));
+    if (this.#claimClient.isSelf(holder)) yield* this.#runHere(identified, 0, signal);
     else yield* this.#attachToHolder(identified, holder, signal);
   }
 
   /** Serves a request whose session another node owns. */
   async *#runForOwner(
-    identified: IdentifiedCall,
+    identified: modelClaims.IdentifiedCall,
     signal: AbortSignal,
   ): AsyncGenerator<types.ModelEvent> {
-    const holder = await this.#sendClaim(identified, undefined, signal);
-    if (this.#isSelf(holder)) {
-      this.#startSupersede(identified, identified.id.session.owner);
+    const holder = await this.#claimClient.callForHolder(identified, undefined, signal);
+    if (this.#claimClient.isSelf(holder)) {
+      this.#claimClient.startSupersede(identified, identified.id.session.owner);
       yield* this.#runHere(identified, 0, signal);
     } else {
       yield* this.#attachToHolder(identified, holder, signal);
@@ -113,13 +94,17 @@
 
   /** Reads the run at its holder; takes the request over when the holder is lost. */
   async *#attachToHolder(
-    identified: IdentifiedCall,
+    identified: modelClaims.IdentifiedCall,
     first: types.NodeRef,
     signal: AbortSignal,
   ): AsyncGenerator<types.ModelEvent> {
     let holder = first;
     let offset = 0;
-    for (let changes = 0; changes < MAX_HOLDER_CHANGES && !this.#isSelf(holder); changes += 1) {
+    for (
+      let changes = 0;
+      changes < MAX_HOLDER_CHANGES && !this.#claimClient.isSelf(holder);
+      changes += 1
+    ) {
       try {
         for await (const event of this.#attachAt(holder, identified, offset, signal)) {
           if (event.type === "token") offset = event.offset + 1;
@@ -129,15 +114,15 @@
       } catch (error) {
         if (signal.aborted || error instanceof codes.RequestError) throw error;
       }
-      this.#startSupersede(identified, holder);
-      holder = await this.#sendClaim(identified, holder, signal);
+      this.#claimClient.startSupersede(identified, holder);
+      holder = await this.#claimClient.callForHolder(identified, holder, signal);
     }
     yield* this.#runHere(identified, offset, signal);
   }
 
   async *#attachAt(
     holder: types.NodeRef,
-    identified: IdentifiedCall,
+    identified: modelClaims.IdentifiedCall,
     offset: number,
     signal: AbortSignal,
   ): AsyncGenerator<types.ModelEvent> {
@@ -152,7 +137,7 @@
 
   /** Runs the request at this node, or joins the run that is in progress here. */
   async *#runHere(
-    identified: IdentifiedCall,
+    identified: modelClaims.IdentifiedCall,
     offset: number,
     signal: AbortSignal,
   ): AsyncGenerator<types.ModelEvent> {
@@ -166,7 +151,7 @@
     return run?.abort.signal.aborted === true ? undefined : run;
   }
 
-  #startRun(identified: IdentifiedCall): modelRun.ModelRun {
+  #startRun(identified: modelClaims.IdentifiedCall): modelRun.ModelRun {
     const run = new modelRun.ModelRun(identified.id.text, identified.attempt, {
       onAbandoned: (abandoned) => {
         this.#onAbandoned(abandoned, identified.call.id !== undefined);
@@ -177,10 +162,10 @@
     return run;
   }
 
-  async #runToEnd(identified: IdentifiedCall, run: modelRun.ModelRun): Promise<void> {
+  async #runToEnd(identified: modelClaims.IdentifiedCall, run: modelRun.ModelRun): Promise<void> {
     const timeSource = this.#kernel.use("clock");
     using limit = clocks.createTimeLimit(timeSource, identified.call.deadlineMs, run.abort.signal);
-    const isOwned = this.#isSelf(identified.id.session.owner);
+    const isOwned = this.#claimClient.isSelf(identified.id.session.owner);
     const order = { ...identified, isOwned, startedAt: timeSource.now() };
     try {
       await this.#attempts.run(order, run, limit.signal);
@@ -194,7 +179,7 @@
     }
   }
 
-  #writeEnd(identified: IdentifiedCall, run: modelRun.ModelRun): void {
+  #writeEnd(identified: modelClaims.IdentifiedCall, run: modelRun.ModelRun): void {
     const event = run.abort.signal.aborted
       ? events.LOG_EVENTS.requestCancelled
       : events.LOG_EVENTS.requestFinished;
@@ -233,74 +218,6 @@
     else this.#kernel.use("clock").schedule(REATTACH_GRACE_MS, cancelIfAbandoned);
   }
 
-  #createClaim(
-    identified: IdentifiedCall,
-    replaces: types.NodeRef | undefined,
-  ): messages.ClaimRequest {
-    return {
-      id: identified.id.text,
-      attempt: identified.attempt,
-      claimant: this.#getSelf(),
-      replaces,
-      expiresAt: identified.id.session.expiresAt,
-    };
-  }
-
-  /** Claims the request at its owner, else at the backup; with both lost it may run here. */
-  async #sendClaim(
-    identified: IdentifiedCall,
-    replaces: types.NodeRef | undefined,
-    signal: AbortSignal,
-  ): Promise<types.NodeRef> {
-    const request = this.#createClaim(identified, replaces);
-    const { owner, backup } = identified.id.session;
-    for (const keeper of backup === undefined ? [owner] : [owner, backup]) {
-      if (keeper.vm === replaces?.vm) continue;
-      const holder = await this.#sendClaimTo(keeper, request, signal);
-      if (holder !== undefined) return holder;
-    }
-    return this.#getSelf();
-  }
-
-  async #sendClaimTo(
-    keeper: types.NodeRef,
-    request: messages.ClaimRequest,
-    signal: AbortSignal,
-  ): Promise<types.NodeRef | undefined> {
-    const options = { timeoutMs: CLAIM_TIMEOUT_MS, signal, incarnation: keeper.incarnation };
-    const network = this.#kernel.use("network");
-    try {
-      const reply = await network.call(keeper.vm, messages.MODEL_CLAIM, request, options);
-      return reply.holder;
-    } catch {
-      if (signal.aborted) throw signal.reason as Error;
-      return undefined;
-    }
-  }
-
-  /** Tells a node until it answers or the request has expired that its run is superseded. */
-  #startSupersede(identified: IdentifiedCall, holder: types.NodeRef): void {
-    void this.#sendSupersede(identified, holder);
-  }
-
-  async #sendSupersede(identified: IdentifiedCall, holder: types.NodeRef): Promise<void> {
-    const timeSource = this.#kernel.use("clock");
-    const giveUpAt = timeSource.now() + identified.call.deadlineMs;
-    const request = { id: identified.id.text, attempt: identified.attempt };
-    const options = { timeoutMs: SUPERSEDE_TIMEOUT_MS, incarnation: holder.incarnation };
-    while (timeSource.now() < giveUpAt && !this.#stopped.signal.aborted) {
-      try {
-        await this.#kernel
-          .use("network")
-          .call(holder.vm, messages.MODEL_SUPERSEDE, request, options);
-        return;
-      } catch (error) {
-        if ((error as network.PeerCallError).failure === "gone") return;
-        await clocks.sleep(timeSource, SUPERSEDE_RETRY_MS);
-      }
-    }
-  }
-
   #registerHandlers(network: network.PeerNetwork): void {
     network.onCall(messages.MODEL_CLAIM, (request) => ({ holder: this.#handleClaim(request) }));
     network.onCall(messages.MODEL_SUPERSEDE, (request) => {
@@ -318,7 +235,7 @@
 
   /** A run in progress here wins over any later claim. */
   #handleClaim(request: messages.ClaimRequest): types.NodeRef {
-    if (this.#findLiveRun(request.id) !== undefined) return this.#getSelf();
+    if (this.#findLiveRun(request.id) !== undefined) return this.#claimClient.getSelf();
     return this.#claims.claim(request);
   }
 
--- /dev/null
+++ b/src/request/model-claims.ts
@@ -0,0 +1,114 @@
+/** Asks other nodes who runs a model request, and tells them of newer attempts. */
+import type * as types from "../caller/types.js";
+import * as clocks from "../kernel/clock.js";
+import type * as kernels from "../kernel/container.js";
+import * as network from "../protocol/network.js";
+import * as messages from "./messages-model.js";
+
+const CLAIM_TIMEOUT_MS = 400;
+const SUPERSEDE_TIMEOUT_MS = 500;
+const SUPERSEDE_RETRY_MS = 500;
+
+/** A model call whose id is known. */
+export interface IdentifiedCall {
+  readonly call: types.ModelCall;
+  readonly id: types.RequestId;
+  readonly attempt: number;
+  readonly fingerprint: string;
+}
+
+/** Calls the keepers of claims: a request's owner, and its backup when the owner is lost. */
+export class ClaimClient implements Disposable {
+  readonly #kernel: kernels.Kernel;
+  readonly #stopped = new AbortController();
+
+  constructor(kernel: kernels.Kernel) {
+    this.#kernel = kernel;
+  }
+
+  /** Returns this incarnation of this node. */
+  getSelf(): types.NodeRef {
+    const { vm, incarnation } = this.#kernel.use("membership").self;
+    return { vm, incarnation };
+  }
+
+  /** Whether a reference names this incarnation of this node. */
+  isSelf(node: types.NodeRef): boolean {
+    const self = this.getSelf();
+    return node.vm === self.vm && node.incarnation === self.incarnation;
+  }
+
+  /** Creates the claim of this node on a request. */
+  createClaim(
+    identified: IdentifiedCall,
+    replaces: types.NodeRef | undefined,
+  ): messages.ClaimRequest {
+    return {
+      id: identified.id.text,
+      attempt: identified.attempt,
+      claimant: this.getSelf(),
+      replaces,
+      expiresAt: identified.id.session.expiresAt,
+    };
+  }
+
+  /** Claims the request at its owner, else at the backup; with both lost it may run here. */
+  async callForHolder(
+    identified: IdentifiedCall,
+    replaces: types.NodeRef | undefined,
+    signal: AbortSignal,
+  ): Promise<types.NodeRef> {
+    const request = this.createClaim(identified, replaces);
+    const { owner, backup } = identified.id.session;
+    for (const keeper of backup === undefined ? [owner] : [owner, backup]) {
+      if (keeper.vm === replaces?.vm) continue;
+      const holder = await this.#sendClaimTo(keeper, request, signal);
+      if (holder !== undefined) return holder;
+    }
+    return this.getSelf();
+  }
+
+  async #sendClaimTo(
+    keeper: types.NodeRef,
+    request: messages.ClaimRequest,
+    signal: AbortSignal,
+  ): Promise<types.NodeRef | undefined> {
+    const options = { timeoutMs: CLAIM_TIMEOUT_MS, signal, incarnation: keeper.incarnation };
+    const network = this.#kernel.use("network");
+    try {
+      const reply = await network.call(keeper.vm, messages.MODEL_CLAIM, request, options);
+      return reply.holder;
+    } catch {
+      if (signal.aborted) throw signal.reason as Error;
+      return undefined;
+    }
+  }
+
+  /** Tells a node until it answers or the request has expired that its run is superseded. */
+  startSupersede(identified: IdentifiedCall, holder: types.NodeRef): void {
+    void this.#sendSupersede(identified, holder);
+  }
+
+  async #sendSupersede(identified: IdentifiedCall, holder: types.NodeRef): Promise<void> {
+    const timeSource = this.#kernel.use("clock");
+    const giveUpAt = timeSource.now() + identified.call.deadlineMs;
+    const request = { id: identified.id.text, attempt: identified.attempt };
+    const options = { timeoutMs: SUPERSEDE_TIMEOUT_MS, incarnation: holder.incarnation };
+    while (timeSource.now() < giveUpAt && !this.#stopped.signal.aborted) {
+      try {
+        await this.#kernel
+          .use("network")
+          .call(holder.vm, messages.MODEL_SUPERSEDE, request, options);
+        return;
+      } catch (error) {
+        const isCallError = error instanceof network.PeerCallError;
+        if (isCallError && error.failure === network.CALL_FAILURE.gone) return;
+        await clocks.sleep(timeSource, SUPERSEDE_RETRY_MS);
+      }
+    }
+  }
+
+  [Symbol.dispose](): void {
+    this.#stopped.abort(new Error("node stopped"));
+  }
+}
