--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -14,6 +14,7 @@
 import * as clocks from "../src/kernel/clock.js";
 import * as expiringRecords from "../src/request/expiring-records.js";
 import * as modelRecords from "../src/request/model-records.js";
+import * as textDifference from "../src/platform/text-difference.js";
 import * as documents from "../src/settings/document.js";
 import * as fleetDocument from "./fleet-document.js";
 
@@ -30,6 +31,8 @@
 const SESSION_SECONDS = 600;
 /** Part of the requests that are non-idempotent plain calls, for the records of the backup. */
 const NON_IDEMPOTENT_PART = 0.05;
+/** Time between two tokens, from the target. */
+const TOKEN_SECONDS = 0.038;
 const SECONDS_PER_DAY = 86_400;
 const BYTES_PER_MB = 1024 * 1024;
 const MEASURED_SIZES = [1_000, 10_000] as const;
@@ -44,8 +47,10 @@
     cpuShare: zod.number(),
   }),
   measuredNodes: zod.number(),
-  documentDifferenceBytes: zod.number(),
-  control: zod.object({ bytesPerRequest: zod.number(), bytesPerRequestAtMostNodes: zod.number() }),
+  control: zod.object({
+    bytesPerRequest: zod.number(),
+    bytesPerSecondPerAllocator: zod.number(),
+  }),
   request: zod.object({ cpuMs: zod.number() }),
   tokensPerCpuSecond: zod.number(),
   bytesPerLiveStream: zod.number(),
@@ -150,6 +155,20 @@
   return { text, parsed: documents.documentSchema.parse(JSON.parse(text)) };
 }
 
+/** Returns the bytes of the difference that one changed caller makes in the full document. */
+function measureDifference(): number {
+  const before = createDocumentText(TARGET.teams);
+  const after = before.replace('"displayName":"Team 2450"', '"displayName":"Team 2450, renamed"');
+  return JSON.stringify(textDifference.computeDifference(before, after)).length;
+}
+
+/** Returns how many allocators a node expects to hold leases of, when runners are drawn evenly. */
+function countAllocators(requestsPerSecond: number): number {
+  const outputSeconds = (TARGET.tokensPerSecond / TARGET.requestsPerSecond) * TOKEN_SECONDS;
+  const live = requestsPerSecond * outputSeconds;
+  return TARGET.nodes * (1 - (1 - 1 / TARGET.nodes) ** live);
+}
+
 function createLines(slopes: zod.infer<typeof slopesSchema>): readonly Line[] {
   const requests = TARGET.requestsPerSecond / TARGET.nodes;
   const doublings = Math.log2(TARGET.nodes / slopes.measuredNodes);
@@ -192,7 +211,9 @@
       role: "allocator",
       state: `${runnersEach.toFixed(1)} runners of ${Math.round(runnerBytes)} B, ${TARGET.teams} teams of ${Math.round(teamBytes)} B`,
       memoryMb: (runnersEach * runnerBytes + TARGET.teams * teamBytes) / BYTES_PER_MB,
-      bytesPerSecond: requests * slopes.control.bytesPerRequestAtMostNodes,
+      bytesPerSecond:
+        requests * slopes.control.bytesPerRequest +
+        countAllocators(requests) * slopes.control.bytesPerSecondPerAllocator,
       cpuShare: 0,
       mechanism: "one allocator a runner; leases named by short keys",
     },
@@ -200,7 +221,7 @@
       role: "configuration reader",
       state: `document of ${TARGET.teams} teams and ${TARGET.runners} runners, text and parsed`,
       memoryMb: (fixedDocumentBytes + TARGET.teams * teamDocumentBytes) / BYTES_PER_MB,
-      bytesPerSecond: changes * slopes.documentDifferenceBytes,
+      bytesPerSecond: changes * measureDifference(),
       cpuShare: 0,
       mechanism: "two readers a zone; digests in probes, differences between peers",
     },
