--- a/src/capacity/placement.ts
+++ b/src/capacity/placement.ts
@@ -1,9 +1,7 @@
-/** Rendezvous hashing of runners onto nodes. Source: Thaler and Ravishankar, 1998. */
-import * as xxhash from "xxhash-wasm";
+/** Places the allocation of runners on nodes. */
+import * as rendezvous from "../membership/rendezvous.js";
 import type * as membership from "../membership/types.js";
 
-const hasher = await xxhash.default();
-
 /** Where a runner stands. */
 export interface RunnerPlace {
   readonly name: string;
@@ -24,22 +22,6 @@
   const inZone = alive.filter((member) => member.zone === runner.zone);
   const inRegion = alive.filter((member) => member.region === runner.region);
   const candidates = [inZone, inRegion, alive].find((members) => members.length > 0) ?? [];
-  return chooseHighest(
-    runner.name,
-    candidates.map((member) => member.vm),
-  );
-}
-
-/** Returns the name with the highest hash together with `key`. */
-export function chooseHighest(key: string, names: readonly string[]): string | undefined {
-  let best: string | undefined;
-  let bestWeight = -1n;
-  for (const name of names) {
-    const weight = hasher.h64(`${key}\n${name}`);
-    if (weight > bestWeight || (weight === bestWeight && best !== undefined && name < best)) {
-      best = name;
-      bestWeight = weight;
-    }
-  }
-  return best;
+  const vms = candidates.map((member) => member.vm);
+  return rendezvous.chooseByRendezvous(runner.name, vms, 1)[0];
 }
--- a/src/capacity/selection.ts
+++ b/src/capacity/selection.ts
@@ -1,8 +1,8 @@
 /** Choice of a prefill and a decode runner for a request, from this node's knowledge. */
+import * as rendezvous from "../membership/rendezvous.js";
 import type * as random from "../kernel/random.js";
 import type * as catalogs from "./catalog.js";
 import * as messages from "./messages.js";
-import * as placement from "./placement.js";
 import type * as policies from "./policy.js";
 import type * as prefixes from "./prefix-index.js";
 import type * as health from "./runner-health.js";
@@ -149,10 +149,8 @@
   #findHome(runners: readonly catalogs.CatalogRunner[], demand: types.Demand): string | undefined {
     const first = demand.prefixes[0];
     if (first === undefined || !this.#parts.policy.prefixAffinity) return undefined;
-    return placement.chooseHighest(
-      first,
-      runners.map((runner) => runner.name),
-    );
+    const names = runners.map((runner) => runner.name);
+    return rendezvous.chooseByRendezvous(first, names, 1)[0];
   }
 
   #chooseRandom<Item>(items: readonly Item[], count: number): Item[] {
--- a/src/membership/rendezvous.ts
+++ b/src/membership/rendezvous.ts
@@ -1,4 +1,7 @@
-/** Rendezvous hashing: every node picks the same few of the same candidates, with no exchange. */
+/**
+ * Rendezvous hashing: every node picks the same few of the same candidates, with no exchange.
+ * Source: Thaler and Ravishankar, "A Name-Based Mapping Scheme for Rendezvous", 1996.
+ */
 import * as xxhash from "xxhash-wasm";
 
 const hasher = await xxhash.default();
