Check the end mark against the tokens that arrived, and split the decode stream from the runs

Cause: an end mark was believed whatever it counted, so an answer cut short before it would have passed as whole. Test: model-attempts, 'runs again when the end mark counts more' (red before).

--- /dev/null
+++ b/src/request/decode-stream.ts
@@ -0,0 +1,65 @@
+/** Reads the decode stream of a run: drops frames of other attempts, fills the run by offset. */
+import type * as kernels from "../kernel/container.js";
+import * as upstream from "../upstream/types.js";
+import type * as modelStep from "./model-step.js";
+
+/** Tokens after which a request that was in flight at a crash is suspected less. */
+const PROGRESS_TOKENS = 8;
+
+/** Reads a decode stream to its end mark; returns how it broke when it has none. */
+export async function readDecodeStream(
+  kernel: kernels.Kernel,
+  step: modelStep.Step,
+  prefilled: upstream.PrefillResult,
+  stream: AsyncIterable<upstream.DecodeEvent>,
+): Promise<upstream.UpstreamError | undefined> {
+  const timeSource = kernel.use("clock");
+  const crashes = kernel.use("crashes");
+  let lastTokenAt: number | undefined;
+  let tokens = 0;
+  try {
+    for await (const event of stream) {
+      if (event.id !== step.attempt.id || event.attempt !== step.attempt.attempt) continue;
+      if (event.type === "imported") {
+        step.reservation.recordDecodeStart();
+      } else if (event.type === "token") {
+        const now = timeSource.now();
+        if (lastTokenAt !== undefined) step.reservation.recordTokenGap(now - lastTokenAt);
+        lastTokenAt = now;
+        step.run.addToken(event.offset, event.text);
+        tokens += 1;
+        if (tokens === PROGRESS_TOKENS) crashes.recordProgress(step.order.fingerprint);
+      } else {
+        markEnd(kernel, step, prefilled, event);
+        return undefined;
+      }
+    }
+  } catch (error) {
+    if (error instanceof upstream.UpstreamError) return error;
+    throw error;
+  }
+  return new upstream.UpstreamError(upstream.UPSTREAM_FAILURE.broken, "stream has no end mark");
+}
+
+function markEnd(
+  kernel: kernels.Kernel,
+  step: modelStep.Step,
+  prefilled: upstream.PrefillResult,
+  end: upstream.DecodeEvent & { type: "end" },
+): void {
+  if (end.finishReason === upstream.FINISH_REASON.cancelled) {
+    throw new upstream.UpstreamError(upstream.UPSTREAM_FAILURE.refused, "cancelled at the engine");
+  }
+  if (end.tokens !== step.run.offset) {
+    const message = `end mark after ${end.tokens} tokens, of which ${step.run.offset} arrived`;
+    throw new upstream.UpstreamError(upstream.UPSTREAM_FAILURE.broken, message);
+  }
+  kernel.use("crashes").recordSuccess(step.order.fingerprint);
+  step.run.markEnd({
+    type: "end",
+    finishReason: end.finishReason,
+    promptTokens: prefilled.promptTokens,
+    cachedTokens: prefilled.cachedTokens,
+    completionTokens: step.run.offset,
+  });
+}
--- a/src/request/model-attempts.ts
+++ b/src/request/model-attempts.ts
@@ -1,6 +1,5 @@
 /** Runs a model request on the runners: lease, prefill, transfer, decode; again on a failure. */
 import type * as capacity from "../capacity/types.js";
-import type * as types from "../caller/types.js";
 import type * as kernels from "../kernel/container.js";
 import * as signals from "../kernel/signals.js";
 import * as codes from "../protocol/result-codes.js";
@@ -8,7 +7,9 @@
 import * as spans from "../telemetry/spans.js";
 import * as upstream from "../upstream/types.js";
 import * as engineCancel from "./engine-cancel.js";
+import * as decodeStream from "./decode-stream.js";
 import * as inFlight from "./in-flight.js";
+import type * as modelStep from "./model-step.js";
 import type * as modelRun from "./model-run.js";
 import * as prompts from "./prompts.js";
 
@@ -17,28 +18,6 @@
 /** Engine attempts are numbered `caller's attempt * ATTEMPT_STRIDE + run`, so that they only rise. */
 const ATTEMPT_STRIDE = 100;
 const MAX_STREAM_RESUMES = 2;
-/** Tokens after which a request that was in flight at a crash is suspected less. */
-const PROGRESS_TOKENS = 8;
-
-/** A model request with its times on the own clock. */
-export interface RunOrder {
-  readonly call: types.ModelCall;
-  readonly attempt: number;
-  readonly fingerprint: string;
-  readonly startedAt: number;
-  /** Whether this node owns the request's id. */
-  readonly isOwned: boolean;
-}
-
-interface Step {
-  readonly order: RunOrder;
-  readonly run: modelRun.ModelRun;
-  readonly attempt: upstream.AttemptId;
-  readonly reservation: capacity.Reservation;
-  readonly signal: AbortSignal;
-  /** Runners that were sent something, the latest last. */
-  readonly sentTo: upstream.Upstream[];
-}
 
 /** Executes runs on runners. */
 export class ModelAttempts {
@@ -62,7 +41,7 @@
    *
    * @throws RequestError when the request is refused or given up.
    */
-  async run(order: RunOrder, run: modelRun.ModelRun, signal: AbortSignal): Promise<void> {
+  async run(order: modelStep.RunOrder, run: modelRun.ModelRun, signal: AbortSignal): Promise<void> {
     const failed: string[] = [];
     for (let number = 0; ; number += 1) {
       const attempt = { id: run.id, attempt: order.attempt * ATTEMPT_STRIDE + number };
@@ -81,7 +60,12 @@
     }
   }
 
-  #checkMayRunAgain(order: RunOrder, number: number, failure: Error, signal: AbortSignal): void {
+  #checkMayRunAgain(
+    order: modelStep.RunOrder,
+    number: number,
+    failure: Error,
+    signal: AbortSignal,
+  ): void {
     if (signal.aborted) throw failure;
     if (this.#kernel.use("crashes").isQuarantined(order.fingerprint)) {
       throw new codes.RequestError(codes.RESULT_CODES.quarantined, codes.RAN.yes, {
@@ -97,7 +81,7 @@
 
   /** Returns the failure after which another run may be tried. */
   async #runOnce(
-    order: RunOrder,
+    order: modelStep.RunOrder,
     run: modelRun.ModelRun,
     attempt: upstream.AttemptId,
     failed: string[],
@@ -109,7 +93,14 @@
       this.#kernel.use("capacity").reserve(demand, signal),
     );
     using joined = signals.createJoinedSignal([signal, reservation.revoked]);
-    const step: Step = { order, run, attempt, reservation, signal: joined.signal, sentTo: [] };
+    const step: modelStep.Step = {
+      order,
+      run,
+      attempt,
+      reservation,
+      signal: joined.signal,
+      sentTo: [],
+    };
     try {
       const prefilled = await this.#prefill(step);
       await this.#decode(step, prefilled);
@@ -127,7 +118,7 @@
   }
 
   #createDemand(
-    order: RunOrder,
+    order: modelStep.RunOrder,
     run: modelRun.ModelRun,
     attempt: upstream.AttemptId,
     exclude: readonly string[],
@@ -154,7 +145,7 @@
     };
   }
 
-  async #prefill(step: Step): Promise<upstream.PrefillResult> {
+  async #prefill(step: modelStep.Step): Promise<upstream.PrefillResult> {
     const { order, run, attempt, reservation, signal } = step;
     const tracer = this.#kernel.use("tracer");
     await spans.runInSpan(tracer, "wait-for-prefill", {}, () => reservation.waitForPrefill(signal));
@@ -177,7 +168,7 @@
     return result;
   }
 
-  async #decode(step: Step, prefilled: upstream.PrefillResult): Promise<void> {
+  async #decode(step: modelStep.Step, prefilled: upstream.PrefillResult): Promise<void> {
     const { order, run, attempt, reservation, signal } = step;
     using _running = this.#inFlight.add(reservation.decode.name, order.fingerprint);
     const command: upstream.DecodeCommand = {
@@ -198,7 +189,7 @@
       let stream = engines.decode(reservation.decode, command, signal);
       let firstBreak: upstream.UpstreamError | undefined;
       for (let resumes = 0; ; resumes += 1) {
-        const failure = await this.#readStream(step, prefilled, stream);
+        const failure = await decodeStream.readDecodeStream(this.#kernel, step, prefilled, stream);
         if (failure === undefined) return;
         // The first break tells of a crash; a resume after it fails in any way.
         firstBreak ??= failure;
@@ -209,66 +200,11 @@
     });
   }
 
-  /** Reads a decode stream to its end mark; returns how it broke when it has none. */
-  async #readStream(
-    step: Step,
-    prefilled: upstream.PrefillResult,
-    stream: AsyncIterable<upstream.DecodeEvent>,
-  ): Promise<upstream.UpstreamError | undefined> {
-    const timeSource = this.#kernel.use("clock");
-    const crashes = this.#kernel.use("crashes");
-    let lastTokenAt: number | undefined;
-    let tokens = 0;
-    try {
-      for await (const event of stream) {
-        if (event.id !== step.attempt.id || event.attempt !== step.attempt.attempt) continue;
-        if (event.type === "imported") {
-          step.reservation.recordDecodeStart();
-        } else if (event.type === "token") {
-          const now = timeSource.now();
-          if (lastTokenAt !== undefined) step.reservation.recordTokenGap(now - lastTokenAt);
-          lastTokenAt = now;
-          step.run.addToken(event.offset, event.text);
-          tokens += 1;
-          if (tokens === PROGRESS_TOKENS) crashes.recordProgress(step.order.fingerprint);
-        } else {
-          this.#markEnd(step, prefilled, event);
-          return undefined;
-        }
-      }
-    } catch (error) {
-      if (error instanceof upstream.UpstreamError) return error;
-      throw error;
-    }
-    return new upstream.UpstreamError(upstream.UPSTREAM_FAILURE.broken, "stream has no end mark");
-  }
-
-  #markEnd(
-    step: Step,
-    prefilled: upstream.PrefillResult,
-    end: upstream.DecodeEvent & { type: "end" },
-  ): void {
-    if (end.finishReason === upstream.FINISH_REASON.cancelled) {
-      throw new upstream.UpstreamError(
-        upstream.UPSTREAM_FAILURE.refused,
-        "cancelled at the engine",
-      );
-    }
-    this.#kernel.use("crashes").recordSuccess(step.order.fingerprint);
-    step.run.markEnd({
-      type: "end",
-      finishReason: end.finishReason,
-      promptTokens: prefilled.promptTokens,
-      cachedTokens: prefilled.cachedTokens,
-      completionTokens: step.run.offset,
-    });
-  }
-
-  #cancelStep(step: Step): void {
+  #cancelStep(step: modelStep.Step): void {
     for (const runner of step.sentTo) this.#canceller.start(runner, step.attempt);
   }
 
-  #recordFailure(step: Step, runner: upstream.Upstream, error: Error): void {
+  #recordFailure(step: modelStep.Step, runner: upstream.Upstream, error: Error): void {
     step.reservation.recordFailure(runner.name);
     const broken =
       error instanceof upstream.UpstreamError && error.failure === upstream.UPSTREAM_FAILURE.broken;
@@ -278,12 +214,12 @@
   }
 
   /** An accepted request that runs again is answered late rather than given up. */
-  #computeFirstTokenBy(order: RunOrder, isFirstRun: boolean): number {
+  #computeFirstTokenBy(order: modelStep.RunOrder, isFirstRun: boolean): number {
     const start = isFirstRun ? order.startedAt : this.#kernel.use("clock").now();
     return start + order.call.firstTokenMs;
   }
 
-  #getRemainingMs(order: RunOrder): number {
+  #getRemainingMs(order: modelStep.RunOrder): number {
     const deadline = order.startedAt + order.call.deadlineMs;
     return Math.max(1, Math.round(deadline - this.#kernel.use("clock").now()));
   }
--- /dev/null
+++ b/src/request/model-step.ts
@@ -0,0 +1,26 @@
+/** What the steps of one run of a model request share. */
+import type * as capacity from "../capacity/types.js";
+import type * as types from "../caller/types.js";
+import type * as upstream from "../upstream/types.js";
+import type * as modelRun from "./model-run.js";
+
+/** A model request with its times on the own clock. */
+export interface RunOrder {
+  readonly call: types.ModelCall;
+  readonly attempt: number;
+  readonly fingerprint: string;
+  readonly startedAt: number;
+  /** Whether this node owns the request's id. */
+  readonly isOwned: boolean;
+}
+
+/** One run on its runners, while it is under way. */
+export interface Step {
+  readonly order: RunOrder;
+  readonly run: modelRun.ModelRun;
+  readonly attempt: upstream.AttemptId;
+  readonly reservation: capacity.Reservation;
+  readonly signal: AbortSignal;
+  /** Runners that were sent something, the latest last. */
+  readonly sentTo: upstream.Upstream[];
+}
--- a/src/upstream/types.ts
+++ b/src/upstream/types.ts
@@ -59,6 +59,7 @@
   | (AttemptId & { readonly type: "token"; readonly offset: number; readonly text: string })
   | (AttemptId & {
       readonly type: "end";
+      /** Offset behind the last token, those of earlier runs included. */
       readonly tokens: number;
       readonly finishReason: FinishReason;
     });
--- a/test/request/model-attempts.test.ts
+++ b/test/request/model-attempts.test.ts
@@ -8,6 +8,7 @@
 import * as codes from "../../src/protocol/result-codes.js";
 import * as modelAttempts from "../../src/request/model-attempts.js";
 import * as modelRun from "../../src/request/model-run.js";
+import type * as modelStep from "../../src/request/model-step.js";
 import * as upstream from "../../src/upstream/types.js";
 import * as examples from "../settings/examples.js";
 
@@ -125,11 +126,12 @@
       yield { id, attempt, type: "token", offset: offset + index, text };
     }
     if (last === "break") return;
-    yield { id, attempt, type: "end", tokens: texts.length, finishReason: "stop" };
+    const tokens = offset + texts.length;
+    yield { id, attempt, type: "end", tokens, finishReason: "stop" };
   };
 }
 
-function createOrder(attempt: number): modelAttempts.RunOrder {
+function createOrder(attempt: number): modelStep.RunOrder {
   const document = examples.readExample("lagos.json");
   const caller = document.callers[1];
   const model = document.models[0];
@@ -178,6 +180,21 @@
     earl.expect(await readRan(broken, 1)).toEqual(codes.RAN.unknown);
   });
 
+  test.it("runs again when the end mark counts more tokens than arrived", async () => {
+    const truncated = createTokens(0, ["a"], "end");
+    const scenario = createScenario([
+      async function* (command) {
+        for await (const event of truncated(command)) {
+          yield event.type === "end" ? { ...event, tokens: 2 } : event;
+        }
+      },
+      createTokens(1, ["b"], "end"),
+    ]);
+    const run = createRun(1);
+    await new modelAttempts.ModelAttempts(scenario.kernel).run(createOrder(1), run, SIGNAL);
+    earl.expect(run.text).toEqual("ab");
+  });
+
   test.it("records a crash when the stream broke and the engine cannot resume it", async () => {
     const scenario = createScenario([
       createTokens(0, ["a"], "break"),
