--- a/src/upstream/service-client.ts
+++ b/src/upstream/service-client.ts
@@ -2,6 +2,8 @@
 import * as http from "node:http";
 import type * as kernels from "../kernel/container.js";
 import type * as clocks from "../kernel/clock.js";
+import * as spans from "../telemetry/spans.js";
+import type * as telemetry from "../telemetry/types.js";
 import * as httpCall from "./http-call.js";
 import * as responseReader from "./response-reader.js";
 import * as types from "./types.js";
@@ -34,25 +36,43 @@
  * @example kernel.register("backends", createServiceClient);
  */
 export function createServiceClient(kernel: kernels.Kernel): types.ServiceClient & AsyncDisposable {
-  return new HttpServiceClient(kernel.use("clock"));
+  return new HttpServiceClient(kernel.use("clock"), kernel.use("tracer"));
+}
+
+interface SendOptions {
+  readonly fresh: boolean;
+  readonly signal: AbortSignal;
 }
 
 class HttpServiceClient implements types.ServiceClient, AsyncDisposable {
   readonly #clock: clocks.Clock;
+  readonly #tracer: telemetry.Tracer;
   readonly #agent = new http.Agent({
     keepAlive: true,
     maxSockets: MAX_CONNECTIONS_PER_BACKEND,
     timeout: IDLE_CONNECTION_LIMIT_MS,
   });
 
-  constructor(clock: clocks.Clock) {
+  constructor(clock: clocks.Clock, tracer: telemetry.Tracer) {
     this.#clock = clock;
+    this.#tracer = tracer;
+  }
+
+  send(
+    backend: types.Upstream,
+    request: types.PlainRequest,
+    options: SendOptions,
+  ): Promise<types.PlainResponse> {
+    const attributes = { backend: backend.name };
+    return spans.runInSpan(this.#tracer, "backend-call", attributes, () =>
+      this.#sendInSpan(backend, request, options),
+    );
   }
 
-  async send(
+  async #sendInSpan(
     backend: types.Upstream,
     request: types.PlainRequest,
-    options: { readonly fresh: boolean; readonly signal: AbortSignal },
+    options: SendOptions,
   ): Promise<types.PlainResponse> {
     const call: httpCall.HttpCall = {
       upstream: backend,
--- a/test/upstream/kernel-fixture.ts
+++ b/test/upstream/kernel-fixture.ts
@@ -1,4 +1,5 @@
 /** A kernel with the system clock, and engines or services behind real sockets. */
+import * as otel from "@opentelemetry/api";
 import * as net from "node:net";
 import * as clocks from "../../src/kernel/clock.js";
 import * as container from "../../src/kernel/container.js";
@@ -13,6 +14,7 @@
 export function createClientKernel(): container.Kernel {
   const kernel = container.createKernel();
   kernel.register("clock", () => clocks.createSystemClock());
+  kernel.register("tracer", () => otel.trace.getTracer("test"));
   kernel.register("engines", engineClient.createEngineClient);
   kernel.register("backends", serviceClient.createServiceClient);
   return kernel;
