--- a/src/request/in-flight.ts
+++ b/src/request/in-flight.ts
@@ -27,17 +27,23 @@
   }
 
   /**
-   * Returns the contents that one crash accuses: all in flight at the first broken stream, and
-   * nothing for the later ones of the same crash, whose sets shrink as streams end.
+   * Records a broken stream and returns the contents that its crash accuses: all in flight at the
+   * first break, and nothing at later ones of the same crash, whose sets shrink as streams end.
    */
-  listAccused(runner: string, fingerprint: string): readonly string[] {
+  recordBreak(runner: string, fingerprint: string): readonly string[] {
     const now = this.#clock.now();
-    const crashedAt = this.#crashedAt.get(runner);
-    if (crashedAt !== undefined && now - crashedAt < CRASH_WINDOW_MS) return [];
+    this.#removeOldCrashes(now);
+    if (this.#crashedAt.has(runner)) return [];
     this.#crashedAt.set(runner, now);
     return [...new Set([fingerprint, ...(this.#byRunner.get(runner)?.keys() ?? [])])];
   }
 
+  #removeOldCrashes(now: number): void {
+    for (const [runner, at] of this.#crashedAt) {
+      if (now - at >= CRASH_WINDOW_MS) this.#crashedAt.delete(runner);
+    }
+  }
+
   #remove(runner: string, running: Map<string, number>, fingerprint: string): void {
     const left = (running.get(fingerprint) ?? 1) - 1;
     if (left > 0) running.set(fingerprint, left);
--- a/src/request/model-attempts.ts
+++ b/src/request/model-attempts.ts
@@ -209,7 +209,7 @@
     const broken =
       error instanceof upstream.UpstreamError && error.failure === upstream.UPSTREAM_FAILURE.broken;
     if (!broken) return;
-    const accused = this.#inFlight.listAccused(runner.name, step.order.fingerprint);
+    const accused = this.#inFlight.recordBreak(runner.name, step.order.fingerprint);
     if (accused.length > 0) this.#kernel.use("crashes").recordCrash(runner.name, accused);
   }
 
--- a/test/capacity/decode-ledger.test.ts
+++ b/test/capacity/decode-ledger.test.ts
@@ -2,35 +2,18 @@
 import * as earl from "earl";
 import * as fastCheck from "fast-check";
 import * as virtualClock from "../../bench/virtual-clock.js";
-import type * as catalogs from "../../src/capacity/catalog.js";
 import * as ledgers from "../../src/capacity/decode-ledger.js";
 import * as messages from "../../src/capacity/messages.js";
 import * as occupancies from "../../src/capacity/occupancy.js";
 import * as policies from "../../src/capacity/policy.js";
 import * as shares from "../../src/capacity/shares.js";
-
-const HOLDER = { vm: "vm0", incarnation: 1 };
-const RUNNER: catalogs.CatalogRunner = {
-  name: "d0",
-  zone: "zone",
-  region: "region",
-  host: "127.0.0.1",
-  port: 1,
-  role: "decode",
-  slots: 4,
-  pieces: 100,
-  prefillTokensPerSecond: 1000,
-  stepMs: 10,
-  model: "m",
-  tokensPerPiece: 16,
-  kvBytesPerToken: 1,
-};
+import * as runnerFixture from "./runner-fixture.js";
 
 function createLedger(policy: Partial<policies.CapacityPolicy> = {}) {
   const clock = new virtualClock.VirtualClock();
   const occupancy = new occupancies.Occupancy(clock, 500);
   const ledger = new ledgers.DecodeLedger({
-    runner: RUNNER,
+    runner: runnerFixture.DECODE_RUNNER,
     clock,
     policy: { ...policies.DEFAULT_POLICY, ...policy },
     shares: new shares.CallerShares(clock),
@@ -59,8 +42,9 @@
 test.describe("DecodeLedger", () => {
   test.it("starts one suspect of a crash at a time, and others beside it", async () => {
     const { clock, ledger } = createLedger({ leaseAhead: false });
-    for (const id of ["s1", "s2"]) ledger.grant(createRequest(id, { isSuspect: true }), HOLDER);
-    ledger.grant(createRequest("other"), HOLDER);
+    for (const id of ["s1", "s2"])
+      ledger.grant(createRequest(id, { isSuspect: true }), runnerFixture.HOLDER);
+    ledger.grant(createRequest("other"), runnerFixture.HOLDER);
     const getPhase = (id: string) => ledger.findLease(id)?.phase;
     earl.expect(["s1", "s2", "other"].map(getPhase)).toEqual([1, 0, 1]);
     ledger.setPhase("s1", 1, messages.PHASE.running);
@@ -73,10 +57,10 @@
 
   test.it("gives turns in the order of priority, then of age", () => {
     const { ledger } = createLedger({ leaseAhead: false });
-    for (const id of ["a", "b", "c", "d"]) ledger.grant(createRequest(id), HOLDER);
-    ledger.grant(createRequest("late"), HOLDER);
-    ledger.grant(createRequest("later"), HOLDER);
-    ledger.grant(createRequest("urgent", { priority: 0 }), HOLDER);
+    for (const id of ["a", "b", "c", "d"]) ledger.grant(createRequest(id), runnerFixture.HOLDER);
+    ledger.grant(createRequest("late"), runnerFixture.HOLDER);
+    ledger.grant(createRequest("later"), runnerFixture.HOLDER);
+    ledger.grant(createRequest("urgent", { priority: 0 }), runnerFixture.HOLDER);
     const listSent = () =>
       ledger
         .listLeases()
@@ -94,27 +78,29 @@
     async () => {
       const { clock, ledger } = createLedger();
       for (let index = 0; index < 20; index += 1) {
-        ledger.grant(createRequest(`r${index}`, { leadMs: 1000 }), HOLDER);
+        ledger.grant(createRequest(`r${index}`, { leadMs: 1000 }), runnerFixture.HOLDER);
         ledger.setPhase(`r${index}`, 1, messages.PHASE.running);
         await clock.run(clock.now() + 1000);
         ledger.release(`r${index}`, 1);
       }
       const answers = ["a", "b", "c", "d", "e", "f"].map((id) => {
-        const { answer } = ledger.grant(createRequest(id, { leadMs: 1000 }), HOLDER);
+        const { answer } = ledger.grant(createRequest(id, { leadMs: 1000 }), runnerFixture.HOLDER);
         ledger.setPhase(id, 1, messages.PHASE.running);
         return answer.turn;
       });
       earl.expect(answers).toEqual([true, true, true, true, true, true]);
-      const { answer } = ledger.grant(createRequest("g", { leadMs: 1000 }), HOLDER);
+      const { answer } = ledger.grant(createRequest("g", { leadMs: 1000 }), runnerFixture.HOLDER);
       earl.expect(answer.turn).toEqual(false);
     },
   );
 
   test.it("refuses an older attempt and lets a newer one take its place", () => {
     const { ledger } = createLedger();
-    ledger.grant(createRequest("a", { attempt: 2 }), HOLDER);
-    earl.expect(ledger.grant(createRequest("a"), HOLDER).answer.granted).toEqual(false);
-    const newer = ledger.grant(createRequest("a", { attempt: 3 }), HOLDER);
+    ledger.grant(createRequest("a", { attempt: 2 }), runnerFixture.HOLDER);
+    earl
+      .expect(ledger.grant(createRequest("a"), runnerFixture.HOLDER).answer.granted)
+      .toEqual(false);
+    const newer = ledger.grant(createRequest("a", { attempt: 3 }), runnerFixture.HOLDER);
     earl.expect(newer.answer.granted).toEqual(true);
     earl.expect(newer.revoked.map((lease) => lease.attempt)).toEqual([2]);
     ledger.release("a", 2);
@@ -124,7 +110,9 @@
   test.it("keeps a margin free while leases of others may be unknown", () => {
     const { ledger, occupancy } = createLedger();
     occupancy.guarded = true;
-    const turns = ["a", "b", "c"].map((id) => ledger.grant(createRequest(id), HOLDER).answer.turn);
+    const turns = ["a", "b", "c"].map(
+      (id) => ledger.grant(createRequest(id), runnerFixture.HOLDER).answer.turn,
+    );
     earl.expect(turns).toEqual([true, true, false]);
   });
 
@@ -133,7 +121,7 @@
     async () => {
       const { clock, ledger } = createLedger();
       for (const id of ["ended", "shown", "new"]) {
-        ledger.grant(createRequest(id), HOLDER);
+        ledger.grant(createRequest(id), runnerFixture.HOLDER);
         ledger.setPhase(id, 1, messages.PHASE.running);
         await clock.run(clock.now() + 1000);
       }
@@ -157,13 +145,18 @@
         const { clock, ledger } = createLedger({ leaseAhead: false });
         for (const { id, attempt, pieces, action } of steps) {
           const name = `r${id}`;
-          if (action === "grant") ledger.grant(createRequest(name, { attempt, pieces }), HOLDER);
+          if (action === "grant")
+            ledger.grant(createRequest(name, { attempt, pieces }), runnerFixture.HOLDER);
           if (action === "run") ledger.setPhase(name, attempt, messages.PHASE.running);
           if (action === "release") ledger.release(name, attempt);
           if (action === "wait") await clock.run(clock.now() + 100);
           const sent = ledger.listLeases().filter((lease) => lease.phase !== messages.PHASE.queued);
           const used = sent.reduce((sum, lease) => sum + lease.request.pieces, 0);
-          if (sent.length > RUNNER.slots || used > RUNNER.pieces) return false;
+          if (
+            sent.length > runnerFixture.DECODE_RUNNER.slots ||
+            used > runnerFixture.DECODE_RUNNER.pieces
+          )
+            return false;
         }
         return true;
       },
--- /dev/null
+++ b/test/request/in-flight.test.ts
@@ -0,0 +1,30 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as virtualClock from "../../bench/virtual-clock.js";
+import * as inFlight from "../../src/request/in-flight.js";
+
+test.describe("InFlight", () => {
+  test.it(
+    "accuses all in flight at the first break of a crash, and nothing at later ones",
+    async () => {
+      const clock = new virtualClock.VirtualClock();
+      const running = new inFlight.InFlight(clock);
+      using _first = running.add("d1", "a");
+      using _second = running.add("d1", "b");
+      using _elsewhere = running.add("d2", "c");
+      earl.expect(running.recordBreak("d1", "x")).toEqual(["x", "a", "b"]);
+      earl.expect(running.recordBreak("d1", "a")).toEqual([]);
+      earl.expect(running.recordBreak("d2", "c")).toEqual(["c"]);
+      await clock.run(clock.now() + 1_000);
+      earl.expect(running.recordBreak("d1", "b")).toEqual(["b", "a"]);
+    },
+  );
+
+  test.it("forgets a content once all its runs have ended", () => {
+    const running = new inFlight.InFlight(new virtualClock.VirtualClock());
+    using _kept = running.add("d1", "a");
+    running.add("d1", "a")[Symbol.dispose]();
+    running.add("d1", "b")[Symbol.dispose]();
+    earl.expect(running.recordBreak("d1", "x")).toEqual(["x", "a"]);
+  });
+});
--- a/test/request/model-attempts.test.ts
+++ b/test/request/model-attempts.test.ts
@@ -196,28 +196,12 @@
   });
 
   test.it("records a crash when the stream broke and the engine cannot resume it", async () => {
-    const scenario = createScenario([
-      createTokens(0, ["a"], "break"),
-      createTokens(1, ["b"], "end"),
-    ]);
-    await new modelAttempts.ModelAttempts(scenario.kernel).run(
-      createOrder(1),
-      createRun(1),
-      SIGNAL,
-    );
+    const scenario = await runPastBreak();
     earl.expect(scenario.crashes).toEqual(["d1"]);
   });
 
   test.it("gives a later run its own time for the next token", async () => {
-    const scenario = createScenario([
-      createTokens(0, ["a"], "break"),
-      createTokens(1, ["b"], "end"),
-    ]);
-    await new modelAttempts.ModelAttempts(scenario.kernel).run(
-      createOrder(1),
-      createRun(1),
-      SIGNAL,
-    );
+    const scenario = await runPastBreak();
     const [first, second] = scenario.demands;
     const target = createOrder(1).call.firstTokenMs;
     earl.expect(first?.firstTokenBy).toEqual(target);
@@ -246,6 +230,14 @@
   });
 });
 
+/** Runs a request whose first stream breaks after a token and whose second one is whole. */
+async function runPastBreak(): Promise<Scenario> {
+  const scenario = createScenario([createTokens(0, ["a"], "break"), createTokens(1, ["b"], "end")]);
+  const attempts = new modelAttempts.ModelAttempts(scenario.kernel);
+  await attempts.run(createOrder(1), createRun(1), SIGNAL);
+  return scenario;
+}
+
 async function readRan(scenario: Scenario, attempt: number): Promise<codes.Ran | undefined> {
   const attempts = new modelAttempts.ModelAttempts(scenario.kernel);
   try {
