--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -14,7 +14,7 @@
 import * as clocks from "../src/kernel/clock.js";
 import * as expiringRecords from "../src/request/expiring-records.js";
 import * as modelRecords from "../src/request/model-records.js";
-import * as textDifference from "../src/platform/text-difference.js";
+import * as textDifference from "../src/configuration/text-difference.js";
 import * as documents from "../src/settings/document.js";
 import * as fleetDocument from "./fleet-document.js";
 
--- a/bench/leased-router.ts
+++ b/bench/leased-router.ts
@@ -5,7 +5,7 @@
 import type * as types from "../src/capacity/types.js";
 import * as container from "../src/kernel/container.js";
 import * as random from "../src/kernel/random.js";
-import type * as platform from "../src/platform/types.js";
+import type * as platform from "../src/configuration/types.js";
 import * as resultCodes from "../src/protocol/result-codes.js";
 import * as engineClients from "./model-engine-client.js";
 import * as fleetDocument from "./fleet-document.js";
--- a/bench/membership.ts
+++ b/bench/membership.ts
@@ -7,7 +7,7 @@
 import * as container from "../src/kernel/container.js";
 import * as random from "../src/kernel/random.js";
 import * as membership from "../src/membership/membership.js";
-import * as configuration from "../src/platform/configuration.js";
+import * as configuration from "../src/configuration/configuration.js";
 import type * as network from "../src/protocol/network.js";
 import * as peerNetwork from "../src/protocol/peer-network.js";
 import * as tcpTransport from "../src/protocol/tcp-transport.js";
--- a/src/admin/status.ts
+++ b/src/admin/status.ts
@@ -4,7 +4,7 @@
 import type * as capacity from "../capacity/types.js";
 import type * as kernels from "../kernel/container.js";
 import * as membership from "../membership/types.js";
-import * as platform from "../platform/types.js";
+import * as orders from "../orders/types.js";
 
 /** Most leases and fingerprints that one answer lists; the totals count all. */
 const MAX_LISTED = 1000;
@@ -47,7 +47,7 @@
   /** Which VM allocates each runner, from this node's view. */
   allocators: zod.array(zod.object({ runner: zod.string(), vm: zod.string().optional() })),
   /** Runners allocated here that do not serve yet what the document asks for. */
-  drifts: zod.array(zod.object({ runner: zod.string(), reason: zod.enum(platform.DRIFT_REASON) })),
+  drifts: zod.array(zod.object({ runner: zod.string(), reason: zod.enum(orders.DRIFT_REASON) })),
   /** Leases that this node granted as allocator. */
   leases: zod.array(leaseSchema),
   leasesTotal: zod.number(),
--- a/src/caller/admission.ts
+++ b/src/caller/admission.ts
@@ -1,6 +1,6 @@
 /** Checks that come before every call: configuration, caller, and whether the node takes new work. */
 import type * as kernels from "../kernel/container.js";
-import type * as configuration from "../platform/types.js";
+import type * as configuration from "../configuration/types.js";
 import * as codes from "../protocol/result-codes.js";
 import type * as document from "../settings/document.js";
 import * as membership from "../membership/types.js";
--- a/src/caller/request-headers.ts
+++ b/src/caller/request-headers.ts
@@ -1,6 +1,6 @@
 /** The headers of a caller's request that the front reads. */
 import * as codes from "../protocol/result-codes.js";
-import type * as configuration from "../platform/types.js";
+import type * as configuration from "../configuration/types.js";
 import type * as document from "../settings/document.js";
 import * as credentials from "../settings/credentials.js";
 import type * as types from "./types.js";
--- a/src/console/actions.ts
+++ b/src/console/actions.ts
@@ -1,5 +1,5 @@
 /** What the buttons of the console's forms do. */
-import * as digests from "../platform/document-digest.js";
+import * as digests from "../configuration/document-digest.js";
 import * as documents from "../settings/document.js";
 import * as itemPage from "./item-page.js";
 import type * as page from "./page.js";
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -1,7 +1,8 @@
 /** The names of the services in the kernel and their types. Every part finds the others through it. */
 import type * as capacity from "../capacity/types.js";
-import type * as configuration from "../platform/types.js";
+import type * as configuration from "../configuration/types.js";
 import type * as membership from "../membership/types.js";
+import type * as orders from "../orders/types.js";
 import type * as network from "../protocol/network.js";
 import type * as sessions from "../caller/types.js";
 import type * as settings from "../settings/node-settings.js";
@@ -30,7 +31,7 @@
   capacity: capacity.Capacity;
   engines: upstream.EngineClient;
   backends: upstream.ServiceClient;
-  orders: configuration.Orders;
+  orders: orders.Orders;
 }
 
 /** The name of a service in the kernel. */
--- a/src/membership/vm-list-reader.ts
+++ b/src/membership/vm-list-reader.ts
@@ -1,7 +1,7 @@
 /** Reads the platform's list of VMs: to find the first peers, to heal, and to learn who leaves. */
 import * as clocks from "../kernel/clock.js";
 import * as randoms from "../kernel/random.js";
-import type * as platform from "../platform/types.js";
+import type * as platform from "../configuration/types.js";
 import type * as network from "../protocol/network.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
--- a/src/platform/order-rights.ts
+++ b/src/orders/order-rights.ts
@@ -9,8 +9,8 @@
 import * as randoms from "../kernel/random.js";
 import type * as membership from "../membership/types.js";
 import * as network from "../protocol/network.js";
-import * as calls from "./configuration-calls.js";
-import * as digests from "./document-digest.js";
+import * as calls from "../configuration/configuration-calls.js";
+import * as digests from "../configuration/document-digest.js";
 
 /** How long a confirmed node may order: an order not sent within it is dropped. */
 export const ORDER_RIGHT_MS = 2000;
--- a/src/platform/orders.ts
+++ b/src/orders/orders.ts
@@ -9,6 +9,7 @@
 import * as signals from "../kernel/signals.js";
 import type * as random from "../kernel/random.js";
 import * as logEvents from "../telemetry/log-events.js";
+import type * as configuration from "../configuration/types.js";
 import type * as telemetry from "../telemetry/types.js";
 import type * as upstream from "../upstream/types.js";
 import * as orderRights from "./order-rights.js";
@@ -31,7 +32,7 @@
   readonly #random: random.RandomSource;
   readonly #log: telemetry.EventLog;
   readonly #engines: upstream.EngineClient;
-  readonly #configuration: types.Configuration;
+  readonly #configuration: configuration.Configuration;
   readonly #findAllocator: (runner: string) => string | undefined;
   readonly #ownVm: string;
   readonly #rights: orderRights.OrderRights;
--- a/src/request/plain-calls.ts
+++ b/src/request/plain-calls.ts
@@ -3,7 +3,7 @@
 import type * as container from "../kernel/container.js";
 import type * as sessions from "../caller/types.js";
 import * as membership from "../membership/types.js";
-import type * as configuration from "../platform/types.js";
+import type * as configuration from "../configuration/types.js";
 import * as codes from "../protocol/result-codes.js";
 import type * as upstream from "../upstream/types.js";
 import * as backendChoice from "./backend-choice.js";
--- a/standins/matrix/configuration-nodes.ts
+++ b/standins/matrix/configuration-nodes.ts
@@ -1,6 +1,6 @@
 /** The configuration of a node as the matrix sees it, of the real router and of the naive one. */
 import * as clocks from "../../src/kernel/clock.js";
-import type * as platform from "../../src/platform/types.js";
+import type * as platform from "../../src/configuration/types.js";
 import type * as nodeProcess from "./node-process.js";
 import * as realNode from "./real-node.js";
 import type * as router from "./router.js";
--- a/standins/matrix/matrix-platform.ts
+++ b/standins/matrix/matrix-platform.ts
@@ -1,6 +1,6 @@
 /** The platform of the matrix: configuration service and VM list, with their faults. */
 import * as clocks from "../../src/kernel/clock.js";
-import type * as platform from "../../src/platform/types.js";
+import type * as platform from "../../src/configuration/types.js";
 import type * as document from "../../src/settings/document.js";
 import * as fixtures from "./fixtures.js";
 
--- a/standins/matrix/real-node.ts
+++ b/standins/matrix/real-node.ts
@@ -3,7 +3,7 @@
 import type * as container from "../../src/kernel/container.js";
 import * as random from "../../src/kernel/random.js";
 import * as nodes from "../../src/node.js";
-import type * as platform from "../../src/platform/types.js";
+import type * as platform from "../../src/configuration/types.js";
 import * as peerNetwork from "../../src/protocol/peer-network.js";
 import type * as document from "../../src/settings/document.js";
 import type * as nodeSettings from "../../src/settings/node-settings.js";
--- a/standins/platform-server.ts
+++ b/standins/platform-server.ts
@@ -1,5 +1,5 @@
 /** The platform's stand-in behind HTTP. Tests steer it through `/control`. */
-import type * as types from "../src/platform/types.js";
+import type * as types from "../src/configuration/types.js";
 import * as httpServer from "./http-server.js";
 import type * as platformModel from "./platform.js";
 
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -1,6 +1,6 @@
 /** The platform's stand-in: configuration service with read and watch, and a lagging VM list. */
 import type * as clocks from "../src/kernel/clock.js";
-import type * as types from "../src/platform/types.js";
+import type * as types from "../src/configuration/types.js";
 
 /** How the service misbehaves. */
 export interface PlatformFaults {
--- a/test/capacity/capacity-fixture.ts
+++ b/test/capacity/capacity-fixture.ts
@@ -6,7 +6,7 @@
 import type * as types from "../../src/capacity/types.js";
 import * as container from "../../src/kernel/container.js";
 import * as random from "../../src/kernel/random.js";
-import type * as platform from "../../src/platform/types.js";
+import type * as platform from "../../src/configuration/types.js";
 import type * as document from "../../src/settings/document.js";
 import type * as upstream from "../../src/upstream/types.js";
 
--- a/test/platform/document-spreader.test.ts
+++ b/test/configuration/document-spreader.test.ts
@@ -1,8 +1,8 @@
 import * as test from "node:test";
 import * as earl from "earl";
-import * as calls from "../../src/platform/configuration-calls.js";
-import * as documentTransfer from "../../src/platform/document-transfer.js";
-import * as digests from "../../src/platform/document-digest.js";
+import * as calls from "../../src/configuration/configuration-calls.js";
+import * as documentTransfer from "../../src/configuration/document-transfer.js";
+import * as digests from "../../src/configuration/document-digest.js";
 import * as documents from "../membership/documents.js";
 import * as fleets from "../membership/fleet.js";
 
--- a/test/platform/document-transfer.test.ts
+++ b/test/configuration/document-transfer.test.ts
@@ -1,10 +1,10 @@
 import * as test from "node:test";
 import * as earl from "earl";
 import * as fastCheck from "fast-check";
-import * as digests from "../../src/platform/document-digest.js";
-import * as documentTransfer from "../../src/platform/document-transfer.js";
-import * as textDifference from "../../src/platform/text-difference.js";
-import * as fakeRunners from "./fake-runners.js";
+import * as digests from "../../src/configuration/document-digest.js";
+import * as documentTransfer from "../../src/configuration/document-transfer.js";
+import * as textDifference from "../../src/configuration/text-difference.js";
+import * as fakeRunners from "../orders/fake-runners.js";
 
 function createText(text: string): documentTransfer.DocumentText {
   return { text, digest: digests.computeDigest(text) };
--- a/test/membership/fake-platform.ts
+++ b/test/membership/fake-platform.ts
@@ -2,7 +2,7 @@
 import type * as clocks from "../../src/kernel/clock.js";
 import * as clock from "../../src/kernel/clock.js";
 import type * as fleetDocument from "../../src/settings/document.js";
-import type * as platform from "../../src/platform/types.js";
+import type * as platform from "../../src/configuration/types.js";
 
 const ANSWER_DELAY_MS = 3;
 
--- a/test/platform/weight-pacing.test.ts
+++ b/test/orders/weight-pacing.test.ts
@@ -1,8 +1,8 @@
 import * as test from "node:test";
 import * as earl from "earl";
 import * as fastCheck from "fast-check";
-import * as runnerOrder from "../../src/platform/runner-order.js";
-import * as weightPacing from "../../src/platform/weight-pacing.js";
+import * as runnerOrder from "../../src/orders/runner-order.js";
+import * as weightPacing from "../../src/orders/weight-pacing.js";
 import * as fakeRunners from "./fake-runners.js";
 
 const DESIRED = runnerOrder.computeDesiredRunners(fakeRunners.createRunnersDocument(1, "v1", true));
