--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,6 +4,7 @@
 import * as configCommand from "./config-command.js";
 import * as consoleCommand from "./console-command.js";
 import * as exitCodes from "./exit-codes.js";
+import * as gatewayCommand from "./gateway-command.js";
 import * as nodeCommand from "./node-command.js";
 import * as sendCommand from "./send-command.js";
 import * as statusCommand from "./status-command.js";
@@ -45,6 +46,7 @@
     name: "ebonyhook",
     description: `a router for prefill and decode pools and plain services\n${exitCodes.EXIT_CODE_HELP}`,
     cmds: {
+      gateway: gatewayCommand.createGatewayCommand(terminal),
       node: nodeCommand.createNodeCommand(terminal),
       console: consoleCommand.createConsoleCommand(terminal),
       send: sendCommand.createSendCommand(terminal),
--- /dev/null
+++ b/src/gateway/caller-front.ts
@@ -0,0 +1,209 @@
+/** Serves callers: reads a request, finds its route, and has it served or refuses it. */
+import type * as http from "node:http";
+import * as refusals from "../caller/refusals.js";
+import type * as clocks from "../kernel/clock.js";
+import * as resultCodes from "../protocol/result-codes.js";
+import * as routeTable from "../routing/route-table.js";
+import type * as routing from "../routing/types.js";
+import type * as routingState from "../routing/routing-state.js";
+import * as callerReply from "../serving/caller-reply.js";
+import type * as serving from "../serving/types.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
+import * as bodies from "./bodies.js";
+import * as httpServer from "./http-server.js";
+import type * as types from "./types.js";
+
+/** Callers reuse connections that were idle for up to four fifths of the limit; it must not be cut short. */
+const IDLE_SLACK_MS = 500;
+
+/** Serves a call whose route is known. */
+export interface CallServer {
+  serve(call: serving.ServedCall): Promise<void>;
+}
+
+/** What the front works with. */
+export interface CallerFrontOptions {
+  readonly settings: types.GatewaySettings;
+  readonly wire: types.CallerWire;
+  readonly clock: clocks.Clock;
+  readonly log: telemetry.EventLog;
+  readonly metrics: telemetry.Metrics;
+  readonly routing: routingState.RoutingState;
+  readonly plain: CallServer;
+  readonly models: CallServer;
+  /** Whether the VM knows enough to serve. */
+  readonly isReady: () => boolean;
+}
+
+/** The front of one VM. */
+export class CallerFront implements AsyncDisposable {
+  readonly #options: CallerFrontOptions;
+  readonly #http: httpServer.GatewayServer;
+  #active = 0;
+  #leavingAt: number | undefined;
+
+  constructor(options: CallerFrontOptions) {
+    this.#options = options;
+    this.#http = httpServer.createHttpServer(options.settings.callerAddress);
+    this.#http.server.route({
+      method: "*",
+      path: "/{path*}",
+      options: { payload: { parse: false, output: "stream", maxBytes: Number.MAX_SAFE_INTEGER } },
+      handler: async (request, toolkit) => {
+        await this.#handle(request.raw.req, request.raw.res);
+        return toolkit.abandon;
+      },
+    });
+    options.routing.onChange((table) => {
+      this.#setLimits(table.limits);
+    });
+  }
+
+  /** Calls that are being served. */
+  get active(): number {
+    return this.#active;
+  }
+
+  async start(): Promise<void> {
+    await this.#http.start();
+  }
+
+  /** Tells callers with each answer to connect elsewhere. */
+  startLeaving(): void {
+    this.#leavingAt = this.#options.clock.now();
+  }
+
+  /** Takes no new connections and closes those that are idle. */
+  closeIdle(): void {
+    this.#http.listener.close();
+    this.#http.listener.closeIdleConnections();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#http[Symbol.asyncDispose]();
+  }
+
+  #setLimits(limits: routing.CallerLimits): void {
+    const { listener } = this.#http;
+    listener.keepAliveTimeout = limits.idleTimeoutMs + IDLE_SLACK_MS;
+    listener.headersTimeout = limits.headerTimeoutMs;
+  }
+
+  async #handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const arrivedAt = this.#options.clock.now();
+    const controller = new AbortController();
+    response.once("close", () => {
+      if (!response.writableFinished) controller.abort(new Error("caller is gone"));
+    });
+    response.on("error", (error) => {
+      controller.abort(error);
+    });
+    this.#active += 1;
+    const reply = new callerReply.CallerReply(response);
+    let head: types.CallHead | undefined;
+    try {
+      head = this.#options.wire.parseHead(request);
+      if (this.#leavingAt !== undefined) response.shouldKeepAlive = false;
+      const call = await this.#createCall(head, request, arrivedAt, controller.signal, reply);
+      await this.#serve(call);
+      this.#recordEnd(call, "answered");
+    } catch (error) {
+      this.#handleFailure(head, reply, controller.signal, error, arrivedAt);
+    } finally {
+      this.#active -= 1;
+    }
+  }
+
+  async #createCall(
+    head: types.CallHead,
+    request: http.IncomingMessage,
+    arrivedAt: number,
+    signal: AbortSignal,
+    reply: callerReply.CallerReply,
+  ): Promise<serving.ServedCall> {
+    const { routing: state, isReady } = this.#options;
+    const table = state.current;
+    const maxBytes = table?.table.limits.maxBodyBytes ?? Number.POSITIVE_INFINITY;
+    const body = await bodies.readRequestBody(request, maxBytes);
+    if (table === undefined || !isReady()) throw createRefusal("notReady");
+    // The configuration may have changed while the body came.
+    const current = state.current ?? table;
+    const route = current.findRoute(head.host, head.path);
+    if (route === undefined) throw createRefusal("unknownService");
+    const service = findService(current, route, head.id);
+    const deadlineMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+    const deadlineAt = arrivedAt + deadlineMs;
+    return { head, body, route, service, arrivedAt, deadlineAt, signal, reply };
+  }
+
+  async #serve(call: serving.ServedCall): Promise<void> {
+    const isModelCall = call.service.engine !== undefined && call.head.prompt !== undefined;
+    await (isModelCall ? this.#options.models : this.#options.plain).serve(call);
+  }
+
+  #handleFailure(
+    head: types.CallHead | undefined,
+    reply: callerReply.CallerReply,
+    signal: AbortSignal,
+    error: unknown,
+    arrivedAt: number,
+  ): void {
+    const { log, wire, clock, metrics } = this.#options;
+    const failure = refusals.createRequestError(error);
+    const fields = {
+      request: head?.id,
+      code: failure.code.number,
+      ran: failure.ran,
+      reason: failure.message,
+      retryAfterMs: failure.retryAfterMs,
+      afterMs: Math.round(clock.now() - arrivedAt),
+      started: reply.started,
+    };
+    if (signal.aborted) {
+      metrics.count("calls", { outcome: "cancelled" });
+      log.write(logEvents.LOG_EVENTS.requestCancelled, fields);
+      reply.abort();
+      return;
+    }
+    metrics.count("calls", { outcome: failure.ran === resultCodes.RAN.no ? "refused" : "failed" });
+    const isRefusal = failure.ran === resultCodes.RAN.no;
+    const { requestRefused, requestFailed, unexpectedError } = logEvents.LOG_EVENTS;
+    const isUnexpected = failure.code === resultCodes.RESULT_CODES.internalError;
+    if (isUnexpected) log.write(unexpectedError, { ...fields, error: String(error) });
+    else log.write(isRefusal ? requestRefused : requestFailed, fields);
+    if (reply.started) {
+      reply.abort();
+      return;
+    }
+    const answer = wire.formatRefusal(head?.id, failure);
+    reply.send(answer.status, answer.headers, Buffer.from(answer.body));
+  }
+
+  #recordEnd(call: serving.ServedCall, outcome: string): void {
+    const { metrics, clock, log } = this.#options;
+    const tookMs = clock.now() - call.arrivedAt;
+    metrics.count("calls", { outcome });
+    metrics.recordDuration(`call_${call.route.kind}`, tookMs);
+    const fields = { request: call.head.id, route: call.route.name, tookMs: Math.round(tookMs) };
+    log.write(logEvents.LOG_EVENTS.requestFinished, fields);
+  }
+}
+
+const NOT_READY_RETRY_MS = 500;
+
+function createRefusal(name: "notReady" | "unknownService"): resultCodes.RequestError {
+  const options = name === "notReady" ? { retryAfterMs: NOT_READY_RETRY_MS } : {};
+  return new resultCodes.RequestError(resultCodes.RESULT_CODES[name], resultCodes.RAN.no, options);
+}
+
+function findService(
+  table: routeTable.RouteTable,
+  route: routing.Route,
+  callId: string,
+): routing.ServiceSpec {
+  const name = routeTable.chooseService(route, callId);
+  const service = name === undefined ? undefined : table.findService(name);
+  if (service === undefined) throw createRefusal("notReady");
+  return service;
+}
--- /dev/null
+++ b/src/gateway/lookup-front.ts
@@ -0,0 +1,84 @@
+/** Answers the platform's question for readiness, callers' question for addresses, and metrics. */
+import type * as hapi from "@hapi/hapi";
+import type * as membership from "../membership/types.js";
+import type * as telemetry from "../telemetry/types.js";
+import * as httpServer from "./http-server.js";
+import * as lookup from "./lookup.js";
+import type * as types from "./types.js";
+
+const HTTP_OK = 200;
+const HTTP_UNAVAILABLE = 503;
+
+/** What the fronts work with. */
+export interface LookupFrontOptions {
+  readonly settings: types.GatewaySettings;
+  readonly wire: types.CallerWire;
+  readonly membership: membership.Membership;
+  readonly metrics: telemetry.Metrics;
+  /** Port of the metrics; without one they are not served. */
+  readonly metricsPort: number | undefined;
+  /** Whether the VM takes requests. */
+  readonly isReady: () => boolean;
+}
+
+/** The small servers beside the callers' front. */
+export class LookupFront implements AsyncDisposable {
+  readonly #servers: readonly httpServer.GatewayServer[];
+
+  constructor(options: LookupFrontOptions) {
+    const { settings, metricsPort } = options;
+    const ready = httpServer.createHttpServer(settings.readyAddress);
+    addReadyRoute(ready.server, options);
+    const directory = httpServer.createHttpServer(settings.lookupAddress);
+    addLookupRoute(directory.server, options);
+    const servers = [ready, directory];
+    if (metricsPort !== undefined) {
+      const metrics = httpServer.createHttpServer({ host: settings.host, port: metricsPort });
+      addMetricsRoute(metrics.server, options);
+      servers.push(metrics);
+    }
+    this.#servers = servers;
+  }
+
+  async start(): Promise<void> {
+    await Promise.all(this.#servers.map((server) => server.start()));
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await Promise.all(this.#servers.map((server) => server[Symbol.asyncDispose]()));
+  }
+}
+
+function addReadyRoute(server: hapi.Server, options: LookupFrontOptions): void {
+  server.route({
+    method: "GET",
+    path: options.wire.readyPath,
+    handler: (_request, toolkit) =>
+      toolkit.response("").code(options.isReady() ? HTTP_OK : HTTP_UNAVAILABLE),
+  });
+}
+
+function addLookupRoute(server: hapi.Server, options: LookupFrontOptions): void {
+  const { wire, membership: fleet, settings } = options;
+  server.route({
+    method: "GET",
+    path: wire.lookupPath,
+    handler: (request, toolkit) => {
+      const { zone } = wire.parseLookup(request.raw.req.url ?? "/");
+      const addresses = lookup.listAddresses(fleet, options.isReady(), zone);
+      if (addresses.length === 0) return toolkit.response("").code(HTTP_UNAVAILABLE);
+      const ttlMs = Math.min(lookup.ADDRESS_TTL_MS, settings.addressTtlLimitMs);
+      const body = wire.formatLookup(addresses, ttlMs);
+      return toolkit.response(body).type("application/json");
+    },
+  });
+}
+
+function addMetricsRoute(server: hapi.Server, options: LookupFrontOptions): void {
+  server.route({
+    method: "GET",
+    path: "/metrics",
+    handler: async (_request, toolkit) =>
+      toolkit.response(await options.metrics.format()).type("text/plain"),
+  });
+}
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -1,9 +1,18 @@
 /** The names of the services in the kernel and their types. Every part finds the others through it. */
 import type * as capacity from "../capacity/types.js";
+import type * as gateway from "../gateway/types.js";
 import type * as configuration from "../configuration/types.js";
 import type * as membership from "../membership/types.js";
 import type * as orders from "../orders/types.js";
 import type * as network from "../protocol/network.js";
+import type * as placement from "../placement/placement.js";
+import type * as registrySync from "../registry/registry-sync.js";
+import type * as routingState from "../routing/routing-state.js";
+import type * as runnerCalls from "../runners/runner-calls.js";
+import type * as runnerTable from "../runners/runner-table.js";
+import type * as modelServing from "../serving/model-serving.js";
+import type * as plainServing from "../serving/plain-serving.js";
+import type * as repeatBudgets from "../serving/repeat-budgets.js";
 import type * as sessions from "../caller/types.js";
 import type * as settings from "../settings/node-settings.js";
 import type * as telemetry from "../telemetry/types.js";
@@ -32,6 +41,15 @@
   engines: upstream.EngineClient;
   backends: upstream.ServiceClient;
   orders: orders.Orders;
+  adapter: gateway.PlatformAdapter;
+  routing: routingState.RoutingState;
+  runners: runnerTable.RunnerTable;
+  registrySync: registrySync.RegistrySync;
+  runnerCalls: runnerCalls.RunnerCalls;
+  repeatBudgets: repeatBudgets.RepeatBudgets;
+  placement: placement.Placement;
+  plainServing: plainServing.PlainServing;
+  modelServing: modelServing.ModelServing;
 }
 
 /** The name of a service in the kernel. */
--- /dev/null
+++ b/src/placement/pool-scheduler.ts
@@ -0,0 +1,264 @@
+/**
+ * Places the model requests of one service. Load pattern: bursts of two to three times what the pool can
+ * decode. What would be preempted later is not let in; who can still be on time goes first; who cannot
+ * is served from what is left over; who would wait longer than a caller does is refused at once.
+ */
+import type * as clocks from "../kernel/clock.js";
+import type * as routing from "../routing/types.js";
+import * as runners from "../runners/types.js";
+import * as decodeLoad from "./decode-load.js";
+import type * as memoryForecast from "./memory-forecast.js";
+import * as prefillLoad from "./prefill-load.js";
+import type * as types from "./types.js";
+import * as waitingLine from "./waiting-line.js";
+
+/** Part of a runner's memory that forecasts may fill; the rest covers answers longer than estimated. */
+const MEMORY_SHARE = 0.95;
+/** The same for requests that are late anyway: they must not cost one that is on time its place. */
+const LATE_MEMORY_SHARE = 0.8;
+/** Longest queue at a prefill runner: beyond it waiting here is better, for the choice stays open. */
+const LONGEST_PREFILL_WAIT_MS = 150;
+/** From the end of reading to the first event: transfer, connection and first step. */
+const HANDOVER_MS = 40;
+const EXPIRY_PERIOD_MS = 1_000;
+
+/** A runner that may be chosen. */
+export interface Candidate {
+  readonly runner: runners.Runner;
+  /** Whether this VM could not reach it lately. */
+  readonly paused: boolean;
+}
+
+/** What a scheduler works with. */
+export interface SchedulerOptions {
+  readonly clock: clocks.Clock;
+  /** Returns the runners of the service that take new work. */
+  readonly listCandidates: () => readonly Candidate[];
+  /** Returns the engine's properties by the configuration in force. */
+  readonly findEngine: () => routing.EngineSpec | undefined;
+}
+
+interface Waiting {
+  readonly request: types.PlaceRequest;
+  readonly arrivedAt: number;
+  readonly answer: (answer: types.PlaceAnswer) => void;
+}
+
+/** Holds the waiting requests and what is placed on each runner of one service. */
+export class PoolScheduler {
+  readonly #options: SchedulerOptions;
+  readonly #decode = new Map<string, decodeLoad.DecodeLoad>();
+  readonly #prefill = new Map<string, prefillLoad.PrefillLoad>();
+  readonly #line: waitingLine.WaitingLine<Waiting>;
+  #expiresAt = 0;
+  #cancelTimer: (() => void) | undefined;
+  /** Part of the runners' memory that this scheduler may fill. */
+  #share = 1;
+
+  constructor(options: SchedulerOptions) {
+    this.#options = options;
+    this.#line = new waitingLine.WaitingLine(options.clock);
+  }
+
+  /** Requests that wait for a place. */
+  get waiting(): number {
+    return this.#line.size;
+  }
+
+  /** Sets the part of the runners' memory that it may fill; less than 1 while others place there too. */
+  setShare(share: number): void {
+    this.#share = share;
+  }
+
+  /**
+   * Places a request, or waits for a place as long as that is useful.
+   *
+   * @param answer - called once, perhaps at once.
+   * @returns a function that withdraws the request.
+   */
+  submit(request: types.PlaceRequest, answer: (answer: types.PlaceAnswer) => void): () => void {
+    const waiting: Waiting = { request, arrivedAt: this.#options.clock.now(), answer };
+    const { targetMs, patienceMs } = request;
+    const refusal = this.#line.add(waiting, targetMs - this.#computeStartTime(request), patienceMs);
+    if (refusal !== undefined) {
+      answer({ granted: false, retryAfterMs: refusal.retryAfterMs });
+      return () => undefined;
+    }
+    this.update();
+    return () => {
+      this.#line.remove(waiting);
+    };
+  }
+
+  /** Takes in what a VM tells of a placed request. */
+  recordProgress(progress: types.PlaceProgress): void {
+    const { key, prefillMs, ended, outputTokens, decodeMs } = progress;
+    if (prefillMs !== undefined || ended === true) this.#endPrefill(key, prefillMs);
+    if (ended === true) this.#endDecode(key, outputTokens, decodeMs);
+    this.update();
+  }
+
+  /** Takes in a request that another scheduler placed. */
+  recordRunning(running: types.RunningRequest): void {
+    const load = this.#useDecode(running.decodeRunner);
+    if (load.has(running.key)) return;
+    const startsAt = this.#options.clock.now() - running.runningMs;
+    load.add(running.key, { ...running, startsAt });
+  }
+
+  /** Grants places to those who wait, as far as there are any. */
+  update(): void {
+    this.#expire();
+    for (;;) {
+      const next = this.#line.findNext();
+      if (next === undefined) break;
+      const place = this.#choosePlace(next.entry, next.late);
+      if (place === undefined) break;
+      this.#line.recordGrant(next.entry);
+      next.entry.answer({ granted: true, place });
+    }
+    for (const given of this.#line.removeExpired()) {
+      given.entry.answer({ granted: false, retryAfterMs: given.retryAfterMs });
+    }
+    this.#scheduleUpdate();
+  }
+
+  close(): void {
+    this.#cancelTimer?.();
+  }
+
+  #scheduleUpdate(): void {
+    this.#cancelTimer?.();
+    this.#cancelTimer = undefined;
+    const waitMs = this.#line.computeNextChange();
+    if (waitMs === undefined) return;
+    this.#cancelTimer = this.#options.clock.schedule(waitMs, () => {
+      this.update();
+    });
+  }
+
+  #expire(): void {
+    const now = this.#options.clock.now();
+    if (now < this.#expiresAt) return;
+    this.#expiresAt = now + EXPIRY_PERIOD_MS;
+    const listed = new Set(this.#options.listCandidates().map(({ runner }) => runner.id));
+    for (const [id, load] of this.#decode) {
+      load.expire(now);
+      if (load.count === 0 && !listed.has(id)) this.#decode.delete(id);
+    }
+    for (const load of this.#prefill.values()) load.expire(now);
+  }
+
+  #choosePlace(waiting: Waiting, late: boolean): types.Place | undefined {
+    const { request } = waiting;
+    const usable = this.#listUsable(request);
+    const prefill = this.#choosePrefill(usable, request);
+    if (prefill === "busy") return undefined;
+    const readMs = prefill === undefined ? 0 : this.#computePrefillTime(prefill, request);
+    const run: memoryForecast.ForecastRun = {
+      promptTokens: request.promptTokens,
+      expectedOutputTokens: request.expectedOutputTokens,
+      maxOutputTokens: request.maxOutputTokens,
+      startsAt: this.#options.clock.now() + readMs + HANDOVER_MS,
+    };
+    const decode = this.#chooseDecode(usable, run, late);
+    if (decode === undefined) return undefined;
+    this.#useDecode(decode).add(request.key, run);
+    if (prefill === undefined) return { prefillRunner: undefined, decodeRunner: decode };
+    const now = this.#options.clock.now();
+    this.#usePrefill(prefill).add(request.key, request.promptTokens, now);
+    return { prefillRunner: prefill, decodeRunner: decode };
+  }
+
+  #listUsable(request: types.PlaceRequest): readonly runners.Runner[] {
+    const listed = this.#options
+      .listCandidates()
+      .filter(({ runner }) => !request.excluded.includes(runner.id));
+    const sound = listed.filter((candidate) => !candidate.paused);
+    return (sound.length > 0 ? sound : listed).map((candidate) => candidate.runner);
+  }
+
+  /** Returns the prefill runner with the shortest queue; `busy` when all queues are long. */
+  #choosePrefill(
+    usable: readonly runners.Runner[],
+    request: types.PlaceRequest,
+  ): string | undefined {
+    const readers = usable.filter((runner) => runner.stage === runners.STAGE.prefill);
+    if (readers.length === 0) return undefined;
+    const waits = readers.map((runner) => ({
+      id: runner.id,
+      waitMs: this.#usePrefill(runner.id).computeWait(),
+      isNear: runner.zone === request.zone,
+    }));
+    waits.sort((first, second) => first.waitMs - second.waitMs || compareNear(first, second));
+    const best = waits[0];
+    return best === undefined || best.waitMs > LONGEST_PREFILL_WAIT_MS ? "busy" : best.id;
+  }
+
+  #chooseDecode(
+    usable: readonly runners.Runner[],
+    run: memoryForecast.ForecastRun,
+    late: boolean,
+  ): string | undefined {
+    const engine = this.#options.findEngine();
+    const capacity = engine?.kvCapacityTokens ?? Number.POSITIVE_INFINITY;
+    const limit = capacity * this.#share * (late ? LATE_MEMORY_SHARE : MEMORY_SHARE);
+    const now = this.#options.clock.now();
+    let best: { readonly id: string; readonly peak: number } | undefined;
+    for (const runner of usable) {
+      if (runner.stage === runners.STAGE.prefill) continue;
+      const load = this.#useDecode(runner.id);
+      if (load.count >= Math.max(1, runner.slots * this.#share)) continue;
+      const peak = load.computePeak(run, now);
+      const fits = peak <= limit || load.count === 0;
+      if (fits && (best === undefined || peak < best.peak)) best = { id: runner.id, peak };
+    }
+    return best?.id;
+  }
+
+  #computePrefillTime(runnerId: string, request: types.PlaceRequest): number {
+    const load = this.#usePrefill(runnerId);
+    return load.computeWait() + load.computeReadTime(request.promptTokens);
+  }
+
+  /** Returns the time from a grant to the first event with nothing in the way. */
+  #computeStartTime(request: types.PlaceRequest): number {
+    const [any] = this.#prefill.values();
+    const readMs = (any ?? new prefillLoad.PrefillLoad()).computeReadTime(request.promptTokens);
+    return readMs + HANDOVER_MS;
+  }
+
+  #endPrefill(key: string, prefillMs: number | undefined): void {
+    for (const load of this.#prefill.values()) {
+      if (load.remove(key, prefillMs)) return;
+    }
+  }
+
+  #endDecode(key: string, outputTokens = 0, decodeMs = 0): void {
+    for (const load of this.#decode.values()) {
+      if (!load.remove(key)) continue;
+      load.recordSpeed(outputTokens, decodeMs);
+      return;
+    }
+  }
+
+  #useDecode(id: string): decodeLoad.DecodeLoad {
+    const known = this.#decode.get(id);
+    if (known !== undefined) return known;
+    const load = new decodeLoad.DecodeLoad();
+    this.#decode.set(id, load);
+    return load;
+  }
+
+  #usePrefill(id: string): prefillLoad.PrefillLoad {
+    const known = this.#prefill.get(id);
+    if (known !== undefined) return known;
+    const load = new prefillLoad.PrefillLoad();
+    this.#prefill.set(id, load);
+    return load;
+  }
+}
+
+function compareNear(first: { isNear: boolean }, second: { isNear: boolean }): number {
+  return Number(second.isNear) - Number(first.isNear);
+}
--- /dev/null
+++ b/src/placement/types.ts
@@ -0,0 +1,59 @@
+/** Placing of model requests on runners. */
+
+/** A model request that asks for a place. */
+export interface PlaceRequest {
+  /** The caller's id of this attempt. */
+  readonly key: string;
+  readonly service: string;
+  readonly promptTokens: number;
+  /** Best guess of the output. */
+  readonly expectedOutputTokens: number;
+  readonly maxOutputTokens: number;
+  /** Time left until the first event is late; negative when it is. */
+  readonly targetMs: number;
+  /** Longest useful wait for a place. */
+  readonly patienceMs: number;
+  readonly zone: string;
+  /** Runners that failed this request or cannot be reached from its VM. */
+  readonly excluded: readonly string[];
+}
+
+/** Where a request is to run. */
+export interface Place {
+  /** Reads the prompt; `undefined` when the decode runner does. */
+  readonly prefillRunner: string | undefined;
+  readonly decodeRunner: string;
+}
+
+/** Answer to a request for a place. */
+export type PlaceAnswer =
+  | { readonly granted: true; readonly place: Place }
+  | {
+      readonly granted: false;
+      /** When a place is expected to be free. */
+      readonly retryAfterMs: number;
+    };
+
+/** What became of a placed request. */
+export interface PlaceProgress {
+  readonly key: string;
+  /** The prompt has been read, in this time. */
+  readonly prefillMs?: number;
+  /** The request no longer uses its place. */
+  readonly ended?: boolean;
+  /** Output tokens that it made until it ended. */
+  readonly outputTokens?: number;
+  /** Time from the first to the last event. */
+  readonly decodeMs?: number;
+}
+
+/** A request that runs, as its VM tells a new scheduler. */
+export interface RunningRequest {
+  readonly key: string;
+  readonly decodeRunner: string;
+  readonly promptTokens: number;
+  readonly expectedOutputTokens: number;
+  readonly maxOutputTokens: number;
+  /** Time since its decoding began. */
+  readonly runningMs: number;
+}
--- /dev/null
+++ b/src/registry/registry-sync.ts
@@ -0,0 +1,120 @@
+/** What the platform publishes, kept current from the platform and from the other VMs. */
+import type * as container from "../kernel/container.js";
+import * as clocks from "../kernel/clock.js";
+import type * as gatewayTypes from "../gateway/types.js";
+import type * as routing from "../routing/types.js";
+import type * as runners from "../runners/types.js";
+import * as registryExchange from "./registry-exchange.js";
+import * as registryReader from "./registry-reader.js";
+import * as registryView from "./registry-view.js";
+
+const CONFIGURATION_CALL = 30;
+const RUNNERS_CALL = 31;
+const EXPIRE_PERIOD_MS = 250;
+/** A starting VM asks peers when the platform has not answered for this time. */
+const ASK_PEERS_PERIOD_MS = 300;
+
+/** Keeps routes and runners current. */
+export class RegistrySync implements AsyncDisposable {
+  readonly #kernel: container.Kernel;
+  readonly #controller = new AbortController();
+  readonly #configuration: registryView.RegistryView<routing.RoutingTable>;
+  readonly #runners: registryView.RegistryView<runners.Runner>;
+  readonly #readers: readonly { run(signal: AbortSignal): Promise<void> }[];
+  readonly #exchanges: readonly { pull(vm: string): Promise<boolean> }[];
+
+  constructor(kernel: container.Kernel) {
+    this.#kernel = kernel;
+    const clock = kernel.use("clock");
+    const adapter: gatewayTypes.PlatformAdapter = kernel.use("adapter");
+    this.#configuration = new registryView.RegistryView(clock);
+    this.#runners = new registryView.RegistryView(clock);
+    const configuration = { name: "configuration", view: this.#configuration };
+    const listed = { name: "runners", view: this.#runners };
+    const shared = {
+      clock,
+      random: kernel.use("random"),
+      log: kernel.use("log"),
+      metrics: kernel.use("metrics"),
+      network: kernel.use("network"),
+      membership: kernel.use("membership"),
+    };
+    const { configurationSource, runnerSource } = adapter;
+    this.#readers = [
+      new registryReader.RegistryReader({
+        ...shared,
+        ...configuration,
+        source: configurationSource,
+      }),
+      new registryReader.RegistryReader({ ...shared, ...listed, source: runnerSource }),
+    ];
+    this.#exchanges = [
+      new registryExchange.RegistryExchange({
+        ...shared,
+        ...configuration,
+        callKind: CONFIGURATION_CALL,
+      }),
+      new registryExchange.RegistryExchange({ ...shared, ...listed, callKind: RUNNERS_CALL }),
+    ];
+    this.#connectViews();
+  }
+
+  /** Whether configuration and runners are known. */
+  get ready(): boolean {
+    return this.#kernel.use("routing").current !== undefined && this.#runners.revision > 0;
+  }
+
+  /** Reads and watches the platform until disposed of. */
+  start(): void {
+    const { signal } = this.#controller;
+    for (const reader of this.#readers) void reader.run(signal);
+    void this.#runExpiry(signal);
+    void this.#askPeers(signal);
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    this.#controller.abort(new Error("node stops"));
+    return Promise.resolve();
+  }
+
+  #connectViews(): void {
+    const routing = this.#kernel.use("routing");
+    const table = this.#kernel.use("runners");
+    this.#configuration.onChange((_key, value) => {
+      if (value !== undefined) routing.apply(value);
+    });
+    this.#runners.onChange((key, value) => {
+      table.setRunner(value?.id ?? createRunnerId(key), value);
+    });
+  }
+
+  async #runExpiry(signal: AbortSignal): Promise<void> {
+    const clock = this.#kernel.use("clock");
+    while (!signal.aborted) {
+      await clocks.sleep(clock, EXPIRE_PERIOD_MS, signal).catch(() => undefined);
+      this.#runners.expire();
+    }
+  }
+
+  /** Takes what a starting VM lacks from its peers, for the platform may be away. */
+  async #askPeers(signal: AbortSignal): Promise<void> {
+    const clock = this.#kernel.use("clock");
+    const fleet = this.#kernel.use("membership");
+    while (!signal.aborted && !this.ready) {
+      await clocks.sleep(clock, ASK_PEERS_PERIOD_MS, signal).catch(() => undefined);
+      const peer = fleet.listAlive().find((member) => member.vm !== fleet.self.vm);
+      if (this.ready || peer === undefined) continue;
+      await Promise.all(this.#exchanges.map((exchange) => exchange.pull(peer.vm)));
+    }
+  }
+}
+
+/** Returns the id of a runner whose entry is gone or unreadable. */
+function createRunnerId(key: string): string {
+  return key.slice(key.lastIndexOf("/") + 1);
+}
+
+/** Creates the registry's views, readers and exchanges of a gateway. */
+export function createRegistrySync(kernel: container.Kernel): RegistrySync {
+  return new RegistrySync(kernel);
+}
--- a/src/request/retry-budget.ts
+++ b/src/request/retry-budget.ts
@@ -1,21 +1,61 @@
-/** Bounds retries to a fraction of the calls, so that failures do not multiply the load. */
+/** Bounds repeats to a fraction of the calls, so that failures do not multiply the load. */
+import type * as clocks from "../kernel/clock.js";
 
 const RETRIES_PER_CALL = 0.2;
 const MAX_SAVED_RETRIES = 10;
 
-/** A token bucket: calls fill it, retries empty it. */
+/** How a budget fills. */
+export interface RetryBudgetLimits {
+  /** Repeats that each first try earns. */
+  readonly perCall: number;
+  /** Repeats that may be saved. */
+  readonly maxSaved: number;
+  /** Repeats that time alone earns, for each millisecond. */
+  readonly perMs: number;
+}
+
+const DEFAULT_LIMITS: RetryBudgetLimits = {
+  perCall: RETRIES_PER_CALL,
+  maxSaved: MAX_SAVED_RETRIES,
+  perMs: 0,
+};
+
+/** A token bucket: calls and time fill it, repeats empty it. */
 export class RetryBudget {
-  #saved = MAX_SAVED_RETRIES;
+  readonly #clock: Pick<clocks.Clock, "now"> | undefined;
+  #limits: RetryBudgetLimits;
+  #saved: number;
+  #filledAt: number;
+
+  constructor(limits = DEFAULT_LIMITS, clock?: Pick<clocks.Clock, "now">) {
+    this.#limits = limits;
+    this.#clock = clock;
+    this.#saved = limits.maxSaved;
+    this.#filledAt = clock?.now() ?? 0;
+  }
 
-  /** Records a first try, which earns a fraction of a retry. */
+  /** Changes how it fills; what was saved is cut to the new limit. */
+  setLimits(limits: RetryBudgetLimits): void {
+    this.#limits = limits;
+    this.#saved = Math.min(this.#saved, limits.maxSaved);
+  }
+
+  /** Records a first try, which earns a fraction of a repeat. */
   recordCall(): void {
-    this.#saved = Math.min(MAX_SAVED_RETRIES, this.#saved + RETRIES_PER_CALL);
+    this.#add(this.#limits.perCall);
   }
 
-  /** Takes one retry out of the budget; returns whether there was one. */
+  /** Takes one repeat out of the budget; returns whether there was one. */
   reserve(): boolean {
+    const now = this.#clock?.now() ?? 0;
+    this.#add((now - this.#filledAt) * this.#limits.perMs);
+    this.#filledAt = now;
     if (this.#saved < 1) return false;
     this.#saved -= 1;
     return true;
   }
+
+  #add(repeats: number): void {
+    this.#saved = Math.min(this.#limits.maxSaved, this.#saved + repeats);
+  }
 }
--- /dev/null
+++ b/src/routing/route-table.ts
@@ -0,0 +1,59 @@
+/** Finds the route of a call and the service that takes it. */
+import * as rendezvous from "../membership/rendezvous.js";
+import type * as types from "./types.js";
+
+/** A configuration with its routes indexed by host. */
+export class RouteTable {
+  readonly table: types.RoutingTable;
+  readonly #byHost = new Map<string, types.Route[]>();
+  readonly #services = new Map<string, types.ServiceSpec>();
+
+  constructor(table: types.RoutingTable) {
+    this.table = table;
+    for (const route of table.routes) this.#add(route);
+    for (const routes of this.#byHost.values()) routes.sort(compareByPrefix);
+    for (const service of table.services) this.#services.set(service.name, service);
+  }
+
+  /**
+   * Returns the route of the host whose prefix is the longest that begins the path.
+   *
+   * @example table.findRoute("api.example", "/fetch/tile/7");
+   */
+  findRoute(host: string, path: string): types.Route | undefined {
+    return this.#byHost.get(host.toLowerCase())?.find((route) => path.startsWith(route.pathPrefix));
+  }
+
+  findService(name: string): types.ServiceSpec | undefined {
+    return this.#services.get(name);
+  }
+
+  #add(route: types.Route): void {
+    const host = route.host.toLowerCase();
+    const routes = this.#byHost.get(host) ?? [];
+    routes.push(route);
+    this.#byHost.set(host, routes);
+  }
+}
+
+function compareByPrefix(first: types.Route, second: types.Route): number {
+  return second.pathPrefix.length - first.pathPrefix.length;
+}
+
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * Chooses the service of a call by the route's weights. One call id always gets the same service.
+ *
+ * @returns `undefined` when no service has a positive weight.
+ */
+export function chooseService(route: types.Route, callId: string): string | undefined {
+  const total = route.services.reduce((sum, entry) => sum + entry.weight, 0);
+  let left = (rendezvous.computeHash(`${route.name}/${callId}`) / HASH_RANGE) * total;
+  for (const entry of route.services) {
+    if (entry.weight <= 0) continue;
+    if (left < entry.weight) return entry.service;
+    left -= entry.weight;
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/routing/routing-state.ts
@@ -0,0 +1,36 @@
+/** The configuration in force at this VM; it only ever moves to a higher version. */
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
+import * as routeTable from "./route-table.js";
+import type * as types from "./types.js";
+
+/** Holds the newest configuration that this process has met. */
+export class RoutingState {
+  readonly #log: telemetry.EventLog;
+  readonly #listeners: ((table: types.RoutingTable) => void)[] = [];
+  #current: routeTable.RouteTable | undefined;
+
+  constructor(log: telemetry.EventLog) {
+    this.#log = log;
+  }
+
+  /** The routes in force, `undefined` before the first configuration. */
+  get current(): routeTable.RouteTable | undefined {
+    return this.#current;
+  }
+
+  onChange(listener: (table: types.RoutingTable) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Puts a configuration in force if it is newer; returns whether it is. */
+  apply(table: types.RoutingTable): boolean {
+    const before = this.#current?.table.version ?? 0;
+    if (table.version <= before) return false;
+    this.#current = new routeTable.RouteTable(table);
+    const fields = { version: table.version, before, routes: table.routes.length };
+    this.#log.write(logEvents.LOG_EVENTS.configurationApplied, fields);
+    for (const listener of this.#listeners) listener(table);
+    return true;
+  }
+}
--- /dev/null
+++ b/src/runners/runner-table.ts
@@ -0,0 +1,72 @@
+/** The runners in use, by service, and how each did lately. */
+import type * as clocks from "../kernel/clock.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
+import * as runnerRecord from "./runner-record.js";
+import type * as types from "./types.js";
+
+/** Tells that a runner arrived, changed or (`undefined`) is gone. */
+export type RunnerListener = (id: string, runner: types.Runner | undefined) => void;
+
+/** Holds the listed runners of all services. */
+export class RunnerTable {
+  readonly #clock: clocks.Clock;
+  readonly #log: telemetry.EventLog;
+  readonly #records = new Map<string, runnerRecord.RunnerRecord>();
+  readonly #listeners: RunnerListener[] = [];
+
+  constructor(clock: clocks.Clock, log: telemetry.EventLog) {
+    this.#clock = clock;
+    this.#log = log;
+  }
+
+  get size(): number {
+    return this.#records.size;
+  }
+
+  onChange(listener: RunnerListener): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Takes in what the registry says of a runner. */
+  setRunner(id: string, runner: types.Runner | undefined): void {
+    const known = this.#records.get(id);
+    if (runner === undefined) this.#removeRunner(known);
+    else if (known?.runner.bornAt === runner.bornAt) this.#updateRunner(known, runner);
+    else this.#addRunner(runner);
+    for (const listener of this.#listeners) listener(id, runner);
+  }
+
+  find(id: string): runnerRecord.RunnerRecord | undefined {
+    return this.#records.get(id);
+  }
+
+  /** Returns the runners of a service that take new work. */
+  listUsable(service: string): readonly runnerRecord.RunnerRecord[] {
+    return [...this.#records.values()].filter(
+      ({ runner }) => runner.service === service && !runner.leaving,
+    );
+  }
+
+  #addRunner(runner: types.Runner): void {
+    this.#records.set(runner.id, new runnerRecord.RunnerRecord(runner, this.#clock));
+    const { id, service, stage, leaving, bornAt } = runner;
+    const fields = { runner: id, service, stage, leaving, bornAt };
+    this.#log.write(logEvents.LOG_EVENTS.runnerArrived, fields);
+  }
+
+  #updateRunner(known: runnerRecord.RunnerRecord, runner: types.Runner): void {
+    if (runner.leaving && !known.runner.leaving) {
+      const fields = { runner: runner.id, service: runner.service };
+      this.#log.write(logEvents.LOG_EVENTS.runnerLeaving, fields);
+    }
+    known.runner = runner;
+  }
+
+  #removeRunner(known: runnerRecord.RunnerRecord | undefined): void {
+    if (known === undefined) return;
+    this.#records.delete(known.runner.id);
+    const fields = { runner: known.runner.id, service: known.runner.service };
+    this.#log.write(logEvents.LOG_EVENTS.runnerGone, fields);
+  }
+}
--- /dev/null
+++ b/src/serving/engine-run.ts
@@ -0,0 +1,225 @@
+/** One run of a model request on the runners of its place. */
+import type * as http from "node:http";
+import type * as gateway from "../gateway/types.js";
+import * as clocks from "../kernel/clock.js";
+import type * as placement from "../placement/placement.js";
+import type * as runnerCalls from "../runners/runner-calls.js";
+import type * as runnerTable from "../runners/runner-table.js";
+import * as runners from "../runners/types.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
+import * as responseReader from "../upstream/response-reader.js";
+import * as upstream from "../upstream/types.js";
+import * as answers from "./answers.js";
+import * as eventSplitter from "./event-splitter.js";
+import type * as modelProgress from "./model-progress.js";
+import type * as types from "./types.js";
+
+/** A prompt waits about 150 ms at a runner and is read in 300 ms at most; a lost packet comes again after 200 ms. */
+const PREFILL_LIMIT_MS = 1_200;
+/** Silence after which a stream that may go on elsewhere is given up: pauses of preempted runs are shorter. */
+const STREAM_SILENCE_MS = 1_500;
+const RELEASE_LIMIT_MS = 500;
+/** Limits of answers that are read whole. */
+const WHOLE_BODY = { maxBytes: 1_048_576, silenceMs: 1_000 };
+
+/** What engine runs work with. */
+export interface EngineRunOptions {
+  readonly clock: clocks.Clock;
+  readonly log: telemetry.EventLog;
+  readonly runners: runnerTable.RunnerTable;
+  readonly calls: runnerCalls.RunnerCalls;
+  readonly wire: gateway.RunnerWire;
+  readonly placement: placement.Placement;
+}
+
+/** The runners of a place. */
+export interface RunPlace {
+  readonly key: string;
+  readonly prefill: runners.Runner | undefined;
+  readonly decode: runners.Runner;
+}
+
+/** What a run used, for the scheduler. */
+export interface RunOutcome {
+  outputTokens: number;
+  decodeMs: number;
+}
+
+/** Runs requests: prefill, hand-over, decode. */
+export class EngineRuns {
+  readonly #options: EngineRunOptions;
+
+  constructor(options: EngineRunOptions) {
+    this.#options = options;
+  }
+
+  /** Runs a request once; the caller's answer is written as it comes. */
+  async run(
+    call: types.ServedCall,
+    progress: modelProgress.ModelProgress,
+    place: RunPlace,
+    outcome: RunOutcome,
+  ): Promise<modelProgress.RunResult> {
+    if (place.prefill === undefined) {
+      return await this.#decode(call, progress, place, undefined, outcome);
+    }
+    const prefilled = await this.#prefill(call, place, place.prefill);
+    if (prefilled.kind !== "prefilled") return prefilled;
+    const { host, port } = place.prefill;
+    const source = { host, port, handle: prefilled.handle };
+    const result = await this.#decode(call, progress, place, source, outcome);
+    if (result.kind === "notRun") this.#releaseHandle(place.prefill, prefilled.handle);
+    return result;
+  }
+
+  async #prefill(
+    call: types.ServedCall,
+    place: RunPlace,
+    runner: runners.Runner,
+  ): Promise<{ readonly kind: "prefilled"; readonly handle: string } | modelProgress.RunResult> {
+    const { clock, wire, placement: places } = this.#options;
+    const startedAt = clock.now();
+    const leftMs = call.deadlineAt - startedAt;
+    const limitMs = Math.min(PREFILL_LIMIT_MS, leftMs);
+    const options = { deadlineMs: leftMs, stage: runners.STAGE.prefill };
+    try {
+      const sent = await this.#send(call, runner, options, limitMs, call.signal);
+      const body = await responseReader.readBody(clock, sent.response, WHOLE_BODY);
+      if (!answers.isSuccess(sent.head.status)) {
+        const reason = `prefill answered ${sent.head.status}`;
+        return { kind: "notRun", reason, excluded: runner.id };
+      }
+      places.recordPrefill(place.key, clock.now() - startedAt);
+      return { kind: "prefilled", handle: wire.parsePrefill(body).handle };
+    } catch (error) {
+      // A prefill is no run: it may be repeated whatever became of it.
+      this.#recordFailure(call, runner, error);
+      return { kind: "notRun", reason: `prefill: ${String(error)}`, excluded: runner.id };
+    }
+  }
+
+  async #decode(
+    call: types.ServedCall,
+    progress: modelProgress.ModelProgress,
+    place: RunPlace,
+    source: gateway.KvSource | undefined,
+    outcome: RunOutcome,
+  ): Promise<modelProgress.RunResult> {
+    const { clock } = this.#options;
+    const runner = place.decode;
+    const leftMs = call.deadlineAt - clock.now();
+    if (leftMs <= 0) return { kind: "notRun", reason: "no time left", excluded: undefined };
+    using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
+    const options = {
+      deadlineMs: leftMs,
+      kvSource: source,
+      lastEventId: progress.lastEventId,
+    };
+    try {
+      const limitMs = call.route.resumable ? Math.min(leftMs, STREAM_SILENCE_MS) : leftMs;
+      const sent = await this.#send(call, runner, options, limitMs, limit.signal);
+      if (sent.head.notRun) {
+        sent.response.resume();
+        const reason = `runner answered ${sent.head.status}, not run`;
+        return { kind: "notRun", reason, excluded: undefined };
+      }
+      return await this.#passAnswer(call, progress, sent, outcome);
+    } catch (error) {
+      this.#recordFailure(call, runner, error);
+      const reason = `decode: ${String(error)}`;
+      return { kind: isUnsent(error) ? "notRun" : "broken", reason, excluded: runner.id };
+    }
+  }
+
+  async #passAnswer(
+    call: types.ServedCall,
+    progress: modelProgress.ModelProgress,
+    sent: runnerCalls.RunnerAnswer,
+    outcome: RunOutcome,
+  ): Promise<modelProgress.RunResult> {
+    const { head, response } = sent;
+    if (answers.isSuccess(head.status) && head.signed) {
+      await this.#passStream(call, progress, sent, outcome);
+      return { kind: "done" };
+    }
+    const body = await responseReader.readBody(this.#options.clock, response, WHOLE_BODY);
+    const reason = `runner answered ${head.status}`;
+    const isOwnAnswer = !answers.isSuccess(head.status) && !answers.isPromise(head.status);
+    if (!isOwnAnswer || progress.started) return { kind: "broken", reason, excluded: undefined };
+    call.reply.send(head.status, head.headers, body);
+    return { kind: "done" };
+  }
+
+  async #passStream(
+    call: types.ServedCall,
+    progress: modelProgress.ModelProgress,
+    sent: runnerCalls.RunnerAnswer,
+    outcome: RunOutcome,
+  ): Promise<void> {
+    const { clock } = this.#options;
+    const splitter = new eventSplitter.EventSplitter();
+    const tokensPerEvent = call.service.engine?.tokensPerEvent ?? 1;
+    const startedAt = clock.now();
+    for await (const chunk of this.#readChunks(call, sent.response)) {
+      const events = splitter.push(chunk);
+      if (events.count === 0) continue;
+      if (!progress.started) call.reply.start(sent.head.status, sent.head.headers);
+      progress.recordEvents(events.count, events.lastId);
+      outcome.outputTokens += events.count * tokensPerEvent;
+      outcome.decodeMs = clock.now() - startedAt;
+      await call.reply.write(events.bytes, call.signal);
+    }
+    if (!progress.started) call.reply.start(sent.head.status, sent.head.headers);
+    if (splitter.rest.byteLength > 0) await call.reply.write(splitter.rest, call.signal);
+    call.reply.end();
+  }
+
+  #readChunks(call: types.ServedCall, response: http.IncomingMessage): AsyncGenerator<Buffer> {
+    const { clock } = this.#options;
+    const leftMs = Math.max(1, call.deadlineAt - clock.now());
+    const silenceMs = call.route.resumable ? Math.min(leftMs, STREAM_SILENCE_MS) : leftMs;
+    return responseReader.readChunks(clock, response, silenceMs);
+  }
+
+  #send(
+    call: types.ServedCall,
+    runner: runners.Runner,
+    options: Omit<gateway.RunnerCallOptions, "runnerId">,
+    headLimitMs: number,
+    signal: AbortSignal,
+  ): Promise<runnerCalls.RunnerAnswer> {
+    const { calls } = this.#options;
+    calls.setConnectionLimit(runner, call.service.maxConnections);
+    return calls.send({ runner, head: call.head, body: call.body, options, headLimitMs, signal });
+  }
+
+  #recordFailure(call: types.ServedCall, runner: runners.Runner, error: unknown): void {
+    if (call.signal.aborted) return;
+    if (isUnsent(error)) this.#options.runners.find(runner.id)?.recordUnreachable();
+    const fields = { request: call.head.id, runner: runner.id, error: String(error) };
+    this.#options.log.write(logEvents.LOG_EVENTS.runnerUnavailable, fields);
+  }
+
+  /** Frees a prompt that nobody will fetch; it would lapse by itself a little later. */
+  #releaseHandle(runner: runners.Runner, handle: string): void {
+    const { calls, wire, clock, log } = this.#options;
+    const limit = clocks.createTimeLimit(clock, RELEASE_LIMIT_MS);
+    calls
+      .sendMessage(runner, wire.formatRelease(handle), RELEASE_LIMIT_MS, limit.signal)
+      .catch((error: unknown) => {
+        const fields = { runner: runner.id, error: String(error) };
+        log.write(logEvents.LOG_EVENTS.runnerUnavailable, fields);
+      })
+      .finally(() => {
+        limit[Symbol.dispose]();
+      });
+  }
+}
+
+function isUnsent(error: unknown): boolean {
+  return (
+    error instanceof upstream.UpstreamError &&
+    error.failure === upstream.UPSTREAM_FAILURE.notConnected
+  );
+}
--- /dev/null
+++ b/src/serving/model-serving.ts
@@ -0,0 +1,139 @@
+/** Serves model requests: a place first, then the prompt is read, then the answer is streamed. */
+import type * as gateway from "../gateway/types.js";
+import type * as clocks from "../kernel/clock.js";
+import type * as placement from "../placement/placement.js";
+import type * as placementTypes from "../placement/types.js";
+import type * as runnerCalls from "../runners/runner-calls.js";
+import type * as runnerTable from "../runners/runner-table.js";
+import type * as runners from "../runners/types.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
+import * as engineRun from "./engine-run.js";
+import * as modelProgress from "./model-progress.js";
+import type * as repeatBudgets from "./repeat-budgets.js";
+import type * as types from "./types.js";
+
+/** Places that one request may take in turn; more would not bring it home within its deadline. */
+const MAX_PLACES = 4;
+/** Callers leave a stream without an event for the longest of these: the platform's word. */
+const CALLER_GAP_MS = 2_000;
+const CALLER_GAP_TARGETS = 4;
+const CALLER_GAP_PAUSES = 8;
+/** Part of that time that may be spent waiting for a place. */
+const WAITING_SHARE = 0.75;
+/** Output expected of a request that gives no estimate, as part of its longest output. */
+const DEFAULT_OUTPUT_SHARE = 0.55;
+/** When to come back to a service none of whose runners can be used. */
+const ABSENT_RETRY_MS = 500;
+
+/** What model serving works with. */
+export interface ModelServingOptions {
+  readonly clock: clocks.Clock;
+  readonly log: telemetry.EventLog;
+  readonly metrics: telemetry.Metrics;
+  readonly zone: string;
+  readonly runners: runnerTable.RunnerTable;
+  readonly calls: runnerCalls.RunnerCalls;
+  readonly wire: gateway.RunnerWire;
+  readonly budgets: repeatBudgets.RepeatBudgets;
+  readonly placement: placement.Placement;
+}
+
+/** Serves the calls of routes that carry model requests. */
+export class ModelServing {
+  readonly #options: ModelServingOptions;
+  readonly #engineRuns: engineRun.EngineRuns;
+
+  constructor(options: ModelServingOptions) {
+    this.#options = options;
+    this.#engineRuns = new engineRun.EngineRuns(options);
+  }
+
+  /** @throws RequestError when the caller gets no answer, or an error after its answer broke off. */
+  async serve(call: types.ServedCall): Promise<void> {
+    this.#options.budgets.recordCall(call.service.name);
+    const progress = new modelProgress.ModelProgress(call);
+    for (let places = 1; places <= MAX_PLACES; places += 1) {
+      const result = await this.#runOnce(call, progress);
+      call.signal.throwIfAborted();
+      if (result.kind === "done") return;
+      progress.recordFailure(result);
+      if (!this.#mayGoOn(call, progress)) break;
+      this.#logRepeat(call, progress, result);
+    }
+    throw progress.createError();
+  }
+
+  async #runOnce(
+    call: types.ServedCall,
+    progress: modelProgress.ModelProgress,
+  ): Promise<modelProgress.RunResult> {
+    const request = this.#createPlaceRequest(call, progress);
+    const answer = await this.#options.placement.reserve(request, call.signal);
+    if (!answer.granted) return { kind: "noPlace", retryAfterMs: answer.retryAfterMs };
+    const outcome = { outputTokens: 0, decodeMs: 0 };
+    try {
+      const decode = this.#findRunner(answer.place.decodeRunner);
+      const prefill = this.#findRunner(answer.place.prefillRunner);
+      if (decode === undefined) return { kind: "noPlace", retryAfterMs: ABSENT_RETRY_MS };
+      const place = { key: request.key, decode, prefill };
+      return await this.#engineRuns.run(call, progress, place, outcome);
+    } finally {
+      this.#options.placement.release(request.key, outcome.outputTokens, outcome.decodeMs);
+    }
+  }
+
+  #findRunner(id: string | undefined): runners.Runner | undefined {
+    return id === undefined ? undefined : this.#options.runners.find(id)?.runner;
+  }
+
+  #createPlaceRequest(
+    call: types.ServedCall,
+    progress: modelProgress.ModelProgress,
+  ): placementTypes.PlaceRequest {
+    const now = this.#options.clock.now();
+    const waitedMs = now - call.arrivedAt;
+    const { route, head } = call;
+    const promptTokens = head.prompt?.promptTokens ?? 0;
+    const maxOutputTokens = head.prompt?.maxOutputTokens ?? 0;
+    const hint = head.prompt?.expectedOutputTokens ?? maxOutputTokens * DEFAULT_OUTPUT_SHARE;
+    const made = progress.events * (call.service.engine?.tokensPerEvent ?? 1);
+    const patienceMs = computeCallerGap(route) * WAITING_SHARE - waitedMs;
+    return {
+      key: `${head.id}/${progress.places}`,
+      service: call.service.name,
+      promptTokens: promptTokens + made,
+      expectedOutputTokens: Math.max(1, Math.min(maxOutputTokens, hint) - made),
+      maxOutputTokens: Math.max(1, maxOutputTokens - made),
+      targetMs: progress.started ? route.gapTargetMs : route.targetLatencyMs - waitedMs,
+      patienceMs: Math.max(1, Math.min(patienceMs, call.deadlineAt - now)),
+      zone: this.#options.zone,
+      excluded: [...progress.excluded],
+    };
+  }
+
+  #mayGoOn(call: types.ServedCall, progress: modelProgress.ModelProgress): boolean {
+    const hasTime = this.#options.clock.now() < call.deadlineAt;
+    return progress.repeatable && hasTime && this.#options.budgets.reserve(call.service.name);
+  }
+
+  #logRepeat(
+    call: types.ServedCall,
+    progress: modelProgress.ModelProgress,
+    result: modelProgress.RunResult,
+  ): void {
+    this.#options.metrics.count("repeats", { service: call.service.name });
+    this.#options.log.write(logEvents.LOG_EVENTS.requestResumed, {
+      request: call.head.id,
+      events: progress.events,
+      before: "reason" in result ? result.reason : result.kind,
+    });
+  }
+}
+
+/** Returns how long a caller waits for the next event before it leaves. */
+function computeCallerGap(route: types.ServedCall["route"]): number {
+  const { targetLatencyMs, gapTargetMs } = route;
+  const byTarget = CALLER_GAP_TARGETS * targetLatencyMs;
+  return Math.max(CALLER_GAP_MS, byTarget, CALLER_GAP_PAUSES * gapTargetMs);
+}
--- /dev/null
+++ b/src/serving/repeat-budgets.ts
@@ -0,0 +1,56 @@
+/** The part of the deployment's repeats that this VM may use, for each service. */
+import type * as gateway from "../gateway/types.js";
+import type * as clocks from "../kernel/clock.js";
+import * as retryBudget from "../request/retry-budget.js";
+
+/**
+ * Part of the allowance that is used. The rest covers VMs that count each other differently for some
+ * seconds, and calls whose answer was lost.
+ */
+const USED_SHARE = 0.8;
+/** Half of the slack may be spent at once, half comes back evenly over the window. */
+const BURST_SHARE = 0.5;
+
+/** Counts the calls and repeats of this VM; the limit is divided among the VMs by arithmetic alone. */
+export class RepeatBudgets {
+  readonly #settings: gateway.RetryBudgetSettings;
+  readonly #clock: clocks.Clock;
+  readonly #countVms: () => number;
+  readonly #budgets = new Map<string, retryBudget.RetryBudget>();
+
+  constructor(settings: gateway.RetryBudgetSettings, clock: clocks.Clock, countVms: () => number) {
+    this.#settings = settings;
+    this.#clock = clock;
+    this.#countVms = countVms;
+  }
+
+  /** Records a caller's request for a service. */
+  recordCall(service: string): void {
+    this.#use(service).recordCall();
+  }
+
+  /** Takes one repeat; returns whether there was one. */
+  reserve(service: string): boolean {
+    const budget = this.#use(service);
+    budget.setLimits(this.#computeLimits());
+    return budget.reserve();
+  }
+
+  #use(service: string): retryBudget.RetryBudget {
+    const known = this.#budgets.get(service);
+    if (known !== undefined) return known;
+    const budget = new retryBudget.RetryBudget(this.#computeLimits(), this.#clock);
+    this.#budgets.set(service, budget);
+    return budget;
+  }
+
+  #computeLimits(): retryBudget.RetryBudgetLimits {
+    const { ratio, slack, windowMs } = this.#settings;
+    const ownSlack = (USED_SHARE * slack) / Math.max(1, this.#countVms());
+    return {
+      perCall: USED_SHARE * ratio,
+      maxSaved: Math.max(1, BURST_SHARE * ownSlack),
+      perMs: ((1 - BURST_SHARE) * ownSlack) / windowMs,
+    };
+  }
+}
--- a/src/settings/node-settings-catalogue.ts
+++ b/src/settings/node-settings-catalogue.ts
@@ -20,7 +20,8 @@
 const name = zod
   .string("is required")
   .regex(NAME_PATTERN, "must be lower-case letters, digits, '.', '_' and '-'");
-const port = zod
+/** Schema of a port given as text. */
+export const portSchema = zod
   .string("is required")
   .regex(/^\d{1,5}$/, `must be a whole number from 0 to ${MAX_PORT}`)
   .transform(Number)
@@ -67,21 +68,30 @@
   },
 } as const satisfies Record<keyof settings.NodeSettings, SettingDefinition>;
 
+/** Schema of the fleet's keys given as text. */
+export const fleetKeysSchema = zod
+  .string("is required")
+  .transform((text) => text.split(",").map((key) => key.trim()))
+  .pipe(zod.array(token).min(1).max(2, "at most two keys"));
+
+/** Schema of the level of logs. */
+export const logLevelSchema = zod.enum(
+  ["error", "warn", "info", "debug"],
+  "must be error, warn, info or debug",
+);
+
 const nodeSettingsSchema = zod.object({
   vm: name,
   region: name,
   zone: name,
   host: zod.union([zod.ipv4(), zod.ipv6()], "must be an IP address"),
-  callerPort: port,
-  peerPort: port,
+  callerPort: portSchema,
+  peerPort: portSchema,
   platformUrl: url,
-  fleetKeys: zod
-    .string("is required")
-    .transform((text) => text.split(",").map((key) => key.trim()))
-    .pipe(zod.array(token).min(1).max(2, "at most two keys")),
+  fleetKeys: fleetKeysSchema,
   adminToken: token.optional(),
   logFormat: zod.enum(["json", "readable"], "must be json or readable"),
-  logLevel: zod.enum(["error", "warn", "info", "debug"], "must be error, warn, info or debug"),
+  logLevel: logLevelSchema,
   otlpUrl: url.optional(),
   drainLimitMs: zod
     .string()
@@ -119,12 +129,21 @@
   }
   const faults = parsed.error.issues.map((issue) => {
     const key = issue.path[0] as keyof settings.NodeSettings;
-    const { flag } = NODE_SETTINGS[key];
-    return `--${flag} (${getEnvironmentName(flag)}): ${formatReason(withDefaults[key], issue)}`;
+    return formatFault(NODE_SETTINGS[key], withDefaults[key], issue);
   });
   return { ok: false, faults };
 }
 
+/** Returns the line that tells a setting's fault; it names flag and variable, never the value. */
+export function formatFault(
+  definition: SettingDefinition,
+  given: string | undefined,
+  issue: zod.core.$ZodIssue,
+): string {
+  const { flag } = definition;
+  return `--${flag} (${getEnvironmentName(flag)}): ${formatReason(given, issue)}`;
+}
+
 function listDefinitions(): [keyof settings.NodeSettings, SettingDefinition][] {
   return Object.entries(NODE_SETTINGS) as [keyof settings.NodeSettings, SettingDefinition][];
 }
--- a/src/upstream/http-call.ts
+++ b/src/upstream/http-call.ts
@@ -23,6 +23,27 @@
   /** Longest wait for the response's headers. */
   readonly headLimitMs: number;
   readonly signal: AbortSignal;
+  /** Longest wait for the connection. */
+  readonly connectLimitMs?: number;
+}
+
+type RequestOptions = NonNullable<Parameters<typeof wreck.default.request>[2]>;
+
+interface ExactOptions extends RequestOptions {
+  readonly exactPath: string;
+}
+
+const CLIENT = createClient();
+
+/** Creates a client that sends paths as they are; the library alone would normalise them as a URL's. */
+function createClient() {
+  const client = wreck.default.defaults({ events: true });
+  // The library's types call the request's options a string.
+  const onRequest = (uri: unknown, options: unknown): void => {
+    (uri as { path: string }).path = (options as ExactOptions).exactPath;
+  };
+  client.events?.on("preRequest", onRequest as never);
+  return client;
 }
 
 /** Progress of the call's connection. */
@@ -40,12 +61,14 @@
 export async function sendCall(clock: clocks.Clock, call: HttpCall): Promise<http.IncomingMessage> {
   if (call.signal.aborted) throw createCallError(call, { connected: false }, call.signal.reason);
   const { host, port } = call.upstream;
-  const sending = wreck.default.request(call.method, `http://${host}:${port}${call.path}`, {
+  const options: ExactOptions = {
     agent: call.agent,
     headers: createHeaders(call),
     payload: call.body,
-  });
-  const connection = watchConnection(clock, sending.req);
+    exactPath: call.path,
+  };
+  const sending = CLIENT.request(call.method, `http://${host}:${port}/`, options);
+  const connection = watchConnection(clock, sending.req, call.connectLimitMs ?? CONNECT_LIMIT_MS);
   const release = closeOnAbort(sending.req, call.signal);
   const cancelLimit = clock.schedule(call.headLimitMs, () => {
     sending.req.destroy(new Error(`no response headers within ${call.headLimitMs} ms`));
@@ -69,10 +92,14 @@
   return headers;
 }
 
-function watchConnection(clock: clocks.Clock, request: http.ClientRequest): Connection {
+function watchConnection(
+  clock: clocks.Clock,
+  request: http.ClientRequest,
+  limitMs: number,
+): Connection {
   const connection: Connection = { connected: false };
-  const cancelLimit = clock.schedule(CONNECT_LIMIT_MS, () => {
-    request.destroy(new Error(`no connection within ${CONNECT_LIMIT_MS} ms`));
+  const cancelLimit = clock.schedule(limitMs, () => {
+    request.destroy(new Error(`no connection within ${limitMs} ms`));
   });
   const onConnect = (): void => {
     cancelLimit();
