Dial seeds whose VM is not known yet

Cause: the connection pool refuses a peer that is not the VM it was dialled as; seeds name only addresses.

--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -108,6 +108,7 @@
     createScheduler: (service) =>
       new poolScheduler.PoolScheduler({
         clock,
+        log: kernel.use("log"),
         listCandidates: () => runners.listUsable(service),
         findEngine: () => routing.current?.findService(service)?.engine,
       }),
--- a/src/gateway/seed-list.ts
+++ b/src/gateway/seed-list.ts
@@ -1,5 +1,6 @@
 /** The seeds of the settings in place of a list of VMs, which the platform does not keep. */
 import type * as configuration from "../configuration/types.js";
+import * as network from "../protocol/network.js";
 import type * as types from "./types.js";
 
 /**
@@ -10,7 +11,7 @@
   const { seeds, peerAddress } = settings;
   const others = seeds.filter((seed) => seed.host !== peerAddress.host);
   const listed = others.map((seed) => ({
-    vm: `${seed.host}:${seed.port}`,
+    vm: network.createSeedName(seed),
     host: seed.host,
     callerPort: settings.callerAddress.port,
     peerPort: seed.port,
--- a/src/placement/pool-scheduler.ts
+++ b/src/placement/pool-scheduler.ts
@@ -6,6 +6,8 @@
 import type * as clocks from "../kernel/clock.js";
 import type * as routing from "../routing/types.js";
 import * as runners from "../runners/types.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
 import * as decodeLoad from "./decode-load.js";
 import type * as memoryForecast from "./memory-forecast.js";
 import * as prefillLoad from "./prefill-load.js";
@@ -34,6 +36,7 @@
   readonly clock: clocks.Clock;
   /** Returns the runners of the service that take new work. */
   readonly listCandidates: () => readonly Candidate[];
+  readonly log: telemetry.EventLog;
   /** Returns the engine's properties by the configuration in force. */
   readonly findEngine: () => routing.EngineSpec | undefined;
 }
@@ -163,6 +166,7 @@
     };
     const decode = this.#chooseDecode(usable, run, late);
     if (decode === undefined) return undefined;
+    this.#logPlace(waiting, decode, run, late);
     this.#useDecode(decode).add(request.key, run);
     if (prefill === undefined) return { prefillRunner: undefined, decodeRunner: decode };
     const now = this.#options.clock.now();
@@ -170,6 +174,28 @@
     return { prefillRunner: prefill, decodeRunner: decode };
   }
 
+  #logPlace(
+    waiting: Waiting,
+    decode: string,
+    run: memoryForecast.ForecastRun,
+    late: boolean,
+  ): void {
+    const now = this.#options.clock.now();
+    const load = this.#useDecode(decode);
+    this.#options.log.write(logEvents.LOG_EVENTS.requestPlaced, {
+      request: waiting.request.key,
+      runner: decode,
+      waitedMs: Math.round(now - waiting.arrivedAt),
+      late,
+      waiting: this.#line.size,
+      runs: load.count,
+      peakTokens: Math.round(load.computePeak(run, now)),
+      promptTokens: run.promptTokens,
+      expectedOutputTokens: run.expectedOutputTokens,
+      msPerToken: load.msPerToken,
+    });
+  }
+
   #listUsable(request: types.PlaceRequest): readonly runners.Runner[] {
     const listed = this.#options
       .listCandidates()
--- a/src/protocol/connection-pool.ts
+++ b/src/protocol/connection-pool.ts
@@ -71,7 +71,7 @@
     if (address === undefined) throw createNotSent(`no address of ${vm} is known`);
     if (!this.#releasePlace()) throw createNotSent("too many connections are in use");
     const connection = await this.#connect(vm, address);
-    if (connection.peer.vm !== vm) {
+    if (connection.peer.vm !== vm && !network.isSeedName(vm)) {
       connection.close("address belongs to another VM");
       throw createNotSent(`${connection.peer.vm} answers at the address of ${vm}`);
     }
--- a/src/protocol/network.ts
+++ b/src/protocol/network.ts
@@ -7,6 +7,18 @@
   readonly port: number;
 }
 
+const SEED_PREFIX = "seed ";
+
+/** Returns the name under which an address is dialled of which it is not known whose it is. */
+export function createSeedName(address: PeerAddress): string {
+  return `${SEED_PREFIX}${address.host}:${address.port}`;
+}
+
+/** Whether whoever answers at the name's address is the peer that is meant. */
+export function isSeedName(vm: string): boolean {
+  return vm.startsWith(SEED_PREFIX);
+}
+
 /** One ordered, reliable, two-way connection that carries encoded frames. */
 export interface FrameChannel extends AsyncDisposable {
   /** Queues one frame; frames arrive whole and in order, or the channel ends. */
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -35,7 +35,7 @@
   requestCancelled: { number: 4004, level: "info", message: "request cancelled" },
   fingerprintQuarantined: { number: 4005, level: "warn", message: "fingerprint quarantined" },
   requestFailed: { number: 4006, level: "info", message: "request failed" },
-  requestPlaced: { number: 4007, level: "debug", message: "request placed" },
+  requestPlaced: { number: 4007, level: "info", message: "request placed" },
   requestResumed: { number: 4008, level: "info", message: "stream goes on at another runner" },
   logSuppressed: { number: 1005, level: "warn", message: "log entries suppressed" },
   allocatorChanged: { number: 5001, level: "info", message: "allocator of runner changed" },
