Order runners to the stage in which the pool carries most

Cause: with three of six runners reading prompts, decode memory bound and prefill idled. One orderer a service, fenced, after two leases without a break.

--- a/bench/local-membership.ts
+++ b/bench/local-membership.ts
@@ -24,6 +24,10 @@
     );
   }
 
+  listKnown(): readonly membership.Member[] {
+    return [...this.#members.values()];
+  }
+
   listAlive(): readonly membership.Member[] {
     return [...this.#members.values()].filter(
       (member) => member.state === membership.MEMBER_STATE.alive,
--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -2,8 +2,10 @@
 import * as container from "../kernel/container.js";
 import * as clocks from "../kernel/clock.js";
 import * as random from "../kernel/random.js";
+import type * as membershipTypes from "../membership/types.js";
 import * as membership from "../membership/membership.js";
 import * as placement from "../placement/placement.js";
+import * as stageOrders from "../placement/stage-orders.js";
 import * as poolScheduler from "../placement/pool-scheduler.js";
 import * as peerNetwork from "../protocol/peer-network.js";
 import * as tcpTransport from "../protocol/tcp-transport.js";
@@ -55,6 +57,7 @@
   kernel.register("runnerCalls", createRunnerCalls);
   kernel.register("repeatBudgets", createRepeatBudgets);
   kernel.register("placement", createPlacement);
+  kernel.register("stageOrders", createStageOrders);
   kernel.register("plainServing", createPlainServing);
   kernel.register("modelServing", createModelServing);
   return kernel;
@@ -119,6 +122,32 @@
   return created;
 }
 
+function createStageOrders(kernel: container.Kernel): stageOrders.StageOrders {
+  const { settings, runnerWire } = kernel.use("adapter");
+  const sync = kernel.use("registrySync");
+  const fleet = kernel.use("membership");
+  const places = kernel.use("placement");
+  const routing = kernel.use("routing");
+  return new stageOrders.StageOrders({
+    clock: kernel.use("clock"),
+    log: kernel.use("log"),
+    metrics: kernel.use("metrics"),
+    vm: settings.vm,
+    leaseMs: settings.orderLeaseMs,
+    runners: kernel.use("runners"),
+    calls: kernel.use("runnerCalls"),
+    wire: runnerWire,
+    listSchedulers: () => places.listSchedulers(routing.current?.listEngineServices() ?? []),
+    isInTouch: () => sync.connected && hasMajority(fleet),
+    getRevision: () => sync.revision,
+  });
+}
+
+/** Whether more than half of the VMs known lately are alive. */
+function hasMajority(fleet: membershipTypes.Membership): boolean {
+  return fleet.listAlive().length * 2 > fleet.listKnown().length;
+}
+
 function createPlainServing(kernel: container.Kernel): plainServing.PlainServing {
   return new plainServing.PlainServing({
     clock: kernel.use("clock"),
@@ -168,6 +197,7 @@
   await Promise.all([front.start(), lookups.start()]);
   sync.start();
   void kernel.use("membership").start();
+  void kernel.use("stageOrders").run();
   const { vm, zone } = kernel.use("settings");
   kernel.use("log").write(events.LOG_EVENTS.nodeStarted, { vm, zone });
   return {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -67,6 +67,10 @@
     return members.filter((member) => member.state !== types.MEMBER_STATE.dead);
   }
 
+  listKnown(): readonly types.Member[] {
+    return this.#table.list().map(records.createMember);
+  }
+
   listAlive(): readonly types.Member[] {
     const members = this.#table.list().map(records.createMember);
     return members.filter((member) => member.state === types.MEMBER_STATE.alive);
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -42,6 +42,8 @@
   readonly self: Member;
   /** Returns every known member that is not dead, self included. */
   listMembers(): readonly Member[];
+  /** Returns every member that is remembered, dead ones too. */
+  listKnown(): readonly Member[];
   /** Returns members that are alive (neither suspect, leaving nor dead), self included unless leaving. */
   listAlive(): readonly Member[];
   findMember(vm: string): Member | undefined;
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -94,6 +94,12 @@
     this.#tell(held.service, { key, ended: true, outputTokens, decodeMs });
   }
 
+  /** Returns the schedulers of those of the services that this VM schedules. */
+  listSchedulers(services: readonly string[]): ReadonlyMap<string, poolScheduler.PoolScheduler> {
+    const own = services.filter((service) => this.#isOwn(this.#findScheduler(service)));
+    return new Map(own.map((service) => [service, this.#useScheduler(service)]));
+  }
+
   /** Lets waiting requests look again, after a change of the runners. */
   update(): void {
     for (const scheduler of this.#schedulers.values()) scheduler.update();
--- a/src/placement/pool-scheduler.ts
+++ b/src/placement/pool-scheduler.ts
@@ -10,6 +10,8 @@
 import type * as telemetry from "../telemetry/types.js";
 import * as decodeLoad from "./decode-load.js";
 import type * as memoryForecast from "./memory-forecast.js";
+import * as requestCosts from "./request-costs.js";
+import type * as stagePlan from "./stage-plan.js";
 import * as prefillLoad from "./prefill-load.js";
 import type * as types from "./types.js";
 import * as waitingLine from "./waiting-line.js";
@@ -23,6 +25,10 @@
 /** From the end of reading to the first event: transfer, connection and first step. */
 const HANDOVER_MS = 40;
 const EXPIRY_PERIOD_MS = 1_000;
+/** A change of stage that takes this many times its usual time is no longer waited for. */
+const SWITCH_PATIENCE = 2;
+/** Time of an output token before any runner was measured; only its order of magnitude matters. */
+const UNMEASURED_MS_PER_TOKEN = 1;
 
 /** A runner that may be chosen. */
 export interface Candidate {
@@ -47,12 +53,20 @@
   readonly answer: (answer: types.PlaceAnswer) => void;
 }
 
+interface Switching {
+  readonly stage: runners.Stage;
+  readonly until: number;
+}
+
 /** Holds the waiting requests and what is placed on each runner of one service. */
 export class PoolScheduler {
   readonly #options: SchedulerOptions;
   readonly #decode = new Map<string, decodeLoad.DecodeLoad>();
   readonly #prefill = new Map<string, prefillLoad.PrefillLoad>();
   readonly #line: waitingLine.WaitingLine<Waiting>;
+  readonly #costs = new requestCosts.RequestCosts();
+  /** Runners that change their stage, with the stage they are to have and when that is given up. */
+  readonly #switching = new Map<string, Switching>();
   #expiresAt = 0;
   #cancelTimer: (() => void) | undefined;
   /** Part of the runners' memory that this scheduler may fill. */
@@ -68,6 +82,43 @@
     return this.#line.size;
   }
 
+  /** The engine's properties, `undefined` when the configuration has none for the service. */
+  get engine(): routing.EngineSpec | undefined {
+    return this.#options.findEngine();
+  }
+
+  /** Returns what a request costs on average, `undefined` while too few were seen. */
+  computeCosts(): stagePlan.RequestCosts | undefined {
+    const { engine } = this;
+    if (engine === undefined) return undefined;
+    const memoryTokens = engine.kvCapacityTokens * MEMORY_SHARE;
+    return this.#costs.compute(this.#computeReadSpeed(), memoryTokens, engine.slots);
+  }
+
+  /** Returns the runner with the least work placed on it. */
+  chooseLeastLoaded(candidates: readonly runners.Runner[]): runners.Runner | undefined {
+    const loads = candidates
+      .filter((runner) => !this.#switching.has(runner.id))
+      .map((runner) => {
+        const waitMs = this.#usePrefill(runner.id).computeWait();
+        return { runner, load: waitMs + this.#useDecode(runner.id).count };
+      });
+    loads.sort((first, second) => first.load - second.load);
+    return loads[0]?.runner;
+  }
+
+  /** Notes that a runner has been ordered to another stage; it gets no work until it is listed so. */
+  setSwitching(runnerId: string, stage: runners.Stage): void {
+    const switchMs = this.engine?.stageSwitchMs ?? 0;
+    const until = this.#options.clock.now() + switchMs * SWITCH_PATIENCE;
+    this.#switching.set(runnerId, { stage, until });
+  }
+
+  /** Notes that a runner refused its order. */
+  clearSwitching(runnerId: string): void {
+    this.#switching.delete(runnerId);
+  }
+
   /** Sets the part of the runners' memory that it may fill; less than 1 while others place there too. */
   setShare(share: number): void {
     this.#share = share;
@@ -80,6 +131,8 @@
    * @returns a function that withdraws the request.
    */
   submit(request: types.PlaceRequest, answer: (answer: types.PlaceAnswer) => void): () => void {
+    const { promptTokens, expectedOutputTokens } = request;
+    this.#costs.record(promptTokens, expectedOutputTokens, this.#computeMsPerToken());
     const waiting: Waiting = { request, arrivedAt: this.#options.clock.now(), answer };
     const { targetMs, patienceMs } = request;
     const refusal = this.#line.add(waiting, targetMs - this.#computeStartTime(request), patienceMs);
@@ -200,8 +253,30 @@
     const listed = this.#options
       .listCandidates()
       .filter(({ runner }) => !request.excluded.includes(runner.id));
-    const sound = listed.filter((candidate) => !candidate.paused);
-    return (sound.length > 0 ? sound : listed).map((candidate) => candidate.runner);
+    const staying = listed.filter(({ runner }) => !this.#isSwitching(runner));
+    const sound = staying.filter((candidate) => !candidate.paused);
+    return (sound.length > 0 ? sound : staying).map((candidate) => candidate.runner);
+  }
+
+  #isSwitching(runner: runners.Runner): boolean {
+    const switching = this.#switching.get(runner.id);
+    if (switching === undefined) return false;
+    const isDone = runner.stage === switching.stage;
+    if (isDone || this.#options.clock.now() > switching.until) this.#switching.delete(runner.id);
+    return !isDone;
+  }
+
+  /** Returns the speed at which the pool's runners read, in tokens a millisecond. */
+  #computeReadSpeed(): number {
+    const speeds = [...this.#prefill.values()].map((load) => load.tokensPerMs);
+    if (speeds.length === 0) return new prefillLoad.PrefillLoad().tokensPerMs;
+    return speeds.reduce((sum, speed) => sum + speed, 0) / speeds.length;
+  }
+
+  #computeMsPerToken(): number {
+    const speeds = [...this.#decode.values()].map((load) => load.msPerToken);
+    if (speeds.length === 0) return UNMEASURED_MS_PER_TOKEN;
+    return speeds.reduce((sum, speed) => sum + speed, 0) / speeds.length;
   }
 
   /** Returns the prefill runner with the shortest queue; `busy` when all queues are long. */
--- a/src/placement/prefill-load.ts
+++ b/src/placement/prefill-load.ts
@@ -19,6 +19,11 @@
   readonly #pending = new Map<string, PendingPrompt>();
   #tokensPerMs = FIRST_TOKENS_PER_MS;
 
+  /** How fast it reads. */
+  get tokensPerMs(): number {
+    return this.#tokensPerMs;
+  }
+
   /** Returns the expected time until all pending prompts are read. */
   computeWait(): number {
     return this.#countTokens() / this.#tokensPerMs;
--- a/src/routing/route-table.ts
+++ b/src/routing/route-table.ts
@@ -28,6 +28,13 @@
     return this.#services.get(name);
   }
 
+  /** Returns the names of the services of model engines. */
+  listEngineServices(): readonly string[] {
+    return this.table.services
+      .filter((service) => service.engine !== undefined)
+      .map((service) => service.name);
+  }
+
   #add(route: types.Route): void {
     const host = route.host.toLowerCase();
     const routes = this.#byHost.get(host) ?? [];
--- a/src/runners/runner-calls.ts
+++ b/src/runners/runner-calls.ts
@@ -66,6 +66,7 @@
       signal: call.signal,
     };
     const response = await httpCall.sendCall(this.#clock, sent);
+    breakOffWithSocket(response);
     const answer = this.#wire.parseAnswer(response);
     const isForeign = answer.callId !== undefined && answer.callId !== head.id;
     if (!isForeign) return { head: answer, response };
@@ -120,6 +121,24 @@
   }
 }
 
+/**
+ * Lets a body that only ends with its connection break off when that is reset: the HTTP library takes any
+ * end of the connection for the end of such a body.
+ */
+function breakOffWithSocket(response: http.IncomingMessage): void {
+  const { headers, socket } = response;
+  const isFramed =
+    headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+  if (isFramed) return;
+  const onError = (error: Error): void => {
+    response.destroy(error);
+  };
+  socket.once("error", onError);
+  response.once("close", () => {
+    socket.off("error", onError);
+  });
+}
+
 function createUpstream(runner: types.Runner): upstream.Upstream {
   return { name: runner.id, host: runner.host, port: runner.port };
 }
--- a/test/request/fake-fleet.ts
+++ b/test/request/fake-fleet.ts
@@ -157,6 +157,7 @@
         return node.self;
       },
       listMembers: () => listAll().filter(({ state }) => state !== dead),
+      listKnown: () => listAll(),
       listAlive: () => listAll().filter(({ state }) => state === alive),
       findMember: (vm) => this.nodes.get(vm)?.self,
       onChange: (listener) => {
