--- a/src/placement/calls.ts
+++ b/src/placement/calls.ts
@@ -11,6 +11,7 @@
 const placeRequestSchema = zod.object({
   key,
   service: zod.string().max(200),
+  subject: zod.string().max(200),
   promptTokens: tokens,
   expectedOutputTokens: tokens,
   maxOutputTokens: tokens,
--- a/src/placement/memory-forecast.ts
+++ b/src/placement/memory-forecast.ts
@@ -12,8 +12,10 @@
   readonly startsAt: number;
 }
 
+/** Mean output against the caller's estimate, which is right at the median: answers have a long tail. */
+const MEAN_OF_ESTIMATE = 1.1;
 /** A run that outlasts its estimate is expected to go on for this part of its age. */
-const OVERDUE_SHARE = 0.25;
+const OVERDUE_SHARE = 0.35;
 
 /** A run on the straight line of its growth. */
 interface Growth {
@@ -43,11 +45,11 @@
 
 function computeGrowth(run: ForecastRun, now: number, msPerToken: number): Growth {
   const { promptTokens, startsAt } = run;
-  const expectedEnd = startsAt + run.expectedOutputTokens * msPerToken;
-  if (expectedEnd > now) return { promptTokens, startsAt, endsAt: expectedEnd };
   const latestEnd = startsAt + run.maxOutputTokens * msPerToken;
+  const expectedEnd = startsAt + run.expectedOutputTokens * MEAN_OF_ESTIMATE * msPerToken;
   const overdueEnd = now + (now - startsAt) * OVERDUE_SHARE;
-  return { promptTokens, startsAt, endsAt: Math.max(now, Math.min(latestEnd, overdueEnd)) };
+  const endsAt = Math.min(latestEnd, Math.max(expectedEnd, overdueEnd));
+  return { promptTokens, startsAt, endsAt: Math.max(now, endsAt) };
 }
 
 function computeTokensAt(growths: readonly Growth[], at: number, msPerToken: number): number {
--- a/src/placement/pool-scheduler.ts
+++ b/src/placement/pool-scheduler.ts
@@ -10,6 +10,7 @@
 import type * as telemetry from "../telemetry/types.js";
 import * as decodeLoad from "./decode-load.js";
 import type * as memoryForecast from "./memory-forecast.js";
+import * as refusedSubjects from "./refused-subjects.js";
 import * as requestCosts from "./request-costs.js";
 import type * as stagePlan from "./stage-plan.js";
 import * as prefillLoad from "./prefill-load.js";
@@ -47,7 +48,7 @@
   readonly findEngine: () => routing.EngineSpec | undefined;
 }
 
-interface Waiting {
+interface Waiting extends waitingLine.LineEntry {
   readonly request: types.PlaceRequest;
   readonly arrivedAt: number;
   readonly answer: (answer: types.PlaceAnswer) => void;
@@ -65,6 +66,7 @@
   readonly #prefill = new Map<string, prefillLoad.PrefillLoad>();
   readonly #line: waitingLine.WaitingLine<Waiting>;
   readonly #costs = new requestCosts.RequestCosts();
+  readonly #refused: refusedSubjects.RefusedSubjects;
   /** Runners that change their stage, with the stage they are to have and when that is given up. */
   readonly #switching = new Map<string, Switching>();
   #expiresAt = 0;
@@ -75,6 +77,7 @@
   constructor(options: SchedulerOptions) {
     this.#options = options;
     this.#line = new waitingLine.WaitingLine(options.clock);
+    this.#refused = new refusedSubjects.RefusedSubjects(options.clock);
   }
 
   /** Requests that wait for a place. */
@@ -133,11 +136,17 @@
   submit(request: types.PlaceRequest, answer: (answer: types.PlaceAnswer) => void): () => void {
     const { promptTokens, expectedOutputTokens } = request;
     this.#costs.record(promptTokens, expectedOutputTokens, this.#computeMsPerToken());
-    const waiting: Waiting = { request, arrivedAt: this.#options.clock.now(), answer };
+    const waiting: Waiting = {
+      request,
+      arrivedAt: this.#options.clock.now(),
+      size: this.#costs.computeSize(promptTokens, expectedOutputTokens, this.#computeMsPerToken()),
+      returned: this.#refused.has(request.subject),
+      answer,
+    };
     const { targetMs, patienceMs } = request;
     const refusal = this.#line.add(waiting, targetMs - this.#computeStartTime(request), patienceMs);
     if (refusal !== undefined) {
-      answer({ granted: false, retryAfterMs: refusal.retryAfterMs });
+      this.#refuse(waiting, refusal.retryAfterMs);
       return () => undefined;
     }
     this.update();
@@ -168,13 +177,13 @@
     for (;;) {
       const next = this.#line.findNext();
       if (next === undefined) break;
-      const place = this.#choosePlace(next.entry, next.late);
+      const place = this.#choosePlace(next.entry, next.late && !next.entry.returned);
       if (place === undefined) break;
       this.#line.recordGrant(next.entry);
       next.entry.answer({ granted: true, place });
     }
     for (const given of this.#line.removeExpired()) {
-      given.entry.answer({ granted: false, retryAfterMs: given.retryAfterMs });
+      this.#refuse(given.entry, given.retryAfterMs);
     }
     this.#scheduleUpdate();
   }
@@ -183,6 +192,11 @@
     this.#cancelTimer?.();
   }
 
+  #refuse(waiting: Waiting, retryAfterMs: number): void {
+    this.#refused.add(waiting.request.subject);
+    waiting.answer({ granted: false, retryAfterMs });
+  }
+
   #scheduleUpdate(): void {
     this.#cancelTimer?.();
     this.#cancelTimer = undefined;
--- a/src/placement/request-costs.ts
+++ b/src/placement/request-costs.ts
@@ -24,6 +24,13 @@
     this.#decodeMs += weight * (decodeMs - this.#decodeMs);
   }
 
+  /** Returns what a request uses of the pool's memory against an average one. */
+  computeSize(promptTokens: number, outputTokens: number, msPerToken: number): number {
+    if (this.#memoryTokenMs === 0) return 1;
+    const memoryTokenMs = (promptTokens + outputTokens / 2) * outputTokens * msPerToken;
+    return memoryTokenMs / this.#memoryTokenMs;
+  }
+
   /**
    * Returns the average cost of a request.
    *
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -5,6 +5,8 @@
   /** The caller's id of this attempt. */
   readonly key: string;
   readonly service: string;
+  /** What the request is about; the same when its caller sends it again. */
+  readonly subject: string;
   readonly promptTokens: number;
   /** Best guess of the output. */
   readonly expectedOutputTokens: number;
--- a/src/placement/waiting-line.ts
+++ b/src/placement/waiting-line.ts
@@ -1,19 +1,40 @@
-/** The order in which requests wait for a place. */
+/**
+ * The order in which requests wait for a place. Load pattern: bursts in which not all can be served.
+ * Whoever can still be on time goes before whoever cannot; among these a short request goes before a
+ * long one that came a little earlier, since it leaves room for more; the size only counts as some
+ * hundred milliseconds of waiting, so that long ones are passed over in a burst and not for good.
+ * Those who were refused before and came back go first among the late.
+ */
 import type * as clocks from "../kernel/clock.js";
 
 /** Grants of this time tell how fast the line moves. */
 const RATE_WINDOW_MS = 4_000;
 /** Requests that may wait before any grant has told the line's speed. */
 const FEWEST_WAITING = 8;
-const SHORTEST_RETRY_MS = 200;
-const LONGEST_RETRY_MS = 3_000;
+/** A burst lasts some seconds; who comes back sooner meets it again and has used up its retry. */
+const SHORTEST_RETRY_MS = 1_500;
+const LONGEST_RETRY_MS = 4_500;
+/** Waiting that a request of average size counts for: most of the time in which one can be on time. */
+const SIZE_WEIGHT_MS = 400;
+/** A request larger than this many average ones counts no more. */
+const LARGEST_SIZE = 3;
 
-interface Place<Entry> {
+/** One who waits. */
+export interface LineEntry {
+  /** Expected use of the pool against an average request. */
+  readonly size: number;
+  /** Whether it was refused before and came back. */
+  readonly returned: boolean;
+}
+
+interface Place<Entry extends LineEntry> {
   readonly entry: Entry;
   /** Latest time of a grant that still meets the target. */
   readonly onTimeUntil: number;
   /** Time after which waiting is no use. */
   readonly givesUpAt: number;
+  /** Its turn: the lowest goes first. */
+  readonly rank: number;
 }
 
 /** A refusal with the time to come back. */
@@ -21,10 +42,10 @@
   readonly retryAfterMs: number;
 }
 
-/** Those who can be on time first, in the order of their targets; then the others, oldest first. */
-export class WaitingLine<Entry> {
+/** Keeps those who wait in the order of their turns. */
+export class WaitingLine<Entry extends LineEntry> {
   readonly #clock: clocks.Clock;
-  readonly #places: Place<Entry>[] = [];
+  #places: Place<Entry>[] = [];
   readonly #grants: number[] = [];
 
   constructor(clock: clocks.Clock) {
@@ -42,25 +63,26 @@
    */
   add(entry: Entry, slackMs: number, patienceMs: number): LineRefusal | undefined {
     const waitMs = this.#computeWait();
-    if (waitMs > patienceMs) return { retryAfterMs: computeRetryTime(waitMs) };
+    if (waitMs > patienceMs && !entry.returned) return { retryAfterMs: computeRetryTime(waitMs) };
     const now = this.#clock.now();
-    const place = { entry, onTimeUntil: now + slackMs, givesUpAt: now + patienceMs };
-    this.#places.push(place);
-    this.#places.sort((first, second) => first.onTimeUntil - second.onTimeUntil);
+    const onTimeUntil = now + slackMs;
+    const rank = onTimeUntil + SIZE_WEIGHT_MS * Math.min(LARGEST_SIZE, entry.size);
+    this.#places.push({ entry, onTimeUntil, givesUpAt: now + patienceMs, rank });
+    this.#places.sort((first, second) => first.rank - second.rank);
     return undefined;
   }
 
   remove(entry: Entry): void {
-    const index = this.#places.findIndex((place) => place.entry === entry);
-    if (index >= 0) this.#places.splice(index, 1);
+    this.#places = this.#places.filter((place) => place.entry !== entry);
   }
 
   /** Returns whose turn it is. */
   findNext(): { readonly entry: Entry; readonly late: boolean } | undefined {
     const now = this.#clock.now();
     const onTime = this.#places.find((place) => place.onTimeUntil >= now);
-    const next = onTime ?? this.#places[0];
-    return next === undefined ? undefined : { entry: next.entry, late: onTime === undefined };
+    if (onTime !== undefined) return { entry: onTime.entry, late: false };
+    const next = this.#places.find((place) => place.entry.returned) ?? this.#places[0];
+    return next === undefined ? undefined : { entry: next.entry, late: true };
   }
 
   recordGrant(entry: Entry): void {
@@ -98,5 +120,5 @@
 }
 
 function computeRetryTime(waitMs: number): number {
-  return Math.min(LONGEST_RETRY_MS, Math.max(SHORTEST_RETRY_MS, waitMs / 2));
+  return Math.min(LONGEST_RETRY_MS, Math.max(SHORTEST_RETRY_MS, waitMs));
 }
--- a/src/serving/model-serving.ts
+++ b/src/serving/model-serving.ts
@@ -102,6 +102,7 @@
     return {
       key: `${head.id}/${progress.places}`,
       service: call.service.name,
+      subject: head.prompt?.parts.at(-1) ?? head.id,
       promptTokens: promptTokens + made,
       expectedOutputTokens: Math.max(1, Math.min(maxOutputTokens, hint) - made),
       maxOutputTokens: Math.max(1, maxOutputTokens - made),
