--- /dev/null
+++ b/test/placement/stage-plan.test.ts
@@ -0,0 +1,48 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as stagePlan from "../../src/placement/stage-plan.js";
+
+const LONG_ANSWERS = { prefillMs: 110, decodeMs: 300 };
+
+test.describe("chooseStageChange", () => {
+  test.it("turns an idle prefill runner to decode when answers are long", () => {
+    const change = stagePlan.chooseStageChange({ prefill: 3, decode: 3 }, LONG_ANSWERS);
+    earl.expect(change).toEqual("toDecode");
+  });
+
+  test.it("keeps a split that is about right, so that runners are not sent to and fro", () => {
+    const change = stagePlan.chooseStageChange({ prefill: 2, decode: 4 }, LONG_ANSWERS);
+    earl.expect(change).toEqual(undefined);
+  });
+
+  test.it("turns a decode runner to prefill when prompts are long", () => {
+    const costs = { prefillMs: 400, decodeMs: 100 };
+    earl.expect(stagePlan.chooseStageChange({ prefill: 1, decode: 5 }, costs)).toEqual("toPrefill");
+  });
+
+  test.it("never leaves a stage without runners", () => {
+    earl
+      .expect(stagePlan.chooseStageChange({ prefill: 1, decode: 1 }, LONG_ANSWERS))
+      .toEqual(undefined);
+  });
+
+  test.it("brings back a stage that has lost all its runners", () => {
+    earl
+      .expect(stagePlan.chooseStageChange({ prefill: 3, decode: 0 }, LONG_ANSWERS))
+      .toEqual("toDecode");
+  });
+
+  test.it("settles after some orders whatever the costs are", () => {
+    for (const decodeMs of [20, 60, 110, 200, 400, 900]) {
+      let split = { prefill: 4, decode: 4 };
+      for (let orders = 0; orders < 8; orders += 1) {
+        const change = stagePlan.chooseStageChange(split, { prefillMs: 110, decodeMs });
+        if (change === undefined) break;
+        const moved = change === "toDecode" ? 1 : -1;
+        split = { prefill: split.prefill - moved, decode: split.decode + moved };
+      }
+      const last = stagePlan.chooseStageChange(split, { prefillMs: 110, decodeMs });
+      earl.expect(last).toEqual(undefined);
+    }
+  });
+});
--- /dev/null
+++ b/test/registry/registry-view.test.ts
@@ -0,0 +1,58 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as registryView from "../../src/registry/registry-view.js";
+import * as fakeClock from "../../standins/fake-clock.js";
+
+function createView() {
+  const clock = fakeClock.createFakeClock();
+  const view = new registryView.RegistryView<string>(clock);
+  const seen: string[] = [];
+  view.onChange((key, value) => seen.push(`${key}=${value ?? "gone"}`));
+  return { clock, view, seen };
+}
+
+const item = (key: string, revision: number) => ({ key, revision, value: `v${revision}` });
+
+test.describe("RegistryView", () => {
+  test.it("never goes back to an older item or an older snapshot", () => {
+    const { view, seen } = createView();
+    view.applySnapshot({ revision: 10, items: [item("a", 9)] });
+    view.applyChanges({ revision: 11, changes: [{ removed: false, item: item("a", 5) }] });
+    earl.expect(view.applySnapshot({ revision: 8, items: [] })).toEqual(false);
+    earl.expect(seen).toEqual(["a=v9"]);
+  });
+
+  test.it("takes an absent key as gone at once while the platform was there all along", () => {
+    const { view, seen } = createView();
+    view.applySnapshot({ revision: 10, items: [item("a", 9)] });
+    view.applySnapshot({ revision: 12, items: [] });
+    earl.expect(seen).toEqual(["a=v9", "a=gone"]);
+  });
+
+  test.it("keeps a key that expired during an outage until it had time to come back", async () => {
+    const { clock, view, seen } = createView();
+    view.applySnapshot({ revision: 10, items: [item("a", 9), item("b", 9)] });
+    view.startGrace();
+    view.applySnapshot({ revision: 14, items: [] });
+    await clock.advance(1_000);
+    view.expire();
+    view.applyChanges({ revision: 15, changes: [{ removed: false, item: item("a", 15) }] });
+    await clock.advance(1_000);
+    view.expire();
+    earl.expect(seen).toEqual(["a=v9", "b=v9", "a=v15", "b=gone"]);
+  });
+
+  test.it("ignores the removal of a key that was written again since", () => {
+    const { view, seen } = createView();
+    view.applySnapshot({ revision: 10, items: [item("a", 9)] });
+    view.applyChanges({ revision: 12, changes: [{ removed: true, key: "a", revision: 8 }] });
+    earl.expect(seen).toEqual(["a=v9"]);
+  });
+
+  test.it("tells the newest change, not the platform's revision, to compare views", () => {
+    const { view } = createView();
+    view.applySnapshot({ revision: 10, items: [item("a", 4)] });
+    view.applyChanges({ revision: 90, changes: [] });
+    earl.expect([view.revision, view.newestRevision]).toEqual([90, 4]);
+  });
+});
--- /dev/null
+++ b/test/routing/route-table.test.ts
@@ -0,0 +1,51 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as routeTable from "../../src/routing/route-table.js";
+import * as routingState from "../../src/routing/routing-state.js";
+import * as fixture from "./routing-fixture.js";
+
+test.describe("RouteTable", () => {
+  const table = new routeTable.RouteTable(
+    fixture.createTable(3, [
+      fixture.createRoute("short", { pathPrefix: "/a/" }),
+      fixture.createRoute("long", { pathPrefix: "/a/b/" }),
+      fixture.createRoute("other", { host: "other.example", pathPrefix: "/" }),
+    ]),
+  );
+
+  test.it("takes the longest prefix of the host, by whole segments", () => {
+    earl.expect(table.findRoute("api.example", "/a/b/c")?.name).toEqual("long");
+    earl.expect(table.findRoute("API.example", "/a/bc")?.name).toEqual("short");
+    earl.expect(table.findRoute("api.example", "/a")).toEqual(undefined);
+    earl.expect(table.findRoute("unknown.example", "/a/b/c")).toEqual(undefined);
+  });
+});
+
+test.describe("chooseService", () => {
+  const split = fixture.createRoute("split", {
+    services: [
+      { service: "one", weight: 90 },
+      { service: "two", weight: 10 },
+      { service: "none", weight: 0 },
+    ],
+  });
+
+  test.it("divides calls by weight, and one call always the same way", () => {
+    const chosen = Array.from({ length: 2_000 }, (_, index) =>
+      routeTable.chooseService(split, `call-${index}`),
+    );
+    const two = chosen.filter((service) => service === "two").length;
+    earl.expect(two > 140 && two < 260).toEqual(true);
+    earl.expect(chosen.includes("none")).toEqual(false);
+    earl.expect(routeTable.chooseService(split, "call-7")).toEqual(chosen[7]);
+  });
+});
+
+test.describe("RoutingState", () => {
+  test.it("never goes back to an older version", () => {
+    const state = new routingState.RoutingState({ write: () => undefined });
+    earl.expect(state.apply(fixture.createTable(7, []))).toEqual(true);
+    earl.expect(state.apply(fixture.createTable(5, []))).toEqual(false);
+    earl.expect(state.current?.table.version).toEqual(7);
+  });
+});
--- /dev/null
+++ b/test/serving/event-splitter.test.ts
@@ -0,0 +1,43 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as fastCheck from "fast-check";
+import * as eventSplitter from "../../src/serving/event-splitter.js";
+
+test.describe("EventSplitter", () => {
+  test.it("passes on whole events only, byte for byte, however the bytes arrive", () => {
+    const text = fastCheck.default
+      .string({ maxLength: 30 })
+      .map((one) => one.replaceAll("\n", " "));
+    const cuts = fastCheck.default.array(fastCheck.default.nat(200), { maxLength: 8 });
+    const property = fastCheck.default.property(
+      fastCheck.default.array(text, { minLength: 1, maxLength: 6 }),
+      cuts,
+      (texts, positions) => {
+        const bytes = Buffer.from(texts.map((one, id) => `id: ${id}\ndata: ${one}\n\n`).join(""));
+        const splitter = new eventSplitter.EventSplitter();
+        const passed: Buffer[] = [];
+        let lastId: string | undefined;
+        let from = 0;
+        for (const at of [...positions.sort((a, b) => a - b), bytes.byteLength]) {
+          const events = splitter.push(bytes.subarray(from, at));
+          from = Math.max(from, Math.min(at, bytes.byteLength));
+          passed.push(Buffer.from(events.bytes));
+          lastId = events.lastId ?? lastId;
+        }
+        return (
+          Buffer.concat(passed).equals(bytes) &&
+          splitter.rest.byteLength === 0 &&
+          lastId === `${texts.length - 1}`
+        );
+      },
+    );
+    fastCheck.default.assert(property);
+  });
+
+  test.it("keeps back an event that breaks off in its middle", () => {
+    const splitter = new eventSplitter.EventSplitter();
+    const events = splitter.push(Buffer.from("id: 4\ndata: x\n\nid: 5\ndata: y\n"));
+    earl.expect(events.bytes.toString()).toEqual("id: 4\ndata: x\n\n");
+    earl.expect([events.count, events.lastId]).toEqual([1, "4"]);
+  });
+});
