Read runners' reports at the scheduler; keep a read prompt for another decode runner

Cause: after a scheduler's loss the next one let in more than fits, for it did not know what runs; each VM found a silent runner out by itself; a prompt was read anew when only the decode runner was full.

--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -5,6 +5,7 @@
 import type * as membershipTypes from "../membership/types.js";
 import * as membership from "../membership/membership.js";
 import * as placement from "../placement/placement.js";
+import * as engineReports from "../placement/engine-reports.js";
 import * as stageOrders from "../placement/stage-orders.js";
 import * as poolScheduler from "../placement/pool-scheduler.js";
 import * as peerNetwork from "../protocol/peer-network.js";
@@ -57,6 +58,7 @@
   kernel.register("runnerCalls", createRunnerCalls);
   kernel.register("repeatBudgets", createRepeatBudgets);
   kernel.register("placement", createPlacement);
+  kernel.register("engineReports", createEngineReports);
   kernel.register("stageOrders", createStageOrders);
   kernel.register("plainServing", createPlainServing);
   kernel.register("modelServing", createModelServing);
@@ -122,12 +124,29 @@
   return created;
 }
 
+function createEngineReports(kernel: container.Kernel): engineReports.EngineReports {
+  return new engineReports.EngineReports({
+    clock: kernel.use("clock"),
+    log: kernel.use("log"),
+    runners: kernel.use("runners"),
+    calls: kernel.use("runnerCalls"),
+    wire: kernel.use("adapter").runnerWire,
+    listSchedulers: () => listSchedulers(kernel),
+  });
+}
+
+/** Returns the schedulers of the services of model engines that this VM schedules. */
+function listSchedulers(
+  kernel: container.Kernel,
+): ReadonlyMap<string, poolScheduler.PoolScheduler> {
+  const services = kernel.use("routing").current?.listEngineServices() ?? [];
+  return kernel.use("placement").listSchedulers(services);
+}
+
 function createStageOrders(kernel: container.Kernel): stageOrders.StageOrders {
   const { settings, runnerWire } = kernel.use("adapter");
   const sync = kernel.use("registrySync");
   const fleet = kernel.use("membership");
-  const places = kernel.use("placement");
-  const routing = kernel.use("routing");
   return new stageOrders.StageOrders({
     clock: kernel.use("clock"),
     log: kernel.use("log"),
@@ -137,7 +156,7 @@
     runners: kernel.use("runners"),
     calls: kernel.use("runnerCalls"),
     wire: runnerWire,
-    listSchedulers: () => places.listSchedulers(routing.current?.listEngineServices() ?? []),
+    listSchedulers: () => listSchedulers(kernel),
     isInTouch: () => sync.connected && hasMajority(fleet),
     getRevision: () => sync.revision,
   });
@@ -197,6 +216,7 @@
   await Promise.all([front.start(), lookups.start()]);
   sync.start();
   void kernel.use("membership").start();
+  void kernel.use("engineReports").run();
   void kernel.use("stageOrders").run();
   const { vm, zone } = kernel.use("settings");
   kernel.use("log").write(events.LOG_EVENTS.nodeStarted, { vm, zone });
--- a/src/gateway/lookup.ts
+++ b/src/gateway/lookup.ts
@@ -3,7 +3,7 @@
 import type * as network from "../protocol/network.js";
 
 /** How long callers keep an answer; some keep it three times as long, so it is short. */
-export const ADDRESS_TTL_MS = 2_000;
+export const ADDRESS_TTL_MS = 1_000;
 /** Callers take no more addresses. */
 const MAX_ADDRESSES = 64;
 
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -6,6 +6,7 @@
 import type * as orders from "../orders/types.js";
 import type * as network from "../protocol/network.js";
 import type * as placement from "../placement/placement.js";
+import type * as engineReports from "../placement/engine-reports.js";
 import type * as stageOrders from "../placement/stage-orders.js";
 import type * as registrySync from "../registry/registry-sync.js";
 import type * as routingState from "../routing/routing-state.js";
@@ -49,6 +50,7 @@
   runnerCalls: runnerCalls.RunnerCalls;
   repeatBudgets: repeatBudgets.RepeatBudgets;
   placement: placement.Placement;
+  engineReports: engineReports.EngineReports;
   stageOrders: stageOrders.StageOrders;
   plainServing: plainServing.PlainServing;
   modelServing: modelServing.ModelServing;
--- a/src/placement/calls.ts
+++ b/src/placement/calls.ts
@@ -18,6 +18,7 @@
   targetMs: zod.number(),
   patienceMs: zod.number(),
   zone: zod.string().max(100),
+  prefilledBy: runnerId.optional(),
   excluded: zod.array(runnerId).max(16),
 }) satisfies zod.ZodType<types.PlaceRequest>;
 
@@ -56,6 +57,7 @@
         zod.object({
           key,
           prefillMs: zod.number().optional(),
+          failedRunner: runnerId.optional(),
           ended: zod.boolean().optional(),
           outputTokens: zod.number().optional(),
           decodeMs: zod.number().optional(),
--- a/src/placement/decode-load.ts
+++ b/src/placement/decode-load.ts
@@ -1,4 +1,5 @@
 /** The runs that a scheduler has placed on one decode runner. */
+import type * as gateway from "../gateway/types.js";
 import * as memoryForecast from "./memory-forecast.js";
 
 /** Time of an output token before any was measured, in milliseconds. */
@@ -11,13 +12,22 @@
 const EXPIRY_FACTOR = 3;
 const EXPIRY_SLACK_MS = 2_000;
 
+/** Reports are about a second old: a run that ended within this time may still be listed. */
+const REPORT_AGE_MS = 2_000;
+/** Output still expected of a run that another scheduler placed: half of a usual answer. */
+const UNKNOWN_OUTPUT_TOKENS = 2_000;
+
 /** What is placed on a runner, and how fast it is. */
 export class DecodeLoad {
   readonly #runs = new Map<string, memoryForecast.ForecastRun>();
+  /** Runs that only the runner's report tells of, by the caller's id. */
+  #unknownRuns = new Map<string, memoryForecast.ForecastRun>();
+  readonly #endedAt = new Map<string, number>();
   #msPerToken = FIRST_MS_PER_TOKEN;
 
+  /** Runs on the runner, as far as known. */
   get count(): number {
-    return this.#runs.size;
+    return this.#runs.size + this.#unknownRuns.size;
   }
 
   get msPerToken(): number {
@@ -32,13 +42,35 @@
     this.#runs.set(key, run);
   }
 
-  remove(key: string): boolean {
-    return this.#runs.delete(key);
+  remove(key: string, now: number): boolean {
+    if (!this.#runs.delete(key)) return false;
+    this.#endedAt.set(getCallId(key), now);
+    return true;
+  }
+
+  /** Takes in which runs the runner lists; those placed by others count until they are gone. */
+  recordReport(report: gateway.EngineReport, now: number): void {
+    const known = new Set([...this.#runs.keys()].map(getCallId));
+    const unknown = report.runs.filter(
+      ({ callId }) => !known.has(callId) && !this.#endedAt.has(callId),
+    );
+    this.#unknownRuns = new Map(
+      unknown.map(({ callId, tokensInMemory }) => [
+        callId,
+        {
+          promptTokens: tokensInMemory,
+          expectedOutputTokens: UNKNOWN_OUTPUT_TOKENS,
+          maxOutputTokens: UNKNOWN_OUTPUT_TOKENS,
+          startsAt: now,
+        },
+      ]),
+    );
   }
 
   /** Returns the most memory expected at one time if `run` were added. */
   computePeak(run: memoryForecast.ForecastRun, now: number): number {
-    return memoryForecast.computePeakTokens([...this.#runs.values(), run], now, this.#msPerToken);
+    const runs = [...this.#runs.values(), ...this.#unknownRuns.values(), run];
+    return memoryForecast.computePeakTokens(runs, now, this.#msPerToken);
   }
 
   /** Learns the runner's speed from a run that ended. */
@@ -49,9 +81,17 @@
 
   /** Forgets runs whose end was never told. */
   expire(now: number): void {
+    for (const [callId, endedAt] of this.#endedAt) {
+      if (now - endedAt > REPORT_AGE_MS) this.#endedAt.delete(callId);
+    }
     for (const [key, run] of this.#runs) {
       const longestMs = run.maxOutputTokens * this.#msPerToken * EXPIRY_FACTOR + EXPIRY_SLACK_MS;
       if (now - run.startsAt > longestMs) this.#runs.delete(key);
     }
   }
 }
+
+/** Returns the caller's id in a place's key, which ends with the number of the place. */
+function getCallId(key: string): string {
+  return key.slice(0, key.lastIndexOf("/"));
+}
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -86,6 +86,12 @@
     this.#tell(held.service, { key, prefillMs });
   }
 
+  /** Notes that a runner of the place could not be reached or fell silent. */
+  recordFailedRunner(key: string, failedRunner: string): void {
+    const held = this.#held.get(key);
+    if (held !== undefined) this.#tell(held.service, { key, failedRunner });
+  }
+
   /** Gives a place back. */
   release(key: string, outputTokens: number, decodeMs: number): void {
     const held = this.#held.get(key);
--- a/src/placement/pool-scheduler.ts
+++ b/src/placement/pool-scheduler.ts
@@ -3,6 +3,7 @@
  * decode. What would be preempted later is not let in; who can still be on time goes first; who cannot
  * is served from what is left over; who would wait longer than a caller does is refused at once.
  */
+import type * as gateway from "../gateway/types.js";
 import type * as clocks from "../kernel/clock.js";
 import type * as routing from "../routing/types.js";
 import * as runners from "../runners/types.js";
@@ -15,6 +16,7 @@
 import type * as stagePlan from "./stage-plan.js";
 import * as prefillLoad from "./prefill-load.js";
 import type * as types from "./types.js";
+import * as runnerAbsences from "./runner-absences.js";
 import * as waitingLine from "./waiting-line.js";
 
 /** Part of a runner's memory that forecasts may fill; the rest covers answers longer than estimated. */
@@ -66,6 +68,7 @@
   readonly #prefill = new Map<string, prefillLoad.PrefillLoad>();
   readonly #line: waitingLine.WaitingLine<Waiting>;
   readonly #costs = new requestCosts.RequestCosts();
+  readonly #absences: runnerAbsences.RunnerAbsences;
   readonly #refused: refusedSubjects.RefusedSubjects;
   /** Runners that change their stage, with the stage they are to have and when that is given up. */
   readonly #switching = new Map<string, Switching>();
@@ -77,6 +80,7 @@
   constructor(options: SchedulerOptions) {
     this.#options = options;
     this.#line = new waitingLine.WaitingLine(options.clock);
+    this.#absences = new runnerAbsences.RunnerAbsences(options.clock);
     this.#refused = new refusedSubjects.RefusedSubjects(options.clock);
   }
 
@@ -157,7 +161,8 @@
 
   /** Takes in what a VM tells of a placed request. */
   recordProgress(progress: types.PlaceProgress): void {
-    const { key, prefillMs, ended, outputTokens, decodeMs } = progress;
+    const { key, prefillMs, failedRunner, ended, outputTokens, decodeMs } = progress;
+    if (failedRunner !== undefined) this.#absences.recordFailure(failedRunner);
     if (prefillMs !== undefined || ended === true) this.#endPrefill(key, prefillMs);
     if (ended === true) this.#endDecode(key, outputTokens, decodeMs);
     this.update();
@@ -171,6 +176,18 @@
     load.add(running.key, { ...running, startsAt });
   }
 
+  /** Takes in a runner's report of itself. */
+  recordReport(runnerId: string, report: gateway.EngineReport): void {
+    this.#absences.recordAnswer(runnerId);
+    this.#useDecode(runnerId).recordReport(report, this.#options.clock.now());
+    this.update();
+  }
+
+  /** Notes that a runner does not report. */
+  recordNoReport(runnerId: string): void {
+    this.#absences.recordFailure(runnerId);
+  }
+
   /** Grants places to those who wait, as far as there are any. */
   update(): void {
     this.#expire();
@@ -222,7 +239,8 @@
   #choosePlace(waiting: Waiting, late: boolean): types.Place | undefined {
     const { request } = waiting;
     const usable = this.#listUsable(request);
-    const prefill = this.#choosePrefill(usable, request);
+    const isRead = request.prefilledBy !== undefined;
+    const prefill = isRead ? undefined : this.#choosePrefill(usable, request);
     if (prefill === "busy") return undefined;
     const readMs = prefill === undefined ? 0 : this.#computePrefillTime(prefill, request);
     const run: memoryForecast.ForecastRun = {
@@ -268,7 +286,7 @@
       .listCandidates()
       .filter(({ runner }) => !request.excluded.includes(runner.id));
     const staying = listed.filter(({ runner }) => !this.#isSwitching(runner));
-    const sound = staying.filter((candidate) => !candidate.paused);
+    const sound = staying.filter(({ runner, paused }) => !paused && !this.#absences.has(runner.id));
     return (sound.length > 0 ? sound : staying).map((candidate) => candidate.runner);
   }
 
@@ -351,7 +369,7 @@
 
   #endDecode(key: string, outputTokens = 0, decodeMs = 0): void {
     for (const load of this.#decode.values()) {
-      if (!load.remove(key)) continue;
+      if (!load.remove(key, this.#options.clock.now())) continue;
       load.recordSpeed(outputTokens, decodeMs);
       return;
     }
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -16,6 +16,8 @@
   /** Longest useful wait for a place. */
   readonly patienceMs: number;
   readonly zone: string;
+  /** The runner that has read the prompt already, when another decode runner refused it. */
+  readonly prefilledBy?: string;
   /** Runners that failed this request or cannot be reached from its VM. */
   readonly excluded: readonly string[];
 }
@@ -41,6 +43,8 @@
   readonly key: string;
   /** The prompt has been read, in this time. */
   readonly prefillMs?: number;
+  /** A runner of its place that could not be reached or fell silent. */
+  readonly failedRunner?: string;
   /** The request no longer uses its place. */
   readonly ended?: boolean;
   /** Output tokens that it made until it ended. */
--- a/src/serving/engine-run.ts
+++ b/src/serving/engine-run.ts
@@ -61,23 +61,25 @@
     place: RunPlace,
     outcome: RunOutcome,
   ): Promise<modelProgress.RunResult> {
-    if (place.prefill === undefined) {
-      return await this.#decode(call, progress, place, undefined, outcome);
+    if (place.prefill !== undefined) {
+      const failure = await this.#prefill(call, progress, place, place.prefill);
+      if (failure !== undefined) return failure;
     }
-    const prefilled = await this.#prefill(call, place, place.prefill);
-    if (prefilled.kind !== "prefilled") return prefilled;
-    const { host, port } = place.prefill;
-    const source = { host, port, handle: prefilled.handle };
-    const result = await this.#decode(call, progress, place, source, outcome);
-    if (result.kind === "notRun") this.#releaseHandle(place.prefill, prefilled.handle);
+    const { prefilled } = progress;
+    progress.setPrefilled(undefined);
+    const result = await this.#decode(call, progress, place, prefilled, outcome);
+    // The prompt is still there for another decode runner.
+    if (result.kind === "notRun") progress.setPrefilled(prefilled);
     return result;
   }
 
+  /** Has the prompt read; returns how that failed. */
   async #prefill(
     call: types.ServedCall,
+    progress: modelProgress.ModelProgress,
     place: RunPlace,
     runner: runners.Runner,
-  ): Promise<{ readonly kind: "prefilled"; readonly handle: string } | modelProgress.RunResult> {
+  ): Promise<modelProgress.RunResult | undefined> {
     const { clock, wire, placement: places } = this.#options;
     const startedAt = clock.now();
     const leftMs = call.deadlineAt - startedAt;
@@ -90,11 +92,14 @@
         const reason = `prefill answered ${sent.head.status}`;
         return { kind: "notRun", reason, excluded: runner.id };
       }
-      places.recordPrefill(place.key, clock.now() - startedAt);
-      return { kind: "prefilled", handle: wire.parsePrefill(body).handle };
+      const now = clock.now();
+      places.recordPrefill(place.key, now - startedAt);
+      const expiresAt = now + (call.service.engine?.handleTtlMs ?? 0);
+      progress.setPrefilled({ runner, handle: wire.parsePrefill(body).handle, expiresAt });
+      return undefined;
     } catch (error) {
       // A prefill is no run: it may be repeated whatever became of it.
-      this.#recordFailure(call, runner, error);
+      this.#recordFailure(call, place, runner, error);
       return { kind: "notRun", reason: `prefill: ${String(error)}`, excluded: runner.id };
     }
   }
@@ -103,7 +108,7 @@
     call: types.ServedCall,
     progress: modelProgress.ModelProgress,
     place: RunPlace,
-    source: gateway.KvSource | undefined,
+    prefilled: modelProgress.PrefilledPrompt | undefined,
     outcome: RunOutcome,
   ): Promise<modelProgress.RunResult> {
     const { clock } = this.#options;
@@ -113,7 +118,7 @@
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
     const options = {
       deadlineMs: leftMs,
-      kvSource: source,
+      kvSource: prefilled === undefined ? undefined : createSource(prefilled),
       lastEventId: progress.lastEventId,
     };
     try {
@@ -126,7 +131,7 @@
       }
       return await this.#passAnswer(call, progress, sent, outcome);
     } catch (error) {
-      this.#recordFailure(call, runner, error);
+      this.#recordFailure(call, place, runner, error);
       const reason = `decode: ${String(error)}`;
       return { kind: isUnsent(error) ? "notRun" : "broken", reason, excluded: runner.id };
     }
@@ -165,7 +170,7 @@
       const events = splitter.push(chunk);
       if (events.count === 0) continue;
       if (!progress.started) call.reply.start(sent.head.status, sent.head.headers);
-      progress.recordEvents(events.count, events.lastId);
+      progress.recordEvents(events.count, events.lastId, clock.now());
       outcome.outputTokens += events.count * tokensPerEvent;
       outcome.decodeMs = clock.now() - startedAt;
       await call.reply.write(events.bytes, call.signal);
@@ -194,16 +199,24 @@
     return calls.send({ runner, head: call.head, body: call.body, options, headLimitMs, signal });
   }
 
-  #recordFailure(call: types.ServedCall, runner: runners.Runner, error: unknown): void {
+  #recordFailure(
+    call: types.ServedCall,
+    place: RunPlace,
+    runner: runners.Runner,
+    error: unknown,
+  ): void {
     if (call.signal.aborted) return;
+    this.#options.placement.recordFailedRunner(place.key, runner.id);
     if (isUnsent(error)) this.#options.runners.find(runner.id)?.recordUnreachable();
     const fields = { request: call.head.id, runner: runner.id, error: String(error) };
     this.#options.log.write(logEvents.LOG_EVENTS.runnerUnavailable, fields);
   }
 
   /** Frees a prompt that nobody will fetch; it would lapse by itself a little later. */
-  #releaseHandle(runner: runners.Runner, handle: string): void {
+  releasePrompt(prefilled: modelProgress.PrefilledPrompt): void {
     const { calls, wire, clock, log } = this.#options;
+    if (clock.now() >= prefilled.expiresAt) return;
+    const { runner, handle } = prefilled;
     const limit = clocks.createTimeLimit(clock, RELEASE_LIMIT_MS);
     calls
       .sendMessage(runner, wire.formatRelease(handle), RELEASE_LIMIT_MS, limit.signal)
@@ -217,6 +230,11 @@
   }
 }
 
+function createSource(prefilled: modelProgress.PrefilledPrompt): gateway.KvSource {
+  const { host, port } = prefilled.runner;
+  return { host, port, handle: prefilled.handle };
+}
+
 function isUnsent(error: unknown): boolean {
   return (
     error instanceof upstream.UpstreamError &&
--- a/src/serving/model-progress.ts
+++ b/src/serving/model-progress.ts
@@ -1,6 +1,7 @@
 /** How far one model request has come, over all its places. */
 import * as resultCodes from "../protocol/result-codes.js";
 import * as routing from "../routing/types.js";
+import type * as runners from "../runners/types.js";
 import * as answers from "./answers.js";
 import type * as types from "./types.js";
 
@@ -14,6 +15,14 @@
   /** It ran, or may have run, and broke off. */
   | { readonly kind: "broken"; readonly reason: string; readonly excluded: string | undefined };
 
+/** A prompt that a runner has read and keeps for a short while. */
+export interface PrefilledPrompt {
+  readonly runner: runners.Runner;
+  readonly handle: string;
+  /** Monotonic time after which the runner no longer keeps it. */
+  readonly expiresAt: number;
+}
+
 /** When to come back after runners that were full. */
 const FULL_RETRY_MS = 300;
 
@@ -26,6 +35,8 @@
   #events = 0;
   #lastEventId: string | undefined;
   #last: RunResult | undefined;
+  #prefilled: PrefilledPrompt | undefined;
+  #lastEventAt: number | undefined;
 
   constructor(call: types.ServedCall) {
     this.#call = call;
@@ -47,6 +58,16 @@
     return this.#call.reply.started;
   }
 
+  /** A prompt that was read for this request and not fetched yet. */
+  get prefilled(): PrefilledPrompt | undefined {
+    return this.#prefilled;
+  }
+
+  /** Monotonic time of the last event that was passed on. */
+  get lastEventAt(): number | undefined {
+    return this.#lastEventAt;
+  }
+
   get excluded(): ReadonlySet<string> {
     return this.#excluded;
   }
@@ -65,11 +86,17 @@
   }
 
   /** Records events that were passed on. */
-  recordEvents(count: number, lastId: string | undefined): void {
+  recordEvents(count: number, lastId: string | undefined, now: number): void {
+    this.#lastEventAt = now;
     this.#events += count;
     this.#lastEventId = lastId ?? this.#lastEventId;
   }
 
+  /** Keeps a prompt that was read, or (`undefined`) notes that it was used. */
+  setPrefilled(prefilled: PrefilledPrompt | undefined): void {
+    this.#prefilled = prefilled;
+  }
+
   recordFailure(result: RunResult): void {
     this.#last = result;
     this.#places += 1;
--- a/src/serving/model-serving.ts
+++ b/src/serving/model-serving.ts
@@ -23,6 +23,8 @@
 const WAITING_SHARE = 0.75;
 /** Output expected of a request that gives no estimate, as part of its longest output. */
 const DEFAULT_OUTPUT_SHARE = 0.55;
+/** Time that a decode runner needs to begin fetching a prompt. */
+const FETCH_MARGIN_MS = 150;
 /** When to come back to a service none of whose runners can be used. */
 const ABSENT_RETRY_MS = 500;
 
@@ -53,6 +55,14 @@
   async serve(call: types.ServedCall): Promise<void> {
     this.#options.budgets.recordCall(call.service.name);
     const progress = new modelProgress.ModelProgress(call);
+    try {
+      await this.#serve(call, progress);
+    } finally {
+      if (progress.prefilled !== undefined) this.#engineRuns.releasePrompt(progress.prefilled);
+    }
+  }
+
+  async #serve(call: types.ServedCall, progress: modelProgress.ModelProgress): Promise<void> {
     for (let places = 1; places <= MAX_PLACES; places += 1) {
       const result = await this.#runOnce(call, progress);
       call.signal.throwIfAborted();
@@ -69,7 +79,12 @@
     progress: modelProgress.ModelProgress,
   ): Promise<modelProgress.RunResult> {
     const request = this.#createPlaceRequest(call, progress);
+    if (request.prefilledBy === undefined) progress.setPrefilled(undefined);
     const answer = await this.#options.placement.reserve(request, call.signal);
+    if (!answer.granted && request.prefilledBy !== undefined) {
+      progress.setPrefilled(undefined);
+      return { kind: "notRun", reason: "no place while the prompt was kept", excluded: undefined };
+    }
     if (!answer.granted) return { kind: "noPlace", retryAfterMs: answer.retryAfterMs };
     const outcome = { outputTokens: 0, decodeMs: 0 };
     try {
@@ -98,7 +113,10 @@
     const maxOutputTokens = head.prompt?.maxOutputTokens ?? 0;
     const hint = head.prompt?.expectedOutputTokens ?? maxOutputTokens * DEFAULT_OUTPUT_SHARE;
     const made = progress.events * (call.service.engine?.tokensPerEvent ?? 1);
-    const patienceMs = computeCallerGap(route) * WAITING_SHARE - waitedMs;
+    const prefilledBy = this.#findPrefilled(progress, now);
+    const keptMs = (progress.prefilled?.expiresAt ?? now) - now - FETCH_MARGIN_MS;
+    const turnMs = computeCallerGap(route) * WAITING_SHARE - waitedMs;
+    const patienceMs = prefilledBy === undefined ? turnMs : keptMs;
     return {
       key: `${head.id}/${progress.places}`,
       service: call.service.name,
@@ -106,13 +124,24 @@
       promptTokens: promptTokens + made,
       expectedOutputTokens: Math.max(1, Math.min(maxOutputTokens, hint) - made),
       maxOutputTokens: Math.max(1, maxOutputTokens - made),
-      targetMs: progress.started ? route.gapTargetMs : route.targetLatencyMs - waitedMs,
+      targetMs:
+        progress.lastEventAt === undefined
+          ? route.targetLatencyMs - waitedMs
+          : route.gapTargetMs - (now - progress.lastEventAt),
       patienceMs: Math.max(1, Math.min(patienceMs, call.deadlineAt - now)),
       zone: this.#options.zone,
+      prefilledBy,
       excluded: [...progress.excluded],
     };
   }
 
+  /** Returns the runner that keeps the request's prompt, if that can still be fetched in time. */
+  #findPrefilled(progress: modelProgress.ModelProgress, now: number): string | undefined {
+    const { prefilled } = progress;
+    if (prefilled === undefined || progress.excluded.has(prefilled.runner.id)) return undefined;
+    return prefilled.expiresAt - now > FETCH_MARGIN_MS ? prefilled.runner.id : undefined;
+  }
+
   #mayGoOn(call: types.ServedCall, progress: modelProgress.ModelProgress): boolean {
     const hasTime = this.#options.clock.now() < call.deadlineAt;
     return progress.repeatable && hasTime && this.#options.budgets.reserve(call.service.name);
