--- a/src/placement/pool-scheduler.ts
+++ b/src/placement/pool-scheduler.ts
@@ -22,7 +22,9 @@
 /** Part of a runner's memory that forecasts may fill; the rest covers answers longer than estimated. */
 const MEMORY_SHARE = 0.95;
 /** The same for requests that are late anyway: they must not cost one that is on time its place. */
-const LATE_MEMORY_SHARE = 0.8;
+const LATE_MEMORY_SHARE = 0.6;
+/** The same for those among them that were refused before: they do not come a third time. */
+const RETURNED_MEMORY_SHARE = 0.75;
 /** Longest queue at a prefill runner: beyond it waiting here is better, for the choice stays open. */
 const LONGEST_PREFILL_WAIT_MS = 150;
 /** From the end of reading to the first event: transfer, connection and first step. */
@@ -194,7 +196,7 @@
     for (;;) {
       const next = this.#line.findNext();
       if (next === undefined) break;
-      const place = this.#choosePlace(next.entry, next.late && !next.entry.returned);
+      const place = this.#choosePlace(next.entry, next.late);
       if (place === undefined) break;
       this.#line.recordGrant(next.entry);
       next.entry.answer({ granted: true, place });
@@ -249,7 +251,7 @@
       maxOutputTokens: request.maxOutputTokens,
       startsAt: this.#options.clock.now() + readMs + HANDOVER_MS,
     };
-    const decode = this.#chooseDecode(usable, run, late);
+    const decode = this.#chooseDecode(usable, run, getMemoryShare(waiting, late));
     if (decode === undefined) return undefined;
     this.#logPlace(waiting, decode, run, late);
     this.#useDecode(decode).add(request.key, run);
@@ -331,11 +333,11 @@
   #chooseDecode(
     usable: readonly runners.Runner[],
     run: memoryForecast.ForecastRun,
-    late: boolean,
+    memoryShare: number,
   ): string | undefined {
     const engine = this.#options.findEngine();
     const capacity = engine?.kvCapacityTokens ?? Number.POSITIVE_INFINITY;
-    const limit = capacity * this.#share * (late ? LATE_MEMORY_SHARE : MEMORY_SHARE);
+    const limit = capacity * this.#share * memoryShare;
     const now = this.#options.clock.now();
     let best: { readonly id: string; readonly peak: number } | undefined;
     for (const runner of usable) {
@@ -392,6 +394,11 @@
   }
 }
 
+function getMemoryShare(waiting: Waiting, late: boolean): number {
+  if (!late) return MEMORY_SHARE;
+  return waiting.returned ? RETURNED_MEMORY_SHARE : LATE_MEMORY_SHARE;
+}
+
 function compareNear(first: { isNear: boolean }, second: { isNear: boolean }): number {
   return Number(second.isNear) - Number(first.isNear);
 }
--- a/src/serving/engine-run.ts
+++ b/src/serving/engine-run.ts
@@ -206,8 +206,11 @@
     error: unknown,
   ): void {
     if (call.signal.aborted) return;
-    this.#options.placement.recordFailedRunner(place.key, runner.id);
-    if (isUnsent(error)) this.#options.runners.find(runner.id)?.recordUnreachable();
+
+    if (isUnsent(error)) {
+      this.#options.runners.find(runner.id)?.recordUnreachable();
+      this.#options.placement.recordFailedRunner(place.key, runner.id);
+    }
     const fields = { request: call.head.id, runner: runner.id, error: String(error) };
     this.#options.log.write(logEvents.LOG_EVENTS.runnerUnavailable, fields);
   }
