Drop runs that their runner no longer lists; order while most VMs are seen, platform or not

Cause: a VM that lost power never told the end of its requests, whose memory stayed booked for 26 s; and an outage of the store put orders off for six seconds more.

--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -157,7 +157,7 @@
     calls: kernel.use("runnerCalls"),
     wire: runnerWire,
     listSchedulers: () => listSchedulers(kernel),
-    isInTouch: () => sync.connected && hasMajority(fleet),
+    isInTouch: () => hasMajority(fleet),
     getRevision: () => sync.revision,
   });
 }
--- a/src/placement/decode-load.ts
+++ b/src/placement/decode-load.ts
@@ -14,6 +14,8 @@
 
 /** Reports are about a second old: a run that ended within this time may still be listed. */
 const REPORT_AGE_MS = 2_000;
+/** A run that begins late by a preemption or a full batch is listed within this time. */
+const UNLISTED_LIMIT_MS = 3_000;
 /** Output still expected of a run that another scheduler placed: half of a usual answer. */
 const UNKNOWN_OUTPUT_TOKENS = 2_000;
 
@@ -48,8 +50,16 @@
     return true;
   }
 
-  /** Takes in which runs the runner lists; those placed by others count until they are gone. */
+  /**
+   * Takes in which runs the runner lists. Those placed by others count until they are gone; those that
+   * should have been running for long and are not listed have ended, though nobody said so.
+   */
   recordReport(report: gateway.EngineReport, now: number): void {
+    const listed = new Set(report.runs.map((run) => run.callId));
+    for (const [key, run] of this.#runs) {
+      const isDue = now - run.startsAt > UNLISTED_LIMIT_MS;
+      if (isDue && !listed.has(getCallId(key))) this.#runs.delete(key);
+    }
     const known = new Set([...this.#runs.keys()].map(getCallId));
     const unknown = report.runs.filter(
       ({ callId }) => !known.has(callId) && !this.#endedAt.has(callId),
--- a/src/placement/pool-scheduler.ts
+++ b/src/placement/pool-scheduler.ts
@@ -104,6 +104,14 @@
     return this.#costs.compute(this.#computeReadSpeed(), memoryTokens, engine.slots);
   }
 
+  /** Returns the runners that take new work and have answered lately. */
+  listPresent(): readonly runners.Runner[] {
+    return this.#options
+      .listCandidates()
+      .map((candidate) => candidate.runner)
+      .filter((runner) => !this.#absences.has(runner.id));
+  }
+
   /** Returns the runner with the least work placed on it. */
   chooseLeastLoaded(candidates: readonly runners.Runner[]): runners.Runner | undefined {
     const loads = candidates
--- a/src/placement/stage-orders.ts
+++ b/src/placement/stage-orders.ts
@@ -4,8 +4,8 @@
  * now, sends one difference at most, and is safe to repeat.
  *
  * Two VMs must never order by turns, and nothing is shared. So only the scheduler of the service
- * orders, only while it has been that without a break for twice the lease, sees the platform and most
- * VMs, and was not paused; when in doubt nobody orders. The fencing token grows with the platform's
+ * orders, only while it has been that without a break for twice the lease, sees most VMs, and was not
+ * paused; when in doubt nobody orders. The fencing token grows with the platform's
  * revision and is different for each VM.
  */
 import type * as gateway from "../gateway/types.js";
@@ -46,7 +46,7 @@
   readonly wire: gateway.RunnerWire;
   /** Returns the schedulers of services that this VM schedules now. */
   readonly listSchedulers: () => ReadonlyMap<string, poolScheduler.PoolScheduler>;
-  /** Whether this VM sees the platform and most VMs. */
+  /** Whether this VM sees most VMs. */
   readonly isInTouch: () => boolean;
   /** Newest revision of the platform that this VM knows. */
   readonly getRevision: () => number;
@@ -108,7 +108,7 @@
     const costs = scheduler.computeCosts();
     const engine = scheduler.engine;
     if (costs === undefined || engine === undefined) return;
-    const listed = this.#options.runners.listUsable(service).map((record) => record.runner);
+    const listed = scheduler.listPresent();
     const prefill = listed.filter((runner) => runner.stage === runners.STAGE.prefill);
     const decode = listed.filter((runner) => runner.stage === runners.STAGE.decode);
     const split = { prefill: prefill.length, decode: decode.length };
--- a/src/registry/registry-reader.ts
+++ b/src/registry/registry-reader.ts
@@ -32,23 +32,12 @@
 export class RegistryReader<Value> {
   readonly #options: ReaderOptions<Value>;
   #failures = 0;
-  #answeredAt = Number.NEGATIVE_INFINITY;
   #mustReadAll = true;
 
   constructor(options: ReaderOptions<Value>) {
     this.#options = options;
   }
 
-  /** Monotonic time of the platform's last good answer. */
-  get answeredAt(): number {
-    return this.#answeredAt;
-  }
-
-  /** Whether the last call to the platform was answered. */
-  get connected(): boolean {
-    return this.#failures === 0 && this.#answeredAt > Number.NEGATIVE_INFINITY;
-  }
-
   /** Reads until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -80,13 +69,12 @@
   }
 
   #handleAnswer(): void {
-    const { view, clock, log, name } = this.#options;
+    const { view, log, name } = this.#options;
     if (this.#failures > 0) {
       log.write(logEvents.LOG_EVENTS.platformRegained, { what: name, failures: this.#failures });
       view.startGrace();
     }
     this.#failures = 0;
-    this.#answeredAt = clock.now();
   }
 
   #handleGap(): void {
--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -20,10 +20,7 @@
   readonly #controller = new AbortController();
   readonly #configuration: registryView.RegistryView<routing.RoutingTable>;
   readonly #runners: registryView.RegistryView<runners.Runner>;
-  readonly #readers: readonly {
-    readonly connected: boolean;
-    run(signal: AbortSignal): Promise<void>;
-  }[];
+  readonly #readers: readonly { run(signal: AbortSignal): Promise<void> }[];
   readonly #exchanges: readonly { pull(vm: string): Promise<boolean> }[];
 
   constructor(kernel: container.Kernel) {
@@ -67,11 +64,6 @@
     return this.#kernel.use("routing").current !== undefined && this.#runners.revision > 0;
   }
 
-  /** Whether the platform answered the last calls. */
-  get connected(): boolean {
-    return this.#readers.every((reader) => reader.connected);
-  }
-
   /** Newest revision of the platform that this VM has met. */
   get revision(): number {
     return Math.max(this.#configuration.revision, this.#runners.revision);
