--- a/src/runners/runner-calls.ts
+++ b/src/runners/runner-calls.ts
@@ -122,8 +122,9 @@
 }
 
 /**
- * Lets a body that only ends with its connection break off when that is reset: the HTTP library takes any
- * end of the connection for the end of such a body.
+ * Lets a body that only ends with its connection break off when that is reset. The runtime reports a
+ * reset that follows right after data as a plain end (libuv's short cut on POLLHUP); a connection that
+ * was reset has no peer any more, one that was closed still has.
  */
 function breakOffWithSocket(response: http.IncomingMessage): void {
   const { headers, socket } = response;
@@ -133,9 +134,15 @@
   const onError = (error: Error): void => {
     response.destroy(error);
   };
+  const onEnd = (): void => {
+    if (socket.remoteAddress === undefined) onError(new Error("connection was reset"));
+  };
   socket.once("error", onError);
+  // Before the HTTP library's own listener, which closes the socket.
+  socket.prependOnceListener("end", onEnd);
   response.once("close", () => {
     socket.off("error", onError);
+    socket.off("end", onEnd);
   });
 }
 
