--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,14 +3,14 @@
 import * as tseslint from "typescript-eslint";
 
 export default config.defineConfig(
-  { ignores: ["dist/", "node_modules/", "bench-out/"] },
+  { ignores: ["dist/", "node_modules/", "bench-out/", "target/"] },
   eslint.configs.recommended,
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
     languageOptions: {
       parserOptions: {
-        projectService: { allowDefaultProject: ["eslint.config.js"] },
+        projectService: { allowDefaultProject: ["eslint.config.js", "deploy/bundle.mjs"] },
         tsconfigRootDir: import.meta.dirname,
       },
     },
--- a/src/gateway/caller-front.ts
+++ b/src/gateway/caller-front.ts
@@ -106,7 +106,7 @@
       head = this.#options.wire.parseHead(request);
       if (this.#leavingAt !== undefined) response.shouldKeepAlive = false;
       const call = await this.#createCall(head, request, arrivedAt, controller.signal, reply);
-      await this.#serve(call);
+      await this.#serveCall(call);
       this.#recordEnd(call, "answered");
     } catch (error) {
       this.#handleFailure(head, reply, controller.signal, error, arrivedAt);
@@ -137,7 +137,7 @@
     return { head, body, route, service, arrivedAt, deadlineAt, signal, reply };
   }
 
-  async #serve(call: serving.ServedCall): Promise<void> {
+  async #serveCall(call: serving.ServedCall): Promise<void> {
     const isModelCall = call.service.engine !== undefined && call.head.prompt !== undefined;
     await (isModelCall ? this.#options.models : this.#options.plain).serve(call);
   }
@@ -163,7 +163,7 @@
     if (signal.aborted) {
       metrics.count("calls", { outcome: "cancelled" });
       log.write(logEvents.LOG_EVENTS.requestCancelled, fields);
-      reply.abort();
+      reply.cancel();
       return;
     }
     metrics.count("calls", { outcome: failure.ran === resultCodes.RAN.no ? "refused" : "failed" });
@@ -173,7 +173,7 @@
     if (isUnexpected) log.write(unexpectedError, { ...fields, error: String(error) });
     else log.write(isRefusal ? requestRefused : requestFailed, fields);
     if (reply.started) {
-      reply.abort();
+      reply.cancel();
       return;
     }
     const answer = wire.formatRefusal(head?.id, failure);
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -83,13 +83,13 @@
     const held = this.#held.get(key);
     if (held === undefined) return;
     held.decodeStartedAt = this.#options.clock.now();
-    this.#tell(held.service, { key, prefillMs });
+    this.#pushProgress(held.service, { key, prefillMs });
   }
 
   /** Notes that a runner of the place could not be reached or fell silent. */
   recordFailedRunner(key: string, failedRunner: string): void {
     const held = this.#held.get(key);
-    if (held !== undefined) this.#tell(held.service, { key, failedRunner });
+    if (held !== undefined) this.#pushProgress(held.service, { key, failedRunner });
   }
 
   /** Gives a place back. */
@@ -97,7 +97,7 @@
     const held = this.#held.get(key);
     if (held === undefined) return;
     this.#held.delete(key);
-    this.#tell(held.service, { key, ended: true, outputTokens, decodeMs });
+    this.#pushProgress(held.service, { key, ended: true, outputTokens, decodeMs });
   }
 
   /** Returns the schedulers of those of the services that this VM schedules. */
@@ -182,7 +182,7 @@
     return scheduler;
   }
 
-  #tell(service: string, progress: types.PlaceProgress): void {
+  #pushProgress(service: string, progress: types.PlaceProgress): void {
     this.#schedulers.get(service)?.recordProgress(progress);
     if (this.#isOwn(this.#findScheduler(service))) return;
     const untold = this.#untold.get(service) ?? [];
--- a/src/placement/pool-scheduler.ts
+++ b/src/placement/pool-scheduler.ts
@@ -132,7 +132,7 @@
   }
 
   /** Notes that a runner refused its order. */
-  clearSwitching(runnerId: string): void {
+  removeSwitching(runnerId: string): void {
     this.#switching.delete(runnerId);
   }
 
@@ -173,8 +173,8 @@
   recordProgress(progress: types.PlaceProgress): void {
     const { key, prefillMs, failedRunner, ended, outputTokens, decodeMs } = progress;
     if (failedRunner !== undefined) this.#absences.recordFailure(failedRunner);
-    if (prefillMs !== undefined || ended === true) this.#endPrefill(key, prefillMs);
-    if (ended === true) this.#endDecode(key, outputTokens, decodeMs);
+    if (prefillMs !== undefined || ended === true) this.#releasePrefill(key, prefillMs);
+    if (ended === true) this.#releaseDecode(key, outputTokens, decodeMs);
     this.update();
   }
 
@@ -261,7 +261,7 @@
     };
     const decode = this.#chooseDecode(usable, run, getMemoryShare(waiting, late));
     if (decode === undefined) return undefined;
-    this.#logPlace(waiting, decode, run, late);
+    this.#recordPlace(waiting, decode, run, late);
     this.#useDecode(decode).add(request.key, run);
     if (prefill === undefined) return { prefillRunner: undefined, decodeRunner: decode };
     const now = this.#options.clock.now();
@@ -269,7 +269,7 @@
     return { prefillRunner: prefill, decodeRunner: decode };
   }
 
-  #logPlace(
+  #recordPlace(
     waiting: Waiting,
     decode: string,
     run: memoryForecast.ForecastRun,
@@ -371,13 +371,13 @@
     return readMs + HANDOVER_MS;
   }
 
-  #endPrefill(key: string, prefillMs: number | undefined): void {
+  #releasePrefill(key: string, prefillMs: number | undefined): void {
     for (const load of this.#prefill.values()) {
       if (load.remove(key, prefillMs)) return;
     }
   }
 
-  #endDecode(key: string, outputTokens = 0, decodeMs = 0): void {
+  #releaseDecode(key: string, outputTokens = 0, decodeMs = 0): void {
     for (const load of this.#decode.values()) {
       if (!load.remove(key, this.#options.clock.now())) continue;
       load.recordSpeed(outputTokens, decodeMs);
--- a/src/placement/stage-orders.ts
+++ b/src/placement/stage-orders.ts
@@ -78,7 +78,7 @@
       lastWall = clock.wallTime();
       if (gapMs > LONGEST_PASS_GAP_MS || !this.#options.isInTouch()) this.#since.clear();
       else
-        await this.#pass().catch((error: unknown) => {
+        await this.#runPass().catch((error: unknown) => {
           log.write(logEvents.LOG_EVENTS.unexpectedError, { error: String(error) });
         });
     }
@@ -89,7 +89,7 @@
     return Promise.resolve();
   }
 
-  async #pass(): Promise<void> {
+  async #runPass(): Promise<void> {
     const { clock, listSchedulers, leaseMs } = this.#options;
     const schedulers = listSchedulers();
     for (const service of [...this.#since.keys()]) {
@@ -119,10 +119,10 @@
     const runner = scheduler.chooseLeastLoaded(candidates);
     if (runner === undefined) return;
     this.#settledAt.set(service, this.#options.clock.now() + engine.stageSwitchMs + SETTLE_MS);
-    await this.#order(runner, stage, scheduler, { ...split, ...costs });
+    await this.#sendOrder(runner, stage, scheduler, { ...split, ...costs });
   }
 
-  async #order(
+  async #sendOrder(
     runner: runners.Runner,
     stage: runners.Stage,
     scheduler: poolScheduler.PoolScheduler,
@@ -147,7 +147,7 @@
     log.write(logEvents.LOG_EVENTS.orderSent, fields);
     if (status === HTTP_PRECONDITION_FAILED) this.#refusedToken = fencingToken;
     const isRefused = status !== HTTP_OK && status !== HTTP_ACCEPTED && status !== undefined;
-    if (isRefused) scheduler.clearSwitching(runner.id);
+    if (isRefused) scheduler.removeSwitching(runner.id);
   }
 
   async #readReport(runner: runners.Runner): Promise<gateway.EngineReport | undefined> {
--- a/src/registry/registry-exchange.ts
+++ b/src/registry/registry-exchange.ts
@@ -47,18 +47,13 @@
   constructor(options: ExchangeOptions<Value>) {
     this.#options = options;
     const { name, callKind, view, network: peers, membership: fleet } = options;
-    this.#call = network.createPeerCall(
-      callKind,
-      `pull-${name}`,
-      zod.object({}),
-      snapshotSchema as unknown as zod.ZodType<types.RegistrySnapshot<unknown>>,
-    );
+    this.#call = network.createPeerCall(callKind, `pull-${name}`, zod.object({}), snapshotSchema);
     peers.onCall(this.#call, () => ({ revision: view.revision, items: [...view.list()] }));
     fleet.onGossip(name, {
       create: () => view.newestRevision,
       onReceive: (payload, from) => {
         const revision = revisionSchema.parse(payload);
-        if (revision > view.newestRevision) void this.#pullLater(from.vm, revision);
+        if (revision > view.newestRevision) void this.#schedulePull(from.vm, revision);
       },
     });
   }
@@ -80,7 +75,7 @@
     }
   }
 
-  async #pullLater(vm: string, revision: number): Promise<void> {
+  async #schedulePull(vm: string, revision: number): Promise<void> {
     if (this.#pulling) return;
     this.#pulling = true;
     await new Promise<void>((resolve) => {
--- a/src/registry/registry-reader.ts
+++ b/src/registry/registry-reader.ts
@@ -42,15 +42,14 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       try {
-        await this.#step(signal);
+        await this.#runStep(signal);
       } catch (error) {
-        if (signal.aborted) return;
         await this.#handleFailure(error, signal);
       }
     }
   }
 
-  async #step(signal: AbortSignal): Promise<void> {
+  async #runStep(signal: AbortSignal): Promise<void> {
     const { source, view, clock, metrics, name } = this.#options;
     metrics.count("platform_calls", { kind: name });
     if (this.#mustReadAll) {
@@ -85,6 +84,7 @@
 
   async #handleFailure(error: unknown, signal: AbortSignal): Promise<void> {
     const { clock, random: source, log, name, view } = this.#options;
+    if (signal.aborted) return;
     this.#failures += 1;
     // A long outage may have lost changes that the history no longer holds; reading all is as cheap.
     this.#mustReadAll = true;
--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -74,7 +74,7 @@
     const { signal } = this.#controller;
     for (const reader of this.#readers) void reader.run(signal);
     void this.#runExpiry(signal);
-    void this.#askPeers(signal);
+    void this.#readFromPeers(signal);
   }
 
   [Symbol.asyncDispose](): Promise<void> {
@@ -102,13 +102,13 @@
   }
 
   /** Takes what a starting VM lacks from its peers, for the platform may be away. */
-  async #askPeers(signal: AbortSignal): Promise<void> {
+  async #readFromPeers(signal: AbortSignal): Promise<void> {
     const clock = this.#kernel.use("clock");
     const fleet = this.#kernel.use("membership");
     while (!signal.aborted && !this.ready) {
       await clocks.sleep(clock, ASK_PEERS_PERIOD_MS, signal).catch(() => undefined);
       const peer = fleet.listAlive().find((member) => member.vm !== fleet.self.vm);
-      if (this.ready || peer === undefined) continue;
+      if (peer === undefined) continue;
       await Promise.all(this.#exchanges.map((exchange) => exchange.pull(peer.vm)));
     }
   }
--- a/src/registry/registry-view.ts
+++ b/src/registry/registry-view.ts
@@ -85,7 +85,7 @@
     this.#lapsing.delete(item.key);
     if (!this.#isNews(item.key, item.revision)) return;
     this.#items.set(item.key, item);
-    this.#tell(item.key, item.value);
+    this.#runListeners(item.key, item.value);
   }
 
   #removeOrLapse(key: string): void {
@@ -95,10 +95,10 @@
 
   #remove(key: string): void {
     this.#lapsing.delete(key);
-    if (this.#items.delete(key)) this.#tell(key, undefined);
+    if (this.#items.delete(key)) this.#runListeners(key, undefined);
   }
 
-  #tell(key: string, value: Value | undefined): void {
+  #runListeners(key: string, value: Value | undefined): void {
     for (const listener of this.#listeners) listener(key, value);
   }
 }
--- a/src/runners/runner-agent.ts
+++ b/src/runners/runner-agent.ts
@@ -1,6 +1,6 @@
 /** Kept connections to runners: one request at a time on each, none reused after anything odd. */
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import type * as stream from "node:stream";
 
 /** Longest idle time of a kept connection; some runners close theirs after few seconds. */
@@ -10,6 +10,13 @@
 const MS_PER_S = 1_000;
 const KEEP_ALIVE_TIMEOUT = /\btimeout=(\d+)/;
 
+/** A connection with the message that the HTTP library last had on it. */
+type RunnerSocket = net.Socket & { readonly _httpMessage?: ConnectionMessage };
+
+function isTcpSocket(socket: unknown): socket is RunnerSocket {
+  return socket instanceof net.Socket;
+}
+
 interface ConnectionMessage {
   readonly res?: { readonly headers: http.IncomingHttpHeaders };
 }
@@ -33,7 +40,9 @@
   }
 
   override keepSocketAlive(socket: stream.Duplex): boolean {
-    const connection = socket as net.Socket & { _httpMessage?: ConnectionMessage };
+    // The agent only makes TCP connections; its types name their common base.
+    const connection: unknown = socket;
+    if (!isTcpSocket(connection)) return false;
     const header = connection._httpMessage?.res?.headers["keep-alive"];
     const idleMs = computeIdleLimit(Array.isArray(header) ? header[0] : header);
     if (idleMs <= 0) return false;
@@ -44,9 +53,11 @@
   }
 
   override reuseSocket(socket: stream.Duplex, request: http.ClientRequest): void {
-    const connection = socket as net.Socket;
-    connection.off("data", onStrayBytes);
-    connection.setTimeout(0);
+    const connection: unknown = socket;
+    if (isTcpSocket(connection)) {
+      connection.off("data", onStrayBytes);
+      connection.setTimeout(0);
+    }
     super.reuseSocket(socket, request);
   }
 }
--- a/src/runners/runner-calls.ts
+++ b/src/runners/runner-calls.ts
@@ -66,12 +66,12 @@
       signal: call.signal,
     };
     const response = await httpCall.sendCall(this.#clock, sent);
-    breakOffWithSocket(response);
+    watchForReset(response);
     const answer = this.#wire.parseAnswer(response);
     const isForeign = answer.callId !== undefined && answer.callId !== head.id;
     if (!isForeign) return { head: answer, response };
     response.destroy();
-    const reason = new Error(`answer to another request (${answer.callId ?? ""})`);
+    const reason = new Error(`answer to another request (${answer.callId})`);
     throw httpCall.createUpstreamError(upstream.UPSTREAM_FAILURE.broken, sent, reason);
   }
 
@@ -126,7 +126,7 @@
  * reset that follows right after data as a plain end (libuv's short cut on POLLHUP); a connection that
  * was reset has no peer any more, one that was closed still has.
  */
-function breakOffWithSocket(response: http.IncomingMessage): void {
+function watchForReset(response: http.IncomingMessage): void {
   const { headers, socket } = response;
   const isFramed =
     headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
--- a/src/serving/caller-reply.ts
+++ b/src/serving/caller-reply.ts
@@ -36,12 +36,12 @@
     await events.default.once(this.#response, "drain", { signal });
   }
 
-  end(): void {
+  close(): void {
     this.#response.end();
   }
 
   /** Breaks the connection, so that nobody takes what was sent for a whole answer. */
-  abort(): void {
+  cancel(): void {
     this.#response.destroy();
   }
 }
--- a/src/serving/engine-run.ts
+++ b/src/serving/engine-run.ts
@@ -129,7 +129,7 @@
         const reason = `runner answered ${sent.head.status}, not run`;
         return { kind: "notRun", reason, excluded: undefined };
       }
-      return await this.#passAnswer(call, progress, sent, outcome);
+      return await this.#sendAnswer(call, progress, sent, outcome);
     } catch (error) {
       this.#recordFailure(call, place, runner, error);
       const reason = `decode: ${String(error)}`;
@@ -137,7 +137,7 @@
     }
   }
 
-  async #passAnswer(
+  async #sendAnswer(
     call: types.ServedCall,
     progress: modelProgress.ModelProgress,
     sent: runnerCalls.RunnerAnswer,
@@ -145,7 +145,7 @@
   ): Promise<modelProgress.RunResult> {
     const { head, response } = sent;
     if (answers.isSuccess(head.status) && head.signed) {
-      await this.#passStream(call, progress, sent, outcome);
+      await this.#sendStream(call, progress, sent, outcome);
       return { kind: "done" };
     }
     const body = await responseReader.readBody(this.#options.clock, response, WHOLE_BODY);
@@ -156,7 +156,7 @@
     return { kind: "done" };
   }
 
-  async #passStream(
+  async #sendStream(
     call: types.ServedCall,
     progress: modelProgress.ModelProgress,
     sent: runnerCalls.RunnerAnswer,
@@ -177,7 +177,7 @@
     }
     if (!progress.started) call.reply.start(sent.head.status, sent.head.headers);
     if (splitter.rest.byteLength > 0) await call.reply.write(splitter.rest, call.signal);
-    call.reply.end();
+    call.reply.close();
   }
 
   #readChunks(call: types.ServedCall, response: http.IncomingMessage): AsyncGenerator<Buffer> {
--- a/src/serving/model-serving.ts
+++ b/src/serving/model-serving.ts
@@ -56,20 +56,20 @@
     this.#options.budgets.recordCall(call.service.name);
     const progress = new modelProgress.ModelProgress(call);
     try {
-      await this.#serve(call, progress);
+      await this.#runToEnd(call, progress);
     } finally {
       if (progress.prefilled !== undefined) this.#engineRuns.releasePrompt(progress.prefilled);
     }
   }
 
-  async #serve(call: types.ServedCall, progress: modelProgress.ModelProgress): Promise<void> {
+  async #runToEnd(call: types.ServedCall, progress: modelProgress.ModelProgress): Promise<void> {
     for (let places = 1; places <= MAX_PLACES; places += 1) {
       const result = await this.#runOnce(call, progress);
       call.signal.throwIfAborted();
       if (result.kind === "done") return;
       progress.recordFailure(result);
-      if (!this.#mayGoOn(call, progress)) break;
-      this.#logRepeat(call, progress, result);
+      if (!this.#canGoOn(call, progress)) break;
+      this.#recordRepeat(call, progress, result);
     }
     throw progress.createError();
   }
@@ -142,12 +142,12 @@
     return prefilled.expiresAt - now > FETCH_MARGIN_MS ? prefilled.runner.id : undefined;
   }
 
-  #mayGoOn(call: types.ServedCall, progress: modelProgress.ModelProgress): boolean {
+  #canGoOn(call: types.ServedCall, progress: modelProgress.ModelProgress): boolean {
     const hasTime = this.#options.clock.now() < call.deadlineAt;
     return progress.repeatable && hasTime && this.#options.budgets.reserve(call.service.name);
   }
 
-  #logRepeat(
+  #recordRepeat(
     call: types.ServedCall,
     progress: modelProgress.ModelProgress,
     result: modelProgress.RunResult,
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -66,17 +66,17 @@
     let last: TryResult | undefined;
     let best: TryResult | undefined;
     for (let attempt = 1; attempt <= call.route.maxAttempts; attempt += 1) {
-      if (last !== undefined && !this.#mayRepeat(call, last)) break;
+      if (last !== undefined && !this.#canRepeat(call, last)) break;
       const record = this.#chooseRunner(call, tried);
       if (record === undefined) break;
       tried.add(record.runner.id);
-      if (last !== undefined) this.#logRepeat(call, record, last);
-      last = await this.#tryRunner(call, record);
+      if (last !== undefined) this.#recordRepeat(call, record, last);
+      last = await this.#callRunner(call, record);
       call.signal.throwIfAborted();
       best = chooseBetter(best, last);
       if (isFinal(call, last)) break;
     }
-    this.#finish(call, best);
+    this.#sendResult(call, best);
   }
 
   #chooseRunner(
@@ -88,13 +88,13 @@
   }
 
   /** Whether another runner may get the call; takes a repeat out of the budget. */
-  #mayRepeat(call: types.ServedCall, last: TryResult): boolean {
+  #canRepeat(call: types.ServedCall, last: TryResult): boolean {
     const isRepeatable = last.kind === "notRun" || call.route.kind === routing.CALL_KIND.safe;
     const hasTime = call.deadlineAt - this.#options.clock.now() > SHORTEST_CALL_MS;
     return isRepeatable && hasTime && this.#options.budgets.reserve(call.service.name);
   }
 
-  async #tryRunner(call: types.ServedCall, record: runnerRecord.RunnerRecord): Promise<TryResult> {
+  async #callRunner(call: types.ServedCall, record: runnerRecord.RunnerRecord): Promise<TryResult> {
     const { clock, calls } = this.#options;
     const leftMs = call.deadlineAt - clock.now();
     if (leftMs < SHORTEST_CALL_MS) return { kind: "notRun", reason: "no time left" };
@@ -153,7 +153,7 @@
     return { kind: isUnsent ? "notRun" : "unknown", reason: String(error) };
   }
 
-  #logRepeat(call: types.ServedCall, record: runnerRecord.RunnerRecord, last: TryResult): void {
+  #recordRepeat(call: types.ServedCall, record: runnerRecord.RunnerRecord, last: TryResult): void {
     this.#options.metrics.count("repeats", { service: call.service.name });
     this.#options.log.write(logEvents.LOG_EVENTS.requestRetried, {
       request: call.head.id,
@@ -162,7 +162,7 @@
     });
   }
 
-  #finish(call: types.ServedCall, result: TryResult | undefined): void {
+  #sendResult(call: types.ServedCall, result: TryResult | undefined): void {
     if (result === undefined) throw answers.createRefusal(ABSENT_RETRY_MS, "no runner is listed");
     if (result.kind === "notRun") throw answers.createRefusal(FULL_RETRY_MS, result.reason);
     if (result.kind === "answered") {
--- /dev/null
+++ b/standins/users-platform/engine.ts
@@ -0,0 +1,125 @@
+/** A stand-in of the platform's model runners: prompts read apart, handles taken once, streams resumed. */
+import * as events from "node:events";
+import * as http from "node:http";
+import type * as net from "node:net";
+
+/** Handles of all engines of a test, by address and handle. */
+export type HandleTable = Map<string, string>;
+
+/** How an engine behaves. */
+export interface EngineBehaviour {
+  /** Events of a whole answer. */
+  readonly eventCount?: number;
+  readonly eventPauseMs?: number;
+  /** Breaks the first stream off in the middle of the event after this many. */
+  readonly breakAfter?: number;
+  /** Refuses this many decode requests as not run. */
+  readonly refusals?: number;
+}
+
+const SHORTEST_PAUSE_MS = 1;
+
+/** One engine on loopback. */
+export class EngineStandIn implements AsyncDisposable {
+  /** Ids of requests that ran here, in order. */
+  readonly ran: string[] = [];
+  /** Ids of requests whose connection closed before their end. */
+  readonly cancelled: string[] = [];
+  prefills = 0;
+  readonly #handles: HandleTable;
+  readonly #behaviour: EngineBehaviour;
+  readonly #server = http.createServer((request, response) => {
+    request.resume();
+    request.once("end", () => {
+      void this.#handle(request, response);
+    });
+  });
+  #breaks = 0;
+  #refused = 0;
+  readonly #stage: string;
+
+  constructor(stage: string, handles: HandleTable, behaviour: EngineBehaviour = {}) {
+    this.#stage = stage;
+    this.#handles = handles;
+    this.#behaviour = behaviour;
+  }
+
+  get address(): string {
+    const { address, port } = this.#server.address() as net.AddressInfo;
+    return `${address}:${port}`;
+  }
+
+  async start(): Promise<void> {
+    this.#server.listen(0, "127.0.0.1");
+    await events.default.once(this.#server, "listening");
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#server.closeAllConnections();
+    this.#server.close();
+    await events.default.once(this.#server, "close");
+  }
+
+  async #handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const id = String(request.headers["request-id"]);
+    if (request.url === "/-/report") {
+      const report = { stage: this.#stage, kv_total: 72_680, runs: [] };
+      response.end(JSON.stringify(report));
+    } else if (request.method === "DELETE") {
+      this.#handles.delete(`${this.address}/${request.url?.split("/").at(-1) ?? ""}`);
+      response.end();
+    } else if (request.headers["serving-stage"] === "prefill") this.#prefill(id, response);
+    else await this.#decode(id, request, response);
+  }
+
+  #prefill(id: string, response: http.ServerResponse): void {
+    this.prefills += 1;
+    const handle = `h${this.prefills}`;
+    this.#handles.set(`${this.address}/${handle}`, id);
+    response.setHeader("request-id", id);
+    response.end(JSON.stringify({ kv_handle: handle, tokens: 100, version: 1 }));
+  }
+
+  async #decode(
+    id: string,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const source = request.headers["kv-source"];
+    const { refusals = 0, eventCount = 5, breakAfter } = this.#behaviour;
+    const isGone = typeof source === "string" && this.#handles.get(source) !== id;
+    if (isGone || this.#refused < refusals) {
+      this.#refused += 1;
+      response.writeHead(503, { "not-executed": "1", "request-id": id }).end();
+      return;
+    }
+    this.#handles.delete(String(source));
+    this.ran.push(id);
+    response.once("close", () => {
+      if (!response.writableFinished) this.cancelled.push(id);
+    });
+    response.writeHead(200, {
+      "content-type": "text/event-stream",
+      "request-id": id,
+      "response-stamp": `stamp-${this.address}`,
+    });
+    const first = Number(request.headers["last-event-id"] ?? -1) + 1;
+    for (let event = first; event < eventCount; event += 1) {
+      if (event === breakAfter && this.#breaks === 0) {
+        this.#breaks += 1;
+        response.write(`id: ${event}\ndata: half`);
+        setTimeout(() => response.destroy(), SHORTEST_PAUSE_MS);
+        return;
+      }
+      response.write(`id: ${event}\ndata: piece ${event}\n\n`);
+      await this.#pause();
+    }
+    response.end();
+  }
+
+  async #pause(): Promise<void> {
+    await new Promise((resolve) => {
+      setTimeout(resolve, this.#behaviour.eventPauseMs ?? SHORTEST_PAUSE_MS);
+    });
+  }
+}
--- /dev/null
+++ b/standins/users-platform/examples.ts
@@ -0,0 +1,109 @@
+/** Messages as the users' platform sends them. */
+
+/** Ports of one machine of the stand-in; every machine has its own loopback address. */
+export const PORTS = { front: 8144, ready: 8140, control: 8146, directory: 8143 } as const;
+
+/** What differs between two settings files. */
+export interface SettingsChanges {
+  readonly node?: string;
+  readonly zone?: string;
+  readonly seeds?: readonly string[];
+  readonly platform?: string;
+}
+
+/** Returns the settings file of a machine. */
+export function createSettingsText(ip: string, changes: SettingsChanges = {}): string {
+  const { node = "front-1", zone = "a", seeds = [], platform = "127.0.0.1:1" } = changes;
+  return `node: "${node}"
+role: "gateway"
+ip: "${ip}"
+zone: "${zone}"
+region: "r"
+zones: { a: "r", b: "r" }
+listen:
+  front: "${ip}:${PORTS.front}"
+  ready: "${ip}:${PORTS.ready}"
+  control: "${ip}:${PORTS.control}"
+  directory: "${ip}:${PORTS.directory}"
+seeds: ${JSON.stringify(seeds)}
+bounds:
+  drain_ms: 2000
+  grace_s: 8
+  retry_budget_ratio: 0.2
+  budget_slack: 54
+  budget_window_s: 10
+  ttl_max_s: 5
+platform: { address: "${platform}", form: "read" }
+`;
+}
+
+/** Returns an operator's configuration with a model route, a plain safe and a plain unsafe one. */
+export function createConfiguration(version: number): Record<string, unknown> {
+  const route = { host: "api.example", timeout_ms: 3000, target_latency_ms: 900, priority: 1 };
+  return {
+    version,
+    routes: [
+      {
+        ...route,
+        name: "notes",
+        path_prefix: "/notes/",
+        kind: "streaming",
+        service: "model",
+        max_attempts: 2,
+        sticky: true,
+        resumable: true,
+        gap_aim_ms: 300,
+      },
+      {
+        ...route,
+        name: "status",
+        path_prefix: "/status/",
+        kind: "safe",
+        service: "plain",
+        max_attempts: 2,
+      },
+      {
+        ...route,
+        name: "book",
+        path_prefix: "/book/",
+        kind: "unsafe",
+        service: "plain",
+        max_attempts: 1,
+      },
+    ],
+    services: [
+      {
+        name: "model",
+        health_path: "/health",
+        max_connections: 100,
+        engine: { slots: 16, kv_capacity: 72680, stride: 61, handle_ttl_s: 0.5, switch_s: 6 },
+      },
+      { name: "plain", health_path: "/health", max_connections: 100 },
+    ],
+    limits: {
+      max_header_bytes: 16384,
+      max_body_bytes: 1000,
+      header_timeout_ms: 3000,
+      idle_timeout_ms: 15000,
+    },
+  };
+}
+
+/** Returns a runner's entry. */
+export function createRunnerEntry(
+  address: string,
+  changes: Readonly<Record<string, unknown>> = {},
+): Record<string, unknown> {
+  return {
+    service: "plain",
+    address,
+    zone: "a",
+    version: "v1",
+    slots: 6,
+    state: "ready",
+    cold_remaining_ms: 0,
+    sequence: 4,
+    born: 1,
+    ...changes,
+  };
+}
--- /dev/null
+++ b/standins/users-platform/store.ts
@@ -0,0 +1,121 @@
+/** A stand-in of the platform's store: ranges, watches, outages and a history that can be dropped. */
+import * as events from "node:events";
+import * as http from "node:http";
+import type * as net from "node:net";
+
+const LONGEST_WAIT_MS = 30_000;
+
+interface Item {
+  readonly key: string;
+  readonly value: string;
+  readonly revision: number;
+}
+
+interface Change extends Partial<Item> {
+  readonly key: string;
+  readonly revision: number;
+  readonly removed?: true;
+}
+
+/** How the store answers. */
+export const STORE_MODE = { sound: "sound", busy: "busy", silent: "silent" } as const;
+
+/** One of the values of `STORE_MODE`. */
+export type StoreMode = (typeof STORE_MODE)[keyof typeof STORE_MODE];
+
+/** A store that listens on loopback. */
+export class StoreStandIn implements AsyncDisposable {
+  mode: StoreMode = STORE_MODE.sound;
+  /** Calls that arrived. */
+  calls = 0;
+  readonly #items = new Map<string, Item>();
+  readonly #changed = new events.EventEmitter();
+  readonly #server = http.createServer((request, response) => {
+    void this.#handle(request, response);
+  });
+  #history: Change[] = [];
+  #forgottenTo = 0;
+  #revision = 1;
+
+  constructor() {
+    this.#changed.setMaxListeners(0);
+  }
+
+  get address(): string {
+    const { address, port } = this.#server.address() as net.AddressInfo;
+    return `${address}:${port}`;
+  }
+
+  async start(): Promise<void> {
+    this.#server.listen(0, "127.0.0.1");
+    await events.default.once(this.#server, "listening");
+  }
+
+  /** Writes a value, JSON unless it is bytes. */
+  set(key: string, value: unknown): void {
+    const bytes = Buffer.isBuffer(value) ? value : Buffer.from(JSON.stringify(value));
+    this.#revision += 1;
+    const item = { key, value: bytes.toString("base64"), revision: this.#revision };
+    this.#items.set(key, item);
+    this.#add(item);
+  }
+
+  remove(key: string): void {
+    this.#revision += 1;
+    this.#items.delete(key);
+    this.#add({ key, revision: this.#revision, removed: true });
+  }
+
+  /** Forgets the history so far: watches from before it are told so. */
+  compact(): void {
+    this.#history = [];
+    this.#forgottenTo = this.#revision;
+    this.#changed.emit("change");
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#server.closeAllConnections();
+    this.#server.close();
+    await events.default.once(this.#server, "close");
+  }
+
+  #add(change: Change): void {
+    this.#history.push(change);
+    this.#changed.emit("change");
+  }
+
+  async #handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    this.calls += 1;
+    if (this.mode === STORE_MODE.silent) return;
+    if (this.mode === STORE_MODE.busy) {
+      response.writeHead(503).end();
+      return;
+    }
+    const url = new URL(request.url ?? "/", "http://store.invalid");
+    const prefix = url.searchParams.get("path_prefix") ?? "";
+    const isWatch = url.pathname === "/-/kv-watch";
+    const answer = isWatch ? await this.#watch(url, prefix) : this.#createRange(prefix);
+    if (answer === undefined) response.writeHead(410).end();
+    else
+      response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(answer));
+  }
+
+  #createRange(prefix: string): unknown {
+    const items = [...this.#items.values()].filter((item) => item.key.startsWith(prefix));
+    return { items, truncated: false, as_of: this.#revision };
+  }
+
+  async #watch(url: URL, prefix: string): Promise<unknown> {
+    const after = Number(url.searchParams.get("after"));
+    const waitMs = Math.min(LONGEST_WAIT_MS, Number(url.searchParams.get("wait_ms")));
+    const signal = AbortSignal.timeout(waitMs);
+    while (after >= this.#forgottenTo) {
+      const found = this.#history.filter(
+        (change) => change.revision > after && change.key.startsWith(prefix),
+      );
+      if (found.length > 0 || signal.aborted) return { events: found, as_of: this.#revision };
+      await events.default.once(this.#changed, "change", { signal }).catch(() => undefined);
+    }
+    return undefined;
+  }
+}
--- a/test/docs/naming.ts
+++ b/test/docs/naming.ts
@@ -29,8 +29,14 @@
   return found;
 }
 
-/** Methods that the language's iterator protocol names. */
-const PROTOCOL_METHODS: ReadonlySet<string> = new Set(["next", "return", "throw"]);
+/** Methods that the language's iterator protocol and the HTTP library's agent name. */
+const PROTOCOL_METHODS: ReadonlySet<string> = new Set([
+  "next",
+  "return",
+  "throw",
+  "keepSocketAlive",
+  "reuseSocket",
+]);
 
 /** Returns whether a name begins with one of the verbs, as a whole word. */
 export function hasVerb(name: string, verbs: ReadonlySet<string>): boolean {
--- /dev/null
+++ b/test/gateway/gateway-fixture.ts
@@ -0,0 +1,159 @@
+/** Whole gateways in one process, each on a loopback address of its own, before a stand-in platform. */
+import * as wreck from "@hapi/wreck";
+import * as callerWire from "../../platform/caller-wire.js";
+import * as configurationFormat from "../../platform/configuration-format.js";
+import * as runnerFormat from "../../platform/runner-format.js";
+import * as runnerWire from "../../platform/runner-wire.js";
+import * as settingsFile from "../../platform/settings-file.js";
+import * as storeClient from "../../platform/store-client.js";
+import * as gatewayNode from "../../src/gateway/gateway-node.js";
+import type * as gateway from "../../src/gateway/types.js";
+import * as clocks from "../../src/kernel/clock.js";
+import * as examples from "../../standins/users-platform/examples.js";
+import * as engines from "../../standins/users-platform/engine.js";
+import * as store from "../../standins/users-platform/store.js";
+
+export const clock = clocks.createSystemClock();
+const OPTIONS = {
+  fleetKeys: ["a-key-of-the-test-fleet"],
+  logLevel: "error",
+  metricsPort: undefined,
+} as const;
+
+/** A gateway and where it listens. */
+export interface TestGateway extends AsyncDisposable {
+  readonly ip: string;
+  readonly running: gatewayNode.RunningGateway;
+}
+
+/** Starts a gateway on `127.<net>.0.<number>`; the first of a net is the seed. */
+export async function startGateway(
+  platform: store.StoreStandIn,
+  net: number,
+  number: number,
+): Promise<TestGateway> {
+  const ip = `127.${net}.0.${number}`;
+  const text = examples.createSettingsText(ip, {
+    node: `front-${number}`,
+    seeds: [`127.${net}.0.1:${examples.PORTS.control}`],
+    platform: platform.address,
+  });
+  const settings = settingsFile.parseSettings(text);
+  const kernel = gatewayNode.createGatewayKernel(createAdapter(settings), OPTIONS);
+  const running = await gatewayNode.startGateway(kernel, OPTIONS);
+  return { ip, running, [Symbol.asyncDispose]: () => running[Symbol.asyncDispose]() };
+}
+
+function createAdapter(settings: gateway.GatewaySettings): gateway.PlatformAdapter {
+  const { platformAddress } = settings;
+  const { parseConfiguration } = configurationFormat;
+  const { parseRunner } = runnerFormat;
+  return {
+    settings,
+    callers: callerWire.CALLER_WIRE,
+    runnerWire: runnerWire.RUNNER_WIRE,
+    configurationSource: new storeClient.StoreSource(
+      clock,
+      platformAddress,
+      "op/",
+      parseConfiguration,
+    ),
+    runnerSource: new storeClient.StoreSource(clock, platformAddress, "servers/", parseRunner),
+  };
+}
+
+/** A platform with a configuration, two prefill and two decode engines. */
+export interface TestPlatform extends AsyncDisposable {
+  readonly platform: store.StoreStandIn;
+  readonly prefill: engines.EngineStandIn;
+  readonly decode: readonly engines.EngineStandIn[];
+}
+
+/** Starts a platform; the behaviours are those of the decode engines. */
+export async function startPlatform(
+  ...behaviours: readonly engines.EngineBehaviour[]
+): Promise<TestPlatform> {
+  const platform = new store.StoreStandIn();
+  await platform.start();
+  platform.set("op/config", examples.createConfiguration(7));
+  const handles: engines.HandleTable = new Map();
+  const prefill = new engines.EngineStandIn("prefill", handles);
+  const decode = behaviours.map((one) => new engines.EngineStandIn("decode", handles, one));
+  for (const [index, engine] of [prefill, ...decode].entries()) {
+    await engine.start();
+    const stage = index === 0 ? "prefill" : "decode";
+    const changes = { service: "model", stage, slots: 16 };
+    platform.set(`servers/e${index}`, examples.createRunnerEntry(engine.address, changes));
+  }
+  return {
+    platform,
+    prefill,
+    decode,
+    [Symbol.asyncDispose]: async () => {
+      for (const engine of [prefill, ...decode]) await engine[Symbol.asyncDispose]();
+      await platform[Symbol.asyncDispose]();
+    },
+  };
+}
+
+/** An answer that a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, unknown>>;
+  readonly body: string;
+}
+
+/** Sends a request as a caller does. */
+export async function send(
+  ip: string,
+  path: string,
+  headers: Readonly<Record<string, string>> = {},
+  signal?: AbortSignal,
+): Promise<CallerAnswer> {
+  const request = wreck.default.request("POST", `http://${ip}:${examples.PORTS.front}${path}`, {
+    headers: { host: "api.example", "request-id": "r1", "deadline-ms": "3000", ...headers },
+    payload: "body",
+    agent: false,
+  });
+  signal?.addEventListener("abort", () => request.req.destroy());
+  const response = await request;
+  const body = await wreck.default.read(response);
+  const status = response.statusCode ?? 0;
+  return { status, headers: response.headers, body: String(body) };
+}
+
+/** Headers of a model request. */
+export const PROMPT = {
+  model: "m",
+  "token-count": "100,800",
+  "prompt-prefix": "aa:50,bb:50",
+} as const;
+
+/** Reads a small page of a machine. */
+export async function read(ip: string, port: number, path: string): Promise<CallerAnswer> {
+  const response = await wreck.default.request("GET", `http://${ip}:${port}${path}`, {
+    agent: false,
+  });
+  const body = await wreck.default.read(response);
+  return { status: response.statusCode ?? 0, headers: response.headers, body: String(body) };
+}
+
+/** Waits until a condition holds; fails after five seconds. */
+export async function waitFor(
+  what: string,
+  holds: () => Promise<boolean> | boolean,
+): Promise<void> {
+  const limitAt = clock.now() + 5_000;
+  while (!(await holds())) {
+    if (clock.now() > limitAt) throw new Error(`not within 5 s: ${what}`);
+    await clocks.sleep(clock, 20);
+  }
+}
+
+/** Waits until a gateway says that it is ready. */
+export async function waitForReady(ip: string): Promise<void> {
+  await waitFor(`${ip} is ready`, async () => {
+    const answer = await read(ip, examples.PORTS.ready, "/-/ready").catch(() => undefined);
+    return answer?.status === 200;
+  });
+}
--- /dev/null
+++ b/test/gateway/gateway.test.ts
@@ -0,0 +1,155 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as raw from "../runners/raw-runner.js";
+import * as examples from "../../standins/users-platform/examples.js";
+import * as store from "../../standins/users-platform/store.js";
+import * as fixture from "./gateway-fixture.js";
+
+const WHOLE = [0, 1, 2, 3, 4].map((id) => `id: ${id}\ndata: piece ${id}\n\n`).join("");
+
+function listPlainEntry(platform: store.StoreStandIn, id: string, runner: raw.RawRunner): void {
+  const { host, port } = runner.runner;
+  platform.set(`servers/${id}`, examples.createRunnerEntry(`${host}:${port}`));
+}
+
+test.describe("a gateway", () => {
+  test.it("serves streams and plain calls, and tells where to connect", async () => {
+    await using world = await fixture.startPlatform({});
+    await using plain = await raw.startRawRunner("p", (socket) => {
+      socket.write(raw.formatAnswer("r1", "booked"));
+    });
+    listPlainEntry(world.platform, "p", plain);
+    await using one = await fixture.startGateway(world.platform, 81, 1);
+    await fixture.waitForReady(one.ip);
+    const stream = await fixture.send(one.ip, "/notes/x", fixture.PROMPT);
+    earl.expect([stream.status, stream.body]).toEqual([200, WHOLE]);
+    earl
+      .expect(stream.headers["response-stamp"])
+      .toEqual(`stamp-${world.decode[0]?.address ?? ""}`);
+    const booked = await fixture.send(one.ip, "/book/x");
+    earl.expect([booked.status, booked.body]).toEqual([200, "booked"]);
+    const lookup = await fixture.read(one.ip, examples.PORTS.directory, "/-/resolve?name=a&zone=a");
+    earl.expect(JSON.parse(lookup.body)).toEqual({
+      addresses: [`${one.ip}:${examples.PORTS.front}`],
+      ttl_s: 1,
+    });
+    earl.expect((await fixture.send(one.ip, "/none/x")).status).toEqual(404);
+    const large = await fixture.send(one.ip, `/book/x`, { "content-length": "4" });
+    earl.expect(large.status).toEqual(200);
+  });
+
+  test.it("answers 503, never 404, while it knows no configuration", async () => {
+    const platform = new store.StoreStandIn();
+    await platform.start();
+    await using _platform = platform;
+    platform.mode = store.STORE_MODE.busy;
+    await using one = await fixture.startGateway(platform, 82, 1);
+    earl.expect((await fixture.send(one.ip, "/book/x")).status).toEqual(503);
+    const ready = await fixture.read(one.ip, examples.PORTS.ready, "/-/ready");
+    earl.expect(ready.status).toEqual(503);
+  });
+
+  test.it("goes on with a stream at another runner, each event whole and once", async () => {
+    await using world = await fixture.startPlatform({ breakAfter: 3 }, {});
+    await using one = await fixture.startGateway(world.platform, 83, 1);
+    await fixture.waitForReady(one.ip);
+    const stream = await fixture.send(one.ip, "/notes/x", fixture.PROMPT);
+    earl.expect([stream.status, stream.body]).toEqual([200, WHOLE]);
+    earl.expect(world.decode.map((engine) => engine.ran)).toEqual([["r1"], ["r1"]]);
+  });
+
+  test.it("has a prompt read once when the first decode runner is full", async () => {
+    await using world = await fixture.startPlatform({ refusals: 1 }, { refusals: 1 });
+    await using one = await fixture.startGateway(world.platform, 84, 1);
+    await fixture.waitForReady(one.ip);
+    const stream = await fixture.send(one.ip, "/notes/x", fixture.PROMPT);
+    earl.expect([stream.status, stream.body]).toEqual([200, WHOLE]);
+    earl.expect(world.prefill.prefills).toEqual(1);
+  });
+
+  test.it("ends the run of a caller that is gone", async () => {
+    await using world = await fixture.startPlatform({ eventCount: 100, eventPauseMs: 20 });
+    await using one = await fixture.startGateway(world.platform, 85, 1);
+    await fixture.waitForReady(one.ip);
+    const controller = new AbortController();
+    const gone = fixture.send(one.ip, "/notes/x", fixture.PROMPT, controller.signal);
+    gone.catch(() => undefined);
+    await fixture.waitFor("the request runs", () => world.decode[0]?.ran.length === 1);
+    controller.abort();
+    await fixture.waitFor("the run is cancelled", () => world.decode[0]?.cancelled.length === 1);
+  });
+
+  test.it("takes changes from its peers while the platform refuses it", async () => {
+    await using world = await fixture.startPlatform({});
+    const refusing = new store.StoreStandIn();
+    await refusing.start();
+    await using _refusing = refusing;
+    refusing.mode = store.STORE_MODE.busy;
+    await using one = await fixture.startGateway(world.platform, 86, 1);
+    await using two = await fixture.startGateway(refusing, 86, 2);
+    await fixture.waitForReady(one.ip);
+    await fixture.waitForReady(two.ip);
+    await using plain = await raw.startRawRunner("p", (socket) => {
+      socket.write(raw.formatAnswer("r1", "booked"));
+    });
+    listPlainEntry(world.platform, "p", plain);
+    const configuration = examples.createConfiguration(9);
+    const routes = (configuration.routes as Record<string, unknown>[]).slice(1);
+    world.platform.set("op/config", { ...configuration, routes });
+    await fixture.waitFor("the new version is in force at both", async () => {
+      const dropped = await fixture.send(two.ip, "/notes/x", fixture.PROMPT);
+      const booked = await fixture.send(two.ip, "/book/x");
+      return dropped.status === 404 && booked.status === 200;
+    });
+  });
+
+  test.it(
+    "gives a leaving runner no new work, and forgets what an earlier start of it did",
+    async () => {
+      await using world = await fixture.startPlatform({}, {});
+      await using one = await fixture.startGateway(world.platform, 87, 1);
+      await fixture.waitForReady(one.ip);
+      const [first, second] = world.decode;
+      const entry = { service: "model", stage: "decode", state: "draining" };
+      world.platform.set("servers/e1", examples.createRunnerEntry(first?.address ?? "", entry));
+      const { kernel } = one.running;
+      await fixture.waitFor("the runner is known to leave", () => {
+        return kernel.use("runners").find("e1")?.runner.leaving === true;
+      });
+      for (let count = 0; count < 5; count += 1) {
+        await fixture.send(one.ip, "/notes/x", fixture.PROMPT);
+      }
+      earl.expect([first?.ran.length, second?.ran.length]).toEqual([0, 5]);
+      const again = { service: "model", stage: "decode", born: 2 };
+      world.platform.set("servers/e1", examples.createRunnerEntry(first?.address ?? "", again));
+      await fixture.waitFor("its new start is listed", () => {
+        return kernel.use("runners").find("e1")?.runner.bornAt === 2;
+      });
+    },
+  );
+
+  test.it("leaves: not ready, named by no one, and cuts off nothing", async () => {
+    await using world = await fixture.startPlatform({ eventCount: 40, eventPauseMs: 20 });
+    await using one = await fixture.startGateway(world.platform, 88, 1);
+    await using two = await fixture.startGateway(world.platform, 88, 2);
+    await fixture.waitForReady(one.ip);
+    await fixture.waitForReady(two.ip);
+    const { PORTS } = examples;
+    const listAddresses = async (): Promise<string[]> => {
+      const lookup = await fixture.read(two.ip, PORTS.directory, "/-/resolve?name=a&zone=a");
+      return (JSON.parse(lookup.body) as { addresses: string[] }).addresses;
+    };
+    await fixture.waitFor("both are named", async () => (await listAddresses()).length === 2);
+    const stream = fixture.send(one.ip, "/notes/x", fixture.PROMPT);
+    await fixture.waitFor("the request runs", () => world.decode[0]?.ran.length === 1);
+    const drained = one.running.drain();
+    const ready = await fixture.read(one.ip, PORTS.ready, "/-/ready");
+    earl.expect(ready.status).toEqual(503);
+    await fixture.waitFor("only the other is named", async () => {
+      const addresses = await listAddresses();
+      return addresses.length === 1 && addresses[0] === `${two.ip}:${PORTS.front}`;
+    });
+    earl.expect((await stream).body.includes("id: 39\n")).toEqual(true);
+    await drained;
+  });
+});
--- /dev/null
+++ b/test/platform/formats.test.ts
@@ -0,0 +1,129 @@
+import * as http from "node:http";
+import * as test from "node:test";
+import * as earl from "earl";
+import * as callerWire from "../../platform/caller-wire.js";
+import * as configurationFormat from "../../platform/configuration-format.js";
+import * as runnerFormat from "../../platform/runner-format.js";
+import * as runnerWire from "../../platform/runner-wire.js";
+import * as settingsFile from "../../platform/settings-file.js";
+import * as resultCodes from "../../src/protocol/result-codes.js";
+import * as examples from "../../standins/users-platform/examples.js";
+
+function createRequest(headers: readonly (readonly [string, string])[]): http.IncomingMessage {
+  const entries = headers.map(([name, value]) => [name.toLowerCase(), value]);
+  const request: unknown = {
+    method: "POST",
+    url: "/a/b?c=%2F",
+    headers: Object.fromEntries(entries) as http.IncomingHttpHeaders,
+    rawHeaders: headers.flat(),
+  };
+  return request as http.IncomingMessage;
+}
+
+const bytes = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
+
+test.describe("settings file", () => {
+  test.it("becomes the gateway's settings, in milliseconds", () => {
+    const settings = settingsFile.parseSettings(examples.createSettingsText("10.0.0.7"));
+    earl.expect(settings.vm).toEqual("front-1");
+    earl.expect(settings.peerAddress).toEqual({ host: "10.0.0.7", port: 8146 });
+    earl.expect(settings.shutdownLimitMs).toEqual(8_000);
+    earl.expect(settings.retryBudget).toEqual({ ratio: 0.2, slack: 54, windowMs: 10_000 });
+  });
+
+  test.it("tells every fault with its path", () => {
+    const read = (): unknown => settingsFile.parseSettings("node: x\nip: nowhere\n");
+    earl.expect(read).toThrow(/ip: .*zone: .*listen: /s);
+  });
+});
+
+test.describe("configuration", () => {
+  test.it("becomes routes, services and limits", () => {
+    const table = configurationFormat.parseConfiguration(
+      "op/config",
+      bytes(examples.createConfiguration(7)),
+    );
+    earl.expect(table?.version).toEqual(7);
+    earl.expect(table?.routes[0]?.kind).toEqual("stream");
+    earl.expect(table?.routes[0]?.forModel).toEqual(true);
+    earl.expect(table?.services[0]?.engine?.tokensPerEvent).toEqual(61);
+  });
+
+  test.it("is no configuration under another key or when it cannot be read", () => {
+    const configuration = bytes(examples.createConfiguration(7));
+    earl.expect(configurationFormat.parseConfiguration("op/x", configuration)).toEqual(undefined);
+    const broken = Buffer.from([0xff, 0x00]);
+    earl.expect(configurationFormat.parseConfiguration("op/config", broken)).toEqual(undefined);
+  });
+});
+
+test.describe("runner entry", () => {
+  const entry = examples.createRunnerEntry("127.0.0.1:80", { state: "draining", born: 5 });
+
+  test.it("becomes a runner under the id in its key", () => {
+    const runner = runnerFormat.parseRunner("servers/i-1", bytes(entry));
+    earl.expect([runner?.id, runner?.leaving, runner?.bornAt]).toEqual(["i-1", true, 5]);
+  });
+
+  test.it("of another writer names no runner", () => {
+    const odd = [
+      { ...entry, state: "resting" },
+      { ...entry, address: 7 },
+      { service: "plain" },
+      "x",
+      null,
+    ];
+    const parsed = odd.map((one) => runnerFormat.parseRunner("servers/i-1", bytes(one)));
+    earl.expect(parsed.filter((one) => one !== undefined)).toEqual([]);
+    earl.expect(runnerFormat.parseRunner("servers/i-1", Buffer.from([1, 2]))).toEqual(undefined);
+  });
+});
+
+test.describe("a caller's request", () => {
+  const request = createRequest([
+    ["Host", "API.example:80"],
+    ["Request-Id", "r1"],
+    ["Connection", "keep-alive, X-Hop"],
+    ["X-Hop", "1"],
+    ["X-Own", "2"],
+    ["Kv-Source", "1.2.3.4:5/abc"],
+    ["Kv-Hold", "h"],
+    ["Pin-Ms", "9"],
+    ["Serving-Stage", "prefill"],
+    ["Expect-Instance", "i-9"],
+    ["Deadline-Ms", "1400"],
+    ["Model", "m"],
+    ["Token-Count", "1460,80"],
+    ["Prompt-Prefix", "5c1e:800, e440:660"],
+  ]);
+
+  test.it("gives up headers of the connection and those that only the router sets", () => {
+    const head = callerWire.CALLER_WIRE.parseHead(request);
+    const names = head.headers.map(([name]) => name);
+    earl
+      .expect(names)
+      .toEqual(["Host", "Request-Id", "X-Own", "Model", "Token-Count", "Prompt-Prefix"]);
+    earl.expect([head.host, head.path, head.target]).toEqual(["api.example", "/a/b", "/a/b?c=%2F"]);
+    earl.expect(head.prompt?.parts).toEqual(["5c1e", "e440"]);
+  });
+
+  test.it("reaches a runner with what the router set, and nothing else of these", () => {
+    const head = callerWire.CALLER_WIRE.parseHead(request);
+    const headers = runnerWire.RUNNER_WIRE.formatHeaders(head, {
+      deadlineMs: 700.4,
+      runnerId: "i-1",
+    });
+    earl.expect(headers["deadline-ms"]).toEqual("700");
+    earl.expect(headers["expect-instance"]).toEqual("i-1");
+    earl.expect(headers["kv-source"]).toEqual(undefined);
+    earl.expect(headers["serving-stage"]).toEqual(undefined);
+  });
+
+  test.it("is refused with a fraction of seconds to come back", () => {
+    const { RESULT_CODES, RAN, RequestError } = resultCodes;
+    const error = new RequestError(RESULT_CODES.overloaded, RAN.no, { retryAfterMs: 250 });
+    const answer = callerWire.CALLER_WIRE.formatRefusal("r1", error);
+    earl.expect(answer.status).toEqual(503);
+    earl.expect(Object.fromEntries(answer.headers)["Retry-After"]).toEqual("0.250");
+  });
+});
--- /dev/null
+++ b/test/runners/runner-calls.test.ts
@@ -0,0 +1,108 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as runnerWire from "../../platform/runner-wire.js";
+import * as clocks from "../../src/kernel/clock.js";
+import * as runnerCalls from "../../src/runners/runner-calls.js";
+import * as responseReader from "../../src/upstream/response-reader.js";
+import * as upstream from "../../src/upstream/types.js";
+import * as raw from "./raw-runner.js";
+
+const clock = clocks.createSystemClock();
+const UNFRAMED = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n\r\nhalf of it";
+const LIMITS = { maxBytes: 1_000, silenceMs: 500 };
+
+function createCalls(): runnerCalls.RunnerCalls {
+  return new runnerCalls.RunnerCalls(clock, runnerWire.RUNNER_WIRE, () => 1);
+}
+
+async function readAnswer(
+  calls: runnerCalls.RunnerCalls,
+  runner: raw.RawRunner["runner"],
+  id: string,
+): Promise<string> {
+  const { signal } = new AbortController();
+  const head = raw.createHead(id);
+  const options = { deadlineMs: 500 };
+  const body = Buffer.from("b");
+  const call = { runner, head, body, options, headLimitMs: 500, signal };
+  const answer = await calls.send(call);
+  return (await responseReader.readBody(clock, answer.response, LIMITS)).toString();
+}
+
+async function getOutcome(answer: Promise<string>): Promise<string> {
+  return await answer.catch((error: unknown) =>
+    error instanceof upstream.UpstreamError ? error.failure : "broken off",
+  );
+}
+
+test.describe("RunnerCalls", () => {
+  test.it(
+    "takes an answer without a length as whole only if the connection was closed",
+    async () => {
+      await using closing = await raw.startRawRunner("c", (socket) => {
+        socket.end(UNFRAMED);
+      });
+      await using resetting = await raw.startRawRunner("r", (socket) => {
+        socket.write(UNFRAMED, () => {
+          socket.resetAndDestroy();
+        });
+      });
+      const calls = createCalls();
+      earl.expect(await getOutcome(readAnswer(calls, closing.runner, "r1"))).toEqual("half of it");
+      earl
+        .expect(await getOutcome(readAnswer(calls, resetting.runner, "r1")))
+        .toEqual("broken off");
+    },
+  );
+
+  test.it(
+    "gives no request the answer of another, and does not use that connection again",
+    async () => {
+      await using late = await raw.startRawRunner("l", (socket, count) => {
+        socket.write(raw.formatAnswer(count === 2 ? "r1" : `r${count}`, "x"));
+      });
+      const calls = createCalls();
+      earl.expect(await getOutcome(readAnswer(calls, late.runner, "r1"))).toEqual("x");
+      earl.expect(await getOutcome(readAnswer(calls, late.runner, "r2"))).toEqual("broken");
+      earl.expect(await getOutcome(readAnswer(calls, late.runner, "r3"))).toEqual("x");
+      earl.expect(late.connections()).toEqual(2);
+    },
+  );
+
+  test.it("closes an idle connection on which bytes arrive that no one asked for", async () => {
+    await using extra = await raw.startRawRunner("e", (socket, count) => {
+      socket.write(raw.formatAnswer(`r${count}`, "x"));
+      if (count === 1) setTimeout(() => socket.write(raw.formatAnswer("r1", "again")), 20);
+    });
+    const calls = createCalls();
+    earl.expect(await getOutcome(readAnswer(calls, extra.runner, "r1"))).toEqual("x");
+    await clocks.sleep(clock, 60);
+    earl.expect(await getOutcome(readAnswer(calls, extra.runner, "r2"))).toEqual("x");
+    earl.expect(extra.connections()).toEqual(2);
+  });
+
+  test.it("says not connected only if nothing was sent", async () => {
+    const calls = createCalls();
+    await using silent = await raw.startRawRunner("s", () => undefined);
+    earl.expect(await getOutcome(readAnswer(calls, silent.runner, "r1"))).toEqual("broken");
+    const port = silent.runner.port;
+    await silent[Symbol.asyncDispose]();
+    const gone = raw.createRunner("g", port);
+    earl.expect(await getOutcome(readAnswer(calls, gone, "r1"))).toEqual("not-connected");
+  });
+
+  test.it(
+    "sends method, path, query and body as they came, to the one incarnation meant",
+    async () => {
+      await using runner = await raw.startRawRunner("i-1", (socket) => {
+        socket.write(raw.formatAnswer("r1", "x"));
+      });
+      await readAnswer(createCalls(), runner.runner, "r1");
+      const [request = ""] = runner.requests;
+      earl.expect(request.startsWith("POST /a/x?y=%20z HTTP/1.1\r\n")).toEqual(true);
+      earl.expect(/^expect-instance: i-1$/m.test(request.replaceAll("\r", ""))).toEqual(true);
+      earl.expect(/^deadline-ms: 500$/m.test(request.replaceAll("\r", ""))).toEqual(true);
+      earl.expect(request.endsWith("\r\n\r\nb")).toEqual(true);
+    },
+  );
+});
--- /dev/null
+++ b/test/serving/plain-serving.test.ts
@@ -0,0 +1,110 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as routing from "../../src/routing/types.js";
+import * as raw from "../runners/raw-runner.js";
+import * as fixture from "./serving-fixture.js";
+
+const UNSAFE = { kind: routing.CALL_KIND.unsafe, maxAttempts: 2 };
+const SAFE = { kind: routing.CALL_KIND.safe, maxAttempts: 2 };
+const NOT_RUN = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+/** Starts two runners; the first in turn gets `first`, whichever it is, all later requests succeed. */
+async function startPair(
+  onFirst: (socket: { write: (text: string) => void; destroy: () => void }) => void,
+) {
+  let count = 0;
+  const onRequest = (socket: Parameters<typeof onFirst>[0]): void => {
+    count += 1;
+    if (count === 1) onFirst(socket);
+    else socket.write(raw.formatAnswer("r1", "whole"));
+  };
+  const one = await raw.startRawRunner("one", onRequest);
+  const two = await raw.startRawRunner("two", onRequest);
+  return {
+    plain: fixture.createPlainServing([one.runner, two.runner]),
+    count: () => count,
+    [Symbol.asyncDispose]: async () => {
+      await one[Symbol.asyncDispose]();
+      await two[Symbol.asyncDispose]();
+    },
+  };
+}
+
+test.describe("PlainServing", () => {
+  test.it("sends a non-idempotent call once, whatever becomes of its answer", async () => {
+    const faults: ((socket: { write: (text: string) => void; destroy: () => void }) => void)[] = [
+      (socket) => {
+        socket.destroy();
+      },
+      (socket) => {
+        socket.write("no answer at all\r\n\r\n");
+      },
+      (socket) => {
+        socket.write("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 9\r\n\r\nha");
+        socket.destroy();
+      },
+      (socket) => {
+        socket.write(raw.formatAnswer("r0", "another's"));
+      },
+      (socket) => {
+        socket.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+      },
+    ];
+    for (const fault of faults) {
+      await using pair = await startPair(fault);
+      const result = await fixture.serve(pair.plain, fixture.createCall(UNSAFE));
+      earl.expect(result).toEqual("502 ran unknown");
+      earl.expect(pair.count()).toEqual(1);
+    }
+  });
+
+  test.it("does not wait beyond the deadline for an answer that never comes", async () => {
+    await using pair = await startPair(() => undefined);
+    const result = await fixture.serve(pair.plain, fixture.createCall(UNSAFE));
+    earl.expect(result).toEqual("504 ran unknown");
+  });
+
+  test.it("sends it to another runner on the runner's own word that it has not run", async () => {
+    await using pair = await startPair((socket) => {
+      socket.write(NOT_RUN);
+    });
+    earl.expect(await fixture.serve(pair.plain, fixture.createCall(UNSAFE))).toEqual("200 whole");
+  });
+
+  test.it("refuses as not run only if no runner may have run it", async () => {
+    await using full = await raw.startRawRunner("full", (socket) => {
+      socket.write(NOT_RUN);
+    });
+    const plain = fixture.createPlainServing([full.runner]);
+    earl.expect(await fixture.serve(plain, fixture.createCall(UNSAFE))).toEqual("503 ran no");
+    const none = fixture.createPlainServing([]);
+    earl.expect(await fixture.serve(none, fixture.createCall(UNSAFE))).toEqual("503 ran no");
+  });
+
+  test.it("repeats an idempotent call once after a failure, within the budget", async () => {
+    await using pair = await startPair((socket) => {
+      socket.destroy();
+    });
+    earl.expect(await fixture.serve(pair.plain, fixture.createCall(SAFE))).toEqual("200 whole");
+    await using failing = await raw.startRawRunner("f", (socket) => {
+      socket.destroy();
+    });
+    const poor = fixture.createPlainServing([failing.runner, { ...failing.runner, id: "g" }], 0);
+    await fixture.serve(poor, fixture.createCall(SAFE));
+    await fixture.serve(poor, fixture.createCall(SAFE));
+    earl.expect(failing.requests.length <= 3).toEqual(true);
+  });
+
+  test.it("passes a runner's own failure on as it is, and an unsigned success never", async () => {
+    await using failing = await raw.startRawRunner("f", (socket) => {
+      socket.write(raw.formatAnswer("r1", "sorry", "500 Error"));
+    });
+    const plain = fixture.createPlainServing([failing.runner]);
+    earl.expect(await fixture.serve(plain, fixture.createCall(SAFE))).toEqual("500 sorry");
+    await using unsigned = await raw.startRawRunner("u", (socket) => {
+      socket.write("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nhi");
+    });
+    const other = fixture.createPlainServing([unsigned.runner]);
+    earl.expect(await fixture.serve(other, fixture.createCall(SAFE))).toEqual("502 ran unknown");
+  });
+});
