--- a/src/placement/pool-scheduler.ts
+++ b/src/placement/pool-scheduler.ts
@@ -22,9 +22,9 @@
 /** Part of a runner's memory that forecasts may fill; the rest covers answers longer than estimated. */
 const MEMORY_SHARE = 0.95;
 /** The same for requests that are late anyway: they must not cost one that is on time its place. */
-const LATE_MEMORY_SHARE = 0.6;
+const LATE_MEMORY_SHARE = 0.7;
 /** The same for those among them that were refused before: they do not come a third time. */
-const RETURNED_MEMORY_SHARE = 0.75;
+const RETURNED_MEMORY_SHARE = 0.8;
 /** Longest queue at a prefill runner: beyond it waiting here is better, for the choice stays open. */
 const LONGEST_PREFILL_WAIT_MS = 150;
 /** From the end of reading to the first event: transfer, connection and first step. */
@@ -60,6 +60,8 @@
 
 interface Switching {
   readonly stage: runners.Stage;
+  /** Start of the runner's process that took the order. */
+  readonly bornAt: number;
   readonly until: number;
 }
 
@@ -104,18 +106,10 @@
     return this.#costs.compute(this.#computeReadSpeed(), memoryTokens, engine.slots);
   }
 
-  /** Returns the runners that take new work and have answered lately. */
-  listPresent(): readonly runners.Runner[] {
-    return this.#options
-      .listCandidates()
-      .map((candidate) => candidate.runner)
-      .filter((runner) => !this.#absences.has(runner.id));
-  }
-
   /** Returns the runner with the least work placed on it. */
   chooseLeastLoaded(candidates: readonly runners.Runner[]): runners.Runner | undefined {
     const loads = candidates
-      .filter((runner) => !this.#switching.has(runner.id))
+      .filter((runner) => !this.#switching.has(runner.id) && !this.#absences.has(runner.id))
       .map((runner) => {
         const waitMs = this.#usePrefill(runner.id).computeWait();
         return { runner, load: waitMs + this.#useDecode(runner.id).count };
@@ -125,10 +119,15 @@
   }
 
   /** Notes that a runner has been ordered to another stage; it gets no work until it is listed so. */
-  setSwitching(runnerId: string, stage: runners.Stage): void {
+  setSwitching(runner: runners.Runner, stage: runners.Stage): void {
     const switchMs = this.engine?.stageSwitchMs ?? 0;
     const until = this.#options.clock.now() + switchMs * SWITCH_PATIENCE;
-    this.#switching.set(runnerId, { stage, until });
+    this.#switching.set(runner.id, { stage, until, bornAt: runner.bornAt });
+  }
+
+  /** Whether a runner is listed that still changes its stage; one that started anew does not. */
+  hasSwitching(): boolean {
+    return this.#options.listCandidates().some(({ runner }) => this.#isSwitching(runner));
   }
 
   /** Notes that a runner refused its order. */
@@ -303,7 +302,7 @@
   #isSwitching(runner: runners.Runner): boolean {
     const switching = this.#switching.get(runner.id);
     if (switching === undefined) return false;
-    const isDone = runner.stage === switching.stage;
+    const isDone = runner.stage === switching.stage || runner.bornAt !== switching.bornAt;
     if (isDone || this.#options.clock.now() > switching.until) this.#switching.delete(runner.id);
     return !isDone;
   }
--- a/src/placement/request-costs.ts
+++ b/src/placement/request-costs.ts
@@ -4,7 +4,7 @@
 /** Weight of the newest request: about the last twenty count. */
 const WEIGHT = 0.05;
 /** Requests before the averages mean anything. */
-const FEWEST_REQUESTS = 12;
+const FEWEST_REQUESTS = 8;
 
 /** Averages over the latest requests of one service. */
 export class RequestCosts {
--- a/src/placement/stage-orders.ts
+++ b/src/placement/stage-orders.ts
@@ -4,7 +4,7 @@
  * now, sends one difference at most, and is safe to repeat.
  *
  * Two VMs must never order by turns, and nothing is shared. So only the scheduler of the service
- * orders, only while it has been that without a break for twice the lease, sees most VMs, and was not
+ * orders, only while it has been that without a break for longer than the lease, sees most VMs, and was not
  * paused; when in doubt nobody orders. The fencing token grows with the platform's
  * revision and is different for each VM.
  */
@@ -24,9 +24,11 @@
 /** A pass that comes this much later shows that the process was paused. */
 const LONGEST_PASS_GAP_MS = 1_500;
 /** Leases of an earlier orderer that are waited out: its clock and its last order may lag behind. */
-const LEASES_WAITED = 2;
-/** Pause after an order before the split is judged again, beyond the time of the change itself. */
+const LEASES_WAITED = 1.5;
+/** Pause after an order before the split is judged again; while the change lasts it is not judged at all. */
 const SETTLE_MS = 3_000;
+/** A pool is judged once its runners are the same for this time: a replacement lists both for some seconds. */
+const STABLE_MS = 1_500;
 const CALL_LIMIT_MS = 1_000;
 const HTTP_OK = 200;
 const HTTP_ACCEPTED = 202;
@@ -52,6 +54,12 @@
   readonly getRevision: () => number;
 }
 
+/** The runners of a pool as last seen. */
+interface KnownPool {
+  readonly runners: string;
+  readonly since: number;
+}
+
 /** Brings the pools that this VM schedules to the split that carries most. */
 export class StageOrders implements AsyncDisposable {
   readonly #options: StageOrderOptions;
@@ -59,6 +67,7 @@
   /** Since when this VM has been the scheduler without a break, by service. */
   readonly #since = new Map<string, number>();
   readonly #settledAt = new Map<string, number>();
+  readonly #pools = new Map<string, KnownPool>();
   #refusedToken = 0;
 
   constructor(options: StageOrderOptions) {
@@ -100,17 +109,23 @@
       this.#since.set(service, since);
       const mayOrder = clock.now() - since >= LEASES_WAITED * leaseMs;
       const isSettled = clock.now() >= (this.#settledAt.get(service) ?? 0);
-      if (mayOrder && isSettled) await this.#checkSplit(service, scheduler);
+      if (mayOrder && isSettled && !scheduler.hasSwitching())
+        await this.#checkSplit(service, scheduler, mayOrder);
     }
   }
 
-  async #checkSplit(service: string, scheduler: poolScheduler.PoolScheduler): Promise<void> {
-    const costs = scheduler.computeCosts();
-    const engine = scheduler.engine;
-    if (costs === undefined || engine === undefined) return;
-    const listed = scheduler.listPresent();
+  async #checkSplit(
+    service: string,
+    scheduler: poolScheduler.PoolScheduler,
+    mayOrder: boolean,
+  ): Promise<void> {
+    // A runner that does not answer for some seconds is back before another one has changed its stage.
+    const listed = this.#options.runners.listUsable(service).map((record) => record.runner);
+    if (!this.#isStable(service, listed) || !mayOrder) return;
     const prefill = listed.filter((runner) => runner.stage === runners.STAGE.prefill);
     const decode = listed.filter((runner) => runner.stage === runners.STAGE.decode);
+    const costs = scheduler.computeCosts();
+    if (costs === undefined) return;
     const split = { prefill: prefill.length, decode: decode.length };
     const change = stagePlan.chooseStageChange(split, costs);
     if (change === undefined) return;
@@ -118,10 +133,22 @@
       change === "toDecode" ? [prefill, runners.STAGE.decode] : [decode, runners.STAGE.prefill];
     const runner = scheduler.chooseLeastLoaded(candidates);
     if (runner === undefined) return;
-    this.#settledAt.set(service, this.#options.clock.now() + engine.stageSwitchMs + SETTLE_MS);
+    this.#settledAt.set(service, this.#options.clock.now() + SETTLE_MS);
     await this.#sendOrder(runner, stage, scheduler, { ...split, ...costs });
   }
 
+  /** Whether the pool has had the same runners for a while. */
+  #isStable(service: string, listed: readonly runners.Runner[]): boolean {
+    const now = this.#options.clock.now();
+    const ids = listed
+      .map((runner) => `${runner.id}/${runner.bornAt}`)
+      .sort()
+      .join(" ");
+    const known = this.#pools.get(service);
+    if (known?.runners !== ids) this.#pools.set(service, { runners: ids, since: now });
+    return known?.runners === ids && now - known.since >= STABLE_MS;
+  }
+
   async #sendOrder(
     runner: runners.Runner,
     stage: runners.Stage,
@@ -140,7 +167,7 @@
       fencingToken,
       expectedSequence,
     });
-    scheduler.setSwitching(runner.id, stage);
+    scheduler.setSwitching(runner, stage);
     const status = await this.#send(runner, message);
     metrics.count("stage_orders", { status: String(status) });
     const fields = { runner: runner.id, stage, fencingToken, expectedSequence, status, ...inputs };
--- a/src/placement/stage-plan.ts
+++ b/src/placement/stage-plan.ts
@@ -16,9 +16,9 @@
 }
 
 /** An order is worth its pause only if the pool then carries this much more. */
-const LEAST_GAIN = 1.12;
+const LEAST_GAIN = 1.2;
 /** Prompts arrive in clumps, and one that waits is late at once: prefill needs this much room. */
-const PREFILL_ROOM = 1.2;
+const PREFILL_ROOM = 1.1;
 
 /** Returns how many requests a millisecond a split carries. */
 export function computeThroughput(split: PoolSplit, costs: RequestCosts): number {
--- a/src/placement/waiting-line.ts
+++ b/src/placement/waiting-line.ts
@@ -15,7 +15,7 @@
 const SHORTEST_RETRY_MS = 1_500;
 const LONGEST_RETRY_MS = 4_500;
 /** Waiting that a request of average size counts for: most of the time in which one can be on time. */
-const SIZE_WEIGHT_MS = 200;
+const SIZE_WEIGHT_MS = 300;
 /** A request larger than this many average ones counts no more. */
 const LARGEST_SIZE = 3;
 
