Watch for requests that crash runners; write logs without blocking

Cause of the first: a request that crashes its runners was repeated as often as its caller came back. A broken connection is held against it only if the runner then refuses connections; records and gossip are the product's own. Standard output was written synchronously, so a stuck reader would have stopped a VM.

--- a/src/gateway/caller-front.ts
+++ b/src/gateway/caller-front.ts
@@ -7,6 +7,7 @@
 import type * as routing from "../routing/types.js";
 import type * as routingState from "../routing/routing-state.js";
 import * as callerReply from "../serving/caller-reply.js";
+import type * as crashWatch from "../serving/crash-watch.js";
 import type * as serving from "../serving/types.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
@@ -30,6 +31,7 @@
   readonly log: telemetry.EventLog;
   readonly metrics: telemetry.Metrics;
   readonly routing: routingState.RoutingState;
+  readonly crashWatch: Pick<crashWatch.CrashWatch, "checkAllowed">;
   readonly plain: CallServer;
   readonly models: CallServer;
   /** Whether the VM knows enough to serve. */
@@ -134,10 +136,12 @@
     const service = findService(current, route, head.id);
     const deadlineMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     const deadlineAt = arrivedAt + deadlineMs;
-    return { head, body, route, service, arrivedAt, deadlineAt, signal, reply };
+    const caller = request.socket.remoteAddress ?? "";
+    return { head, body, caller, route, service, arrivedAt, deadlineAt, signal, reply };
   }
 
   async #serveCall(call: serving.ServedCall): Promise<void> {
+    this.#options.crashWatch.checkAllowed(call);
     const isModelCall = call.service.engine !== undefined && call.head.prompt !== undefined;
     await (isModelCall ? this.#options.models : this.#options.plain).serve(call);
   }
--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -12,8 +12,10 @@
 import * as tcpTransport from "../protocol/tcp-transport.js";
 import * as registrySync from "../registry/registry-sync.js";
 import * as routingState from "../routing/routing-state.js";
+import * as crashRecords from "../request/crash-records.js";
 import * as runnerCalls from "../runners/runner-calls.js";
 import * as runnerTable from "../runners/runner-table.js";
+import * as crashWatch from "../serving/crash-watch.js";
 import * as modelServing from "../serving/model-serving.js";
 import * as plainServing from "../serving/plain-serving.js";
 import * as repeatBudgets from "../serving/repeat-budgets.js";
@@ -60,6 +62,8 @@
   kernel.register("placement", createPlacement);
   kernel.register("engineReports", createEngineReports);
   kernel.register("stageOrders", createStageOrders);
+  kernel.register("crashes", crashRecords.createCrashRecords);
+  kernel.register("crashWatch", createCrashWatch);
   kernel.register("plainServing", createPlainServing);
   kernel.register("modelServing", createModelServing);
   return kernel;
@@ -167,6 +171,15 @@
   return fleet.listAlive().length * 2 > fleet.listKnown().length;
 }
 
+function createCrashWatch(kernel: container.Kernel): crashWatch.CrashWatch {
+  return new crashWatch.CrashWatch({
+    clock: kernel.use("clock"),
+    crashes: kernel.use("crashes"),
+    calls: kernel.use("runnerCalls"),
+    wire: kernel.use("adapter").runnerWire,
+  });
+}
+
 function createPlainServing(kernel: container.Kernel): plainServing.PlainServing {
   return new plainServing.PlainServing({
     clock: kernel.use("clock"),
@@ -177,6 +190,7 @@
     runners: kernel.use("runners"),
     calls: kernel.use("runnerCalls"),
     budgets: kernel.use("repeatBudgets"),
+    crashWatch: kernel.use("crashWatch"),
   });
 }
 
@@ -190,6 +204,7 @@
     calls: kernel.use("runnerCalls"),
     wire: kernel.use("adapter").runnerWire,
     budgets: kernel.use("repeatBudgets"),
+    crashWatch: kernel.use("crashWatch"),
     placement: kernel.use("placement"),
   });
 }
@@ -246,6 +261,7 @@
     log: kernel.use("log"),
     metrics: kernel.use("metrics"),
     routing: kernel.use("routing"),
+    crashWatch: kernel.use("crashWatch"),
     plain: kernel.use("plainServing"),
     models: kernel.use("modelServing"),
     isReady,
@@ -273,6 +289,8 @@
 /** Time kept for ending the process before it is killed. */
 const EXIT_MARGIN_MS = 400;
 const DRAIN_POLL_MS = 25;
+/** Time for the last log lines to be written. */
+const EXIT_LIMIT_MS = 200;
 
 async function drainGateway(
   kernel: container.Kernel,
@@ -303,6 +321,8 @@
   });
   await waitForLeaveSignal();
   await gateway.drain();
+  const clock = kernel.use("clock");
+  await Promise.race([gateway[Symbol.asyncDispose](), clocks.sleep(clock, EXIT_LIMIT_MS)]);
   // Open connections would keep the process; everything that matters has ended.
   process.exit(0);
 }
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -12,6 +12,7 @@
 import type * as routingState from "../routing/routing-state.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as runnerTable from "../runners/runner-table.js";
+import type * as crashWatch from "../serving/crash-watch.js";
 import type * as modelServing from "../serving/model-serving.js";
 import type * as plainServing from "../serving/plain-serving.js";
 import type * as repeatBudgets from "../serving/repeat-budgets.js";
@@ -52,6 +53,7 @@
   placement: placement.Placement;
   engineReports: engineReports.EngineReports;
   stageOrders: stageOrders.StageOrders;
+  crashWatch: crashWatch.CrashWatch;
   plainServing: plainServing.PlainServing;
   modelServing: modelServing.ModelServing;
 }
--- a/src/serving/engine-run.ts
+++ b/src/serving/engine-run.ts
@@ -11,6 +11,7 @@
 import * as responseReader from "../upstream/response-reader.js";
 import * as upstream from "../upstream/types.js";
 import * as answers from "./answers.js";
+import type * as crashWatch from "./crash-watch.js";
 import * as eventSplitter from "./event-splitter.js";
 import type * as modelProgress from "./model-progress.js";
 import type * as types from "./types.js";
@@ -31,6 +32,7 @@
   readonly calls: runnerCalls.RunnerCalls;
   readonly wire: gateway.RunnerWire;
   readonly placement: placement.Placement;
+  readonly crashWatch: crashWatch.CrashWatch;
 }
 
 /** The runners of a place. */
@@ -116,6 +118,7 @@
     const leftMs = call.deadlineAt - clock.now();
     if (leftMs <= 0) return { kind: "notRun", reason: "no time left", excluded: undefined };
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
+    using watched = this.#options.crashWatch.add(call, runner);
     const options = {
       deadlineMs: leftMs,
       kvSource: prefilled === undefined ? undefined : createSource(prefilled),
@@ -129,8 +132,11 @@
         const reason = `runner answered ${sent.head.status}, not run`;
         return { kind: "notRun", reason, excluded: undefined };
       }
-      return await this.#sendAnswer(call, progress, sent, outcome);
+      const result = await this.#sendAnswer(call, progress, sent, outcome);
+      if (result.kind === "done") watched.recordAnswer();
+      return result;
     } catch (error) {
+      if (!limit.signal.aborted) await watched.checkBreak();
       this.#recordFailure(call, place, runner, error);
       const reason = `decode: ${String(error)}`;
       return { kind: isUnsent(error) ? "notRun" : "broken", reason, excluded: runner.id };
--- a/src/serving/model-serving.ts
+++ b/src/serving/model-serving.ts
@@ -8,6 +8,7 @@
 import type * as runners from "../runners/types.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
+import type * as crashWatch from "./crash-watch.js";
 import * as engineRun from "./engine-run.js";
 import * as modelProgress from "./model-progress.js";
 import type * as repeatBudgets from "./repeat-budgets.js";
@@ -39,6 +40,7 @@
   readonly wire: gateway.RunnerWire;
   readonly budgets: repeatBudgets.RepeatBudgets;
   readonly placement: placement.Placement;
+  readonly crashWatch: crashWatch.CrashWatch;
 }
 
 /** Serves the calls of routes that carry model requests. */
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -11,6 +11,7 @@
 import * as responseReader from "../upstream/response-reader.js";
 import * as upstream from "../upstream/types.js";
 import * as answers from "./answers.js";
+import type * as crashWatch from "./crash-watch.js";
 import * as plainChoice from "./plain-choice.js";
 import type * as repeatBudgets from "./repeat-budgets.js";
 import type * as types from "./types.js";
@@ -34,6 +35,7 @@
   readonly runners: runnerTable.RunnerTable;
   readonly calls: runnerCalls.RunnerCalls;
   readonly budgets: repeatBudgets.RepeatBudgets;
+  readonly crashWatch: crashWatch.CrashWatch;
 }
 
 /** A whole answer of a runner. */
@@ -101,6 +103,7 @@
     calls.setConnectionLimit(record.runner, call.service.maxConnections);
     const endCall = record.startCall();
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
+    using watched = this.#options.crashWatch.add(call, record.runner);
     try {
       const sent = await calls.send({
         runner: record.runner,
@@ -113,8 +116,10 @@
       const limits = { maxBytes: MAX_ANSWER_BYTES, silenceMs: leftMs };
       const body = await responseReader.readBody(clock, sent.response, limits);
       endCall();
+      watched.recordAnswer();
       return this.#createResult(record, { head: sent.head, body });
     } catch (error) {
+      if (!limit.signal.aborted) await watched.checkBreak();
       return this.#createFailure(call, record, error);
     } finally {
       endCall();
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -7,6 +7,8 @@
 export interface ServedCall {
   readonly head: gateway.CallHead;
   readonly body: Buffer;
+  /** Address of the caller. */
+  readonly caller: string;
   readonly route: routing.Route;
   readonly service: routing.ServiceSpec;
   /** Monotonic time of arrival. */
--- a/src/telemetry/log.ts
+++ b/src/telemetry/log.ts
@@ -1,9 +1,14 @@
 /** Structured logs: each entry is a numbered event with its fields. */
+import type * as stream from "node:stream";
+import * as streams from "node:stream/promises";
 import * as winston from "winston";
 import type * as kernels from "../kernel/container.js";
-import type * as events from "./log-events.js";
+import * as boundedOutput from "./bounded-output.js";
+import * as events from "./log-events.js";
 import type * as types from "./types.js";
 
+const STANDARD_OUTPUT = 1;
+
 /** Fields whose values never reach a log. */
 const SECRET_FIELDS = new Set([
   "authorization",
@@ -24,9 +29,11 @@
 
 class WinstonEventLog implements types.EventLog, AsyncDisposable {
   readonly #logger: winston.Logger;
+  readonly #output: boundedOutput.BoundedOutput;
 
-  constructor(logger: winston.Logger) {
+  constructor(logger: winston.Logger, output: boundedOutput.BoundedOutput) {
     this.#logger = logger;
+    this.#output = output;
   }
 
   write(event: events.LogEvent, fields: Readonly<Record<string, unknown>> = {}): void {
@@ -36,26 +43,37 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.#logger.close();
-    return Promise.resolve();
+    this.#output.end();
+    await streams.finished(this.#output).catch(() => undefined);
   }
 }
 
 /**
- * Creates the log of a node in the format and level of its settings; it writes to standard output.
+ * Creates the log of a node in the format and level of its settings; it writes to standard output unless another target is given.
  *
  * @example createEventLog(kernel).write(LOG_EVENTS.nodeStarted, { vm: "vm-1" });
  */
-export function createEventLog(kernel: kernels.Kernel): types.EventLog {
+export function createEventLog(
+  kernel: kernels.Kernel,
+  target: stream.Writable = boundedOutput.createFileOutput(STANDARD_OUTPUT),
+): types.EventLog {
   const { logFormat, logLevel, vm } = kernel.use("settings");
+  const output = new boundedOutput.BoundedOutput(target, (count) => formatSuppressed(vm, count));
   const logger = winston.createLogger({
     level: logLevel,
     format: FORMATS[logFormat],
     defaultMeta: { node: vm },
     // winston's own types name the class of its transports through a namespace import.
     // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
-    transports: [new winston.transports.Console()],
+    transports: [new winston.transports.Stream({ stream: output })],
   });
-  return new WinstonEventLog(logger);
+  return new WinstonEventLog(logger, output);
+}
+
+/** Formats the line about lines that were left out; it does not pass the logger, which waits for none. */
+function formatSuppressed(vm: string, count: number): string {
+  const { level, number, message } = events.LOG_EVENTS.logSuppressed;
+  return `${JSON.stringify({ level, event: number, message, node: vm, count })}\n`;
 }
 
 function createRedacted(fields: Readonly<Record<string, unknown>>): Record<string, unknown> {
--- a/test/runners/raw-runner.ts
+++ b/test/runners/raw-runner.ts
@@ -30,6 +30,11 @@
     sockets.add(socket);
     socket.on("error", () => undefined);
     socket.on("data", (bytes: Buffer) => {
+      // The router asks whether a runner that broke a connection is still there; that runs nothing.
+      if (bytes.toString().startsWith("GET /-/report")) {
+        socket.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+        return;
+      }
       requests.push(bytes.toString());
       onRequest(socket, requests.length, bytes.toString());
     });
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -8,6 +8,8 @@
 import type * as runners from "../../src/runners/types.js";
 import * as resultCodes from "../../src/protocol/result-codes.js";
 import type * as callerReply from "../../src/serving/caller-reply.js";
+import type * as callerTypes from "../../src/caller/types.js";
+import * as crashWatch from "../../src/serving/crash-watch.js";
 import * as plainServing from "../../src/serving/plain-serving.js";
 import * as repeatBudgets from "../../src/serving/repeat-budgets.js";
 import type * as serving from "../../src/serving/types.js";
@@ -24,6 +26,19 @@
   format: () => Promise.resolve(""),
 };
 
+/** Returns records that hold nothing against anyone. */
+export function createNoRecords(): callerTypes.CrashRecords {
+  return {
+    computeFingerprint: (caller, service, body) => `${caller} ${service} ${body.toString()}`,
+    recordCrash: () => undefined,
+    isAccused: () => false,
+    recordProgress: () => undefined,
+    recordSuccess: () => undefined,
+    isQuarantined: () => false,
+    listQuarantined: () => [],
+  };
+}
+
 /** What a caller got. */
 export interface Answer {
   status: number;
@@ -34,9 +49,11 @@
 export function createPlainServing(
   listed: readonly runners.Runner[],
   slack = 100,
+  crashes: callerTypes.CrashRecords = createNoRecords(),
 ): plainServing.PlainServing {
   const table = new runnerTable.RunnerTable(clock, log);
   for (const runner of listed) table.setRunner(runner.id, runner);
+  const calls = new runnerCalls.RunnerCalls(clock, runnerWire.RUNNER_WIRE, () => 1);
   const budget = { ratio: 0.2, slack, windowMs: 10_000 };
   return new plainServing.PlainServing({
     clock,
@@ -45,7 +62,13 @@
     metrics,
     zone: "a",
     runners: table,
-    calls: new runnerCalls.RunnerCalls(clock, runnerWire.RUNNER_WIRE, () => 1),
+    calls,
+    crashWatch: new crashWatch.CrashWatch({
+      clock,
+      calls,
+      wire: runnerWire.RUNNER_WIRE,
+      crashes,
+    }),
     budgets: new repeatBudgets.RepeatBudgets(budget, clock, () => 1),
   });
 }
@@ -67,6 +90,7 @@
   const call = {
     head: raw.createHead("r1", head),
     body: Buffer.from("b"),
+    caller: "10.0.0.1",
     route: routingFixture.createRoute("route", route),
     service: { name: "plain", maxConnections: 100, engine: undefined },
     arrivedAt,
--- a/test/telemetry/log.test.ts
+++ b/test/telemetry/log.test.ts
@@ -1,31 +1,35 @@
+import * as stream from "node:stream";
 import * as test from "node:test";
 import * as earl from "earl";
+import type * as kernels from "../../src/kernel/container.js";
 import * as events from "../../src/telemetry/log-events.js";
 import * as log from "../../src/telemetry/log.js";
+import type * as types from "../../src/telemetry/types.js";
 import * as settings from "./settings.js";
 
 const { LOG_EVENTS } = events;
 
-/** Returns what `write` puts on standard output. */
-function readOutput(write: () => void): string {
-  let output = "";
-  const mock = test.mock.method(process.stdout, "write", (text: string) => {
-    output += text;
-    return true;
-  });
-  try {
-    write();
-  } finally {
-    mock.mock.restore();
+/** Keeps what is written to it. */
+class KeptOutput extends stream.Writable {
+  text = "";
+
+  override _write(chunk: Buffer, _encoding: string, done: () => void): void {
+    this.text += chunk.toString();
+    done();
   }
-  return output;
+}
+
+/** Returns what `write` puts on the log's output. */
+function readOutput(kernel: kernels.Kernel, write: (created: types.EventLog) => void): string {
+  const output = new KeptOutput();
+  write(log.createEventLog(kernel, output));
+  return output.text;
 }
 
 test.describe("createEventLog", () => {
   test.it("writes an event as JSON with its number and fields, without secrets", async () => {
     await using kernel = settings.createSettingsKernel({ logFormat: "json", logLevel: "info" });
-    const created = log.createEventLog(kernel);
-    const output = readOutput(() => {
+    const output = readOutput(kernel, (created) => {
       created.write(LOG_EVENTS.memberChanged, { member: "vm-2", session: "sealed" });
     });
     const entry = JSON.parse(output) as Record<string, unknown>;
@@ -35,8 +39,7 @@
 
   test.it("writes a readable line", async () => {
     await using kernel = settings.createSettingsKernel({ logFormat: "readable", logLevel: "info" });
-    const created = log.createEventLog(kernel);
-    const output = readOutput(() => {
+    const output = readOutput(kernel, (created) => {
       created.write(LOG_EVENTS.memberChanged, { member: "vm-2" });
     });
     earl.expect(output).toMatchRegex(/ info 2001 vm-1 member changed state member="vm-2"/);
@@ -44,8 +47,7 @@
 
   test.it("leaves out what is below its level", async () => {
     await using kernel = settings.createSettingsKernel({ logFormat: "json", logLevel: "warn" });
-    const created = log.createEventLog(kernel);
-    const output = readOutput(() => {
+    const output = readOutput(kernel, (created) => {
       created.write(LOG_EVENTS.memberChanged, { member: "vm-2" });
     });
     earl.expect(output).toEqual("");
