--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -22,6 +22,11 @@
 const FULL_RETRY_MS = 150;
 /** When to come back to a service without runners: the platform lists a new one about this soon. */
 const ABSENT_RETRY_MS = 500;
+/**
+ * Part of the time left that the first of several tries may take without a sign of an answer. Answers
+ * take a tenth of it; what is silent for longer has mostly lost its answer.
+ */
+const FIRST_TRY_SHARE = 0.6;
 /** Below this time left a call is not sent: it could not be answered. */
 const SHORTEST_CALL_MS = 10;
 
@@ -73,7 +78,7 @@
       if (record === undefined) break;
       tried.add(record.runner.id);
       if (last !== undefined) this.#recordRepeat(call, record, last);
-      last = await this.#callRunner(call, record);
+      last = await this.#callRunner(call, record, attempt);
       call.signal.throwIfAborted();
       best = chooseBetter(best, last);
       if (isFinal(call, last)) break;
@@ -96,7 +101,11 @@
     return isRepeatable && hasTime && this.#options.budgets.reserve(call.service.name);
   }
 
-  async #callRunner(call: types.ServedCall, record: runnerRecord.RunnerRecord): Promise<TryResult> {
+  async #callRunner(
+    call: types.ServedCall,
+    record: runnerRecord.RunnerRecord,
+    attempt: number,
+  ): Promise<TryResult> {
     const { clock, calls } = this.#options;
     const leftMs = call.deadlineAt - clock.now();
     if (leftMs < SHORTEST_CALL_MS) return { kind: "notRun", reason: "no time left" };
@@ -110,7 +119,7 @@
         head: call.head,
         body: call.body,
         options: { deadlineMs: leftMs },
-        headLimitMs: leftMs,
+        headLimitMs: leftMs * this.#getTryShare(call, attempt),
         signal: limit.signal,
       });
       const limits = { maxBytes: MAX_ANSWER_BYTES, silenceMs: leftMs };
@@ -126,6 +135,12 @@
     }
   }
 
+  /** Returns the part of the time left that a try may wait; only who may be repeated is cut short. */
+  #getTryShare(call: types.ServedCall, attempt: number): number {
+    const isRepeatable = call.route.kind === routing.CALL_KIND.safe;
+    return isRepeatable && attempt < call.route.maxAttempts ? FIRST_TRY_SHARE : 1;
+  }
+
   #createResult(record: runnerRecord.RunnerRecord, answer: WholeAnswer): TryResult {
     const { head } = answer;
     if (head.load !== undefined) record.recordLoad(head.load);
--- a/test/serving/plain-serving.test.ts
+++ b/test/serving/plain-serving.test.ts
@@ -95,6 +95,14 @@
     earl.expect(failing.requests.length <= 3).toEqual(true);
   });
 
+  test.it(
+    "asks another runner in time when an idempotent call's answer does not come",
+    async () => {
+      await using pair = await startPair(() => undefined);
+      earl.expect(await fixture.serve(pair.plain, fixture.createCall(SAFE))).toEqual("200 whole");
+    },
+  );
+
   test.it("passes a runner's own failure on as it is, and an unsigned success never", async () => {
     await using failing = await raw.startRawRunner("f", (socket) => {
       socket.write(raw.formatAnswer("r1", "sorry", "500 Error"));
