--- /dev/null
+++ b/src/gateway/gateway-services.ts
@@ -0,0 +1,207 @@
+/** The services of a gateway and how they are made of each other. */
+import * as container from "../kernel/container.js";
+import * as clocks from "../kernel/clock.js";
+import * as random from "../kernel/random.js";
+import type * as membershipTypes from "../membership/types.js";
+import * as membership from "../membership/membership.js";
+import * as placement from "../placement/placement.js";
+import * as engineReports from "../placement/engine-reports.js";
+import * as stageOrders from "../placement/stage-orders.js";
+import * as poolScheduler from "../placement/pool-scheduler.js";
+import * as peerNetwork from "../protocol/peer-network.js";
+import * as tcpTransport from "../protocol/tcp-transport.js";
+import * as registrySync from "../registry/registry-sync.js";
+import * as routingState from "../routing/routing-state.js";
+import * as crashRecords from "../request/crash-records.js";
+import * as runnerCalls from "../runners/runner-calls.js";
+import * as runnerTable from "../runners/runner-table.js";
+import * as crashWatch from "../serving/crash-watch.js";
+import * as modelServing from "../serving/model-serving.js";
+import * as plainServing from "../serving/plain-serving.js";
+import * as repeatBudgets from "../serving/repeat-budgets.js";
+import type * as nodeSettings from "../settings/node-settings.js";
+import * as log from "../telemetry/log.js";
+import * as metrics from "../telemetry/metrics.js";
+import * as seedList from "./seed-list.js";
+import type * as types from "./types.js";
+
+/** Settings of the process that the platform does not give. */
+export interface GatewayOptions {
+  readonly fleetKeys: readonly string[];
+  readonly logLevel: nodeSettings.NodeSettings["logLevel"];
+  readonly metricsPort: number | undefined;
+}
+
+/** Creates a kernel with every service of a gateway. Nothing runs before `startGateway`. */
+export function createGatewayKernel(
+  adapter: types.PlatformAdapter,
+  options: GatewayOptions,
+): container.Kernel {
+  const kernel = container.createKernel();
+  kernel.register("adapter", () => adapter);
+  kernel.register("settings", () => createNodeSettings(adapter.settings, options));
+  kernel.register("clock", () => clocks.createSystemClock());
+  kernel.register("random", () => random.createSystemRandom());
+  kernel.register("log", log.createEventLog);
+  kernel.register("metrics", () => metrics.createMetrics());
+  kernel.register("transport", () => tcpTransport.createTcpTransport());
+  kernel.register("network", peerNetwork.createPeerNetwork);
+  kernel.register("platform", () => seedList.createSeedList(adapter.settings));
+  kernel.register("membership", membership.createMembership);
+  kernel.register("routing", () => new routingState.RoutingState(kernel.use("log")));
+  kernel.register(
+    "runners",
+    () => new runnerTable.RunnerTable(kernel.use("clock"), kernel.use("log")),
+  );
+  kernel.register("registrySync", registrySync.createRegistrySync);
+  kernel.register("runnerCalls", createRunnerCalls);
+  kernel.register("repeatBudgets", createRepeatBudgets);
+  kernel.register("placement", createPlacement);
+  kernel.register("engineReports", createEngineReports);
+  kernel.register("stageOrders", createStageOrders);
+  kernel.register("crashes", crashRecords.createCrashRecords);
+  kernel.register("crashWatch", createCrashWatch);
+  kernel.register("plainServing", createPlainServing);
+  kernel.register("modelServing", createModelServing);
+  return kernel;
+}
+
+function createNodeSettings(
+  settings: types.GatewaySettings,
+  options: GatewayOptions,
+): nodeSettings.NodeSettings {
+  return {
+    vm: settings.vm,
+    region: settings.region,
+    zone: settings.zone,
+    host: settings.host,
+    callerPort: settings.callerAddress.port,
+    peerPort: settings.peerAddress.port,
+    platformUrl: `http://${settings.platformAddress.host}:${settings.platformAddress.port}`,
+    fleetKeys: options.fleetKeys,
+    adminToken: undefined,
+    logFormat: "json",
+    logLevel: options.logLevel,
+    otlpUrl: undefined,
+    drainLimitMs: settings.shutdownLimitMs,
+  };
+}
+
+function createRunnerCalls(kernel: container.Kernel): runnerCalls.RunnerCalls {
+  const { runnerWire } = kernel.use("adapter");
+  return new runnerCalls.RunnerCalls(kernel.use("clock"), runnerWire, () => countVms(kernel));
+}
+
+function createRepeatBudgets(kernel: container.Kernel): repeatBudgets.RepeatBudgets {
+  const { retryBudget } = kernel.use("adapter").settings;
+  return new repeatBudgets.RepeatBudgets(retryBudget, kernel.use("clock"), () => countVms(kernel));
+}
+
+function countVms(kernel: container.Kernel): number {
+  return kernel.use("membership").listMembers().length;
+}
+
+function createPlacement(kernel: container.Kernel): placement.Placement {
+  const clock = kernel.use("clock");
+  const runners = kernel.use("runners");
+  const routing = kernel.use("routing");
+  const created = new placement.Placement({
+    clock,
+    log: kernel.use("log"),
+    metrics: kernel.use("metrics"),
+    network: kernel.use("network"),
+    membership: kernel.use("membership"),
+    createScheduler: (service) =>
+      new poolScheduler.PoolScheduler({
+        clock,
+        log: kernel.use("log"),
+        listCandidates: () => runners.listUsable(service),
+        findEngine: () => routing.current?.findService(service)?.engine,
+      }),
+  });
+  runners.onChange(() => {
+    created.update();
+  });
+  return created;
+}
+
+function createEngineReports(kernel: container.Kernel): engineReports.EngineReports {
+  return new engineReports.EngineReports({
+    clock: kernel.use("clock"),
+    log: kernel.use("log"),
+    runners: kernel.use("runners"),
+    calls: kernel.use("runnerCalls"),
+    wire: kernel.use("adapter").runnerWire,
+    listSchedulers: () => listSchedulers(kernel),
+  });
+}
+
+/** Returns the schedulers of the services of model engines that this VM schedules. */
+function listSchedulers(
+  kernel: container.Kernel,
+): ReadonlyMap<string, poolScheduler.PoolScheduler> {
+  const services = kernel.use("routing").current?.listEngineServices() ?? [];
+  return kernel.use("placement").listSchedulers(services);
+}
+
+function createStageOrders(kernel: container.Kernel): stageOrders.StageOrders {
+  const { settings, runnerWire } = kernel.use("adapter");
+  const sync = kernel.use("registrySync");
+  const fleet = kernel.use("membership");
+  return new stageOrders.StageOrders({
+    clock: kernel.use("clock"),
+    log: kernel.use("log"),
+    metrics: kernel.use("metrics"),
+    vm: settings.vm,
+    leaseMs: settings.orderLeaseMs,
+    runners: kernel.use("runners"),
+    calls: kernel.use("runnerCalls"),
+    wire: runnerWire,
+    listSchedulers: () => listSchedulers(kernel),
+    isInTouch: () => hasMajority(fleet),
+    getRevision: () => sync.revision,
+  });
+}
+
+/** Whether more than half of the VMs known lately are alive. */
+function hasMajority(fleet: membershipTypes.Membership): boolean {
+  return fleet.listAlive().length * 2 > fleet.listKnown().length;
+}
+
+function createCrashWatch(kernel: container.Kernel): crashWatch.CrashWatch {
+  return new crashWatch.CrashWatch({
+    clock: kernel.use("clock"),
+    crashes: kernel.use("crashes"),
+    calls: kernel.use("runnerCalls"),
+    wire: kernel.use("adapter").runnerWire,
+  });
+}
+
+function createPlainServing(kernel: container.Kernel): plainServing.PlainServing {
+  return new plainServing.PlainServing({
+    clock: kernel.use("clock"),
+    random: kernel.use("random"),
+    log: kernel.use("log"),
+    metrics: kernel.use("metrics"),
+    zone: kernel.use("settings").zone,
+    runners: kernel.use("runners"),
+    calls: kernel.use("runnerCalls"),
+    budgets: kernel.use("repeatBudgets"),
+    crashWatch: kernel.use("crashWatch"),
+  });
+}
+
+function createModelServing(kernel: container.Kernel): modelServing.ModelServing {
+  return new modelServing.ModelServing({
+    clock: kernel.use("clock"),
+    log: kernel.use("log"),
+    metrics: kernel.use("metrics"),
+    zone: kernel.use("settings").zone,
+    runners: kernel.use("runners"),
+    calls: kernel.use("runnerCalls"),
+    wire: kernel.use("adapter").runnerWire,
+    budgets: kernel.use("repeatBudgets"),
+    crashWatch: kernel.use("crashWatch"),
+    placement: kernel.use("placement"),
+  });
+}
--- /dev/null
+++ b/src/placement/pool-loads.ts
@@ -0,0 +1,73 @@
+/** What a scheduler has placed on the runners of its pool. */
+import * as decodeLoad from "./decode-load.js";
+import * as prefillLoad from "./prefill-load.js";
+
+/** Time of an output token before any runner was measured; only its order of magnitude matters. */
+const UNMEASURED_MS_PER_TOKEN = 1;
+
+/** The loads of the runners by id, made on first use. */
+export class PoolLoads {
+  readonly #decode = new Map<string, decodeLoad.DecodeLoad>();
+  readonly #prefill = new Map<string, prefillLoad.PrefillLoad>();
+
+  useDecode(id: string): decodeLoad.DecodeLoad {
+    const known = this.#decode.get(id);
+    if (known !== undefined) return known;
+    const load = new decodeLoad.DecodeLoad();
+    this.#decode.set(id, load);
+    return load;
+  }
+
+  usePrefill(id: string): prefillLoad.PrefillLoad {
+    const known = this.#prefill.get(id);
+    if (known !== undefined) return known;
+    const load = new prefillLoad.PrefillLoad();
+    this.#prefill.set(id, load);
+    return load;
+  }
+
+  /** Ends the reading of a prompt, wherever it was placed. */
+  releasePrefill(key: string, prefillMs: number | undefined): void {
+    for (const load of this.#prefill.values()) {
+      if (load.remove(key, prefillMs)) return;
+    }
+  }
+
+  /** Ends a run, wherever it was placed. */
+  releaseDecode(key: string, outputTokens: number, decodeMs: number, now: number): void {
+    for (const load of this.#decode.values()) {
+      if (!load.remove(key, now)) continue;
+      load.recordSpeed(outputTokens, decodeMs);
+      return;
+    }
+  }
+
+  /** Forgets what ended without a word, and the runners that are no longer listed. */
+  expire(now: number, listed: ReadonlySet<string>): void {
+    for (const [id, load] of this.#decode) {
+      load.expire(now);
+      if (load.count === 0 && !listed.has(id)) this.#decode.delete(id);
+    }
+    for (const [id, load] of this.#prefill) {
+      load.expire(now);
+      if (load.computeWait() === 0 && !listed.has(id)) this.#prefill.delete(id);
+    }
+  }
+
+  /** Returns the speed at which the pool's runners read, in tokens a millisecond. */
+  computeReadSpeed(): number {
+    const speeds = [...this.#prefill.values()].map((load) => load.tokensPerMs);
+    return computeMean(speeds) ?? new prefillLoad.PrefillLoad().tokensPerMs;
+  }
+
+  /** Returns the time of one output token of a run, on average over the pool's runners. */
+  computeMsPerToken(): number {
+    const speeds = [...this.#decode.values()].map((load) => load.msPerToken);
+    return computeMean(speeds) ?? UNMEASURED_MS_PER_TOKEN;
+  }
+}
+
+function computeMean(values: readonly number[]): number | undefined {
+  if (values.length === 0) return undefined;
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
--- a/src/placement/pool-scheduler.ts
+++ b/src/placement/pool-scheduler.ts
@@ -6,17 +6,18 @@
 import type * as gateway from "../gateway/types.js";
 import type * as clocks from "../kernel/clock.js";
 import type * as routing from "../routing/types.js";
-import * as runners from "../runners/types.js";
+import type * as runners from "../runners/types.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
-import * as decodeLoad from "./decode-load.js";
 import type * as memoryForecast from "./memory-forecast.js";
+import * as poolLoads from "./pool-loads.js";
 import * as refusedSubjects from "./refused-subjects.js";
 import * as requestCosts from "./request-costs.js";
 import type * as stagePlan from "./stage-plan.js";
-import * as prefillLoad from "./prefill-load.js";
 import type * as types from "./types.js";
 import * as runnerAbsences from "./runner-absences.js";
+import * as runnerChoice from "./runner-choice.js";
+import * as stageSwitches from "./stage-switches.js";
 import * as waitingLine from "./waiting-line.js";
 
 /** Part of a runner's memory that forecasts may fill; the rest covers answers longer than estimated. */
@@ -25,15 +26,9 @@
 const LATE_MEMORY_SHARE = 0.7;
 /** The same for those among them that were refused before: they do not come a third time. */
 const RETURNED_MEMORY_SHARE = 0.8;
-/** Longest queue at a prefill runner: beyond it waiting here is better, for the choice stays open. */
-const LONGEST_PREFILL_WAIT_MS = 150;
 /** From the end of reading to the first event: transfer, connection and first step. */
 const HANDOVER_MS = 40;
 const EXPIRY_PERIOD_MS = 1_000;
-/** A change of stage that takes this many times its usual time is no longer waited for. */
-const SWITCH_PATIENCE = 2;
-/** Time of an output token before any runner was measured; only its order of magnitude matters. */
-const UNMEASURED_MS_PER_TOKEN = 1;
 
 /** A runner that may be chosen. */
 export interface Candidate {
@@ -58,24 +53,15 @@
   readonly answer: (answer: types.PlaceAnswer) => void;
 }
 
-interface Switching {
-  readonly stage: runners.Stage;
-  /** Start of the runner's process that took the order. */
-  readonly bornAt: number;
-  readonly until: number;
-}
-
 /** Holds the waiting requests and what is placed on each runner of one service. */
 export class PoolScheduler {
   readonly #options: SchedulerOptions;
-  readonly #decode = new Map<string, decodeLoad.DecodeLoad>();
-  readonly #prefill = new Map<string, prefillLoad.PrefillLoad>();
+  readonly #loads = new poolLoads.PoolLoads();
   readonly #line: waitingLine.WaitingLine<Waiting>;
   readonly #costs = new requestCosts.RequestCosts();
   readonly #absences: runnerAbsences.RunnerAbsences;
   readonly #refused: refusedSubjects.RefusedSubjects;
-  /** Runners that change their stage, with the stage they are to have and when that is given up. */
-  readonly #switching = new Map<string, Switching>();
+  readonly #switches: stageSwitches.StageSwitches;
   #expiresAt = 0;
   #cancelTimer: (() => void) | undefined;
   /** Part of the runners' memory that this scheduler may fill. */
@@ -85,6 +71,7 @@
     this.#options = options;
     this.#line = new waitingLine.WaitingLine(options.clock);
     this.#absences = new runnerAbsences.RunnerAbsences(options.clock);
+    this.#switches = new stageSwitches.StageSwitches(options.clock);
     this.#refused = new refusedSubjects.RefusedSubjects(options.clock);
   }
 
@@ -103,36 +90,30 @@
     const { engine } = this;
     if (engine === undefined) return undefined;
     const memoryTokens = engine.kvCapacityTokens * MEMORY_SHARE;
-    return this.#costs.compute(this.#computeReadSpeed(), memoryTokens, engine.slots);
+    return this.#costs.compute(this.#loads.computeReadSpeed(), memoryTokens, engine.slots);
   }
 
-  /** Returns the runner with the least work placed on it. */
-  chooseLeastLoaded(candidates: readonly runners.Runner[]): runners.Runner | undefined {
-    const loads = candidates
-      .filter((runner) => !this.#switching.has(runner.id) && !this.#absences.has(runner.id))
-      .map((runner) => {
-        const waitMs = this.#usePrefill(runner.id).computeWait();
-        return { runner, load: waitMs + this.#useDecode(runner.id).count };
-      });
-    loads.sort((first, second) => first.load - second.load);
-    return loads[0]?.runner;
+  /** Returns the runner that an order disturbs least. */
+  chooseForOrder(candidates: readonly runners.Runner[]): runners.Runner | undefined {
+    const present = candidates.filter(
+      (runner) => !this.#switches.has(runner) && !this.#absences.has(runner.id),
+    );
+    return runnerChoice.chooseLeastLoaded(present, this.#loads);
   }
 
   /** Notes that a runner has been ordered to another stage; it gets no work until it is listed so. */
   setSwitching(runner: runners.Runner, stage: runners.Stage): void {
-    const switchMs = this.engine?.stageSwitchMs ?? 0;
-    const until = this.#options.clock.now() + switchMs * SWITCH_PATIENCE;
-    this.#switching.set(runner.id, { stage, until, bornAt: runner.bornAt });
+    this.#switches.add(runner, stage, this.engine?.stageSwitchMs ?? 0);
   }
 
-  /** Whether a runner is listed that still changes its stage; one that started anew does not. */
+  /** Whether a runner is listed that still changes its stage. */
   hasSwitching(): boolean {
-    return this.#options.listCandidates().some(({ runner }) => this.#isSwitching(runner));
+    return this.#options.listCandidates().some(({ runner }) => this.#switches.has(runner));
   }
 
   /** Notes that a runner refused its order. */
   removeSwitching(runnerId: string): void {
-    this.#switching.delete(runnerId);
+    this.#switches.remove(runnerId);
   }
 
   /** Sets the part of the runners' memory that it may fill; less than 1 while others place there too. */
@@ -148,11 +129,15 @@
    */
   submit(request: types.PlaceRequest, answer: (answer: types.PlaceAnswer) => void): () => void {
     const { promptTokens, expectedOutputTokens } = request;
-    this.#costs.record(promptTokens, expectedOutputTokens, this.#computeMsPerToken());
+    this.#costs.record(promptTokens, expectedOutputTokens, this.#loads.computeMsPerToken());
     const waiting: Waiting = {
       request,
       arrivedAt: this.#options.clock.now(),
-      size: this.#costs.computeSize(promptTokens, expectedOutputTokens, this.#computeMsPerToken()),
+      size: this.#costs.computeSize(
+        promptTokens,
+        expectedOutputTokens,
+        this.#loads.computeMsPerToken(),
+      ),
       returned: this.#refused.has(request.subject),
       answer,
     };
@@ -170,16 +155,17 @@
 
   /** Takes in what a VM tells of a placed request. */
   recordProgress(progress: types.PlaceProgress): void {
-    const { key, prefillMs, failedRunner, ended, outputTokens, decodeMs } = progress;
+    const { key, prefillMs, failedRunner, ended, outputTokens = 0, decodeMs = 0 } = progress;
+    const now = this.#options.clock.now();
     if (failedRunner !== undefined) this.#absences.recordFailure(failedRunner);
-    if (prefillMs !== undefined || ended === true) this.#releasePrefill(key, prefillMs);
-    if (ended === true) this.#releaseDecode(key, outputTokens, decodeMs);
+    if (prefillMs !== undefined || ended === true) this.#loads.releasePrefill(key, prefillMs);
+    if (ended === true) this.#loads.releaseDecode(key, outputTokens, decodeMs, now);
     this.update();
   }
 
   /** Takes in a request that another scheduler placed. */
   recordRunning(running: types.RunningRequest): void {
-    const load = this.#useDecode(running.decodeRunner);
+    const load = this.#loads.useDecode(running.decodeRunner);
     if (load.has(running.key)) return;
     const startsAt = this.#options.clock.now() - running.runningMs;
     load.add(running.key, { ...running, startsAt });
@@ -188,7 +174,7 @@
   /** Takes in a runner's report of itself. */
   recordReport(runnerId: string, report: gateway.EngineReport): void {
     this.#absences.recordAnswer(runnerId);
-    this.#useDecode(runnerId).recordReport(report, this.#options.clock.now());
+    this.#loads.useDecode(runnerId).recordReport(report, this.#options.clock.now());
     this.update();
   }
 
@@ -238,34 +224,51 @@
     if (now < this.#expiresAt) return;
     this.#expiresAt = now + EXPIRY_PERIOD_MS;
     const listed = new Set(this.#options.listCandidates().map(({ runner }) => runner.id));
-    for (const [id, load] of this.#decode) {
-      load.expire(now);
-      if (load.count === 0 && !listed.has(id)) this.#decode.delete(id);
-    }
-    for (const load of this.#prefill.values()) load.expire(now);
+    this.#loads.expire(now, listed);
   }
 
   #choosePlace(waiting: Waiting, late: boolean): types.Place | undefined {
     const { request } = waiting;
     const usable = this.#listUsable(request);
-    const isRead = request.prefilledBy !== undefined;
-    const prefill = isRead ? undefined : this.#choosePrefill(usable, request);
-    if (prefill === "busy") return undefined;
-    const readMs = prefill === undefined ? 0 : this.#computePrefillTime(prefill, request);
-    const run: memoryForecast.ForecastRun = {
-      promptTokens: request.promptTokens,
-      expectedOutputTokens: request.expectedOutputTokens,
-      maxOutputTokens: request.maxOutputTokens,
-      startsAt: this.#options.clock.now() + readMs + HANDOVER_MS,
-    };
-    const decode = this.#chooseDecode(usable, run, getMemoryShare(waiting, late));
-    if (decode === undefined) return undefined;
-    this.#recordPlace(waiting, decode, run, late);
-    this.#useDecode(decode).add(request.key, run);
-    if (prefill === undefined) return { prefillRunner: undefined, decodeRunner: decode };
+    const prefill = this.#choosePrefill(usable, request);
+    if (prefill.kind === "busy") return undefined;
+    const prefillRunner = prefill.kind === "runner" ? prefill.id : undefined;
+    const run = this.#createRun(request, prefillRunner);
     const now = this.#options.clock.now();
-    this.#usePrefill(prefill).add(request.key, request.promptTokens, now);
-    return { prefillRunner: prefill, decodeRunner: decode };
+    const limits = this.#computeLimits(waiting, late);
+    const decodeRunner = runnerChoice.chooseDecodeRunner(usable, this.#loads, run, limits, now);
+    if (decodeRunner === undefined) return undefined;
+    this.#recordPlace(waiting, decodeRunner, run, late);
+    this.#loads.useDecode(decodeRunner).add(request.key, run);
+    if (prefillRunner !== undefined) {
+      this.#loads.usePrefill(prefillRunner).add(request.key, request.promptTokens, now);
+    }
+    return { prefillRunner, decodeRunner };
+  }
+
+  #choosePrefill(
+    usable: readonly runners.Runner[],
+    request: types.PlaceRequest,
+  ): runnerChoice.PrefillChoice {
+    if (request.prefilledBy !== undefined) return { kind: "none" };
+    return runnerChoice.choosePrefillRunner(usable, this.#loads, request.zone);
+  }
+
+  #createRun(
+    request: types.PlaceRequest,
+    prefillRunner: string | undefined,
+  ): memoryForecast.ForecastRun {
+    const { promptTokens, expectedOutputTokens, maxOutputTokens } = request;
+    const readMs =
+      prefillRunner === undefined ? 0 : this.#computePrefillTime(prefillRunner, request);
+    const startsAt = this.#options.clock.now() + readMs + HANDOVER_MS;
+    return { promptTokens, expectedOutputTokens, maxOutputTokens, startsAt };
+  }
+
+  #computeLimits(waiting: Waiting, late: boolean): runnerChoice.DecodeLimits {
+    const capacity = this.engine?.kvCapacityTokens ?? Number.POSITIVE_INFINITY;
+    const memoryTokens = capacity * this.#share * getMemoryShare(waiting, late);
+    return { memoryTokens, slotShare: this.#share };
   }
 
   #recordPlace(
@@ -275,7 +278,7 @@
     late: boolean,
   ): void {
     const now = this.#options.clock.now();
-    const load = this.#useDecode(decode);
+    const load = this.#loads.useDecode(decode);
     this.#options.log.write(logEvents.LOG_EVENTS.requestPlaced, {
       request: waiting.request.key,
       runner: decode,
@@ -294,110 +297,19 @@
     const listed = this.#options
       .listCandidates()
       .filter(({ runner }) => !request.excluded.includes(runner.id));
-    const staying = listed.filter(({ runner }) => !this.#isSwitching(runner));
+    const staying = listed.filter(({ runner }) => !this.#switches.has(runner));
     const sound = staying.filter(({ runner, paused }) => !paused && !this.#absences.has(runner.id));
     return (sound.length > 0 ? sound : staying).map((candidate) => candidate.runner);
   }
 
-  #isSwitching(runner: runners.Runner): boolean {
-    const switching = this.#switching.get(runner.id);
-    if (switching === undefined) return false;
-    const isDone = runner.stage === switching.stage || runner.bornAt !== switching.bornAt;
-    if (isDone || this.#options.clock.now() > switching.until) this.#switching.delete(runner.id);
-    return !isDone;
-  }
-
-  /** Returns the speed at which the pool's runners read, in tokens a millisecond. */
-  #computeReadSpeed(): number {
-    const speeds = [...this.#prefill.values()].map((load) => load.tokensPerMs);
-    if (speeds.length === 0) return new prefillLoad.PrefillLoad().tokensPerMs;
-    return speeds.reduce((sum, speed) => sum + speed, 0) / speeds.length;
-  }
-
-  #computeMsPerToken(): number {
-    const speeds = [...this.#decode.values()].map((load) => load.msPerToken);
-    if (speeds.length === 0) return UNMEASURED_MS_PER_TOKEN;
-    return speeds.reduce((sum, speed) => sum + speed, 0) / speeds.length;
-  }
-
-  /** Returns the prefill runner with the shortest queue; `busy` when all queues are long. */
-  #choosePrefill(
-    usable: readonly runners.Runner[],
-    request: types.PlaceRequest,
-  ): string | undefined {
-    const readers = usable.filter((runner) => runner.stage === runners.STAGE.prefill);
-    if (readers.length === 0) return undefined;
-    const waits = readers.map((runner) => ({
-      id: runner.id,
-      waitMs: this.#usePrefill(runner.id).computeWait(),
-      isNear: runner.zone === request.zone,
-    }));
-    waits.sort((first, second) => first.waitMs - second.waitMs || compareNear(first, second));
-    const best = waits[0];
-    return best === undefined || best.waitMs > LONGEST_PREFILL_WAIT_MS ? "busy" : best.id;
-  }
-
-  #chooseDecode(
-    usable: readonly runners.Runner[],
-    run: memoryForecast.ForecastRun,
-    memoryShare: number,
-  ): string | undefined {
-    const engine = this.#options.findEngine();
-    const capacity = engine?.kvCapacityTokens ?? Number.POSITIVE_INFINITY;
-    const limit = capacity * this.#share * memoryShare;
-    const now = this.#options.clock.now();
-    let best: { readonly id: string; readonly peak: number } | undefined;
-    for (const runner of usable) {
-      if (runner.stage === runners.STAGE.prefill) continue;
-      const load = this.#useDecode(runner.id);
-      if (load.count >= Math.max(1, runner.slots * this.#share)) continue;
-      const peak = load.computePeak(run, now);
-      const fits = peak <= limit || load.count === 0;
-      if (fits && (best === undefined || peak < best.peak)) best = { id: runner.id, peak };
-    }
-    return best?.id;
-  }
-
   #computePrefillTime(runnerId: string, request: types.PlaceRequest): number {
-    const load = this.#usePrefill(runnerId);
+    const load = this.#loads.usePrefill(runnerId);
     return load.computeWait() + load.computeReadTime(request.promptTokens);
   }
 
   /** Returns the time from a grant to the first event with nothing in the way. */
   #computeStartTime(request: types.PlaceRequest): number {
-    const [any] = this.#prefill.values();
-    const readMs = (any ?? new prefillLoad.PrefillLoad()).computeReadTime(request.promptTokens);
-    return readMs + HANDOVER_MS;
-  }
-
-  #releasePrefill(key: string, prefillMs: number | undefined): void {
-    for (const load of this.#prefill.values()) {
-      if (load.remove(key, prefillMs)) return;
-    }
-  }
-
-  #releaseDecode(key: string, outputTokens = 0, decodeMs = 0): void {
-    for (const load of this.#decode.values()) {
-      if (!load.remove(key, this.#options.clock.now())) continue;
-      load.recordSpeed(outputTokens, decodeMs);
-      return;
-    }
-  }
-
-  #useDecode(id: string): decodeLoad.DecodeLoad {
-    const known = this.#decode.get(id);
-    if (known !== undefined) return known;
-    const load = new decodeLoad.DecodeLoad();
-    this.#decode.set(id, load);
-    return load;
-  }
-
-  #usePrefill(id: string): prefillLoad.PrefillLoad {
-    const known = this.#prefill.get(id);
-    if (known !== undefined) return known;
-    const load = new prefillLoad.PrefillLoad();
-    this.#prefill.set(id, load);
-    return load;
+    return request.promptTokens / this.#loads.computeReadSpeed() + HANDOVER_MS;
   }
 }
 
@@ -405,7 +317,3 @@
   if (!late) return MEMORY_SHARE;
   return waiting.returned ? RETURNED_MEMORY_SHARE : LATE_MEMORY_SHARE;
 }
-
-function compareNear(first: { isNear: boolean }, second: { isNear: boolean }): number {
-  return Number(second.isNear) - Number(first.isNear);
-}
--- a/src/placement/stage-orders.ts
+++ b/src/placement/stage-orders.ts
@@ -131,7 +131,7 @@
     if (change === undefined) return;
     const [candidates, stage] =
       change === "toDecode" ? [prefill, runners.STAGE.decode] : [decode, runners.STAGE.prefill];
-    const runner = scheduler.chooseLeastLoaded(candidates);
+    const runner = scheduler.chooseForOrder(candidates);
     if (runner === undefined) return;
     this.#settledAt.set(service, this.#options.clock.now() + SETTLE_MS);
     await this.#sendOrder(runner, stage, scheduler, { ...split, ...costs });
--- a/test/docs/naming.ts
+++ b/test/docs/naming.ts
@@ -29,13 +29,15 @@
   return found;
 }
 
-/** Methods that the language's iterator protocol and the HTTP library's agent name. */
+/** Methods that the language's iterators and streams and the HTTP library's agent name. */
 const PROTOCOL_METHODS: ReadonlySet<string> = new Set([
   "next",
   "return",
   "throw",
   "keepSocketAlive",
   "reuseSocket",
+  "_write",
+  "_final",
 ]);
 
 /** Returns whether a name begins with one of the verbs, as a whole word. */
--- a/test/gateway/gateway-fixture.ts
+++ b/test/gateway/gateway-fixture.ts
@@ -1,13 +1,9 @@
 /** Whole gateways in one process, each on a loopback address of its own, before a stand-in platform. */
 import * as wreck from "@hapi/wreck";
-import * as callerWire from "../../platform/caller-wire.js";
-import * as configurationFormat from "../../platform/configuration-format.js";
-import * as runnerFormat from "../../platform/runner-format.js";
-import * as runnerWire from "../../platform/runner-wire.js";
+import * as adapters from "../../platform/adapter.js";
 import * as settingsFile from "../../platform/settings-file.js";
-import * as storeClient from "../../platform/store-client.js";
 import * as gatewayNode from "../../src/gateway/gateway-node.js";
-import type * as gateway from "../../src/gateway/types.js";
+import * as gatewayServices from "../../src/gateway/gateway-services.js";
 import * as clocks from "../../src/kernel/clock.js";
 import * as examples from "../../standins/users-platform/examples.js";
 import * as engines from "../../standins/users-platform/engine.js";
@@ -39,29 +35,14 @@
     platform: platform.address,
   });
   const settings = settingsFile.parseSettings(text);
-  const kernel = gatewayNode.createGatewayKernel(createAdapter(settings), OPTIONS);
+  const kernel = gatewayServices.createGatewayKernel(
+    adapters.createAdapter(settings, clock),
+    OPTIONS,
+  );
   const running = await gatewayNode.startGateway(kernel, OPTIONS);
   return { ip, running, [Symbol.asyncDispose]: () => running[Symbol.asyncDispose]() };
 }
 
-function createAdapter(settings: gateway.GatewaySettings): gateway.PlatformAdapter {
-  const { platformAddress } = settings;
-  const { parseConfiguration } = configurationFormat;
-  const { parseRunner } = runnerFormat;
-  return {
-    settings,
-    callers: callerWire.CALLER_WIRE,
-    runnerWire: runnerWire.RUNNER_WIRE,
-    configurationSource: new storeClient.StoreSource(
-      clock,
-      platformAddress,
-      "op/",
-      parseConfiguration,
-    ),
-    runnerSource: new storeClient.StoreSource(clock, platformAddress, "servers/", parseRunner),
-  };
-}
-
 /** A platform with a configuration, two prefill and two decode engines. */
 export interface TestPlatform extends AsyncDisposable {
   readonly platform: store.StoreStandIn;
