--- a/test/docs/settings.test.ts
+++ b/test/docs/settings.test.ts
@@ -3,6 +3,7 @@
 import * as commandSettings from "../../src/cli/command-settings.js";
 import * as exitCodes from "../../src/cli/exit-codes.js";
 import * as options from "../../src/cli/settings-options.js";
+import * as gatewayCatalogue from "../../src/settings/gateway-settings-catalogue.js";
 import * as catalogue from "../../src/settings/node-settings-catalogue.js";
 import * as repository from "./repository.js";
 
@@ -22,6 +23,7 @@
     const listed = rows.filter((row) => row[0]?.startsWith("`--"));
     const definitions: catalogue.SettingDefinition[] = [
       ...Object.values(catalogue.NODE_SETTINGS),
+      ...Object.values(gatewayCatalogue.GATEWAY_SETTINGS),
       ...Object.values(commandSettings.COMMAND_SETTINGS),
     ];
     earl.expect(listed).toEqual(definitions.map(createRow));
