--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -152,4 +152,30 @@
     earl.expect((await stream).body.includes("id: 39\n")).toEqual(true);
     await drained;
   });
+
+  test.it("goes on placing requests when the scheduler's VM is gone without a word", async () => {
+    await using world = await fixture.startPlatform({}, {});
+    const gateways: fixture.TestGateway[] = [];
+    for (const number of [1, 2, 3]) {
+      const started = await fixture.startGateway(world.platform, 89, number);
+      await fixture.waitForReady(started.ip);
+      gateways.push(started);
+    }
+    const isScheduler = (gateway: fixture.TestGateway): boolean =>
+      gateway.running.kernel.use("placement").listSchedulers(["model"]).size === 1;
+    await fixture.waitFor("all agree on one scheduler", () => {
+      const known = gateways.map((gateway) => gateway.running.kernel.use("membership"));
+      const isComplete = known.every((fleet) => fleet.listAlive().length === 3);
+      return isComplete && gateways.filter(isScheduler).length === 1;
+    });
+    const scheduler = gateways.find(isScheduler);
+    const others = gateways.filter((gateway) => gateway !== scheduler);
+    await scheduler?.[Symbol.asyncDispose]();
+    for (const [index, other] of [...others, ...others].entries()) {
+      const headers = { ...fixture.PROMPT, "request-id": `after-${index}` };
+      const answer = await fixture.send(other.ip, "/notes/x", headers);
+      earl.expect([answer.status, answer.body]).toEqual([200, WHOLE]);
+    }
+    for (const other of others) await other[Symbol.asyncDispose]();
+  });
 });
--- /dev/null
+++ b/test/placement/stage-orders.test.ts
@@ -0,0 +1,180 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as runnerWire from "../../platform/runner-wire.js";
+import * as random from "../../src/kernel/random.js";
+import * as poolScheduler from "../../src/placement/pool-scheduler.js";
+import * as stageOrders from "../../src/placement/stage-orders.js";
+import * as runnerTable from "../../src/runners/runner-table.js";
+import type * as runnerCalls from "../../src/runners/runner-calls.js";
+import type * as runners from "../../src/runners/types.js";
+import * as fakeClock from "../../standins/fake-clock.js";
+import * as raw from "../runners/raw-runner.js";
+import * as routingFixture from "../routing/routing-fixture.js";
+
+const LEASE_MS = 3_000;
+const SERVICE = "model";
+const log = { write: () => undefined };
+const metrics = {
+  count: () => undefined,
+  set: () => undefined,
+  recordDuration: () => undefined,
+  format: () => Promise.resolve(""),
+};
+
+interface SentOrder {
+  readonly runner: string;
+  readonly stage: string;
+  readonly token: number;
+  readonly at: number;
+}
+
+interface OrderBody {
+  readonly stage: string;
+  readonly fencing_token: number;
+}
+
+/** A pool of three runners of each stage under load, and a VM that may order them. */
+function createPool(vm = "vm-1") {
+  const clock = fakeClock.createFakeClock();
+  const table = new runnerTable.RunnerTable(clock, log);
+  const set = (id: string, stage: runners.Stage, bornAt = 1): void => {
+    const runner = { ...raw.createRunner(id, 1), service: SERVICE, slots: 16, stage, bornAt };
+    table.setRunner(id, runner);
+  };
+  for (const number of [1, 2, 3]) {
+    set(`p${number}`, "prefill");
+    set(`d${number}`, "decode");
+  }
+  const scheduler = new poolScheduler.PoolScheduler({
+    clock,
+    log,
+    listCandidates: () => table.listUsable(SERVICE),
+    findEngine: () => routingFixture.ENGINE,
+  });
+  const orders: SentOrder[] = [];
+  const state = { isInTouch: true, isScheduler: true, status: 202, revision: 40 };
+  const sendMessage: runnerCalls.RunnerCalls["sendMessage"] = (runner, message) => {
+    if (message.method === "GET") {
+      const stage = table.find(runner.id)?.runner.stage;
+      return Promise.resolve({ status: 200, body: Buffer.from(JSON.stringify({ stage })) });
+    }
+    const body = JSON.parse(String(message.body)) as OrderBody;
+    const { stage, fencing_token: token } = body;
+    orders.push({ runner: runner.id, stage, token, at: clock.now() });
+    return Promise.resolve({ status: state.status, body: Buffer.from("") });
+  };
+  const created = new stageOrders.StageOrders({
+    clock,
+    log,
+    metrics,
+    vm,
+    leaseMs: LEASE_MS,
+    runners: table,
+    calls: { sendMessage } as unknown as runnerCalls.RunnerCalls,
+    wire: runnerWire.RUNNER_WIRE,
+    listSchedulers: () => new Map(state.isScheduler ? [[SERVICE, scheduler]] : []),
+    isInTouch: () => state.isInTouch,
+    getRevision: () => state.revision,
+  });
+  void created.run();
+  const load = (): void => {
+    const source = random.createSeededRandom(1);
+    for (let count = 0; count < 12; count += 1) {
+      const key = `r${count}-${source.nextFloat()}/0`;
+      const request = {
+        key,
+        service: SERVICE,
+        subject: key,
+        promptTokens: 5_000,
+        expectedOutputTokens: 4_000,
+        maxOutputTokens: 8_000,
+        targetMs: 900,
+        patienceMs: 2_500,
+        zone: "a",
+        excluded: [],
+      };
+      scheduler.submit(request, () => undefined);
+    }
+  };
+  return {
+    clock,
+    set,
+    orders,
+    state,
+    load,
+    [Symbol.asyncDispose]: async () => {
+      scheduler.close();
+      await created[Symbol.asyncDispose]();
+    },
+  };
+}
+
+test.describe("StageOrders", () => {
+  test.it("orders one prefill runner to decode, and no other while it changes", async () => {
+    await using pool = createPool();
+    pool.load();
+    await pool.clock.advance(11_000);
+    earl.expect(pool.orders.map(({ stage }) => stage)).toEqual(["decode"]);
+    const [first] = pool.orders;
+    pool.set(first?.runner ?? "", "decode");
+    await pool.clock.advance(20_000);
+    earl.expect(pool.orders.length).toEqual(1);
+  });
+
+  test.it("waits out the lease of an earlier scheduler before its first order", async () => {
+    await using pool = createPool();
+    pool.load();
+    await pool.clock.advance(20_000);
+    earl.expect((pool.orders[0]?.at ?? 0) >= LEASE_MS).toEqual(true);
+  });
+
+  test.it(
+    "orders nothing while it sees few VMs, and waits anew when it sees them again",
+    async () => {
+      await using pool = createPool();
+      pool.state.isInTouch = false;
+      pool.load();
+      await pool.clock.advance(10_000);
+      earl.expect(pool.orders).toEqual([]);
+      pool.state.isInTouch = true;
+      const seenAgainAt = pool.clock.now();
+      await pool.clock.advance(10_000);
+      earl.expect((pool.orders[0]?.at ?? 0) >= seenAgainAt + LEASE_MS).toEqual(true);
+    },
+  );
+
+  test.it("orders nothing once another VM schedules the service", async () => {
+    await using pool = createPool();
+    pool.load();
+    await pool.clock.advance(2_000);
+    pool.state.isScheduler = false;
+    await pool.clock.advance(10_000);
+    pool.state.isScheduler = true;
+    const backAt = pool.clock.now();
+    await pool.clock.advance(10_000);
+    earl.expect(pool.orders.filter(({ at }) => at < backAt + LEASE_MS)).toEqual([]);
+  });
+
+  test.it("does not use a token again that a runner refused", async () => {
+    await using pool = createPool();
+    pool.state.status = 412;
+    pool.load();
+    await pool.clock.advance(30_000);
+    earl.expect(pool.orders.length).toEqual(1);
+    pool.state.revision = 41;
+    pool.state.status = 202;
+    await pool.clock.advance(10_000);
+    earl.expect(pool.orders.length).toEqual(2);
+    earl.expect((pool.orders[1]?.token ?? 0) > (pool.orders[0]?.token ?? 0)).toEqual(true);
+  });
+
+  test.it("has another token than any other VM at the same revision", async () => {
+    await using one = createPool("vm-1");
+    await using two = createPool("vm-2");
+    for (const pool of [one, two]) {
+      pool.load();
+      await pool.clock.advance(11_000);
+    }
+    earl.expect(one.orders[0]?.token === two.orders[0]?.token).toEqual(false);
+  });
+});
--- /dev/null
+++ b/test/registry/registry-reader.test.ts
@@ -0,0 +1,91 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as random from "../../src/kernel/random.js";
+import * as registryReader from "../../src/registry/registry-reader.js";
+import * as registryView from "../../src/registry/registry-view.js";
+import type * as types from "../../src/registry/types.js";
+import * as fakeClock from "../../standins/fake-clock.js";
+
+const metrics = {
+  count: () => undefined,
+  set: () => undefined,
+  recordDuration: () => undefined,
+  format: () => Promise.resolve(""),
+};
+
+type Answer = "gap" | "fail" | types.RegistryChanges<string>;
+
+/** A reader before a source whose watches give the answers in turn, then wait. */
+function createReader(answers: Answer[]) {
+  const clock = fakeClock.createFakeClock();
+  const view = new registryView.RegistryView<string>(clock);
+  const calls: string[] = [];
+  let items: types.RegistryItem<string>[] = [{ key: "a", revision: 3, value: "a3" }];
+  const source: types.RegistrySource<string> = {
+    readAll: () => {
+      calls.push("read");
+      return Promise.resolve({ revision: 3 + calls.length, items });
+    },
+    watch: (after) => {
+      calls.push(`watch ${after}`);
+      const answer = answers.shift();
+      if (answer === undefined) return new Promise(() => undefined);
+      if (answer === "fail") return Promise.reject(new Error("no answer"));
+      return Promise.resolve(answer === "gap" ? undefined : answer);
+    },
+  };
+  const reader = new registryReader.RegistryReader({
+    name: "runners",
+    source,
+    view,
+    clock,
+    random: random.createSeededRandom(1),
+    log: { write: () => undefined },
+    metrics,
+  });
+  const setItems = (next: types.RegistryItem<string>[]): void => {
+    items = next;
+  };
+  return { clock, view, calls, reader, setItems };
+}
+
+test.describe("RegistryReader", () => {
+  test.it("reads all once, then watches from where it is", async () => {
+    const change = { key: "b", revision: 9, value: "b9" };
+    const changes = { revision: 9, changes: [{ removed: false as const, item: change }] };
+    const made = createReader([changes]);
+    void made.reader.run(new AbortController().signal);
+    await made.clock.settle();
+    earl.expect(made.calls).toEqual(["read", "watch 4", "watch 9"]);
+    earl.expect(made.view.list().map((item) => item.value)).toEqual(["a3", "b9"]);
+  });
+
+  test.it(
+    "reads all again after a gap in the history, and takes what is absent as gone",
+    async () => {
+      const made = createReader(["gap"]);
+      void made.reader.run(new AbortController().signal);
+      made.setItems([{ key: "c", revision: 4, value: "c4" }]);
+      await made.clock.settle();
+      earl.expect(made.calls.slice(0, 3)).toEqual(["read", "watch 4", "read"]);
+      earl.expect(made.view.list().map((item) => item.key)).toEqual(["c"]);
+    },
+  );
+
+  test.it(
+    "comes back with pauses after failures, and gives what expired time to return",
+    async () => {
+      const made = createReader(["fail"]);
+      const { signal } = new AbortController();
+      void made.reader.run(signal);
+      await made.clock.settle();
+      made.setItems([]);
+      await made.clock.advance(1_000);
+      earl.expect(made.calls.slice(0, 3)).toEqual(["read", "watch 4", "read"]);
+      earl.expect(made.view.list().length).toEqual(1);
+      await made.clock.advance(2_000);
+      made.view.expire();
+      earl.expect(made.view.list().length).toEqual(0);
+    },
+  );
+});
