Read the settings file again, bound request heads, trace each hop of a gateway

Cause: a running gateway kept the seeds and bounds it had started with, whether SIGHUP came or the file changed without one; heads up to the parser's 64 KiB were taken whatever the configuration says; the gateway made no spans.

Ruled out: watching the file (inotify is not available there); a span exporter that is always loaded (start-up is charged in full after a restart).

Before: a head of 17,000 bytes was served under a limit of 16,384; a changed seed list was not seen.

--- a/src/caller/trace-context.ts
+++ b/src/caller/trace-context.ts
@@ -1,6 +1,5 @@
 /** Continues the caller's trace in the span of a request. */
 import type * as hapi from "@hapi/hapi";
-import * as otel from "@opentelemetry/api";
 import type * as kernels from "../kernel/container.js";
 import * as spans from "../telemetry/spans.js";
 
@@ -11,8 +10,7 @@
   name: string,
   work: () => Promise<Result>,
 ): Promise<Result> {
-  const parent = otel.propagation.extract(otel.context.active(), request.headers);
-  return otel.context.with(parent, () =>
-    spans.runInSpan(kernel.use("tracer"), name, { path: request.path }, work),
-  );
+  const attributes = { path: request.path };
+  const tracer = kernel.use("tracer");
+  return spans.runInReceivedSpan(tracer, name, request.headers, attributes, work);
 }
--- a/src/cli/gateway-command.ts
+++ b/src/cli/gateway-command.ts
@@ -15,12 +15,14 @@
       fleetKeys: options.createSettingOption(settings.fleetKeys),
       logLevel: options.createSettingOption(settings.logLevel),
       metricsPort: options.createSettingOption(settings.metricsPort),
+      otlpUrl: options.createSettingOption(settings.otlpUrl),
     },
     handler: async (flags): Promise<exitCodes.ExitCode> => {
       const check = catalogue.validateGatewaySettings({
         fleetKeys: options.getSetting(terminal, settings.fleetKeys, flags.fleetKeys),
         logLevel: options.getSetting(terminal, settings.logLevel, flags.logLevel),
         metricsPort: options.getSetting(terminal, settings.metricsPort, flags.metricsPort),
+        otlpUrl: options.getSetting(terminal, settings.otlpUrl, flags.otlpUrl),
       });
       if (!check.ok) {
         check.faults.forEach((fault) => {
--- a/src/gateway/caller-front.ts
+++ b/src/gateway/caller-front.ts
@@ -10,8 +10,10 @@
 import type * as crashWatch from "../serving/crash-watch.js";
 import type * as serving from "../serving/types.js";
 import * as logEvents from "../telemetry/log-events.js";
+import * as spans from "../telemetry/spans.js";
 import type * as telemetry from "../telemetry/types.js";
 import * as bodies from "./bodies.js";
+import * as heads from "./heads.js";
 import * as httpServer from "./http-server.js";
 import type * as types from "./types.js";
 
@@ -30,6 +32,7 @@
   readonly clock: clocks.Clock;
   readonly log: telemetry.EventLog;
   readonly metrics: telemetry.Metrics;
+  readonly tracer: telemetry.Tracer;
   readonly routing: routingState.RoutingState;
   readonly crashWatch: Pick<crashWatch.CrashWatch, "checkAllowed">;
   readonly plain: CallServer;
@@ -106,9 +109,13 @@
     let head: types.CallHead | undefined;
     try {
       head = this.#options.wire.parseHead(request);
+      this.#checkHeadSize(request);
       if (this.#leavingAt !== undefined) response.shouldKeepAlive = false;
       const call = await this.#createCall(head, request, arrivedAt, controller.signal, reply);
-      await this.#serveCall(call);
+      const { tracer } = this.#options;
+      await spans.runInReceivedSpan(tracer, "call", request.headers, { id: head.id }, () =>
+        this.#serveCall(call),
+      );
       this.#recordEnd(call, "answered");
     } catch (error) {
       this.#handleFailure(head, reply, controller.signal, error, arrivedAt);
@@ -117,6 +124,12 @@
     }
   }
 
+  #checkHeadSize(request: http.IncomingMessage): void {
+    const limits = this.#options.routing.current?.table.limits;
+    if (limits === undefined || heads.computeHeadBytes(request) <= limits.maxHeaderBytes) return;
+    throw new resultCodes.RequestError(resultCodes.RESULT_CODES.headTooLarge, resultCodes.RAN.no);
+  }
+
   async #createCall(
     head: types.CallHead,
     request: http.IncomingMessage,
--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -28,6 +28,7 @@
   const lookups = createLookupFront(kernel, options, isReady);
   await Promise.all([front.start(), lookups.start()]);
   sync.start();
+  void kernel.use("liveSettings").run();
   void kernel.use("membership").start();
   void kernel.use("engineReports").run();
   void kernel.use("stageOrders").run();
@@ -58,6 +59,7 @@
     clock: kernel.use("clock"),
     log: kernel.use("log"),
     metrics: kernel.use("metrics"),
+    tracer: kernel.use("tracer"),
     routing: kernel.use("routing"),
     crashWatch: kernel.use("crashWatch"),
     plain: kernel.use("plainServing"),
@@ -71,10 +73,9 @@
   options: services.GatewayOptions,
   isReady: () => boolean,
 ): lookupFront.LookupFront {
-  const { settings, callers } = kernel.use("adapter");
   return new lookupFront.LookupFront({
-    settings,
-    wire: callers,
+    settings: kernel.use("liveSettings"),
+    wire: kernel.use("adapter").callers,
     membership: kernel.use("membership"),
     metrics: kernel.use("metrics"),
     metricsPort: options.metricsPort,
@@ -96,7 +97,7 @@
 ): Promise<void> {
   const clock = kernel.use("clock");
   const startedAt = clock.now();
-  const limitAt = startedAt + kernel.use("settings").drainLimitMs - EXIT_MARGIN_MS;
+  const limitAt = startedAt + kernel.use("liveSettings").current.shutdownLimitMs - EXIT_MARGIN_MS;
   kernel.use("log").write(events.LOG_EVENTS.nodeLeaving, { active: front.active });
   front.startLeaving();
   await kernel.use("membership").startLeaving();
@@ -112,10 +113,14 @@
   options: services.GatewayOptions,
 ): Promise<void> {
   const kernel = services.createGatewayKernel(adapter, options);
+  if (options.otlpUrl !== undefined) {
+    // The exporter takes long to load, and most gateways run without it.
+    const tracing = await import("../telemetry/tracing.js");
+    kernel.register("tracer", tracing.createTracer);
+  }
   const gateway = await startGateway(kernel, options);
-  // Settings are read at start; nothing in them changes what a running gateway does.
   process.on("SIGHUP", () => {
-    kernel.use("log").write(events.LOG_EVENTS.settingsReloaded);
+    kernel.use("liveSettings").update("signal");
   });
   await waitForLeaveSignal();
   await gateway.drain();
--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -22,6 +22,8 @@
 import type * as nodeSettings from "../settings/node-settings.js";
 import * as log from "../telemetry/log.js";
 import * as metrics from "../telemetry/metrics.js";
+import * as spans from "../telemetry/spans.js";
+import * as liveSettings from "./live-settings.js";
 import * as seedList from "./seed-list.js";
 import type * as types from "./types.js";
 
@@ -30,6 +32,8 @@
   readonly fleetKeys: readonly string[];
   readonly logLevel: nodeSettings.NodeSettings["logLevel"];
   readonly metricsPort: number | undefined;
+  /** Where spans are exported; without it none is recorded. */
+  readonly otlpUrl: string | undefined;
 }
 
 /** Creates a kernel with every service of a gateway. Nothing runs before `startGateway`. */
@@ -44,9 +48,11 @@
   kernel.register("random", () => random.createSystemRandom());
   kernel.register("log", log.createEventLog);
   kernel.register("metrics", () => metrics.createMetrics());
+  kernel.register("tracer", spans.createIdleTracer);
   kernel.register("transport", () => tcpTransport.createTcpTransport());
   kernel.register("network", peerNetwork.createPeerNetwork);
-  kernel.register("platform", () => seedList.createSeedList(adapter.settings));
+  kernel.register("liveSettings", createLiveSettings);
+  kernel.register("platform", () => seedList.createSeedList(kernel.use("liveSettings")));
   kernel.register("membership", membership.createMembership);
   kernel.register("routing", () => new routingState.RoutingState(kernel.use("log")));
   kernel.register(
@@ -82,19 +88,38 @@
     adminToken: undefined,
     logFormat: "json",
     logLevel: options.logLevel,
-    otlpUrl: undefined,
+    otlpUrl: options.otlpUrl,
     drainLimitMs: settings.shutdownLimitMs,
   };
 }
 
+function createLiveSettings(kernel: container.Kernel): liveSettings.LiveSettings {
+  const adapter = kernel.use("adapter");
+  return new liveSettings.LiveSettings({
+    clock: kernel.use("clock"),
+    log: kernel.use("log"),
+    initial: adapter.settings,
+    read: () => adapter.readSettings(),
+  });
+}
+
 function createRunnerCalls(kernel: container.Kernel): runnerCalls.RunnerCalls {
   const { runnerWire } = kernel.use("adapter");
-  return new runnerCalls.RunnerCalls(kernel.use("clock"), runnerWire, () => countVms(kernel));
+  return new runnerCalls.RunnerCalls({
+    clock: kernel.use("clock"),
+    wire: runnerWire,
+    tracer: kernel.use("tracer"),
+    countVms: () => countVms(kernel),
+  });
 }
 
 function createRepeatBudgets(kernel: container.Kernel): repeatBudgets.RepeatBudgets {
-  const { retryBudget } = kernel.use("adapter").settings;
-  return new repeatBudgets.RepeatBudgets(retryBudget, kernel.use("clock"), () => countVms(kernel));
+  const live = kernel.use("liveSettings");
+  return new repeatBudgets.RepeatBudgets(
+    () => live.current.retryBudget,
+    kernel.use("clock"),
+    () => countVms(kernel),
+  );
 }
 
 function countVms(kernel: container.Kernel): number {
@@ -146,6 +171,7 @@
 
 function createStageOrders(kernel: container.Kernel): stageOrders.StageOrders {
   const { settings, runnerWire } = kernel.use("adapter");
+  const live = kernel.use("liveSettings");
   const sync = kernel.use("registrySync");
   const fleet = kernel.use("membership");
   return new stageOrders.StageOrders({
@@ -153,7 +179,7 @@
     log: kernel.use("log"),
     metrics: kernel.use("metrics"),
     vm: settings.vm,
-    leaseMs: settings.orderLeaseMs,
+    getLeaseMs: () => live.current.orderLeaseMs,
     runners: kernel.use("runners"),
     calls: kernel.use("runnerCalls"),
     wire: runnerWire,
@@ -203,5 +229,6 @@
     budgets: kernel.use("repeatBudgets"),
     crashWatch: kernel.use("crashWatch"),
     placement: kernel.use("placement"),
+    tracer: kernel.use("tracer"),
   });
 }
--- /dev/null
+++ b/src/gateway/heads.ts
@@ -0,0 +1,16 @@
+/** Sizes of request heads. */
+import type * as http from "node:http";
+
+/** The two spaces of a request line and the version, as in `GET /path HTTP/1.1`. */
+const REQUEST_LINE_EXTRA_BYTES = "  HTTP/1.1".length;
+const LINE_END_BYTES = "\r\n".length;
+const SEPARATOR_BYTES = ": ".length;
+
+/** Returns the bytes of a request's head as it was received, give or take optional white space. */
+export function computeHeadBytes(request: http.IncomingMessage): number {
+  const { method = "", url = "", rawHeaders } = request;
+  const line = method.length + url.length + REQUEST_LINE_EXTRA_BYTES + LINE_END_BYTES;
+  const texts = rawHeaders.reduce((sum, text) => sum + text.length, 0);
+  const lines = (rawHeaders.length / 2) * (SEPARATOR_BYTES + LINE_END_BYTES);
+  return line + texts + lines + LINE_END_BYTES;
+}
--- a/src/gateway/lookup-front.ts
+++ b/src/gateway/lookup-front.ts
@@ -3,6 +3,7 @@
 import type * as membership from "../membership/types.js";
 import type * as telemetry from "../telemetry/types.js";
 import * as httpServer from "./http-server.js";
+import type * as liveSettings from "./live-settings.js";
 import * as lookup from "./lookup.js";
 import type * as types from "./types.js";
 
@@ -11,7 +12,7 @@
 
 /** What the fronts work with. */
 export interface LookupFrontOptions {
-  readonly settings: types.GatewaySettings;
+  readonly settings: liveSettings.LiveSettings;
   readonly wire: types.CallerWire;
   readonly membership: membership.Membership;
   readonly metrics: telemetry.Metrics;
@@ -26,7 +27,8 @@
   readonly #servers: readonly httpServer.GatewayServer[];
 
   constructor(options: LookupFrontOptions) {
-    const { settings, metricsPort } = options;
+    const { metricsPort } = options;
+    const settings = options.settings.current;
     const ready = httpServer.createHttpServer(settings.readyAddress);
     addReadyRoute(ready.server, options);
     const directory = httpServer.createHttpServer(settings.lookupAddress);
@@ -67,7 +69,7 @@
       const { zone } = wire.parseLookup(request.raw.req.url ?? "/");
       const addresses = lookup.listAddresses(fleet, options.isReady(), zone);
       if (addresses.length === 0) return toolkit.response("").code(HTTP_UNAVAILABLE);
-      const ttlMs = Math.min(lookup.ADDRESS_TTL_MS, settings.addressTtlLimitMs);
+      const ttlMs = Math.min(lookup.ADDRESS_TTL_MS, settings.current.addressTtlLimitMs);
       const body = wire.formatLookup(addresses, ttlMs);
       return toolkit.response(body).type("application/json");
     },
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -188,7 +188,10 @@
 
 /** Everything that the gateway needs of a platform. */
 export interface PlatformAdapter {
+  /** The settings that the process started with. */
   readonly settings: GatewaySettings;
+  /** @throws when the settings cannot be read or are faulty. */
+  readSettings(): GatewaySettings;
   readonly callers: CallerWire;
   readonly runnerWire: RunnerWire;
   readonly configurationSource: registry.RegistrySource<routing.RoutingTable>;
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -1,6 +1,7 @@
 /** The names of the services in the kernel and their types. Every part finds the others through it. */
 import type * as capacity from "../capacity/types.js";
 import type * as gateway from "../gateway/types.js";
+import type * as liveSettings from "../gateway/live-settings.js";
 import type * as configuration from "../configuration/types.js";
 import type * as membership from "../membership/types.js";
 import type * as orders from "../orders/types.js";
@@ -45,6 +46,7 @@
   backends: upstream.ServiceClient;
   orders: orders.Orders;
   adapter: gateway.PlatformAdapter;
+  liveSettings: liveSettings.LiveSettings;
   routing: routingState.RoutingState;
   runners: runnerTable.RunnerTable;
   registrySync: registrySync.RegistrySync;
--- a/src/placement/stage-orders.ts
+++ b/src/placement/stage-orders.ts
@@ -42,7 +42,8 @@
   readonly log: telemetry.EventLog;
   readonly metrics: telemetry.Metrics;
   readonly vm: string;
-  readonly leaseMs: number;
+  /** Returns the time for which the right to order is kept. */
+  readonly getLeaseMs: () => number;
   readonly runners: runnerTable.RunnerTable;
   readonly calls: runnerCalls.RunnerCalls;
   readonly wire: gateway.RunnerWire;
@@ -99,7 +100,7 @@
   }
 
   async #runPass(): Promise<void> {
-    const { clock, listSchedulers, leaseMs } = this.#options;
+    const { clock, listSchedulers, getLeaseMs } = this.#options;
     const schedulers = listSchedulers();
     for (const service of [...this.#since.keys()]) {
       if (!schedulers.has(service)) this.#since.delete(service);
@@ -107,7 +108,7 @@
     for (const [service, scheduler] of schedulers) {
       const since = this.#since.get(service) ?? clock.now();
       this.#since.set(service, since);
-      const mayOrder = clock.now() - since >= LEASES_WAITED * leaseMs;
+      const mayOrder = clock.now() - since >= LEASES_WAITED * getLeaseMs();
       const isSettled = clock.now() >= (this.#settledAt.get(service) ?? 0);
       if (mayOrder && isSettled && !scheduler.hasSwitching())
         await this.#checkSplit(service, scheduler, mayOrder);
--- a/src/protocol/result-codes.ts
+++ b/src/protocol/result-codes.ts
@@ -28,6 +28,7 @@
   headerOutOfRange: { number: 1011, status: 400, message: "header out of range" },
   promptTooLong: { number: 1012, status: 400, message: "prompt does not fit into engine memory" },
   adminTokenInvalid: { number: 1013, status: 401, message: "administration token not valid" },
+  headTooLarge: { number: 1014, status: 431, message: "request head too large" },
   overloaded: { number: 2001, status: 503, message: "no capacity within the latency targets" },
   shareExceeded: { number: 2002, status: 429, message: "caller is above its share" },
   leaving: { number: 2003, status: 503, message: "node is leaving" },
--- a/src/runners/runner-calls.ts
+++ b/src/runners/runner-calls.ts
@@ -2,6 +2,8 @@
 import type * as http from "node:http";
 import type * as gateway from "../gateway/types.js";
 import type * as clocks from "../kernel/clock.js";
+import * as spans from "../telemetry/spans.js";
+import type * as telemetry from "../telemetry/types.js";
 import * as httpCall from "../upstream/http-call.js";
 import * as responseReader from "../upstream/response-reader.js";
 import * as upstream from "../upstream/types.js";
@@ -17,6 +19,15 @@
 /** Enough for a VM to keep one busy while another is opened. */
 const FEWEST_CONNECTIONS = 4;
 
+/** What runner calls work with. */
+export interface RunnerCallsOptions {
+  readonly clock: clocks.Clock;
+  readonly wire: gateway.RunnerWire;
+  readonly tracer: telemetry.Tracer;
+  /** Returns how many VMs share the runners' connections. */
+  readonly countVms: () => number;
+}
+
 /** One call of a caller, sent to one runner. */
 export interface RunnerCall {
   readonly runner: types.Runner;
@@ -36,15 +47,11 @@
 
 /** Keeps the connections to runners. */
 export class RunnerCalls {
-  readonly #clock: clocks.Clock;
-  readonly #wire: gateway.RunnerWire;
-  readonly #countVms: () => number;
+  readonly #options: RunnerCallsOptions;
   readonly #agents = new Map<string, runnerAgent.RunnerAgent>();
 
-  constructor(clock: clocks.Clock, wire: gateway.RunnerWire, countVms: () => number) {
-    this.#clock = clock;
-    this.#wire = wire;
-    this.#countVms = countVms;
+  constructor(options: RunnerCallsOptions) {
+    this.#options = options;
   }
 
   /**
@@ -52,22 +59,31 @@
    *
    * @throws UpstreamError `notConnected` when nothing was sent, else `broken`: the runner may run it.
    */
-  async send(call: RunnerCall): Promise<RunnerAnswer> {
+  send(call: RunnerCall): Promise<RunnerAnswer> {
+    const { runner, options } = call;
+    const attributes = { runner: runner.id, stage: options.stage ?? "" };
+    return spans.runInSpan(this.#options.tracer, "runner-call", attributes, () =>
+      this.#sendInSpan(call),
+    );
+  }
+
+  async #sendInSpan(call: RunnerCall): Promise<RunnerAnswer> {
+    const { clock, wire } = this.#options;
     const { runner, head, options } = call;
     const sent: httpCall.HttpCall = {
       upstream: createUpstream(runner),
       method: head.method,
       path: head.target,
-      headers: this.#wire.formatHeaders(head, { ...options, runnerId: runner.id }),
+      headers: wire.formatHeaders(head, { ...options, runnerId: runner.id }),
       body: call.body.byteLength > 0 ? call.body : undefined,
       agent: this.#useAgent(runner),
       headLimitMs: call.headLimitMs,
       connectLimitMs: CONNECT_LIMIT_MS,
       signal: call.signal,
     };
-    const response = await httpCall.sendCall(this.#clock, sent);
+    const response = await httpCall.sendCall(clock, sent);
     watchForReset(response);
-    const answer = this.#wire.parseAnswer(response);
+    const answer = wire.parseAnswer(response);
     const isForeign = answer.callId !== undefined && answer.callId !== head.id;
     if (!isForeign) return { head: answer, response };
     response.destroy();
@@ -86,7 +102,8 @@
     limitMs: number,
     signal: AbortSignal,
   ): Promise<{ readonly status: number; readonly body: Buffer }> {
-    const response = await httpCall.sendCall(this.#clock, {
+    const { clock } = this.#options;
+    const response = await httpCall.sendCall(clock, {
       upstream: createUpstream(runner),
       method: message.method,
       path: message.target,
@@ -97,13 +114,13 @@
       connectLimitMs: CONNECT_LIMIT_MS,
       signal,
     });
-    const body = await responseReader.readBody(this.#clock, response, SMALL_BODY);
+    const body = await responseReader.readBody(clock, response, SMALL_BODY);
     return { status: response.statusCode ?? 0, body };
   }
 
   /** Sets how many connections a runner accepts, of all VMs together. */
   setConnectionLimit(runner: types.Runner, maxConnections: number): void {
-    const share = (CONNECTION_SHARE * maxConnections) / Math.max(1, this.#countVms());
+    const share = (CONNECTION_SHARE * maxConnections) / Math.max(1, this.#options.countVms());
     this.#useAgent(runner).maxSockets = Math.max(FEWEST_CONNECTIONS, Math.floor(share));
   }
 
--- a/src/serving/model-serving.ts
+++ b/src/serving/model-serving.ts
@@ -7,6 +7,7 @@
 import type * as runnerTable from "../runners/runner-table.js";
 import type * as runners from "../runners/types.js";
 import * as logEvents from "../telemetry/log-events.js";
+import * as spans from "../telemetry/spans.js";
 import type * as telemetry from "../telemetry/types.js";
 import type * as crashWatch from "./crash-watch.js";
 import * as engineRun from "./engine-run.js";
@@ -41,6 +42,7 @@
   readonly budgets: repeatBudgets.RepeatBudgets;
   readonly placement: placement.Placement;
   readonly crashWatch: crashWatch.CrashWatch;
+  readonly tracer: telemetry.Tracer;
 }
 
 /** Serves the calls of routes that carry model requests. */
@@ -82,7 +84,10 @@
   ): Promise<modelProgress.RunResult> {
     const request = this.#createPlaceRequest(call, progress);
     if (request.prefilledBy === undefined) progress.setPrefilled(undefined);
-    const answer = await this.#options.placement.reserve(request, call.signal);
+    const { placement: places, tracer } = this.#options;
+    const answer = await spans.runInSpan(tracer, "place", { places: progress.places }, () =>
+      places.reserve(request, call.signal),
+    );
     if (!answer.granted && request.prefilledBy !== undefined) {
       progress.setPrefilled(undefined);
       return { kind: "notRun", reason: "no place while the prompt was kept", excluded: undefined };
@@ -96,7 +101,7 @@
       const place = { key: request.key, decode, prefill };
       return await this.#engineRuns.run(call, progress, place, outcome);
     } finally {
-      this.#options.placement.release(request.key, outcome.outputTokens, outcome.decodeMs);
+      places.release(request.key, outcome.outputTokens, outcome.decodeMs);
     }
   }
 
--- a/src/serving/repeat-budgets.ts
+++ b/src/serving/repeat-budgets.ts
@@ -13,13 +13,17 @@
 
 /** Counts the calls and repeats of this VM; the limit is divided among the VMs by arithmetic alone. */
 export class RepeatBudgets {
-  readonly #settings: gateway.RetryBudgetSettings;
+  readonly #getSettings: () => gateway.RetryBudgetSettings;
   readonly #clock: clocks.Clock;
   readonly #countVms: () => number;
   readonly #budgets = new Map<string, retryBudget.RetryBudget>();
 
-  constructor(settings: gateway.RetryBudgetSettings, clock: clocks.Clock, countVms: () => number) {
-    this.#settings = settings;
+  constructor(
+    getSettings: () => gateway.RetryBudgetSettings,
+    clock: clocks.Clock,
+    countVms: () => number,
+  ) {
+    this.#getSettings = getSettings;
     this.#clock = clock;
     this.#countVms = countVms;
   }
@@ -45,7 +49,7 @@
   }
 
   #computeLimits(): retryBudget.RetryBudgetLimits {
-    const { ratio, slack, windowMs } = this.#settings;
+    const { ratio, slack, windowMs } = this.#getSettings();
     const ownSlack = (USED_SHARE * slack) / Math.max(1, this.#countVms());
     return {
       perCall: USED_SHARE * ratio,
--- a/src/settings/gateway-settings-catalogue.ts
+++ b/src/settings/gateway-settings-catalogue.ts
@@ -8,6 +8,8 @@
   readonly logLevel: "error" | "warn" | "info" | "debug";
   /** Port of the metrics; without one they are not served. */
   readonly metricsPort: number | undefined;
+  /** Where spans are exported; without it none is recorded. */
+  readonly otlpUrl: string | undefined;
 }
 
 /** The settings by their key in `GatewaySettings`. */
@@ -19,12 +21,14 @@
     description: "port of the metrics at /metrics; without one they are not served",
     optional: true,
   },
+  otlpUrl: nodeCatalogue.NODE_SETTINGS.otlpUrl,
 } as const satisfies Record<keyof GatewaySettings, nodeCatalogue.SettingDefinition>;
 
 const settingsSchema = zod.object({
   fleetKeys: nodeCatalogue.fleetKeysSchema,
   logLevel: nodeCatalogue.logLevelSchema,
   metricsPort: nodeCatalogue.portSchema.optional(),
+  otlpUrl: nodeCatalogue.urlSchema.optional(),
 });
 
 /** Settings as text, before their check. */
@@ -39,8 +43,8 @@
 export function validateGatewaySettings(raw: RawGatewaySettings): GatewaySettingsCheck {
   const parsed = settingsSchema.safeParse(raw);
   if (parsed.success) {
-    const { metricsPort, ...required } = parsed.data;
-    return { ok: true, settings: { ...required, metricsPort } };
+    const { metricsPort, otlpUrl, ...required } = parsed.data;
+    return { ok: true, settings: { ...required, metricsPort, otlpUrl } };
   }
   const faults = parsed.error.issues.map((issue) => {
     const key = issue.path[0] as keyof GatewaySettings;
--- a/src/settings/node-settings-catalogue.ts
+++ b/src/settings/node-settings-catalogue.ts
@@ -26,7 +26,8 @@
   .regex(/^\d{1,5}$/, `must be a whole number from 0 to ${MAX_PORT}`)
   .transform(Number)
   .refine((value) => value <= MAX_PORT, `must be a whole number from 0 to ${MAX_PORT}`);
-const url = zod.url({ protocol: /^https?$/, error: "must be an http or https URL" });
+/** Schema of the base URL of a service. */
+export const urlSchema = zod.url({ protocol: /^https?$/, error: "must be an http or https URL" });
 const token = zod.string().min(MIN_KEY_LENGTH, `must have at least ${MIN_KEY_LENGTH} characters`);
 
 /** The settings of `ebonyhook node` by their key in `NodeSettings`. */
@@ -87,12 +88,12 @@
   host: zod.union([zod.ipv4(), zod.ipv6()], "must be an IP address"),
   callerPort: portSchema,
   peerPort: portSchema,
-  platformUrl: url,
+  platformUrl: urlSchema,
   fleetKeys: fleetKeysSchema,
   adminToken: token.optional(),
   logFormat: zod.enum(["json", "readable"], "must be json or readable"),
   logLevel: logLevelSchema,
-  otlpUrl: url.optional(),
+  otlpUrl: urlSchema.optional(),
   drainLimitMs: zod
     .string()
     .regex(/^\d{1,8}$/, "must be a whole number of milliseconds")
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -29,6 +29,7 @@
   registryPulled: { number: 3008, level: "info", message: "registry taken over from a peer" },
   registryItemUnreadable: { number: 3009, level: "warn", message: "registry item is unreadable" },
   settingsReloaded: { number: 3010, level: "info", message: "settings read again" },
+  settingsRefused: { number: 3011, level: "warn", message: "settings cannot be read again" },
   requestRefused: { number: 4001, level: "info", message: "request refused" },
   requestFinished: { number: 4002, level: "debug", message: "request finished" },
   requestRetried: { number: 4003, level: "info", message: "request runs again" },
--- a/src/telemetry/spans.ts
+++ b/src/telemetry/spans.ts
@@ -1,6 +1,25 @@
 /** Runs work inside a span that records its failure. */
 import * as otel from "@opentelemetry/api";
 
+const TRACER_NAME = "ebonyhook";
+
+/** Creates a tracer that records nothing and costs next to nothing, until a provider is registered. */
+export function createIdleTracer(): otel.Tracer {
+  return otel.trace.getTracer(TRACER_NAME);
+}
+
+/** Runs `work` in a new span that continues the trace of received headers, if they name one. */
+export function runInReceivedSpan<Result>(
+  tracer: otel.Tracer,
+  name: string,
+  headers: Readonly<Record<string, unknown>>,
+  attributes: otel.Attributes,
+  work: () => Promise<Result>,
+): Promise<Result> {
+  const parent = otel.propagation.extract(otel.context.active(), headers);
+  return otel.context.with(parent, () => runInSpan(tracer, name, attributes, work));
+}
+
 /**
  * Runs `work` in a new span that is active inside it.
  *
--- a/src/telemetry/tracing.ts
+++ b/src/telemetry/tracing.ts
@@ -4,9 +4,10 @@
 import * as resources from "@opentelemetry/resources";
 import * as sdk from "@opentelemetry/sdk-trace-node";
 import type * as kernels from "../kernel/container.js";
+import * as spans from "./spans.js";
 import type * as types from "./types.js";
 
-const TRACER_NAME = "ebonyhook";
+const SERVICE_NAME = "ebonyhook";
 
 /**
  * Creates the tracer of a node. With `otlpUrl` in the settings, spans are exported there in batches;
@@ -20,13 +21,13 @@
   if (otlpUrl === undefined) return createPassingTracer();
   const provider = new sdk.NodeTracerProvider({
     resource: resources.resourceFromAttributes({
-      "service.name": TRACER_NAME,
+      "service.name": SERVICE_NAME,
       "service.instance.id": vm,
     }),
     spanProcessors: [new sdk.BatchSpanProcessor(new exporters.OTLPTraceExporter({ url: otlpUrl }))],
   });
   provider.register();
-  return provider.getTracer(TRACER_NAME);
+  return provider.getTracer(SERVICE_NAME);
 }
 
 /**
@@ -36,5 +37,5 @@
 function createPassingTracer(): types.Tracer {
   new sdk.NodeTracerProvider().register();
   otel.trace.disable();
-  return otel.trace.getTracer(TRACER_NAME);
+  return spans.createIdleTracer();
 }
--- a/src/upstream/http-call.ts
+++ b/src/upstream/http-call.ts
@@ -85,11 +85,14 @@
   }
 }
 
-/** Adds the active span's `traceparent`. */
+/** Adds the active span's `traceparent` in place of a received one, whatever its case. */
 function createHeaders(call: HttpCall): Record<string, string> {
-  const headers: Record<string, string> = { ...call.headers };
-  otel.propagation.inject(otel.context.active(), headers);
-  return headers;
+  const traced: Record<string, string> = {};
+  otel.propagation.inject(otel.context.active(), traced);
+  const kept = Object.entries(call.headers ?? {}).filter(
+    ([name]) => !(name.toLowerCase() in traced),
+  );
+  return { ...Object.fromEntries(kept), ...traced };
 }
 
 function watchConnection(
--- a/test/gateway/gateway-fixture.ts
+++ b/test/gateway/gateway-fixture.ts
@@ -14,6 +14,7 @@
   fleetKeys: ["a-key-of-the-test-fleet"],
   logLevel: "error",
   metricsPort: undefined,
+  otlpUrl: undefined,
 } as const;
 
 /** A gateway and where it listens. */
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -38,6 +38,21 @@
     earl.expect(large.status).toEqual(200);
   });
 
+  test.it("refuses a head above the configuration's limit, and serves one below it", async () => {
+    await using world = await fixture.startPlatform({});
+    await using plain = await raw.startRawRunner("p", (socket) => {
+      socket.write(raw.formatAnswer("r1", "booked"));
+    });
+    listPlainEntry(world.platform, "p", plain);
+    await using one = await fixture.startGateway(world.platform, 90, 1);
+    await fixture.waitForReady(one.ip);
+    const below = await fixture.send(one.ip, "/book/x", { filler: "f".repeat(16_000) });
+    earl.expect(below.status).toEqual(200);
+    const above = await fixture.send(one.ip, "/book/x", { filler: "f".repeat(17_000) });
+    earl.expect(above.status).toEqual(431);
+    earl.expect(plain.requests.length).toEqual(1);
+  });
+
   test.it("answers 503, never 404, while it knows no configuration", async () => {
     const platform = new store.StoreStandIn();
     await platform.start();
