Place whoever comes back behind who can be on time, and learn what estimates are worth

Load pattern: bursts of twice what the pool decodes, after which those who were refused come back into a pool that is just full enough.

Causes and changes: - Who comes back after a refusal is late from the start, before others who are late. - Callers' estimates of output are right at the median only.

--- a/src/placement/decode-load.ts
+++ b/src/placement/decode-load.ts
@@ -44,10 +44,13 @@
     this.#runs.set(key, run);
   }
 
-  remove(key: string, now: number): boolean {
-    if (!this.#runs.delete(key)) return false;
+  /** Ends a run; returns it if it was here. */
+  remove(key: string, now: number): memoryForecast.ForecastRun | undefined {
+    const run = this.#runs.get(key);
+    if (run === undefined) return undefined;
+    this.#runs.delete(key);
     this.#endedAt.set(getCallId(key), now);
-    return true;
+    return run;
   }
 
   /**
--- a/src/placement/memory-forecast.ts
+++ b/src/placement/memory-forecast.ts
@@ -6,14 +6,15 @@
 /** A run on a decode runner. */
 export interface ForecastRun {
   readonly promptTokens: number;
+  /** Mean output of requests like this one. */
   readonly expectedOutputTokens: number;
   readonly maxOutputTokens: number;
   /** Time at which decoding begins or began. */
   readonly startsAt: number;
+  /** The caller's own estimate, `undefined` for a run that goes on with an answer. */
+  readonly estimatedOutputTokens?: number | undefined;
 }
 
-/** Mean output against the caller's estimate, which is right at the median: answers have a long tail. */
-const MEAN_OF_ESTIMATE = 1.1;
 /** A run that outlasts its estimate is expected to go on for this part of its age. */
 const OVERDUE_SHARE = 0.35;
 
@@ -46,7 +47,7 @@
 function computeGrowth(run: ForecastRun, now: number, msPerToken: number): Growth {
   const { promptTokens, startsAt } = run;
   const latestEnd = startsAt + run.maxOutputTokens * msPerToken;
-  const expectedEnd = startsAt + run.expectedOutputTokens * MEAN_OF_ESTIMATE * msPerToken;
+  const expectedEnd = startsAt + run.expectedOutputTokens * msPerToken;
   const overdueEnd = now + (now - startsAt) * OVERDUE_SHARE;
   const endsAt = Math.min(latestEnd, Math.max(expectedEnd, overdueEnd));
   return { promptTokens, startsAt, endsAt: Math.max(now, endsAt) };
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -93,11 +93,11 @@
   }
 
   /** Gives a place back. */
-  release(key: string, outputTokens: number, decodeMs: number): void {
+  release(key: string, outcome: types.RunOutcome): void {
     const held = this.#held.get(key);
     if (held === undefined) return;
     this.#held.delete(key);
-    this.#pushProgress(held.service, { key, ended: true, outputTokens, decodeMs });
+    this.#pushProgress(held.service, { key, ended: true, ...outcome });
   }
 
   /** Returns the schedulers of those of the services that this VM schedules. */
@@ -244,7 +244,7 @@
         key: request.key,
         decodeRunner: place.decodeRunner,
         promptTokens: request.promptTokens,
-        expectedOutputTokens: request.expectedOutputTokens,
+        estimatedOutputTokens: request.estimatedOutputTokens,
         maxOutputTokens: request.maxOutputTokens,
         runningMs: now - (decodeStartedAt ?? now),
       }));
--- a/src/placement/pool-loads.ts
+++ b/src/placement/pool-loads.ts
@@ -1,5 +1,6 @@
 /** What a scheduler has placed on the runners of its pool. */
 import * as decodeLoad from "./decode-load.js";
+import type * as memoryForecast from "./memory-forecast.js";
 import * as prefillLoad from "./prefill-load.js";
 
 /** Time of an output token before any runner was measured; only its order of magnitude matters. */
@@ -33,13 +34,20 @@
     }
   }
 
-  /** Ends a run, wherever it was placed. */
-  releaseDecode(key: string, outputTokens: number, decodeMs: number, now: number): void {
+  /** Ends a run, wherever it was placed; returns it if it was known. */
+  releaseDecode(
+    key: string,
+    outputTokens: number,
+    decodeMs: number,
+    now: number,
+  ): memoryForecast.ForecastRun | undefined {
     for (const load of this.#decode.values()) {
-      if (!load.remove(key, now)) continue;
+      const run = load.remove(key, now);
+      if (run === undefined) continue;
       load.recordSpeed(outputTokens, decodeMs);
-      return;
+      return run;
     }
+    return undefined;
   }
 
   /** Forgets what ended without a word, and the runners that are no longer listed. */
--- a/src/placement/prefill-load.ts
+++ b/src/placement/prefill-load.ts
@@ -2,22 +2,30 @@
 
 /** Speed before any prompt was measured, in tokens a millisecond. */
 const FIRST_TOKENS_PER_MS = 40;
-/** Weight of the newest measurement. */
+/** Weight of each prompt of a measurement. */
 const SPEED_WEIGHT = 0.1;
+/** A measurement ends after this many prompts, though the runner stays busy. */
+const MOST_MEASURED_PROMPTS = 8;
 /** A prompt that is not read after this time is forgotten. */
 const EXPIRY_MS = 3_000;
 
 interface PendingPrompt {
   readonly tokens: number;
   readonly sentAt: number;
-  /** Tokens that were ahead of it. */
-  readonly ahead: number;
+}
+
+/** What a runner read without a pause. */
+interface BusySpell {
+  readonly startedAt: number;
+  tokens: number;
+  prompts: number;
 }
 
 /** What a prefill runner still has to read, and how fast it reads. */
 export class PrefillLoad {
   readonly #pending = new Map<string, PendingPrompt>();
   #tokensPerMs = FIRST_TOKENS_PER_MS;
+  #spell: BusySpell | undefined;
 
   /** How fast it reads. */
   get tokensPerMs(): number {
@@ -26,7 +34,9 @@
 
   /** Returns the expected time until all pending prompts are read. */
   computeWait(): number {
-    return this.#countTokens() / this.#tokensPerMs;
+    let tokens = 0;
+    for (const prompt of this.#pending.values()) tokens += prompt.tokens;
+    return tokens / this.#tokensPerMs;
   }
 
   /** Returns the expected time to read a prompt with nothing ahead of it. */
@@ -35,7 +45,8 @@
   }
 
   add(key: string, tokens: number, now: number): void {
-    this.#pending.set(key, { tokens, sentAt: now, ahead: this.#countTokens() });
+    if (this.#pending.size === 0) this.#spell = { startedAt: now, tokens: 0, prompts: 0 };
+    this.#pending.set(key, { tokens, sentAt: now });
   }
 
   /** Ends a prompt; with the time that its reading took, learns the runner's speed. */
@@ -43,10 +54,9 @@
     const prompt = this.#pending.get(key);
     if (prompt === undefined) return false;
     this.#pending.delete(key);
-    if (prefillMs !== undefined && prefillMs > 0) {
-      const measured = (prompt.tokens + prompt.ahead / 2) / prefillMs;
-      this.#tokensPerMs += SPEED_WEIGHT * (measured - this.#tokensPerMs);
-    }
+    // A prompt that failed may have been read in part: the spell says nothing about speed.
+    if (prefillMs === undefined) this.#spell = undefined;
+    else this.#measure(prompt, prefillMs);
     return true;
   }
 
@@ -56,9 +66,22 @@
     }
   }
 
-  #countTokens(): number {
-    let tokens = 0;
-    for (const prompt of this.#pending.values()) tokens += prompt.tokens;
-    return tokens;
+  /** Speed is what was read in a spell against its length, since prompts are read beside each other. */
+  #measure(prompt: PendingPrompt, prefillMs: number): void {
+    const spell = this.#spell;
+    if (spell === undefined) return;
+    spell.tokens += prompt.tokens;
+    spell.prompts += 1;
+    const isOver = this.#pending.size === 0 || spell.prompts >= MOST_MEASURED_PROMPTS;
+    if (!isOver) return;
+    const endedAt = prompt.sentAt + prefillMs;
+    this.#recordSpeed(spell, endedAt - spell.startedAt);
+    this.#spell = { startedAt: endedAt, tokens: 0, prompts: 0 };
+  }
+
+  #recordSpeed(spell: BusySpell, durationMs: number): void {
+    if (durationMs <= 0) return;
+    const weight = 1 - (1 - SPEED_WEIGHT) ** spell.prompts;
+    this.#tokensPerMs += weight * (spell.tokens / durationMs - this.#tokensPerMs);
   }
 }
--- a/src/placement/request-costs.ts
+++ b/src/placement/request-costs.ts
@@ -1,8 +1,8 @@
 /** Learns what the requests of a pool cost. */
 import type * as stagePlan from "./stage-plan.js";
 
-/** Weight of the newest request: about the last twenty count. */
-const WEIGHT = 0.05;
+/** Weight of the newest request: about the last sixty count. */
+const WEIGHT = 0.015;
 /** Requests before the averages mean anything. */
 const FEWEST_REQUESTS = 8;
 
--- a/src/placement/stage-plan.ts
+++ b/src/placement/stage-plan.ts
@@ -6,6 +6,7 @@
 /** What one request costs on average, in milliseconds of one runner. */
 export interface RequestCosts {
   readonly prefillMs: number;
+  /** Cost of the answer if its runner's memory or slots were filled without a gap. */
   readonly decodeMs: number;
 }
 
@@ -19,11 +20,13 @@
 const LEAST_GAIN = 1.2;
 /** Prompts arrive in clumps, and one that waits is late at once: prefill needs this much room. */
 const PREFILL_ROOM = 1.1;
+/** Memory is never filled without a gap: the pool replay serves 98% on time with this much room. */
+const DECODE_ROOM = 1.25;
 
 /** Returns how many requests a millisecond a split carries. */
 export function computeThroughput(split: PoolSplit, costs: RequestCosts): number {
   const prefill = split.prefill / (costs.prefillMs * PREFILL_ROOM);
-  const decode = split.decode / costs.decodeMs;
+  const decode = split.decode / (costs.decodeMs * DECODE_ROOM);
   return Math.min(prefill, decode);
 }
 
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -8,8 +8,10 @@
   /** What the request is about; the same when its caller sends it again. */
   readonly subject: string;
   readonly promptTokens: number;
-  /** Best guess of the output. */
-  readonly expectedOutputTokens: number;
+  /** The caller's estimate of the output that is still to come. */
+  readonly estimatedOutputTokens: number;
+  /** Output that earlier places of this request have made. */
+  readonly madeTokens: number;
   readonly maxOutputTokens: number;
   /** Time left until the first event is late; negative when it is. */
   readonly targetMs: number;
@@ -38,6 +40,15 @@
       readonly retryAfterMs: number;
     };
 
+/** What a run made at its decode runner. */
+export interface RunOutcome {
+  readonly outputTokens: number;
+  /** Time from the first to the last event. */
+  readonly decodeMs: number;
+  /** Whether the run made the whole answer. */
+  readonly complete: boolean;
+}
+
 /** What became of a placed request. */
 export interface PlaceProgress {
   readonly key: string;
@@ -49,6 +60,8 @@
   readonly ended?: boolean;
   /** Output tokens that it made until it ended. */
   readonly outputTokens?: number;
+  /** Whether these are the whole answer. */
+  readonly complete?: boolean;
   /** Time from the first to the last event. */
   readonly decodeMs?: number;
 }
@@ -58,7 +71,7 @@
   readonly key: string;
   readonly decodeRunner: string;
   readonly promptTokens: number;
-  readonly expectedOutputTokens: number;
+  readonly estimatedOutputTokens: number;
   readonly maxOutputTokens: number;
   /** Time since its decoding began. */
   readonly runningMs: number;
--- a/src/placement/waiting-line.ts
+++ b/src/placement/waiting-line.ts
@@ -12,7 +12,7 @@
 /** Requests that may wait before any grant has told the line's speed. */
 const FEWEST_WAITING = 8;
 /** A burst lasts some seconds; who comes back sooner meets it again and has used up its retry. */
-const SHORTEST_RETRY_MS = 1_500;
+const SHORTEST_RETRY_MS = 2_500;
 const LONGEST_RETRY_MS = 4_500;
 /** Waiting that a request of average size counts for: most of the time in which one can be on time. */
 const SIZE_WEIGHT_MS = 300;
--- a/src/serving/engine-run.ts
+++ b/src/serving/engine-run.ts
@@ -3,6 +3,7 @@
 import type * as gateway from "../gateway/types.js";
 import * as clocks from "../kernel/clock.js";
 import type * as placement from "../placement/placement.js";
+import type * as placementTypes from "../placement/types.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as runnerTable from "../runners/runner-table.js";
 import * as runners from "../runners/types.js";
@@ -35,6 +36,9 @@
   readonly crashWatch: crashWatch.CrashWatch;
 }
 
+/** An outcome that is filled in while the run goes on. */
+type Writable<Outcome> = { -readonly [Key in keyof Outcome]: Outcome[Key] };
+
 /** The runners of a place. */
 export interface RunPlace {
   readonly key: string;
@@ -42,12 +46,6 @@
   readonly decode: runners.Runner;
 }
 
-/** What a run used, for the scheduler. */
-export interface RunOutcome {
-  outputTokens: number;
-  decodeMs: number;
-}
-
 /** Runs requests: prefill, hand-over, decode. */
 export class EngineRuns {
   readonly #options: EngineRunOptions;
@@ -61,7 +59,7 @@
     call: types.ServedCall,
     progress: modelProgress.ModelProgress,
     place: RunPlace,
-    outcome: RunOutcome,
+    outcome: Writable<placementTypes.RunOutcome>,
   ): Promise<modelProgress.RunResult> {
     if (place.prefill !== undefined) {
       const failure = await this.#prefill(call, progress, place, place.prefill);
@@ -111,7 +109,7 @@
     progress: modelProgress.ModelProgress,
     place: RunPlace,
     prefilled: modelProgress.PrefilledPrompt | undefined,
-    outcome: RunOutcome,
+    outcome: Writable<placementTypes.RunOutcome>,
   ): Promise<modelProgress.RunResult> {
     const { clock } = this.#options;
     const runner = place.decode;
@@ -147,7 +145,7 @@
     call: types.ServedCall,
     progress: modelProgress.ModelProgress,
     sent: runnerCalls.RunnerAnswer,
-    outcome: RunOutcome,
+    outcome: Writable<placementTypes.RunOutcome>,
   ): Promise<modelProgress.RunResult> {
     const { head, response } = sent;
     if (answers.isSuccess(head.status) && head.signed) {
@@ -166,11 +164,12 @@
     call: types.ServedCall,
     progress: modelProgress.ModelProgress,
     sent: runnerCalls.RunnerAnswer,
-    outcome: RunOutcome,
+    outcome: Writable<placementTypes.RunOutcome>,
   ): Promise<void> {
     const { clock } = this.#options;
     const splitter = new eventSplitter.EventSplitter();
     const tokensPerEvent = call.service.engine?.tokensPerEvent ?? 1;
+    const isWhole = !progress.started;
     const startedAt = clock.now();
     for await (const chunk of this.#readChunks(call, sent.response)) {
       const events = splitter.push(chunk);
@@ -184,6 +183,7 @@
     if (!progress.started) call.reply.start(sent.head.status, sent.head.headers);
     if (splitter.rest.byteLength > 0) await call.reply.write(splitter.rest, call.signal);
     call.reply.close();
+    outcome.complete = isWhole;
   }
 
   #readChunks(call: types.ServedCall, response: http.IncomingMessage): AsyncGenerator<Buffer> {
--- a/test/placement/pool-scheduler.test.ts
+++ b/test/placement/pool-scheduler.test.ts
@@ -1,5 +1,10 @@
 import * as test from "node:test";
 import * as earl from "earl";
+import * as poolScheduler from "../../src/placement/pool-scheduler.js";
+import type * as types from "../../src/placement/types.js";
+import * as fakeClock from "../../standins/fake-clock.js";
+import * as routingFixture from "../routing/routing-fixture.js";
+import * as raw from "../runners/raw-runner.js";
 import * as replay from "./pool-replay.js";
 
 const SEEDS = [1, 2, 3];
@@ -19,7 +24,11 @@
     onTime: sum("onTime"),
     late: sum("late"),
     refused: sum("refused"),
+    refusedAgain: sum("refusedAgain"),
     preempted: sum("preempted"),
+    readAgain: sum("readAgain"),
+    credit: sum("credit") / SEEDS.length,
+    largestServed: sum("largestServed") / SEEDS.length,
   };
 }
 
@@ -43,3 +52,61 @@
     },
   );
 });
+
+/** A scheduler of one decode runner with room for one request at a time. */
+function createNarrowPool() {
+  const clock = fakeClock.createFakeClock();
+  const runner = { ...raw.createRunner("d1", 1), stage: "decode" as const, slots: 1 };
+  const scheduler = new poolScheduler.PoolScheduler({
+    clock,
+    log: { write: () => undefined },
+    listCandidates: () => [{ runner, paused: false }],
+    findEngine: () => ({ ...routingFixture.ENGINE, slots: 1 }),
+  });
+  const answered: string[] = [];
+  const submit = (subject: string, attempt: number, patienceMs: number): void => {
+    const request: types.PlaceRequest = {
+      key: `${subject}-${attempt}/0`,
+      service: "model",
+      subject,
+      promptTokens: 1_000,
+      estimatedOutputTokens: 1_000,
+      madeTokens: 0,
+      maxOutputTokens: 2_000,
+      targetMs: 900,
+      patienceMs,
+      zone: "a",
+      excluded: [],
+    };
+    scheduler.submit(request, ({ granted }) => {
+      answered.push(`${subject} ${granted ? "granted" : "refused"}`);
+    });
+  };
+  const end = (key: string): void => {
+    scheduler.recordProgress({
+      key,
+      ended: true,
+      complete: true,
+      outputTokens: 900,
+      decodeMs: 900,
+    });
+  };
+  return { clock, scheduler, answered, submit, end };
+}
+
+test.describe("PoolScheduler", () => {
+  test.it("lets who can be on time go before who came back late, then those first", async () => {
+    const { clock, scheduler, answered, submit, end } = createNarrowPool();
+    submit("first", 1, 3_000);
+    submit("refused", 1, 100);
+    await clock.advance(200);
+    submit("refused", 2, 3_000);
+    submit("fresh", 1, 3_000);
+    end("first-1/0");
+    end("fresh-1/0");
+    earl
+      .expect(answered)
+      .toEqual(["first granted", "refused refused", "fresh granted", "refused granted"]);
+    scheduler.close();
+  });
+});
