Believe a runner's own report of its stage and process before an old listing

A runner ordered to decode at 12.5 s was used as a prefill runner again once the patience for its change ran out: 17 prefills answered 421, and a decode runner stood idle from 18.5 to 26 s, through a burst. - A crashed runner's entry stays listed for some seconds beside that of its next process at the same address: 12 prefills answered 421 in 0.6 s, each a repeat out of the budget. - A new scheduler did not know that a runner was changing its stage.

Now: reports name the process they are meant for and which one answers; the stage of a report goes before a listing older than the report; an entry whose address a later process has is not used; whoever answers 421 is left alone for a second.

Ruled out: longer patience for a change (a lost order would cost as much).

--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -123,6 +123,8 @@
   readonly callId: string | undefined;
   /** Whether the runner states that it did not run the request. */
   readonly notRun: boolean;
+  /** Whether another process, or one of the other stage, answered at the runner's address. */
+  readonly misdirected: boolean;
   readonly signed: boolean;
   readonly load: runners.InstanceLoad | undefined;
   /** Headers to pass on to the caller. */
@@ -145,6 +147,8 @@
 /** An engine's report of itself, some hundred milliseconds old. */
 export interface EngineReport {
   readonly stage: runners.Stage | undefined;
+  /** Start of the process that reports, Unix milliseconds. */
+  readonly bornAt: number | undefined;
   /** Whether it carries out an order. */
   readonly busy: boolean;
   /** Orders that it has accepted since its start. */
@@ -180,7 +184,8 @@
   /** @throws when the body is none of a prefill. */
   parsePrefill(body: Buffer): PrefillAnswer;
   formatRelease(handle: string): RunnerMessage;
-  formatReport(): RunnerMessage;
+  /** Only the runner itself answers it with success, not another process at its address. */
+  formatReport(runner: runners.Runner): RunnerMessage;
   /** @throws when the body is no report. */
   parseReport(body: Buffer): EngineReport;
   formatStageOrder(runner: runners.Runner, order: StageOrder): RunnerMessage;
--- a/src/placement/engine-reports.ts
+++ b/src/placement/engine-reports.ts
@@ -59,9 +59,16 @@
     const { calls, wire, log } = this.#options;
     const { signal } = this.#controller;
     try {
-      const answer = await calls.sendMessage(runner, wire.formatReport(), READ_LIMIT_MS, signal);
+      const message = wire.formatReport(runner);
+      const answer = await calls.sendMessage(runner, message, READ_LIMIT_MS, signal);
       if (answer.status !== HTTP_OK) throw new Error(`report answered ${answer.status}`);
-      scheduler.recordReport(runner.id, wire.parseReport(answer.body));
+      const report = wire.parseReport(answer.body);
+      if (report.bornAt !== undefined && report.bornAt !== runner.bornAt)
+        throw new Error("another process answers at its address");
+      // The platform's list is old while the platform is down.
+      if (!report.busy && report.stage !== undefined)
+        this.#options.runners.recordReportedStage(runner.id, report.stage);
+      scheduler.recordReport(runner, report);
     } catch (error) {
       if (signal.aborted) return;
       scheduler.recordNoReport(runner.id);
--- a/src/placement/pool-places.ts
+++ b/src/placement/pool-places.ts
@@ -71,6 +71,14 @@
     return this.#options.listCandidates().some(({ runner }) => this.switches.has(runner));
   }
 
+  /** Takes in that a runner changes its stage, perhaps by the order of an earlier scheduler. */
+  recordSwitching(runner: runners.Runner): void {
+    if (this.switches.has(runner)) return;
+    const { prefill, decode } = runners.STAGE;
+    const stage = runner.stage === prefill ? decode : prefill;
+    this.switches.add(runner, stage, this.engine?.stageSwitchMs ?? 0);
+  }
+
   /** Returns the runner that an order disturbs least. */
   chooseForOrder(candidates: readonly runners.Runner[]): runners.Runner | undefined {
     const present = candidates.filter(
--- a/src/placement/pool-scheduler.ts
+++ b/src/placement/pool-scheduler.ts
@@ -137,10 +137,11 @@
   }
 
   /** Takes in a runner's report of itself. */
-  recordReport(runnerId: string, report: gateway.EngineReport): void {
+  recordReport(runner: runners.Runner, report: gateway.EngineReport): void {
     const { absences, loads } = this.#places;
-    absences.recordAnswer(runnerId);
-    loads.useDecode(runnerId).recordReport(report, this.#options.clock.now());
+    absences.recordAnswer(runner.id);
+    loads.useDecode(runner.id).recordReport(report, this.#options.clock.now());
+    if (report.busy) this.#places.recordSwitching(runner);
     this.update();
   }
 
--- a/src/placement/prefill-load.ts
+++ b/src/placement/prefill-load.ts
@@ -56,7 +56,7 @@
     this.#pending.delete(key);
     // A prompt that failed may have been read in part: the spell says nothing about speed.
     if (prefillMs === undefined) this.#spell = undefined;
-    else this.#measure(prompt, prefillMs);
+    else this.#recordRead(prompt, prefillMs);
     return true;
   }
 
@@ -67,7 +67,7 @@
   }
 
   /** Speed is what was read in a spell against its length, since prompts are read beside each other. */
-  #measure(prompt: PendingPrompt, prefillMs: number): void {
+  #recordRead(prompt: PendingPrompt, prefillMs: number): void {
     const spell = this.#spell;
     if (spell === undefined) return;
     spell.tokens += prompt.tokens;
--- a/src/placement/stage-orders.ts
+++ b/src/placement/stage-orders.ts
@@ -182,7 +182,12 @@
     const { wire, calls, log } = this.#options;
     const { signal } = this.#controller;
     try {
-      const answer = await calls.sendMessage(runner, wire.formatReport(), CALL_LIMIT_MS, signal);
+      const answer = await calls.sendMessage(
+        runner,
+        wire.formatReport(runner),
+        CALL_LIMIT_MS,
+        signal,
+      );
       return answer.status === HTTP_OK ? wire.parseReport(answer.body) : undefined;
     } catch (error) {
       const fields = { runner: runner.id, error: String(error) };
--- a/src/runners/runner-record.ts
+++ b/src/runners/runner-record.ts
@@ -12,8 +12,9 @@
 
 /** Results, load and pauses of one runner. */
 export class RunnerRecord {
-  runner: types.Runner;
   readonly #clock: clocks.Clock;
+  #runner: types.Runner;
+  #changedAt: number;
   #inFlight = 0;
   #failureRate = 0;
   #othersLoad = 0;
@@ -22,8 +23,24 @@
   #pausedUntil = 0;
 
   constructor(runner: types.Runner, clock: clocks.Clock) {
-    this.runner = runner;
+    this.#runner = runner;
     this.#clock = clock;
+    this.#changedAt = clock.now();
+  }
+
+  get runner(): types.Runner {
+    return this.#runner;
+  }
+
+  /** Time since what is known of the runner changed. */
+  get unchangedMs(): number {
+    return this.#clock.now() - this.#changedAt;
+  }
+
+  /** Takes in what the runner has become. */
+  setRunner(runner: types.Runner): void {
+    this.#runner = runner;
+    this.#changedAt = this.#clock.now();
   }
 
   /** Calls of this VM that wait for the runner's answer. */
--- a/src/runners/runner-table.ts
+++ b/src/runners/runner-table.ts
@@ -5,6 +5,9 @@
 import * as runnerRecord from "./runner-record.js";
 import type * as types from "./types.js";
 
+/** Reports are some hundred milliseconds old: one that contradicts a newer listing is not believed. */
+const REPORT_AGE_MS = 1_500;
+
 /** Tells that a runner arrived, changed or (`undefined`) is gone. */
 export type RunnerListener = (id: string, runner: types.Runner | undefined) => void;
 
@@ -14,6 +17,8 @@
   readonly #log: telemetry.EventLog;
   readonly #records = new Map<string, runnerRecord.RunnerRecord>();
   readonly #listeners: RunnerListener[] = [];
+  /** Runners at whose address a later process is listed. */
+  #superseded: ReadonlySet<string> = new Set();
 
   constructor(clock: clocks.Clock, log: telemetry.EventLog) {
     this.#clock = clock;
@@ -34,9 +39,21 @@
     if (runner === undefined) this.#removeRunner(known);
     else if (known?.runner.bornAt === runner.bornAt) this.#updateRunner(known, runner);
     else this.#addRunner(runner);
+    this.#superseded = listSuperseded([...this.#records.values()].map((record) => record.runner));
     for (const listener of this.#listeners) listener(id, runner);
   }
 
+  /** Takes in which stage a runner says that it has, if that is newer than its listing. */
+  recordReportedStage(id: string, stage: types.Stage): void {
+    const known = this.#records.get(id);
+    if (known === undefined || known.runner.stage === stage) return;
+    if (known.unchangedMs < REPORT_AGE_MS) return;
+    const fields = { runner: id, listed: known.runner.stage, stage, listedMs: known.unchangedMs };
+    this.#log.write(logEvents.LOG_EVENTS.runnerStageReported, fields);
+    known.setRunner({ ...known.runner, stage });
+    for (const listener of this.#listeners) listener(id, known.runner);
+  }
+
   find(id: string): runnerRecord.RunnerRecord | undefined {
     return this.#records.get(id);
   }
@@ -44,7 +61,8 @@
   /** Returns the runners of a service that take new work. */
   listUsable(service: string): readonly runnerRecord.RunnerRecord[] {
     return [...this.#records.values()].filter(
-      ({ runner }) => runner.service === service && !runner.leaving,
+      ({ runner }) =>
+        runner.service === service && !runner.leaving && !this.#superseded.has(runner.id),
     );
   }
 
@@ -60,7 +78,7 @@
       const fields = { runner: runner.id, service: runner.service };
       this.#log.write(logEvents.LOG_EVENTS.runnerLeaving, fields);
     }
-    known.runner = runner;
+    known.setRunner(runner);
   }
 
   #removeRunner(known: runnerRecord.RunnerRecord | undefined): void {
@@ -70,3 +88,21 @@
     this.#log.write(logEvents.LOG_EVENTS.runnerGone, fields);
   }
 }
+
+/** Returns the ids of runners whose address a later process has; their entries have not lapsed yet. */
+function listSuperseded(runners: readonly types.Runner[]): ReadonlySet<string> {
+  const newestBirths = new Map<string, number>();
+  for (const runner of runners) {
+    const address = formatAddress(runner);
+    const known = newestBirths.get(address) ?? runner.bornAt;
+    newestBirths.set(address, Math.max(known, runner.bornAt));
+  }
+  const superseded = runners.filter(
+    (runner) => runner.bornAt < (newestBirths.get(formatAddress(runner)) ?? runner.bornAt),
+  );
+  return new Set(superseded.map((runner) => runner.id));
+}
+
+function formatAddress(runner: types.Runner): string {
+  return `${runner.host}:${runner.port}`;
+}
--- a/src/serving/crash-watch.ts
+++ b/src/serving/crash-watch.ts
@@ -73,7 +73,7 @@
     const { clock, calls, wire } = this.#options;
     using limit = clocks.createTimeLimit(clock, CHECK_LIMIT_MS);
     try {
-      await calls.sendMessage(runner, wire.formatReport(), CHECK_LIMIT_MS, limit.signal);
+      await calls.sendMessage(runner, wire.formatReport(runner), CHECK_LIMIT_MS, limit.signal);
       return false;
     } catch (error) {
       // Whoever does not answer in time may only be slow: nothing is held against its requests.
--- a/src/serving/engine-run.ts
+++ b/src/serving/engine-run.ts
@@ -88,6 +88,7 @@
     try {
       const sent = await this.#send(call, runner, options, limitMs, call.signal);
       const body = await responseReader.readBody(clock, sent.response, WHOLE_BODY);
+      if (sent.head.misdirected) places.recordFailedRunner(place.key, runner.id);
       if (!answers.isSuccess(sent.head.status)) {
         const reason = `prefill answered ${sent.head.status}`;
         return { kind: "notRun", reason, excluded: runner.id };
@@ -127,6 +128,7 @@
       const sent = await this.#send(call, runner, options, limitMs, limit.signal);
       if (sent.head.notRun) {
         sent.response.resume();
+        if (sent.head.misdirected) this.#options.placement.recordFailedRunner(place.key, runner.id);
         const reason = `runner answered ${sent.head.status}, not run`;
         return { kind: "notRun", reason, excluded: undefined };
       }
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -144,7 +144,8 @@
   #createResult(record: runnerRecord.RunnerRecord, answer: WholeAnswer): TryResult {
     const { head } = answer;
     if (head.load !== undefined) record.recordLoad(head.load);
-    record.recordResult(!answers.isServerError(head.status));
+    if (head.misdirected) record.recordUnreachable();
+    else record.recordResult(!answers.isServerError(head.status));
     if (head.notRun) return { kind: "notRun", reason: `runner answered ${head.status}, not run` };
     const isUnsigned = answers.isSuccess(head.status) && !head.signed;
     if (isUnsigned) return { kind: "unknown", reason: "unsigned success" };
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -47,5 +47,10 @@
   runnerLeaving: { number: 6003, level: "info", message: "runner takes no new work" },
   runnerArrived: { number: 6004, level: "info", message: "runner is listed" },
   runnerGone: { number: 6005, level: "info", message: "runner is no longer listed" },
+  runnerStageReported: {
+    number: 6006,
+    level: "info",
+    message: "runner reports another stage than it is listed with",
+  },
   orderSent: { number: 6002, level: "info", message: "order sent to runner" },
 } as const satisfies Record<string, LogEvent>;
--- a/test/placement/pool-scheduler.test.ts
+++ b/test/placement/pool-scheduler.test.ts
@@ -91,7 +91,7 @@
       decodeMs: 900,
     });
   };
-  return { clock, scheduler, answered, submit, end };
+  return { clock, scheduler, runner, answered, submit, end };
 }
 
 test.describe("PoolScheduler", () => {
@@ -109,4 +109,24 @@
       .toEqual(["first granted", "refused refused", "fresh granted", "refused granted"]);
     scheduler.close();
   });
+
+  test.it("gives no work to a runner that an earlier scheduler's order changes", () => {
+    const { scheduler, answered, submit, runner } = createNarrowPool();
+    const report = {
+      stage: runner.stage,
+      bornAt: runner.bornAt,
+      busy: true,
+      sequence: 1,
+      waiting: 0,
+      running: 0,
+      kvUsedTokens: 0,
+      kvTotalTokens: 1,
+      runs: [],
+    };
+    scheduler.recordReport(runner, report);
+    submit("first", 1, 3_000);
+    earl.expect(answered).toEqual([]);
+    earl.expect(scheduler.hasSwitching()).toEqual(true);
+    scheduler.close();
+  });
 });
--- /dev/null
+++ b/test/runners/runner-table.test.ts
@@ -0,0 +1,58 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as runnerTable from "../../src/runners/runner-table.js";
+import type * as runners from "../../src/runners/types.js";
+import * as fakeClock from "../../standins/fake-clock.js";
+import * as raw from "./raw-runner.js";
+
+const PORT = 8_080;
+
+function createTable() {
+  const clock = fakeClock.createFakeClock();
+  const table = new runnerTable.RunnerTable(clock, { write: () => undefined });
+  const set = (id: string, changes: Partial<runners.Runner> = {}): void => {
+    table.setRunner(id, { ...raw.createRunner(id, PORT), ...changes });
+  };
+  const list = (): string[] => table.listUsable("plain").map(({ runner }) => runner.id);
+  return { clock, table, set, list };
+}
+
+test.describe("RunnerTable", () => {
+  test.it("gives no work to an entry whose address a later process has", () => {
+    const { table, set, list } = createTable();
+    set("crashed", { bornAt: 1 });
+    set("restarted", { bornAt: 2 });
+    earl.expect(list()).toEqual(["restarted"]);
+    table.setRunner("restarted", undefined);
+    earl.expect(list()).toEqual(["crashed"]);
+  });
+
+  test.it("gives no work to a runner whose address one of another service has", () => {
+    const { set, list } = createTable();
+    set("gone", { bornAt: 1 });
+    set("other", { bornAt: 2, service: "model" });
+    earl.expect(list()).toEqual([]);
+  });
+
+  test.it("believes a runner's own word on its stage when its listing is old", async () => {
+    const { clock, table, set } = createTable();
+    set("r", { stage: "prefill" });
+    table.recordReportedStage("r", "decode");
+    // The report may be older than the listing.
+    earl.expect(table.find("r")?.runner.stage).toEqual("prefill");
+    await clock.advance(2_000);
+    table.recordReportedStage("r", "decode");
+    earl.expect(table.find("r")?.runner.stage).toEqual("decode");
+  });
+
+  test.it("tells listeners of a reported stage, so that the runner is used at once", async () => {
+    const { clock, table, set } = createTable();
+    set("r", { stage: "prefill" });
+    const told: (runners.Stage | undefined)[] = [];
+    table.onChange((_id, runner) => told.push(runner?.stage));
+    await clock.advance(2_000);
+    table.recordReportedStage("r", "decode");
+    table.recordReportedStage("r", "decode");
+    earl.expect(told).toEqual(["decode"]);
+  });
+});
