--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -188,15 +188,6 @@
   formatReport(runner: runners.Runner): RunnerMessage;
   /** @throws when the body is no report. */
   parseReport(body: Buffer): EngineReport;
-  /** Asks a runner to copy a run's memory to another one, and with `isLast` to stop the run. */
-  formatMove(
-    runner: runners.Runner,
-    callId: string,
-    target: runners.Runner,
-    isLast: boolean,
-  ): RunnerMessage;
-  /** Returns the handle of the copied memory, `undefined` when the answer has none. */
-  parseMove(body: Buffer): string | undefined;
   formatStageOrder(runner: runners.Runner, order: StageOrder): RunnerMessage;
 }
 
--- a/src/serving/engine-run.ts
+++ b/src/serving/engine-run.ts
@@ -15,7 +15,6 @@
 import type * as crashWatch from "./crash-watch.js";
 import * as eventSplitter from "./event-splitter.js";
 import type * as modelProgress from "./model-progress.js";
-import type * as streamMoves from "./stream-moves.js";
 import type * as types from "./types.js";
 
 /** A prompt waits about 150 ms at a runner and is read in 300 ms at most; a lost packet comes again after 200 ms. */
@@ -35,7 +34,6 @@
   readonly wire: gateway.RunnerWire;
   readonly placement: placement.Placement;
   readonly crashWatch: crashWatch.CrashWatch;
-  readonly moves: streamMoves.StreamMoves;
 }
 
 /** An outcome that is filled in while the run goes on. */
@@ -46,10 +44,6 @@
   readonly key: string;
   readonly prefill: runners.Runner | undefined;
   readonly decode: runners.Runner;
-  /** Memory of a run that was stopped for a move. */
-  readonly source?: gateway.KvSource | undefined;
-  /** Returns the request for a place to which this run may move. */
-  readonly createMoveRequest: () => placementTypes.PlaceRequest;
 }
 
 /** Runs requests: prefill, hand-over, decode. */
@@ -124,15 +118,9 @@
     if (leftMs <= 0) return { kind: "notRun", reason: "no time left", excluded: undefined };
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
     using watched = this.#options.crashWatch.add(call, runner);
-    using movable = this.#options.moves.add({
-      call,
-      runner,
-      createRequest: place.createMoveRequest,
-      canResume: () => progress.canResume,
-    });
     const options = {
       deadlineMs: leftMs,
-      kvSource: prefilled === undefined ? place.source : createSource(prefilled),
+      kvSource: prefilled === undefined ? undefined : createSource(prefilled),
       lastEventId: progress.lastEventId,
     };
     try {
@@ -144,12 +132,10 @@
         const reason = `runner answered ${sent.head.status}, not run`;
         return { kind: "notRun", reason, excluded: undefined };
       }
-      const result = await this.#sendAnswer(call, progress, sent, outcome, movable);
+      const result = await this.#sendAnswer(call, progress, sent, outcome);
       if (result.kind === "done") watched.recordAnswer();
       return result;
     } catch (error) {
-      const moved = await movable.findMoved();
-      if (moved !== undefined) return { kind: "moved", moved };
       if (!limit.signal.aborted) await watched.checkBreak();
       this.#recordFailure(call, place, runner, error);
       const reason = `decode: ${String(error)}`;
@@ -162,11 +148,10 @@
     progress: modelProgress.ModelProgress,
     sent: runnerCalls.RunnerAnswer,
     outcome: Writable<placementTypes.RunOutcome>,
-    movable: streamMoves.WatchedMove,
   ): Promise<modelProgress.RunResult> {
     const { head, response } = sent;
     if (answers.isSuccess(head.status) && head.signed) {
-      await this.#sendStream(call, progress, sent, outcome, movable);
+      await this.#sendStream(call, progress, sent, outcome);
       return { kind: "done" };
     }
     const body = await responseReader.readBody(this.#options.clock, response, WHOLE_BODY);
@@ -182,7 +167,6 @@
     progress: modelProgress.ModelProgress,
     sent: runnerCalls.RunnerAnswer,
     outcome: Writable<placementTypes.RunOutcome>,
-    movable: streamMoves.WatchedMove,
   ): Promise<void> {
     const { clock } = this.#options;
     const splitter = new eventSplitter.EventSplitter();
@@ -198,8 +182,6 @@
       outcome.decodeMs = clock.now() - startedAt;
       await call.reply.write(events.bytes, call.signal);
     }
-    // A stream without a length ends alike when its run was stopped for a move.
-    if ((await movable.findMoved()) !== undefined) throw new Error("run was stopped for a move");
     if (!progress.started) call.reply.start(sent.head.status, sent.head.headers);
     if (splitter.rest.byteLength > 0) await call.reply.write(splitter.rest, call.signal);
     call.reply.close();
@@ -243,13 +225,9 @@
 
   /** Frees a prompt that nobody will fetch; it would lapse by itself a little later. */
   releasePrompt(prefilled: modelProgress.PrefilledPrompt): void {
-    if (this.#options.clock.now() >= prefilled.expiresAt) return;
-    this.releaseMemory(prefilled.handle, prefilled.runner);
-  }
-
-  /** Frees memory that a runner keeps under a handle. */
-  releaseMemory(handle: string, runner: runners.Runner): void {
     const { calls, wire, clock, log } = this.#options;
+    if (clock.now() >= prefilled.expiresAt) return;
+    const { runner, handle } = prefilled;
     const limit = clocks.createTimeLimit(clock, RELEASE_LIMIT_MS);
     calls
       .sendMessage(runner, wire.formatRelease(handle), RELEASE_LIMIT_MS, limit.signal)
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -38,8 +38,6 @@
   requestFailed: { number: 4006, level: "info", message: "request failed" },
   requestPlaced: { number: 4007, level: "info", message: "request placed" },
   requestResumed: { number: 4008, level: "info", message: "stream goes on at another runner" },
-  streamMoved: { number: 4009, level: "info", message: "stream was moved off a leaving runner" },
-  streamNotMoved: { number: 4010, level: "info", message: "stream was not moved" },
   logSuppressed: { number: 1005, level: "warn", message: "log entries suppressed" },
   allocatorChanged: { number: 5001, level: "info", message: "allocator of runner changed" },
   orphanCancelled: { number: 5002, level: "warn", message: "cancelled work that no one claims" },
