Send a prompt whose answer was lost back to the runner that has it

Now the next prefill prefers the runner that was sent the prompt last; only one that cannot be reached or does not answer in time is left out.

--- a/src/placement/calls.ts
+++ b/src/placement/calls.ts
@@ -20,6 +20,7 @@
   patienceMs: zod.number(),
   zone: zod.string().max(100),
   prefilledBy: runnerId.optional(),
+  cachedBy: runnerId.optional(),
   excluded: zod.array(runnerId).max(16),
 }) satisfies zod.ZodType<types.PlaceRequest>;
 
--- a/src/placement/pool-places.ts
+++ b/src/placement/pool-places.ts
@@ -129,7 +129,7 @@
     request: types.PlaceRequest,
   ): runnerChoice.PrefillChoice {
     if (request.prefilledBy !== undefined) return { kind: "none" };
-    return runnerChoice.choosePrefillRunner(usable, this.loads, request.zone);
+    return runnerChoice.choosePrefillRunner(usable, this.loads, request.zone, request.cachedBy);
   }
 
   #computeReadTime(request: types.PlaceRequest, prefillRunner: string | undefined): number {
--- a/src/placement/runner-choice.ts
+++ b/src/placement/runner-choice.ts
@@ -14,11 +14,15 @@
   /** There is none: the decode runner reads the prompt itself. */
   | { readonly kind: "none" };
 
-/** Returns the prefill runner with the shortest queue, among equals one of the zone. */
+/**
+ * Returns the prefill runner with the shortest queue, among equals one of the zone. Load pattern: answers
+ * of prefills that are lost on their way; whoever read the prompt has it in its cache for some seconds.
+ */
 export function choosePrefillRunner(
   usable: readonly runners.Runner[],
   loads: poolLoads.PoolLoads,
   zone: string,
+  cachedBy: string | undefined,
 ): PrefillChoice {
   const readers = usable.filter((runner) => runner.stage === runners.STAGE.prefill);
   const waits = readers.map((runner) => ({
@@ -29,7 +33,7 @@
   waits.sort(
     (first, second) => first.waitMs - second.waitMs || Number(first.isFar) - Number(second.isFar),
   );
-  const best = waits[0];
+  const best = waits.find(({ id }) => id === cachedBy) ?? waits[0];
   if (best === undefined) return { kind: "none" };
   return best.waitMs > LONGEST_PREFILL_WAIT_MS ? { kind: "busy" } : { kind: "runner", id: best.id };
 }
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -20,6 +20,8 @@
   readonly zone: string;
   /** The runner that has read the prompt already, when another decode runner refused it. */
   readonly prefilledBy?: string;
+  /** The runner that read the prompt last and may still have it in its cache. */
+  readonly cachedBy?: string;
   /** Runners that failed this request or cannot be reached from its VM. */
   readonly excluded: readonly string[];
 }
--- a/src/serving/engine-run.ts
+++ b/src/serving/engine-run.ts
@@ -85,6 +85,7 @@
     const leftMs = call.deadlineAt - startedAt;
     const limitMs = Math.min(PREFILL_LIMIT_MS, leftMs);
     const options = { deadlineMs: leftMs, stage: runners.STAGE.prefill };
+    progress.recordPrefillSent(runner.id);
     try {
       const sent = await this.#send(call, runner, options, limitMs, call.signal);
       const body = await responseReader.readBody(clock, sent.response, WHOLE_BODY);
@@ -101,7 +102,10 @@
     } catch (error) {
       // A prefill is no run: it may be repeated whatever became of it.
       this.#recordFailure(call, place, runner, error);
-      return { kind: "notRun", reason: `prefill: ${String(error)}`, excluded: runner.id };
+      // An answer that was lost at once says nothing against the runner, which has the prompt now.
+      const isLost = !isUnsent(error) && clock.now() - startedAt < limitMs;
+      const excluded = isLost ? undefined : runner.id;
+      return { kind: "notRun", reason: `prefill: ${String(error)}`, excluded };
     }
   }
 
--- a/src/serving/model-progress.ts
+++ b/src/serving/model-progress.ts
@@ -37,6 +37,7 @@
   #last: RunResult | undefined;
   #prefilled: PrefilledPrompt | undefined;
   #lastEventAt: number | undefined;
+  #cachedBy: string | undefined;
 
   constructor(call: types.ServedCall) {
     this.#call = call;
@@ -63,6 +64,15 @@
     return this.#prefilled;
   }
 
+  /** The runner that was last sent the prompt to read. */
+  get cachedBy(): string | undefined {
+    return this.#cachedBy;
+  }
+
+  recordPrefillSent(runnerId: string): void {
+    this.#cachedBy = runnerId;
+  }
+
   /** Monotonic time of the last event that was passed on. */
   get lastEventAt(): number | undefined {
     return this.#lastEventAt;
--- a/src/serving/model-serving.ts
+++ b/src/serving/model-serving.ts
@@ -139,6 +139,7 @@
       patienceMs: Math.max(1, Math.min(patienceMs, call.deadlineAt - now)),
       zone: this.#options.zone,
       prefilledBy,
+      cachedBy: progress.cachedBy,
       excluded: [...progress.excluded],
     };
   }
--- a/standins/users-platform/engine.ts
+++ b/standins/users-platform/engine.ts
@@ -13,6 +13,8 @@
   readonly eventPauseMs?: number;
   /** Breaks the first stream off in the middle of the event after this many. */
   readonly breakAfter?: number;
+  /** Loses the answers to this many prefills, which it reads all the same. */
+  readonly lostPrefills?: number;
   /** Refuses this many decode requests as not run. */
   readonly refusals?: number;
 }
@@ -76,6 +78,10 @@
     this.prefills += 1;
     const handle = `h${this.prefills}`;
     this.#handles.set(`${this.address}/${handle}`, id);
+    if (this.prefills <= (this.#behaviour.lostPrefills ?? 0)) {
+      response.socket?.resetAndDestroy();
+      return;
+    }
     response.setHeader("request-id", id);
     response.end(JSON.stringify({ kv_handle: handle, tokens: 100, version: 1 }));
   }
--- a/test/gateway/gateway-fixture.ts
+++ b/test/gateway/gateway-fixture.ts
@@ -59,7 +59,7 @@
   await platform.start();
   platform.set("op/config", examples.createConfiguration(7));
   const handles: engines.HandleTable = new Map();
-  const prefill = new engines.EngineStandIn("prefill", handles);
+  const prefill = new engines.EngineStandIn("prefill", handles, behaviours[0]);
   const decode = behaviours.map((one) => new engines.EngineStandIn("decode", handles, one));
   for (const [index, engine] of [prefill, ...decode].entries()) {
     await engine.start();
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -73,6 +73,15 @@
     earl.expect(world.decode.map((engine) => engine.ran)).toEqual([["r1"], ["r1"]]);
   });
 
+  test.it("asks the runner again that read a prompt and whose answer was lost", async () => {
+    await using world = await fixture.startPlatform({ lostPrefills: 1 }, {});
+    await using one = await fixture.startGateway(world.platform, 93, 1);
+    await fixture.waitForReady(one.ip);
+    const stream = await fixture.send(one.ip, "/notes/x", fixture.PROMPT);
+    earl.expect([stream.status, stream.body]).toEqual([200, WHOLE]);
+    earl.expect(world.prefill.prefills).toEqual(2);
+  });
+
   test.it("has a prompt read once when the first decode runner is full", async () => {
     await using world = await fixture.startPlatform({ refusals: 1 }, { refusals: 1 });
     await using one = await fixture.startGateway(world.platform, 84, 1);
