Soak: gateways and stand-ins as processes under random faults from outside

Three gateways, a store and six runners are processes of their own; relays before callers, runners and the store delay, reset, silence or cut one way; signals kill, stop, pause and restart; runners are replaced, versions and settings change. Nineteen faults in a table, drawn by seed, in series, overlapping. Judges outside see callers and runners only: TWICE, REFUSED, OWN, WHOLE, ORDER, GONE, LOST, RECOVER. Not covered: links between gateways, the time of day.

--- /dev/null
+++ b/standins/delay-line.ts
@@ -0,0 +1,47 @@
+/** Passes bytes on in their order, each after a delay. */
+interface Held {
+  readonly bytes: Buffer;
+  readonly dueAt: number;
+}
+
+/** Holds bytes back; the delay may change while some are held. */
+export class DelayLine {
+  readonly #write: (bytes: Buffer) => void;
+  readonly #held: Held[] = [];
+  #timer: NodeJS.Timeout | undefined;
+  #onEmpty: (() => void) | undefined;
+
+  constructor(write: (bytes: Buffer) => void) {
+    this.#write = write;
+  }
+
+  push(bytes: Buffer, delayMs: number): void {
+    const previous = this.#held.at(-1)?.dueAt ?? 0;
+    this.#held.push({ bytes, dueAt: Math.max(previous, performance.now() + delayMs) });
+    this.#flush();
+  }
+
+  /** Calls `onEmpty` once nothing is held. */
+  close(onEmpty: () => void): void {
+    this.#onEmpty = onEmpty;
+    this.#flush();
+  }
+
+  #flush(): void {
+    clearTimeout(this.#timer);
+    for (;;) {
+      const next = this.#held[0];
+      if (next === undefined) break;
+      const waitMs = next.dueAt - performance.now();
+      if (waitMs > 0) {
+        this.#timer = setTimeout(() => {
+          this.#flush();
+        }, waitMs);
+        return;
+      }
+      this.#held.shift();
+      this.#write(next.bytes);
+    }
+    this.#onEmpty?.();
+  }
+}
--- a/standins/processes.ts
+++ b/standins/processes.ts
@@ -32,10 +32,16 @@
   readonly #exited: Promise<number | undefined>;
   #onLine: (line: string) => void = () => undefined;
 
-  constructor(name: string, script: string, flags: readonly string[]) {
+  constructor(
+    name: string,
+    script: string,
+    flags: readonly string[],
+    environment: Readonly<Record<string, string>> = {},
+  ) {
     this.name = name;
     this.#child = childProcess.spawn(process.execPath, [...process.execArgv, script, ...flags], {
       stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, ...environment },
     });
     running.add(this.#child);
     this.#exited = new Promise((resolve) => {
--- a/standins/relay.ts
+++ b/standins/relay.ts
@@ -1,5 +1,6 @@
-/** A TCP relay between two processes that can lose bytes without ending a connection. */
+/** A TCP relay between two processes that can lose, delay and reset what passes. */
 import * as net from "node:net";
+import * as delayLine from "./delay-line.js";
 
 const HOST = "127.0.0.1";
 
@@ -9,6 +10,12 @@
   silent: boolean;
 }
 
+/** Direction in which bytes are lost: towards who connected, or towards the target. */
+export const DIRECTION = { near: "near", far: "far" } as const;
+
+/** One of the values of `DIRECTION`. */
+export type Direction = (typeof DIRECTION)[keyof typeof DIRECTION];
+
 /**
  * Relays connections to one port of loopback.
  *
@@ -17,18 +24,24 @@
 export class Relay implements AsyncDisposable {
   readonly #server: net.Server;
   readonly #targetPort: number;
+  readonly #targetHost: string;
   readonly #connections = new Set<RelayedConnection>();
+  /** Time by which bytes are held up. */
+  delayMs = 0;
+  /** Direction in which all bytes are lost. */
+  lost: Direction | undefined;
 
-  constructor(targetPort: number) {
+  constructor(targetPort: number, targetHost = HOST) {
     this.#targetPort = targetPort;
+    this.#targetHost = targetHost;
     this.#server = net.createServer((near) => {
       this.#handleConnection(near);
     });
   }
 
   /** Listens on a free port. */
-  static async start(targetPort: number): Promise<Relay> {
-    const relay = new Relay(targetPort);
+  static async start(targetPort: number, targetHost = HOST): Promise<Relay> {
+    const relay = new Relay(targetPort, targetHost);
     await new Promise<void>((resolve) => relay.#server.listen(0, HOST, resolve));
     return relay;
   }
@@ -47,6 +60,15 @@
     for (const connection of this.#connections) connection.silent = true;
   }
 
+  /** Resets the open connections on both sides. */
+  reset(): void {
+    for (const { near, far } of this.#connections) {
+      near.resetAndDestroy();
+      far.resetAndDestroy();
+    }
+    this.#connections.clear();
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     for (const { near, far } of this.#connections) {
       near.destroy();
@@ -56,22 +78,30 @@
   }
 
   #handleConnection(near: net.Socket): void {
-    const far = net.connect(this.#targetPort, HOST);
+    const far = net.connect(this.#targetPort, this.#targetHost);
     const connection: RelayedConnection = { near, far, silent: false };
     this.#connections.add(connection);
-    this.#pass(connection, near, far);
-    this.#pass(connection, far, near);
+    this.#pass(connection, DIRECTION.far, near, far);
+    this.#pass(connection, DIRECTION.near, far, near);
   }
 
-  #pass(connection: RelayedConnection, from: net.Socket, to: net.Socket): void {
+  #pass(
+    connection: RelayedConnection,
+    direction: Direction,
+    from: net.Socket,
+    to: net.Socket,
+  ): void {
+    const line = new delayLine.DelayLine((bytes) => to.write(bytes));
     from.on("data", (bytes) => {
-      if (!connection.silent) to.write(bytes);
+      if (!connection.silent && this.lost !== direction) line.push(bytes, this.delayMs);
     });
     from.on("error", () => undefined);
     from.on("close", () => {
       if (connection.silent) return;
       this.#connections.delete(connection);
-      to.destroy();
+      line.close(() => {
+        to.destroy();
+      });
     });
   }
 }
--- /dev/null
+++ b/standins/soak/callers.ts
@@ -0,0 +1,145 @@
+/** Callers of the soak: they keep connections open, and keep what they saw of each request. */
+import * as http from "node:http";
+import * as random from "../../src/kernel/random.js";
+import type * as world from "./world.js";
+
+const DEADLINE_MS = 3_000;
+/** A caller gives a request up this long after its deadline. */
+const PATIENCE_MS = 1_000;
+const LONGEST_PAUSE_MS = 150;
+
+/** Kinds of request by the route that serves them. */
+export const CALL_KIND = { book: "book", status: "status", notes: "notes" } as const;
+
+/** One of the values of `CALL_KIND`. */
+export type CallKind = (typeof CALL_KIND)[keyof typeof CALL_KIND];
+
+/** What a caller saw of one request. */
+export interface CallRecord {
+  readonly id: string;
+  readonly kind: CallKind;
+  readonly gateway: string;
+  readonly startedAt: number;
+  endedAt: number;
+  status: number | undefined;
+  headers: http.IncomingHttpHeaders;
+  body: string;
+  /** Whether the answer ended as complete. */
+  isComplete: boolean;
+  /** Time at which the caller left, if it did. */
+  leftAt: number | undefined;
+}
+
+const HEADERS: Readonly<Record<CallKind, Readonly<Record<string, string>>>> = {
+  book: {},
+  status: {},
+  notes: { model: "m", "token-count": "100,2440", "prompt-prefix": "aa:50,bb:50" },
+};
+
+let lastCall = 0;
+
+/** Sends one request; never throws. */
+export function sendCall(
+  gateway: world.Gateway,
+  kind: CallKind,
+  agent: http.Agent | false,
+  leaveAfterMs?: number,
+): Promise<CallRecord> {
+  lastCall += 1;
+  const record: CallRecord = {
+    id: `${kind}${lastCall}`,
+    kind,
+    gateway: gateway.name,
+    startedAt: performance.now(),
+    endedAt: 0,
+    status: undefined,
+    headers: {},
+    body: "",
+    isComplete: false,
+    leftAt: undefined,
+  };
+  return new Promise((resolve) => {
+    const request = http.request({
+      host: "127.0.0.1",
+      port: gateway.front.port,
+      method: "POST",
+      path: `/${kind}/x`,
+      agent,
+      headers: {
+        host: "api.example",
+        "request-id": record.id,
+        "deadline-ms": String(DEADLINE_MS),
+        ...HEADERS[kind],
+      },
+    });
+    const leave = (): void => {
+      record.leftAt = performance.now();
+      request.destroy();
+    };
+    const timer = setTimeout(leave, leaveAfterMs ?? DEADLINE_MS + PATIENCE_MS);
+    request.on("response", (response) => {
+      record.status = response.statusCode;
+      record.headers = response.headers;
+      response.on("data", (chunk: Buffer) => {
+        record.body += chunk.toString("latin1");
+      });
+      response.on("end", () => {
+        record.isComplete = response.complete;
+      });
+      response.on("error", () => undefined);
+    });
+    request.on("error", () => undefined);
+    request.on("close", () => {
+      clearTimeout(timer);
+      record.endedAt = performance.now();
+      resolve(record);
+    });
+    request.end("body");
+  });
+}
+
+/** Callers that go on until they are stopped. */
+export class Callers {
+  readonly records: CallRecord[] = [];
+  readonly #world: world.World;
+  readonly #tasks: Promise<void>[];
+  #stopped = false;
+
+  constructor(target: world.World, count: number, seed: number) {
+    this.#world = target;
+    const kinds = Object.values(CALL_KIND);
+    this.#tasks = Array.from({ length: count }, (_, index) => {
+      const kind = kinds[index % kinds.length] ?? CALL_KIND.book;
+      return this.#run(kind, random.createSeededRandom(seed + index));
+    });
+  }
+
+  /** Lets what was sent come to its end. */
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    await Promise.all(this.#tasks);
+  }
+
+  /** Keeps one connection to one gateway until a request fails on it. */
+  async #run(kind: CallKind, source: random.RandomSource): Promise<void> {
+    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+    let gateway = this.#choose(source);
+    while (!this.#stopped) {
+      const record = await sendCall(gateway, kind, agent);
+      this.records.push(record);
+      if (!record.isComplete || record.headers.connection === "close") {
+        gateway = this.#choose(source);
+      }
+      const pauseMs = source.nextInteger(LONGEST_PAUSE_MS);
+      await new Promise((resolve) => setTimeout(resolve, pauseMs));
+    }
+    agent.destroy();
+  }
+
+  #choose(source: random.RandomSource): world.Gateway {
+    const { gateways } = this.#world;
+    const gateway = gateways[source.nextInteger(gateways.length)];
+    if (gateway === undefined) throw new Error("a soak needs a gateway");
+    return gateway;
+  }
+}
--- /dev/null
+++ b/standins/soak/child-main.ts
@@ -0,0 +1,86 @@
+/** Entry point of a stand-in process of the soak. */
+import * as cmd from "cmd-ts";
+import * as engines from "../users-platform/engine.js";
+import * as store from "../users-platform/store.js";
+import type * as children from "./children.js";
+import * as plainRunner from "./plain-runner.js";
+
+const EVENTS = 40;
+const EVENT_PAUSE_MS = 25;
+
+function sendNote(note: children.RunnerNote): void {
+  process.send?.(note);
+}
+
+/** Handles that name their request, since engines of other processes cannot be asked. */
+const NAMED_HANDLES: engines.HandleTable = {
+  get: (source) => source.split("/h-")[1],
+  set: () => undefined,
+  delete: () => true,
+};
+
+async function startEngine(stage: string): Promise<string> {
+  const behaviour = { eventCount: EVENTS, eventPauseMs: EVENT_PAUSE_MS };
+  const engine = new engines.EngineStandIn(stage, NAMED_HANDLES, {
+    ...behaviour,
+    onRan: (call) => {
+      sendNote({ kind: "ran", call });
+    },
+    onCancelled: (call) => {
+      sendNote({ kind: "cancelled", call });
+    },
+  });
+  await engine.start();
+  return engine.address;
+}
+
+async function startStore(): Promise<string> {
+  const standIn = new store.StoreStandIn();
+  await standIn.start();
+  const handlers = {
+    set: (command: { key: string; value: unknown }) => {
+      standIn.set(command.key, command.value);
+    },
+    remove: (command: { key: string }) => {
+      standIn.remove(command.key);
+    },
+    mode: (command: { mode: string }) => {
+      standIn.mode = command.mode as store.StoreMode;
+    },
+    compact: () => {
+      standIn.compact();
+    },
+  } as const;
+  process.on("message", (command: children.StoreCommand) => {
+    (handlers[command.kind] as (command: children.StoreCommand) => void)(command);
+  });
+  return standIn.address;
+}
+
+/** Starts a stand-in by its role; returns its address. */
+const ROLES: Readonly<Record<string, (id: string, seed: number) => Promise<string>>> = {
+  store: startStore,
+  prefill: () => startEngine("prefill"),
+  decode: () => startEngine("decode"),
+  plain: (id, seed) =>
+    plainRunner.startPlainRunner(id, seed, (call) => {
+      sendNote({ kind: "ran", call });
+    }),
+};
+
+const command = cmd.command({
+  name: "stand-in",
+  args: {
+    role: cmd.option({ long: "role" }),
+    id: cmd.option({ long: "id", defaultValue: () => "" }),
+    seed: cmd.option({ long: "seed", type: cmd.number, defaultValue: () => 1 }),
+  },
+  handler: async ({ role, id, seed }) => {
+    const start = ROLES[role];
+    if (start === undefined) throw new Error(`no role ${role}`);
+    process.send?.({ kind: "listening", address: await start(id, seed) });
+    process.once("disconnect", () => process.exit(0));
+  },
+});
+
+await cmd.run(command, process.argv.slice(2));
--- /dev/null
+++ b/standins/soak/main.ts
@@ -0,0 +1,54 @@
+/** Entry point of the soak: `npm run -s soak -- --seed 7`, `npm run -s soak -- --minutes 5`. */
+import * as crypto from "node:crypto";
+import * as cmd from "cmd-ts";
+import * as seeds from "./seeds.js";
+import * as soak from "./soak.js";
+
+const MS_PER_S = 1_000;
+const MS_PER_MINUTE = 60_000;
+const SEED_RANGE = 1_000_000;
+
+function printResult(result: soak.SoakResult): void {
+  const { seed, requests, faults, served, broken } = result;
+  const outcome = broken.length === 0 ? "kept" : "BROKEN";
+  const figures = `${requests} requests, ${faults} faults, ${served.toFixed(3)} served when calm`;
+  console.log(`seed ${seed}: ${outcome}; ${figures}`);
+  for (const line of broken) console.log(`  ${line}`);
+}
+
+const command = cmd.command({
+  name: "soak",
+  description: "runs gateways as processes under faults, and checks the promises from outside",
+  args: {
+    seed: cmd.option({ long: "seed", type: cmd.optional(cmd.number), description: "one seed" }),
+    minutes: cmd.option({
+      long: "minutes",
+      type: cmd.number,
+      defaultValue: () => 0,
+      description: "fresh seeds for this time; without it the kept seeds once",
+    }),
+    seconds: cmd.option({
+      long: "seconds",
+      type: cmd.number,
+      defaultValue: () => 10,
+      description: "length of the faults of one seed",
+    }),
+  },
+  handler: async ({ seed, minutes, seconds }) => {
+    const endsAt = performance.now() + minutes * MS_PER_MINUTE;
+    const planned = seed === undefined ? seeds.KEPT_SEEDS.map((kept) => kept.seed) : [seed];
+    const next = (): number | undefined => {
+      if (minutes === 0) return planned.shift();
+      return performance.now() < endsAt ? crypto.randomInt(SEED_RANGE) : undefined;
+    };
+    for (let current = next(); current !== undefined; current = next()) {
+      const result = await soak.runSoak(current, seconds * MS_PER_S);
+      printResult(result);
+      if (result.broken.length > 0) process.exitCode = 1;
+    }
+  },
+});
+
+await cmd.run(command, process.argv.slice(2));
+// Relays and agents of callers may still hold sockets that nobody uses.
+process.exit();
--- /dev/null
+++ b/standins/soak/world.ts
@@ -0,0 +1,220 @@
+/** The processes of a soak: gateways, the platform's store, runners, and the relays between them. */
+import * as fs from "node:fs/promises";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as url from "node:url";
+import * as wreck from "@hapi/wreck";
+import * as processes from "../processes.js";
+import * as relays from "../relay.js";
+import * as examples from "../users-platform/examples.js";
+import * as children from "./children.js";
+
+const GATEWAY_SCRIPT = url.fileURLToPath(new URL("../../bin/ebonyhook.js", import.meta.url));
+const FLEET_KEY = "a-key-of-the-soak-fleet";
+/** Loopback networks of soaks begin here; each soak process takes its own. */
+const FIRST_NET = 128;
+const NETS = 100;
+/** A runner that ends without a word stays listed for about three heartbeats. */
+const LAPSE_MS = 2_000;
+const START_LIMIT_MS = 10_000;
+const POLL_MS = 50;
+
+/** What a soak starts. */
+export interface WorldSize {
+  readonly gateways: number;
+  readonly prefill: number;
+  readonly decode: number;
+  readonly plain: number;
+}
+
+/** The state of a gateway's process. */
+export const GATEWAY_STATE = { up: "up", paused: "paused", down: "down" } as const;
+
+/** One gateway with its relays. */
+export interface Gateway {
+  readonly name: string;
+  readonly ip: string;
+  readonly settingsPath: string;
+  /** Between callers and the gateway. */
+  readonly front: relays.Relay;
+  /** Between the gateway and the platform's store. */
+  readonly store: relays.Relay;
+  process: processes.ManagedProcess;
+  state: (typeof GATEWAY_STATE)[keyof typeof GATEWAY_STATE];
+}
+
+/** One runner with its relay. */
+export interface Runner {
+  readonly id: string;
+  readonly role: keyof Omit<WorldSize, "gateways">;
+  readonly child: children.Child;
+  readonly relay: relays.Relay;
+}
+
+/** A run, as a runner told. */
+export interface ObservedRun {
+  readonly runner: string;
+  readonly at: number;
+}
+
+/** Everything that a soak runs. */
+export class World implements AsyncDisposable {
+  readonly gateways: Gateway[] = [];
+  readonly runners = new Map<string, Runner>();
+  /** Runs by the id of their request. */
+  readonly runs = new Map<string, ObservedRun[]>();
+  /** Times at which runs were cancelled, by the id of their request. */
+  readonly cancelled = new Map<string, number>();
+  readonly store: children.Child;
+  readonly #directory: string;
+  readonly #net = FIRST_NET + (process.pid % NETS);
+  #configurationVersion = 1;
+  #started = 0;
+
+  /** @param directory - holds the settings files of its gateways; removed at the end. */
+  constructor(directory: string) {
+    this.#directory = directory;
+    this.store = new children.Child(["--role", "store"], () => undefined);
+  }
+
+  static async start(size: WorldSize): Promise<World> {
+    const world = new World(await fs.mkdtemp(path.join(os.tmpdir(), "ebonyhook-soak-")));
+    await world.store.waitForAddress();
+    world.publishConfiguration();
+    for (const role of ["prefill", "decode", "plain"] as const) {
+      for (let count = 0; count < size[role]; count += 1) await world.addRunner(role);
+    }
+    for (let number = 1; number <= size.gateways; number += 1) await world.#addGateway(number);
+    await Promise.all(world.gateways.map((gateway) => world.waitForReady(gateway)));
+    return world;
+  }
+
+  /** Publishes the next version of the configuration; its routes stay the same. */
+  publishConfiguration(): void {
+    this.#configurationVersion += 3;
+    const value = examples.createConfiguration(this.#configurationVersion);
+    this.store.tell({ kind: "set", key: "op/config", value });
+  }
+
+  /** Starts and lists a runner. */
+  async addRunner(role: Runner["role"]): Promise<Runner> {
+    this.#started += 1;
+    const id = `${role}-${this.#started}`;
+    const flags = ["--role", role, "--id", id, "--seed", String(this.#started)];
+    const child = new children.Child(flags, (note) => {
+      this.#recordNote(id, note);
+    });
+    const address = await child.waitForAddress();
+    const relay = await relays.Relay.start(Number(address.split(":")[1]));
+    const runner = { id, role, child, relay };
+    this.runners.set(id, runner);
+    this.#listRunner(runner, "ready");
+    return runner;
+  }
+
+  /** Lists a runner as leaving. */
+  markLeaving(runner: Runner): void {
+    this.runners.delete(runner.id);
+    this.#listRunner(runner, "draining");
+  }
+
+  /** Ends a runner at once; its entry lapses later. */
+  async killRunner(runner: Runner): Promise<void> {
+    this.runners.delete(runner.id);
+    await runner.child[Symbol.asyncDispose]();
+    runner.relay.reset();
+    setTimeout(() => {
+      this.store.tell({ kind: "remove", key: `servers/${runner.id}` });
+      void runner.relay[Symbol.asyncDispose]();
+    }, LAPSE_MS);
+  }
+
+  /** Starts a gateway's process again after it has ended. */
+  async restartGateway(gateway: Gateway): Promise<void> {
+    await gateway.process.exited;
+    gateway.process = this.#spawnGateway(gateway);
+    gateway.state = GATEWAY_STATE.up;
+  }
+
+  /** Writes a gateway's settings with other seeds. */
+  async writeSettings(gateway: Gateway, seeds: readonly string[]): Promise<void> {
+    const platform = `127.0.0.1:${gateway.store.port}`;
+    const text = examples.createSettingsText(gateway.ip, { node: gateway.name, seeds, platform });
+    await fs.writeFile(gateway.settingsPath, text);
+  }
+
+  /** Returns the peer address of a gateway by its number. */
+  formatSeed(number: number): string {
+    return `127.${this.#net}.0.${number}:${examples.PORTS.control}`;
+  }
+
+  async waitForReady(gateway: Gateway): Promise<void> {
+    const target = `http://${gateway.ip}:${examples.PORTS.ready}/-/ready`;
+    const limitAt = performance.now() + START_LIMIT_MS;
+    for (;;) {
+      const status = await wreck.default
+        .request("GET", target, { agent: false })
+        .then((response) => response.statusCode)
+        .catch(() => undefined);
+      if (status === 200) return;
+      if (performance.now() > limitAt) throw new Error(`${gateway.name} is not ready`);
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const gateway of this.gateways) {
+      gateway.process.send("SIGKILL");
+      await gateway.process.exited;
+      await gateway.front[Symbol.asyncDispose]();
+      await gateway.store[Symbol.asyncDispose]();
+    }
+    for (const { child, relay } of this.runners.values()) {
+      await child[Symbol.asyncDispose]();
+      await relay[Symbol.asyncDispose]();
+    }
+    await this.store[Symbol.asyncDispose]();
+    await fs.rm(this.#directory, { recursive: true, force: true });
+  }
+
+  #recordNote(runner: string, note: children.RunnerNote): void {
+    const at = performance.now();
+    if (note.kind === "cancelled") {
+      this.cancelled.set(note.call, at);
+      return;
+    }
+    const runs = this.runs.get(note.call) ?? [];
+    runs.push({ runner, at });
+    this.runs.set(note.call, runs);
+  }
+
+  #listRunner(runner: Runner, state: string): void {
+    const { id, role, relay } = runner;
+    const changes = role === "plain" ? {} : { service: "model", stage: role, slots: 16 };
+    const value = examples.createRunnerEntry(`127.0.0.1:${relay.port}`, { ...changes, state });
+    this.store.tell({ kind: "set", key: `servers/${id}`, value });
+  }
+
+  async #addGateway(number: number): Promise<void> {
+    const ip = `127.${this.#net}.0.${number}`;
+    const store = await relays.Relay.start(Number(this.store.address.split(":")[1]));
+    const front = await relays.Relay.start(examples.PORTS.front, ip);
+    const name = `gateway-${number}`;
+    const settingsPath = path.join(this.#directory, `${name}.yaml`);
+    const place = { name, ip, settingsPath, front, store };
+    const text = examples.createSettingsText(ip, {
+      node: name,
+      seeds: [this.formatSeed(1), this.formatSeed(2)],
+      platform: `127.0.0.1:${store.port}`,
+    });
+    await fs.writeFile(settingsPath, text);
+    const state = GATEWAY_STATE.up;
+    this.gateways.push({ ...place, process: this.#spawnGateway(place), state });
+  }
+
+  #spawnGateway(place: Pick<Gateway, "name" | "settingsPath">): processes.ManagedProcess {
+    const flags = ["gateway", "--fleet-keys", FLEET_KEY];
+    const environment = { EBONYHOOK_BOOT: place.settingsPath };
+    return new processes.ManagedProcess(place.name, GATEWAY_SCRIPT, flags, environment);
+  }
+}
--- a/standins/users-platform/engine.ts
+++ b/standins/users-platform/engine.ts
@@ -4,7 +4,11 @@
 import type * as net from "node:net";
 
 /** Handles of all engines of a test, by address and handle. */
-export type HandleTable = Map<string, string>;
+export interface HandleTable {
+  get(source: string): string | undefined;
+  set(source: string, call: string): unknown;
+  delete(source: string): boolean;
+}
 
 /** How an engine behaves. */
 export interface EngineBehaviour {
@@ -17,6 +21,10 @@
   readonly lostPrefills?: number;
   /** Refuses this many decode requests as not run. */
   readonly refusals?: number;
+  /** Called when a request begins to run. */
+  readonly onRan?: (call: string) => void;
+  /** Called when the connection of a run closes before its end. */
+  readonly onCancelled?: (call: string) => void;
 }
 
 const SHORTEST_PAUSE_MS = 1;
@@ -76,7 +84,7 @@
 
   #prefill(id: string, response: http.ServerResponse): void {
     this.prefills += 1;
-    const handle = `h${this.prefills}`;
+    const handle = `h-${id}`;
     this.#handles.set(`${this.address}/${handle}`, id);
     if (this.prefills <= (this.#behaviour.lostPrefills ?? 0)) {
       response.socket?.resetAndDestroy();
@@ -101,8 +109,11 @@
     }
     this.#handles.delete(String(source));
     this.ran.push(id);
+    this.#behaviour.onRan?.(id);
     response.once("close", () => {
-      if (!response.writableFinished) this.cancelled.push(id);
+      if (response.writableFinished) return;
+      this.cancelled.push(id);
+      this.#behaviour.onCancelled?.(id);
     });
     response.writeHead(200, {
       "content-type": "text/event-stream",
