--- a/standins/soak/world.ts
+++ b/standins/soak/world.ts
@@ -40,6 +40,7 @@
   /** Between the gateway and the platform's store. */
   readonly store: relays.Relay;
   process: processes.ManagedProcess;
+  startedAt: number;
   state: (typeof GATEWAY_STATE)[keyof typeof GATEWAY_STATE];
 }
 
@@ -133,6 +134,7 @@
   async restartGateway(gateway: Gateway): Promise<void> {
     await gateway.process.exited;
     gateway.process = this.#spawnGateway(gateway);
+    gateway.startedAt = performance.now();
     gateway.state = GATEWAY_STATE.up;
   }
 
@@ -209,7 +211,8 @@
     });
     await fs.writeFile(settingsPath, text);
     const state = GATEWAY_STATE.up;
-    this.gateways.push({ ...place, process: this.#spawnGateway(place), state });
+    const startedAt = performance.now();
+    this.gateways.push({ ...place, process: this.#spawnGateway(place), startedAt, state });
   }
 
   #spawnGateway(place: Pick<Gateway, "name" | "settingsPath">): processes.ManagedProcess {
