--- a/src/gateway/live-settings.ts
+++ b/src/gateway/live-settings.ts
@@ -4,7 +4,7 @@
 import type * as telemetry from "../telemetry/types.js";
 import type * as types from "./types.js";
 
-/** The file may change without a signal; reading it takes well under a millisecond. */
+/** The file may change without a signal; nothing in it has to be known sooner. */
 const READ_PERIOD_MS = 2_000;
 
 /** Settings that are fixed when the process starts: who it is and where it listens. */
