Log crash records and runs that end without an answer

Cause: when a request kept ending its runners, the logs could not tell whether no crash was seen, no other VM learned of it, or the record was dropped. Nothing was written for any of the three.

--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -200,6 +200,8 @@
 function createCrashDetector(kernel: container.Kernel): crashDetector.CrashDetector {
   return new crashDetector.CrashDetector({
     clock: kernel.use("clock"),
+    log: kernel.use("log"),
+    metrics: kernel.use("metrics"),
     crashes: kernel.use("crashes"),
     calls: kernel.use("runnerCalls"),
     codec: kernel.use("adapter").runnerCodec,
--- a/src/request/crash-records.ts
+++ b/src/request/crash-records.ts
@@ -32,6 +32,9 @@
  */
 const SOLE_SUSPECT_WEIGHT = 0.5;
 
+/** Limit on the fingerprints that the log entry of a crash names. */
+const MAX_LOGGED_FINGERPRINTS = 8;
+
 const hasher = await xxhash.default();
 
 interface CrashEvidence {
@@ -102,6 +105,11 @@
       primeSuspects,
       maxEarlierCrashes,
     );
+    this.#log.write(events.LOG_EVENTS.crashRecorded, {
+      upstream,
+      fingerprints: implicatedFingerprints.slice(0, MAX_LOGGED_FINGERPRINTS),
+      implicated: implicatedFingerprints.length,
+    });
     for (const fingerprint of implicatedFingerprints) {
       const isPrimeSuspect = maxEarlierCrashes > 0 && primeSuspects.includes(fingerprint);
       const weight = 1 / (isPrimeSuspect ? primeSuspects.length : implicatedFingerprints.length);
@@ -122,6 +130,7 @@
   recordSuccess(fingerprint: string): void {
     if (!this.#entries.delete(fingerprint)) return;
     this.#clearedAt.set(fingerprint, this.#clock.now());
+    this.#log.write(events.LOG_EVENTS.crashRecordCleared, { fingerprint });
   }
 
   isQuarantined(fingerprint: string): boolean {
@@ -193,6 +202,10 @@
     this.#log.write(events.LOG_EVENTS.fingerprintQuarantined, { fingerprint, upstreams });
   }
 
+  #recordReceived(fingerprint: string, upstream: string, weight: number): void {
+    this.#log.write(events.LOG_EVENTS.crashRecordReceived, { fingerprint, upstream, weight });
+  }
+
   #findEntry(fingerprint: string): Entry | undefined {
     const entry = this.#entries.get(fingerprint);
     if (!entry || this.#clock.now() - entry.changedAt < ENTRY_LIFETIME_MS) return entry;
@@ -238,7 +251,8 @@
         ([, , ageMs]) => now - ageMs > clearedAt && ageMs < ENTRY_LIFETIME_MS,
       );
       for (const [upstream, weight, ageMs] of recent) {
-        this.#addEvidence(fingerprint, upstream, { weight, at: now - ageMs });
+        const isNew = this.#addEvidence(fingerprint, upstream, { weight, at: now - ageMs });
+        if (isNew) this.#recordReceived(fingerprint, upstream, weight);
       }
       if (isQuarantined && recent.length > 0) this.#markQuarantined(fingerprint);
     }
--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -5,6 +5,8 @@
 import * as crashTracker from "../request/crash-tracker.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as runners from "../runners/types.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
 import * as upstream from "../upstream/types.js";
 import * as answers from "./answers.js";
 import type * as types from "./types.js";
@@ -18,6 +20,8 @@
 /** Dependencies of the crash detector. */
 export interface CrashDetectorOptions {
   readonly clock: clocks.Clock;
+  readonly log: telemetry.EventLog;
+  readonly metrics: telemetry.Metrics;
   readonly crashes: callerTypes.CrashRecords;
   readonly calls: runnerCalls.RunnerCalls;
   readonly codec: gateway.RunnerCodec;
@@ -29,6 +33,8 @@
   recordAnswer(): void;
   /** Records a crash if the runner refuses connections after it broke the call's connection. */
   checkDisconnect(): Promise<void>;
+  /** Logs a run that ended at its time limit or with its caller. */
+  recordTimeout(): void;
 }
 
 /** Tracks the runs of this VM; detected crashes are gossiped to the other VMs. */
@@ -44,7 +50,9 @@
   /** @throws RequestError when the request has crashed several runners. */
   checkAllowed(call: types.ServedCall): void {
     const isQuarantined = this.#options.crashes.isQuarantined(this.#computeFingerprint(call));
-    if (isQuarantined) throw answers.createFailure("request crashed several runners");
+    if (!isQuarantined) return;
+    this.#options.metrics.count("quarantine_refusals", { service: call.service.name });
+    throw answers.createFailure("request crashed several runners");
   }
 
   /** Starts to track a run of a call on a runner. */
@@ -56,7 +64,12 @@
         this.#options.crashes.recordSuccess(fingerprint);
       },
       checkDisconnect: async () => {
-        if (await this.#hasCrashed(runner)) trackedRun.recordBrokenConnection();
+        const hasCrashed = await this.#hasCrashed(runner);
+        this.#recordUnanswered(call, runner, fingerprint, hasCrashed ? "crashed" : "unknown");
+        if (hasCrashed) trackedRun.recordBrokenConnection();
+      },
+      recordTimeout: () => {
+        this.#recordUnanswered(call, runner, fingerprint, "timedOut");
       },
       [Symbol.dispose]: () => {
         trackedRun[Symbol.dispose]();
@@ -75,6 +88,19 @@
     return this.#options.crashes.computeFingerprint(callerIp, target, body);
   }
 
+  #recordUnanswered(
+    call: types.ServedCall,
+    runner: runners.Runner,
+    fingerprint: string,
+    verdict: string,
+  ): void {
+    const { log, metrics } = this.#options;
+    metrics.count("unanswered_runs", { verdict });
+    const { id, bornAt } = runner;
+    const fields = { request: call.head.id, fingerprint, runner: id, bornAt, verdict };
+    log.write(logEvents.LOG_EVENTS.runUnanswered, fields);
+  }
+
   async #hasCrashed(runner: runners.Runner): Promise<boolean> {
     const { clock, calls, codec } = this.#options;
     using limit = clocks.createTimeLimit(clock, CHECK_TIMEOUT_MS);
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -155,7 +155,8 @@
       if (result.kind === "done") trackedRun.recordAnswer();
       return result;
     } catch (error) {
-      if (!limit.signal.aborted) await trackedRun.checkDisconnect();
+      if (limit.signal.aborted) trackedRun.recordTimeout();
+      else await trackedRun.checkDisconnect();
       this.#recordFailure(call, place, runner, error);
       const reason = `decode: ${String(error)}`;
       return { kind: isUnsent(error) ? "notRun" : "broken", reason, excluded: runner.id };
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -148,7 +148,8 @@
       trackedRun.recordAnswer();
       return this.#handleResponse(record, { head: runnerResponse.head, body });
     } catch (error) {
-      if (!limit.signal.aborted) await trackedRun.checkDisconnect();
+      if (limit.signal.aborted) trackedRun.recordTimeout();
+      else await trackedRun.checkDisconnect();
       return this.#handleError(call, record, error);
     } finally {
       endCall();
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -71,6 +71,8 @@
     calls,
     crashDetector: new crashDetector.CrashDetector({
       clock,
+      log,
+      metrics,
       calls,
       codec: runnerCodec.RUNNER_CODEC,
       crashes,
