Play requests that end their runners against whole gateways

Callers saw a request under which three runners had ended reach runners without end (BUDGET). No test played such a request against the gateway: the soak has none, and the emulated runners could not end.

The emulated runner ends under one request, by a reset or after silence, and starts again under a new id or the same one with a new start.

--- /dev/null
+++ b/standins/users-platform/crashing-runner.ts
@@ -0,0 +1,217 @@
+/**
+ * An emulated runner of the users' platform that ends when it begins to run a request with a given body, and starts
+ * again some time later. It keeps its registry entry up to date and records every arrival of that request.
+ */
+import * as events from "node:events";
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as examples from "./examples.js";
+import type * as store from "./store.js";
+
+/** Body of the request that ends its runners. */
+export const CRASHING_BODY = "crash";
+
+/** How a runner ends: it resets its connections, or first falls silent. */
+export const CRASH_MODE = { reset: "reset", silent: "silent" } as const;
+
+/** Roles of a runner. */
+export const RUNNER_ROLE = { plain: "plain", prefill: "prefill", decode: "decode" } as const;
+
+/** One of the values of `RUNNER_ROLE`. */
+export type RunnerRole = (typeof RUNNER_ROLE)[keyof typeof RUNNER_ROLE];
+
+/** Behaviour of a crashing runner. */
+export interface CrashBehaviour {
+  readonly mode: (typeof CRASH_MODE)[keyof typeof CRASH_MODE];
+  /** Role whose runners the request ends; others serve it. */
+  readonly crashingRole: RunnerRole;
+  /** Time from the end of a process to its next start. */
+  readonly restartMs: number;
+  /** Whether a restarted runner keeps its id; otherwise it registers under a new one. */
+  readonly keepsId: boolean;
+}
+
+/** Arrivals of the crashing request and ends of runners, shared by all runners of a test. */
+export class CrashLog {
+  /** Times at which the request arrived at a runner. */
+  readonly arrivals: number[] = [];
+  /** Times at which a runner ended under the request. */
+  readonly crashes: number[] = [];
+}
+
+/** Time without heartbeats after which the registry entry of an ended runner expires. */
+const ENTRY_EXPIRY_MS = 2_500;
+const EVENT_COUNT = 5;
+const PLAIN_WORK_MS = 10;
+
+/** A runner that listens on loopback and is listed in the registry. */
+export class CrashingRunner implements AsyncDisposable {
+  readonly #name: string;
+  readonly #role: RunnerRole;
+  readonly #platform: store.StoreStandIn;
+  readonly #behaviour: CrashBehaviour;
+  readonly #log: CrashLog;
+  readonly #sockets = new Set<net.Socket>();
+  readonly #timers = new Set<NodeJS.Timeout>();
+  #server: http.Server | undefined;
+  #port = 0;
+  #starts = 0;
+  #isSilent = false;
+
+  constructor(
+    name: string,
+    role: RunnerRole,
+    platform: store.StoreStandIn,
+    behaviour: CrashBehaviour,
+    log: CrashLog,
+  ) {
+    this.#name = name;
+    this.#role = role;
+    this.#platform = platform;
+    this.#behaviour = behaviour;
+    this.#log = log;
+  }
+
+  get #id(): string {
+    return this.#behaviour.keepsId ? this.#name : `${this.#name}-${this.#starts}`;
+  }
+
+  /** Starts the process, on the same port as before, and lists it in the registry. */
+  async start(): Promise<void> {
+    this.#starts += 1;
+    this.#isSilent = false;
+    const server = http.createServer((request, response) => {
+      void this.#handle(request, response);
+    });
+    server.on("connection", (socket: net.Socket) => {
+      this.#sockets.add(socket);
+      socket.on("error", () => undefined);
+      socket.once("close", () => this.#sockets.delete(socket));
+    });
+    server.listen(this.#port, "127.0.0.1");
+    await events.default.once(server, "listening");
+    this.#server = server;
+    this.#port = (server.address() as net.AddressInfo).port;
+    const isPlain = this.#role === RUNNER_ROLE.plain;
+    const changes = isPlain ? {} : { service: "model", stage: this.#role, slots: 16 };
+    const entry = examples.createRunnerEntry(`127.0.0.1:${this.#port}`, {
+      ...changes,
+      born: this.#starts,
+    });
+    this.#platform.set(`servers/${this.#id}`, entry);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const timer of this.#timers) clearTimeout(timer);
+    await this.#closeServer();
+  }
+
+  async #handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    if (this.#isSilent) return;
+    if (request.url === "/-/report") {
+      this.#handleReport(request, response);
+      return;
+    }
+    const body = await readBody(request);
+    if (request.method === "DELETE") {
+      response.end();
+      return;
+    }
+    if (body === CRASHING_BODY) this.#log.arrivals.push(performance.now());
+    if (request.headers["expect-instance"] !== this.#id) {
+      response.writeHead(421, { "not-executed": "1" }).end();
+      return;
+    }
+    const crashes = this.#role === this.#behaviour.crashingRole && body === CRASHING_BODY;
+    if (crashes) await this.#crash();
+    else await ANSWERS[this.#role](request, response);
+  }
+
+  #handleReport(request: http.IncomingMessage, response: http.ServerResponse): void {
+    if (request.headers["expect-instance"] !== this.#id) response.writeHead(421).end();
+    else if (this.#role === RUNNER_ROLE.plain) response.writeHead(404).end();
+    else {
+      const report = { born: this.#starts, stage: this.#role, kv_total: 72_680, runs: [] };
+      response.end(JSON.stringify(report));
+    }
+  }
+
+  async #crash(): Promise<void> {
+    this.#log.crashes.push(performance.now());
+    const { mode, restartMs } = this.#behaviour;
+    const key = `servers/${this.#id}`;
+    const expiry = this.#schedule(ENTRY_EXPIRY_MS, () => {
+      this.#platform.remove(key);
+    });
+    this.#isSilent = true;
+    if (mode === CRASH_MODE.reset) await this.#closeServer();
+    this.#schedule(restartMs, () => {
+      clearTimeout(expiry);
+      void this.#restart(key);
+    });
+  }
+
+  async #restart(key: string): Promise<void> {
+    await this.#closeServer();
+    if (!this.#behaviour.keepsId) this.#platform.remove(key);
+    await this.start();
+  }
+
+  #schedule(delayMs: number, run: () => void): NodeJS.Timeout {
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer);
+      run();
+    }, delayMs);
+    this.#timers.add(timer);
+    return timer;
+  }
+
+  /** Resets all connections and stops listening. */
+  async #closeServer(): Promise<void> {
+    const server = this.#server;
+    this.#server = undefined;
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+    if (server === undefined) return;
+    await new Promise<void>((resolve) => {
+      server.close(() => {
+        resolve();
+      });
+    });
+  }
+}
+
+async function readBody(request: http.IncomingMessage): Promise<string> {
+  let body = "";
+  for await (const chunk of request as AsyncIterable<Buffer>) body += chunk.toString();
+  return body;
+}
+
+type AnswerHandler = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+) => Promise<void>;
+
+/** Answers to requests that do not end the runner, by role. */
+const ANSWERS: Readonly<Record<RunnerRole, AnswerHandler>> = {
+  plain: async (request, response) => {
+    await new Promise((resolve) => setTimeout(resolve, PLAIN_WORK_MS));
+    response.writeHead(200, createAnswerHeaders(request)).end("answer");
+  },
+  prefill: (request, response) => {
+    response.setHeader("request-id", String(request.headers["request-id"]));
+    response.end(JSON.stringify({ kv_handle: "h", tokens: 100, version: 1 }));
+    return Promise.resolve();
+  },
+  decode: async (request, response) => {
+    response.writeHead(200, createAnswerHeaders(request));
+    for (let event = 0; event < EVENT_COUNT; event += 1) {
+      response.write(`id: ${event}\ndata: piece ${event}\n\n`);
+      await new Promise((resolve) => setTimeout(resolve, PLAIN_WORK_MS));
+    }
+    response.end();
+  },
+};
+
+function createAnswerHeaders(request: http.IncomingMessage): Record<string, string> {
+  return { "request-id": String(request.headers["request-id"]), "response-stamp": "s" };
+}
--- /dev/null
+++ b/test/gateway/crashing-requests-fixture.ts
@@ -0,0 +1,142 @@
+/** Plays a request that ends its runners against several gateways, beside harmless requests. */
+import * as crashing from "../../standins/users-platform/crashing-runner.js";
+import * as examples from "../../standins/users-platform/examples.js";
+import * as store from "../../standins/users-platform/store.js";
+import * as fixture from "./gateway-fixture.js";
+
+/** Time from the third crash after which arrivals count as late. */
+export const LATE_AFTER_MS = 3_000;
+const GATEWAY_COUNT = 3;
+const RUNNERS_PER_ROLE = 4;
+const PLAY_MS = 11_000;
+const SEND_INTERVAL_MS = 120;
+/** Part of the error body of a request that is refused because it ended runners. */
+const QUARANTINE_TEXT = "crashed several runners";
+
+/** Behaviour of the runners and gateways of a play. */
+export interface PlayOptions extends crashing.CrashBehaviour {
+  /** Second byte of the loopback network of the gateways. */
+  readonly net: number;
+  /** Time from one restart of a gateway to the next; without it none restarts. */
+  readonly restartEveryMs?: number;
+}
+
+/** What the runners and callers of a play observed. */
+export interface PlayResult {
+  readonly arrivals: number;
+  readonly crashes: number;
+  /** Arrivals of the request later than `LATE_AFTER_MS` after the third crash. */
+  readonly lateArrivals: number;
+  readonly harmless: number;
+  readonly harmlessServed: number;
+  readonly harmlessQuarantined: number;
+}
+
+class Play implements AsyncDisposable {
+  readonly log = new crashing.CrashLog();
+  readonly #options: PlayOptions;
+  readonly #platform = new store.StoreStandIn();
+  readonly #runners: crashing.CrashingRunner[] = [];
+  readonly #gateways: fixture.TestGateway[] = [];
+  readonly #pending: Promise<void>[] = [];
+  #harmless = 0;
+  #harmlessServed = 0;
+  #harmlessQuarantined = 0;
+
+  constructor(options: PlayOptions) {
+    this.#options = options;
+  }
+
+  async start(): Promise<void> {
+    await this.#platform.start();
+    this.#platform.set("op/config", examples.createConfiguration(7));
+    const { plain, prefill, decode } = crashing.RUNNER_ROLE;
+    const isPlain = this.#options.crashingRole === plain;
+    for (const role of isPlain ? [plain] : [prefill, decode]) {
+      for (let index = 1; index <= RUNNERS_PER_ROLE; index += 1) {
+        const name = `${role}-${index}`;
+        const runner = new crashing.CrashingRunner(
+          name,
+          role,
+          this.#platform,
+          this.#options,
+          this.log,
+        );
+        this.#runners.push(runner);
+        await runner.start();
+      }
+    }
+    for (let number = 1; number <= GATEWAY_COUNT; number += 1) {
+      this.#gateways.push(await fixture.startGateway(this.#platform, this.#options.net, number));
+    }
+    await Promise.all(this.#gateways.map(({ ip }) => fixture.waitForReady(ip)));
+  }
+
+  /** Sends the request and a harmless one to every gateway in turn, for the length of a play. */
+  async run(): Promise<void> {
+    const endsAt = performance.now() + PLAY_MS;
+    const restarts = this.#runRestarts(endsAt);
+    for (let count = 0; performance.now() < endsAt; count += 1) {
+      const ip = `127.${this.#options.net}.0.${1 + (count % GATEWAY_COUNT)}`;
+      this.#pending.push(this.#send(ip, `r${count}`, crashing.CRASHING_BODY, ""));
+      this.#pending.push(this.#sendHarmless(ip, count));
+      await new Promise((resolve) => setTimeout(resolve, SEND_INTERVAL_MS));
+    }
+    await restarts;
+    await Promise.all(this.#pending);
+  }
+
+  createResult(): PlayResult {
+    const { arrivals, crashes } = this.log;
+    const lateFrom = (crashes[2] ?? Infinity) + LATE_AFTER_MS;
+    return {
+      arrivals: arrivals.length,
+      crashes: crashes.length,
+      lateArrivals: arrivals.filter((at) => at > lateFrom).length,
+      harmless: this.#harmless,
+      harmlessServed: this.#harmlessServed,
+      harmlessQuarantined: this.#harmlessQuarantined,
+    };
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const gateway of this.#gateways) await gateway[Symbol.asyncDispose]();
+    for (const runner of this.#runners) await runner[Symbol.asyncDispose]();
+    await this.#platform[Symbol.asyncDispose]();
+  }
+
+  /** Ends one gateway after the other and starts it again, without a graceful shutdown. */
+  async #runRestarts(endsAt: number): Promise<void> {
+    const { restartEveryMs, net } = this.#options;
+    if (restartEveryMs === undefined) return;
+    for (let index = 0; performance.now() + restartEveryMs < endsAt; index += 1) {
+      await new Promise((resolve) => setTimeout(resolve, restartEveryMs));
+      const place = index % GATEWAY_COUNT;
+      await this.#gateways[place]?.[Symbol.asyncDispose]();
+      this.#gateways[place] = await fixture.startGateway(this.#platform, net, place + 1);
+    }
+  }
+
+  async #sendHarmless(ip: string, count: number): Promise<void> {
+    this.#harmless += 1;
+    await this.#send(ip, `h${count}`, `harmless ${count}`, "h");
+  }
+
+  async #send(ip: string, id: string, body: string, kind: "" | "h"): Promise<void> {
+    const isPlain = this.#options.crashingRole === crashing.RUNNER_ROLE.plain;
+    const path = isPlain ? "/status/x" : "/notes/x";
+    const headers = { "request-id": id, ...(isPlain ? {} : fixture.PROMPT) };
+    const response = await fixture.send(ip, path, headers, body).catch(() => undefined);
+    if (kind !== "h" || response === undefined) return;
+    if (response.status === 200) this.#harmlessServed += 1;
+    if (response.body.includes(QUARANTINE_TEXT)) this.#harmlessQuarantined += 1;
+  }
+}
+
+/** Runs a play and returns what was observed. */
+export async function runPlay(options: PlayOptions): Promise<PlayResult> {
+  await using play = new Play(options);
+  await play.start();
+  await play.run();
+  return play.createResult();
+}
--- a/test/gateway/gateway-fixture.ts
+++ b/test/gateway/gateway-fixture.ts
@@ -95,11 +95,12 @@
   ip: string,
   path: string,
   headers: Readonly<Record<string, string>> = {},
+  payload = "body",
   signal?: AbortSignal,
 ): Promise<HttpResponse> {
   const request = wreck.default.request("POST", `http://${ip}:${examples.PORTS.front}${path}`, {
     headers: { host: "api.example", "request-id": "r1", "deadline-ms": "3000", ...headers },
-    payload: "body",
+    payload,
     agent: false,
   });
   signal?.addEventListener("abort", () => request.req.destroy());
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -108,7 +108,13 @@
     await using gateway = await fixture.startGateway(testPlatform.platform, 85, 1);
     await fixture.waitForReady(gateway.ip);
     const controller = new AbortController();
-    const abandoned = fixture.send(gateway.ip, "/notes/x", fixture.PROMPT, controller.signal);
+    const abandoned = fixture.send(
+      gateway.ip,
+      "/notes/x",
+      fixture.PROMPT,
+      "body",
+      controller.signal,
+    );
     abandoned.catch(() => undefined);
     await fixture.waitFor("the request is running", () => testPlatform.decode[0]?.ran.length === 1);
     controller.abort();
