Keep the crash record of a request that was refused or failed

Callers saw a request go on to runners although several had ended under it (BUDGET).

Cause: a plain call counted every response as a success of the request. A 503 or 421 of a runner that had not run it, or a 5xx, cleared its record, and older evidence of the other VMs was ignored from then on. Both plain paths of the product's own front did the same with a 5xx.

Change: only a completed run below 500 clears the record, decided in one place for both fronts. A completed run shows that the request doesn't end its upstream; a refusal or a failure shows nothing.

--- a/src/request/crash-tracker.ts
+++ b/src/request/crash-tracker.ts
@@ -5,8 +5,13 @@
 export interface TrackedCall extends Disposable {
   /** Records a broken connection. A crash that breaks several calls is reported once. */
   recordBrokenConnection(): void;
+  /** Records that the request ran to its end, unless its status is a server error. */
+  recordCompletion(status: number): void;
 }
 
+/** A failing upstream may answer without running the request, so its answer clears no suspicion. */
+const FIRST_SERVER_ERROR = 500;
+
 interface InFlightCall {
   readonly fingerprint: string;
   reported: boolean;
@@ -31,6 +36,9 @@
       recordBrokenConnection: () => {
         if (!call.reported) this.#recordCrash(upstream, calls);
       },
+      recordCompletion: (status) => {
+        if (status < FIRST_SERVER_ERROR) this.#crashes.recordSuccess(fingerprint);
+      },
       [Symbol.dispose]: () => {
         calls.delete(call);
         if (calls.size === 0 && this.#callsByUpstream.get(upstream) === calls) {
--- a/src/request/idempotent-calls.ts
+++ b/src/request/idempotent-calls.ts
@@ -118,7 +118,7 @@
     try {
       const options = { newConnection: needsNewConnection, signal: limit.signal };
       const response = await this.#backends.send(backend, call.request, options);
-      this.#recordResponse(backend, fingerprint, response);
+      this.#recordResponse(backend, trackedCall, response);
       return response;
     } catch (error) {
       const failure = error instanceof upstream.UpstreamError ? error.failure : undefined;
@@ -132,7 +132,7 @@
 
   #recordResponse(
     backend: backendSelector.Backend,
-    fingerprint: string,
+    trackedCall: crashTracker.TrackedCall,
     response: upstream.PlainResponse,
   ): void {
     if (RETRYABLE_STATUSES.has(response.status)) {
@@ -140,7 +140,7 @@
       return;
     }
     this.#selector.recordSuccess(backend);
-    this.#crashes.recordSuccess(fingerprint);
+    trackedCall.recordCompletion(response.status);
   }
 }
 
--- a/src/request/owned-calls.ts
+++ b/src/request/owned-calls.ts
@@ -166,7 +166,7 @@
         { newConnection: true, signal: limit.signal },
       );
       this.#selector.recordSuccess(backend);
-      this.#crashes.recordSuccess(fingerprint);
+      trackedCall.recordCompletion(response.status);
       return outcomes.createResponseOutcome(response);
     } catch (error) {
       this.#selector.recordFailure(backend);
--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -29,8 +29,10 @@
 
 /** A run that is tracked until it is disposed of. */
 export interface TrackedRun extends Disposable {
-  /** Records that the runner answered, which clears the request of suspicion. */
-  recordAnswer(): void;
+  /**
+   * Records the runner's answer. It clears the request of suspicion if the request ran to its end.
+   */
+  recordAnswer(head: gateway.RunnerResponseHead): void;
   /** Records a crash if the runner refuses connections after it broke the call's connection. */
   checkDisconnect(): Promise<void>;
   /** Logs a run that ended at its time limit or with its caller. */
@@ -60,8 +62,8 @@
     const fingerprint = this.#computeFingerprint(call);
     const trackedRun = this.#tracker.add(runner.id, fingerprint);
     return {
-      recordAnswer: () => {
-        this.#options.crashes.recordSuccess(fingerprint);
+      recordAnswer: (head) => {
+        if (!head.notRun) trackedRun.recordCompletion(head.status);
       },
       checkDisconnect: async () => {
         const hasCrashed = await this.#hasCrashed(runner);
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -152,7 +152,7 @@
         return { kind: "notRun", reason, excluded: undefined };
       }
       const result = await this.#sendAnswer(call, progress, runnerResponse, outcome);
-      if (result.kind === "done") trackedRun.recordAnswer();
+      if (result.kind === "done") trackedRun.recordAnswer(runnerResponse.head);
       return result;
     } catch (error) {
       if (limit.signal.aborted) trackedRun.recordTimeout();
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -145,7 +145,7 @@
       const limits = { maxBytes: MAX_RESPONSE_BYTES, idleTimeoutMs: leftMs };
       const body = await responseReader.readBody(clock, runnerResponse.response, limits);
       endCall();
-      trackedRun.recordAnswer();
+      trackedRun.recordAnswer(runnerResponse.head);
       return this.#handleResponse(record, { head: runnerResponse.head, body });
     } catch (error) {
       if (limit.signal.aborted) trackedRun.recordTimeout();
--- a/test/request/fake-fleet.ts
+++ b/test/request/fake-fleet.ts
@@ -35,6 +35,8 @@
 export class FakeService implements upstream.ServiceClient {
   readonly executions = new Map<string, number>();
   readonly backendsUsed: string[] = [];
+  /** Status of the responses. */
+  status = 201;
   /** Handles a call at a backend. The request runs when this function calls `execute`. */
   handleCall: (backend: string, execute: () => void, signal: AbortSignal) => Promise<void> = (
     _backend,
@@ -56,7 +58,7 @@
       () => this.executions.set(key, (this.executions.get(key) ?? 0) + 1),
       options.signal,
     );
-    return { status: 201, headers: {}, body: Buffer.from(`booked by ${backend.name}`) };
+    return { status: this.status, headers: {}, body: Buffer.from(`booked by ${backend.name}`) };
   }
 }
 
--- a/test/request/idempotent-calls.test.ts
+++ b/test/request/idempotent-calls.test.ts
@@ -26,7 +26,7 @@
     await fleet.clock.advance(deadlineMs + 100);
     return await call;
   };
-  return { fleet, run, used: fleet.service.backendsUsed };
+  return { fleet, node, run, used: fleet.service.backendsUsed };
 }
 
 function createFailingBehaviour(failure: upstream.UpstreamFailure, backends: readonly string[]) {
@@ -38,6 +38,23 @@
 }
 
 test.describe("IdempotentCalls", () => {
+  // Guards against BUDGET: a failure of the service cleared the record of a request that had ended backends.
+  test.it(
+    "keeps the crash record of a request that the service answers with a failure",
+    async () => {
+      const { fleet, node, run } = createNode();
+      const { broken } = upstream.UPSTREAM_FAILURE;
+      fleet.service.handleCall = createFailingBehaviour(broken, ["back-a"]);
+      fleet.service.status = 500;
+      await run("1");
+      const crashes = node.kernel.use("crashes");
+      const target = `${fakes.SERVICE.name} GET /bookings`;
+      const body = Buffer.from("1");
+      const fingerprint = crashes.computeFingerprint(fakes.CALLER.name, target, body);
+      earl.expect(crashes.isSuspect(fingerprint)).toEqual(true);
+    },
+  );
+
   test.it(
     "prefers the local zone, falls back to another one and avoids a failed backend for a time",
     async () => {
--- a/test/serving/crash-detector.test.ts
+++ b/test/serving/crash-detector.test.ts
@@ -38,6 +38,20 @@
     },
   );
 
+  // Guards against BUDGET: a full runner's refusal cleared the record of a request that had ended runners.
+  test.it("records no success for a request that did not run or failed", async () => {
+    for (const status of ["503 Busy", "421 Misdirected", "500 Error", "504 Late"]) {
+      const { records, succeeded } = createRecords();
+      await using runner = await raw.startRawRunner("one", (socket) => {
+        const head = `HTTP/1.1 ${status}\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n`;
+        socket.write(`${head}Content-Length: 0\r\n\r\n`);
+      });
+      const plain = fixture.createPlainServing([runner.runner], 0, records);
+      await fixture.serve(plain, fixture.createCall({ maxAttempts: 1 }));
+      earl.expect(succeeded).toEqual([]);
+    }
+  });
+
   test.it(
     "records a success for an answered request, with a fingerprint that depends on path and prompt",
     async () => {
