Count the runners that a request ends during its prefill

Callers saw a model request reach 105 to 111 prefill runners in 11 s and end 28 of them (BUDGET).

Cause: only the decode call of a model request was tracked. A prefill that broke because its runner ended was neither attributed to the request nor logged.

Change: the prefill is tracked like a decode.

--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -95,6 +95,7 @@
     const limitMs = Math.min(PREFILL_TIMEOUT_MS, leftMs);
     const options = { deadlineMs: leftMs, stage: runners.STAGE.prefill };
     progress.recordPrefillSent(runner.id);
+    using trackedRun = this.#options.crashDetector.add(call, runner);
     try {
       const runnerResponse = await this.#send(call, runner, options, limitMs, call.signal);
       const body = await responseReader.readBody(
@@ -114,10 +115,13 @@
       return undefined;
     } catch (error) {
       // A prefill has no side effects: it may be repeated whatever its outcome.
+      const isTimedOut = call.signal.aborted || clock.now() - startedAt >= limitMs;
+      if (isTimedOut) trackedRun.recordTimeout();
+      else await trackedRun.checkDisconnect();
       this.#recordFailure(call, place, runner, error);
       // A connection that broke before the timeout is no reason to exclude the runner, which may have the
       // prompt in its cache by now.
-      const isLostResponse = !isUnsent(error) && clock.now() - startedAt < limitMs;
+      const isLostResponse = !isUnsent(error) && !isTimedOut;
       const excluded = isLostResponse ? undefined : runner.id;
       return { kind: "notRun", reason: `prefill: ${String(error)}`, excluded };
     }
