Check the quarantine of a request before each of its runs

Cause: the gateway asked for the quarantine once, when the request came in. A request that waited for a place or was retried went on. In the product's own front a model request was checked between attempts, not after its wait for a lease, and a non-idempotent call not after its intent was sent.

Change: the check is made before each run, a prefill included, on both fronts. A retry that is known not to be served takes nothing from the retry budget.

--- a/src/request/model-attempts.ts
+++ b/src/request/model-attempts.ts
@@ -76,11 +76,7 @@
     signal: AbortSignal,
   ): void {
     if (signal.aborted) throw failure;
-    if (this.#kernel.use("crashes").isQuarantined(context.fingerprint)) {
-      throw new codes.RequestError(codes.RESULT_CODES.quarantined, codes.RAN.yes, {
-        cause: failure,
-      });
-    }
+    this.#checkNotQuarantined(context, codes.RAN.yes, failure);
     if (index + 1 >= MAX_ENGINE_ATTEMPTS) {
       throw new codes.RequestError(codes.RESULT_CODES.upstreamFailed, codes.RAN.unknown, {
         cause: failure,
@@ -88,6 +84,15 @@
     }
   }
 
+  #checkNotQuarantined(
+    context: engineAttempts.RequestContext,
+    ran: codes.Ran,
+    cause?: Error,
+  ): void {
+    if (!this.#kernel.use("crashes").isQuarantined(context.fingerprint)) return;
+    throw new codes.RequestError(codes.RESULT_CODES.quarantined, ran, { cause });
+  }
+
   /** Returns `undefined` on success, else a failure after which the request may be retried. */
   async #runAttempt(
     context: engineAttempts.RequestContext,
@@ -160,6 +165,7 @@
     await spans.runInSpan(tracer, "wait-for-prefill", {}, () =>
       reservation.waitForPrefillStart(signal),
     );
+    this.#checkNotQuarantined(context, codes.RAN.no);
     using _running = this.#inFlight.add(reservation.prefill.name, context.fingerprint);
     const command: upstream.PrefillCommand = {
       ...attemptId,
@@ -184,6 +190,7 @@
     prefillResult: upstream.PrefillResult,
   ): Promise<void> {
     const { context, run, attemptId, reservation, signal } = attempt;
+    this.#checkNotQuarantined(context, codes.RAN.unknown);
     using _running = this.#inFlight.add(reservation.decode.name, context.fingerprint);
     const command: upstream.DecodeCommand = {
       ...attemptId,
--- a/src/request/owned-calls.ts
+++ b/src/request/owned-calls.ts
@@ -126,7 +126,10 @@
     }
     const refusal = await this.#backup.sendIntent(call.id, call.deadlineMs);
     if (refusal) return refusal;
-    const outcome = await this.#callService({ call, fingerprint, deadlineAt });
+    // Peers may have reported crashes while the intent was sent.
+    const outcome = this.#crashes.isQuarantined(fingerprint)
+      ? outcomes.createRefusal(RESULT_CODES.quarantined, RAN.no)
+      : await this.#callService({ call, fingerprint, deadlineAt });
     void this.#addTask(this.#backup.sendResult(call.id, outcome));
     return outcome;
   }
--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -51,12 +51,16 @@
 
   /** @throws RequestError when the request has crashed several runners. */
   checkAllowed(call: types.ServedCall): void {
-    const isQuarantined = this.#options.crashes.isQuarantined(this.#computeFingerprint(call));
-    if (!isQuarantined) return;
+    if (!this.isQuarantined(call)) return;
     this.#options.metrics.count("quarantine_refusals", { service: call.service.name });
     throw answers.createFailure("request crashed several runners");
   }
 
+  /** Whether the request has crashed several runners. */
+  isQuarantined(call: types.ServedCall): boolean {
+    return this.#options.crashes.isQuarantined(this.#computeFingerprint(call));
+  }
+
   /** Starts to track a run of a call on a runner. */
   add(call: types.ServedCall, runner: runners.Runner): TrackedRun {
     const fingerprint = this.#computeFingerprint(call);
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -63,6 +63,8 @@
   /**
    * Executes a request once; streams the response to the caller as it arrives, and records the
    * output in `outcome`.
+   *
+   * @throws RequestError when the request has crashed several runners.
    */
   async run(
     call: types.ServedCall,
@@ -90,6 +92,7 @@
     runner: runners.Runner,
   ): Promise<modelProgress.RunResult | undefined> {
     const { clock, codec, placement } = this.#options;
+    this.#options.crashDetector.checkAllowed(call);
     const startedAt = clock.now();
     const leftMs = call.deadlineAt - startedAt;
     const limitMs = Math.min(PREFILL_TIMEOUT_MS, leftMs);
@@ -138,6 +141,7 @@
     const runner = place.decode;
     const leftMs = call.deadlineAt - clock.now();
     if (leftMs <= 0) return { kind: "notRun", reason: "no time left", excluded: undefined };
+    this.#options.crashDetector.checkAllowed(call);
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
     using trackedRun = this.#options.crashDetector.add(call, runner);
     const options = {
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -117,6 +117,7 @@
    */
   #canRetry(call: types.ServedCall, lastResult: AttemptResult): boolean {
     const isRepeatable = lastResult.kind === "notRun" || call.route.kind === routing.CALL_KIND.safe;
+    if (this.#options.crashDetector.isQuarantined(call)) return false;
     const hasTime = call.deadlineAt - this.#options.clock.now() > MIN_CALL_MS;
     return isRepeatable && hasTime && this.#options.budgets.reserve(call.service.name);
   }
--- a/test/request/model-attempts.test.ts
+++ b/test/request/model-attempts.test.ts
@@ -28,6 +28,7 @@
   readonly demands: capacity.Demand[];
   readonly crashes: string[];
   refuseReservationFrom: number;
+  isQuarantined: boolean;
   waitForPrefillStart: () => Promise<void>;
   readonly revoked: AbortController;
 }
@@ -45,6 +46,7 @@
     demands,
     crashes,
     refuseReservationFrom: Infinity,
+    isQuarantined: false,
     waitForPrefillStart: () => Promise.resolve(),
     revoked: new AbortController(),
   };
@@ -54,7 +56,7 @@
     log: { write: () => undefined },
     tracer: otel.trace.getTracer("test"),
     crashes: {
-      isQuarantined: () => false,
+      isQuarantined: () => scenario.isQuarantined,
       isSuspect: () => false,
       recordProgress: () => undefined,
       recordSuccess: () => undefined,
@@ -225,6 +227,17 @@
     earl.expect(scenario.crashes).toEqual([]);
   });
 
+  // Guards against BUDGET: a request that waited for its prefill ran although it was quarantined meanwhile.
+  test.it("sends no prefill for a request that is quarantined while it waits", async () => {
+    const scenario = createScenario([]);
+    scenario.waitForPrefillStart = () => {
+      scenario.isQuarantined = true;
+      return Promise.resolve();
+    };
+    earl.expect(await readRan(scenario, 1)).toEqual(codes.RAN.no);
+    earl.expect(scenario.prefills).toEqual([]);
+  });
+
   test.it("fails after four engine attempts and cancels each at both runners", async () => {
     const scenario = createScenario([]);
     earl.expect(await readRan(scenario, 1)).toEqual(codes.RAN.unknown);
--- a/test/request/plain-calls.test.ts
+++ b/test/request/plain-calls.test.ts
@@ -116,6 +116,20 @@
     },
   );
 
+  // Guards against BUDGET: a call that waited for its backup ran although it was quarantined meanwhile.
+  test.it("does not run a call that is quarantined while its intent is sent", async () => {
+    const { fleet, owner, id, count } = createFleet();
+    const crashes = owner.kernel.use("crashes");
+    const target = `${fakes.SERVICE.name} POST /bookings`;
+    const fingerprint = crashes.computeFingerprint(fakes.CALLER.name, target, Buffer.from("{}"));
+    fleet.beforeHandle = () => {
+      for (const name of ["u1", "u2"]) crashes.recordCrash(name, [fingerprint]);
+      return Promise.resolve();
+    };
+    const result = await waitForResult(fleet, fakes.readResult(owner.sendBooking(id)));
+    earl.expect([result, count()]).toEqual(["1010 no", 0]);
+  });
+
   test.it("tries another backend when no connection was made", async () => {
     const { fleet, owner, id, count } = createFleet();
     fleet.service.handleCall = (backend, execute) => {
--- a/test/serving/crash-detector.test.ts
+++ b/test/serving/crash-detector.test.ts
@@ -38,6 +38,21 @@
     },
   );
 
+  // Guards against BUDGET: a request in progress went on to further runners after its quarantine.
+  test.it("sends a request that is quarantined meanwhile to no further runner", async () => {
+    const { records } = createRecords();
+    let isQuarantined = false;
+    await using first = await raw.startRawRunner("one", (socket) => {
+      isQuarantined = true;
+      socket.destroy();
+    });
+    const listed = [first.runner, { ...first.runner, id: "two" }];
+    const crashes = { ...records, isQuarantined: () => isQuarantined };
+    const plain = fixture.createPlainServing(listed, 100, crashes);
+    const result = await fixture.serve(plain, fixture.createCall({ maxAttempts: 2 }));
+    earl.expect([result, first.requests.length]).toEqual(["502 ran unknown", 1]);
+  });
+
   // Guards against BUDGET: a full runner's refusal cleared the record of a request that had ended runners.
   test.it("records no success for a request that did not run or failed", async () => {
     for (const status of ["503 Busy", "421 Misdirected", "500 Error", "504 Late"]) {
