Count the crashes of each start of a runner

Cause: evidence was kept by runner id, so that the ends of one runner that keeps its id counted once however often it started again.

Change: the gateway names a start by the runner's id and its time of birth. The engines of the product's own front state no start; there the ends of one upstream still count once.

--- a/src/caller/types.ts
+++ b/src/caller/types.ts
@@ -106,7 +106,10 @@
 export interface CrashRecords {
   /** Computes the fingerprint of caller, service and body. */
   computeFingerprint(caller: string, service: string, body: string | Uint8Array): string;
-  /** Records that `upstream` crashed while it ran the requests with these fingerprints. */
+  /**
+   * Records that `upstream` crashed while it ran the requests with these fingerprints. Crashes of an upstream count
+   * once; one that is known to have started again is given another name.
+   */
   recordCrash(upstream: string, fingerprints: readonly string[]): void;
   /** Whether a request was in flight during a crash and has not completed since. */
   isSuspect(fingerprint: string): boolean;
--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -64,7 +64,7 @@
   /** Starts to track a run of a call on a runner. */
   add(call: types.ServedCall, runner: runners.Runner): TrackedRun {
     const fingerprint = this.#computeFingerprint(call);
-    const trackedRun = this.#tracker.add(runner.id, fingerprint);
+    const trackedRun = this.#tracker.add(formatStart(runner), fingerprint);
     return {
       recordAnswer: (head) => {
         if (!head.notRun) trackedRun.recordCompletion(head.status);
@@ -123,3 +123,8 @@
     }
   }
 }
+
+/** Names one start of a runner; a runner that starts again may keep its id. */
+function formatStart(runner: runners.Runner): string {
+  return `${runner.id}@${runner.bornAt}`;
+}
