Settle the runs of a silent runner by what became of it

Callers saw a request end one runner after the other, each of which fell silent before it reset (BUDGET).

Cause: an end was recognised only where the connection broke and a new one was refused within 150 ms. A runner that answers nothing, one that is back, and a run that ends at its deadline or with its caller were not counted. A probe over a pooled connection could also miss a refusal, and a call that was never sent was accused.

Class: evidence taken from one channel at one moment, where the outcome is known later from another.

Change: a run that ended without an answer stays unsettled, by runner and start, until the runner answers something sent later, refuses a connection, or the registry shows that its process is gone (entry removed without notice, another birth time, address of a newer process). Runners that had announced to leave count as no crash.

--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -203,6 +203,7 @@
     log: kernel.use("log"),
     metrics: kernel.use("metrics"),
     crashes: kernel.use("crashes"),
+    runners: kernel.use("runners"),
     calls: kernel.use("runnerCalls"),
     codec: kernel.use("adapter").runnerCodec,
   });
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -194,6 +194,16 @@
   readonly target: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Buffer | undefined;
+  /** Whether to open a connection for this message instead of using a pooled one. */
+  readonly newConnection?: boolean;
+}
+
+/** What the answer to a report query shows of the process that sent it. */
+export interface ProbedProcess {
+  /** Whether a runner with another id answered. */
+  readonly isOtherRunner: boolean;
+  /** Start time of the process in Unix milliseconds, if it states one. */
+  readonly bornAt: number | undefined;
 }
 
 /** Converts between the gateway's types and the runners' HTTP format; contains no routing logic. */
@@ -207,6 +217,8 @@
    * Formats a query for the runner's report. A runner rejects it if its id is not that of `runner`.
    */
   formatReport(runner: runners.Runner): RunnerMessage;
+  /** Parses any answer to a report query. */
+  parseProbe(status: number, body: Buffer): ProbedProcess;
   /** @throws when the body is not a valid report. */
   parseReport(body: Buffer): EngineReport;
   formatStageOrder(runner: runners.Runner, order: StageOrder): RunnerMessage;
--- a/src/request/crash-tracker.ts
+++ b/src/request/crash-tracker.ts
@@ -9,9 +9,15 @@
   recordCompletion(status: number): void;
 }
 
-/** A failing upstream may answer without running the request, so its answer clears no suspicion. */
 const FIRST_SERVER_ERROR = 500;
 
+/**
+ * Whether a status shows that the request ran to its end. A failing upstream may answer without running it.
+ */
+export function hasCompleted(status: number): boolean {
+  return status < FIRST_SERVER_ERROR;
+}
+
 interface InFlightCall {
   readonly fingerprint: string;
   reported: boolean;
@@ -37,7 +43,7 @@
         if (!call.reported) this.#recordCrash(upstream, calls);
       },
       recordCompletion: (status) => {
-        if (status < FIRST_SERVER_ERROR) this.#crashes.recordSuccess(fingerprint);
+        if (hasCompleted(status)) this.#crashes.recordSuccess(fingerprint);
       },
       [Symbol.dispose]: () => {
         calls.delete(call);
--- a/src/runners/runner-calls.ts
+++ b/src/runners/runner-calls.ts
@@ -117,7 +117,7 @@
       path: message.target,
       headers: message.headers,
       body: message.body,
-      agent: this.#getAgent(runner),
+      agent: message.newConnection === true ? false : this.#getAgent(runner),
       headersTimeoutMs,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       signal,
--- a/src/runners/runner-table.ts
+++ b/src/runners/runner-table.ts
@@ -61,6 +61,11 @@
     return this.#records.get(id);
   }
 
+  /** Whether the runner's address is listed for a newer process. */
+  isSuperseded(id: string): boolean {
+    return this.#superseded.has(id);
+  }
+
   /** Returns the runners of a service that accept new requests. */
   listUsable(service: string): readonly runnerRecord.RunnerRecord[] {
     return [...this.#records.values()].filter(
--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -1,21 +1,29 @@
-/** Detects requests that crash their runners, so that they are not sent to further runners. */
+/**
+ * Detects requests that crash their runners, so that they are not sent to further runners. A runner that crashes
+ * resets its connections or falls silent; silence alone shows nothing, so the runs that it ended wait for a verdict.
+ */
 import type * as callerTypes from "../caller/types.js";
 import type * as gateway from "../gateway/types.js";
 import * as clocks from "../kernel/clock.js";
 import * as crashTracker from "../request/crash-tracker.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
+import type * as runnerTable from "../runners/runner-table.js";
 import type * as runners from "../runners/types.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
 import * as upstream from "../upstream/types.js";
 import * as answers from "./answers.js";
+import * as runnerStarts from "./runner-starts.js";
 import type * as types from "./types.js";
 
 /**
- * Time limit of the check for a crash: a crashed process refuses connections at once, and a healthy
- * one answers within this time.
+ * Time limit of a probe: a crashed process refuses connections at once, and a healthy one answers within this time.
  */
-const CHECK_TIMEOUT_MS = 150;
+const PROBE_TIMEOUT_MS = 150;
+/** Interval between two probes of a runner with unsettled runs. */
+const PROBE_INTERVAL_MS = 500;
+/** Time in which the answers to other calls usually show that a runner outlived a cancelled run. */
+const CANCEL_GRACE_MS = 300;
 
 /** Dependencies of the crash detector. */
 export interface CrashDetectorOptions {
@@ -23,30 +31,68 @@
   readonly log: telemetry.EventLog;
   readonly metrics: telemetry.Metrics;
   readonly crashes: callerTypes.CrashRecords;
+  readonly runners: runnerTable.RunnerTable;
   readonly calls: runnerCalls.RunnerCalls;
   readonly codec: gateway.RunnerCodec;
 }
 
+/** How a run ended without an answer. */
+export const UNANSWERED_END = {
+  /** The connection broke, or the runner did not answer in time. */
+  failed: "failed",
+  /** The deadline of the call passed. */
+  timedOut: "timedOut",
+  /** The caller disconnected. */
+  cancelled: "cancelled",
+} as const;
+
+/** One of the values of `UNANSWERED_END`. */
+export type UnansweredEnd = (typeof UNANSWERED_END)[keyof typeof UNANSWERED_END];
+
+/** Returns how a run ended from the signals of its caller and of its time limit. */
+export function chooseUnansweredEnd(caller: AbortSignal, limit: AbortSignal): UnansweredEnd {
+  if (caller.aborted) return UNANSWERED_END.cancelled;
+  return limit.aborted ? UNANSWERED_END.timedOut : UNANSWERED_END.failed;
+}
+
+/** What is known of a runner after a run ended without an answer. */
+const VERDICT = { crashed: "crashed", alive: "alive", unknown: "unknown" } as const;
+
+type Verdict = (typeof VERDICT)[keyof typeof VERDICT];
+
 /** A run that is tracked until it is disposed of. */
 export interface TrackedRun extends Disposable {
+  /** Records the head of the runner's answer. */
+  recordAnswer(): void;
+  /** Records an event of a streamed answer. */
+  recordEvent(): void;
+  /** Records a complete answer. It clears the request of suspicion if the request ran to its end. */
+  recordCompletion(head: gateway.RunnerResponseHead): void;
   /**
-   * Records the runner's answer. It clears the request of suspicion if the request ran to its end.
+   * Records that the run ended without an answer. If the call can be retried, resolves once the runner was
+   * probed, so that the retry is decided on the verdict.
+   *
+   * @param error - a run whose request was not sent is not recorded.
    */
-  recordAnswer(head: gateway.RunnerResponseHead): void;
-  /** Records a crash if the runner refuses connections after it broke the call's connection. */
-  checkDisconnect(): Promise<void>;
-  /** Logs a run that ended at its time limit or with its caller. */
-  recordTimeout(): void;
+  handleUnanswered(end: UnansweredEnd, error: unknown): Promise<void>;
 }
 
-/** Tracks the runs of this VM; detected crashes are gossiped to the other VMs. */
+/** Tracks the runs of this VM and records crashes of runners under them. */
 export class CrashDetector {
   readonly #options: CrashDetectorOptions;
-  readonly #tracker: crashTracker.CrashTracker;
+  readonly #starts = new Map<string, runnerStarts.RunnerStart>();
+  readonly #watched = new Set<runnerStarts.RunnerStart>();
 
   constructor(options: CrashDetectorOptions) {
     this.#options = options;
-    this.#tracker = new crashTracker.CrashTracker(options.crashes);
+    options.runners.onChange(() => {
+      this.#handleRegistryChange();
+    });
+  }
+
+  /** Whether the request has crashed several runners. */
+  isQuarantined(call: types.ServedCall): boolean {
+    return this.#options.crashes.isQuarantined(this.#computeFingerprint(call));
   }
 
   /** @throws RequestError when the request has crashed several runners. */
@@ -56,33 +102,127 @@
     throw answers.createFailure("request crashed several runners");
   }
 
-  /** Whether the request has crashed several runners. */
-  isQuarantined(call: types.ServedCall): boolean {
-    return this.#options.crashes.isQuarantined(this.#computeFingerprint(call));
-  }
-
   /** Starts to track a run of a call on a runner. */
   add(call: types.ServedCall, runner: runners.Runner): TrackedRun {
+    const { clock, crashes } = this.#options;
     const fingerprint = this.#computeFingerprint(call);
-    const trackedRun = this.#tracker.add(formatStart(runner), fingerprint);
+    const start = this.#getOrCreateStart(runner);
+    const run = runnerStarts.createRun(fingerprint);
+    const sentAt = clock.now();
+    start.addRun(run);
     return {
-      recordAnswer: (head) => {
-        if (!head.notRun) trackedRun.recordCompletion(head.status);
+      recordAnswer: () => {
+        start.recordAnswer(sentAt);
       },
-      checkDisconnect: async () => {
-        const hasCrashed = await this.#hasCrashed(runner);
-        this.#recordUnanswered(call, runner, fingerprint, hasCrashed ? "crashed" : "unknown");
-        if (hasCrashed) trackedRun.recordBrokenConnection();
+      recordEvent: () => {
+        if (!run.hasEvents) crashes.recordProgress(fingerprint);
+        start.recordEvent(run);
       },
-      recordTimeout: () => {
-        this.#recordUnanswered(call, runner, fingerprint, "timedOut");
+      recordCompletion: (head) => {
+        const isCompleted = !head.notRun && crashTracker.hasCompleted(head.status);
+        if (isCompleted) crashes.recordSuccess(fingerprint);
+      },
+      handleUnanswered: async (end, error) => {
+        if (isUnsent(error)) return;
+        const settled = this.#handleUnanswered(call, start, run, end);
+        if (end === UNANSWERED_END.failed) await settled;
       },
       [Symbol.dispose]: () => {
-        trackedRun[Symbol.dispose]();
+        start.removeRun(run);
+        this.#removeIfIdle(start);
       },
     };
   }
 
+  async #handleUnanswered(
+    call: types.ServedCall,
+    start: runnerStarts.RunnerStart,
+    run: runnerStarts.Run,
+    end: UnansweredEnd,
+  ): Promise<void> {
+    start.markUnanswered(run);
+    const verdict = await this.#settleEnd(start, run, end);
+    this.#options.metrics.count("unanswered_runs", { verdict });
+    const { id, bornAt } = start.runner;
+    const fields = { request: call.head.id, fingerprint: run.fingerprint, runner: id, bornAt };
+    this.#options.log.write(logEvents.LOG_EVENTS.runUnanswered, { ...fields, end, verdict });
+    if (start.isUnsettled(run)) void this.#watch(start);
+    else this.#removeIfIdle(start);
+  }
+
+  async #settleEnd(
+    start: runnerStarts.RunnerStart,
+    run: runnerStarts.Run,
+    end: UnansweredEnd,
+  ): Promise<Verdict> {
+    const { clock } = this.#options;
+    const isRecentlyAnswered = clock.now() - start.lastAnsweredAt < CANCEL_GRACE_MS;
+    if (end === UNANSWERED_END.cancelled) {
+      if (!isRecentlyAnswered) await clocks.sleep(clock, CANCEL_GRACE_MS);
+      if (isRecentlyAnswered || !start.isUnsettled(run)) {
+        start.settle(run);
+        return VERDICT.alive;
+      }
+    }
+    if (start.checkEnded()) {
+      this.#recordCrash(start);
+      return VERDICT.crashed;
+    }
+    return await this.#probeAndSettle(start);
+  }
+
+  /** Probes a runner and settles its runs by the result. */
+  async #probeAndSettle(start: runnerStarts.RunnerStart): Promise<Verdict> {
+    const sentAt = this.#options.clock.now();
+    const verdict = await this.#probe(start.runner);
+    if (verdict === VERDICT.crashed) this.#recordCrash(start);
+    else if (verdict === VERDICT.alive) start.settleAll();
+    else if (verdict === "answered") start.recordAnswer(sentAt);
+    if (verdict !== "answered") return verdict;
+    return start.countUnsettled() > 0 ? VERDICT.unknown : VERDICT.alive;
+  }
+
+  /** Probes a runner at intervals until all of its runs are settled. */
+  async #watch(start: runnerStarts.RunnerStart): Promise<void> {
+    if (this.#watched.has(start)) return;
+    this.#watched.add(start);
+    while (start.countUnsettled() > 0) {
+      await clocks.sleep(this.#options.clock, PROBE_INTERVAL_MS);
+      start.settleOutlived();
+      if (start.checkEnded()) this.#recordCrash(start);
+      else if (start.countUnsettled() > 0) await this.#probeAndSettle(start);
+    }
+    this.#watched.delete(start);
+    this.#removeIfIdle(start);
+  }
+
+  #handleRegistryChange(): void {
+    for (const start of this.#starts.values()) {
+      if (start.checkEnded() && start.countUnsettled() > 0) this.#recordCrash(start);
+    }
+  }
+
+  /** Records a crash, unless the runner had announced that it leaves. */
+  #recordCrash(start: runnerStarts.RunnerStart): void {
+    const fingerprints = start.shiftInterrupted();
+    if (fingerprints.length > 0 && !start.isLeaving)
+      this.#options.crashes.recordCrash(start.name, fingerprints);
+  }
+
+  #getOrCreateStart(runner: runners.Runner): runnerStarts.RunnerStart {
+    const name = runnerStarts.formatStart(runner);
+    const known = this.#starts.get(name);
+    if (known !== undefined) return known;
+    const { clock, runners: table } = this.#options;
+    const start = new runnerStarts.RunnerStart(runner, clock, table);
+    this.#starts.set(name, start);
+    return start;
+  }
+
+  #removeIfIdle(start: runnerStarts.RunnerStart): void {
+    if (start.isIdle) this.#starts.delete(start.name);
+  }
+
   /**
    * Computes the fingerprint of a request over service, caller, method, target, body and, for model
    * requests, the prompt's parts.
@@ -94,37 +234,32 @@
     return this.#options.crashes.computeFingerprint(callerIp, target, body);
   }
 
-  #recordUnanswered(
-    call: types.ServedCall,
-    runner: runners.Runner,
-    fingerprint: string,
-    verdict: string,
-  ): void {
-    const { log, metrics } = this.#options;
-    metrics.count("unanswered_runs", { verdict });
-    const { id, bornAt } = runner;
-    const fields = { request: call.head.id, fingerprint, runner: id, bornAt, verdict };
-    log.write(logEvents.LOG_EVENTS.runUnanswered, fields);
-  }
-
-  async #hasCrashed(runner: runners.Runner): Promise<boolean> {
+  /**
+   * Probes a runner over a new connection. `answered` means that a process answers that does not
+   * state its start.
+   */
+  async #probe(runner: runners.Runner): Promise<Verdict | "answered"> {
     const { clock, calls, codec } = this.#options;
-    using limit = clocks.createTimeLimit(clock, CHECK_TIMEOUT_MS);
+    using limit = clocks.createTimeLimit(clock, PROBE_TIMEOUT_MS);
     try {
-      await calls.sendMessage(runner, codec.formatReport(runner), CHECK_TIMEOUT_MS, limit.signal);
-      return false;
+      const message = { ...codec.formatReport(runner), newConnection: true };
+      const answer = await calls.sendMessage(runner, message, PROBE_TIMEOUT_MS, limit.signal);
+      const { isOtherRunner, bornAt } = codec.parseProbe(answer.status, answer.body);
+      if (isOtherRunner) return VERDICT.crashed;
+      if (bornAt === undefined) return "answered";
+      return bornAt === runner.bornAt ? VERDICT.alive : VERDICT.crashed;
     } catch (error) {
-      // A runner that does not answer in time may only be slow, so its requests are not blamed.
-      return (
-        error instanceof upstream.UpstreamError &&
-        error.failure === upstream.UPSTREAM_FAILURE.notConnected &&
-        !limit.signal.aborted
-      );
+      // A runner that does not answer in time may only be slow.
+      const isRefused = isUnsent(error) && !limit.signal.aborted;
+      return isRefused ? VERDICT.crashed : VERDICT.unknown;
     }
   }
 }
 
-/** Names one start of a runner; a runner that starts again may keep its id. */
-function formatStart(runner: runners.Runner): string {
-  return `${runner.id}@${runner.bornAt}`;
+/** Whether a call failed before it was sent. */
+export function isUnsent(error: unknown): boolean {
+  return (
+    error instanceof upstream.UpstreamError &&
+    error.failure === upstream.UPSTREAM_FAILURE.notConnected
+  );
 }
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -10,9 +10,8 @@
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
 import * as responseReader from "../upstream/response-reader.js";
-import * as upstream from "../upstream/types.js";
 import * as answers from "./answers.js";
-import type * as crashDetector from "./crash-detector.js";
+import * as crashDetector from "./crash-detector.js";
 import * as eventSplitter from "./event-splitter.js";
 import type * as modelProgress from "./model-progress.js";
 import type * as types from "./types.js";
@@ -101,6 +100,7 @@
     using trackedRun = this.#options.crashDetector.add(call, runner);
     try {
       const runnerResponse = await this.#send(call, runner, options, limitMs, call.signal);
+      trackedRun.recordAnswer();
       const body = await responseReader.readBody(
         clock,
         runnerResponse.response,
@@ -119,12 +119,12 @@
     } catch (error) {
       // A prefill has no side effects: it may be repeated whatever its outcome.
       const isTimedOut = call.signal.aborted || clock.now() - startedAt >= limitMs;
-      if (isTimedOut) trackedRun.recordTimeout();
-      else await trackedRun.checkDisconnect();
+      const end = crashDetector.chooseUnansweredEnd(call.signal, call.signal);
+      await trackedRun.handleUnanswered(end, error);
       this.#recordFailure(call, place, runner, error);
       // A connection that broke before the timeout is no reason to exclude the runner, which may have the
       // prompt in its cache by now.
-      const isLostResponse = !isUnsent(error) && !isTimedOut;
+      const isLostResponse = !crashDetector.isUnsent(error) && !isTimedOut;
       const excluded = isLostResponse ? undefined : runner.id;
       return { kind: "notRun", reason: `prefill: ${String(error)}`, excluded };
     }
@@ -152,6 +152,7 @@
     try {
       const limitMs = call.route.resumable ? Math.min(leftMs, STREAM_IDLE_TIMEOUT_MS) : leftMs;
       const runnerResponse = await this.#send(call, runner, options, limitMs, limit.signal);
+      trackedRun.recordAnswer();
       if (runnerResponse.head.notRun) {
         runnerResponse.response.resume();
         if (runnerResponse.head.misdirected)
@@ -159,15 +160,19 @@
         const reason = `runner answered ${runnerResponse.head.status}, not run`;
         return { kind: "notRun", reason, excluded: undefined };
       }
-      const result = await this.#sendAnswer(call, progress, runnerResponse, outcome);
-      if (result.kind === "done") trackedRun.recordAnswer(runnerResponse.head);
+      const result = await this.#sendAnswer(call, progress, runnerResponse, outcome, trackedRun);
+      if (result.kind === "done") trackedRun.recordCompletion(runnerResponse.head);
       return result;
     } catch (error) {
-      if (limit.signal.aborted) trackedRun.recordTimeout();
-      else await trackedRun.checkDisconnect();
+      const end = crashDetector.chooseUnansweredEnd(call.signal, limit.signal);
+      await trackedRun.handleUnanswered(end, error);
       this.#recordFailure(call, place, runner, error);
       const reason = `decode: ${String(error)}`;
-      return { kind: isUnsent(error) ? "notRun" : "broken", reason, excluded: runner.id };
+      return {
+        kind: crashDetector.isUnsent(error) ? "notRun" : "broken",
+        reason,
+        excluded: runner.id,
+      };
     }
   }
 
@@ -176,10 +181,11 @@
     progress: modelProgress.ModelProgress,
     runnerResponse: runnerCalls.RunnerResponse,
     outcome: Writable<placementTypes.RunOutcome>,
+    trackedRun: crashDetector.TrackedRun,
   ): Promise<modelProgress.RunResult> {
     const { head, response } = runnerResponse;
     if (answers.isSuccess(head.status) && head.signed) {
-      await this.#sendStream(call, progress, runnerResponse, outcome);
+      await this.#sendStream(call, progress, runnerResponse, outcome, trackedRun);
       return { kind: "done" };
     }
     const body = await responseReader.readBody(this.#options.clock, response, BUFFERED_BODY_LIMITS);
@@ -197,6 +203,7 @@
     progress: modelProgress.ModelProgress,
     runnerResponse: runnerCalls.RunnerResponse,
     outcome: Writable<placementTypes.RunOutcome>,
+    trackedRun: crashDetector.TrackedRun,
   ): Promise<void> {
     const { clock } = this.#options;
     const splitter = new eventSplitter.EventSplitter();
@@ -208,6 +215,7 @@
       if (events.count === 0) continue;
       if (!progress.started)
         call.reply.start(runnerResponse.head.status, runnerResponse.head.headers);
+      trackedRun.recordEvent();
       progress.recordEvents(events.count, events.lastId, clock.now());
       outcome.outputTokens += events.count * tokensPerEvent;
       outcome.decodeMs = clock.now() - startedAt;
@@ -254,7 +262,7 @@
   ): void {
     if (call.signal.aborted) return;
 
-    if (isUnsent(error)) {
+    if (crashDetector.isUnsent(error)) {
       this.#options.runners.find(runner.id)?.recordUnreachable();
       this.#options.placement.recordFailedRunner(place.key, runner.id);
     }
@@ -284,10 +292,3 @@
   const { host, port } = prefilled.runner;
   return { host, port, handle: prefilled.handle };
 }
-
-function isUnsent(error: unknown): boolean {
-  return (
-    error instanceof upstream.UpstreamError &&
-    error.failure === upstream.UPSTREAM_FAILURE.notConnected
-  );
-}
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -12,9 +12,8 @@
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
 import * as responseReader from "../upstream/response-reader.js";
-import * as upstream from "../upstream/types.js";
 import * as answers from "./answers.js";
-import type * as crashDetector from "./crash-detector.js";
+import * as crashDetector from "./crash-detector.js";
 import * as plainRunnerChoice from "./plain-runner-choice.js";
 import type * as retryBudgets from "./retry-budgets.js";
 import type * as types from "./types.js";
@@ -143,14 +142,15 @@
         headersTimeoutMs: leftMs * this.#getWaitShare(call, attempt),
         signal: limit.signal,
       });
+      trackedRun.recordAnswer();
       const limits = { maxBytes: MAX_RESPONSE_BYTES, idleTimeoutMs: leftMs };
       const body = await responseReader.readBody(clock, runnerResponse.response, limits);
       endCall();
-      trackedRun.recordAnswer(runnerResponse.head);
+      trackedRun.recordCompletion(runnerResponse.head);
       return this.#handleResponse(record, { head: runnerResponse.head, body });
     } catch (error) {
-      if (limit.signal.aborted) trackedRun.recordTimeout();
-      else await trackedRun.checkDisconnect();
+      const end = crashDetector.chooseUnansweredEnd(call.signal, limit.signal);
+      await trackedRun.handleUnanswered(end, error);
       return this.#handleError(call, record, error);
     } finally {
       endCall();
@@ -189,9 +189,7 @@
     error: unknown,
   ): AttemptResult {
     const { log } = this.#options;
-    const isUnsent =
-      error instanceof upstream.UpstreamError &&
-      error.failure === upstream.UPSTREAM_FAILURE.notConnected;
+    const isUnsent = crashDetector.isUnsent(error);
     if (!call.signal.aborted) {
       if (isUnsent) record.recordUnreachable();
       else record.recordResult(false);
--- a/test/runners/raw-runner.ts
+++ b/test/runners/raw-runner.ts
@@ -18,10 +18,12 @@
  *
  * @param onRequest - called with the socket, the number of the request (from 1, over all connections)
  *   and the received text.
+ * @param answersProbes - whether the runner answers report queries; otherwise it ignores them.
  */
 export async function startRawRunner(
   id: string,
   onRequest: (socket: net.Socket, count: number, head: string) => void,
+  answersProbes = true,
 ): Promise<RawRunner> {
   const requests: string[] = [];
   const sockets = new Set<net.Socket>();
@@ -34,7 +36,7 @@
       // After a broken connection, the router checks whether the runner is still alive. This is not a
       // request to execute.
       if (bytes.toString().startsWith("GET /-/report")) {
-        socket.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+        if (answersProbes) socket.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
         return;
       }
       requests.push(bytes.toString());
--- a/test/serving/crash-detector.test.ts
+++ b/test/serving/crash-detector.test.ts
@@ -1,8 +1,13 @@
 import * as test from "node:test";
 import * as earl from "earl";
+import * as clocks from "../../src/kernel/clock.js";
+import * as runnerTable from "../../src/runners/runner-table.js";
 import * as raw from "../runners/raw-runner.js";
 import * as fixture from "./serving-fixture.js";
 
+/** Time after the end of a call within which its runner was probed. */
+const PROBE_MARGIN_MS = 300;
+
 function createRecords() {
   const crashed: string[] = [];
   const succeeded: string[] = [];
@@ -38,6 +43,43 @@
     },
   );
 
+  // Guards against BUDGET: the end of a runner that fell silent was never attributed to its request.
+  test.it("records a crash when a runner that fell silent is no longer listed", async () => {
+    const { records, crashed } = createRecords();
+    await using silent = await raw.startRawRunner("one", () => undefined, false);
+    const table = new runnerTable.RunnerTable(fixture.clock, fixture.log);
+    const plain = fixture.createPlainServing([silent.runner], 0, records, table);
+    await fixture.serve(plain, fixture.createCall({ maxAttempts: 1 }));
+    await clocks.sleep(fixture.clock, PROBE_MARGIN_MS);
+    earl.expect(crashed).toEqual([]);
+    table.setRunner("one", undefined);
+    earl.expect(crashed).toEqual(["one@1"]);
+  });
+
+  test.it("records no crash when a runner that was silent answers or leaves", async () => {
+    const { records, crashed } = createRecords();
+    await using healthy = await raw.startRawRunner("one", () => undefined);
+    await using leaving = await raw.startRawRunner("two", () => undefined, false);
+    for (const { runner } of [healthy, leaving]) {
+      const table = new runnerTable.RunnerTable(fixture.clock, fixture.log);
+      const plain = fixture.createPlainServing([runner], 0, records, table);
+      await fixture.serve(plain, fixture.createCall({ maxAttempts: 1 }));
+      await clocks.sleep(fixture.clock, PROBE_MARGIN_MS);
+      if (runner.id === "two") table.setRunner("two", { ...runner, leaving: true });
+      table.setRunner(runner.id, undefined);
+    }
+    earl.expect(crashed).toEqual([]);
+  });
+
+  test.it("records no crash for a call that was not sent", async () => {
+    const { records, crashed } = createRecords();
+    const gone = await raw.startRawRunner("one", () => undefined);
+    await gone[Symbol.asyncDispose]();
+    const plain = fixture.createPlainServing([gone.runner], 0, records);
+    await fixture.serve(plain, fixture.createCall({ maxAttempts: 1 }));
+    earl.expect(crashed).toEqual([]);
+  });
+
   // Guards against BUDGET: two crashes of a runner that kept its id counted as one.
   test.it("tells the starts of a runner that keeps its id apart", async () => {
     const { records, crashed } = createRecords();
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -19,7 +19,7 @@
 import * as routingFixture from "../routing/routing-fixture.js";
 
 export const clock = clocks.createSystemClock();
-const log = { write: () => undefined };
+export const log = { write: () => undefined };
 const metrics = {
   count: () => undefined,
   set: () => undefined,
@@ -51,8 +51,8 @@
   listed: readonly runners.Runner[],
   slack = 100,
   crashes: callerTypes.CrashRecords = createInertCrashRecords(),
+  table = new runnerTable.RunnerTable(clock, log),
 ): plainServing.PlainServing {
-  const table = new runnerTable.RunnerTable(clock, log);
   for (const runner of listed) table.setRunner(runner.id, runner);
   const calls = new runnerCalls.RunnerCalls({
     clock,
@@ -76,6 +76,7 @@
       calls,
       codec: runnerCodec.RUNNER_CODEC,
       crashes,
+      runners: table,
     }),
     budgets: new retryBudgets.RetryBudgets(
       () => budget,
