--- a/standins/users-platform/crashing-runner.ts
+++ b/standins/users-platform/crashing-runner.ts
@@ -5,6 +5,7 @@
 import * as events from "node:events";
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as relays from "../relay.js";
 import * as examples from "./examples.js";
 import type * as store from "./store.js";
 
@@ -170,7 +171,7 @@
   async #closeServer(): Promise<void> {
     const server = this.#server;
     this.#server = undefined;
-    for (const socket of this.#sockets) socket.resetAndDestroy();
+    for (const socket of this.#sockets) relays.resetSocket(socket);
     if (server === undefined) return;
     await new Promise<void>((resolve) => {
       server.close(() => {
