Synchronize the crash records of all nodes

Callers saw a request end runner after runner while VMs were killed and started in turn (BUDGET).

Cause: records travelled in eight gossip payloads after a change, six at a time, and were never asked for. A VM that started, was cut off or was frozen meanwhile never learned them, and ran the request again.

Class: state that is only pushed, a limited number of times, to whoever is there.

The gossip topic of before is unchanged. After a loss of power of all VMs nothing is known; then a request ends two more runners, three where the third run has begun before the second is settled.

--- a/src/caller/types.ts
+++ b/src/caller/types.ts
@@ -1,5 +1,6 @@
 /** Interfaces of sessions, plain calls, model calls and crash records. */
 import type * as document from "../settings/document.js";
+import type * as crashRecordFormat from "../request/crash-record-format.js";
 import type * as upstream from "../upstream/types.js";
 
 /** Identifies one incarnation of a node. */
@@ -121,4 +122,14 @@
   isQuarantined(fingerprint: string): boolean;
   /** Lists the quarantined fingerprints for the status report. */
   listQuarantined(): readonly string[];
+  /** Hash of the set of quarantined fingerprints; nodes compare it. */
+  readonly digest: number;
+  /** Returns the record of a fingerprint in its format for peers. */
+  findRecord(fingerprint: string): crashRecordFormat.SentRecord | undefined;
+  /** Returns up to `limit` records, those of quarantined requests first. */
+  listRecords(limit: number): readonly crashRecordFormat.SentRecord[];
+  /** Adds the evidence of a peer. */
+  merge(records: readonly crashRecordFormat.SentRecord[]): void;
+  /** Calls `listener` with each fingerprint that a crash seen by this node implicates. */
+  onChange(listener: (fingerprint: string) => void): void;
 }
--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -24,15 +24,17 @@
 ): Promise<RunningGateway> {
   const state = { isDraining: false };
   const sync = kernel.use("registrySync");
-  const isReady = (): boolean => !state.isDraining && sync.ready;
+  const crashes = kernel.use("crashRecordSync");
+  const hasData = (): boolean => sync.ready && crashes.ready;
+  const isReady = (): boolean => !state.isDraining && hasData();
   kernel.use("placement");
   await kernel.use("network").start();
-  const server = createCallerServer(kernel, () => sync.ready);
+  const server = createCallerServer(kernel, hasData);
   const auxiliary = createAuxiliaryServers(kernel, options, isReady);
   await Promise.all([server.start(), auxiliary.start()]);
   sync.start();
   void kernel.use("liveSettings").run();
-  void kernel.use("membership").start();
+  void startMembership(kernel);
   void kernel.use("engineReportPoller").run();
   void kernel.use("stageReconciler").run();
   const { vm, zone } = kernel.use("settings");
@@ -51,6 +53,14 @@
   };
 }
 
+/** Time for which a starting VM waits for a peer; peers contact a seed that restarts within it. */
+const PEER_WAIT_MS = 1_000;
+
+async function startMembership(kernel: container.Kernel): Promise<void> {
+  await kernel.use("membership").start();
+  await kernel.use("crashRecordSync").start(PEER_WAIT_MS);
+}
+
 function createCallerServer(
   kernel: container.Kernel,
   isReady: () => boolean,
--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -12,6 +12,7 @@
 import * as tcpTransport from "../protocol/tcp-transport.js";
 import * as registrySync from "../registry/registry-sync.js";
 import * as routingState from "../routing/routing-state.js";
+import * as crashRecordSync from "../request/crash-record-sync.js";
 import * as crashRecords from "../request/crash-records.js";
 import * as runnerCalls from "../runners/runner-calls.js";
 import * as runnerTable from "../runners/runner-table.js";
@@ -66,6 +67,7 @@
   kernel.register("engineReportPoller", createEngineReportPoller);
   kernel.register("stageReconciler", createStageReconciler);
   kernel.register("crashes", crashRecords.createCrashRecords);
+  kernel.register("crashRecordSync", crashRecordSync.createCrashRecordSync);
   kernel.register("crashDetector", createCrashDetector);
   kernel.register("plainServing", createPlainServing);
   kernel.register("modelServing", createModelServing);
--- a/src/node.ts
+++ b/src/node.ts
@@ -12,6 +12,7 @@
 import * as platformClient from "./configuration/platform-client.js";
 import * as peerNetwork from "./protocol/peer-network.js";
 import * as tcpTransport from "./protocol/tcp-transport.js";
+import * as crashRecordSync from "./request/crash-record-sync.js";
 import * as crashRecords from "./request/crash-records.js";
 import * as modelCalls from "./request/model-calls.js";
 import * as plainCalls from "./request/plain-calls.js";
@@ -51,6 +52,7 @@
   kernel.register("plainCalls", plainCalls.createPlainCalls);
   kernel.register("modelCalls", modelCalls.createModelCalls);
   kernel.register("crashes", crashRecords.createCrashRecords);
+  kernel.register("crashRecordSync", crashRecordSync.createCrashRecordSync);
   kernel.register("capacity", capacity.createCapacity);
   kernel.register("engines", engineClient.createEngineClient);
   kernel.register("backends", serviceClient.createServiceClient);
@@ -100,11 +102,12 @@
  * communicate with this node.
  */
 export async function startServices(kernel: container.Kernel): Promise<void> {
-  kernel.use("crashes");
+  kernel.use("crashRecordSync");
   kernel.use("plainCalls");
   kernel.use("modelCalls");
   await kernel.use("network").start();
   await kernel.use("membership").start();
+  await kernel.use("crashRecordSync").start(0);
   await kernel.use("configuration").start();
   await kernel.use("capacity").start();
   await kernel.use("orders").start();
--- a/src/request/crash-records.ts
+++ b/src/request/crash-records.ts
@@ -11,6 +11,7 @@
 import type * as kernels from "../kernel/container.js";
 import * as events from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
+import * as format from "./crash-record-format.js";
 
 /** Time after its last evidence after which a fingerprint is forgotten. */
 const ENTRY_LIFETIME_MS = 600_000;
@@ -19,7 +20,6 @@
  * quarantined, but it gets no wrong answer.
  */
 const MAX_ENTRIES = 10_000;
-const MAX_UPSTREAMS_PER_ENTRY = 8;
 const MAX_ENTRIES_PER_PROBE = 6;
 /** Number of gossip payloads that carry an entry after it changed. */
 const GOSSIP_ROUNDS_PER_CHANGE = 8;
@@ -35,6 +35,9 @@
 /** Limit on the fingerprints that the log entry of a crash names. */
 const MAX_LOGGED_FINGERPRINTS = 8;
 
+/** Upper bound of a digest, which is a sum of hashes. */
+const DIGEST_RANGE = 2 ** 32;
+
 const hasher = await xxhash.default();
 
 interface CrashEvidence {
@@ -52,24 +55,13 @@
   gossipRoundsLeft: number;
 }
 
-const payloadSchema = zod
-  .array(
-    zod.tuple([
-      zod.string().length(16),
-      zod.boolean(),
-      zod
-        .array(zod.tuple([zod.string().max(100), zod.number().min(0).max(1), zod.number().min(0)]))
-        .max(MAX_UPSTREAMS_PER_ENTRY),
-    ]),
-  )
-  .max(MAX_ENTRIES_PER_PROBE);
-
-type Payload = zod.infer<typeof payloadSchema>;
+const payloadSchema = zod.array(format.recordSchema).max(MAX_ENTRIES_PER_PROBE);
 
 class GossipedCrashRecords implements callerTypes.CrashRecords {
   readonly #clock: clocks.Clock;
   readonly #log: telemetry.EventLog;
   readonly #entries = new lru.LRUCache<string, Entry>({ max: MAX_ENTRIES });
+  readonly #listeners: ((fingerprint: string) => void)[] = [];
   /** Monotonic time at which a success removed the entry of a fingerprint. */
   readonly #clearedAt = new lru.LRUCache<string, number>({ max: MAX_ENTRIES });
 
@@ -80,7 +72,7 @@
       create: () => this.#createPayload(),
       onReceive: (payload) => {
         const parsed = payloadSchema.safeParse(payload);
-        if (parsed.success) this.#mergePayload(parsed.data);
+        if (parsed.success) this.merge(parsed.data);
       },
     });
   }
@@ -115,6 +107,7 @@
       const weight = 1 / (isPrimeSuspect ? primeSuspects.length : implicatedFingerprints.length);
       this.#addEvidence(fingerprint, upstream, { weight, at: this.#clock.now() });
       if (isPrimeSuspect && isConclusive) this.#markQuarantined(fingerprint);
+      for (const listener of this.#listeners) listener(fingerprint);
     }
   }
 
@@ -137,6 +130,17 @@
     return this.#findEntry(fingerprint)?.isQuarantined ?? false;
   }
 
+  get digest(): number {
+    return this.listQuarantined().reduce(
+      (sum, fingerprint) => (sum + hasher.h32(fingerprint)) % DIGEST_RANGE,
+      0,
+    );
+  }
+
+  onChange(listener: (fingerprint: string) => void): void {
+    this.#listeners.push(listener);
+  }
+
   listQuarantined(): readonly string[] {
     return [...this.#entries.keys()].filter((fingerprint) => this.isQuarantined(fingerprint));
   }
@@ -183,7 +187,7 @@
     const entry = this.#getOrCreateEntry(fingerprint);
     const known = entry.upstreams.get(upstream);
     const isStronger = known === undefined || known.weight < evidence.weight;
-    const hasRoom = known !== undefined || entry.upstreams.size < MAX_UPSTREAMS_PER_ENTRY;
+    const hasRoom = known !== undefined || entry.upstreams.size < format.MAX_UPSTREAMS_PER_RECORD;
     if (!isStronger || !hasRoom) return false;
     entry.upstreams.set(upstream, evidence);
     entry.changedAt = this.#clock.now();
@@ -228,22 +232,40 @@
   }
 
   /** Creates a payload of entries that changed lately, the most recently used ones first. */
-  #createPayload(): Payload | undefined {
-    const now = this.#clock.now();
-    const payload: Payload = [];
+  #createPayload(): format.SentRecord[] | undefined {
+    const payload: format.SentRecord[] = [];
     for (const [fingerprint, entry] of this.#entries.entries()) {
       if (payload.length === MAX_ENTRIES_PER_PROBE) break;
       if (entry.gossipRoundsLeft === 0) continue;
       entry.gossipRoundsLeft -= 1;
-      const upstreams = [...entry.upstreams].map(
-        ([upstream, { weight, at }]): [string, number, number] => [upstream, weight, now - at],
-      );
-      payload.push([fingerprint, entry.isQuarantined, upstreams]);
+      payload.push(this.#formatRecord(fingerprint, entry));
     }
     return payload.length > 0 ? payload : undefined;
   }
 
-  #mergePayload(payload: Payload): void {
+  #formatRecord(fingerprint: string, entry: Entry): format.SentRecord {
+    const now = this.#clock.now();
+    const upstreams = [...entry.upstreams].map(
+      ([upstream, { weight, at }]): [string, number, number] => [upstream, weight, now - at],
+    );
+    return [fingerprint, entry.isQuarantined, upstreams];
+  }
+
+  findRecord(fingerprint: string): format.SentRecord | undefined {
+    const entry = this.#findEntry(fingerprint);
+    return entry === undefined ? undefined : this.#formatRecord(fingerprint, entry);
+  }
+
+  listRecords(limit: number): readonly format.SentRecord[] {
+    const all = [...this.#entries.keys()]
+      .map((fingerprint) => this.findRecord(fingerprint))
+      .filter((record) => record !== undefined);
+    const quarantined = all.filter(([, isQuarantined]) => isQuarantined);
+    const suspects = all.filter(([, isQuarantined]) => !isQuarantined);
+    return [...quarantined, ...suspects].slice(0, limit);
+  }
+
+  merge(payload: readonly format.SentRecord[]): void {
     const now = this.#clock.now();
     for (const [fingerprint, isQuarantined, upstreams] of payload) {
       const clearedAt = this.#clearedAt.get(fingerprint) ?? -Infinity;
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -51,6 +51,7 @@
   crashRecorded: { number: 4010, level: "warn", message: "crash of upstream recorded" },
   crashRecordReceived: { number: 4011, level: "info", message: "crash record received from peer" },
   crashRecordCleared: { number: 4012, level: "info", message: "crash record cleared" },
+  crashPullFailed: { number: 4013, level: "warn", message: "crash record pull from peer failed" },
   logSuppressed: { number: 1005, level: "warn", message: "log entries suppressed" },
   allocatorChanged: { number: 5001, level: "info", message: "allocator of runner changed" },
   orphanCancelled: { number: 5002, level: "warn", message: "orphaned request cancelled on runner" },
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -37,6 +37,11 @@
     recordSuccess: () => undefined,
     isQuarantined: () => false,
     listQuarantined: () => [],
+    digest: 0,
+    findRecord: () => undefined,
+    listRecords: () => [],
+    merge: () => undefined,
+    onChange: () => undefined,
   };
 }
 
