Hold a suspected request back until the outcome of its last runs is known

Callers saw a request that silences its runners reach further ones at every VM while no VM had a verdict yet (BUDGET).

Cause: a verdict on a silent runner takes seconds, and until it came each VM sent the request on. Four placements within one request and any number of VMs at once did so too.

Change: the runs of a suspected request are announced to all VMs while they are in progress or unsettled. A request waits up to 1 s while a run of it is in progress anywhere, and is refused at once, with a time to come back, while two of its outcomes are unknown or one is and a crash is recorded. Runs that VMs left behind when they ended are settled by the registry. A shared arbiter of permits was weighed: it would close the window of one message between two VMs, and add a dependency to each retry.

--- a/src/caller/types.ts
+++ b/src/caller/types.ts
@@ -112,6 +112,8 @@
    * once; one that is known to have started again is given another name.
    */
   recordCrash(upstream: string, fingerprints: readonly string[]): void;
+  /** Whether a crash of `upstream` under the request is recorded. */
+  hasCrashed(fingerprint: string, upstream: string): boolean;
   /** Whether a request was in flight during a crash and has not completed since. */
   isSuspect(fingerprint: string): boolean;
   /** Records that a suspect generated tokens after a crash, which reduces the suspicion. */
--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -14,6 +14,7 @@
 import * as routingState from "../routing/routing-state.js";
 import * as crashRecordSync from "../request/crash-record-sync.js";
 import * as crashRecords from "../request/crash-records.js";
+import * as runHolds from "../request/run-holds.js";
 import * as runnerCalls from "../runners/runner-calls.js";
 import * as runnerTable from "../runners/runner-table.js";
 import * as crashDetector from "../serving/crash-detector.js";
@@ -67,6 +68,7 @@
   kernel.register("engineReportPoller", createEngineReportPoller);
   kernel.register("stageReconciler", createStageReconciler);
   kernel.register("crashes", crashRecords.createCrashRecords);
+  kernel.register("runHolds", runHolds.createRunHolds);
   kernel.register("crashRecordSync", crashRecordSync.createCrashRecordSync);
   kernel.register("crashDetector", createCrashDetector);
   kernel.register("plainServing", createPlainServing);
@@ -205,6 +207,7 @@
     log: kernel.use("log"),
     metrics: kernel.use("metrics"),
     crashes: kernel.use("crashes"),
+    holds: kernel.use("runHolds"),
     runners: kernel.use("runners"),
     calls: kernel.use("runnerCalls"),
     codec: kernel.use("adapter").runnerCodec,
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -11,6 +11,7 @@
 import type * as stageReconciler from "../placement/stage-reconciler.js";
 import type * as registrySync from "../registry/registry-sync.js";
 import type * as routingState from "../routing/routing-state.js";
+import type * as runHolds from "../request/run-holds.js";
 import type * as crashRecordSync from "../request/crash-record-sync.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as runnerTable from "../runners/runner-table.js";
@@ -42,6 +43,7 @@
   plainCalls: callerTypes.PlainCalls;
   modelCalls: callerTypes.ModelCalls;
   crashes: callerTypes.CrashRecords;
+  runHolds: runHolds.RunHolds;
   crashRecordSync: crashRecordSync.CrashRecordSync;
   capacity: capacity.Capacity;
   engines: upstream.EngineClient;
--- a/src/node.ts
+++ b/src/node.ts
@@ -15,6 +15,7 @@
 import * as crashRecordSync from "./request/crash-record-sync.js";
 import * as crashRecords from "./request/crash-records.js";
 import * as modelCalls from "./request/model-calls.js";
+import * as runHolds from "./request/run-holds.js";
 import * as plainCalls from "./request/plain-calls.js";
 import type * as nodeSettings from "./settings/node-settings.js";
 import * as events from "./telemetry/log-events.js";
@@ -52,6 +53,7 @@
   kernel.register("plainCalls", plainCalls.createPlainCalls);
   kernel.register("modelCalls", modelCalls.createModelCalls);
   kernel.register("crashes", crashRecords.createCrashRecords);
+  kernel.register("runHolds", runHolds.createRunHolds);
   kernel.register("crashRecordSync", crashRecordSync.createCrashRecordSync);
   kernel.register("capacity", capacity.createCapacity);
   kernel.register("engines", engineClient.createEngineClient);
--- a/src/request/crash-record-sync.ts
+++ b/src/request/crash-record-sync.ts
@@ -12,6 +12,7 @@
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
 import * as format from "./crash-record-format.js";
+import * as runHolds from "./run-holds.js";
 
 /** Limit on the records in one message; quarantined requests come first. */
 const MAX_RECORDS = 500;
@@ -30,12 +31,13 @@
 const MAX_PULL_INTERVAL_MS = 30_000;
 
 const recordsSchema = zod.array(format.recordSchema).max(MAX_RECORDS);
+const holdsSchema = zod.array(runHolds.holdSchema).max(MAX_RECORDS);
 const digestSchema = zod.int().min(0);
 
 const ANNOUNCE = network.createPeerCall(
   46,
   "announce-crashes",
-  zod.object({ records: recordsSchema }),
+  zod.object({ records: recordsSchema, holds: holdsSchema }),
   zod.object({}),
 );
 
@@ -47,6 +49,7 @@
     records: recordsSchema,
     /** Whether the sender has itself pulled the records of its peers since its start. */
     isSynced: zod.boolean(),
+    holds: holdsSchema,
   }),
 );
 
@@ -58,7 +61,10 @@
   readonly #network: network.PeerNetwork;
   readonly #membership: membership.Membership;
   readonly #crashes: callerTypes.CrashRecords;
-  readonly #changed = new Set<string>();
+  readonly #holds: runHolds.RunHolds;
+  /** Fingerprints of records, and ids of holds, that changed since the last announcement. */
+  readonly #changed = { fingerprints: new Set<string>(), holds: new Set<string>() };
+  #isAnnouncing = false;
   #isReady = false;
   #isPulling = false;
   #nextPullAt = 0;
@@ -71,12 +77,15 @@
     this.#network = kernel.use("network");
     this.#membership = kernel.use("membership");
     this.#crashes = kernel.use("crashes");
-    this.#network.onCall(ANNOUNCE, ({ records }) => {
+    this.#holds = kernel.use("runHolds");
+    this.#network.onCall(ANNOUNCE, ({ records, holds }) => {
       this.#crashes.merge(records);
+      this.#holds.merge(holds);
       return {};
     });
     this.#network.onCall(PULL, () => ({
       records: [...this.#crashes.listRecords(MAX_RECORDS)],
+      holds: [...this.#holds.list(MAX_RECORDS)],
       isSynced: this.#isReady,
     }));
     this.#membership.onGossip("crash-digest", {
@@ -86,7 +95,13 @@
       },
     });
     this.#crashes.onChange((fingerprint) => {
-      this.#scheduleAnnouncement(fingerprint);
+      this.#pullIntervalMs = MIN_PULL_INTERVAL_MS;
+      this.#changed.fingerprints.add(fingerprint);
+      this.#scheduleAnnouncement();
+    });
+    this.#holds.onChange((id) => {
+      this.#changed.holds.add(id);
+      this.#scheduleAnnouncement();
     });
   }
 
@@ -148,6 +163,7 @@
     try {
       const reply = await this.#network.call(vm, PULL, {}, { timeoutMs: CALL_TIMEOUT_MS });
       this.#crashes.merge(reply.records);
+      this.#holds.merge(reply.holds);
       return reply;
     } catch (error) {
       this.#log.write(logEvents.LOG_EVENTS.crashPullFailed, { peer: vm, error: String(error) });
@@ -155,27 +171,34 @@
     }
   }
 
-  #scheduleAnnouncement(fingerprint: string): void {
-    this.#pullIntervalMs = MIN_PULL_INTERVAL_MS;
-    this.#changed.add(fingerprint);
-    if (this.#changed.size > 1) return;
+  #scheduleAnnouncement(): void {
+    if (this.#isAnnouncing) return;
+    this.#isAnnouncing = true;
     this.#clock.schedule(ANNOUNCE_DELAY_MS, () => {
-      const records = [...this.#changed]
-        .map((changed) => this.#crashes.findRecord(changed))
-        .filter((record) => record !== undefined);
-      this.#changed.clear();
-      this.#sendRecords(records.slice(0, MAX_RECORDS));
+      this.#isAnnouncing = false;
+      this.#sendChanges();
     });
   }
 
-  /** Announces records without waiting; peers that miss them learn them by gossip or a pull. */
-  #sendRecords(records: readonly format.SentRecord[]): void {
+  /** Announces the changes without waiting; peers that miss them learn them by gossip or a pull. */
+  #sendChanges(): void {
+    const { fingerprints, holds } = this.#changed;
+    const records = [...fingerprints].map((fingerprint) => this.#crashes.findRecord(fingerprint));
+    const changes = {
+      records: records.filter((record) => record !== undefined).slice(0, MAX_RECORDS),
+      holds: [...holds]
+        .map((id) => this.#holds.find(id))
+        .filter((hold) => hold !== undefined)
+        .slice(0, MAX_RECORDS),
+    };
+    fingerprints.clear();
+    holds.clear();
     const { self } = this.#membership;
     const peers = this.#membership.listMembers().filter(({ vm }) => vm !== self.vm);
     const receivers = randoms.createShuffled(peers, this.#random).slice(0, MAX_RECEIVERS);
     for (const { vm } of receivers) {
       this.#network
-        .call(vm, ANNOUNCE, { records: [...records] }, { timeoutMs: CALL_TIMEOUT_MS })
+        .call(vm, ANNOUNCE, changes, { timeoutMs: CALL_TIMEOUT_MS })
         .catch(() => undefined);
     }
   }
--- a/src/request/crash-records.ts
+++ b/src/request/crash-records.ts
@@ -111,6 +111,10 @@
     }
   }
 
+  hasCrashed(fingerprint: string, upstream: string): boolean {
+    return this.#findEntry(fingerprint)?.upstreams.has(upstream) ?? false;
+  }
+
   isSuspect(fingerprint: string): boolean {
     return this.#findEntry(fingerprint) !== undefined;
   }
--- /dev/null
+++ b/src/request/run-holds.ts
@@ -0,0 +1,207 @@
+/**
+ * Runs of suspected requests that are in progress, or ended without an answer and wait for a verdict, at all nodes. A
+ * request waits while a run of it is in progress, and is held back while the outcomes of its runs are unknown. Only the
+ * node that ran a request changes the state of its run.
+ */
+import * as zod from "zod";
+import type * as clocks from "../kernel/clock.js";
+import type * as container from "../kernel/container.js";
+import type * as membership from "../membership/types.js";
+
+/** State of a run. It only rises. */
+export const RUN_STATE = { inProgress: 0, unsettled: 1, settled: 2 } as const;
+
+/** One of the values of `RUN_STATE`. */
+export type RunState = (typeof RUN_STATE)[keyof typeof RUN_STATE];
+
+/** Why a request has to wait. */
+export const HOLD_REASON = { inProgress: "inProgress", unsettled: "unsettled" } as const;
+
+/** One of the values of `HOLD_REASON`. */
+export type HoldReason = (typeof HOLD_REASON)[keyof typeof HOLD_REASON];
+
+/** Number of unsettled runs and crashes at which a request is held back until a verdict. */
+const MAX_OPEN_OUTCOMES = 2;
+/** Time after which a run without a verdict no longer holds its request back. */
+const UNSETTLED_LIMIT_MS = 30_000;
+/** Limit on the runs that a node keeps; further ones hold no request back. */
+const MAX_HOLDS = 10_000;
+const MAX_LIFETIME_MS = 600_000;
+
+/** A run in a message: id, fingerprint, upstream, state and remaining lifetime in milliseconds. */
+export const holdSchema = zod.tuple([
+  zod.string().max(150),
+  zod.string().length(16),
+  zod.string().max(100),
+  zod.int().min(RUN_STATE.inProgress).max(RUN_STATE.settled),
+  zod.number().min(0).max(MAX_LIFETIME_MS),
+]);
+
+/** A run in a message. */
+export type SentHold = zod.infer<typeof holdSchema>;
+
+interface Hold {
+  readonly fingerprint: string;
+  readonly upstream: string;
+  state: number;
+  expiresAt: number;
+}
+
+/** The hold of a run of this node. */
+export interface OwnHold {
+  /** Records that the run ended without an answer. */
+  markUnsettled(): void;
+  /** Records that the outcome of the run is known. */
+  settle(): void;
+}
+
+/** The runs that hold requests back, by id. */
+export class RunHolds {
+  readonly #clock: clocks.Clock;
+  readonly #membership: membership.Membership;
+  readonly #holds = new Map<string, Hold>();
+  readonly #idsByFingerprint = new Map<string, Set<string>>();
+  readonly #listeners: ((id: string) => void)[] = [];
+  #lastNumber = 0;
+
+  constructor(clock: clocks.Clock, members: membership.Membership) {
+    this.#clock = clock;
+    this.#membership = members;
+  }
+
+  /** Calls `listener` with the id of each run of this node whose state changed. */
+  onChange(listener: (id: string) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Adds a run of this node, which is in progress for at most `lifetimeMs`. */
+  add(fingerprint: string, upstream: string, lifetimeMs: number): OwnHold {
+    const { vm, incarnation } = this.#membership.self;
+    this.#lastNumber += 1;
+    const id = `${vm} ${incarnation} ${this.#lastNumber}`;
+    const expiresAt = this.#clock.now() + lifetimeMs;
+    this.#set(id, { fingerprint, upstream, state: RUN_STATE.inProgress, expiresAt });
+    this.#notifyListeners(id);
+    return {
+      markUnsettled: () => {
+        this.#setState(id, RUN_STATE.unsettled);
+      },
+      settle: () => {
+        this.#setState(id, RUN_STATE.settled);
+      },
+    };
+  }
+
+  /** Whether any run of the request is in progress or unsettled. */
+  has(fingerprint: string): boolean {
+    return this.#listOpen(fingerprint).length > 0;
+  }
+
+  /**
+   * Returns why the request has to wait, if it does.
+   *
+   * @param crashes - number of upstreams that are known to have crashed under the request.
+   */
+  findReason(fingerprint: string, crashes: number): HoldReason | undefined {
+    const open = this.#listOpen(fingerprint);
+    const unsettled = open.filter(({ state }) => state === RUN_STATE.unsettled).length;
+    if (unsettled > 0 && unsettled + crashes >= MAX_OPEN_OUTCOMES) return HOLD_REASON.unsettled;
+    return open.length > unsettled ? HOLD_REASON.inProgress : undefined;
+  }
+
+  /** Returns the fingerprints of the unsettled runs at an upstream. */
+  listFingerprints(upstream: string): readonly string[] {
+    return [...this.#holds.values()]
+      .filter((hold) => hold.upstream === upstream && hold.state === RUN_STATE.unsettled)
+      .map(({ fingerprint }) => fingerprint);
+  }
+
+  /** Returns the unsettled runs of nodes that no longer run, by upstream and fingerprint. */
+  listAbandoned(): readonly { readonly upstream: string; readonly fingerprint: string }[] {
+    return [...this.#holds]
+      .filter(([id, hold]) => hold.state !== RUN_STATE.settled && this.#isAbandoned(id))
+      .map(([, { upstream, fingerprint }]) => ({ upstream, fingerprint }));
+  }
+
+  /** Returns a run in its format for peers. */
+  find(id: string): SentHold | undefined {
+    const hold = this.#holds.get(id);
+    if (hold === undefined) return undefined;
+    const lifetimeMs = Math.max(0, hold.expiresAt - this.#clock.now());
+    return [id, hold.fingerprint, hold.upstream, hold.state, Math.min(lifetimeMs, MAX_LIFETIME_MS)];
+  }
+
+  /** Returns up to `limit` runs in their format for peers. */
+  list(limit: number): readonly SentHold[] {
+    this.#removeExpired();
+    return [...this.#holds.keys()]
+      .slice(-limit)
+      .map((id) => this.find(id))
+      .filter((hold) => hold !== undefined);
+  }
+
+  /** Applies the runs that a peer knows. */
+  merge(holds: readonly SentHold[]): void {
+    for (const [id, fingerprint, upstream, state, lifetimeMs] of holds) {
+      const known = this.#holds.get(id);
+      if (known !== undefined && known.state >= state) continue;
+      const expiresAt = this.#clock.now() + lifetimeMs;
+      this.#set(id, { fingerprint, upstream, state, expiresAt });
+    }
+  }
+
+  #setState(id: string, state: RunState): void {
+    const hold = this.#holds.get(id);
+    if (hold === undefined || hold.state >= state) return;
+    hold.state = state;
+    // A settled run is kept for a time, since an older message about it may still arrive.
+    hold.expiresAt = this.#clock.now() + UNSETTLED_LIMIT_MS;
+    this.#notifyListeners(id);
+  }
+
+  #set(id: string, hold: Hold): void {
+    if (!this.#holds.has(id) && this.#holds.size >= MAX_HOLDS) this.#removeExpired();
+    if (!this.#holds.has(id) && this.#holds.size >= MAX_HOLDS) return;
+    this.#holds.set(id, hold);
+    const ids = this.#idsByFingerprint.get(hold.fingerprint) ?? new Set();
+    this.#idsByFingerprint.set(hold.fingerprint, ids.add(id));
+  }
+
+  #listOpen(fingerprint: string): readonly Hold[] {
+    const now = this.#clock.now();
+    return [...(this.#idsByFingerprint.get(fingerprint) ?? [])]
+      .map((id) => this.#holds.get(id))
+      .filter((hold) => hold !== undefined)
+      .filter((hold) => hold.state !== RUN_STATE.settled && hold.expiresAt > now);
+  }
+
+  #isAbandoned(id: string): boolean {
+    const [vm = "", incarnation = ""] = id.split(" ");
+    const member = this.#membership.findMember(vm);
+    return member?.state === "dead" || String(member?.incarnation ?? "") !== incarnation;
+  }
+
+  #removeExpired(): void {
+    const now = this.#clock.now();
+    for (const [id, hold] of this.#holds) {
+      if (hold.expiresAt > now) continue;
+      this.#holds.delete(id);
+      const ids = this.#idsByFingerprint.get(hold.fingerprint);
+      ids?.delete(id);
+      if (ids?.size === 0) this.#idsByFingerprint.delete(hold.fingerprint);
+    }
+  }
+
+  #notifyListeners(id: string): void {
+    for (const listener of this.#listeners) listener(id);
+  }
+}
+
+/**
+ * Creates the run holds of a node.
+ *
+ * @example kernel.register("runHolds", createRunHolds);
+ */
+export function createRunHolds(kernel: container.Kernel): RunHolds {
+  return new RunHolds(kernel.use("clock"), kernel.use("membership"));
+}
--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -5,7 +5,9 @@
 import type * as callerTypes from "../caller/types.js";
 import type * as gateway from "../gateway/types.js";
 import * as clocks from "../kernel/clock.js";
+import type * as resultCodes from "../protocol/result-codes.js";
 import * as crashTracker from "../request/crash-tracker.js";
+import * as runHolds from "../request/run-holds.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as runnerTable from "../runners/runner-table.js";
 import type * as runners from "../runners/types.js";
@@ -24,6 +26,19 @@
 const PROBE_INTERVAL_MS = 500;
 /** Time in which the answers to other calls usually show that a runner outlived a cancelled run. */
 const CANCEL_GRACE_MS = 300;
+/** Longest time that a request waits for another run of it, and the interval of its checks. */
+const HOLD_WAIT_MS = 1_000;
+const HOLD_CHECK_INTERVAL_MS = 25;
+/** Retry times of a held request: a run in progress ends soon, a verdict takes some seconds. */
+const RETRY_AFTER_MS: Readonly<Record<runHolds.HoldReason, number>> = {
+  inProgress: 300,
+  unsettled: 1_000,
+};
+const REFUSAL_TEXTS: Readonly<Record<runHolds.HoldReason, string>> = {
+  inProgress: "another run of the request, which may have crashed a runner, is in progress",
+  unsettled:
+    "earlier runs of the request ended without an answer, and their outcome is not known yet",
+};
 
 /** Dependencies of the crash detector. */
 export interface CrashDetectorOptions {
@@ -31,6 +46,7 @@
   readonly log: telemetry.EventLog;
   readonly metrics: telemetry.Metrics;
   readonly crashes: callerTypes.CrashRecords;
+  readonly holds: runHolds.RunHolds;
   readonly runners: runnerTable.RunnerTable;
   readonly calls: runnerCalls.RunnerCalls;
   readonly codec: gateway.RunnerCodec;
@@ -77,10 +93,19 @@
   handleUnanswered(end: UnansweredEnd, error: unknown): Promise<void>;
 }
 
+/** A run with its call, runner start and, if the request is suspected, its hold. */
+interface SuspectRun {
+  readonly call: types.ServedCall;
+  readonly start: runnerStarts.RunnerStart;
+  readonly run: runnerStarts.Run;
+  readonly hold: runHolds.OwnHold | undefined;
+}
+
 /** Tracks the runs of this VM and records crashes of runners under them. */
 export class CrashDetector {
   readonly #options: CrashDetectorOptions;
   readonly #starts = new Map<string, runnerStarts.RunnerStart>();
+  readonly #fingerprints = new WeakMap<types.ServedCall, string>();
   readonly #watched = new Set<runnerStarts.RunnerStart>();
 
   constructor(options: CrashDetectorOptions) {
@@ -92,7 +117,7 @@
 
   /** Whether the request has crashed several runners. */
   isQuarantined(call: types.ServedCall): boolean {
-    return this.#options.crashes.isQuarantined(this.#computeFingerprint(call));
+    return this.#options.crashes.isQuarantined(this.#getFingerprint(call));
   }
 
   /** @throws RequestError when the request has crashed several runners. */
@@ -102,14 +127,46 @@
     throw answers.createFailure("request crashed several runners");
   }
 
+  /**
+   * Waits while another run of a suspected request is in progress. Returns a refusal if the request may still not
+   * run; the run has to be added without further waiting.
+   *
+   * @throws RequestError when the request has crashed several runners.
+   */
+  async waitUntilAllowed(call: types.ServedCall): Promise<resultCodes.RequestError | undefined> {
+    const { clock } = this.#options;
+    this.checkAllowed(call);
+    const now = clock.now();
+    const waitUntil = Math.min(now + HOLD_WAIT_MS, (now + call.deadlineAt) / 2);
+    let reason = this.#findHoldReason(call);
+    while (reason === runHolds.HOLD_REASON.inProgress && clock.now() < waitUntil) {
+      await clocks.sleep(clock, HOLD_CHECK_INTERVAL_MS, call.signal);
+      this.checkAllowed(call);
+      reason = this.#findHoldReason(call);
+    }
+    if (reason === undefined) return undefined;
+    this.#options.metrics.count("hold_refusals", { service: call.service.name, reason });
+    return answers.createRefusal(RETRY_AFTER_MS[reason], REFUSAL_TEXTS[reason]);
+  }
+
+  #findHoldReason(call: types.ServedCall): runHolds.HoldReason | undefined {
+    const { crashes, holds } = this.#options;
+    const fingerprint = this.#getFingerprint(call);
+    if (!holds.has(fingerprint)) return undefined;
+    const crashCount = crashes.findRecord(fingerprint)?.[2].length ?? 0;
+    return holds.findReason(fingerprint, crashCount);
+  }
+
   /** Starts to track a run of a call on a runner. */
   add(call: types.ServedCall, runner: runners.Runner): TrackedRun {
     const { clock, crashes } = this.#options;
-    const fingerprint = this.#computeFingerprint(call);
+    const fingerprint = this.#getFingerprint(call);
     const start = this.#getOrCreateStart(runner);
     const run = runnerStarts.createRun(fingerprint);
     const sentAt = clock.now();
     start.addRun(run);
+    const suspect: SuspectRun = { call, start, run, hold: this.#addHold(fingerprint, start, call) };
+    let isAnswered = true;
     return {
       recordAnswer: () => {
         start.recordAnswer(sentAt);
@@ -124,30 +181,59 @@
       },
       handleUnanswered: async (end, error) => {
         if (isUnsent(error)) return;
-        const settled = this.#handleUnanswered(call, start, run, end);
+        isAnswered = false;
+        const settled = this.#handleUnanswered(suspect, end);
         if (end === UNANSWERED_END.failed) await settled;
       },
       [Symbol.dispose]: () => {
         start.removeRun(run);
+        if (isAnswered) suspect.hold?.settle();
         this.#removeIfIdle(start);
       },
     };
   }
 
-  async #handleUnanswered(
-    call: types.ServedCall,
+  /** Adds a hold for a run of a suspected request. */
+  #addHold(
+    fingerprint: string,
     start: runnerStarts.RunnerStart,
-    run: runnerStarts.Run,
-    end: UnansweredEnd,
-  ): Promise<void> {
+    call: types.ServedCall,
+  ): runHolds.OwnHold | undefined {
+    const { clock, crashes, holds } = this.#options;
+    if (!crashes.isSuspect(fingerprint) && !holds.has(fingerprint)) return undefined;
+    return holds.add(fingerprint, start.name, call.deadlineAt - clock.now() + PROBE_INTERVAL_MS);
+  }
+
+  async #handleUnanswered(suspect: SuspectRun, end: UnansweredEnd): Promise<void> {
+    const { call, start, run } = suspect;
     start.markUnanswered(run);
     const verdict = await this.#settleEnd(start, run, end);
     this.#options.metrics.count("unanswered_runs", { verdict });
     const { id, bornAt } = start.runner;
     const fields = { request: call.head.id, fingerprint: run.fingerprint, runner: id, bornAt };
     this.#options.log.write(logEvents.LOG_EVENTS.runUnanswered, { ...fields, end, verdict });
-    if (start.isUnsettled(run)) void this.#watch(start);
-    else this.#removeIfIdle(start);
+    if (start.isUnsettled(run)) {
+      this.#markUnsettled(suspect);
+      void this.#watch(start);
+      return;
+    }
+    suspect.hold?.settle();
+    this.#removeIfIdle(start);
+  }
+
+  /** Holds the request back until the outcome of a run is known, unless the run had begun to answer. */
+  #markUnsettled({ start, run, hold }: SuspectRun): void {
+    if (run.hasEvents) {
+      hold?.settle();
+      return;
+    }
+    const { holds } = this.#options;
+    const { fingerprint } = run;
+    const unsettled = hold ?? holds.add(fingerprint, start.name, PROBE_INTERVAL_MS);
+    unsettled.markUnsettled();
+    run.onSettled = () => {
+      unsettled.settle();
+    };
   }
 
   async #settleEnd(
@@ -200,13 +286,29 @@
     for (const start of this.#starts.values()) {
       if (start.checkEnded() && start.countUnsettled() > 0) this.#recordCrash(start);
     }
+    this.#recordAbandonedCrashes();
+  }
+
+  /** Records crashes under runs of VMs that ended before they knew of them. */
+  #recordAbandonedCrashes(): void {
+    const { crashes, holds, runners: table } = this.#options;
+    for (const { upstream: name, fingerprint } of holds.listAbandoned()) {
+      const { id, bornAt } = runnerStarts.parseStart(name);
+      if (table.find(id)?.runner.bornAt === bornAt) continue;
+      if (!crashes.hasCrashed(fingerprint, name)) crashes.recordCrash(name, [fingerprint]);
+    }
   }
 
-  /** Records a crash, unless the runner had announced that it leaves. */
+  /**
+   * Records a crash, unless the runner had announced that it leaves. It implicates the unsettled runs of other VMs
+   * too; without them a harmless request of this VM could be the only suspect.
+   */
   #recordCrash(start: runnerStarts.RunnerStart): void {
-    const fingerprints = start.shiftInterrupted();
-    if (fingerprints.length > 0 && !start.isLeaving)
-      this.#options.crashes.recordCrash(start.name, fingerprints);
+    const { crashes, holds } = this.#options;
+    const elsewhere = holds.listFingerprints(start.name);
+    const interrupted = start.shiftInterrupted();
+    if (interrupted.length > 0 && !start.isLeaving)
+      crashes.recordCrash(start.name, [...interrupted, ...elsewhere]);
   }
 
   #getOrCreateStart(runner: runners.Runner): runnerStarts.RunnerStart {
@@ -223,6 +325,14 @@
     if (start.isIdle) this.#starts.delete(start.name);
   }
 
+  #getFingerprint(call: types.ServedCall): string {
+    const known = this.#fingerprints.get(call);
+    if (known !== undefined) return known;
+    const fingerprint = this.#computeFingerprint(call);
+    this.#fingerprints.set(call, fingerprint);
+    return fingerprint;
+  }
+
   /**
    * Computes the fingerprint of a request over service, caller, method, target, body and, for model
    * requests, the prompt's parts.
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -4,6 +4,7 @@
 import * as clocks from "../kernel/clock.js";
 import type * as placementService from "../placement/placement-service.js";
 import type * as placementTypes from "../placement/types.js";
+import type * as resultCodes from "../protocol/result-codes.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as runnerTable from "../runners/runner-table.js";
 import * as runners from "../runners/types.js";
@@ -79,7 +80,8 @@
     progress.setPrefilled(undefined);
     const result = await this.#decode(call, progress, place, prefilled, outcome);
     // The prefilled prompt can still be used by another decode runner.
-    if (result.kind === "notRun") progress.setPrefilled(prefilled);
+    const isUnused = result.kind === "notRun" || result.kind === "noPlace";
+    if (isUnused) progress.setPrefilled(prefilled);
     return result;
   }
 
@@ -91,7 +93,8 @@
     runner: runners.Runner,
   ): Promise<modelProgress.RunResult | undefined> {
     const { clock, codec, placement } = this.#options;
-    this.#options.crashDetector.checkAllowed(call);
+    const refusal = await this.#options.crashDetector.waitUntilAllowed(call);
+    if (refusal !== undefined) return createHeldResult(refusal);
     const startedAt = clock.now();
     const leftMs = call.deadlineAt - startedAt;
     const limitMs = Math.min(PREFILL_TIMEOUT_MS, leftMs);
@@ -139,9 +142,10 @@
   ): Promise<modelProgress.RunResult> {
     const { clock } = this.#options;
     const runner = place.decode;
+    const refusal = await this.#options.crashDetector.waitUntilAllowed(call);
+    if (refusal !== undefined) return createHeldResult(refusal);
     const leftMs = call.deadlineAt - clock.now();
     if (leftMs <= 0) return { kind: "notRun", reason: "no time left", excluded: undefined };
-    this.#options.crashDetector.checkAllowed(call);
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
     using trackedRun = this.#options.crashDetector.add(call, runner);
     const options = {
@@ -292,3 +296,8 @@
   const { host, port } = prefilled.runner;
   return { host, port, handle: prefilled.handle };
 }
+
+function createHeldResult(refusal: resultCodes.RequestError): modelProgress.RunResult {
+  const retryAfterMs = refusal.retryAfterMs ?? 0;
+  return { kind: "noPlace", reason: refusal.message, retryAfterMs };
+}
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -85,6 +85,9 @@
     let bestResult: AttemptResult | undefined;
     for (let attempt = 1; attempt <= call.route.maxAttempts; attempt += 1) {
       if (lastResult !== undefined && !this.#canRetry(call, lastResult)) break;
+      const refusal = await this.#options.crashDetector.waitUntilAllowed(call);
+      if (refusal !== undefined && hasNotRun(bestResult)) throw refusal;
+      if (refusal !== undefined) break;
       const record = this.#chooseRunner(call, triedIds);
       if (record === undefined) break;
       triedIds.add(record.runner.id);
@@ -249,6 +252,11 @@
   return RESULT_RANK[lastResult.kind] >= RESULT_RANK[bestResult.kind] ? lastResult : bestResult;
 }
 
+/** Whether no attempt of a call has run, or may have run. */
+function hasNotRun(bestResult: AttemptResult | undefined): boolean {
+  return bestResult === undefined || bestResult.kind === "notRun";
+}
+
 function formatResult(result: AttemptResult): string {
   return result.kind === "answered" ? `status ${result.answer.head.status}` : result.reason;
 }
--- a/src/serving/runner-starts.ts
+++ b/src/serving/runner-starts.ts
@@ -167,3 +167,9 @@
 export function formatStart(runner: runners.Runner): string {
   return `${runner.id}@${runner.bornAt}`;
 }
+
+/** Parses the name of a start. */
+export function parseStart(name: string): { readonly id: string; readonly bornAt: number } {
+  const separator = name.lastIndexOf("@");
+  return { id: name.slice(0, separator), bornAt: Number(name.slice(separator + 1)) };
+}
--- a/test/request/fake-fleet.ts
+++ b/test/request/fake-fleet.ts
@@ -7,6 +7,7 @@
 import * as membership from "../../src/membership/types.js";
 import * as network from "../../src/protocol/network.js";
 import * as crashRecords from "../../src/request/crash-records.js";
+import * as runHolds from "../../src/request/run-holds.js";
 import * as plainCalls from "../../src/request/plain-calls.js";
 import type * as document from "../../src/settings/document.js";
 import * as upstream from "../../src/upstream/types.js";
@@ -95,6 +96,7 @@
     kernel.register("backends", () => fleet.service);
     kernel.register("sessions", callerSessions.createSessions);
     kernel.register("crashes", crashRecords.createCrashRecords);
+    kernel.register("runHolds", runHolds.createRunHolds);
     kernel.register("plainCalls", plainCalls.createPlainCalls);
     kernel.use("plainCalls");
   }
--- a/test/serving/crash-detector.test.ts
+++ b/test/serving/crash-detector.test.ts
@@ -71,6 +71,28 @@
     earl.expect(crashed).toEqual([]);
   });
 
+  // Guards against BUDGET: runs with an unknown outcome did not hold further runs of the request back.
+  test.it("refuses a request at once while two of its runs have no known outcome", async () => {
+    const { records } = createRecords();
+    const holds = fixture.createHolds();
+    const serve = async (listed: readonly raw.RawRunner[]): Promise<string> => {
+      const runners = listed.map(({ runner }) => runner);
+      const plain = fixture.createPlainServing(runners, 0, records, undefined, holds);
+      return await fixture.serve(plain, fixture.createCall({ maxAttempts: 1 }));
+    };
+    await using first = await raw.startRawRunner("one", () => undefined, false);
+    await using second = await raw.startRawRunner("two", () => undefined, false);
+    await using healthy = await raw.startRawRunner("three", (socket) => {
+      socket.write(raw.formatResponse("r1", "whole"));
+    });
+    for (const silent of [first, second]) {
+      await serve([silent]);
+      await clocks.sleep(fixture.clock, PROBE_MARGIN_MS);
+    }
+    earl.expect(await serve([healthy])).toEqual("503 ran no");
+    earl.expect(healthy.requests).toEqual([]);
+  });
+
   test.it("records no crash for a call that was not sent", async () => {
     const { records, crashed } = createRecords();
     const gone = await raw.startRawRunner("one", () => undefined);
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -5,6 +5,7 @@
 import type * as routing from "../../src/routing/types.js";
 import * as spans from "../../src/telemetry/spans.js";
 import * as runnerCalls from "../../src/runners/runner-calls.js";
+import * as runHolds from "../../src/request/run-holds.js";
 import * as runnerTable from "../../src/runners/runner-table.js";
 import type * as runners from "../../src/runners/types.js";
 import * as resultCodes from "../../src/protocol/result-codes.js";
@@ -32,6 +33,7 @@
   return {
     computeFingerprint: (caller, service, body) => `${caller} ${service} ${body.toString()}`,
     recordCrash: () => undefined,
+    hasCrashed: () => false,
     isSuspect: () => false,
     recordProgress: () => undefined,
     recordSuccess: () => undefined,
@@ -51,12 +53,19 @@
   body: string;
 }
 
+/** Returns run holds of a node without peers. */
+export function createHolds(): runHolds.RunHolds {
+  const self = { vm: "a", incarnation: 1, state: "alive" };
+  return new runHolds.RunHolds(clock, { self, findMember: () => self } as never);
+}
+
 /** Creates plain serving with the given runners. */
 export function createPlainServing(
   listed: readonly runners.Runner[],
   slack = 100,
   crashes: callerTypes.CrashRecords = createInertCrashRecords(),
   table = new runnerTable.RunnerTable(clock, log),
+  holds = createHolds(),
 ): plainServing.PlainServing {
   for (const runner of listed) table.setRunner(runner.id, runner);
   const calls = new runnerCalls.RunnerCalls({
@@ -81,6 +90,7 @@
       calls,
       codec: runnerCodec.RUNNER_CODEC,
       crashes,
+      holds,
       runners: table,
     }),
     budgets: new retryBudgets.RetryBudgets(
