Do not quarantine or hold back a request that completed lately

Callers of a harmless request with the same content as many others would have been refused for ten minutes, or one at a time, after two of the runners that ran it had ended under another request.

Cause: a request was implicated in each crash during which it was in flight, whatever was known of it. One that many callers send with the same content is in flight at every crash, and in a small pool nothing runs between two.

Change: a request that completed within ten minutes is left out of a crash if another one can be blamed, counts a quarter otherwise, is not taken over as quarantined from peers, and is not held back. A request that ends each runner that begins to run it never completes.

The new unit test quarantines the popular request without the change.

--- a/src/caller/types.ts
+++ b/src/caller/types.ts
@@ -114,7 +114,9 @@
   recordCrash(upstream: string, fingerprints: readonly string[]): void;
   /** Whether a crash of `upstream` under the request is recorded. */
   hasCrashed(fingerprint: string, upstream: string): boolean;
-  /** Whether a request was in flight during a crash and has not completed since. */
+  /** Whether the request completed lately, so that it is unlikely to be the cause of crashes. */
+  hasSucceededLately(fingerprint: string): boolean;
+  /** Whether a request was in flight during a crash and has not completed since, or lately before. */
   isSuspect(fingerprint: string): boolean;
   /** Records that a suspect generated tokens after a crash, which reduces the suspicion. */
   recordProgress(fingerprint: string): void;
--- a/src/request/crash-records.ts
+++ b/src/request/crash-records.ts
@@ -27,6 +27,8 @@
 const QUARANTINE_WEIGHT = 1.5;
 /** Factor on the number of previous crashes of a request that has generated tokens since. */
 const PROGRESS_DISCOUNT = 0.5;
+/** Factor on the weight of a crash for a request that succeeded lately. */
+const SUCCESS_DISCOUNT = 0.25;
 /**
  * Total weight at which a sole prime suspect is quarantined even if it progressed since a crash.
  */
@@ -62,8 +64,8 @@
   readonly #log: telemetry.EventLog;
   readonly #entries = new lru.LRUCache<string, Entry>({ max: MAX_ENTRIES });
   readonly #listeners: ((fingerprint: string) => void)[] = [];
-  /** Monotonic time at which a success removed the entry of a fingerprint. */
-  readonly #clearedAt = new lru.LRUCache<string, number>({ max: MAX_ENTRIES });
+  /** Monotonic time of the last success of a fingerprint. */
+  readonly #succeededAt = new lru.LRUCache<string, number>({ max: MAX_ENTRIES });
 
   constructor(kernel: kernels.Kernel) {
     this.#clock = kernel.use("clock");
@@ -84,7 +86,7 @@
   }
 
   recordCrash(upstream: string, fingerprints: readonly string[]): void {
-    const implicatedFingerprints = [...new Set(fingerprints)];
+    const implicatedFingerprints = this.#listImplicated(fingerprints);
     const earlierCrashes = implicatedFingerprints.map((fingerprint) =>
       this.#countEarlierCrashes(fingerprint, upstream),
     );
@@ -106,7 +108,8 @@
       const isPrimeSuspect = maxEarlierCrashes > 0 && primeSuspects.includes(fingerprint);
       const weight = 1 / (isPrimeSuspect ? primeSuspects.length : implicatedFingerprints.length);
       this.#addEvidence(fingerprint, upstream, { weight, at: this.#clock.now() });
-      if (isPrimeSuspect && isConclusive) this.#markQuarantined(fingerprint);
+      if (isPrimeSuspect && isConclusive && !this.hasSucceededLately(fingerprint))
+        this.#markQuarantined(fingerprint);
       for (const listener of this.#listeners) listener(fingerprint);
     }
   }
@@ -116,7 +119,7 @@
   }
 
   isSuspect(fingerprint: string): boolean {
-    return this.#findEntry(fingerprint) !== undefined;
+    return this.#findEntry(fingerprint) !== undefined && !this.hasSucceededLately(fingerprint);
   }
 
   recordProgress(fingerprint: string): void {
@@ -125,8 +128,8 @@
   }
 
   recordSuccess(fingerprint: string): void {
+    this.#succeededAt.set(fingerprint, this.#clock.now());
     if (!this.#entries.delete(fingerprint)) return;
-    this.#clearedAt.set(fingerprint, this.#clock.now());
     this.#log.write(events.LOG_EVENTS.crashRecordCleared, { fingerprint });
   }
 
@@ -190,10 +193,12 @@
   #addEvidence(fingerprint: string, upstream: string, evidence: CrashEvidence): boolean {
     const entry = this.#getOrCreateEntry(fingerprint);
     const known = entry.upstreams.get(upstream);
-    const isStronger = known === undefined || known.weight < evidence.weight;
+    const factor = this.hasSucceededLately(fingerprint) ? SUCCESS_DISCOUNT : 1;
+    const weight = evidence.weight * factor;
+    const isStronger = known === undefined || known.weight < weight;
     const hasRoom = known !== undefined || entry.upstreams.size < format.MAX_UPSTREAMS_PER_RECORD;
     if (!isStronger || !hasRoom) return false;
-    entry.upstreams.set(upstream, evidence);
+    entry.upstreams.set(upstream, { weight, at: evidence.at });
     entry.changedAt = this.#clock.now();
     entry.gossipRoundsLeft = GOSSIP_ROUNDS_PER_CHANGE;
     const hasQuarantineWeight = this.#computeWeight(fingerprint) >= QUARANTINE_WEIGHT;
@@ -210,6 +215,21 @@
     this.#log.write(events.LOG_EVENTS.fingerprintQuarantined, { fingerprint, upstreams });
   }
 
+  /**
+   * Leaves out requests that succeeded lately, unless all did. A request that crashes each upstream that
+   * runs it never succeeds; one that many callers send may be in flight at every crash.
+   */
+  #listImplicated(fingerprints: readonly string[]): readonly string[] {
+    const unique = [...new Set(fingerprints)];
+    const suspicious = unique.filter((fingerprint) => !this.hasSucceededLately(fingerprint));
+    return suspicious.length > 0 ? suspicious : unique;
+  }
+
+  hasSucceededLately(fingerprint: string): boolean {
+    const succeededAt = this.#succeededAt.get(fingerprint);
+    return succeededAt !== undefined && this.#clock.now() - succeededAt < ENTRY_LIFETIME_MS;
+  }
+
   #recordReceived(fingerprint: string, upstream: string, weight: number): void {
     this.#log.write(events.LOG_EVENTS.crashRecordReceived, { fingerprint, upstream, weight });
   }
@@ -272,15 +292,16 @@
   merge(payload: readonly format.SentRecord[]): void {
     const now = this.#clock.now();
     for (const [fingerprint, isQuarantined, upstreams] of payload) {
-      const clearedAt = this.#clearedAt.get(fingerprint) ?? -Infinity;
+      const succeededAt = this.#succeededAt.get(fingerprint) ?? -Infinity;
       const recent = upstreams.filter(
-        ([, , ageMs]) => now - ageMs > clearedAt && ageMs < ENTRY_LIFETIME_MS,
+        ([, , ageMs]) => now - ageMs > succeededAt && ageMs < ENTRY_LIFETIME_MS,
       );
       for (const [upstream, weight, ageMs] of recent) {
         const isNew = this.#addEvidence(fingerprint, upstream, { weight, at: now - ageMs });
         if (isNew) this.#recordReceived(fingerprint, upstream, weight);
       }
-      if (isQuarantined && recent.length > 0) this.#markQuarantined(fingerprint);
+      if (!isQuarantined || recent.length === 0) continue;
+      if (!this.hasSucceededLately(fingerprint)) this.#markQuarantined(fingerprint);
     }
   }
 }
--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -152,7 +152,7 @@
   #findHoldReason(call: types.ServedCall): runHolds.HoldReason | undefined {
     const { crashes, holds } = this.#options;
     const fingerprint = this.#getFingerprint(call);
-    if (!holds.has(fingerprint)) return undefined;
+    if (!holds.has(fingerprint) || crashes.hasSucceededLately(fingerprint)) return undefined;
     const crashCount = crashes.findRecord(fingerprint)?.[2].length ?? 0;
     return holds.findReason(fingerprint, crashCount);
   }
@@ -221,14 +221,17 @@
     this.#removeIfIdle(start);
   }
 
-  /** Holds the request back until the outcome of a run is known, unless the run had begun to answer. */
+  /**
+   * Holds the request back until the outcome of a run is known, unless the run had begun to answer or the request
+   * completed lately.
+   */
   #markUnsettled({ start, run, hold }: SuspectRun): void {
-    if (run.hasEvents) {
+    const { crashes, holds } = this.#options;
+    const { fingerprint } = run;
+    if (run.hasEvents || crashes.hasSucceededLately(fingerprint)) {
       hold?.settle();
       return;
     }
-    const { holds } = this.#options;
-    const { fingerprint } = run;
     const unsettled = hold ?? holds.add(fingerprint, start.name, PROBE_INTERVAL_MS);
     unsettled.markUnsettled();
     run.onSettled = () => {
--- a/test/request/crash-records.test.ts
+++ b/test/request/crash-records.test.ts
@@ -57,6 +57,27 @@
     earl.expect(other.isQuarantined(harmless)).toEqual(false);
   });
 
+  // Guards against refusing a harmless request that many callers send, because it was in flight at every crash.
+  test.it("does not quarantine or suspect a request that completed lately", async () => {
+    const { fleet, crashes, fingerprint, first, second } = createCrashes();
+    const popular = fingerprint("popular");
+    const crashingRequest = fingerprint("poison");
+    crashes.recordSuccess(popular);
+    const other = second.kernel.use("crashes");
+    for (const name of ["u1", "u2", "u3"]) {
+      crashes.recordCrash(name, [popular]);
+      crashes.recordCrash(name, [popular, crashingRequest]);
+      other.recordCrash(name, [popular]);
+    }
+    const payload = second.gossip.get("crashes")?.create();
+    first.gossip.get("crashes")?.onReceive(payload, { vm: "b", incarnation: 1 });
+    earl.expect(crashes.listQuarantined()).toEqual([crashingRequest]);
+    earl.expect(crashes.isSuspect(popular)).toEqual(false);
+    await fleet.clock.advance(600_000);
+    for (const name of ["u4", "u5"]) crashes.recordCrash(name, [popular]);
+    earl.expect(crashes.isQuarantined(popular)).toEqual(true);
+  });
+
   test.it("adds up crashes reported by different nodes", () => {
     const { crashes, fingerprint, first, second } = createCrashes();
     const crashingRequest = fingerprint("poison");
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -34,6 +34,7 @@
     computeFingerprint: (caller, service, body) => `${caller} ${service} ${body.toString()}`,
     recordCrash: () => undefined,
     hasCrashed: () => false,
+    hasSucceededLately: () => false,
     isSuspect: () => false,
     recordProgress: () => undefined,
     recordSuccess: () => undefined,
