Send a request that ends its runners in the soak

No fault of the soak ended a runner under a request, so it could not show the incident BUDGET.

A caller sends such a request at random gateways every 250 ms. The check counts its arrivals at runners later than 3 s after the third end, through gateways without a fault in the 3 s before; more than 3 are a violation.

--- a/standins/soak/callers.ts
+++ b/standins/soak/callers.ts
@@ -48,6 +48,7 @@
   kind: CallKind,
   agent: http.Agent | false,
   abortAfterMs?: number,
+  body = "body",
 ): Promise<CallRecord> {
   lastCallNumber += 1;
   const record: CallRecord = {
@@ -98,7 +99,7 @@
       record.endedAt = performance.now();
       resolve(record);
     });
-    request.end("body");
+    request.end(body);
   });
 }
 
--- a/standins/soak/child-main.ts
+++ b/standins/soak/child-main.ts
@@ -66,8 +66,16 @@
   prefill: () => startEngine("prefill"),
   decode: () => startEngine("decode"),
   plain: (id, seed) =>
-    plainRunner.startPlainRunner(id, seed, (call) => {
-      sendEvent({ kind: "ran", call });
+    plainRunner.startPlainRunner(id, seed, {
+      onRan: (call) => {
+        sendEvent({ kind: "ran", call });
+      },
+      onCrashArrived: (call) => {
+        sendEvent({ kind: "crashArrived", call });
+      },
+      onCrash: (call) => {
+        process.send?.({ kind: "crashed", call }, () => process.exit(1));
+      },
     }),
 };
 
--- a/standins/soak/children.ts
+++ b/standins/soak/children.ts
@@ -2,9 +2,12 @@
 import * as url from "node:url";
 import * as processes from "../processes.js";
 
-/** Message from a runner: a request started to run, or was cancelled while it ran. */
+/**
+ * Message from a runner: a request started to run, or was cancelled while it ran; a request that ends its runners
+ * arrived, or ends this one.
+ */
 export interface RunnerEvent {
-  readonly kind: "ran" | "cancelled";
+  readonly kind: "ran" | "cancelled" | "crashArrived" | "crashed";
   readonly call: string;
 }
 
--- a/standins/soak/faults.ts
+++ b/standins/soak/faults.ts
@@ -60,10 +60,12 @@
   const kill = setTimeout(() => {
     gateway.process.sendSignal("SIGKILL");
   }, SHUTDOWN_GRACE_MS);
-  await gateway.process.exited;
-  clearTimeout(kill);
-  await sleep(downMs);
-  await cluster.restartGateway(gateway);
+  await cluster.disturb([gateway], async () => {
+    await gateway.process.exited;
+    clearTimeout(kill);
+    await sleep(downMs);
+    await cluster.restartGateway(gateway);
+  });
 }
 
 /** Starts a new runner with the role of the given one. */
@@ -115,9 +117,11 @@
     const gateway = chooseGateway(cluster, source);
     if (gateway === undefined) return;
     gateway.state = soakCluster.GATEWAY_STATE.paused;
-    gateway.process.sendSignal("SIGSTOP");
-    await sleep(chooseDuration(source));
-    gateway.process.sendSignal("SIGCONT");
+    await cluster.disturb([gateway], async () => {
+      gateway.process.sendSignal("SIGSTOP");
+      await sleep(chooseDuration(source));
+      gateway.process.sendSignal("SIGCONT");
+    });
     gateway.state = soakCluster.GATEWAY_STATE.up;
   },
   changeSettings: async (cluster, source) => {
@@ -179,25 +183,34 @@
     if (runner !== undefined) await degradeRelay(runner.relay, { delayMs }, chooseDuration(source));
   },
   resetCallers: async (cluster, source) => {
-    chooseGateway(cluster, source)?.front.reset();
-    await sleep(chooseDuration(source));
+    const gateway = chooseGateway(cluster, source);
+    gateway?.front.reset();
+    await cluster.disturb(gateway === undefined ? [] : [gateway], () =>
+      sleep(chooseDuration(source)),
+    );
   },
   silenceStore: async (cluster, source) => {
-    chooseGateway(cluster, source)?.store.silence();
-    await sleep(chooseDuration(source));
+    const gateway = chooseGateway(cluster, source);
+    gateway?.store.silence();
+    await cluster.disturb(gateway === undefined ? [] : [gateway], () =>
+      sleep(chooseDuration(source)),
+    );
   },
   cutStoreOneWay: async (cluster, source) => {
     const gateway = chooseGateway(cluster, source);
     const droppedDirection = relays.DIRECTION.near;
-    if (gateway !== undefined)
-      await degradeRelay(gateway.store, { droppedDirection }, chooseDuration(source));
+    if (gateway === undefined) return;
+    const durationMs = chooseDuration(source);
+    await cluster.disturb([gateway], () =>
+      degradeRelay(gateway.store, { droppedDirection }, durationMs),
+    );
   },
   /** Makes the store unavailable: it returns 503 or does not respond. */
   stopStore: async (cluster, source) => {
     const { busy, silent, sound } = store.STORE_MODE;
     const mode = source.nextInteger(2) === 0 ? busy : silent;
     cluster.sendStoreCommand({ kind: "mode", mode });
-    await sleep(chooseDuration(source));
+    await cluster.disturb(cluster.gateways, () => sleep(chooseDuration(source)));
     cluster.sendStoreCommand({ kind: "mode", mode: sound });
   },
   compactStore: async (cluster, source) => {
--- a/standins/soak/main.ts
+++ b/standins/soak/main.ts
@@ -11,7 +11,7 @@
 const MS_PER_MINUTE = 60_000;
 const SEED_RANGE = 1_000_000;
 
-type PlannedRun = Pick<seeds.KeptSeed, "seed" | "seconds">;
+type PlannedRun = Omit<seeds.KeptSeed, "cause">;
 
 function printResult(result: soak.SoakResult): void {
   const { seed, requests, faults, servedShare, violations } = result;
@@ -38,17 +38,29 @@
       defaultValue: () => 10,
       description: "length of the faults of one seed",
     }),
+    withoutCrashingCaller: cmd.flag({
+      long: "without-crashing-caller",
+      description: "without the caller whose request ends its runners, as the older kept seeds",
+    }),
   },
-  handler: async ({ seed, minutes, seconds }) => {
+  handler: async ({ seed, minutes, seconds, withoutCrashingCaller }) => {
+    const hasCrashingCaller = !withoutCrashingCaller;
     const endsAt = performance.now() + minutes * MS_PER_MINUTE;
-    const plannedRuns = seed === undefined ? [...seeds.KEPT_SEEDS] : [{ seed, seconds }];
+    const plannedRuns =
+      seed === undefined ? [...seeds.KEPT_SEEDS] : [{ seed, seconds, hasCrashingCaller }];
     const next = (): PlannedRun | undefined => {
       if (minutes === 0) return plannedRuns.shift();
       const isOver = performance.now() >= endsAt;
-      return isOver ? undefined : { seed: crypto.randomInt(SEED_RANGE), seconds };
+      return isOver
+        ? undefined
+        : { seed: crypto.randomInt(SEED_RANGE), seconds, hasCrashingCaller };
     };
     for (let current = next(); current !== undefined; current = next()) {
-      const result = await soak.runSoak(current.seed, current.seconds * MS_PER_S);
+      const result = await soak.runSoak(
+        current.seed,
+        current.seconds * MS_PER_S,
+        current.hasCrashingCaller ?? false,
+      );
       printResult(result);
       if (result.violations.length > 0) process.exitCode = 1;
     }
--- a/standins/soak/plain-runner.ts
+++ b/standins/soak/plain-runner.ts
@@ -20,16 +20,35 @@
   return `answer to ${call} by ${runner}\n`.repeat(20);
 }
 
-/** Starts a runner and returns its address. `onRan` is called when a call starts to run. */
+/** Body of the request that ends its runners. */
+export const CRASHING_BODY = "crash";
+
+/** Receives what happens to the calls of a runner. */
+export interface CallObserver {
+  /** A call starts to run. */
+  readonly onRan: (call: string) => void;
+  /** The request that ends its runners arrived. */
+  readonly onCrashArrived: (call: string) => void;
+  /** The request that ends its runners starts to run; must end the process. */
+  readonly onCrash: (call: string) => void;
+}
+
+/** Starts a runner and returns its address. */
 export async function startPlainRunner(
   id: string,
   seed: number,
-  onRan: (call: string) => void,
+  observer: CallObserver,
 ): Promise<string> {
   const source = random.createSeededRandom(seed);
   const server = http.createServer((request, response) => {
-    request.resume();
+    let body = "";
+    request.on("data", (chunk: Buffer) => {
+      body += chunk.toString("latin1");
+    });
     request.once("end", () => {
+      const call = String(request.headers["request-id"]);
+      if (body === CRASHING_BODY) observer.onCrashArrived(call);
+      const onRan = body === CRASHING_BODY ? observer.onCrash : observer.onRan;
       handleCall(id, source, request, response, onRan);
     });
   });
--- a/standins/soak/soak-cluster.ts
+++ b/standins/soak/soak-cluster.ts
@@ -22,6 +22,8 @@
  * expires after about three heartbeats.
  */
 const ENTRY_TTL_MS = 2_000;
+/** Time from the end of a runner under a request to the start of its replacement. */
+const RUNNER_RESTART_MS = 1_000;
 const START_TIMEOUT_MS = 10_000;
 const POLL_INTERVAL_MS = 50;
 
@@ -36,6 +38,12 @@
 /** The state of a gateway's process. */
 export const GATEWAY_STATE = { up: "up", paused: "paused", down: "down" } as const;
 
+/** A time span in which a gateway is disturbed. */
+export interface Disturbance {
+  readonly from: number;
+  to: number;
+}
+
 /** A gateway with its relays. */
 export interface Gateway {
   readonly name: string;
@@ -48,6 +56,8 @@
   process: processes.ManagedProcess;
   /** Time at which the process was last started. */
   startedAt: number;
+  /** Faults at the gateway or its connections; its start counts as one. */
+  readonly disturbances: Disturbance[];
   state: (typeof GATEWAY_STATE)[keyof typeof GATEWAY_STATE];
 }
 
@@ -65,12 +75,20 @@
   readonly at: number;
 }
 
+/** What was observed of the request that ends its runners. */
+export interface CrashObservations {
+  readonly arrivals: { readonly call: string; readonly at: number }[];
+  readonly crashedAt: number[];
+}
+
 /** All processes and relays of a soak. */
 export class SoakCluster implements AsyncDisposable {
   readonly gateways: Gateway[] = [];
   readonly runners = new Map<string, Runner>();
   /** Runs by request id. */
   readonly runs = new Map<string, ObservedRun[]>();
+  /** The request that ends its runners: its arrivals, and the times at which runners ended. */
+  readonly crashing: CrashObservations = { arrivals: [], crashedAt: [] };
   /** Times at which runs were cancelled, by request id. */
   readonly cancelled = new Map<string, number>();
   readonly #store: children.Child;
@@ -159,6 +177,14 @@
     await fs.writeFile(gateway.settingsPath, text);
   }
 
+  /** Runs a fault at gateways and records its time span. */
+  async disturb(gateways: readonly Gateway[], fault: () => Promise<void>): Promise<void> {
+    const disturbance: Disturbance = { from: performance.now(), to: Infinity };
+    for (const gateway of gateways) gateway.disturbances.push(disturbance);
+    await fault();
+    disturbance.to = performance.now();
+  }
+
   /** Returns the peer address of the gateway with this number. */
   formatSeed(number: number): string {
     return `127.${this.#network}.0.${number}:${examples.PORTS.control}`;
@@ -199,6 +225,15 @@
 
   #recordEvent(runner: string, event: children.RunnerEvent): void {
     const at = performance.now();
+    if (event.kind === "crashArrived") {
+      this.crashing.arrivals.push({ call: event.call, at });
+      return;
+    }
+    if (event.kind === "crashed") {
+      this.crashing.crashedAt.push(at);
+      void this.#restartRunner(runner);
+      return;
+    }
     if (event.kind === "cancelled") {
       this.cancelled.set(event.call, at);
       return;
@@ -208,6 +243,15 @@
     this.runs.set(event.call, runs);
   }
 
+  /** Replaces a runner that ended by itself, some time later. */
+  async #restartRunner(id: string): Promise<void> {
+    const runner = this.runners.get(id);
+    if (runner === undefined) return;
+    await this.killRunner(runner);
+    await new Promise((resolve) => setTimeout(resolve, RUNNER_RESTART_MS));
+    await this.addRunner(runner.role);
+  }
+
   #publishRunner(runner: Runner, state: string): void {
     const { id, role, relay } = runner;
     const changes = role === "plain" ? {} : { service: "model", stage: role, slots: 16 };
@@ -230,7 +274,9 @@
     await fs.writeFile(settingsPath, text);
     const state = GATEWAY_STATE.up;
     const startedAt = performance.now();
-    this.gateways.push({ ...gateway, process: this.#spawnGateway(gateway), startedAt, state });
+    const child = this.#spawnGateway(gateway);
+    const disturbances = [{ from: startedAt, to: startedAt }];
+    this.gateways.push({ ...gateway, process: child, startedAt, disturbances, state });
   }
 
   #spawnGateway(gateway: Pick<Gateway, "name" | "settingsPath">): processes.ManagedProcess {
--- a/standins/soak/soak.ts
+++ b/standins/soak/soak.ts
@@ -4,6 +4,7 @@
  * shutdown.
  */
 import * as callers from "./callers.js";
+import * as crashingCallers from "./crashing-caller.js";
 import * as faults from "./faults.js";
 import * as guaranteeChecks from "./guarantee-checks.js";
 import * as soakCluster from "./soak-cluster.js";
@@ -51,13 +52,25 @@
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
 
-/** Runs the soak of one seed. */
-export async function runSoak(seed: number, durationMs: number): Promise<SoakResult> {
+/**
+ * Runs the soak of one seed.
+ *
+ * @param hasCrashingCaller - whether a caller sends a request that ends its runners.
+ */
+export async function runSoak(
+  seed: number,
+  durationMs: number,
+  hasCrashingCaller: boolean,
+): Promise<SoakResult> {
   await using cluster = await soakCluster.SoakCluster.start(CLUSTER_SIZE);
   const plan = faults.createPlan(seed, durationMs, FAULT_INTERVAL_MS);
   const faultPhaseCallers = new callers.Callers(cluster, CALLER_COUNT, seed);
+  const crashingCaller = hasCrashingCaller
+    ? new crashingCallers.CrashingCaller(cluster, seed)
+    : undefined;
   await faults.runPlan(cluster, plan);
   await faultPhaseCallers.stop();
+  await crashingCaller?.stop();
   await sleep(RECOVERY_MS);
   const recoveryPhaseCallers = new callers.Callers(cluster, CALLER_COUNT, seed);
   await sleep(RECOVERY_CHECK_MS);
@@ -67,6 +80,7 @@
   await sleep(EVENT_DELIVERY_MS);
   const records = [...faultPhaseCallers.records, ...recoveryPhaseCallers.records];
   violations.push(...guaranteeChecks.listViolations({ records, runs: cluster.runs }));
+  violations.push(...(crashingCaller?.listViolations() ?? []));
   const servedShare = guaranteeChecks.computeServedShare(recoveryPhaseCallers.records);
   if (servedShare < MIN_SERVED_SHARE)
     violations.push(`RECOVER: share ${servedShare.toFixed(3)} served after recovery`);
