Charge the retry budget for each request that a retry repeats

Suspected, not seen by callers: runners get more repeats than the retry budget allows (BUDGET) while many streams break.

Cause: a model request that breaks off after its prefill repeats the prefill and the decode, two requests beyond the first, and took one retry from the budget.

Change: a retry costs as many as it repeats; what is missing is owed, so that a small VM's bucket of about one retry still allows it.

The new tests describe the cost; without the change a retry after a broken decode costs 1.

--- a/src/request/retry-budget.ts
+++ b/src/request/retry-budget.ts
@@ -46,13 +46,16 @@
     this.#addRetries(this.#limits.retriesPerCall);
   }
 
-  /** Takes one retry from the budget. Returns whether one was available. */
-  reserve(): boolean {
+  /**
+   * Takes a retry from the budget if one is available; returns whether it was. A retry that sends several
+   * requests costs as many, and what is missing is owed.
+   */
+  reserve(cost = 1): boolean {
     const now = this.#clock?.now() ?? 0;
     this.#addRetries((now - this.#refilledAt) * this.#limits.retriesPerMs);
     this.#refilledAt = now;
     if (this.#available < 1) return false;
-    this.#available -= 1;
+    this.#available -= cost;
     return true;
   }
 
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -146,6 +146,7 @@
     if (refusal !== undefined) return createHeldResult(refusal);
     const leftMs = call.deadlineAt - clock.now();
     if (leftMs <= 0) return { kind: "notRun", reason: "no time left", excluded: undefined };
+    progress.recordDecodeSent();
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
     using trackedRun = this.#options.crashDetector.add(call, runner);
     const options = {
--- a/src/serving/model-progress.ts
+++ b/src/serving/model-progress.ts
@@ -39,6 +39,8 @@
   #prefilled: PrefilledPrompt | undefined;
   #lastEventAt: number | undefined;
   #cachedBy: string | undefined;
+  #hasSentPrefill = false;
+  #hasSentDecode = false;
 
   constructor(call: types.ServedCall) {
     this.#call = call;
@@ -72,6 +74,20 @@
 
   recordPrefillSent(runnerId: string): void {
     this.#cachedBy = runnerId;
+    this.#hasSentPrefill = true;
+  }
+
+  recordDecodeSent(): void {
+    this.#hasSentDecode = true;
+  }
+
+  /**
+   * Number of requests that another placement sends beyond the first of each step; at least one, since the
+   * failed placement sent one to no avail.
+   */
+  get retryCost(): number {
+    const repeatsPrefill = this.#hasSentPrefill && this.#prefilled === undefined;
+    return Math.max(1, Number(repeatsPrefill) + Number(this.#hasSentDecode));
   }
 
   /** Monotonic time at which the last event was sent to the caller. */
--- a/src/serving/model-serving.ts
+++ b/src/serving/model-serving.ts
@@ -170,7 +170,11 @@
 
   #canRetry(call: types.ServedCall, progress: modelProgress.ModelProgress): boolean {
     const hasTime = this.#options.clock.now() < call.deadlineAt;
-    return progress.retryable && hasTime && this.#options.budgets.reserve(call.service.name);
+    return (
+      progress.retryable &&
+      hasTime &&
+      this.#options.budgets.reserve(call.service.name, progress.retryCost)
+    );
   }
 
   #recordRetry(
--- a/src/serving/retry-budgets.ts
+++ b/src/serving/retry-budgets.ts
@@ -36,11 +36,15 @@
     this.#getOrCreateBudget(service).recordCall();
   }
 
-  /** Takes one retry from the budget; returns whether one was left. */
-  reserve(service: string): boolean {
+  /**
+   * Takes a retry from the budget; returns whether one was left.
+   *
+   * @param cost - number of requests that the retry sends to runners beyond the first of the call.
+   */
+  reserve(service: string, cost = 1): boolean {
     const budget = this.#getOrCreateBudget(service);
     budget.setLimits(this.#computeLimits());
-    return budget.reserve();
+    return budget.reserve(cost);
   }
 
   #getOrCreateBudget(service: string): retryBudget.RetryBudget {
--- a/test/serving/retry-budgets.test.ts
+++ b/test/serving/retry-budgets.test.ts
@@ -11,6 +11,21 @@
  * the retries of all VMs together must stay within the budget.
  */
 test.describe("RetryBudgets", () => {
+  test.it("charges a retry for all requests that it sends", async () => {
+    const clock = fakeClock.createFakeClock();
+    const budgets = new retryBudgets.RetryBudgets(
+      () => ({ ratio: 0, slack: 10, windowMs: 10_000 }),
+      clock,
+      () => 1,
+    );
+    const reserved = [2, 2, 1].map((cost) => budgets.reserve("model", cost));
+    earl.expect(reserved).toEqual([true, true, false]);
+    await clock.advance(2_000);
+    earl.expect(budgets.reserve("model")).toEqual(false);
+    await clock.advance(1_000);
+    earl.expect(budgets.reserve("model")).toEqual(true);
+  });
+
   test.it("limits the total retries of all VMs to the budget in every window", async () => {
     const clock = fakeClock.createFakeClock();
     const vms = Array.from({ length: VM_COUNT }, () => {
