Clear a suspected request at all VMs when it completes at one

Callers of a harmless request would have been refused at one VM for ten minutes while the other VMs served it.

Cause: a success cleared the record only where it was seen. A VM that had started lately, had seen no success yet and lost two runners with the request in flight kept it under quarantine.

Change: the success of a suspected request is announced; a VM that is told of a quarantine announces a success that it saw lately.

The unit test of a success at a peer is new.

--- a/src/caller/types.ts
+++ b/src/caller/types.ts
@@ -134,6 +134,10 @@
   listRecords(limit: number): readonly crashRecordFormat.SentRecord[];
   /** Adds the evidence of a peer. */
   merge(records: readonly crashRecordFormat.SentRecord[]): void;
-  /** Calls `listener` with each fingerprint that a crash seen by this node implicates. */
+  /** Returns the last success of a fingerprint in its format for peers. */
+  findSuccess(fingerprint: string): crashRecordFormat.SentSuccess | undefined;
+  /** Clears the requests that succeeded at a peer. */
+  mergeSuccesses(successes: readonly crashRecordFormat.SentSuccess[]): void;
+  /** Calls `listener` with each fingerprint that a crash seen by this node implicates, or a success clears. */
   onChange(listener: (fingerprint: string) => void): void;
 }
--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -34,7 +34,8 @@
   await Promise.all([server.start(), auxiliary.start()]);
   sync.start();
   void kernel.use("liveSettings").run();
-  void startMembership(kernel);
+  void kernel.use("membership").start();
+  void crashes.start(PEER_WAIT_MS);
   void kernel.use("engineReportPoller").run();
   void kernel.use("stageReconciler").run();
   const { vm, zone } = kernel.use("settings");
@@ -56,11 +57,6 @@
 /** Time for which a starting VM waits for a peer; peers contact a seed that restarts within it. */
 const PEER_WAIT_MS = 1_000;
 
-async function startMembership(kernel: container.Kernel): Promise<void> {
-  await kernel.use("membership").start();
-  await kernel.use("crashRecordSync").start(PEER_WAIT_MS);
-}
-
 function createCallerServer(
   kernel: container.Kernel,
   isReady: () => boolean,
--- a/src/request/crash-record-format.ts
+++ b/src/request/crash-record-format.ts
@@ -16,5 +16,11 @@
     .max(MAX_UPSTREAMS_PER_RECORD),
 ]);
 
+/** A request that completed although it was suspected: its fingerprint, and the age of the success in milliseconds. */
+export const successSchema = zod.tuple([zod.string().length(16), zod.number().min(0)]);
+
+/** A success in a message. */
+export type SentSuccess = zod.infer<typeof successSchema>;
+
 /** A crash record in a message. */
 export type SentRecord = zod.infer<typeof recordSchema>;
--- a/src/request/crash-record-sync.ts
+++ b/src/request/crash-record-sync.ts
@@ -37,7 +37,11 @@
 const ANNOUNCE = network.createPeerCall(
   46,
   "announce-crashes",
-  zod.object({ records: recordsSchema, holds: holdsSchema }),
+  zod.object({
+    records: recordsSchema,
+    holds: holdsSchema,
+    successes: zod.array(format.successSchema).max(MAX_RECORDS),
+  }),
   zod.object({}),
 );
 
@@ -78,7 +82,8 @@
     this.#membership = kernel.use("membership");
     this.#crashes = kernel.use("crashes");
     this.#holds = kernel.use("runHolds");
-    this.#network.onCall(ANNOUNCE, ({ records, holds }) => {
+    this.#network.onCall(ANNOUNCE, ({ records, holds, successes }) => {
+      this.#crashes.mergeSuccesses(successes);
       this.#crashes.merge(records);
       this.#holds.merge(holds);
       return {};
@@ -184,8 +189,10 @@
   #sendChanges(): void {
     const { fingerprints, holds } = this.#changed;
     const records = [...fingerprints].map((fingerprint) => this.#crashes.findRecord(fingerprint));
+    const successes = [...fingerprints].map((changed) => this.#crashes.findSuccess(changed));
     const changes = {
       records: records.filter((record) => record !== undefined).slice(0, MAX_RECORDS),
+      successes: successes.filter((success) => success !== undefined).slice(0, MAX_RECORDS),
       holds: [...holds]
         .map((id) => this.#holds.find(id))
         .filter((hold) => hold !== undefined)
--- a/src/request/crash-records.ts
+++ b/src/request/crash-records.ts
@@ -110,7 +110,7 @@
       this.#addEvidence(fingerprint, upstream, { weight, at: this.#clock.now() });
       if (isPrimeSuspect && isConclusive && !this.hasSucceededLately(fingerprint))
         this.#markQuarantined(fingerprint);
-      for (const listener of this.#listeners) listener(fingerprint);
+      this.#notifyListeners(fingerprint);
     }
   }
 
@@ -130,6 +130,7 @@
   recordSuccess(fingerprint: string): void {
     this.#succeededAt.set(fingerprint, this.#clock.now());
     if (!this.#entries.delete(fingerprint)) return;
+    this.#notifyListeners(fingerprint);
     this.#log.write(events.LOG_EVENTS.crashRecordCleared, { fingerprint });
   }
 
@@ -289,6 +290,25 @@
     return [...quarantined, ...suspects].slice(0, limit);
   }
 
+  findSuccess(fingerprint: string): format.SentSuccess | undefined {
+    const succeededAt = this.#succeededAt.get(fingerprint);
+    return succeededAt === undefined ? undefined : [fingerprint, this.#clock.now() - succeededAt];
+  }
+
+  mergeSuccesses(successes: readonly format.SentSuccess[]): void {
+    for (const [fingerprint, ageMs] of successes) {
+      const succeededAt = this.#clock.now() - ageMs;
+      if (succeededAt <= (this.#succeededAt.get(fingerprint) ?? -Infinity)) continue;
+      this.#succeededAt.set(fingerprint, succeededAt);
+      if (this.#entries.delete(fingerprint))
+        this.#log.write(events.LOG_EVENTS.crashRecordCleared, { fingerprint });
+    }
+  }
+
+  #notifyListeners(fingerprint: string): void {
+    for (const listener of this.#listeners) listener(fingerprint);
+  }
+
   merge(payload: readonly format.SentRecord[]): void {
     const now = this.#clock.now();
     for (const [fingerprint, isQuarantined, upstreams] of payload) {
@@ -301,7 +321,8 @@
         if (isNew) this.#recordReceived(fingerprint, upstream, weight);
       }
       if (!isQuarantined || recent.length === 0) continue;
-      if (!this.hasSucceededLately(fingerprint)) this.#markQuarantined(fingerprint);
+      if (this.hasSucceededLately(fingerprint)) this.#notifyListeners(fingerprint);
+      else this.#markQuarantined(fingerprint);
     }
   }
 }
--- a/src/request/crash-tracker.ts
+++ b/src/request/crash-tracker.ts
@@ -10,12 +10,14 @@
 }
 
 const FIRST_SERVER_ERROR = 500;
+/** Statuses of upstreams that did not run the request: timed out, misdirected, too many. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429]);
 
 /**
  * Whether a status shows that the request ran to its end. A failing upstream may answer without running it.
  */
 export function hasCompleted(status: number): boolean {
-  return status < FIRST_SERVER_ERROR;
+  return status < FIRST_SERVER_ERROR && !NOT_RUN_STATUSES.has(status);
 }
 
 interface InFlightCall {
--- a/src/request/run-holds.ts
+++ b/src/request/run-holds.ts
@@ -6,7 +6,7 @@
 import * as zod from "zod";
 import type * as clocks from "../kernel/clock.js";
 import type * as container from "../kernel/container.js";
-import type * as membership from "../membership/types.js";
+import * as membership from "../membership/types.js";
 
 /** State of a run. It only rises. */
 export const RUN_STATE = { inProgress: 0, unsettled: 1, settled: 2 } as const;
@@ -104,7 +104,9 @@
    */
   findReason(fingerprint: string, crashes: number): HoldReason | undefined {
     const open = this.#listOpen(fingerprint);
-    const unsettled = open.filter(({ state }) => state === RUN_STATE.unsettled).length;
+    const unsettled = open.filter(([id, { state }]) => {
+      return state === RUN_STATE.unsettled || this.#isAbandoned(id);
+    }).length;
     if (unsettled > 0 && unsettled + crashes >= MAX_OPEN_OUTCOMES) return HOLD_REASON.unsettled;
     return open.length > unsettled ? HOLD_REASON.inProgress : undefined;
   }
@@ -167,18 +169,25 @@
     this.#idsByFingerprint.set(hold.fingerprint, ids.add(id));
   }
 
-  #listOpen(fingerprint: string): readonly Hold[] {
+  #listOpen(fingerprint: string): readonly (readonly [string, Hold])[] {
     const now = this.#clock.now();
-    return [...(this.#idsByFingerprint.get(fingerprint) ?? [])]
-      .map((id) => this.#holds.get(id))
-      .filter((hold) => hold !== undefined)
-      .filter((hold) => hold.state !== RUN_STATE.settled && hold.expiresAt > now);
+    const open: [string, Hold][] = [];
+    for (const id of this.#idsByFingerprint.get(fingerprint) ?? []) {
+      const hold = this.#holds.get(id);
+      if (hold === undefined || hold.state === RUN_STATE.settled) continue;
+      if (hold.expiresAt > now) open.push([id, hold]);
+    }
+    return open;
   }
 
+  /** Whether the node that ran the request no longer runs, so that nobody will report the outcome. */
   #isAbandoned(id: string): boolean {
     const [vm = "", incarnation = ""] = id.split(" ");
     const member = this.#membership.findMember(vm);
-    return member?.state === "dead" || String(member?.incarnation ?? "") !== incarnation;
+    return (
+      member?.state === membership.MEMBER_STATE.dead ||
+      String(member?.incarnation ?? "") !== incarnation
+    );
   }
 
   #removeExpired(): void {
--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -94,7 +94,7 @@
 }
 
 /** A run with its call, runner start and, if the request is suspected, its hold. */
-interface SuspectRun {
+interface HeldRun {
   readonly call: types.ServedCall;
   readonly start: runnerStarts.RunnerStart;
   readonly run: runnerStarts.Run;
@@ -165,7 +165,7 @@
     const run = runnerStarts.createRun(fingerprint);
     const sentAt = clock.now();
     start.addRun(run);
-    const suspect: SuspectRun = { call, start, run, hold: this.#addHold(fingerprint, start, call) };
+    const held: HeldRun = { call, start, run, hold: this.#addHold(fingerprint, start, call) };
     let isAnswered = true;
     return {
       recordAnswer: () => {
@@ -182,12 +182,12 @@
       handleUnanswered: async (end, error) => {
         if (isUnsent(error)) return;
         isAnswered = false;
-        const settled = this.#handleUnanswered(suspect, end);
+        const settled = this.#handleUnanswered(held, end);
         if (end === UNANSWERED_END.failed) await settled;
       },
       [Symbol.dispose]: () => {
         start.removeRun(run);
-        if (isAnswered) suspect.hold?.settle();
+        if (isAnswered) held.hold?.settle();
         this.#removeIfIdle(start);
       },
     };
@@ -204,28 +204,34 @@
     return holds.add(fingerprint, start.name, call.deadlineAt - clock.now() + PROBE_INTERVAL_MS);
   }
 
-  async #handleUnanswered(suspect: SuspectRun, end: UnansweredEnd): Promise<void> {
-    const { call, start, run } = suspect;
+  async #handleUnanswered(held: HeldRun, end: UnansweredEnd): Promise<void> {
+    const { start, run } = held;
     start.markUnanswered(run);
     const verdict = await this.#settleEnd(start, run, end);
     this.#options.metrics.count("unanswered_runs", { verdict });
-    const { id, bornAt } = start.runner;
-    const fields = { request: call.head.id, fingerprint: run.fingerprint, runner: id, bornAt };
-    this.#options.log.write(logEvents.LOG_EVENTS.runUnanswered, { ...fields, end, verdict });
+    const isExpected = end === UNANSWERED_END.cancelled && verdict === VERDICT.alive;
+    if (!isExpected) this.#reportUnanswered(held, end, verdict);
     if (start.isUnsettled(run)) {
-      this.#markUnsettled(suspect);
+      this.#markUnsettled(held);
       void this.#watch(start);
       return;
     }
-    suspect.hold?.settle();
+    held.hold?.settle();
     this.#removeIfIdle(start);
   }
 
+  #reportUnanswered({ call, start, run }: HeldRun, end: UnansweredEnd, verdict: Verdict): void {
+    const { id, bornAt } = start.runner;
+    const { fingerprint } = run;
+    const fields = { request: call.head.id, fingerprint, runner: id, bornAt, end, verdict };
+    this.#options.log.write(logEvents.LOG_EVENTS.runUnanswered, fields);
+  }
+
   /**
    * Holds the request back until the outcome of a run is known, unless the run had begun to answer or the request
    * completed lately.
    */
-  #markUnsettled({ start, run, hold }: SuspectRun): void {
+  #markUnsettled({ start, run, hold }: HeldRun): void {
     const { crashes, holds } = this.#options;
     const { fingerprint } = run;
     if (run.hasEvents || crashes.hasSucceededLately(fingerprint)) {
@@ -244,14 +250,10 @@
     run: runnerStarts.Run,
     end: UnansweredEnd,
   ): Promise<Verdict> {
-    const { clock } = this.#options;
-    const isRecentlyAnswered = clock.now() - start.lastAnsweredAt < CANCEL_GRACE_MS;
     if (end === UNANSWERED_END.cancelled) {
-      if (!isRecentlyAnswered) await clocks.sleep(clock, CANCEL_GRACE_MS);
-      if (isRecentlyAnswered || !start.isUnsettled(run)) {
-        start.settle(run);
-        return VERDICT.alive;
-      }
+      await clocks.sleep(this.#options.clock, CANCEL_GRACE_MS);
+      start.settleIfOutlived(run);
+      if (!start.isUnsettled(run)) return VERDICT.alive;
     }
     if (start.checkEnded()) {
       this.#recordCrash(start);
@@ -325,7 +327,8 @@
   }
 
   #removeIfIdle(start: runnerStarts.RunnerStart): void {
-    if (start.isIdle) this.#starts.delete(start.name);
+    const isCurrent = this.#starts.get(start.name) === start;
+    if (isCurrent && start.isIdle) this.#starts.delete(start.name);
   }
 
   #getFingerprint(call: types.ServedCall): string {
--- a/src/serving/runner-starts.ts
+++ b/src/serving/runner-starts.ts
@@ -12,6 +12,8 @@
  * Time after an answer until which the registry may still list the previous process at the address.
  */
 const REGISTRY_LAG_MS = 1_500;
+/** Time for which an answer may have been under way when its runner ended. */
+const ANSWER_TRANSIT_MS = 50;
 /** Time after which a run whose outcome remains unknown is forgotten. */
 const UNSETTLED_LIMIT_MS = 30_000;
 
@@ -79,11 +81,6 @@
     return this.#unsettled.size;
   }
 
-  /** Time of the last answer or event of the runner. */
-  get lastAnsweredAt(): number {
-    return this.#lastAnsweredAt;
-  }
-
   isUnsettled(run: Run): boolean {
     return this.#unsettled.has(run);
   }
@@ -127,6 +124,12 @@
     if (this.#unsettled.delete(run)) run.onSettled();
   }
 
+  /** Settles a run if any answer of the runner arrived later than its own end allows for. */
+  settleIfOutlived(run: Run): void {
+    const endedAt = run.endedAt ?? this.#clock.now();
+    if (this.#lastAnsweredAt - endedAt > ANSWER_TRANSIT_MS) this.settle(run);
+  }
+
   /** Settles all unsettled runs because the same process is known to be running. */
   settleAll(): void {
     for (const run of [...this.#unsettled]) this.settle(run);
--- a/test/request/crash-record-sync.test.ts
+++ b/test/request/crash-record-sync.test.ts
@@ -53,6 +53,19 @@
     earl.expect(second.crashes.isSuspect(FINGERPRINT)).toEqual(true);
   });
 
+  // Guards against refusing a harmless request at one VM although it succeeds at the others.
+  test.it("lifts the quarantine of a request that succeeds at a peer", async () => {
+    const fleet = new fakes.FakeFleet();
+    const first = addNode(fleet, "a", 1);
+    const second = addNode(fleet, "b", 2);
+    second.crashes.recordSuccess(FINGERPRINT);
+    for (const name of ["u1", "u2"]) first.crashes.recordCrash(name, [FINGERPRINT]);
+    earl.expect(first.crashes.isQuarantined(FINGERPRINT)).toEqual(true);
+    await fleet.clock.advance(50);
+    earl.expect(second.crashes.isQuarantined(FINGERPRINT)).toEqual(false);
+    earl.expect(first.crashes.isQuarantined(FINGERPRINT)).toEqual(false);
+  });
+
   // Guards against BUDGET: a VM that was cut off never learned what its peers had recorded meanwhile.
   test.it("pulls the records of a peer whose digest differs", async () => {
     const fleet = new fakes.FakeFleet();
--- a/test/request/run-holds.test.ts
+++ b/test/request/run-holds.test.ts
@@ -64,4 +64,13 @@
     const abandoned = [{ upstream: "u1@1", fingerprint: FINGERPRINT }];
     earl.expect(second.listAbandoned()).toEqual(abandoned);
   });
+
+  test.it("does not wait for a run in progress at a node that restarted", () => {
+    const { fleet, first, second } = createPair();
+    first.add(FINGERPRINT, "u1@1", LIFETIME_MS);
+    earl.expect(second.findReason(FINGERPRINT, 0)).toEqual("inProgress");
+    fleet.add("a", "zone-a", 2);
+    earl.expect(second.findReason(FINGERPRINT, 0)).toEqual(undefined);
+    earl.expect(second.findReason(FINGERPRINT, 1)).toEqual("unsettled");
+  });
 });
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -44,6 +44,8 @@
     findRecord: () => undefined,
     listRecords: () => [],
     merge: () => undefined,
+    findSuccess: () => undefined,
+    mergeSuccesses: () => undefined,
     onChange: () => undefined,
   };
 }
