Attribute a crash to the quarantined request that was in flight

Callers of harmless requests were refused (502 for ten minutes, or 503 for up to 30 s) after a request had ended their runners and VMs had restarted.

Cause: the runs that an ended VM had left were recorded one by one, each as the only suspect of its crash; evidence against bystanders stayed when the cause was found; several runs at one silent runner counted as several unknown outcomes, and runs of ended VMs held their request back for 30 s.

Change: the crash of an upstream is attributed to the first quarantined request that was in flight, and evidence against others is withdrawn; runs that VMs left are recorded by upstream; outcomes are counted by upstream, not where a crash is known; runs of ended VMs hold a request back for 5 s. An entry that was missing for a time and came back no longer hides a later crash. The probe of a runner is a module of its own.

--- a/src/request/crash-records.ts
+++ b/src/request/crash-records.ts
@@ -63,6 +63,8 @@
   readonly #clock: clocks.Clock;
   readonly #log: telemetry.EventLog;
   readonly #entries = new lru.LRUCache<string, Entry>({ max: MAX_ENTRIES });
+  /** Quarantined fingerprint to which the crash of an upstream is attributed. */
+  readonly #attributed = new lru.LRUCache<string, string>({ max: MAX_ENTRIES });
   readonly #listeners: ((fingerprint: string) => void)[] = [];
   /** Monotonic time of the last success of a fingerprint. */
   readonly #succeededAt = new lru.LRUCache<string, number>({ max: MAX_ENTRIES });
@@ -86,7 +88,8 @@
   }
 
   recordCrash(upstream: string, fingerprints: readonly string[]): void {
-    const implicatedFingerprints = this.#listImplicated(fingerprints);
+    const implicatedFingerprints = this.#listImplicated(fingerprints, upstream);
+    if (implicatedFingerprints.length === 0) return;
     const earlierCrashes = implicatedFingerprints.map((fingerprint) =>
       this.#countEarlierCrashes(fingerprint, upstream),
     );
@@ -192,6 +195,7 @@
 
   /** Keeps the evidence of highest weight for each upstream. Returns whether the entry changed. */
   #addEvidence(fingerprint: string, upstream: string, evidence: CrashEvidence): boolean {
+    if (this.#isAttributedElsewhere(fingerprint, upstream)) return false;
     const entry = this.#getOrCreateEntry(fingerprint);
     const known = entry.upstreams.get(upstream);
     const factor = this.hasSucceededLately(fingerprint) ? SUCCESS_DISCOUNT : 1;
@@ -200,6 +204,7 @@
     const hasRoom = known !== undefined || entry.upstreams.size < format.MAX_UPSTREAMS_PER_RECORD;
     if (!isStronger || !hasRoom) return false;
     entry.upstreams.set(upstream, { weight, at: evidence.at });
+    if (entry.isQuarantined) this.#recordAttribution(fingerprint, upstream);
     entry.changedAt = this.#clock.now();
     entry.gossipRoundsLeft = GOSSIP_ROUNDS_PER_CHANGE;
     const hasQuarantineWeight = this.#computeWeight(fingerprint) >= QUARANTINE_WEIGHT;
@@ -213,15 +218,37 @@
     entry.isQuarantined = true;
     entry.gossipRoundsLeft = GOSSIP_ROUNDS_PER_CHANGE;
     const upstreams = [...entry.upstreams.keys()];
+    for (const upstream of upstreams) this.#recordAttribution(fingerprint, upstream);
     this.#log.write(events.LOG_EVENTS.fingerprintQuarantined, { fingerprint, upstreams });
   }
 
+  /** Attributes a crash to a quarantined request and withdraws the evidence against all others. */
+  #recordAttribution(fingerprint: string, upstream: string): void {
+    if (this.#attributed.has(upstream)) return;
+    this.#attributed.set(upstream, fingerprint);
+    for (const [other, entry] of [...this.#entries.entries()]) {
+      if (other === fingerprint || entry.isQuarantined) continue;
+      if (entry.upstreams.delete(upstream) && entry.upstreams.size === 0)
+        this.#entries.delete(other);
+    }
+  }
+
+  #isAttributedElsewhere(fingerprint: string, upstream: string): boolean {
+    const attributed = this.#attributed.get(upstream);
+    return attributed !== undefined && attributed !== fingerprint;
+  }
+
   /**
    * Leaves out requests that succeeded lately, unless all did. A request that crashes each upstream that
-   * runs it never succeeds; one that many callers send may be in flight at every crash.
+   * runs it never succeeds; one that many callers send may be in flight at every crash. Returns only quarantined
+   * requests if there are any.
    */
-  #listImplicated(fingerprints: readonly string[]): readonly string[] {
-    const unique = [...new Set(fingerprints)];
+  #listImplicated(fingerprints: readonly string[], upstream: string): readonly string[] {
+    const unique = [...new Set(fingerprints)].filter(
+      (fingerprint) => !this.#isAttributedElsewhere(fingerprint, upstream),
+    );
+    const quarantined = unique.filter((fingerprint) => this.isQuarantined(fingerprint));
+    if (quarantined.length > 0) return quarantined;
     const suspicious = unique.filter((fingerprint) => !this.hasSucceededLately(fingerprint));
     return suspicious.length > 0 ? suspicious : unique;
   }
@@ -314,7 +341,10 @@
     for (const [fingerprint, isQuarantined, upstreams] of payload) {
       const succeededAt = this.#succeededAt.get(fingerprint) ?? -Infinity;
       const recent = upstreams.filter(
-        ([, , ageMs]) => now - ageMs > succeededAt && ageMs < ENTRY_LIFETIME_MS,
+        ([upstream, , ageMs]) =>
+          now - ageMs > succeededAt &&
+          ageMs < ENTRY_LIFETIME_MS &&
+          !this.#isAttributedElsewhere(fingerprint, upstream),
       );
       for (const [upstream, weight, ageMs] of recent) {
         const isNew = this.#addEvidence(fingerprint, upstream, { weight, at: now - ageMs });
--- a/src/request/run-holds.ts
+++ b/src/request/run-holds.ts
@@ -20,8 +20,13 @@
 /** One of the values of `HOLD_REASON`. */
 export type HoldReason = (typeof HOLD_REASON)[keyof typeof HOLD_REASON];
 
-/** Number of unsettled runs and crashes at which a request is held back until a verdict. */
+/** Number of upstreams that crashed or have an unknown outcome at which a request is held back until a verdict. */
 const MAX_OPEN_OUTCOMES = 2;
+/**
+ * Time for which the runs of a node that ended hold requests back; the registry shows by then whether their
+ * upstreams ended too.
+ */
+const ABANDONED_LIMIT_MS = 5_000;
 /** Time after which a run without a verdict no longer holds its request back. */
 const UNSETTLED_LIMIT_MS = 30_000;
 /** Limit on the runs that a node keeps; further ones hold no request back. */
@@ -100,15 +105,25 @@
   /**
    * Returns why the request has to wait, if it does.
    *
-   * @param crashes - number of upstreams that are known to have crashed under the request.
+   * @param crashed - upstreams that are known to have crashed under the request.
    */
-  findReason(fingerprint: string, crashes: number): HoldReason | undefined {
+  findReason(fingerprint: string, crashed: ReadonlySet<string>): HoldReason | undefined {
     const open = this.#listOpen(fingerprint);
-    const unsettled = open.filter(([id, { state }]) => {
-      return state === RUN_STATE.unsettled || this.#isAbandoned(id);
-    }).length;
-    if (unsettled > 0 && unsettled + crashes >= MAX_OPEN_OUTCOMES) return HOLD_REASON.unsettled;
-    return open.length > unsettled ? HOLD_REASON.inProgress : undefined;
+    const isUnknown = ([id, { state }]: readonly [string, Hold]): boolean =>
+      state === RUN_STATE.unsettled || this.#isAbandoned(id);
+    const unknown = new Set(open.filter(isUnknown).map(([, { upstream }]) => upstream));
+    for (const upstream of crashed) unknown.delete(upstream);
+    const isHeldBack = unknown.size > 0 && unknown.size + crashed.size >= MAX_OPEN_OUTCOMES;
+    if (isHeldBack) return HOLD_REASON.unsettled;
+    return open.every(isUnknown) ? undefined : HOLD_REASON.inProgress;
+  }
+
+  /** Shortens the lifetime of the runs of nodes that ended. */
+  expireAbandoned(): void {
+    const limit = this.#clock.now() + ABANDONED_LIMIT_MS;
+    for (const [id, hold] of this.#holds) {
+      if (hold.expiresAt > limit && this.#isAbandoned(id)) hold.expiresAt = limit;
+    }
   }
 
   /** Returns the fingerprints of the unsettled runs at an upstream. */
@@ -118,11 +133,14 @@
       .map(({ fingerprint }) => fingerprint);
   }
 
-  /** Returns the unsettled runs of nodes that no longer run, by upstream and fingerprint. */
-  listAbandoned(): readonly { readonly upstream: string; readonly fingerprint: string }[] {
-    return [...this.#holds]
-      .filter(([id, hold]) => hold.state !== RUN_STATE.settled && this.#isAbandoned(id))
-      .map(([, { upstream, fingerprint }]) => ({ upstream, fingerprint }));
+  /** Returns the fingerprints of the unsettled runs of nodes that no longer run, by upstream. */
+  listAbandoned(): ReadonlyMap<string, readonly string[]> {
+    const abandoned = new Map<string, string[]>();
+    for (const [id, { state, upstream, fingerprint }] of this.#holds) {
+      if (state === RUN_STATE.settled || !this.#isAbandoned(id)) continue;
+      abandoned.set(upstream, [...(abandoned.get(upstream) ?? []), fingerprint]);
+    }
+    return abandoned;
   }
 
   /** Returns a run in its format for peers. */
--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -13,15 +13,13 @@
 import type * as runners from "../runners/types.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
-import * as upstream from "../upstream/types.js";
 import * as answers from "./answers.js";
+import * as runnerProbe from "./runner-probe.js";
 import * as runnerStarts from "./runner-starts.js";
 import type * as types from "./types.js";
 
-/**
- * Time limit of a probe: a crashed process refuses connections at once, and a healthy one answers within this time.
- */
-const PROBE_TIMEOUT_MS = 150;
+const { PROBE_RESULT } = runnerProbe;
+
 /** Interval between two probes of a runner with unsettled runs. */
 const PROBE_INTERVAL_MS = 500;
 /** Time in which the answers to other calls usually show that a runner outlived a cancelled run. */
@@ -71,11 +69,6 @@
   return limit.aborted ? UNANSWERED_END.timedOut : UNANSWERED_END.failed;
 }
 
-/** What is known of a runner after a run ended without an answer. */
-const VERDICT = { crashed: "crashed", alive: "alive", unknown: "unknown" } as const;
-
-type Verdict = (typeof VERDICT)[keyof typeof VERDICT];
-
 /** A run that is tracked until it is disposed of. */
 export interface TrackedRun extends Disposable {
   /** Records the head of the runner's answer. */
@@ -153,8 +146,8 @@
     const { crashes, holds } = this.#options;
     const fingerprint = this.#getFingerprint(call);
     if (!holds.has(fingerprint) || crashes.hasSucceededLately(fingerprint)) return undefined;
-    const crashCount = crashes.findRecord(fingerprint)?.[2].length ?? 0;
-    return holds.findReason(fingerprint, crashCount);
+    const crashed = crashes.findRecord(fingerprint)?.[2].map(([name]) => name);
+    return holds.findReason(fingerprint, new Set(crashed));
   }
 
   /** Starts to track a run of a call on a runner. */
@@ -180,7 +173,7 @@
         if (isCompleted) crashes.recordSuccess(fingerprint);
       },
       handleUnanswered: async (end, error) => {
-        if (isUnsent(error)) return;
+        if (runnerProbe.isUnsent(error)) return;
         isAnswered = false;
         const settled = this.#handleUnanswered(held, end);
         if (end === UNANSWERED_END.failed) await settled;
@@ -209,7 +202,7 @@
     start.markUnanswered(run);
     const verdict = await this.#settleEnd(start, run, end);
     this.#options.metrics.count("unanswered_runs", { verdict });
-    const isExpected = end === UNANSWERED_END.cancelled && verdict === VERDICT.alive;
+    const isExpected = end === UNANSWERED_END.cancelled && verdict === PROBE_RESULT.alive;
     if (!isExpected) this.#reportUnanswered(held, end, verdict);
     if (start.isUnsettled(run)) {
       this.#markUnsettled(held);
@@ -220,7 +213,11 @@
     this.#removeIfIdle(start);
   }
 
-  #reportUnanswered({ call, start, run }: HeldRun, end: UnansweredEnd, verdict: Verdict): void {
+  #reportUnanswered(
+    { call, start, run }: HeldRun,
+    end: UnansweredEnd,
+    verdict: runnerProbe.ProbeResult,
+  ): void {
     const { id, bornAt } = start.runner;
     const { fingerprint } = run;
     const fields = { request: call.head.id, fingerprint, runner: id, bornAt, end, verdict };
@@ -249,28 +246,28 @@
     start: runnerStarts.RunnerStart,
     run: runnerStarts.Run,
     end: UnansweredEnd,
-  ): Promise<Verdict> {
+  ): Promise<runnerProbe.ProbeResult> {
     if (end === UNANSWERED_END.cancelled) {
       await clocks.sleep(this.#options.clock, CANCEL_GRACE_MS);
       start.settleIfOutlived(run);
-      if (!start.isUnsettled(run)) return VERDICT.alive;
+      if (!start.isUnsettled(run)) return PROBE_RESULT.alive;
     }
     if (start.checkEnded()) {
       this.#recordCrash(start);
-      return VERDICT.crashed;
+      return PROBE_RESULT.crashed;
     }
     return await this.#probeAndSettle(start);
   }
 
   /** Probes a runner and settles its runs by the result. */
-  async #probeAndSettle(start: runnerStarts.RunnerStart): Promise<Verdict> {
+  async #probeAndSettle(start: runnerStarts.RunnerStart): Promise<runnerProbe.ProbeResult> {
     const sentAt = this.#options.clock.now();
-    const verdict = await this.#probe(start.runner);
-    if (verdict === VERDICT.crashed) this.#recordCrash(start);
-    else if (verdict === VERDICT.alive) start.settleAll();
-    else if (verdict === "answered") start.recordAnswer(sentAt);
-    if (verdict !== "answered") return verdict;
-    return start.countUnsettled() > 0 ? VERDICT.unknown : VERDICT.alive;
+    const result = await runnerProbe.probeRunner(this.#options, start.runner);
+    if (result === PROBE_RESULT.crashed) this.#recordCrash(start);
+    else if (result === PROBE_RESULT.alive) start.settleAll();
+    else if (result === PROBE_RESULT.answered) start.recordAnswer(sentAt);
+    if (result !== PROBE_RESULT.answered) return result;
+    return start.countUnsettled() > 0 ? PROBE_RESULT.unknown : PROBE_RESULT.alive;
   }
 
   /** Probes a runner at intervals until all of its runs are settled. */
@@ -297,11 +294,13 @@
   /** Records crashes under runs of VMs that ended before they knew of them. */
   #recordAbandonedCrashes(): void {
     const { crashes, holds, runners: table } = this.#options;
-    for (const { upstream: name, fingerprint } of holds.listAbandoned()) {
+    for (const [name, fingerprints] of holds.listAbandoned()) {
       const { id, bornAt } = runnerStarts.parseStart(name);
       if (table.find(id)?.runner.bornAt === bornAt) continue;
-      if (!crashes.hasCrashed(fingerprint, name)) crashes.recordCrash(name, [fingerprint]);
+      const isKnown = fingerprints.every((fingerprint) => crashes.hasCrashed(fingerprint, name));
+      if (!isKnown) crashes.recordCrash(name, fingerprints);
     }
+    holds.expireAbandoned();
   }
 
   /**
@@ -349,33 +348,4 @@
     const target = `${service.name} ${head.method} ${head.target} ${partIds}`;
     return this.#options.crashes.computeFingerprint(callerIp, target, body);
   }
-
-  /**
-   * Probes a runner over a new connection. `answered` means that a process answers that does not
-   * state its start.
-   */
-  async #probe(runner: runners.Runner): Promise<Verdict | "answered"> {
-    const { clock, calls, codec } = this.#options;
-    using limit = clocks.createTimeLimit(clock, PROBE_TIMEOUT_MS);
-    try {
-      const message = { ...codec.formatReport(runner), newConnection: true };
-      const answer = await calls.sendMessage(runner, message, PROBE_TIMEOUT_MS, limit.signal);
-      const { isOtherRunner, bornAt } = codec.parseProbe(answer.status, answer.body);
-      if (isOtherRunner) return VERDICT.crashed;
-      if (bornAt === undefined) return "answered";
-      return bornAt === runner.bornAt ? VERDICT.alive : VERDICT.crashed;
-    } catch (error) {
-      // A runner that does not answer in time may only be slow.
-      const isRefused = isUnsent(error) && !limit.signal.aborted;
-      return isRefused ? VERDICT.crashed : VERDICT.unknown;
-    }
-  }
-}
-
-/** Whether a call failed before it was sent. */
-export function isUnsent(error: unknown): boolean {
-  return (
-    error instanceof upstream.UpstreamError &&
-    error.failure === upstream.UPSTREAM_FAILURE.notConnected
-  );
 }
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -15,6 +15,7 @@
 import * as crashDetector from "./crash-detector.js";
 import * as eventSplitter from "./event-splitter.js";
 import type * as modelProgress from "./model-progress.js";
+import * as runnerProbe from "./runner-probe.js";
 import type * as types from "./types.js";
 
 /**
@@ -127,7 +128,7 @@
       this.#recordFailure(call, place, runner, error);
       // A connection that broke before the timeout is no reason to exclude the runner, which may have the
       // prompt in its cache by now.
-      const isLostResponse = !crashDetector.isUnsent(error) && !isTimedOut;
+      const isLostResponse = !runnerProbe.isUnsent(error) && !isTimedOut;
       const excluded = isLostResponse ? undefined : runner.id;
       return { kind: "notRun", reason: `prefill: ${String(error)}`, excluded };
     }
@@ -174,7 +175,7 @@
       this.#recordFailure(call, place, runner, error);
       const reason = `decode: ${String(error)}`;
       return {
-        kind: crashDetector.isUnsent(error) ? "notRun" : "broken",
+        kind: runnerProbe.isUnsent(error) ? "notRun" : "broken",
         reason,
         excluded: runner.id,
       };
@@ -267,7 +268,7 @@
   ): void {
     if (call.signal.aborted) return;
 
-    if (crashDetector.isUnsent(error)) {
+    if (runnerProbe.isUnsent(error)) {
       this.#options.runners.find(runner.id)?.recordUnreachable();
       this.#options.placement.recordFailedRunner(place.key, runner.id);
     }
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -16,6 +16,7 @@
 import * as crashDetector from "./crash-detector.js";
 import * as plainRunnerChoice from "./plain-runner-choice.js";
 import type * as retryBudgets from "./retry-budgets.js";
+import * as runnerProbe from "./runner-probe.js";
 import type * as types from "./types.js";
 
 /** Maximum size of a response, which is buffered; typical ones have some kilobytes. */
@@ -192,7 +193,7 @@
     error: unknown,
   ): AttemptResult {
     const { log } = this.#options;
-    const isUnsent = crashDetector.isUnsent(error);
+    const isUnsent = runnerProbe.isUnsent(error);
     if (!call.signal.aborted) {
       if (isUnsent) record.recordUnreachable();
       else record.recordResult(false);
--- a/src/serving/runner-starts.ts
+++ b/src/serving/runner-starts.ts
@@ -149,7 +149,10 @@
     const listed = this.#table.find(this.runner.id)?.runner;
     const isListed = listed?.bornAt === this.runner.bornAt;
     if (isListed && listed.leaving) this.#isLeaving = true;
-    if (isListed && !this.#table.isSuperseded(this.runner.id)) return false;
+    if (isListed && !this.#table.isSuperseded(this.runner.id)) {
+      this.#unlistedAt = undefined;
+      return false;
+    }
     this.#unlistedAt ??= this.#clock.now();
     // A runner may leave without notice and serve on after its entry is removed.
     return !this.#isLeaving && this.#lastAnsweredAt < this.#unlistedAt;
--- a/test/request/crash-records.test.ts
+++ b/test/request/crash-records.test.ts
@@ -78,6 +78,19 @@
     earl.expect(crashes.isQuarantined(popular)).toEqual(true);
   });
 
+  // Guards against refusing harmless requests that were in flight at the crashes of a quarantined one.
+  test.it("attributes a crash to the quarantined request that was in flight", () => {
+    const { crashes, fingerprint } = createCrashes();
+    const crashingRequest = fingerprint("poison");
+    const harmless = fingerprint("bystander");
+    crashes.recordCrash("u1", [crashingRequest, harmless, fingerprint("other")]);
+    crashes.recordCrash("u2", [crashingRequest]);
+    crashes.recordCrash("u2", [harmless]);
+    crashes.recordCrash("u3", [harmless, crashingRequest]);
+    earl.expect(crashes.listQuarantined()).toEqual([crashingRequest]);
+    earl.expect(crashes.isSuspect(harmless)).toEqual(false);
+  });
+
   test.it("adds up crashes reported by different nodes", () => {
     const { crashes, fingerprint, first, second } = createCrashes();
     const crashingRequest = fingerprint("poison");
--- a/test/serving/crash-detector.test.ts
+++ b/test/serving/crash-detector.test.ts
@@ -8,6 +8,9 @@
 /** Time after the end of a call within which its runner was probed. */
 const PROBE_MARGIN_MS = 300;
 
+/** Time for which an entry is missing. */
+const ENTRY_GAP_MS = 50;
+
 function createRecords() {
   const crashed: string[] = [];
   const succeeded: string[] = [];
@@ -56,6 +59,32 @@
     earl.expect(crashed).toEqual(["one@1"]);
   });
 
+  test.it(
+    "records the crash of a runner whose entry had been missing for a time before",
+    async () => {
+      const { records, crashed } = createRecords();
+      await using runner = await raw.startRawRunner(
+        "one",
+        (socket, count) => {
+          if (count > 1) socket.write(raw.formatResponse("r1", "whole"));
+        },
+        false,
+      );
+      const table = new runnerTable.RunnerTable(fixture.clock, fixture.log);
+      const plain = fixture.createPlainServing([runner.runner], 0, records, table);
+      const silentCall = fixture.serve(plain, fixture.createCall({ maxAttempts: 1 }));
+      await clocks.sleep(fixture.clock, ENTRY_GAP_MS);
+      table.setRunner("one", undefined);
+      await clocks.sleep(fixture.clock, ENTRY_GAP_MS);
+      table.setRunner("one", runner.runner);
+      await fixture.serve(plain, fixture.createCall({ maxAttempts: 1 }));
+      await silentCall;
+      await clocks.sleep(fixture.clock, PROBE_MARGIN_MS);
+      table.setRunner("one", undefined);
+      earl.expect(crashed).toEqual(["one@1"]);
+    },
+  );
+
   test.it("records no crash when a runner that was silent answers or leaves", async () => {
     const { records, crashed } = createRecords();
     await using healthy = await raw.startRawRunner("one", () => undefined);
