Log the share of the retry budget that a VM uses

Callers see nothing of it. Event 4014 says both when a service is first retried and when the number of VMs changes.

--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -123,6 +123,7 @@
     () => live.current.retryBudget,
     kernel.use("clock"),
     () => countVms(kernel),
+    kernel.use("log"),
   );
 }
 
--- a/src/request/retry-budget.ts
+++ b/src/request/retry-budget.ts
@@ -35,6 +35,11 @@
     this.#refilledAt = clock?.now() ?? 0;
   }
 
+  /** Retries that are available now; negative while some are owed. */
+  get available(): number {
+    return this.#available;
+  }
+
   /** Replaces the limits. Available retries beyond the new capacity are lost. */
   setLimits(limits: RetryBudgetLimits): void {
     this.#limits = limits;
--- a/src/serving/retry-budgets.ts
+++ b/src/serving/retry-budgets.ts
@@ -2,6 +2,8 @@
 import type * as gateway from "../gateway/types.js";
 import type * as clocks from "../kernel/clock.js";
 import * as retryBudget from "../request/retry-budget.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
 
 /**
  * Fraction of the budget that is used. The rest covers VMs that see different member counts for
@@ -19,16 +21,20 @@
   readonly #getSettings: () => gateway.RetryBudgetSettings;
   readonly #clock: clocks.Clock;
   readonly #countVms: () => number;
+  readonly #log: telemetry.EventLog;
+  readonly #loggedVms = new Map<string, number>();
   readonly #budgets = new Map<string, retryBudget.RetryBudget>();
 
   constructor(
     getSettings: () => gateway.RetryBudgetSettings,
     clock: clocks.Clock,
     countVms: () => number,
+    log: telemetry.EventLog,
   ) {
     this.#getSettings = getSettings;
     this.#clock = clock;
     this.#countVms = countVms;
+    this.#log = log;
   }
 
   /** Records a caller's request for a service. */
@@ -44,9 +50,20 @@
   reserve(service: string, cost = 1): boolean {
     const budget = this.#getOrCreateBudget(service);
     budget.setLimits(this.#computeLimits());
+    this.#logShare(service, budget);
     return budget.reserve(cost);
   }
 
+  /** Logs the share of a service when it is first used, and when the number of VMs has changed. */
+  #logShare(service: string, budget: retryBudget.RetryBudget): void {
+    const vms = this.#countVms();
+    if (this.#loggedVms.get(service) === vms) return;
+    this.#loggedVms.set(service, vms);
+    const { maxRetries } = this.#computeLimits();
+    const fields = { service, vms, maxRetries, available: budget.available };
+    this.#log.write(logEvents.LOG_EVENTS.retryShareChanged, fields);
+  }
+
   #getOrCreateBudget(service: string): retryBudget.RetryBudget {
     const known = this.#budgets.get(service);
     if (known !== undefined) return known;
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -52,6 +52,7 @@
   crashRecordReceived: { number: 4011, level: "info", message: "crash record received from peer" },
   crashRecordCleared: { number: 4012, level: "info", message: "crash record cleared" },
   crashPullFailed: { number: 4013, level: "warn", message: "crash record pull from peer failed" },
+  retryShareChanged: { number: 4014, level: "info", message: "share of retry budget changed" },
   logSuppressed: { number: 1005, level: "warn", message: "log entries suppressed" },
   allocatorChanged: { number: 5001, level: "info", message: "allocator of runner changed" },
   orphanCancelled: { number: 5002, level: "warn", message: "orphaned request cancelled on runner" },
--- a/test/serving/retry-budgets.test.ts
+++ b/test/serving/retry-budgets.test.ts
@@ -3,6 +3,7 @@
 import * as retryBudgets from "../../src/serving/retry-budgets.js";
 import * as fakeClock from "../../standins/fake-clock.js";
 
+const LOG = { write: () => undefined };
 const SETTINGS = { ratio: 0.2, slack: 54, windowMs: 10_000 };
 const VM_COUNT = 7;
 
@@ -17,6 +18,7 @@
       () => ({ ratio: 0, slack: 10, windowMs: 10_000 }),
       clock,
       () => 1,
+      LOG,
     );
     const reserved = [2, 2, 1].map((cost) => budgets.reserve("model", cost));
     earl.expect(reserved).toEqual([true, true, false]);
@@ -33,6 +35,7 @@
         () => SETTINGS,
         clock,
         () => VM_COUNT,
+        LOG,
       );
     });
     const retriedAt: number[] = [];
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -100,6 +100,7 @@
       () => budget,
       clock,
       () => 1,
+      log,
     ),
   });
 }
