--- a/standins/users-platform/crashing-runner.ts
+++ b/standins/users-platform/crashing-runner.ts
@@ -181,7 +181,8 @@
   }
 }
 
-async function readBody(request: http.IncomingMessage): Promise<string> {
+/** Reads the whole body of a request. */
+export async function readBody(request: http.IncomingMessage): Promise<string> {
   let body = "";
   for await (const chunk of request as AsyncIterable<Buffer>) body += chunk.toString();
   return body;
@@ -193,7 +194,7 @@
 ) => Promise<void>;
 
 /** Answers to requests that do not end the runner, by role. */
-const ANSWERS: Readonly<Record<RunnerRole, AnswerHandler>> = {
+export const ANSWERS: Readonly<Record<RunnerRole, AnswerHandler>> = {
   plain: async (request, response) => {
     await new Promise((resolve) => setTimeout(resolve, PLAIN_WORK_MS));
     response.writeHead(200, createAnswerHeaders(request)).end("answer");
--- a/test/gateway/gateway-fixture.ts
+++ b/test/gateway/gateway-fixture.ts
@@ -5,6 +5,7 @@
 import * as gatewayNode from "../../src/gateway/gateway-node.js";
 import * as gatewayServices from "../../src/gateway/gateway-services.js";
 import * as clocks from "../../src/kernel/clock.js";
+import type * as cuttableTransport from "../../standins/cuttable-transport.js";
 import * as examples from "../../standins/users-platform/examples.js";
 import * as engines from "../../standins/users-platform/engine.js";
 import * as store from "../../standins/users-platform/store.js";
@@ -23,16 +24,26 @@
   readonly running: gatewayNode.RunningGateway;
 }
 
-/** Starts a gateway on `127.<net>.0.<number>`; number 1 of each net is the seed. */
+/** Options of a gateway that few tests need. */
+export interface GatewayChanges {
+  /** Numbers of the gateways that are seeds. */
+  readonly seeds?: readonly number[];
+  /** Links to the other gateways, which a test can cut. */
+  readonly links?: cuttableTransport.CuttableLinks;
+}
+
+/** Starts a gateway on `127.<net>.0.<number>`; by default number 1 of each net is the seed. */
 export async function startGateway(
   platform: store.StoreStandIn,
   net: number,
   number: number,
+  changes: GatewayChanges = {},
 ): Promise<TestGateway> {
   const ip = `127.${net}.0.${number}`;
+  const { seeds = [1], links } = changes;
   const text = examples.createSettingsText(ip, {
     node: `front-${number}`,
-    seeds: [`127.${net}.0.1:${examples.PORTS.control}`],
+    seeds: seeds.map((seed) => `127.${net}.0.${seed}:${examples.PORTS.control}`),
     platform: platform.address,
   });
   const settings = settingsFile.parseSettings(text);
@@ -40,6 +51,7 @@
     adapters.createAdapter(settings, clock),
     OPTIONS,
   );
+  if (links !== undefined) kernel.register("transport", () => links.createTransport(ip));
   const running = await gatewayNode.startGateway(kernel, OPTIONS);
   return { ip, running, [Symbol.asyncDispose]: () => running[Symbol.asyncDispose]() };
 }
