--- a/src/serving/retry-budgets.ts
+++ b/src/serving/retry-budgets.ts
@@ -50,12 +50,12 @@
   reserve(service: string, cost = 1): boolean {
     const budget = this.#getOrCreateBudget(service);
     budget.setLimits(this.#computeLimits());
-    this.#logShare(service, budget);
+    this.#recordShare(service, budget);
     return budget.reserve(cost);
   }
 
   /** Logs the share of a service when it is first used, and when the number of VMs has changed. */
-  #logShare(service: string, budget: retryBudget.RetryBudget): void {
+  #recordShare(service: string, budget: retryBudget.RetryBudget): void {
     const vms = this.#countVms();
     if (this.#loggedVms.get(service) === vms) return;
     this.#loggedVms.set(service, vms);
--- a/test/gateway/retry-budget-fixture.ts
+++ b/test/gateway/retry-budget-fixture.ts
@@ -114,7 +114,8 @@
 
   /** Kills gateways without a graceful shutdown and starts them again. */
   async restart(numbers: readonly number[]): Promise<void> {
-    await Promise.all(numbers.map((number) => this.#gateways[number - 1]?.[Symbol.asyncDispose]()));
+    const ended = this.#gateways.filter((_, index) => numbers.includes(index + 1));
+    await Promise.all(ended.map((gateway) => gateway[Symbol.asyncDispose]()));
     for (const number of numbers) this.#gateways[number - 1] = await this.#startGateway(number);
   }
 
