Count all sends of a request in one account

Callers saw one request on three runners where the route allows two, and retries that a full budget would have allowed were refused for runs that never reached a runner.

Cause: placements, runs and repeats were counted in three places, and prefills only by a limit on placements. A retry after a broken decode read the prompt at another prefill runner and then ran at a second decode runner.

Change: SendAccount holds every send of a request (prefill, run, rejected, never sent). Both limits, max_attempts and the retry budget, are computed from it. A retry whose prefill would reach too many runners, or cost more than the budget has, lets the decode runner read the prompt, which costs one request less. What never reached a runner costs nothing and is tried elsewhere, also for calls that are not idempotent; what was reserved and not sent is returned.

--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -14,13 +14,13 @@
 import * as routingState from "../routing/routing-state.js";
 import * as crashRecordSync from "../request/crash-record-sync.js";
 import * as crashRecords from "../request/crash-records.js";
+import * as retryBudgets from "../request/retry-budgets.js";
 import * as runHolds from "../request/run-holds.js";
 import * as runnerCalls from "../runners/runner-calls.js";
 import * as runnerTable from "../runners/runner-table.js";
 import * as crashDetector from "../serving/crash-detector.js";
 import * as modelServing from "../serving/model-serving.js";
 import * as plainServing from "../serving/plain-serving.js";
-import * as retryBudgets from "../serving/retry-budgets.js";
 import type * as nodeSettings from "../settings/node-settings.js";
 import * as log from "../telemetry/log.js";
 import * as metrics from "../telemetry/metrics.js";
@@ -119,12 +119,13 @@
 
 function createRetryBudgets(kernel: container.Kernel): retryBudgets.RetryBudgets {
   const live = kernel.use("liveSettings");
-  return new retryBudgets.RetryBudgets(
-    () => live.current.retryBudget,
-    kernel.use("clock"),
-    () => countVms(kernel),
-    kernel.use("log"),
-  );
+  return new retryBudgets.RetryBudgets({
+    getSettings: () => live.current.retryBudget,
+    clock: kernel.use("clock"),
+    countVms: () => countVms(kernel),
+    log: kernel.use("log"),
+    metrics: kernel.use("metrics"),
+  });
 }
 
 function countVms(kernel: container.Kernel): number {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -6,18 +6,10 @@
 import type * as network from "../protocol/network.js";
 import type * as resultCodes from "../protocol/result-codes.js";
 import type * as registry from "../registry/types.js";
+import type * as retryBudgets from "../request/retry-budgets.js";
 import type * as routing from "../routing/types.js";
 import type * as runners from "../runners/types.js";
 
-/** Retry budget of each service, shared by all VMs. */
-export interface RetryBudgetSettings {
-  /** Retries allowed per call in the window. */
-  readonly ratio: number;
-  /** Additional retries allowed per window. */
-  readonly slack: number;
-  readonly windowMs: number;
-}
-
 /** Validated settings of a gateway process. */
 export interface GatewaySettings {
   readonly vm: string;
@@ -44,7 +36,7 @@
    * new scheduler waits for a multiple of it before its first order.
    */
   readonly orderLeaseMs: number;
-  readonly retryBudget: RetryBudgetSettings;
+  readonly retryBudget: retryBudgets.RetryBudgetSettings;
 }
 
 /** Headers as a list, which preserves their order and repetitions. */
--- a/src/placement/calls.ts
+++ b/src/placement/calls.ts
@@ -22,6 +22,7 @@
   prefilledBy: runnerId.optional(),
   cachedBy: runnerId.optional(),
   excluded: zod.array(runnerId).max(16),
+  skipsPrefill: zod.boolean().optional(),
 }) satisfies zod.ZodType<types.PlacementRequest>;
 
 const placementStreamItemSchema = zod.object({
--- a/src/placement/pool-placer.ts
+++ b/src/placement/pool-placer.ts
@@ -143,7 +143,8 @@
     usable: readonly runners.Runner[],
     request: types.PlacementRequest,
   ): runnerChoice.PrefillChoice {
-    if (request.prefilledBy !== undefined) return { kind: "none" };
+    const needsNone = request.prefilledBy !== undefined || request.skipsPrefill === true;
+    if (needsNone) return { kind: "none" };
     return runnerChoice.choosePrefillRunner(usable, this.loads, request.zone, request.cachedBy);
   }
 
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -30,6 +30,8 @@
   readonly cachedBy?: string;
   /** Runners that failed this request or could not be reached from its VM. */
   readonly excluded: readonly string[];
+  /** Whether the decode runner processes the prompt itself. */
+  readonly skipsPrefill?: boolean;
 }
 
 /** The runners of a request. */
--- a/src/request/retry-budget.ts
+++ b/src/request/retry-budget.ts
@@ -64,6 +64,11 @@
     return true;
   }
 
+  /** Returns retries that were reserved and not used. */
+  release(cost: number): void {
+    this.#addRetries(cost);
+  }
+
   #addRetries(retries: number): void {
     this.#available = Math.min(this.#limits.maxRetries, this.#available + retries);
   }
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -100,7 +100,7 @@
     const leftMs = call.deadlineAt - startedAt;
     const limitMs = Math.min(PREFILL_TIMEOUT_MS, leftMs);
     const options = { deadlineMs: leftMs, stage: runners.STAGE.prefill };
-    progress.recordPrefillSent(runner.id);
+    const send = progress.startPrefill(runner.id);
     using trackedRun = this.#options.crashDetector.add(call, runner);
     try {
       const runnerResponse = await this.#send(call, runner, options, limitMs, call.signal);
@@ -111,6 +111,7 @@
         BUFFERED_BODY_LIMITS,
       );
       if (runnerResponse.head.misdirected) placement.recordFailedRunner(place.key, runner.id);
+      if (runnerResponse.head.notRun) send.recordRejected();
       if (!answers.isSuccess(runnerResponse.head.status)) {
         const reason = `prefill answered ${runnerResponse.head.status}`;
         return { kind: "notRun", reason, excluded: runner.id };
@@ -121,6 +122,7 @@
       progress.setPrefilled({ runner, handle: codec.parsePrefill(body).handle, expiresAt });
       return undefined;
     } catch (error) {
+      if (runnerProbe.isUnsent(error)) send.recordNotSent();
       // A prefill has no side effects: it may be repeated whatever its outcome.
       const isTimedOut = call.signal.aborted || clock.now() - startedAt >= limitMs;
       const end = crashDetector.chooseUnansweredEnd(call.signal, call.signal);
@@ -147,7 +149,7 @@
     if (refusal !== undefined) return createHeldResult(refusal);
     const leftMs = call.deadlineAt - clock.now();
     if (leftMs <= 0) return { kind: "notRun", reason: "no time left", excluded: undefined };
-    progress.recordDecodeSent();
+    const send = progress.startDecode(runner.id);
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
     using trackedRun = this.#options.crashDetector.add(call, runner);
     const options = {
@@ -160,6 +162,7 @@
       const runnerResponse = await this.#send(call, runner, options, limitMs, limit.signal);
       trackedRun.recordAnswer();
       if (runnerResponse.head.notRun) {
+        send.recordRejected();
         runnerResponse.response.resume();
         if (runnerResponse.head.misdirected)
           this.#options.placement.recordFailedRunner(place.key, runner.id);
@@ -174,11 +177,9 @@
       await trackedRun.handleUnanswered(end, error);
       this.#recordFailure(call, place, runner, error);
       const reason = `decode: ${String(error)}`;
-      return {
-        kind: runnerProbe.isUnsent(error) ? "notRun" : "broken",
-        reason,
-        excluded: runner.id,
-      };
+      const isUnsent = runnerProbe.isUnsent(error);
+      if (isUnsent) send.recordNotSent();
+      return { kind: isUnsent ? "notRun" : "broken", reason, excluded: runner.id };
     }
   }
 
--- a/src/serving/model-progress.ts
+++ b/src/serving/model-progress.ts
@@ -1,5 +1,6 @@
 /** Progress of one model request over all its placements. */
 import * as resultCodes from "../protocol/result-codes.js";
+import * as sendAccount from "../request/send-account.js";
 import * as routing from "../routing/types.js";
 import type * as runners from "../runners/types.js";
 import * as answers from "./answers.js";
@@ -29,6 +30,8 @@
 
 /** Records what was sent to the caller and decides whether another placement may be tried. */
 export class ModelProgress {
+  /** What the request has sent to runners. */
+  readonly account: sendAccount.SendAccount;
   readonly #call: types.ServedCall;
   readonly #excluded = new Set<string>();
   #placementCount = 0;
@@ -39,11 +42,11 @@
   #prefilled: PrefilledPrompt | undefined;
   #lastEventAt: number | undefined;
   #cachedBy: string | undefined;
-  #hasSentPrefill = false;
-  #hasSentDecode = false;
+  #skipsPrefill = false;
 
-  constructor(call: types.ServedCall) {
+  constructor(call: types.ServedCall, account: sendAccount.SendAccount) {
     this.#call = call;
+    this.account = account;
     this.#lastEventId = call.head.lastEventId;
   }
 
@@ -72,22 +75,20 @@
     return this.#cachedBy;
   }
 
-  recordPrefillSent(runnerId: string): void {
-    this.#cachedBy = runnerId;
-    this.#hasSentPrefill = true;
+  /** Whether the decode runner of the next placement processes the prompt itself. */
+  get skipsPrefill(): boolean {
+    return this.#skipsPrefill;
   }
 
-  recordDecodeSent(): void {
-    this.#hasSentDecode = true;
+  /** Records a prefill before it is sent. */
+  startPrefill(runnerId: string): sendAccount.Send {
+    this.#cachedBy = runnerId;
+    return this.account.startSend(runnerId, sendAccount.SEND_STEP.prefill);
   }
 
-  /**
-   * Number of requests that another placement sends beyond the first of each step; at least one, since the
-   * failed placement sent one to no avail.
-   */
-  get retryCost(): number {
-    const repeatsPrefill = this.#hasSentPrefill && this.#prefilled === undefined;
-    return Math.max(1, Number(repeatsPrefill) + Number(this.#hasSentDecode));
+  /** Records a decode before it is sent. */
+  startDecode(runnerId: string): sendAccount.Send {
+    return this.account.startSend(runnerId, sendAccount.SEND_STEP.run);
   }
 
   /** Monotonic time at which the last event was sent to the caller. */
@@ -105,14 +106,23 @@
     return this.#lastEventId;
   }
 
-  /** Whether another placement may be tried. */
+  /** Whether the last failure allows another placement. */
   get retryable(): boolean {
     const lastResult = this.#lastResult;
     if (lastResult?.kind === "notRun") return true;
-    if (lastResult?.kind !== "broken") return false;
-    return (
-      this.#isIdempotent() && this.#runCount < this.#call.route.maxAttempts && this.#canResume()
-    );
+    return lastResult?.kind === "broken" && this.#isIdempotent() && this.#canResume();
+  }
+
+  /**
+   * Reserves the retries that another placement costs; returns whether one is allowed. It skips the prefill if only then
+   * the limit of runners or the budget allows it.
+   */
+  reserveRetry(): boolean {
+    const { prefill, run } = sendAccount.SEND_STEP;
+    const needsPrefill = this.#prefilled === undefined;
+    const isPrefillAllowed = needsPrefill && this.account.reserve([prefill, run]);
+    this.#skipsPrefill = !isPrefillAllowed;
+    return isPrefillAllowed || this.account.reserve([run]);
   }
 
   /** Records events that were sent to the caller. */
--- a/src/serving/model-serving.ts
+++ b/src/serving/model-serving.ts
@@ -6,13 +6,13 @@
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as runnerTable from "../runners/runner-table.js";
 import type * as runners from "../runners/types.js";
+import type * as retryBudgets from "../request/retry-budgets.js";
 import * as logEvents from "../telemetry/log-events.js";
 import * as spans from "../telemetry/spans.js";
 import type * as telemetry from "../telemetry/types.js";
 import type * as crashDetector from "./crash-detector.js";
 import * as engineExecutor from "./engine-executor.js";
 import * as modelProgress from "./model-progress.js";
-import type * as retryBudgets from "./retry-budgets.js";
 import type * as types from "./types.js";
 
 /**
@@ -67,8 +67,9 @@
    * disconnects.
    */
   async serve(call: types.ServedCall): Promise<void> {
-    this.#options.budgets.recordCall(call.service.name);
-    const progress = new modelProgress.ModelProgress(call);
+    const { budgets } = this.#options;
+    using account = budgets.createAccount(call.service.name, call.route.maxAttempts);
+    const progress = new modelProgress.ModelProgress(call, account);
     try {
       await this.#runWithRetries(call, progress);
     } finally {
@@ -109,7 +110,9 @@
     const outcome = { outputTokens: 0, decodeMs: 0, complete: false };
     try {
       const decode = this.#findRunner(answer.place.decodeRunner);
-      const prefill = this.#findRunner(answer.place.prefillRunner);
+      const prefill = progress.skipsPrefill
+        ? undefined
+        : this.#findRunner(answer.place.prefillRunner);
       if (decode === undefined) return { kind: "noPlace", retryAfterMs: NO_RUNNER_RETRY_AFTER_MS };
       const place = { key: request.key, decode, prefill };
       return await this.#executor.run(call, progress, place, outcome);
@@ -158,6 +161,7 @@
       prefilledBy,
       cachedBy: progress.cachedBy,
       excluded: [...progress.excluded],
+      skipsPrefill: progress.skipsPrefill,
     };
   }
 
@@ -170,11 +174,7 @@
 
   #canRetry(call: types.ServedCall, progress: modelProgress.ModelProgress): boolean {
     const hasTime = this.#options.clock.now() < call.deadlineAt;
-    return (
-      progress.retryable &&
-      hasTime &&
-      this.#options.budgets.reserve(call.service.name, progress.retryCost)
-    );
+    return progress.retryable && hasTime && progress.reserveRetry();
   }
 
   #recordRetry(
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -5,6 +5,8 @@
 import type * as gateway from "../gateway/types.js";
 import * as clocks from "../kernel/clock.js";
 import type * as random from "../kernel/random.js";
+import type * as retryBudgets from "../request/retry-budgets.js";
+import * as sendAccount from "../request/send-account.js";
 import * as routing from "../routing/types.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as runnerRecord from "../runners/runner-record.js";
@@ -15,7 +17,6 @@
 import * as answers from "./answers.js";
 import * as crashDetector from "./crash-detector.js";
 import * as plainRunnerChoice from "./plain-runner-choice.js";
-import type * as retryBudgets from "./retry-budgets.js";
 import * as runnerProbe from "./runner-probe.js";
 import type * as types from "./types.js";
 
@@ -34,6 +35,8 @@
  * longer than this fraction is usually lost.
  */
 const NON_FINAL_WAIT_SHARE = 0.6;
+/** Runners that are tried beyond the limit of the route when connections to earlier ones were not made. */
+const MAX_UNSENT_TRIES = 2;
 /** Minimum remaining time to send a call; with less it could not be answered in time. */
 const MIN_CALL_MS = 10;
 
@@ -80,12 +83,13 @@
    */
   async serve(call: types.ServedCall): Promise<void> {
     const { budgets } = this.#options;
-    budgets.recordCall(call.service.name);
+    using account = budgets.createAccount(call.service.name, call.route.maxAttempts);
     const triedIds = new Set<string>();
     let lastResult: AttemptResult | undefined;
     let bestResult: AttemptResult | undefined;
-    for (let attempt = 1; attempt <= call.route.maxAttempts; attempt += 1) {
-      if (lastResult !== undefined && !this.#canRetry(call, lastResult)) break;
+    const { maxAttempts } = call.route;
+    while (account.arrivalCount < maxAttempts && triedIds.size < maxAttempts + MAX_UNSENT_TRIES) {
+      if (lastResult !== undefined && !this.#canRetry(call, lastResult, account)) break;
       const refusal = await this.#options.crashDetector.waitUntilAllowed(call);
       if (refusal !== undefined && hasNotRun(bestResult)) throw refusal;
       if (refusal !== undefined) break;
@@ -93,7 +97,7 @@
       if (record === undefined) break;
       triedIds.add(record.runner.id);
       if (lastResult !== undefined) this.#recordRetry(call, record, lastResult);
-      lastResult = await this.#callRunner(call, record, attempt);
+      lastResult = await this.#callRunner(call, record, account);
       call.signal.throwIfAborted();
       bestResult = chooseBetterResult(bestResult, lastResult);
       if (isFinal(call, lastResult)) break;
@@ -118,23 +122,28 @@
    * Whether the call may be sent to another runner; takes a retry from the budget if its other
    * conditions hold.
    */
-  #canRetry(call: types.ServedCall, lastResult: AttemptResult): boolean {
+  #canRetry(
+    call: types.ServedCall,
+    lastResult: AttemptResult,
+    account: sendAccount.SendAccount,
+  ): boolean {
     const isRepeatable = lastResult.kind === "notRun" || call.route.kind === routing.CALL_KIND.safe;
     if (this.#options.crashDetector.isQuarantined(call)) return false;
     const hasTime = call.deadlineAt - this.#options.clock.now() > MIN_CALL_MS;
-    return isRepeatable && hasTime && this.#options.budgets.reserve(call.service.name);
+    return isRepeatable && hasTime && account.reserve([sendAccount.SEND_STEP.run]);
   }
 
   async #callRunner(
     call: types.ServedCall,
     record: runnerRecord.RunnerRecord,
-    attempt: number,
+    account: sendAccount.SendAccount,
   ): Promise<AttemptResult> {
     const { clock, calls } = this.#options;
     const leftMs = call.deadlineAt - clock.now();
     if (leftMs < MIN_CALL_MS) return { kind: "notRun", reason: "no time left" };
     calls.setConnectionLimit(record.runner, call.service.maxConnections);
     const endCall = record.startCall();
+    const send = account.startSend(record.runner.id, sendAccount.SEND_STEP.run);
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
     using trackedRun = this.#options.crashDetector.add(call, record.runner);
     try {
@@ -143,16 +152,18 @@
         head: call.head,
         body: call.body,
         options: { deadlineMs: leftMs },
-        headersTimeoutMs: leftMs * this.#getWaitShare(call, attempt),
+        headersTimeoutMs: leftMs * getWaitShare(call, account),
         signal: limit.signal,
       });
       trackedRun.recordAnswer();
+      if (runnerResponse.head.notRun) send.recordRejected();
       const limits = { maxBytes: MAX_RESPONSE_BYTES, idleTimeoutMs: leftMs };
       const body = await responseReader.readBody(clock, runnerResponse.response, limits);
       endCall();
       trackedRun.recordCompletion(runnerResponse.head);
       return this.#handleResponse(record, { head: runnerResponse.head, body });
     } catch (error) {
+      if (runnerProbe.isUnsent(error)) send.recordNotSent();
       const end = crashDetector.chooseUnansweredEnd(call.signal, limit.signal);
       await trackedRun.handleUnanswered(end, error);
       return this.#handleError(call, record, error);
@@ -161,15 +172,6 @@
     }
   }
 
-  /**
-   * Returns the fraction of the remaining time that an attempt may wait; it is below 1 only for
-   * calls that can be retried.
-   */
-  #getWaitShare(call: types.ServedCall, attempt: number): number {
-    const isRepeatable = call.route.kind === routing.CALL_KIND.safe;
-    return isRepeatable && attempt < call.route.maxAttempts ? NON_FINAL_WAIT_SHARE : 1;
-  }
-
   /** Records the health and load that a response shows; returns the result of the attempt. */
   #handleResponse(record: runnerRecord.RunnerRecord, answer: BufferedResponse): AttemptResult {
     const { head } = answer;
@@ -232,6 +234,15 @@
   }
 }
 
+/**
+ * Returns the fraction of the remaining time that an attempt may wait; it is below 1 only for calls that can be sent to
+ * another runner.
+ */
+function getWaitShare(call: types.ServedCall, account: sendAccount.SendAccount): number {
+  const isRepeatable = call.route.kind === routing.CALL_KIND.safe;
+  return isRepeatable && account.arrivalCount < call.route.maxAttempts ? NON_FINAL_WAIT_SHARE : 1;
+}
+
 /** Whether a result is returned to the caller without another attempt. */
 function isFinal(call: types.ServedCall, result: AttemptResult): boolean {
   if (result.kind !== "answered") return false;
--- a/standins/retry-budget-check.ts
+++ b/standins/retry-budget-check.ts
@@ -27,7 +27,7 @@
   readonly windowMs: number;
 }
 
-/** The window in which a service came closest to its limit, or exceeded it most. */
+/** The window in which the repeats of a service are the largest part of what is allowed. */
 export interface WorstWindow {
   /** Arrivals beyond the first of each request in the window. */
   readonly repeats: number;
@@ -78,7 +78,7 @@
       ...[from, from - windowMs / 2, from - windowMs].map((start) => countCalls(start)),
     );
     const allowed = ratio * requests + slack;
-    if (count - allowed > worst.repeats - worst.allowed) worst = { repeats: count, allowed };
+    if (count / allowed > worst.repeats / worst.allowed) worst = { repeats: count, allowed };
   }
   return worst;
 }
--- a/test/serving/retry-budgets.test.ts
+++ b/test/request/retry-budgets.test.ts
@@ -1,9 +1,11 @@
 import * as test from "node:test";
 import * as earl from "earl";
-import * as retryBudgets from "../../src/serving/retry-budgets.js";
+import * as retryBudgets from "../../src/request/retry-budgets.js";
 import * as fakeClock from "../../standins/fake-clock.js";
+import * as inertMetrics from "../telemetry/inert-metrics.js";
 
-const LOG = { write: () => undefined };
+const log = { write: () => undefined };
+const metrics = inertMetrics.createInertMetrics();
 const SETTINGS = { ratio: 0.2, slack: 54, windowMs: 10_000 };
 const VM_COUNT = 7;
 
@@ -14,29 +16,31 @@
 test.describe("RetryBudgets", () => {
   test.it("charges a retry for all requests that it sends", async () => {
     const clock = fakeClock.createFakeClock();
-    const budgets = new retryBudgets.RetryBudgets(
-      () => ({ ratio: 0, slack: 10, windowMs: 10_000 }),
+    const budgets = new retryBudgets.RetryBudgets({
+      getSettings: () => ({ ratio: 0, slack: 10, windowMs: 10_000 }),
       clock,
-      () => 1,
-      LOG,
-    );
+      countVms: () => 1,
+      log,
+      metrics,
+    });
     const reserved = [2, 2, 1].map((cost) => budgets.reserve("model", cost));
     earl.expect(reserved).toEqual([true, true, false]);
     await clock.advance(2_000);
-    earl.expect(budgets.reserve("model")).toEqual(false);
+    earl.expect(budgets.reserve("model", 1)).toEqual(false);
     await clock.advance(1_000);
-    earl.expect(budgets.reserve("model")).toEqual(true);
+    earl.expect(budgets.reserve("model", 1)).toEqual(true);
   });
 
   test.it("limits the total retries of all VMs to the budget in every window", async () => {
     const clock = fakeClock.createFakeClock();
     const vms = Array.from({ length: VM_COUNT }, () => {
-      return new retryBudgets.RetryBudgets(
-        () => SETTINGS,
+      return new retryBudgets.RetryBudgets({
+        getSettings: () => SETTINGS,
         clock,
-        () => VM_COUNT,
-        LOG,
-      );
+        countVms: () => VM_COUNT,
+        log,
+        metrics,
+      });
     });
     const retriedAt: number[] = [];
     const calledAt: number[] = [];
@@ -47,7 +51,7 @@
           calledAt.push(clock.now());
         }
         for (let request = 0; request < 3; request += 1) {
-          if (vm.reserve("plain")) retriedAt.push(clock.now());
+          if (vm.reserve("plain", 1)) retriedAt.push(clock.now());
         }
       }
       await clock.advance(50);
--- a/test/serving/model-progress.test.ts
+++ b/test/serving/model-progress.test.ts
@@ -1,21 +1,48 @@
 import * as test from "node:test";
 import * as earl from "earl";
+import * as sendAccount from "../../src/request/send-account.js";
 import * as modelProgress from "../../src/serving/model-progress.js";
 import * as raw from "../runners/raw-runner.js";
 import * as fixture from "./serving-fixture.js";
 
 const PROMPT = { runner: raw.createRunner("p1", 1), handle: "h", expiresAt: 1 };
 
+/** Creates the progress of a request, and the costs that it reserves from a budget without limit. */
+function createProgress(maxRunners: number) {
+  const reserved: number[] = [];
+  const account = new sendAccount.SendAccount(maxRunners, {
+    reserve: (cost) => reserved.push(cost) > 0,
+    release: () => undefined,
+  });
+  const progress = new modelProgress.ModelProgress(fixture.createCall({}).call, account);
+  return { progress, reserved };
+}
+
 test.describe("ModelProgress", () => {
   // Guards against BUDGET: a retry that repeats prefill and decode took one retry from the budget.
-  test.it("counts the requests that another placement repeats", () => {
-    const progress = new modelProgress.ModelProgress(fixture.createCall({}).call);
-    progress.recordPrefillSent("p1");
-    earl.expect(progress.retryCost).toEqual(1);
+  test.it("reserves a retry for each request that another placement repeats", () => {
+    const { progress, reserved } = createProgress(3);
+    progress.startPrefill("p1");
+    earl.expect([progress.reserveRetry(), reserved]).toEqual([true, [1]]);
+    progress.startPrefill("p2");
     progress.setPrefilled(PROMPT);
-    progress.recordDecodeSent();
-    earl.expect(progress.retryCost).toEqual(1);
+    progress.startDecode("d1");
     progress.setPrefilled(undefined);
-    earl.expect(progress.retryCost).toEqual(2);
+    earl
+      .expect([progress.reserveRetry(), reserved, progress.skipsPrefill])
+      .toEqual([true, [1, 1], true]);
+  });
+
+  // Guards against BUDGET: a prompt was prefilled anew although that reached more runners than the route allows.
+  test.it("skips the prefill of a retry that would reach too many runners", () => {
+    for (const maxRunners of [1, 2]) {
+      const { progress, reserved } = createProgress(maxRunners);
+      progress.startPrefill("p1");
+      if (maxRunners === 2) progress.startDecode("d1");
+      earl.expect([progress.reserveRetry(), progress.skipsPrefill]).toEqual([true, true]);
+      earl.expect(reserved).toEqual(maxRunners === 2 ? [1] : []);
+      progress.startDecode("d2");
+      earl.expect(progress.reserveRetry()).toEqual(false);
+    }
   });
 });
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -5,6 +5,7 @@
 import type * as routing from "../../src/routing/types.js";
 import * as spans from "../../src/telemetry/spans.js";
 import * as runnerCalls from "../../src/runners/runner-calls.js";
+import * as retryBudgets from "../../src/request/retry-budgets.js";
 import * as runHolds from "../../src/request/run-holds.js";
 import * as runnerTable from "../../src/runners/runner-table.js";
 import type * as runners from "../../src/runners/types.js";
@@ -13,20 +14,15 @@
 import type * as callerTypes from "../../src/caller/types.js";
 import * as crashDetector from "../../src/serving/crash-detector.js";
 import * as plainServing from "../../src/serving/plain-serving.js";
-import * as retryBudgets from "../../src/serving/retry-budgets.js";
 import type * as serving from "../../src/serving/types.js";
 import * as runnerCodec from "../../platform/runner-codec.js";
+import * as inertMetrics from "../telemetry/inert-metrics.js";
 import * as raw from "../runners/raw-runner.js";
 import * as routingFixture from "../routing/routing-fixture.js";
 
 export const clock = clocks.createSystemClock();
 export const log = { write: () => undefined };
-const metrics = {
-  count: () => undefined,
-  set: () => undefined,
-  recordDuration: () => undefined,
-  format: () => Promise.resolve(""),
-};
+const metrics = inertMetrics.createInertMetrics();
 
 /** Returns crash records that record and quarantine nothing. */
 export function createInertCrashRecords(): callerTypes.CrashRecords {
@@ -96,12 +92,13 @@
       holds,
       runners: table,
     }),
-    budgets: new retryBudgets.RetryBudgets(
-      () => budget,
+    budgets: new retryBudgets.RetryBudgets({
+      getSettings: () => budget,
       clock,
-      () => 1,
+      countVms: () => 1,
       log,
-    ),
+      metrics,
+    }),
   });
 }
 
