Start the retry budget of a VM empty

Callers saw nothing; runners that were already failing got more repeats than the fleet's budget allows after each restart of the VMs.

Cause: the bucket of a process started full, although the retries of the process before it stand in the same window. Three restarts of seven VMs spent three bursts.

Change: a budget starts empty and is filled by the calls of its own VM and by time. A retry takes what it costs only if all of it is there, and each VM may accumulate two, the cost of one retry of a model request; what exceeds its share of the slack is no longer added.

--- a/src/request/idempotent-calls.ts
+++ b/src/request/idempotent-calls.ts
@@ -16,6 +16,12 @@
 /** Pause before the backends are tried again, multiplied by the number of requests sent so far. */
 const ROUND_BACKOFF_MS = 50;
 
+const LIMITS: retryBudget.RetryBudgetLimits = {
+  retriesPerCall: 0.2,
+  maxRetries: 10,
+  retriesPerMs: 0,
+};
+
 interface CallState {
   readonly call: callerTypes.PlainCall;
   readonly fingerprint: string;
@@ -33,7 +39,7 @@
   readonly #crashes: callerTypes.CrashRecords;
   readonly #selector: backendSelector.BackendSelector;
   readonly #tracker: crashTracker.CrashTracker;
-  readonly #budget = new retryBudget.RetryBudget();
+  readonly #budget: retryBudget.RetryBudget;
 
   constructor(
     kernel: kernels.Kernel,
@@ -41,6 +47,7 @@
     tracker: crashTracker.CrashTracker,
   ) {
     this.#clock = kernel.use("clock");
+    this.#budget = new retryBudget.RetryBudget(LIMITS, this.#clock, LIMITS.maxRetries);
     this.#backends = kernel.use("backends");
     this.#crashes = kernel.use("crashes");
     this.#selector = selector;
--- a/src/request/retry-budget.ts
+++ b/src/request/retry-budget.ts
@@ -1,10 +1,6 @@
 /** Limits retries to a fraction of the calls, so that failures do not multiply the load. */
 import type * as clocks from "../kernel/clock.js";
 
-const RETRIES_PER_CALL = 0.2;
-/** Retries that may follow each other without new calls. */
-const MAX_BURST_RETRIES = 10;
-
 /** Refill rates and capacity of a retry budget. */
 export interface RetryBudgetLimits {
   /** Retries added for each call. */
@@ -15,35 +11,33 @@
   readonly retriesPerMs: number;
 }
 
-const DEFAULT_LIMITS: RetryBudgetLimits = {
-  retriesPerCall: RETRIES_PER_CALL,
-  maxRetries: MAX_BURST_RETRIES,
-  retriesPerMs: 0,
-};
-
-/** A token bucket of retries, which calls and time refill. */
+/**
+ * A token bucket of retries, which calls and time refill. It starts empty: the process before a restart may just have
+ * used what this one would start with.
+ */
 export class RetryBudget {
-  readonly #clock: Pick<clocks.Clock, "now"> | undefined;
+  readonly #clock: Pick<clocks.Clock, "now">;
   #limits: RetryBudgetLimits;
   #available: number;
   #refilledAt: number;
 
-  constructor(limits = DEFAULT_LIMITS, clock?: Pick<clocks.Clock, "now">) {
+  constructor(limits: RetryBudgetLimits, clock: Pick<clocks.Clock, "now">, available = 0) {
+    this.#available = available;
     this.#limits = limits;
     this.#clock = clock;
-    this.#available = limits.maxRetries;
-    this.#refilledAt = clock?.now() ?? 0;
+    this.#refilledAt = clock.now();
   }
 
-  /** Retries that are available now; negative while some are owed. */
+  /** Retries that are available now. */
   get available(): number {
     return this.#available;
   }
 
   /** Replaces the limits. Available retries beyond the new capacity are lost. */
   setLimits(limits: RetryBudgetLimits): void {
+    this.#addRefill();
     this.#limits = limits;
-    this.#available = Math.min(this.#available, limits.maxRetries);
+    this.#addRetries(0);
   }
 
   /** Records a call, which adds a fraction of a retry. */
@@ -51,15 +45,10 @@
     this.#addRetries(this.#limits.retriesPerCall);
   }
 
-  /**
-   * Takes a retry from the budget if one is available; returns whether it was. A retry that sends several
-   * requests costs as many, and what is missing is owed.
-   */
+  /** Takes `cost` retries from the budget if they are available; returns whether they were. */
   reserve(cost = 1): boolean {
-    const now = this.#clock?.now() ?? 0;
-    this.#addRetries((now - this.#refilledAt) * this.#limits.retriesPerMs);
-    this.#refilledAt = now;
-    if (this.#available < 1) return false;
+    this.#addRefill();
+    if (this.#available < cost) return false;
     this.#available -= cost;
     return true;
   }
@@ -69,6 +58,12 @@
     this.#addRetries(cost);
   }
 
+  #addRefill(): void {
+    const now = this.#clock.now();
+    this.#addRetries((now - this.#refilledAt) * this.#limits.retriesPerMs);
+    this.#refilledAt = now;
+  }
+
   #addRetries(retries: number): void {
     this.#available = Math.min(this.#limits.maxRetries, this.#available + retries);
   }
--- a/src/request/retry-budgets.ts
+++ b/src/request/retry-budgets.ts
@@ -19,8 +19,10 @@
  * some seconds, and calls whose response was lost.
  */
 const USABLE_SHARE = 0.8;
-/** Fraction of the slack that may be spent at once; the rest is refilled evenly over the window. */
+/** Fraction of the slack that may accumulate; the rest is refilled evenly over the window. */
 const BURST_SHARE = 0.5;
+/** Retries that any VM may accumulate: as many as one retry of a model request may cost. */
+const MIN_CAPACITY = 2;
 
 /** Services and settings that `RetryBudgets` uses. */
 export interface RetryBudgetsOptions {
@@ -96,11 +98,9 @@
 
   #computeLimits(): retryBudget.RetryBudgetLimits {
     const { ratio, slack, windowMs } = this.#options.getSettings();
-    const ownSlack = (USABLE_SHARE * slack) / Math.max(1, this.#options.countVms());
-    return {
-      retriesPerCall: USABLE_SHARE * ratio,
-      maxRetries: Math.max(1, BURST_SHARE * ownSlack),
-      retriesPerMs: ((1 - BURST_SHARE) * ownSlack) / windowMs,
-    };
+    const share = (USABLE_SHARE * slack) / Math.max(1, this.#options.countVms());
+    const maxRetries = Math.max(MIN_CAPACITY, BURST_SHARE * share);
+    const retriesPerMs = Math.max(0, share - maxRetries) / windowMs;
+    return { retriesPerCall: USABLE_SHARE * ratio, maxRetries, retriesPerMs };
   }
 }
--- a/test/gateway/gateway-fixture.ts
+++ b/test/gateway/gateway-fixture.ts
@@ -56,6 +56,15 @@
   return { ip, running, [Symbol.asyncDispose]: () => running[Symbol.asyncDispose]() };
 }
 
+/** Calls that fill a retry budget, which is empty when a gateway starts. */
+const WARM_UP_CALLS = 20;
+
+/** Fills the retry budget of a service, as earlier calls would have. */
+export function addRetries(gateway: TestGateway, service: string): void {
+  const budgets = gateway.running.kernel.use("retryBudgets");
+  for (let count = 0; count < WARM_UP_CALLS; count += 1) budgets.recordCall(service);
+}
+
 /** A platform with a configuration, one prefill engine and some decode engines. */
 export interface TestPlatform extends AsyncDisposable {
   readonly platform: store.StoreStandIn;
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -79,6 +79,7 @@
       await using testPlatform = await fixture.startPlatform({ breakAfterEvents: 3 }, {});
       await using gateway = await fixture.startGateway(testPlatform.platform, 83, 1);
       await fixture.waitForReady(gateway.ip);
+      fixture.addRetries(gateway, "model");
       const stream = await fixture.send(gateway.ip, "/notes/x", fixture.PROMPT);
       earl.expect([stream.status, stream.body]).toEqual([200, COMPLETE_STREAM]);
       earl.expect(testPlatform.decode.map((engine) => engine.ran)).toEqual([["r1"], ["r1"]]);
@@ -89,6 +90,7 @@
     await using testPlatform = await fixture.startPlatform({ droppedPrefillAnswers: 1 }, {});
     await using gateway = await fixture.startGateway(testPlatform.platform, 93, 1);
     await fixture.waitForReady(gateway.ip);
+    fixture.addRetries(gateway, "model");
     const stream = await fixture.send(gateway.ip, "/notes/x", fixture.PROMPT);
     earl.expect([stream.status, stream.body]).toEqual([200, COMPLETE_STREAM]);
     earl.expect(testPlatform.prefill.prefills).toEqual(2);
@@ -98,6 +100,7 @@
     await using testPlatform = await fixture.startPlatform({ refusals: 1 }, { refusals: 1 });
     await using gateway = await fixture.startGateway(testPlatform.platform, 84, 1);
     await fixture.waitForReady(gateway.ip);
+    fixture.addRetries(gateway, "model");
     const stream = await fixture.send(gateway.ip, "/notes/x", fixture.PROMPT);
     earl.expect([stream.status, stream.body]).toEqual([200, COMPLETE_STREAM]);
     earl.expect(testPlatform.prefill.prefills).toEqual(1);
