Do not clear a request by a run that left out its crashed prefill

Cause: the retry succeeded at a decode runner, which cleared the request although its prefill had just ended a runner. The run says nothing about the step that it left out.

Change: such a run neither clears the request nor records its progress.

--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -150,8 +150,13 @@
     return holds.findReason(fingerprint, new Set(crashed));
   }
 
-  /** Starts to track a run of a call on a runner. */
-  add(call: types.ServedCall, runner: runners.Runner): TrackedRun {
+  /**
+   * Starts to track a run of a call on a runner.
+   *
+   * @param clears - whether its success clears the request of suspicion; false for a run that left out a step under which
+   *   a runner may have crashed.
+   */
+  add(call: types.ServedCall, runner: runners.Runner, clears = true): TrackedRun {
     const { clock, crashes } = this.#options;
     const fingerprint = this.#getFingerprint(call);
     const start = this.#getOrCreateStart(runner);
@@ -165,12 +170,12 @@
         start.recordAnswer(sentAt);
       },
       recordEvent: () => {
-        if (!run.hasEvents) crashes.recordProgress(fingerprint);
+        if (!run.hasEvents && clears) crashes.recordProgress(fingerprint);
         start.recordEvent(run);
       },
       recordCompletion: (head) => {
         const isCompleted = !head.notRun && crashTracker.hasCompleted(head.status);
-        if (isCompleted) crashes.recordSuccess(fingerprint);
+        if (isCompleted && clears) crashes.recordSuccess(fingerprint);
       },
       handleUnanswered: async (end, error) => {
         if (runnerProbe.isUnsent(error)) return;
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -123,6 +123,7 @@
       return undefined;
     } catch (error) {
       if (runnerProbe.isUnsent(error)) send.recordNotSent();
+      else progress.recordLostPrefill();
       // A prefill has no side effects: it may be repeated whatever its outcome.
       const isTimedOut = call.signal.aborted || clock.now() - startedAt >= limitMs;
       const end = crashDetector.chooseUnansweredEnd(call.signal, call.signal);
@@ -151,7 +152,8 @@
     if (leftMs <= 0) return { kind: "notRun", reason: "no time left", excluded: undefined };
     const send = progress.startDecode(runner.id);
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
-    using trackedRun = this.#options.crashDetector.add(call, runner);
+    const leftOutPrefill = progress.hasLostPrefill && prefilled === undefined;
+    using trackedRun = this.#options.crashDetector.add(call, runner, !leftOutPrefill);
     const options = {
       deadlineMs: leftMs,
       kvSource: prefilled === undefined ? undefined : createKvSource(prefilled),
