Use the slack of the retry budget only while all VMs that share it are known

Cause: a VM divided the slack by the VMs that looked alive at that moment. One that has just started or is cut off counts too few and takes a larger share, while the others keep theirs.

Change: FleetSize counts every VM that is known, dead ones too, and gives the count only after 20 s in touch with a majority of the seeds and of the known VMs, without a pause. Two VMs that use a share are both in touch with some seed, so each counts the other, and the parts never add up to more than the whole. A VM without a count retries by the calls of its own, which needs no agreement. The product's own front uses the same budgets, with two retries at a start.

--- a/bench/local-membership.ts
+++ b/bench/local-membership.ts
@@ -1,5 +1,6 @@
 /** In-process membership of a node in the local fleet. */
 import * as membership from "../src/membership/types.js";
+import type * as network from "../src/protocol/network.js";
 
 /** A membership without probes or gossip; its members change only by `update`. */
 export class LocalMembership implements membership.Membership {
@@ -38,6 +39,10 @@
     return this.#members.get(vm);
   }
 
+  listSeeds(): readonly network.PeerAddress[] {
+    return this.listKnown().map(({ peer }) => peer);
+  }
+
   onChange(listener: (member: membership.Member) => void): Disposable {
     this.#listeners.add(listener);
     return {
--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -3,6 +3,7 @@
 import * as clocks from "../kernel/clock.js";
 import * as random from "../kernel/random.js";
 import type * as membershipTypes from "../membership/types.js";
+import * as fleetSize from "../membership/fleet-size.js";
 import * as membership from "../membership/membership.js";
 import * as placementService from "../placement/placement-service.js";
 import * as engineReportPoller from "../placement/engine-report-poller.js";
@@ -56,6 +57,7 @@
   kernel.register("liveSettings", createLiveSettings);
   kernel.register("platform", () => seedList.createSeedListClient(kernel.use("liveSettings")));
   kernel.register("membership", membership.createMembership);
+  kernel.register("fleetSize", createFleetSize);
   kernel.register("routing", () => new routingState.RoutingState(kernel.use("log")));
   kernel.register(
     "runners",
@@ -113,7 +115,16 @@
     clock: kernel.use("clock"),
     codec: runnerCodec,
     tracer: kernel.use("tracer"),
-    countVms: () => countVms(kernel),
+    countVms: () => kernel.use("membership").listMembers().length,
+  });
+}
+
+function createFleetSize(kernel: container.Kernel): fleetSize.FleetSize {
+  const live = kernel.use("liveSettings");
+  return new fleetSize.FleetSize({
+    clock: kernel.use("clock"),
+    membership: kernel.use("membership"),
+    listSeeds: () => live.current.seeds,
   });
 }
 
@@ -122,16 +133,12 @@
   return new retryBudgets.RetryBudgets({
     getSettings: () => live.current.retryBudget,
     clock: kernel.use("clock"),
-    countVms: () => countVms(kernel),
+    findVmCount: () => kernel.use("fleetSize").find(),
     log: kernel.use("log"),
     metrics: kernel.use("metrics"),
   });
 }
 
-function countVms(kernel: container.Kernel): number {
-  return kernel.use("membership").listMembers().length;
-}
-
 function createPlacement(kernel: container.Kernel): placementService.PlacementService {
   const clock = kernel.use("clock");
   const runners = kernel.use("runners");
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -3,6 +3,7 @@
 import type * as gateway from "../gateway/types.js";
 import type * as liveSettings from "../gateway/live-settings.js";
 import type * as configuration from "../configuration/types.js";
+import type * as fleetSize from "../membership/fleet-size.js";
 import type * as membership from "../membership/types.js";
 import type * as orders from "../orders/types.js";
 import type * as network from "../protocol/network.js";
@@ -37,6 +38,7 @@
   transport: network.Transport;
   network: network.PeerNetwork;
   membership: membership.Membership;
+  fleetSize: fleetSize.FleetSize;
   platform: configuration.PlatformClient;
   configuration: configuration.Configuration;
   sessions: callerTypes.Sessions;
--- /dev/null
+++ b/src/membership/fleet-size.ts
@@ -0,0 +1,110 @@
+/**
+ * Number of VMs that share a limit of the whole fleet. A VM that counts too few would take too large a share,
+ * so this VM uses a share only while it can rule out that there are VMs it does not know.
+ */
+import type * as clocks from "../kernel/clock.js";
+import type * as network from "../protocol/network.js";
+import * as types from "./types.js";
+
+/**
+ * Time for which this VM must have been in touch with the fleet before it uses a share. Longer than a VM that was
+ * cut off takes to notice it, so its share and that of a VM that started since are not used at once.
+ */
+export const SETTLE_MS = 20_000;
+const CHECK_PERIOD_MS = 500;
+/** A check later than this means that the process or the machine was suspended. */
+const SUSPEND_THRESHOLD_MS = 2_000;
+
+/** Services that `FleetSize` uses. */
+export interface FleetSizeOptions {
+  readonly clock: clocks.Clock;
+  readonly membership: types.Membership;
+  /** Returns the peer addresses from the VM list or the settings; any two VMs should have the same. */
+  readonly listSeeds: () => readonly network.PeerAddress[];
+}
+
+/**
+ * Counts the VMs that share the limits of the fleet.
+ *
+ * A share is safe in any partition: two VMs that use shares are both in touch with a majority of the seeds,
+ * so they know each other through a seed that both reach, and each counts the other.
+ */
+export class FleetSize implements AsyncDisposable {
+  readonly #options: FleetSizeOptions;
+  readonly #subscription: Disposable;
+  #cancelTimer: (() => void) | undefined;
+  /** Monotonic time since which this VM has been in touch; `undefined` while it is not. */
+  #inTouchSince: number | undefined;
+  #checkedAt: number;
+  #checkedWallTime: number;
+
+  constructor(options: FleetSizeOptions) {
+    this.#options = options;
+    this.#checkedAt = options.clock.now();
+    this.#checkedWallTime = options.clock.wallTime();
+    this.#subscription = options.membership.onChange(() => {
+      this.#update();
+    });
+    this.#scheduleCheck();
+  }
+
+  /** Returns the number of VMs to divide a limit by, or `undefined` while this VM must not use a share. */
+  find(): number | undefined {
+    this.#update();
+    const { clock } = this.#options;
+    const isSettled =
+      this.#inTouchSince !== undefined && clock.now() - this.#inTouchSince >= SETTLE_MS;
+    return isSettled ? this.countKnown() : undefined;
+  }
+
+  /**
+   * Returns the number of VMs known to exist or to have existed; at least the number of seeds. VMs that look dead
+   * count, since they may only be cut off.
+   */
+  countKnown(): number {
+    const { membership, listSeeds } = this.#options;
+    return Math.max(membership.listKnown().length, listSeeds().length);
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    this.#cancelTimer?.();
+    this.#subscription[Symbol.dispose]();
+    return Promise.resolve();
+  }
+
+  #scheduleCheck(): void {
+    this.#cancelTimer = this.#options.clock.schedule(CHECK_PERIOD_MS, () => {
+      this.#update();
+      this.#scheduleCheck();
+    });
+  }
+
+  #update(): void {
+    const { clock } = this.#options;
+    const now = clock.now();
+    const wallTime = clock.wallTime();
+    // The monotonic clock stands still while a machine is suspended; the wall clock does not.
+    const elapsedMs = Math.max(now - this.#checkedAt, wallTime - this.#checkedWallTime);
+    this.#checkedAt = now;
+    this.#checkedWallTime = wallTime;
+    if (elapsedMs > SUSPEND_THRESHOLD_MS || !this.#isInTouch()) this.#inTouchSince = undefined;
+    else this.#inTouchSince ??= now;
+  }
+
+  /** Whether a majority of the seeds and of the known VMs are alive, and at least one other VM is. */
+  #isInTouch(): boolean {
+    const { membership, listSeeds } = this.#options;
+    const alive = membership.listAlive();
+    const seeds = listSeeds();
+    const reached = seeds.filter((seed) => alive.some(({ peer }) => isSameAddress(peer, seed)));
+    return (
+      alive.length > 1 &&
+      reached.length * 2 > seeds.length &&
+      alive.length * 2 > membership.listKnown().length
+    );
+  }
+}
+
+function isSameAddress(first: network.PeerAddress, second: network.PeerAddress): boolean {
+  return first.host === second.host && first.port === second.port;
+}
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -81,6 +81,10 @@
     return record === undefined ? undefined : records.createMember(record);
   }
 
+  listSeeds(): readonly network.PeerAddress[] {
+    return this.#listReader.listedAddresses;
+  }
+
   onChange(listener: (member: types.Member) => void): Disposable {
     return this.#table.onChange((member) => {
       try {
--- a/src/membership/vm-list-reader.ts
+++ b/src/membership/vm-list-reader.ts
@@ -41,11 +41,17 @@
 export class VmListReader {
   readonly #options: VmListReaderOptions;
   #failures = 0;
+  #listedAddresses: readonly network.PeerAddress[] = [];
 
   constructor(options: VmListReaderOptions) {
     this.#options = options;
   }
 
+  /** Peer addresses of the VMs in the list as last read. */
+  get listedAddresses(): readonly network.PeerAddress[] {
+    return this.#listedAddresses;
+  }
+
   /** Reads until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -73,6 +79,7 @@
 
   async #handleList(listed: readonly platform.ListedVm[]): Promise<void> {
     const { table, network: peers, random, onLeaving } = this.#options;
+    this.#listedAddresses = listed.map(({ host, peerPort }) => ({ host, port: peerPort }));
     const others = listed.filter((entry) => entry.vm !== table.localRecord.vm);
     for (const entry of listed) {
       if (entry.state === "leaving" && table.markLeaving(entry.vm)) onLeaving(entry.vm);
--- a/src/node.ts
+++ b/src/node.ts
@@ -6,6 +6,7 @@
 import * as clocks from "./kernel/clock.js";
 import * as container from "./kernel/container.js";
 import * as random from "./kernel/random.js";
+import * as fleetSize from "./membership/fleet-size.js";
 import * as membership from "./membership/membership.js";
 import * as configuration from "./configuration/configuration.js";
 import * as orders from "./orders/orders.js";
@@ -15,6 +16,7 @@
 import * as crashRecordSync from "./request/crash-record-sync.js";
 import * as crashRecords from "./request/crash-records.js";
 import * as modelCalls from "./request/model-calls.js";
+import * as retryBudgets from "./request/retry-budgets.js";
 import * as runHolds from "./request/run-holds.js";
 import * as plainCalls from "./request/plain-calls.js";
 import type * as nodeSettings from "./settings/node-settings.js";
@@ -50,6 +52,8 @@
   kernel.register("configuration", configuration.createConfiguration);
   kernel.register("orders", orders.createOrders);
   kernel.register("sessions", sessions.createSessions);
+  kernel.register("fleetSize", createFleetSize);
+  kernel.register("retryBudgets", createRetryBudgets);
   kernel.register("plainCalls", plainCalls.createPlainCalls);
   kernel.register("modelCalls", modelCalls.createModelCalls);
   kernel.register("crashes", crashRecords.createCrashRecords);
@@ -61,6 +65,31 @@
   return kernel;
 }
 
+function createFleetSize(kernel: container.Kernel): fleetSize.FleetSize {
+  const fleet = kernel.use("membership");
+  return new fleetSize.FleetSize({
+    clock: kernel.use("clock"),
+    membership: fleet,
+    listSeeds: () => fleet.listSeeds(),
+  });
+}
+
+/** Retry budget of each plain service. */
+const RETRY_BUDGET: retryBudgets.RetryBudgetSettings = { ratio: 0.2, slack: 40, windowMs: 10_000 };
+/** Lets the first calls of a node with little traffic be retried. */
+const INITIAL_RETRIES = 2;
+
+function createRetryBudgets(kernel: container.Kernel): retryBudgets.RetryBudgets {
+  return new retryBudgets.RetryBudgets({
+    getSettings: () => RETRY_BUDGET,
+    clock: kernel.use("clock"),
+    findVmCount: () => kernel.use("fleetSize").find(),
+    log: kernel.use("log"),
+    metrics: kernel.use("metrics"),
+    initialRetries: INITIAL_RETRIES,
+  });
+}
+
 /** A running node. */
 export interface RunningNode extends AsyncDisposable {
   readonly kernel: container.Kernel;
--- a/src/request/idempotent-calls.ts
+++ b/src/request/idempotent-calls.ts
@@ -7,7 +7,7 @@
 import type * as backendSelector from "./backend-selector.js";
 import type * as crashTracker from "./crash-tracker.js";
 import * as fingerprints from "./fingerprint.js";
-import * as retryBudget from "./retry-budget.js";
+import type * as retryBudgets from "./retry-budgets.js";
 
 /** Share of the remaining time that one backend may take while another has not been tried. */
 const BACKEND_TIMEOUT_SHARE = 0.5;
@@ -16,12 +16,6 @@
 /** Pause before the backends are tried again, multiplied by the number of requests sent so far. */
 const ROUND_BACKOFF_MS = 50;
 
-const LIMITS: retryBudget.RetryBudgetLimits = {
-  retriesPerCall: 0.2,
-  maxRetries: 10,
-  retriesPerMs: 0,
-};
-
 interface CallState {
   readonly call: callerTypes.PlainCall;
   readonly fingerprint: string;
@@ -39,7 +33,7 @@
   readonly #crashes: callerTypes.CrashRecords;
   readonly #selector: backendSelector.BackendSelector;
   readonly #tracker: crashTracker.CrashTracker;
-  readonly #budget: retryBudget.RetryBudget;
+  readonly #budgets: retryBudgets.RetryBudgets;
 
   constructor(
     kernel: kernels.Kernel,
@@ -47,8 +41,8 @@
     tracker: crashTracker.CrashTracker,
   ) {
     this.#clock = kernel.use("clock");
-    this.#budget = new retryBudget.RetryBudget(LIMITS, this.#clock, LIMITS.maxRetries);
     this.#backends = kernel.use("backends");
+    this.#budgets = kernel.use("retryBudgets");
     this.#crashes = kernel.use("crashes");
     this.#selector = selector;
     this.#tracker = tracker;
@@ -76,8 +70,9 @@
       mayHaveRun: false,
       lastResponse: undefined,
     };
-    this.#budget.recordCall();
-    for (let sends = 0; sends === 0 || this.#budget.reserve(); sends += 1) {
+    const { name } = call.service;
+    this.#budgets.recordCall(name);
+    for (let sends = 0; sends === 0 || this.#budgets.reserve(name, 1); sends += 1) {
       await this.#waitForNextRound(state, sends);
       this.#checkCanSend(state, signal);
       const backend = this.#selector.choose(call.service, state.tried);
--- a/src/request/retry-budget.ts
+++ b/src/request/retry-budget.ts
@@ -18,11 +18,10 @@
 export class RetryBudget {
   readonly #clock: Pick<clocks.Clock, "now">;
   #limits: RetryBudgetLimits;
-  #available: number;
+  #available = 0;
   #refilledAt: number;
 
-  constructor(limits: RetryBudgetLimits, clock: Pick<clocks.Clock, "now">, available = 0) {
-    this.#available = available;
+  constructor(limits: RetryBudgetLimits, clock: Pick<clocks.Clock, "now">) {
     this.#limits = limits;
     this.#clock = clock;
     this.#refilledAt = clock.now();
--- a/src/request/retry-budgets.ts
+++ b/src/request/retry-budgets.ts
@@ -1,4 +1,4 @@
-/** This VM's share of the retry budget of each service, which all VMs share. */
+/** This VM's part of the retry budget of each service, which all VMs share without coordination. */
 import type * as clocks from "../kernel/clock.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
@@ -14,36 +14,46 @@
   readonly windowMs: number;
 }
 
-/**
- * Fraction of the budget that is used. The rest covers VMs that see different member counts for
- * some seconds, and calls whose response was lost.
- */
+/** Fraction of the budget that is used; the rest covers retries that reach a runner later than they were reserved. */
 const USABLE_SHARE = 0.8;
 /** Fraction of the slack that may accumulate; the rest is refilled evenly over the window. */
 const BURST_SHARE = 0.5;
-/** Retries that any VM may accumulate: as many as one retry of a model request may cost. */
+/**
+ * Retries that a VM without a share of the slack may accumulate from its own calls: as many as one retry of a model
+ * request may cost. `n` VMs need a slack of twice `n`.
+ */
 const MIN_CAPACITY = 2;
 
 /** Services and settings that `RetryBudgets` uses. */
 export interface RetryBudgetsOptions {
   readonly getSettings: () => RetryBudgetSettings;
   readonly clock: clocks.Clock;
-  readonly countVms: () => number;
+  /** Returns the number of VMs that share the slack; `undefined` while this VM must not use any of it. */
+  readonly findVmCount: () => number | undefined;
   readonly log: telemetry.EventLog;
   readonly metrics: telemetry.Metrics;
+  /** Retries that a budget holds when the process starts; default 0. Each start adds them to the total of the fleet. */
+  readonly initialRetries?: number;
 }
 
 /**
- * Limits the retries of this VM by its own calls and by its share of the slack, which is divided by
- * the number of VMs without coordination.
+ * Limits the retries of this VM. The ratio needs no agreement, since each VM refills its budget by its own calls. The slack
+ * is divided by the number of VMs, and only VMs that are sure of the number use it.
+ *
+ * In any window, `n` VMs retry at most `USABLE_SHARE` x (ratio x calls + slack) or `USABLE_SHARE` x ratio x calls +
+ * `MIN_CAPACITY` x n times, whichever is more. Restarts add nothing but the initial retries.
  */
 export class RetryBudgets {
   readonly #options: RetryBudgetsOptions;
-  readonly #loggedVms = new Map<string, number>();
   readonly #budgets = new Map<string, retryBudget.RetryBudget>();
+  /** Holds what a service's budget holds before its first call on this VM. */
+  readonly #unused: retryBudget.RetryBudget;
+  readonly #loggedVms = new Map<string, number | undefined>();
 
   constructor(options: RetryBudgetsOptions) {
     this.#options = options;
+    this.#unused = new retryBudget.RetryBudget(this.#computeLimits(undefined), options.clock);
+    this.#unused.release(options.initialRetries ?? 0);
   }
 
   /**
@@ -57,48 +67,58 @@
     return new sendAccount.SendAccount(maxRunners, {
       reserve: (cost) => this.reserve(service, cost),
       release: (cost) => {
-        this.#getOrCreateBudget(service).release(cost);
+        this.#updateBudget(service).release(cost);
       },
     });
   }
 
   /** Records a caller's request for a service. */
   recordCall(service: string): void {
-    this.#getOrCreateBudget(service).recordCall();
+    this.#updateBudget(service).recordCall();
   }
 
   /** Takes `cost` retries from the budget of a service; returns whether they were available. */
   reserve(service: string, cost: number): boolean {
-    const budget = this.#getOrCreateBudget(service);
-    budget.setLimits(this.#computeLimits());
-    this.#recordShare(service, budget);
-    const isReserved = budget.reserve(cost);
+    const isReserved = this.#updateBudget(service).reserve(cost);
     const outcome = isReserved ? "reserved" : "refused";
     this.#options.metrics.count("retry_reservations", { service, outcome });
     return isReserved;
   }
 
-  /** Logs the share of a service when it is first used, and when the number of VMs has changed. */
-  #recordShare(service: string, budget: retryBudget.RetryBudget): void {
-    const vms = this.#options.countVms();
-    if (this.#loggedVms.get(service) === vms) return;
-    this.#loggedVms.set(service, vms);
-    const { maxRetries } = this.#computeLimits();
-    const fields = { service, vms, maxRetries, available: budget.available };
-    this.#options.log.write(logEvents.LOG_EVENTS.retryShareChanged, fields);
-  }
-
-  #getOrCreateBudget(service: string): retryBudget.RetryBudget {
+  /** Returns the budget of a service with the limits that hold now. */
+  #updateBudget(service: string): retryBudget.RetryBudget {
+    const vms = this.#options.findVmCount();
+    const limits = this.#computeLimits(vms);
+    this.#unused.setLimits(limits);
     const known = this.#budgets.get(service);
-    if (known !== undefined) return known;
-    const budget = new retryBudget.RetryBudget(this.#computeLimits(), this.#options.clock);
+    const budget = known ?? this.#createBudget(limits);
     this.#budgets.set(service, budget);
+    budget.setLimits(limits);
+    const isLogged = known !== undefined && this.#loggedVms.get(service) === vms;
+    if (!isLogged) this.#recordShare(service, vms, budget, limits);
     return budget;
   }
 
-  #computeLimits(): retryBudget.RetryBudgetLimits {
+  #createBudget(limits: retryBudget.RetryBudgetLimits): retryBudget.RetryBudget {
+    const budget = new retryBudget.RetryBudget(limits, this.#options.clock);
+    budget.release(this.#unused.available);
+    return budget;
+  }
+
+  #recordShare(
+    service: string,
+    vms: number | undefined,
+    budget: retryBudget.RetryBudget,
+    { maxRetries }: retryBudget.RetryBudgetLimits,
+  ): void {
+    this.#loggedVms.set(service, vms);
+    const fields = { service, vms: vms ?? "unknown", maxRetries, available: budget.available };
+    this.#options.log.write(logEvents.LOG_EVENTS.retryShareChanged, fields);
+  }
+
+  #computeLimits(vms: number | undefined): retryBudget.RetryBudgetLimits {
     const { ratio, slack, windowMs } = this.#options.getSettings();
-    const share = (USABLE_SHARE * slack) / Math.max(1, this.#options.countVms());
+    const share = vms === undefined ? 0 : (USABLE_SHARE * slack) / vms;
     const maxRetries = Math.max(MIN_CAPACITY, BURST_SHARE * share);
     const retriesPerMs = Math.max(0, share - maxRetries) / windowMs;
     return { retriesPerCall: USABLE_SHARE * ratio, maxRetries, retriesPerMs };
--- a/test/request/fake-fleet.ts
+++ b/test/request/fake-fleet.ts
@@ -7,8 +7,10 @@
 import * as membership from "../../src/membership/types.js";
 import * as network from "../../src/protocol/network.js";
 import * as crashRecords from "../../src/request/crash-records.js";
+import * as retryBudgets from "../../src/request/retry-budgets.js";
 import * as runHolds from "../../src/request/run-holds.js";
 import * as plainCalls from "../../src/request/plain-calls.js";
+import * as metrics from "../telemetry/inert-metrics.js";
 import type * as document from "../../src/settings/document.js";
 import * as upstream from "../../src/upstream/types.js";
 import * as fakeClock from "../../standins/fake-clock.js";
@@ -30,6 +32,8 @@
   operations: [BOOK_OPERATION],
 };
 
+const RETRY_BUDGET = { ratio: 0.2, slack: 25, windowMs: 10_000 };
+
 type Handler = (request: unknown, from: network.PeerIdentity) => unknown;
 
 /** A plain service that counts its executions by request id. */
@@ -97,6 +101,7 @@
     kernel.register("sessions", callerSessions.createSessions);
     kernel.register("crashes", crashRecords.createCrashRecords);
     kernel.register("runHolds", runHolds.createRunHolds);
+    kernel.register("retryBudgets", () => fleet.createRetryBudgets(this));
     kernel.register("plainCalls", plainCalls.createPlainCalls);
     kernel.use("plainCalls");
   }
@@ -132,6 +137,8 @@
   readonly clock = fakeClock.createFakeClock();
   readonly service = new FakeService();
   readonly nodes = new Map<string, FakeNode>();
+  /** Number of VMs that share the retry budget; `undefined` when they do not know it. */
+  retryShareCount: number | undefined = 1;
   /** Pairs `from>to` whose requests are lost. */
   readonly lostRequests = new Set<string>();
   /** Pairs `from>to` whose replies are lost. */
@@ -154,6 +161,16 @@
     }
   }
 
+  createRetryBudgets(node: FakeNode): retryBudgets.RetryBudgets {
+    return new retryBudgets.RetryBudgets({
+      getSettings: () => RETRY_BUDGET,
+      clock: node.clock,
+      findVmCount: () => this.retryShareCount,
+      log: { write: () => undefined },
+      metrics: metrics.createInertMetrics(),
+    });
+  }
+
   createMembership(node: FakeNode): membership.Membership {
     const listAll = (): membership.Member[] => [...this.nodes.values()].map(({ self }) => self);
     const { alive, dead } = membership.MEMBER_STATE;
@@ -164,6 +181,7 @@
       listMembers: () => listAll().filter(({ state }) => state !== dead),
       listKnown: () => listAll(),
       listAlive: () => listAll().filter(({ state }) => state === alive),
+      listSeeds: () => listAll().map(({ peer }) => peer),
       findMember: (vm) => this.nodes.get(vm)?.self,
       onChange: (listener) => {
         node.listeners.add(listener);
--- a/test/serving/plain-serving.test.ts
+++ b/test/serving/plain-serving.test.ts
@@ -76,6 +76,23 @@
     earl.expect(await fixture.serve(pair.plain, fixture.createCall(UNSAFE))).toEqual("200 whole");
   });
 
+  // Guards against counting a connection that was refused as an attempt and as a repeat.
+  test.it("sends a call elsewhere without a retry when no connection is made", async () => {
+    const ended = await raw.startRawRunner("ended", () => undefined);
+    await ended[Symbol.asyncDispose]();
+    await using healthy = await raw.startRawRunner("healthy", (socket) => {
+      socket.write(raw.formatResponse("r1", "whole"));
+    });
+    for (const listed of [
+      [ended.runner, healthy.runner],
+      [healthy.runner, ended.runner],
+    ]) {
+      const plain = fixture.createPlainServing(listed, 0);
+      const call = fixture.createCall({ kind: routing.CALL_KIND.unsafe, maxAttempts: 1 });
+      earl.expect(await fixture.serve(plain, call)).toEqual("200 whole");
+    }
+  });
+
   test.it(
     'refuses a call with "ran no" if every runner states that it has not run, or no runner is listed',
     async () => {
