Divide connections and alone-placed capacity by all known VMs

Runners got more connections than they accept, and more requests than they have room for, from a VM that was cut off or had just started.

A VM that sees only itself took nine tenths of a runner's connections.

Change: both divide by the VMs that are known, dead ones too, and at least by the number of seeds.

--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -115,7 +115,7 @@
     clock: kernel.use("clock"),
     codec: runnerCodec,
     tracer: kernel.use("tracer"),
-    countVms: () => kernel.use("membership").listMembers().length,
+    countVms: () => kernel.use("fleetSize").countKnown(),
   });
 }
 
@@ -149,6 +149,7 @@
     metrics: kernel.use("metrics"),
     network: kernel.use("network"),
     membership: kernel.use("membership"),
+    countVms: () => kernel.use("fleetSize").countKnown(),
     createScheduler: (service) =>
       new poolScheduler.PoolScheduler({
         clock,
--- a/src/placement/placement-service.ts
+++ b/src/placement/placement-service.ts
@@ -28,6 +28,8 @@
   readonly metrics: telemetry.Metrics;
   readonly network: network.PeerNetwork;
   readonly membership: membership.Membership;
+  /** Returns how many VMs share the runners when this one places alone. */
+  readonly countVms: () => number;
   readonly createScheduler: (service: string) => poolScheduler.PoolScheduler;
 }
 
@@ -165,9 +167,9 @@
     signal: AbortSignal,
   ): Promise<types.PlacementResult> {
     const own = this.#getOrCreateScheduler(request.service);
-    const { membership: fleet, metrics } = this.#options;
+    const { countVms, metrics } = this.#options;
     metrics.count("placed_alone");
-    if (!this.#isOwn(scheduler)) own.setCapacityShare(1 / Math.max(1, fleet.listMembers().length));
+    if (!this.#isOwn(scheduler)) own.setCapacityShare(1 / Math.max(1, countVms()));
     return await waitForResult(own, request, signal);
   }
 
--- a/test/membership/fleet-size.test.ts
+++ b/test/membership/fleet-size.test.ts
@@ -45,7 +45,7 @@
   }
 
   async restart(vms: readonly string[]): Promise<void> {
-    for (const vm of vms) await this.kill(vm);
+    for (const { vm } of this.nodes) if (vms.includes(vm)) await this.kill(vm);
     const starts = vms.map((vm) => this.startNode(vm));
     await this.clock.advance(3_000);
     await Promise.all(starts);
@@ -96,6 +96,13 @@
     earl.expect(fleet.sizes.get("vm-0")?.find()).toEqual(NODES);
   });
 
+  test.it("counts the seeds before any of them answers", async () => {
+    await using fleet = new SizedFleet(5);
+    fleet.platform.addVm(fleet.createListedVm("vm-0"));
+    await fleet.restart(["vm-0"]);
+    earl.expect(fleet.sizes.get("vm-0")?.countKnown()).toEqual(SEEDS.length);
+  });
+
   test.it("takes the share from the smaller side of a partition", async () => {
     await using fleet = await startFleet();
     fleet.setPartition(listNames(0, 0), listNames(1, 6), true);
