Count the time in touch with the fleet from the start of the process

Cause: FleetSize was created with the first call, so its 20 s began there; and a budget gained nothing for the time before its first call.

Change: both exist from the start. FleetSize tells how long the share has been in force, and a budget is refilled for that time, at most since the start.

--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -28,6 +28,8 @@
   const hasData = (): boolean => sync.ready && crashes.ready;
   const isReady = (): boolean => !state.isDraining && hasData();
   kernel.use("placement");
+  // Counts the time in touch with the fleet from the start on.
+  kernel.use("retryBudgets");
   await kernel.use("network").start();
   const server = createCallerServer(kernel, hasData);
   const auxiliary = createAuxiliaryServers(kernel, options, isReady);
--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -130,10 +130,11 @@
 
 function createRetryBudgets(kernel: container.Kernel): retryBudgets.RetryBudgets {
   const live = kernel.use("liveSettings");
+  const size = kernel.use("fleetSize");
   return new retryBudgets.RetryBudgets({
     getSettings: () => live.current.retryBudget,
     clock: kernel.use("clock"),
-    findVmCount: () => kernel.use("fleetSize").find(),
+    findShare: () => size.findShare(),
     log: kernel.use("log"),
     metrics: kernel.use("metrics"),
   });
--- a/src/membership/fleet-size.ts
+++ b/src/membership/fleet-size.ts
@@ -15,6 +15,14 @@
 /** A check later than this means that the process or the machine was suspended. */
 const SUSPEND_THRESHOLD_MS = 2_000;
 
+/** This VM's share of a limit of the whole fleet. */
+export interface FleetShare {
+  /** Number of VMs to divide the limit by. */
+  readonly vmCount: number;
+  /** Time for which this VM has been entitled to a share. */
+  readonly inForceMs: number;
+}
+
 /** Services that `FleetSize` uses. */
 export interface FleetSizeOptions {
   readonly clock: clocks.Clock;
@@ -48,13 +56,12 @@
     this.#scheduleCheck();
   }
 
-  /** Returns the number of VMs to divide a limit by, or `undefined` while this VM must not use a share. */
-  find(): number | undefined {
+  /** Returns this VM's share, or `undefined` while it must not use one. */
+  findShare(): FleetShare | undefined {
     this.#update();
-    const { clock } = this.#options;
-    const isSettled =
-      this.#inTouchSince !== undefined && clock.now() - this.#inTouchSince >= SETTLE_MS;
-    return isSettled ? this.countKnown() : undefined;
+    if (this.#inTouchSince === undefined) return undefined;
+    const inForceMs = this.#options.clock.now() - this.#inTouchSince - SETTLE_MS;
+    return inForceMs < 0 ? undefined : { vmCount: this.countKnown(), inForceMs };
   }
 
   /**
--- a/src/node.ts
+++ b/src/node.ts
@@ -80,10 +80,11 @@
 const INITIAL_RETRIES = 2;
 
 function createRetryBudgets(kernel: container.Kernel): retryBudgets.RetryBudgets {
+  const size = kernel.use("fleetSize");
   return new retryBudgets.RetryBudgets({
     getSettings: () => RETRY_BUDGET,
     clock: kernel.use("clock"),
-    findVmCount: () => kernel.use("fleetSize").find(),
+    findShare: () => size.findShare(),
     log: kernel.use("log"),
     metrics: kernel.use("metrics"),
     initialRetries: INITIAL_RETRIES,
--- a/src/request/retry-budget.ts
+++ b/src/request/retry-budget.ts
@@ -1,5 +1,4 @@
 /** Limits retries to a fraction of the calls, so that failures do not multiply the load. */
-import type * as clocks from "../kernel/clock.js";
 
 /** Refill rates and capacity of a retry budget. */
 export interface RetryBudgetLimits {
@@ -12,19 +11,22 @@
 }
 
 /**
- * A token bucket of retries, which calls and time refill. It starts empty: the process before a restart may just have
- * used what this one would start with.
+ * A token bucket of retries, which calls and time refill. It starts empty unless told otherwise: the process before a
+ * restart may just have used what this one would start with.
  */
 export class RetryBudget {
-  readonly #clock: Pick<clocks.Clock, "now">;
   #limits: RetryBudgetLimits;
   #available = 0;
   #refilledAt: number;
 
-  constructor(limits: RetryBudgetLimits, clock: Pick<clocks.Clock, "now">) {
+  /**
+   * @param startedAt - monotonic time from which time refills the budget.
+   * @param initialRetries - retries that it starts with.
+   */
+  constructor(limits: RetryBudgetLimits, startedAt: number, initialRetries = 0) {
     this.#limits = limits;
-    this.#clock = clock;
-    this.#refilledAt = clock.now();
+    this.#refilledAt = startedAt;
+    this.#addRetries(initialRetries);
   }
 
   /** Retries that are available now. */
@@ -32,11 +34,16 @@
     return this.#available;
   }
 
-  /** Replaces the limits. Available retries beyond the new capacity are lost. */
-  setLimits(limits: RetryBudgetLimits): void {
-    this.#addRefill();
+  /**
+   * Replaces the limits and adds what time has refilled. Available retries beyond the new capacity are lost.
+   *
+   * @param now - monotonic time.
+   * @param inForceMs - time for which the limits have been in force.
+   */
+  update(limits: RetryBudgetLimits, now: number, inForceMs: number): void {
     this.#limits = limits;
-    this.#addRetries(0);
+    this.#addRetries(Math.min(now - this.#refilledAt, inForceMs) * limits.retriesPerMs);
+    this.#refilledAt = now;
   }
 
   /** Records a call, which adds a fraction of a retry. */
@@ -45,8 +52,7 @@
   }
 
   /** Takes `cost` retries from the budget if they are available; returns whether they were. */
-  reserve(cost = 1): boolean {
-    this.#addRefill();
+  reserve(cost: number): boolean {
     if (this.#available < cost) return false;
     this.#available -= cost;
     return true;
@@ -57,12 +63,6 @@
     this.#addRetries(cost);
   }
 
-  #addRefill(): void {
-    const now = this.#clock.now();
-    this.#addRetries((now - this.#refilledAt) * this.#limits.retriesPerMs);
-    this.#refilledAt = now;
-  }
-
   #addRetries(retries: number): void {
     this.#available = Math.min(this.#limits.maxRetries, this.#available + retries);
   }
--- a/src/request/retry-budgets.ts
+++ b/src/request/retry-budgets.ts
@@ -1,5 +1,6 @@
 /** This VM's part of the retry budget of each service, which all VMs share without coordination. */
 import type * as clocks from "../kernel/clock.js";
+import type * as fleetSize from "../membership/fleet-size.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
 import * as retryBudget from "./retry-budget.js";
@@ -28,8 +29,8 @@
 export interface RetryBudgetsOptions {
   readonly getSettings: () => RetryBudgetSettings;
   readonly clock: clocks.Clock;
-  /** Returns the number of VMs that share the slack; `undefined` while this VM must not use any of it. */
-  readonly findVmCount: () => number | undefined;
+  /** Returns this VM's share of the slack; `undefined` while it must not use any of it. */
+  readonly findShare: () => fleetSize.FleetShare | undefined;
   readonly log: telemetry.EventLog;
   readonly metrics: telemetry.Metrics;
   /** Retries that a budget holds when the process starts; default 0. Each start adds them to the total of the fleet. */
@@ -46,14 +47,12 @@
 export class RetryBudgets {
   readonly #options: RetryBudgetsOptions;
   readonly #budgets = new Map<string, retryBudget.RetryBudget>();
-  /** Holds what a service's budget holds before its first call on this VM. */
-  readonly #unused: retryBudget.RetryBudget;
+  readonly #startedAt: number;
   readonly #loggedVms = new Map<string, number | undefined>();
 
   constructor(options: RetryBudgetsOptions) {
     this.#options = options;
-    this.#unused = new retryBudget.RetryBudget(this.#computeLimits(undefined), options.clock);
-    this.#unused.release(options.initialRetries ?? 0);
+    this.#startedAt = options.clock.now();
   }
 
   /**
@@ -87,22 +86,21 @@
 
   /** Returns the budget of a service with the limits that hold now. */
   #updateBudget(service: string): retryBudget.RetryBudget {
-    const vms = this.#options.findVmCount();
-    const limits = this.#computeLimits(vms);
-    this.#unused.setLimits(limits);
+    const { clock, findShare } = this.#options;
+    const share = findShare();
+    const limits = this.#computeLimits(share);
     const known = this.#budgets.get(service);
     const budget = known ?? this.#createBudget(limits);
     this.#budgets.set(service, budget);
-    budget.setLimits(limits);
-    const isLogged = known !== undefined && this.#loggedVms.get(service) === vms;
-    if (!isLogged) this.#recordShare(service, vms, budget, limits);
+    budget.update(limits, clock.now(), share?.inForceMs ?? 0);
+    const isLogged = known !== undefined && this.#loggedVms.get(service) === share?.vmCount;
+    if (!isLogged) this.#recordShare(service, share?.vmCount, budget, limits);
     return budget;
   }
 
   #createBudget(limits: retryBudget.RetryBudgetLimits): retryBudget.RetryBudget {
-    const budget = new retryBudget.RetryBudget(limits, this.#options.clock);
-    budget.release(this.#unused.available);
-    return budget;
+    const { initialRetries } = this.#options;
+    return new retryBudget.RetryBudget(limits, this.#startedAt, initialRetries);
   }
 
   #recordShare(
@@ -116,9 +114,9 @@
     this.#options.log.write(logEvents.LOG_EVENTS.retryShareChanged, fields);
   }
 
-  #computeLimits(vms: number | undefined): retryBudget.RetryBudgetLimits {
+  #computeLimits(fleetShare: fleetSize.FleetShare | undefined): retryBudget.RetryBudgetLimits {
     const { ratio, slack, windowMs } = this.#options.getSettings();
-    const share = vms === undefined ? 0 : (USABLE_SHARE * slack) / vms;
+    const share = fleetShare === undefined ? 0 : (USABLE_SHARE * slack) / fleetShare.vmCount;
     const maxRetries = Math.max(MIN_CAPACITY, BURST_SHARE * share);
     const retriesPerMs = Math.max(0, share - maxRetries) / windowMs;
     return { retriesPerCall: USABLE_SHARE * ratio, maxRetries, retriesPerMs };
--- a/test/gateway/retry-budget-fixture.ts
+++ b/test/gateway/retry-budget-fixture.ts
@@ -44,6 +44,8 @@
   /** Fails one request in this many; default 1. */
   readonly every?: number;
   readonly disturbance?: Disturbance;
+  /** Time from the start of the gateways to the traffic; default 0. */
+  readonly settleMs?: number;
   /** Time from one request of the callers to the next; default 20 ms. */
   readonly sendEveryMs?: number;
 }
@@ -91,8 +93,9 @@
   }
 
   async run(): Promise<void> {
+    const { disturbance = DISTURBANCE.none, sendEveryMs = 20, settleMs = 0 } = this.#options;
+    await sleep(settleMs);
     const startedAt = performance.now();
-    const { disturbance = DISTURBANCE.none, sendEveryMs = 20 } = this.#options;
     const disturbances = DISTURB[disturbance](this);
     for (let count = 0; performance.now() - startedAt < PLAY_MS; count += 1) {
       this.#send(count);
--- a/test/gateway/retry-budget.test.ts
+++ b/test/gateway/retry-budget.test.ts
@@ -1,5 +1,6 @@
 import * as test from "node:test";
 import * as earl from "earl";
+import * as fleetSize from "../../src/membership/fleet-size.js";
 import * as crashing from "../../standins/users-platform/crashing-runner.js";
 import * as failing from "../../standins/users-platform/failing-runner.js";
 import * as fixture from "./retry-budget-fixture.js";
@@ -11,14 +12,14 @@
 /** Requests that may run on more runners than `max_attempts`. */
 const MAX_OVER_ATTEMPTED = 3;
 
-async function checkPlay(options: fixture.PlayOptions): Promise<void> {
+async function checkPlay(options: fixture.PlayOptions): Promise<fixture.PlayResult> {
   const play = await fixture.runPlay(options);
   const text = JSON.stringify(play);
-  if (process.env.PRINT_PLAYS !== undefined) console.log(JSON.stringify(options), text);
   earl
     .expect(play.repeats <= play.allowed ? "within the budget" : text)
     .toEqual("within the budget");
   earl.expect(play.overAttempted <= MAX_OVER_ATTEMPTED ? "kept" : text).toEqual("kept");
+  return play;
 }
 
 // Guards against BUDGET: VMs that started, returned or were cut off spent more retries than the fleet has together.
@@ -31,6 +32,13 @@
     await checkPlay({ net: 161, role: plain, failure: reject });
   });
 
+  test.it("when VMs that know each other use the slack", async () => {
+    const options = { role: decode, failure: reject, every: 2, sendEveryMs: 120 } as const;
+    const play = await checkPlay({ net: 160, ...options, settleMs: fleetSize.SETTLE_MS + 1_000 });
+    // The ratio alone allows fewer.
+    earl.expect(play.repeats > 0.2 * play.calls ? "uses it" : play.repeats).toEqual("uses it");
+  });
+
   test.it("when plain runners reset and all VMs are killed and started again", async () => {
     await checkPlay({ net: 162, role: plain, failure: reset, disturbance: killAll });
   });
--- a/test/membership/fleet-size.test.ts
+++ b/test/membership/fleet-size.test.ts
@@ -36,12 +36,12 @@
 
   /** Returns the part of a shared limit that all running nodes use together. */
   computeUsedShare(): number {
-    const counts = this.nodes.map(({ vm }) => this.sizes.get(vm)?.find());
+    const counts = this.nodes.map(({ vm }) => this.sizes.get(vm)?.findShare()?.vmCount);
     return counts.reduce((sum: number, count) => sum + (count === undefined ? 0 : 1 / count), 0);
   }
 
   countSettled(): number {
-    return this.nodes.filter(({ vm }) => this.sizes.get(vm)?.find() !== undefined).length;
+    return this.nodes.filter(({ vm }) => this.sizes.get(vm)?.findShare() !== undefined).length;
   }
 
   async restart(vms: readonly string[]): Promise<void> {
@@ -93,7 +93,7 @@
     await fleet.kill("vm-6");
     await fleet.clock.advance(60_000);
     earl.expect(fleet.countSettled()).toEqual(NODES - 2);
-    earl.expect(fleet.sizes.get("vm-0")?.find()).toEqual(NODES);
+    earl.expect(fleet.sizes.get("vm-0")?.findShare()?.vmCount).toEqual(NODES);
   });
 
   test.it("counts the seeds before any of them answers", async () => {
@@ -107,7 +107,7 @@
     await using fleet = await startFleet();
     fleet.setPartition(listNames(0, 0), listNames(1, 6), true);
     await fleet.clock.advance(DETECT_MS);
-    earl.expect(fleet.sizes.get("vm-0")?.find()).toEqual(undefined);
+    earl.expect(fleet.sizes.get("vm-0")?.findShare()).toEqual(undefined);
     earl.expect(fleet.countSettled()).toEqual(NODES - 1);
   });
 
@@ -118,9 +118,9 @@
       fleet.pause("vm-4");
       await fleet.clock.advance(4_000);
       fleet.resume("vm-4");
-      earl.expect(fleet.sizes.get("vm-4")?.find()).toEqual(undefined);
+      earl.expect(fleet.sizes.get("vm-4")?.findShare()).toEqual(undefined);
       await fleet.clock.advance(60_000);
-      earl.expect(fleet.sizes.get("vm-4")?.find()).toEqual(NODES);
+      earl.expect(fleet.sizes.get("vm-4")?.findShare()?.vmCount).toEqual(NODES);
     },
   );
 
--- a/test/request/fake-fleet.ts
+++ b/test/request/fake-fleet.ts
@@ -4,6 +4,7 @@
 import * as random from "../../src/kernel/random.js";
 import * as callerSessions from "../../src/caller/sessions.js";
 import type * as callerTypes from "../../src/caller/types.js";
+import type * as fleetSize from "../../src/membership/fleet-size.js";
 import * as membership from "../../src/membership/types.js";
 import * as network from "../../src/protocol/network.js";
 import * as crashRecords from "../../src/request/crash-records.js";
@@ -137,8 +138,8 @@
   readonly clock = fakeClock.createFakeClock();
   readonly service = new FakeService();
   readonly nodes = new Map<string, FakeNode>();
-  /** Number of VMs that share the retry budget; `undefined` when they do not know it. */
-  retryShareCount: number | undefined = 1;
+  /** Share of each VM in the retry budget; `undefined` when they must not use one. */
+  retryShare: fleetSize.FleetShare | undefined = { vmCount: 1, inForceMs: Infinity };
   /** Pairs `from>to` whose requests are lost. */
   readonly lostRequests = new Set<string>();
   /** Pairs `from>to` whose replies are lost. */
@@ -165,7 +166,7 @@
     return new retryBudgets.RetryBudgets({
       getSettings: () => RETRY_BUDGET,
       clock: node.clock,
-      findVmCount: () => this.retryShareCount,
+      findShare: () => this.retryShare,
       log: { write: () => undefined },
       metrics: metrics.createInertMetrics(),
     });
--- a/test/request/idempotent-calls.test.ts
+++ b/test/request/idempotent-calls.test.ts
@@ -32,8 +32,8 @@
 /** Creates a node whose retry budget is full. */
 async function createWarmNode() {
   const created = createNode();
-  created.node.kernel.use("retryBudgets").recordCall("another-service");
   await created.fleet.clock.advance(20_000);
+  created.node.kernel.use("retryBudgets").recordCall(fakes.SERVICE.name);
   return created;
 }
 
@@ -98,7 +98,7 @@
     "reports `ran: no` only if no connection was made, and stops when its retry budget is used up",
     async () => {
       const { fleet, run, used } = await createWarmNode();
-      fleet.retryShareCount = undefined;
+      fleet.retryShare = undefined;
       const all = ["back-a", "back-b"];
       fleet.service.handleCall = createFailingBehaviour(
         upstream.UPSTREAM_FAILURE.notConnected,
--- a/test/request/retry-budgets.test.ts
+++ b/test/request/retry-budgets.test.ts
@@ -24,7 +24,10 @@
   return new retryBudgets.RetryBudgets({
     getSettings: () => settings,
     clock,
-    findVmCount,
+    findShare: () => {
+      const vmCount = findVmCount();
+      return vmCount === undefined ? undefined : { vmCount, inForceMs: Infinity };
+    },
     log,
     metrics,
   });
@@ -129,20 +132,31 @@
     async () => {
       const clock = fakeClock.createFakeClock();
       const budgets = createBudgets(clock, () => VM_COUNT);
-      budgets.recordCall("other");
       await clock.advance(10_000);
       earl.expect(budgets.reserve("plain", 3)).toEqual(true);
       earl.expect(budgets.reserve("plain", 1)).toEqual(false);
     },
   );
 
+  test.it("adds for the time only while this VM has had a share", async () => {
+    const clock = fakeClock.createFakeClock();
+    const budgets = new retryBudgets.RetryBudgets({
+      getSettings: () => ({ ratio: 0, slack: 12.5, windowMs: 10_000 }),
+      clock,
+      findShare: () => ({ vmCount: 1, inForceMs: clock.now() - 8_000 }),
+      log: { write: () => undefined },
+      metrics: inertMetrics.createInertMetrics(),
+    });
+    await clock.advance(10_000);
+    earl.expect([1, 1].map((cost) => budgets.reserve("plain", cost))).toEqual([true, false]);
+  });
+
   test.it(
     "charges a retry for all requests that it sends, and refunds those not sent",
     async () => {
       const clock = fakeClock.createFakeClock();
       const settings = { ratio: 0, slack: 12.5, windowMs: 10_000 };
       const budgets = createBudgets(clock, () => 1, settings);
-      budgets.recordCall("model");
       await clock.advance(10_000);
       const { prefill, run } = sendAccount.SEND_STEP;
       {
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -65,7 +65,7 @@
   const budgets = new retryBudgets.RetryBudgets({
     getSettings: () => ({ ratio, slack: 0, windowMs: 10_000 }),
     clock,
-    findVmCount: () => 1,
+    findShare: () => undefined,
     log,
     metrics,
   });
