Count arrivals at runners in the soak, and cut its gateways off from each other

The soak could not see that retries exceed the shared budget: it counted no arrivals, its runners failed few requests, and no gateway lost sight of the others.

Change: runners report every arrival, and the soak checks the budget in each window and the runners of each request. Faults: all runners of a role reject or reset for a time, alone, while all gateways are killed three times, and while they start cut off from each other (with fleet keys of their own). The retry ratio is 0.02 then, so that the calls do not hide what exceeds the slack.

--- a/standins/soak/callers.ts
+++ b/standins/soak/callers.ts
@@ -63,6 +63,8 @@
     isComplete: false,
     abortedAt: undefined,
   };
+  const service = kind === CALL_KIND.notes ? "model" : "plain";
+  gateway.sentCalls.push({ call: record.id, service, at: record.startedAt });
   return new Promise((resolve) => {
     const request = http.request({
       host: "127.0.0.1",
--- a/standins/soak/child-main.ts
+++ b/standins/soak/child-main.ts
@@ -1,5 +1,6 @@
 /** Entry point of the soak's child processes: the emulated store and runners. */
 import * as cmd from "cmd-ts";
+import * as failing from "../users-platform/failing-runner.js";
 import * as engines from "../users-platform/engine.js";
 import * as store from "../users-platform/store.js";
 import type * as children from "./children.js";
@@ -22,10 +23,26 @@
   delete: () => true,
 };
 
+let failure: failing.Failure = failing.FAILURE.none;
+
+/** Follows the commands of the soak to fail requests. */
+function receiveCommands(): void {
+  process.on("message", (command: children.RunnerCommand) => {
+    ({ failure } = command);
+  });
+}
+
+function sendArrival(call: string, isPrefill: boolean, hasRun: boolean): void {
+  sendEvent({ kind: "arrived", call, isPrefill, hasRun });
+}
+
 async function startEngine(stage: string): Promise<string> {
+  receiveCommands();
   const behaviour = { eventCount: EVENT_COUNT, eventPauseMs: EVENT_PAUSE_MS };
   const engine = new engines.EngineStandIn(stage, STATELESS_HANDLES, {
     ...behaviour,
+    chooseFailure: () => failure,
+    onArrived: sendArrival,
     onRan: (call) => {
       sendEvent({ kind: "ran", call });
     },
@@ -65,8 +82,13 @@
   store: startStore,
   prefill: () => startEngine("prefill"),
   decode: () => startEngine("decode"),
-  plain: (id, seed) =>
-    plainRunner.startPlainRunner(id, seed, {
+  plain: (id, seed) => {
+    receiveCommands();
+    return plainRunner.startPlainRunner(id, seed, {
+      chooseFailure: () => failure,
+      onArrived: (call, hasRun) => {
+        sendArrival(call, false, hasRun);
+      },
       onRan: (call) => {
         sendEvent({ kind: "ran", call });
       },
@@ -76,7 +98,8 @@
       onCrash: (call) => {
         process.send?.({ kind: "crashed", call }, () => process.exit(1));
       },
-    }),
+    });
+  },
 };
 
 const command = cmd.command({
--- a/standins/soak/children.ts
+++ b/standins/soak/children.ts
@@ -1,14 +1,25 @@
 /** Child processes of the soak that exchange messages with it: the emulated store and runners. */
 import * as url from "node:url";
+import type * as failing from "../users-platform/failing-runner.js";
 import * as processes from "../processes.js";
 
 /**
- * Message from a runner: a request started to run, or was cancelled while it ran; a request that ends its runners
- * arrived, or ends this one.
+ * Message from a runner: a request arrived, started to run, or was cancelled while it ran; a request that ends its
+ * runners arrived, or ends this one.
  */
-export interface RunnerEvent {
-  readonly kind: "ran" | "cancelled" | "crashArrived" | "crashed";
-  readonly call: string;
+export type RunnerEvent =
+  | { readonly kind: "ran" | "cancelled" | "crashArrived" | "crashed"; readonly call: string }
+  | {
+      readonly kind: "arrived";
+      readonly call: string;
+      readonly isPrefill: boolean;
+      /** Whether it runs; false when the runner rejects it. */
+      readonly hasRun: boolean;
+    };
+
+/** Message to a runner: what to do with the requests that arrive from now on. */
+export interface RunnerCommand {
+  readonly failure: failing.Failure;
 }
 
 /** Message to the store. */
--- a/standins/soak/faults.ts
+++ b/standins/soak/faults.ts
@@ -1,6 +1,7 @@
 /** The faults of a soak. What a fault stops, pauses or degrades is restored when it is over. */
 import * as random from "../../src/kernel/random.js";
 import * as relays from "../relay.js";
+import * as failing from "../users-platform/failing-runner.js";
 import * as store from "../users-platform/store.js";
 import * as soakCluster from "./soak-cluster.js";
 
@@ -219,6 +220,56 @@
   },
 };
 
+/** Kills all gateways and starts them again, with keys of their own if they are to be cut off from each other. */
+async function restartAll(cluster: soakCluster.SoakCluster, isCutOff: boolean): Promise<void> {
+  for (const gateway of cluster.gateways)
+    gateway.fleetKey = isCutOff
+      ? `${soakCluster.FLEET_KEY} of ${gateway.name}`
+      : soakCluster.FLEET_KEY;
+  await Promise.all(
+    cluster.gateways.map(async (gateway) => {
+      while (gateway.state === soakCluster.GATEWAY_STATE.paused) await sleep(MIN_FAULT_MS);
+      // A gateway that is down is started with the new key by the fault that ended it.
+      if (gateway.state === soakCluster.GATEWAY_STATE.up)
+        await stopAndRestartGateway(cluster, gateway, "SIGKILL", MIN_FAULT_MS);
+    }),
+  );
+}
+
+/** Faults at which runners fail all their requests and gateways lose sight of each other, by name. */
+const BUDGET_FAULTS: Readonly<Record<string, Fault>> = {
+  failRunners: (cluster, source) =>
+    failRunners(cluster, source, () => sleep(chooseDuration(source))),
+  /** Kills all gateways three times while runners fail. */
+  failAndKillAll: (cluster, source) =>
+    failRunners(cluster, source, async () => {
+      for (let time = 0; time < 3; time += 1) {
+        await restartAll(cluster, false);
+        await sleep(chooseDuration(source) / 2);
+      }
+    }),
+  /** Starts all gateways cut off from each other while runners fail. */
+  failAndCutOff: (cluster, source) =>
+    failRunners(cluster, source, async () => {
+      await restartAll(cluster, true);
+      await sleep(MAX_FAULT_MS + chooseDuration(source));
+      await restartAll(cluster, false);
+    }),
+};
+
+/** Makes all runners of a role reject or reset their requests for as long as `during` takes. */
+async function failRunners(
+  cluster: soakCluster.SoakCluster,
+  source: random.RandomSource,
+  during: () => Promise<void>,
+): Promise<void> {
+  const role = chooseItem(["plain", "prefill", "decode"] as const, source) ?? "plain";
+  const { reject, reset, none } = failing.FAILURE;
+  cluster.setFailure(role, source.nextInteger(2) === 0 ? reject : reset);
+  await during();
+  cluster.setFailure(role, none);
+}
+
 /** A fault and the time at which it is injected. */
 export interface PlannedFault {
   readonly kind: string;
@@ -231,14 +282,17 @@
 /**
  * Creates the fault plan of a seed, with starts `meanIntervalMs` apart on average. Faults can
  * overlap.
+ *
+ * @param hasFailingRunners - whether the faults include those of `BUDGET_FAULTS`.
  */
 export function createPlan(
   seed: number,
   durationMs: number,
   meanIntervalMs: number,
+  hasFailingRunners = false,
 ): PlannedFault[] {
   const source = random.createSeededRandom(seed);
-  const kinds = Object.keys(FAULTS);
+  const kinds = Object.keys(hasFailingRunners ? { ...FAULTS, ...BUDGET_FAULTS } : FAULTS);
   const plan: PlannedFault[] = [];
   let atMs = 0;
   while (atMs < durationMs) {
@@ -257,7 +311,7 @@
   await Promise.all(
     plan.map(async ({ kind, atMs, seed }) => {
       await sleep(atMs);
-      await FAULTS[kind]?.(cluster, random.createSeededRandom(seed));
+      await { ...FAULTS, ...BUDGET_FAULTS }[kind]?.(cluster, random.createSeededRandom(seed));
     }),
   );
 }
--- a/standins/soak/guarantee-checks.ts
+++ b/standins/soak/guarantee-checks.ts
@@ -2,6 +2,7 @@
  * Checks of the router's guarantees against what callers and runners observed. Each check returns
  * how a request violates the guarantee, or `undefined`.
  */
+import * as budgetCheck from "../retry-budget-check.js";
 import * as callers from "./callers.js";
 import * as plainRunner from "./plain-runner.js";
 import type * as soakCluster from "./soak-cluster.js";
@@ -91,6 +92,40 @@
   });
 }
 
+/** `bounds` of the gateways' settings, and `max_attempts` of the routes. */
+const BUDGET_LIMITS = { slack: 54, windowMs: 10_000 };
+const MAX_ATTEMPTS = 2;
+/** Requests that may run on more runners than `MAX_ATTEMPTS`. */
+const MAX_OVER_ATTEMPTED = 3;
+
+/** Returns a line for each service whose retries exceeded the shared budget, and one for requests on too many runners. */
+export function listBudgetViolations({
+  sentCalls,
+  arrivals,
+  retryRatio,
+}: Pick<soakCluster.SoakCluster, "sentCalls" | "arrivals" | "retryRatio">): string[] {
+  const rule = { ...BUDGET_LIMITS, ratio: retryRatio };
+  const windows = ["plain", "model"].map((service) => {
+    const isOwn = (one: { readonly service: string }): boolean => one.service === service;
+    const worst = budgetCheck.computeWorstWindow(
+      rule,
+      sentCalls.filter(isOwn),
+      arrivals.filter(isOwn),
+    );
+    return { service, ...worst };
+  });
+  const violations = windows
+    .filter(({ repeats, allowed }) => repeats > allowed)
+    .map(
+      ({ service, repeats, allowed }) =>
+        `BUDGET: ${repeats} repeats at ${service} in a window that allows ${allowed.toFixed(1)}`,
+    );
+  const overAttempted = budgetCheck.listOverAttempted(arrivals, MAX_ATTEMPTS);
+  if (overAttempted.length > MAX_OVER_ATTEMPTED)
+    violations.push(`BUDGET: ${overAttempted.length} requests ran on more than two runners`);
+  return violations;
+}
+
 /** Returns the share of requests that got a complete response with status 200. */
 export function computeServedShare(records: readonly callers.CallRecord[]): number {
   const served = records.filter(({ status, isComplete }) => status === HTTP_OK && isComplete);
--- a/standins/soak/main.ts
+++ b/standins/soak/main.ts
@@ -7,12 +7,9 @@
 import * as seeds from "./seeds.js";
 import * as soak from "./soak.js";
 
-const MS_PER_S = 1_000;
 const MS_PER_MINUTE = 60_000;
 const SEED_RANGE = 1_000_000;
 
-type PlannedRun = Omit<seeds.KeptSeed, "cause">;
-
 function printResult(result: soak.SoakResult): void {
   const { seed, requests, faults, servedShare, violations } = result;
   const outcome = violations.length === 0 ? "kept" : "BROKEN";
@@ -42,25 +39,40 @@
       long: "without-crashing-caller",
       description: "without the caller whose request ends its runners, as the older kept seeds",
     }),
+    withoutFailingRunners: cmd.flag({
+      long: "without-failing-runners",
+      description: "without runners that fail all requests and gateways that start cut off",
+    }),
+    gateways: cmd.option({
+      long: "gateways",
+      type: cmd.number,
+      defaultValue: () => 3,
+      description: "number of gateways",
+    }),
   },
-  handler: async ({ seed, minutes, seconds, withoutCrashingCaller }) => {
-    const hasCrashingCaller = !withoutCrashingCaller;
+  handler: async ({
+    seed,
+    minutes,
+    seconds,
+    withoutCrashingCaller,
+    withoutFailingRunners,
+    gateways,
+  }) => {
+    const options = {
+      seconds,
+      hasCrashingCaller: !withoutCrashingCaller,
+      hasFailingRunners: !withoutFailingRunners,
+      size: { gateways },
+    };
     const endsAt = performance.now() + minutes * MS_PER_MINUTE;
-    const plannedRuns =
-      seed === undefined ? [...seeds.KEPT_SEEDS] : [{ seed, seconds, hasCrashingCaller }];
-    const next = (): PlannedRun | undefined => {
+    const plannedRuns = seed === undefined ? [...seeds.KEPT_SEEDS] : [{ ...options, seed }];
+    const next = (): soak.SoakOptions | undefined => {
       if (minutes === 0) return plannedRuns.shift();
       const isOver = performance.now() >= endsAt;
-      return isOver
-        ? undefined
-        : { seed: crypto.randomInt(SEED_RANGE), seconds, hasCrashingCaller };
+      return isOver ? undefined : { ...options, seed: crypto.randomInt(SEED_RANGE) };
     };
     for (let current = next(); current !== undefined; current = next()) {
-      const result = await soak.runSoak(
-        current.seed,
-        current.seconds * MS_PER_S,
-        current.hasCrashingCaller ?? false,
-      );
+      const result = await soak.runSoak(current);
       printResult(result);
       if (result.violations.length > 0) process.exitCode = 1;
     }
--- a/standins/soak/plain-runner.ts
+++ b/standins/soak/plain-runner.ts
@@ -6,6 +6,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as random from "../../src/kernel/random.js";
+import * as failing from "../users-platform/failing-runner.js";
 
 /** Upper bound of the random time that a call takes. */
 const MAX_WORK_MS = 40;
@@ -25,6 +26,10 @@
 
 /** Receives what happens to the calls of a runner. */
 export interface CallObserver {
+  /** Returns what to do with the next call. */
+  readonly chooseFailure: () => failing.Failure;
+  /** A call arrives; tells whether it runs. */
+  readonly onArrived: (call: string, hasRun: boolean) => void;
   /** A call starts to run. */
   readonly onRan: (call: string) => void;
   /** The request that ends its runners arrived. */
@@ -49,7 +54,7 @@
       const call = String(request.headers["request-id"]);
       if (body === CRASHING_BODY) observer.onCrashArrived(call);
       const onRan = body === CRASHING_BODY ? observer.onCrash : observer.onRan;
-      handleCall(id, source, request, response, onRan);
+      handleCall(id, source, request, response, { ...observer, onRan });
     });
   });
   server.listen(0, "127.0.0.1");
@@ -63,19 +68,23 @@
   source: random.RandomSource,
   request: http.IncomingMessage,
   response: http.ServerResponse,
-  onRan: (call: string) => void,
+  { chooseFailure, onArrived, onRan }: CallObserver,
 ): void {
   const call = String(request.headers["request-id"]);
   if (request.headers["expect-instance"] !== id) {
+    onArrived(call, false);
     response.writeHead(HTTP_MISDIRECTED_REQUEST, { "not-executed": "1" }).end();
     return;
   }
-  if (source.nextFloat() < REFUSED_SHARE) {
+  const failure = chooseFailure();
+  if (failure === failing.FAILURE.reject || source.nextFloat() < REFUSED_SHARE) {
+    onArrived(call, false);
     response.writeHead(503, { "not-executed": "1", "request-id": call }).end();
     return;
   }
+  onArrived(call, true);
   onRan(call);
-  const isLost = source.nextFloat() < LOST_ANSWER_SHARE;
+  const isLost = source.nextFloat() < LOST_ANSWER_SHARE || failure === failing.FAILURE.reset;
   setTimeout(() => {
     if (isLost) {
       response.socket?.resetAndDestroy();
--- a/standins/soak/soak-cluster.ts
+++ b/standins/soak/soak-cluster.ts
@@ -6,11 +6,13 @@
 import * as wreck from "@hapi/wreck";
 import * as processes from "../processes.js";
 import * as relays from "../relay.js";
+import type * as budgetCheck from "../retry-budget-check.js";
 import * as examples from "../users-platform/examples.js";
+import type * as failing from "../users-platform/failing-runner.js";
 import * as children from "./children.js";
 
 const GATEWAY_SCRIPT = url.fileURLToPath(new URL("../../bin/ebonyhook.js", import.meta.url));
-const FLEET_KEY = "a-key-of-the-soak-fleet";
+export const FLEET_KEY = "a-key-of-the-soak-fleet";
 /**
  * Second byte of the first loopback network; the process id of the soak selects one of
  * `NETWORK_COUNT`, so that soaks running at once rarely share one.
@@ -24,6 +26,8 @@
 const ENTRY_TTL_MS = 2_000;
 /** Time from the end of a runner under a request to the start of its replacement. */
 const RUNNER_RESTART_MS = 1_000;
+/** Retries per call in the gateways' settings, unless a soak sets others. */
+const RETRY_RATIO = 0.2;
 const START_TIMEOUT_MS = 10_000;
 const POLL_INTERVAL_MS = 50;
 
@@ -53,6 +57,10 @@
   readonly front: relays.Relay;
   /** Relay between the gateway and the platform's store. */
   readonly store: relays.Relay;
+  /** Requests sent to any gateway, shared by all of them. */
+  readonly sentCalls: budgetCheck.SentCall[];
+  /** Key that the process shares with its peers; with another key than theirs it is cut off from them. */
+  fleetKey: string;
   process: processes.ManagedProcess;
   /** Time at which the process was last started. */
   startedAt: number;
@@ -85,6 +93,10 @@
 export class SoakCluster implements AsyncDisposable {
   readonly gateways: Gateway[] = [];
   readonly runners = new Map<string, Runner>();
+  /** Arrivals at runners, in order. */
+  readonly arrivals: budgetCheck.Arrival[] = [];
+  /** Requests of all callers. */
+  readonly sentCalls: budgetCheck.SentCall[] = [];
   /** Runs by request id. */
   readonly runs = new Map<string, ObservedRun[]>();
   /** The request that ends its runners: its arrivals, and the times at which runners ended. */
@@ -97,17 +109,21 @@
   #configurationVersion = 1;
   #startedRunners = 0;
 
+  /** Retries per call in the gateways' settings. */
+  readonly retryRatio: number;
+
   /** @param directory - contains the gateways' settings files; removed on disposal. */
-  constructor(directory: string, store: children.Child) {
+  constructor(directory: string, store: children.Child, retryRatio: number) {
     this.#directory = directory;
+    this.retryRatio = retryRatio;
     this.#store = store;
   }
 
   /** Starts all processes and relays, and waits until every gateway is ready. */
-  static async start(size: ClusterSize): Promise<SoakCluster> {
+  static async start(size: ClusterSize, retryRatio = RETRY_RATIO): Promise<SoakCluster> {
     const directory = await fs.mkdtemp(path.join(os.tmpdir(), "ebonyhook-soak-"));
     const store = await children.startChild(["--role", "store"], () => undefined);
-    const cluster = new SoakCluster(directory, store);
+    const cluster = new SoakCluster(directory, store, retryRatio);
     cluster.publishConfiguration();
     for (const role of ["prefill", "decode", "plain"] as const) {
       for (let count = 0; count < size[role]; count += 1) await cluster.addRunner(role);
@@ -170,10 +186,19 @@
     gateway.state = GATEWAY_STATE.up;
   }
 
+  /** Tells all runners of a role how to fail the requests that arrive from now on. */
+  setFailure(role: Runner["role"], failure: failing.Failure): void {
+    const command: children.RunnerCommand = { failure };
+    for (const runner of this.runners.values())
+      if (runner.role === role) runner.child.process.sendMessage(command);
+  }
+
   /** Rewrites a gateway's settings file with the given peer addresses as seeds. */
   async writeSettings(gateway: Gateway, seeds: readonly string[]): Promise<void> {
     const platform = `127.0.0.1:${gateway.store.port}`;
-    const text = examples.createSettingsText(gateway.ip, { node: gateway.name, seeds, platform });
+    const { retryRatio } = this;
+    const changes = { node: gateway.name, seeds, platform, retryRatio };
+    const text = examples.createSettingsText(gateway.ip, changes);
     await fs.writeFile(gateway.settingsPath, text);
   }
 
@@ -225,6 +250,12 @@
 
   #recordEvent(runner: string, event: children.RunnerEvent): void {
     const at = performance.now();
+    if (event.kind === "arrived") {
+      const { call, isPrefill, hasRun } = event;
+      const service = this.runners.get(runner)?.role === "plain" ? "plain" : "model";
+      this.arrivals.push({ call, service, runner, at, isPrefill, hasRun });
+      return;
+    }
     if (event.kind === "crashArrived") {
       this.crashing.arrivals.push({ call: event.call, at });
       return;
@@ -265,11 +296,13 @@
     const front = await relays.Relay.start(examples.PORTS.front, ip);
     const name = `gateway-${number}`;
     const settingsPath = path.join(this.#directory, `${name}.yaml`);
-    const gateway = { name, ip, settingsPath, front, store };
+    const { sentCalls } = this;
+    const gateway = { name, ip, settingsPath, front, store, sentCalls, fleetKey: FLEET_KEY };
     const text = examples.createSettingsText(ip, {
       node: name,
       seeds: [this.formatSeed(1), this.formatSeed(2)],
       platform: `127.0.0.1:${store.port}`,
+      retryRatio: this.retryRatio,
     });
     await fs.writeFile(settingsPath, text);
     const state = GATEWAY_STATE.up;
@@ -279,9 +312,13 @@
     this.gateways.push({ ...gateway, process: child, startedAt, disturbances, state });
   }
 
-  #spawnGateway(gateway: Pick<Gateway, "name" | "settingsPath">): processes.ManagedProcess {
-    const flags = ["gateway", "--fleet-keys", FLEET_KEY];
-    const environment = { EBONYHOOK_BOOT: gateway.settingsPath };
-    return new processes.ManagedProcess(gateway.name, GATEWAY_SCRIPT, flags, { environment });
+  #spawnGateway({
+    name,
+    settingsPath,
+    fleetKey,
+  }: Pick<Gateway, "name" | "settingsPath" | "fleetKey">): processes.ManagedProcess {
+    const flags = ["gateway", "--fleet-keys", fleetKey];
+    const environment = { EBONYHOOK_BOOT: settingsPath };
+    return new processes.ManagedProcess(name, GATEWAY_SCRIPT, flags, { environment });
   }
 }
--- a/standins/soak/soak.ts
+++ b/standins/soak/soak.ts
@@ -11,6 +11,9 @@
 
 const CLUSTER_SIZE: soakCluster.ClusterSize = { gateways: 3, prefill: 2, decode: 2, plain: 2 };
 const CALLER_COUNT = 9;
+const MS_PER_S = 1_000;
+/** Retries per call while runners fail all requests; low, so that the calls do not hide what exceeds the slack. */
+const LOW_RETRY_RATIO = 0.02;
 /** Mean time between the starts of two faults. */
 const FAULT_INTERVAL_MS = 500;
 /** Time without faults after which the cluster must serve requests again. */
@@ -52,18 +55,26 @@
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
 
-/**
- * Runs the soak of one seed.
- *
- * @param hasCrashingCaller - whether a caller sends a request that ends its runners.
- */
-export async function runSoak(
-  seed: number,
-  durationMs: number,
-  hasCrashingCaller: boolean,
-): Promise<SoakResult> {
-  await using cluster = await soakCluster.SoakCluster.start(CLUSTER_SIZE);
-  const plan = faults.createPlan(seed, durationMs, FAULT_INTERVAL_MS);
+/** What a soak run plays. */
+export interface SoakOptions {
+  readonly seed: number;
+  /** Duration of the fault plan. */
+  readonly seconds: number;
+  /** Whether a caller sends a request that ends its runners. */
+  readonly hasCrashingCaller?: boolean;
+  /** Whether runners fail all their requests for a time, and gateways start cut off from each other. */
+  readonly hasFailingRunners?: boolean;
+  /** Sizes that differ from `CLUSTER_SIZE`. */
+  readonly size?: Partial<soakCluster.ClusterSize>;
+}
+
+/** Runs the soak of one seed. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const { seed, seconds, hasCrashingCaller = false, hasFailingRunners = false } = options;
+  const size = { ...CLUSTER_SIZE, ...options.size };
+  const retryRatio = hasFailingRunners ? LOW_RETRY_RATIO : undefined;
+  await using cluster = await soakCluster.SoakCluster.start(size, retryRatio);
+  const plan = faults.createPlan(seed, seconds * MS_PER_S, FAULT_INTERVAL_MS, hasFailingRunners);
   const faultPhaseCallers = new callers.Callers(cluster, CALLER_COUNT, seed);
   const crashingCaller = hasCrashingCaller
     ? new crashingCallers.CrashingCaller(cluster, seed)
@@ -81,6 +92,7 @@
   const records = [...faultPhaseCallers.records, ...recoveryPhaseCallers.records];
   violations.push(...guaranteeChecks.listViolations({ records, runs: cluster.runs }));
   violations.push(...(crashingCaller?.listViolations() ?? []));
+  violations.push(...guaranteeChecks.listBudgetViolations(cluster));
   const servedShare = guaranteeChecks.computeServedShare(recoveryPhaseCallers.records);
   if (servedShare < MIN_SERVED_SHARE)
     violations.push(`RECOVER: share ${servedShare.toFixed(3)} served after recovery`);
--- a/standins/users-platform/engine.ts
+++ b/standins/users-platform/engine.ts
@@ -5,6 +5,7 @@
 import * as events from "node:events";
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as failing from "./failing-runner.js";
 
 /** Request ids by KV cache handle (`address/handle`), shared by all engines of a test. */
 export interface HandleTable {
@@ -28,6 +29,10 @@
    * refused this many, including those whose handle is gone.
    */
   readonly refusals?: number;
+  /** Returns what to do with the next request; by default it is served. */
+  readonly chooseFailure?: () => failing.Failure;
+  /** Called when a request or a prefill arrives, with whether it runs. */
+  readonly onArrived?: (call: string, isPrefill: boolean, hasRun: boolean) => void;
   /** Called when a request starts to run. */
   readonly onRan?: (call: string) => void;
   /** Called when the connection of a running request closes before the response ends. */
@@ -90,7 +95,19 @@
     else await this.#decode(id, request, response);
   }
 
+  /** Fails a request if the engine is told to; returns whether it did. */
+  #failIfTold(id: string, isPrefill: boolean, response: http.ServerResponse): boolean {
+    const failure = this.#behaviour.chooseFailure?.() ?? failing.FAILURE.none;
+    if (failure === failing.FAILURE.none) return false;
+    this.#behaviour.onArrived?.(id, isPrefill, failure === failing.FAILURE.reset);
+    if (failure === failing.FAILURE.reset && !isPrefill) this.#behaviour.onRan?.(id);
+    failing.failRequest(failure, id, response);
+    return true;
+  }
+
   #prefill(id: string, response: http.ServerResponse): void {
+    if (this.#failIfTold(id, true, response)) return;
+    this.#behaviour.onArrived?.(id, true, true);
     this.prefills += 1;
     const handle = `h-${id}`;
     this.#handles.set(`${this.address}/${handle}`, id);
@@ -107,16 +124,19 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
+    if (this.#failIfTold(id, false, response)) return;
     const source = request.headers["kv-source"];
     const { refusals = 0, eventCount = 5, breakAfterEvents } = this.#behaviour;
     const isGone = typeof source === "string" && this.#handles.get(source) !== id;
     if (isGone || this.#refusedRequests < refusals) {
       this.#refusedRequests += 1;
+      this.#behaviour.onArrived?.(id, false, false);
       response.writeHead(503, { "not-executed": "1", "request-id": id }).end();
       return;
     }
     this.#handles.delete(String(source));
     this.ran.push(id);
+    this.#behaviour.onArrived?.(id, false, true);
     this.#behaviour.onRan?.(id);
     response.once("close", () => {
       if (response.writableFinished) return;
--- a/standins/users-platform/examples.ts
+++ b/standins/users-platform/examples.ts
@@ -9,11 +9,13 @@
   readonly zone?: string;
   readonly seeds?: readonly string[];
   readonly platform?: string;
+  readonly retryRatio?: number;
 }
 
 /** Returns the text of a machine's settings file. */
 export function createSettingsText(ip: string, changes: SettingsChanges = {}): string {
   const { node = "front-1", zone = "a", seeds = [], platform = "127.0.0.1:1" } = changes;
+  const { retryRatio = 0.2 } = changes;
   return `node: "${node}"
 role: "gateway"
 ip: "${ip}"
@@ -29,7 +31,7 @@
 bounds:
   drain_ms: 2000
   grace_s: 8
-  retry_budget_ratio: 0.2
+  retry_budget_ratio: ${retryRatio}
   budget_slack: 54
   budget_window_s: 10
   ttl_max_s: 5
--- a/standins/users-platform/failing-runner.ts
+++ b/standins/users-platform/failing-runner.ts
@@ -23,6 +23,16 @@
 /** One of the values of `FAILURE`. */
 export type Failure = (typeof FAILURE)[keyof typeof FAILURE];
 
+/** Fails a request in the given way. */
+export function failRequest(
+  failure: Exclude<Failure, "none">,
+  id: string,
+  response: http.ServerResponse,
+): void {
+  if (failure === FAILURE.reset) response.socket?.resetAndDestroy();
+  else response.writeHead(503, { "not-executed": "1", "request-id": id }).end();
+}
+
 /** Failures of a runner. */
 export interface FailureBehaviour {
   readonly failure: Failure;
@@ -90,16 +100,8 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    if (failure === FAILURE.reset) {
-      response.socket?.resetAndDestroy();
-      return;
-    }
-    if (failure === FAILURE.reject) {
-      const headers = { "not-executed": "1", "request-id": String(request.headers["request-id"]) };
-      response.writeHead(503, headers).end();
-      return;
-    }
-    await crashing.ANSWERS[this.#role](request, response);
+    if (failure === FAILURE.none) await crashing.ANSWERS[this.#role](request, response);
+    else failRequest(failure, String(request.headers["request-id"]), response);
   }
 
   #chooseFailure(): Failure {
--- a/test/soak/guarantee-checks.test.ts
+++ b/test/soak/guarantee-checks.test.ts
@@ -80,6 +80,32 @@
     },
   );
 
+  test.it("report retries beyond the shared budget, and requests on too many runners", () => {
+    const createArrivals = (count: number, runners: number, isPrefill = false) =>
+      Array.from({ length: count }, (_, call) =>
+        Array.from({ length: runners }, (_, runner) => ({
+          call: `r${call}`,
+          service: "model",
+          runner: `runner-${runner}`,
+          at: call,
+          isPrefill: isPrefill && runner === 0,
+          hasRun: true,
+        })),
+      ).flat();
+    const check = (arrivals: ReturnType<typeof createArrivals>): string[] =>
+      guaranteeChecks
+        .listBudgetViolations({ sentCalls: [], arrivals, retryRatio: 0 })
+        .map((line) => line.replace(/\d+ /, ""));
+    earl.expect(check(createArrivals(54, 2))).toEqual([]);
+    earl
+      .expect(check(createArrivals(55, 2)))
+      .toEqual(["BUDGET: repeats at model in a window that allows 54.0"]);
+    earl.expect(check(createArrivals(54, 3, true))).toEqual([]);
+    earl
+      .expect(check(createArrivals(4, 3)))
+      .toEqual(["BUDGET: requests ran on more than two runners"]);
+  });
+
   test.it("do not count an incomplete answer as served", () => {
     const records = [createRecord({}), createRecord({ isComplete: false })];
     earl.expect(guaranteeChecks.computeServedShare(records)).toEqual(0.5);
