Forward nothing on a relayed connection that has lost bytes

Cause: a fault of the soak. Two one-way cuts of one runner overlapped, in opposite directions; the second replaced the first, and the relay went on forwarding a connection of which it had dropped bytes. TCP never does that: the gateway got a valid stream without some of its events.

Change: once a connection has lost bytes in a direction, the relay forwards nothing more in it, nor its close, until it is reset.

--- a/standins/relay.ts
+++ b/standins/relay.ts
@@ -8,6 +8,8 @@
   readonly clientSocket: net.Socket;
   readonly targetSocket: net.Socket;
   silent: boolean;
+  /** Directions in which bytes were dropped; nothing after them can arrive any more. */
+  readonly lossy: Set<Direction>;
 }
 
 /** Direction of traffic: `near` is towards the connecting client, `far` towards the target. */
@@ -82,7 +84,8 @@
 
   #handleConnection(clientSocket: net.Socket): void {
     const targetSocket = net.connect(this.#targetPort, this.#targetHost);
-    const connection: RelayedConnection = { clientSocket, targetSocket, silent: false };
+    const lossy = new Set<Direction>();
+    const connection: RelayedConnection = { clientSocket, targetSocket, silent: false, lossy };
     this.#connections.add(connection);
     this.#forward(connection, DIRECTION.far, clientSocket, targetSocket);
     this.#forward(connection, DIRECTION.near, targetSocket, clientSocket);
@@ -96,11 +99,13 @@
   ): void {
     const line = new delayLine.DelayLine((bytes) => to.write(bytes));
     from.on("data", (bytes) => {
-      if (!connection.silent && this.droppedDirection !== direction) line.push(bytes, this.delayMs);
+      if (this.droppedDirection === direction) connection.lossy.add(direction);
+      const isDropped = connection.silent || connection.lossy.has(direction);
+      if (!isDropped) line.push(bytes, this.delayMs);
     });
     from.on("error", () => undefined);
     from.on("close", () => {
-      if (connection.silent) return;
+      if (connection.silent || connection.lossy.has(direction)) return;
       this.#connections.delete(connection);
       line.close(() => {
         to.destroy();
--- a/standins/soak/seeds.ts
+++ b/standins/soak/seeds.ts
@@ -21,4 +21,10 @@
     hasFailingRunners: true,
     cause: "gateways that started cut off retried as if alone, and at too many runners",
   },
+  {
+    seed: 338119,
+    seconds: 10,
+    hasCrashingCaller: true,
+    cause: "a relay forwarded a connection that had lost bytes",
+  },
 ];
--- a/test/standins/relay.test.ts
+++ b/test/standins/relay.test.ts
@@ -34,3 +34,31 @@
     earl.expect(countSockets()).toEqual(before);
   });
 });
+
+test.describe("Relay", () => {
+  // Guards against a connection that loses bytes and then goes on, which TCP never does.
+  test.it("forwards nothing on a connection after it has dropped bytes", async () => {
+    const received: string[] = [];
+    const server = net.createServer((socket) => {
+      socket.on("error", () => undefined);
+      socket.on("data", (bytes) => received.push(bytes.toString()));
+    });
+    server.listen(0, "127.0.0.1");
+    await events.default.once(server, "listening");
+    await using relay = await relays.Relay.start((server.address() as net.AddressInfo).port);
+    const socket = net.connect(relay.port, "127.0.0.1");
+    await events.default.once(socket, "connect");
+    const send = async (text: string): Promise<void> => {
+      socket.write(text);
+      await new Promise((resolve) => setTimeout(resolve, 5 * POLL_MS));
+    };
+    await send("before");
+    relay.droppedDirection = relays.DIRECTION.far;
+    await send("lost");
+    relay.droppedDirection = undefined;
+    await send("after");
+    socket.destroy();
+    server.close();
+    earl.expect(received).toEqual(["before"]);
+  });
+});
