--- a/standins/soak/soak-cluster.ts
+++ b/standins/soak/soak-cluster.ts
@@ -14,11 +14,12 @@
 const GATEWAY_SCRIPT = url.fileURLToPath(new URL("../../bin/ebonyhook.js", import.meta.url));
 export const FLEET_KEY = "a-key-of-the-soak-fleet";
 /**
- * Second byte of the first loopback network; the process id of the soak selects one of
- * `NETWORK_COUNT`, so that soaks running at once rarely share one.
+ * Second byte of the first loopback network. The process id of the soak selects the second and third byte, so that
+ * soaks running at once do not share a network.
  */
-const FIRST_NETWORK = 128;
-const NETWORK_COUNT = 100;
+const FIRST_NETWORK = 190;
+const NETWORK_COUNT = 60;
+const SUBNET_COUNT = 250;
 /**
  * Time for which a killed runner stays listed. On the users' platform the entry of a crashed runner
  * expires after about three heartbeats.
@@ -89,6 +90,12 @@
   readonly crashedAt: number[];
 }
 
+/** Returns the first three bytes of the addresses of a soak's gateways. */
+function computeNetwork(pid: number): string {
+  const subnet = Math.floor(pid / NETWORK_COUNT) % SUBNET_COUNT;
+  return `127.${FIRST_NETWORK + (pid % NETWORK_COUNT)}.${subnet}`;
+}
+
 /** All processes and relays of a soak. */
 export class SoakCluster implements AsyncDisposable {
   readonly gateways: Gateway[] = [];
@@ -105,7 +112,7 @@
   readonly cancelled = new Map<string, number>();
   readonly #store: children.Child;
   readonly #directory: string;
-  readonly #network = FIRST_NETWORK + (process.pid % NETWORK_COUNT);
+  readonly #network = computeNetwork(process.pid);
   #configurationVersion = 1;
   #startedRunners = 0;
 
@@ -212,7 +219,7 @@
 
   /** Returns the peer address of the gateway with this number. */
   formatSeed(number: number): string {
-    return `127.${this.#network}.0.${number}:${examples.PORTS.control}`;
+    return `${this.#network}.${number}:${examples.PORTS.control}`;
   }
 
   /** @throws Error when the gateway is not ready within `START_TIMEOUT_MS`. */
@@ -291,7 +298,7 @@
   }
 
   async #addGateway(number: number): Promise<void> {
-    const ip = `127.${this.#network}.0.${number}`;
+    const ip = `${this.#network}.${number}`;
     const store = await relays.Relay.start(this.#store.port);
     const front = await relays.Relay.start(examples.PORTS.front, ip);
     const name = `gateway-${number}`;
