--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -160,8 +160,8 @@
     const { clock, crashes } = this.#options;
     const fingerprint = this.#getFingerprint(call);
     const start = this.#getOrCreateStart(runner);
-    const run = runnerStarts.createRun(fingerprint);
     const sentAt = clock.now();
+    const run = runnerStarts.createRun(fingerprint, sentAt);
     start.addRun(run);
     const held: HeldRun = { call, start, run, hold: this.#addHold(fingerprint, start, call) };
     let isAnswered = true;
@@ -170,7 +170,7 @@
         start.recordAnswer(sentAt);
       },
       recordEvent: () => {
-        if (!run.hasEvents && clears) crashes.recordProgress(fingerprint);
+        if (run.firstEventAt === undefined && clears) crashes.recordProgress(fingerprint);
         start.recordEvent(run);
       },
       recordCompletion: (head) => {
@@ -225,8 +225,17 @@
   ): void {
     const { id, bornAt } = start.runner;
     const { fingerprint } = run;
-    const fields = { request: call.head.id, fingerprint, runner: id, bornAt, end, verdict };
-    this.#options.log.write(logEvents.LOG_EVENTS.runUnanswered, fields);
+    this.#options.log.write(logEvents.LOG_EVENTS.runUnanswered, {
+      request: call.head.id,
+      fingerprint,
+      sharedParts: call.head.prompt?.partIds.slice(0, -1),
+      runner: id,
+      bornAt,
+      end,
+      verdict,
+      ranMs: Math.round((run.endedAt ?? run.sentAt) - run.sentAt),
+      answeredMs: computeAnsweredTime(run),
+    });
   }
 
   /**
@@ -236,7 +245,7 @@
   #markUnsettled({ start, run, hold }: HeldRun): void {
     const { crashes, holds } = this.#options;
     const { fingerprint } = run;
-    if (run.hasEvents || crashes.hasSucceededLately(fingerprint)) {
+    if (run.firstEventAt !== undefined || crashes.hasSucceededLately(fingerprint)) {
       hold?.settle();
       return;
     }
@@ -354,3 +363,9 @@
     return this.#options.crashes.computeFingerprint(callerIp, target, body);
   }
 }
+
+/** Returns the time from the first event of a run to its end, if it had an event. */
+function computeAnsweredTime({ firstEventAt, endedAt }: runnerStarts.Run): number | undefined {
+  if (firstEventAt === undefined || endedAt === undefined) return undefined;
+  return Math.round(endedAt - firstEventAt);
+}
--- a/src/serving/runner-starts.ts
+++ b/src/serving/runner-starts.ts
@@ -20,8 +20,12 @@
 /** A run of a request at a runner. */
 export interface Run {
   readonly fingerprint: string;
-  /** Whether the runner sent at least one event of the response. */
-  hasEvents: boolean;
+  /** Time at which the run was sent. */
+  readonly sentAt: number;
+  /** Time of the first event of the response. */
+  firstEventAt: number | undefined;
+  /** Time of the latest event of the response. */
+  lastEventAt: number | undefined;
   /** Time at which the run ended without an answer. */
   endedAt: number | undefined;
   /** Time of the first answer of the runner to something sent after the end of the run. */
@@ -31,10 +35,12 @@
 }
 
 /** Creates a run that has just begun. */
-export function createRun(fingerprint: string): Run {
+export function createRun(fingerprint: string, sentAt: number): Run {
   return {
     fingerprint,
-    hasEvents: false,
+    sentAt,
+    firstEventAt: undefined,
+    lastEventAt: undefined,
     endedAt: undefined,
     answeredAt: undefined,
     onSettled: () => undefined,
@@ -103,8 +109,10 @@
 
   /** Records an event of a response in progress. */
   recordEvent(run: Run): void {
-    run.hasEvents = true;
-    this.#lastAnsweredAt = this.#clock.now();
+    const now = this.#clock.now();
+    run.firstEventAt ??= now;
+    run.lastEventAt = now;
+    this.#lastAnsweredAt = now;
   }
 
   /** Records an answer of the runner to something sent at `sentAt`. */
