--- a/standins/users-platform/crashing-runner.ts
+++ b/standins/users-platform/crashing-runner.ts
@@ -1,6 +1,6 @@
 /**
- * An emulated runner of the users' platform that ends when it begins to run a request with a given body, and starts
- * again some time later. It keeps its registry entry up to date and records every arrival of that request.
+ * An emulated runner of the users' platform that ends when it begins to run a request with a given body or prompt part,
+ * and starts again some time later. It keeps its registry entry up to date and records every arrival of such requests.
  */
 import * as events from "node:events";
 import * as http from "node:http";
@@ -11,6 +11,8 @@
 
 /** Body of the request that ends its runners. */
 export const CRASHING_BODY = "crash";
+/** Id of the prompt part that ends runners if it is not the last part of a prompt. */
+export const CRASHING_PART = "dead";
 
 /** How a runner ends: it resets its connections, or first falls silent. */
 export const CRASH_MODE = { reset: "reset", silent: "silent" } as const;
@@ -30,19 +32,25 @@
   readonly restartMs: number;
   /** Whether a restarted runner keeps its id; otherwise it registers under a new one. */
   readonly keepsId: boolean;
+  /** Number of events in a complete stream. */
+  readonly eventCount?: number;
+  /** Whether a decode runner sends an event before it ends. */
+  readonly sendsEvent?: boolean;
 }
 
-/** Arrivals of the crashing request and ends of runners, shared by all runners of a test. */
+/** Arrivals of crashing requests and ends of runners, shared by all runners of a test. */
 export class CrashLog {
-  /** Times at which the request arrived at a runner. */
+  /** Whether such requests end runners. */
+  isCrashing = true;
+  /** Times at which such a request arrived at a runner. */
   readonly arrivals: number[] = [];
-  /** Times at which a runner ended under the request. */
+  /** Times at which a runner ended under such a request. */
   readonly crashes: number[] = [];
 }
 
 /** Time without heartbeats after which the registry entry of an ended runner expires. */
 const ENTRY_EXPIRY_MS = 2_500;
-const EVENT_COUNT = 5;
+const DEFAULT_EVENT_COUNT = 5;
 const PLAIN_WORK_MS = 10;
 
 /** A runner that listens on loopback and is listed in the registry. */
@@ -118,14 +126,20 @@
       response.end();
       return;
     }
-    if (body === CRASHING_BODY) this.#log.arrivals.push(performance.now());
+    const isCrashing = body === CRASHING_BODY || hasCrashingPart(request);
+    if (isCrashing) this.#log.arrivals.push(performance.now());
     if (request.headers["expect-instance"] !== this.#id) {
       response.writeHead(421, { "not-executed": "1" }).end();
       return;
     }
-    const crashes = this.#role === this.#behaviour.crashingRole && body === CRASHING_BODY;
-    if (crashes) await this.#crash();
-    else await ANSWERS[this.#role](request, response);
+    const crashes = this.#role === this.#behaviour.crashingRole && isCrashing;
+    if (!crashes || !this.#log.isCrashing) {
+      await ANSWERS[this.#role](request, response, this.#behaviour.eventCount);
+      return;
+    }
+    this.#log.crashes.push(performance.now());
+    if (this.#behaviour.sendsEvent === true) await sendFirstEvent(request, response);
+    await this.crash();
   }
 
   #handleReport(request: http.IncomingMessage, response: http.ServerResponse): void {
@@ -137,8 +151,9 @@
     }
   }
 
-  async #crash(): Promise<void> {
-    this.#log.crashes.push(performance.now());
+  /** Ends the process; it starts again some time later. */
+  async crash(): Promise<void> {
+    if (this.#isSilent) return;
     const { mode, restartMs } = this.#behaviour;
     const key = `servers/${this.#id}`;
     const expiry = this.#schedule(ENTRY_EXPIRY_MS, () => {
@@ -181,6 +196,12 @@
   }
 }
 
+/** Whether the crashing part is a part of the prompt other than the last one. */
+function hasCrashingPart(request: http.IncomingMessage): boolean {
+  const parts = String(request.headers["prompt-prefix"] ?? "").split(",");
+  return parts.slice(0, -1).some((part) => part.startsWith(`${CRASHING_PART}:`));
+}
+
 /** Reads the whole body of a request. */
 export async function readBody(request: http.IncomingMessage): Promise<string> {
   let body = "";
@@ -191,6 +212,7 @@
 type AnswerHandler = (
   request: http.IncomingMessage,
   response: http.ServerResponse,
+  eventCount?: number,
 ) => Promise<void>;
 
 /** Answers to requests that do not end the runner, by role. */
@@ -204,9 +226,10 @@
     response.end(JSON.stringify({ kv_handle: "h", tokens: 100, version: 1 }));
     return Promise.resolve();
   },
-  decode: async (request, response) => {
+  decode: async (request, response, eventCount = DEFAULT_EVENT_COUNT) => {
     response.writeHead(200, createAnswerHeaders(request));
-    for (let event = 0; event < EVENT_COUNT; event += 1) {
+    const first = Number(request.headers["last-event-id"] ?? -1) + 1;
+    for (let event = first; event < eventCount; event += 1) {
       response.write(`id: ${event}\ndata: piece ${event}\n\n`);
       await new Promise((resolve) => setTimeout(resolve, PLAIN_WORK_MS));
     }
@@ -214,6 +237,16 @@
   },
 };
 
+/** Sends the head and the first event of a stream. */
+async function sendFirstEvent(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): Promise<void> {
+  response.writeHead(200, createAnswerHeaders(request));
+  response.write("id: 0\ndata: piece 0\n\n");
+  await new Promise((resolve) => setTimeout(resolve, PLAIN_WORK_MS));
+}
+
 function createAnswerHeaders(request: http.IncomingMessage): Record<string, string> {
   return { "request-id": String(request.headers["request-id"]), "response-stamp": "s" };
 }
--- /dev/null
+++ b/test/gateway/crashing-parts.test.ts
@@ -0,0 +1,90 @@
+import * as test from "node:test";
+import * as earl from "earl";
+import * as crashing from "../../standins/users-platform/crashing-runner.js";
+import * as fixture from "./crashing-parts-fixture.js";
+
+/** Arrivals that are allowed later than the stable window after the fifth crash. */
+const MAX_LATE_ARRIVALS = 3;
+/** Part of the served share before the crashes that sound requests keep. */
+const MIN_SERVED_PART = 0.5;
+
+const { CRASH_MODE, CRASHING_PART } = crashing;
+const DEADLY = `${CRASHING_PART}:50`;
+const RESET = { mode: CRASH_MODE.reset, restartMs: 3_000, keepsId: false, eventCount: 40 } as const;
+const SILENT = { ...RESET, mode: CRASH_MODE.silent } as const;
+
+/** Ten first parts in turn, as sound and other requests share them. */
+function formatFirstPart(index: number): string {
+  return `a${index % 10}:50`;
+}
+
+const PARTS = {
+  taintedParts: (index: number) => `${formatFirstPart(index)},${DEADLY}`,
+  soundParts: formatFirstPart,
+  taintedEveryMs: 250,
+} as const;
+
+async function checkPlay(options: fixture.PartPlayOptions): Promise<void> {
+  const play = await fixture.runPartPlay(options);
+  const text = JSON.stringify(play);
+  earl.expect(play.late <= MAX_LATE_ARRIVALS ? "kept" : `BUDGET ${text}`).toEqual("kept");
+  const isServed = play.servedAfter >= MIN_SERVED_PART * play.servedBefore;
+  earl.expect(isServed ? "kept" : `LOST ${text}`).toEqual("kept");
+}
+
+// Guards against BUDGET: requests with a part that crashes runners kept reaching them, since no two were alike.
+test.describe("requests with a part that crashes runners stop", { concurrency: 3 }, () => {
+  test.it("when the part is the second of three", async () => {
+    await checkPlay({ net: 181, ...RESET, ...PARTS });
+  });
+
+  test.it("when the part is the first", async () => {
+    await checkPlay({ net: 182, ...RESET, ...PARTS, taintedParts: () => DEADLY });
+  });
+
+  test.it("when sound requests share a chain of two parts with it", async () => {
+    const soundParts = (): string => "a0:50,b0:50";
+    const taintedParts = (): string => `${soundParts()},${DEADLY}`;
+    await checkPlay({ net: 183, ...RESET, ...PARTS, soundParts, taintedParts });
+  });
+
+  test.it("when runners come back under the same id", async () => {
+    await checkPlay({ net: 184, ...RESET, ...PARTS, keepsId: true });
+  });
+
+  test.it("when runners fall silent before they reset", async () => {
+    await checkPlay({ net: 185, ...SILENT, ...PARTS });
+  });
+
+  test.it("when runners send an event before they crash", async () => {
+    await checkPlay({ net: 186, ...RESET, ...PARTS, sendsEvent: true });
+  });
+
+  test.it("when the gateways are restarted in turn", async () => {
+    await checkPlay({ net: 187, ...RESET, ...PARTS, restartEveryMs: 1_500 });
+  });
+
+  test.it("when other runners crash by accident", async () => {
+    await checkPlay({
+      net: 188,
+      ...RESET,
+      ...PARTS,
+      taintedEveryMs: 1_200,
+      accidentEveryMs: 1_000,
+    });
+  });
+
+  test.it("when half of the requests have it", async () => {
+    await checkPlay({ net: 189, ...RESET, ...PARTS, taintedEveryMs: 55 });
+  });
+});
+
+test.describe("sound requests beside crashes without a cause", () => {
+  test.it("are not refused", async () => {
+    const { soundParts, taintedParts } = PARTS;
+    const options = { net: 190, ...RESET, soundParts, taintedParts, accidentEveryMs: 450 };
+    const play = await fixture.runPartPlay(options);
+    earl.expect(play.soundRefused).toEqual(0);
+    earl.expect(play.servedAfter >= MIN_SERVED_PART * play.servedBefore).toEqual(true);
+  });
+});
