Attribute crashes to what the requests in flight have in common

Cause: evidence was kept by the exact bytes of a request, and each VM judged a crash by its own requests in flight. Requests with the part are never alike, so no verdict ever named it, while bystanders got the whole weight.

Change: crash records of the gateway are kept by trait (exact bytes, each prompt part, all parts, path, caller). A crash counts once for each start of a runner, against all requests at all VMs that had begun there; a run that answers for 250 ms, or ends well, clears its traits. Prefill and run are told apart. Requests with all traits of a verdict are refused before prefill with the time of the next trial; those with some of them run one at a time in the fleet. Why it works: a sound trait is cleared by the first run that answers, the deadly one never is, and what explains a crash exonerates all else.

--- a/src/caller/types.ts
+++ b/src/caller/types.ts
@@ -124,6 +124,11 @@
   recordSuccess(fingerprint: string): void;
   /** Whether requests with the fingerprint are refused, because they crashed several upstreams. */
   isQuarantined(fingerprint: string): boolean;
+  /**
+   * Returns the time in milliseconds after which a request with all of these fingerprints may be tried again, if it is
+   * refused because of crashes.
+   */
+  findRefusal(fingerprints: readonly string[]): number | undefined;
   /** Lists the quarantined fingerprints for the status report. */
   listQuarantined(): readonly string[];
   /** Hash of the set of quarantined fingerprints; nodes compare it. */
--- a/src/request/crash-records.ts
+++ b/src/request/crash-records.ts
@@ -141,6 +141,14 @@
     return this.#findEntry(fingerprint)?.isQuarantined ?? false;
   }
 
+  findRefusal(fingerprints: readonly string[]): number | undefined {
+    const now = this.#clock.now();
+    const refused = fingerprints.filter((fingerprint) => this.isQuarantined(fingerprint));
+    if (refused.length === 0) return undefined;
+    const ends = refused.map((one) => (this.#findEntry(one)?.changedAt ?? now) + ENTRY_LIFETIME_MS);
+    return Math.max(...ends) - now;
+  }
+
   get digest(): number {
     return this.listQuarantined().reduce(
       (sum, fingerprint) => (sum + hasher.h32(fingerprint)) % DIGEST_RANGE,
--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -8,12 +8,14 @@
 import type * as resultCodes from "../protocol/result-codes.js";
 import * as crashTracker from "../request/crash-tracker.js";
 import * as runHolds from "../request/run-holds.js";
+import * as sendAccount from "../request/send-account.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as runnerTable from "../runners/runner-table.js";
 import type * as runners from "../runners/types.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
 import * as answers from "./answers.js";
+import * as requestTraits from "./request-traits.js";
 import * as runnerProbe from "./runner-probe.js";
 import * as runnerStarts from "./runner-starts.js";
 import type * as types from "./types.js";
@@ -32,6 +34,7 @@
   inProgress: 300,
   unsettled: 1_000,
 };
+const QUARANTINE_TEXT = "requests with the same traits crashed several runners";
 const REFUSAL_TEXTS: Readonly<Record<runHolds.HoldReason, string>> = {
   inProgress: "another run of the request, which may have crashed a runner, is in progress",
   unsettled:
@@ -75,7 +78,7 @@
   recordAnswer(): void;
   /** Records an event of a streamed answer. */
   recordEvent(): void;
-  /** Records a complete answer. It clears the request of suspicion if the request ran to its end. */
+  /** Records a complete answer. It clears the traits of the request if the request ran to its end. */
   recordCompletion(head: gateway.RunnerResponseHead): void;
   /**
    * Records that the run ended without an answer. If the call can be retried, resolves once the runner was
@@ -86,19 +89,22 @@
   handleUnanswered(end: UnansweredEnd, error: unknown): Promise<void>;
 }
 
-/** A run with its call, runner start and, if the request is suspected, its hold. */
+/** A run with its call, runner start and the holds of its suspected traits. */
 interface HeldRun {
   readonly call: types.ServedCall;
   readonly start: runnerStarts.RunnerStart;
   readonly run: runnerStarts.Run;
-  readonly hold: runHolds.OwnHold | undefined;
+  readonly holds: readonly runHolds.OwnHold[];
 }
 
+/** The traits of a request by step; a plain request has one step. */
+type TraitsByStep = Readonly<Partial<Record<sendAccount.SendStep, readonly requestTraits.Trait[]>>>;
+
 /** Tracks the runs of this VM and records crashes of runners under them. */
 export class CrashDetector {
   readonly #options: CrashDetectorOptions;
   readonly #starts = new Map<string, runnerStarts.RunnerStart>();
-  readonly #fingerprints = new WeakMap<types.ServedCall, string>();
+  readonly #traits = new WeakMap<types.ServedCall, TraitsByStep>();
   readonly #watched = new Set<runnerStarts.RunnerStart>();
 
   constructor(options: CrashDetectorOptions) {
@@ -108,74 +114,90 @@
     });
   }
 
-  /** Whether the request has crashed several runners. */
+  /** Whether the request is refused because its traits crashed several runners. */
   isQuarantined(call: types.ServedCall): boolean {
-    return this.#options.crashes.isQuarantined(this.#getFingerprint(call));
+    return this.#options.crashes.findRefusal(this.#listTraitHashes(call)) !== undefined;
   }
 
-  /** @throws RequestError when the request has crashed several runners. */
+  /** @throws RequestError when the traits of the request crashed several runners. */
   checkAllowed(call: types.ServedCall): void {
-    if (!this.isQuarantined(call)) return;
-    this.#options.metrics.count("quarantine_refusals", { service: call.service.name });
-    throw answers.createFailure("request crashed several runners");
+    const refusal = this.#createQuarantineRefusal(call);
+    if (refusal !== undefined) throw refusal;
   }
 
   /**
-   * Waits while another run of a suspected request is in progress. Returns a refusal if the request may still not
-   * run; the run has to be added without further waiting.
-   *
-   * @throws RequestError when the request has crashed several runners.
+   * Waits while another run with a suspected trait of the request is in progress. Returns a refusal if the request may
+   * not run; the run has to be added without further waiting.
    */
   async waitUntilAllowed(call: types.ServedCall): Promise<resultCodes.RequestError | undefined> {
     const { clock } = this.#options;
-    this.checkAllowed(call);
     const now = clock.now();
     const waitUntil = Math.min(now + HOLD_WAIT_MS, (now + call.deadlineAt) / 2);
-    let reason = this.#findHoldReason(call);
-    while (reason === runHolds.HOLD_REASON.inProgress && clock.now() < waitUntil) {
+    for (;;) {
+      const refusal = this.#createQuarantineRefusal(call);
+      if (refusal !== undefined) return refusal;
+      const reason = this.#findHoldReason(call);
+      if (reason === undefined) return undefined;
+      const canWait = reason === runHolds.HOLD_REASON.inProgress && clock.now() < waitUntil;
+      if (!canWait) return this.#createHoldRefusal(call, reason);
       await clocks.sleep(clock, HOLD_CHECK_INTERVAL_MS, call.signal);
-      this.checkAllowed(call);
-      reason = this.#findHoldReason(call);
     }
-    if (reason === undefined) return undefined;
+  }
+
+  #createQuarantineRefusal(call: types.ServedCall): resultCodes.RequestError | undefined {
+    const { crashes, metrics } = this.#options;
+    const retryAfterMs = crashes.findRefusal(this.#listTraitHashes(call));
+    if (retryAfterMs === undefined) return undefined;
+    metrics.count("quarantine_refusals", { service: call.service.name });
+    return answers.createRefusal(retryAfterMs, QUARANTINE_TEXT);
+  }
+
+  #createHoldRefusal(
+    call: types.ServedCall,
+    reason: runHolds.HoldReason,
+  ): resultCodes.RequestError {
     this.#options.metrics.count("hold_refusals", { service: call.service.name, reason });
     return answers.createRefusal(RETRY_AFTER_MS[reason], REFUSAL_TEXTS[reason]);
   }
 
   #findHoldReason(call: types.ServedCall): runHolds.HoldReason | undefined {
     const { crashes, holds } = this.#options;
-    const fingerprint = this.#getFingerprint(call);
-    if (!holds.has(fingerprint) || crashes.hasSucceededLately(fingerprint)) return undefined;
-    const crashed = crashes.findRecord(fingerprint)?.[2].map(([name]) => name);
-    return holds.findReason(fingerprint, new Set(crashed));
+    const reasons = this.#listTraitHashes(call)
+      .filter((trait) => holds.has(trait) && !crashes.hasSucceededLately(trait))
+      .map((trait) => {
+        const crashed = crashes.findRecord(trait)?.[2].map(([name]) => name);
+        return holds.findReason(trait, new Set(crashed));
+      });
+    const { unsettled, inProgress } = runHolds.HOLD_REASON;
+    return [unsettled, inProgress].find((reason) => reasons.includes(reason));
   }
 
   /**
-   * Starts to track a run of a call on a runner.
-   *
-   * @param clears - whether its success clears the request of suspicion; false for a run that left out a step under which
-   *   a runner may have crashed.
+   * Starts to track a step of a call on a runner.
    */
-  add(call: types.ServedCall, runner: runners.Runner, clears = true): TrackedRun {
-    const { clock, crashes } = this.#options;
-    const fingerprint = this.#getFingerprint(call);
+  add(call: types.ServedCall, runner: runners.Runner, step: sendAccount.SendStep): TrackedRun {
     const start = this.#getOrCreateStart(runner);
-    const sentAt = clock.now();
-    const run = runnerStarts.createRun(fingerprint, sentAt);
+    const sentAt = this.#options.clock.now();
+    const traits = this.#getTraits(call)[step] ?? [];
+    const run = runnerStarts.createRun(
+      traits.map(({ hash }) => hash),
+      sentAt,
+    );
     start.addRun(run);
-    const held: HeldRun = { call, start, run, hold: this.#addHold(fingerprint, start, call) };
+    const held: HeldRun = { call, start, run, holds: this.#addHolds(run, start, call) };
+    const isRun = step === sendAccount.SEND_STEP.run;
     let isAnswered = true;
     return {
       recordAnswer: () => {
         start.recordAnswer(sentAt);
       },
       recordEvent: () => {
-        if (run.firstEventAt === undefined && clears) crashes.recordProgress(fingerprint);
-        start.recordEvent(run);
+        if (start.recordEvent(run)) this.#recordSuccess(held);
       },
       recordCompletion: (head) => {
-        const isCompleted = !head.notRun && crashTracker.hasCompleted(head.status);
-        if (isCompleted && clears) crashes.recordSuccess(fingerprint);
+        const isEmpty = isRun && requestTraits.isModelRequest(call) && !run.firstEventAt;
+        if (!isEmpty && !head.notRun && crashTracker.hasCompleted(head.status))
+          this.#recordSuccess(held);
       },
       handleUnanswered: async (end, error) => {
         if (runnerProbe.isUnsent(error)) return;
@@ -185,21 +207,29 @@
       },
       [Symbol.dispose]: () => {
         start.removeRun(run);
-        if (isAnswered) held.hold?.settle();
+        if (isAnswered) settleAll(held.holds);
         this.#removeIfIdle(start);
       },
     };
   }
 
-  /** Adds a hold for a run of a suspected request. */
-  #addHold(
-    fingerprint: string,
+  #recordSuccess({ run, holds }: HeldRun): void {
+    for (const trait of run.traits) this.#options.crashes.recordSuccess(trait);
+    settleAll(holds);
+  }
+
+  /** Adds a hold for each suspected trait of a run. */
+  #addHolds(
+    run: runnerStarts.Run,
     start: runnerStarts.RunnerStart,
     call: types.ServedCall,
-  ): runHolds.OwnHold | undefined {
+  ): readonly runHolds.OwnHold[] {
     const { clock, crashes, holds } = this.#options;
-    if (!crashes.isSuspect(fingerprint) && !holds.has(fingerprint)) return undefined;
-    return holds.add(fingerprint, start.name, call.deadlineAt - clock.now() + PROBE_INTERVAL_MS);
+    const lifetimeMs = call.deadlineAt - clock.now() + PROBE_INTERVAL_MS;
+    return run.traits
+      .filter((trait) => !crashes.hasSucceededLately(trait))
+      .filter((trait) => crashes.isSuspect(trait) || holds.has(trait))
+      .map((trait) => holds.add(trait, start.name, lifetimeMs));
   }
 
   async #handleUnanswered(held: HeldRun, end: UnansweredEnd): Promise<void> {
@@ -214,7 +244,7 @@
       void this.#watch(start);
       return;
     }
-    held.hold?.settle();
+    settleAll(held.holds);
     this.#removeIfIdle(start);
   }
 
@@ -224,10 +254,10 @@
     verdict: runnerProbe.ProbeResult,
   ): void {
     const { id, bornAt } = start.runner;
-    const { fingerprint } = run;
     this.#options.log.write(logEvents.LOG_EVENTS.runUnanswered, {
       request: call.head.id,
-      fingerprint,
+      fingerprint: run.traits[0],
+      traits: this.#listKinds(call, run),
       sharedParts: call.head.prompt?.partIds.slice(0, -1),
       runner: id,
       bornAt,
@@ -239,20 +269,19 @@
   }
 
   /**
-   * Holds the request back until the outcome of a run is known, unless the run had begun to answer or the request
-   * completed lately.
+   * Holds requests with the traits back until the outcome of a run is known, unless the run had answered for some time.
+   * Traits that were cleared lately are not held back.
    */
-  #markUnsettled({ start, run, hold }: HeldRun): void {
+  #markUnsettled({ start, run, holds: known }: HeldRun): void {
     const { crashes, holds } = this.#options;
-    const { fingerprint } = run;
-    if (run.firstEventAt !== undefined || crashes.hasSucceededLately(fingerprint)) {
-      hold?.settle();
-      return;
-    }
-    const unsettled = hold ?? holds.add(fingerprint, start.name, PROBE_INTERVAL_MS);
-    unsettled.markUnsettled();
+    settleAll(known);
+    if (run.isCleared) return;
+    const unsettled = run.traits
+      .filter((trait) => !crashes.hasSucceededLately(trait))
+      .map((trait) => holds.add(trait, start.name, PROBE_INTERVAL_MS));
+    for (const hold of unsettled) hold.markUnsettled();
     run.onSettled = () => {
-      unsettled.settle();
+      settleAll(unsettled);
     };
   }
 
@@ -344,26 +373,37 @@
     if (isCurrent && start.isIdle) this.#starts.delete(start.name);
   }
 
-  #getFingerprint(call: types.ServedCall): string {
-    const known = this.#fingerprints.get(call);
+  /** Lists the traits of a run with their kinds. */
+  #listKinds(call: types.ServedCall, run: runnerStarts.Run): readonly string[] {
+    return Object.values(this.#getTraits(call))
+      .flat()
+      .filter(({ hash }) => run.traits.includes(hash))
+      .map(({ kind, hash }) => `${kind} ${hash}`);
+  }
+
+  #getTraits(call: types.ServedCall): TraitsByStep {
+    const known = this.#traits.get(call);
     if (known !== undefined) return known;
-    const fingerprint = this.#computeFingerprint(call);
-    this.#fingerprints.set(call, fingerprint);
-    return fingerprint;
+    const { crashes } = this.#options;
+    const { prefill, run } = sendAccount.SEND_STEP;
+    const steps = requestTraits.isModelRequest(call) ? [run, prefill] : [run];
+    const traits: TraitsByStep = Object.fromEntries(
+      steps.map((step) => [step, requestTraits.listTraits(crashes, call, step)]),
+    );
+    this.#traits.set(call, traits);
+    return traits;
   }
 
-  /**
-   * Computes the fingerprint of a request over service, caller, method, target, body and, for model
-   * requests, the prompt's parts.
-   */
-  #computeFingerprint(call: types.ServedCall): string {
-    const { head, body, service, callerIp } = call;
-    const partIds = head.prompt?.partIds.join(",") ?? "";
-    const target = `${service.name} ${head.method} ${head.target} ${partIds}`;
-    return this.#options.crashes.computeFingerprint(callerIp, target, body);
+  /** Returns the hashes of the traits of all steps. */
+  #listTraitHashes(call: types.ServedCall): readonly string[] {
+    return Object.values(this.#getTraits(call)).flatMap((traits) => traits.map(({ hash }) => hash));
   }
 }
 
+function settleAll(holds: readonly runHolds.OwnHold[]): void {
+  for (const hold of holds) hold.settle();
+}
+
 /** Returns the time from the first event of a run to its end, if it had an event. */
 function computeAnsweredTime({ firstEventAt, endedAt }: runnerStarts.Run): number | undefined {
   if (firstEventAt === undefined || endedAt === undefined) return undefined;
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -7,6 +7,7 @@
 import type * as resultCodes from "../protocol/result-codes.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as runnerTable from "../runners/runner-table.js";
+import * as sendAccount from "../request/send-account.js";
 import * as runners from "../runners/types.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
@@ -101,7 +102,7 @@
     const limitMs = Math.min(PREFILL_TIMEOUT_MS, leftMs);
     const options = { deadlineMs: leftMs, stage: runners.STAGE.prefill };
     const send = progress.startPrefill(runner.id);
-    using trackedRun = this.#options.crashDetector.add(call, runner);
+    using trackedRun = this.#options.crashDetector.add(call, runner, sendAccount.SEND_STEP.prefill);
     try {
       const runnerResponse = await this.#send(call, runner, options, limitMs, call.signal);
       trackedRun.recordAnswer();
@@ -116,6 +117,7 @@
         const reason = `prefill answered ${runnerResponse.head.status}`;
         return { kind: "notRun", reason, excluded: runner.id };
       }
+      trackedRun.recordCompletion(runnerResponse.head);
       const now = clock.now();
       placement.recordPrefill(place.key, now - startedAt);
       const expiresAt = now + (call.service.engine?.handleTtlMs ?? 0);
@@ -123,7 +125,6 @@
       return undefined;
     } catch (error) {
       if (runnerProbe.isUnsent(error)) send.recordNotSent();
-      else progress.recordLostPrefill();
       // A prefill has no side effects: it may be repeated whatever its outcome.
       const isTimedOut = call.signal.aborted || clock.now() - startedAt >= limitMs;
       const end = crashDetector.chooseUnansweredEnd(call.signal, call.signal);
@@ -152,8 +153,7 @@
     if (leftMs <= 0) return { kind: "notRun", reason: "no time left", excluded: undefined };
     const send = progress.startDecode(runner.id);
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
-    const leftOutPrefill = progress.hasLostPrefill && prefilled === undefined;
-    using trackedRun = this.#options.crashDetector.add(call, runner, !leftOutPrefill);
+    using trackedRun = this.#options.crashDetector.add(call, runner, sendAccount.SEND_STEP.run);
     const options = {
       deadlineMs: leftMs,
       kvSource: prefilled === undefined ? undefined : createKvSource(prefilled),
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -145,7 +145,11 @@
     const endCall = record.startCall();
     const send = account.startSend(record.runner.id, sendAccount.SEND_STEP.run);
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
-    using trackedRun = this.#options.crashDetector.add(call, record.runner);
+    using trackedRun = this.#options.crashDetector.add(
+      call,
+      record.runner,
+      sendAccount.SEND_STEP.run,
+    );
     try {
       const runnerResponse = await calls.send({
         runner: record.runner,
--- a/src/serving/runner-starts.ts
+++ b/src/serving/runner-starts.ts
@@ -17,15 +17,22 @@
 /** Time after which a run whose outcome remains unknown is forgotten. */
 const UNSETTLED_LIMIT_MS = 30_000;
 
+/**
+ * Time after its first event at which an answer shows that the request does not crash its runner: one that does ends the
+ * runner when it begins to answer.
+ */
+const STEADY_ANSWER_MS = 250;
+
 /** A run of a request at a runner. */
 export interface Run {
-  readonly fingerprint: string;
+  /** Hashes of the traits of the request. */
+  readonly traits: readonly string[];
   /** Time at which the run was sent. */
   readonly sentAt: number;
   /** Time of the first event of the response. */
   firstEventAt: number | undefined;
-  /** Time of the latest event of the response. */
-  lastEventAt: number | undefined;
+  /** Whether the runner answered for long enough to show that it does not crash under the request. */
+  isCleared: boolean;
   /** Time at which the run ended without an answer. */
   endedAt: number | undefined;
   /** Time of the first answer of the runner to something sent after the end of the run. */
@@ -35,12 +42,12 @@
 }
 
 /** Creates a run that has just begun. */
-export function createRun(fingerprint: string, sentAt: number): Run {
+export function createRun(traits: readonly string[], sentAt: number): Run {
   return {
-    fingerprint,
+    traits,
     sentAt,
     firstEventAt: undefined,
-    lastEventAt: undefined,
+    isCleared: false,
     endedAt: undefined,
     answeredAt: undefined,
     onSettled: () => undefined,
@@ -107,12 +114,14 @@
     this.#unsettled.add(run);
   }
 
-  /** Records an event of a response in progress. */
-  recordEvent(run: Run): void {
+  /** Records an event of a response in progress; returns whether the run is cleared by it. */
+  recordEvent(run: Run): boolean {
     const now = this.#clock.now();
     run.firstEventAt ??= now;
-    run.lastEventAt = now;
     this.#lastAnsweredAt = now;
+    const isCleared = !run.isCleared && now - run.firstEventAt >= STEADY_ANSWER_MS;
+    run.isCleared ||= isCleared;
+    return isCleared;
   }
 
   /** Records an answer of the runner to something sent at `sentAt`. */
@@ -167,13 +176,13 @@
   }
 
   /**
-   * Returns the fingerprints of all runs that the end of the process interrupted, and removes the runs.
+   * Removes all runs that the end of the process interrupted; returns the traits of those that may have caused it.
    */
   shiftInterrupted(): readonly string[] {
     const runs = [...this.#unsettled, ...this.#inProgress];
     this.#inProgress.clear();
     this.settleAll();
-    return runs.map((run) => run.fingerprint);
+    return runs.filter((run) => !run.isCleared).flatMap((run) => run.traits);
   }
 }
 
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -37,6 +37,7 @@
     recordProgress: () => undefined,
     recordSuccess: () => undefined,
     isQuarantined: () => false,
+    findRefusal: () => undefined,
     listQuarantined: () => [],
     digest: 0,
     findRecord: () => undefined,
