Treat a stream that ends inside an event as broken off

What callers saw: a stream without a length or chunks whose connection ended inside an event, or before the first one, reached them as a complete 200. Cause: the bytes left after the last whole event were handed on, and the end of the connection was taken for the end of the answer. Change: such a stream is broken: it is resumed at another runner, or the caller's connection is closed. An unframed stream without any event is broken too. Why it works: each event ends with a blank line, so bytes without one are part of an event that was not sent whole.

--- a/src/runners/runner-calls.ts
+++ b/src/runners/runner-calls.ts
@@ -153,10 +153,8 @@
  * cases apart: it is undefined after a reset and still set after a regular close.
  */
 function watchForReset(response: http.IncomingMessage): void {
-  const { headers, socket } = response;
-  const isFramed =
-    headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-  if (isFramed) return;
+  const { socket } = response;
+  if (!responseReader.isEndedByConnection(response)) return;
   const onError = (error: Error): void => {
     response.destroy(error);
   };
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -230,9 +230,14 @@
       outcome.decodeMs = clock.now() - startedAt;
       await call.reply.write(events.bytes, call.signal);
     }
+    if (splitter.rest.byteLength > 0)
+      throw new Error(
+        `stream ended inside an event, after ${splitter.rest.byteLength} bytes of it`,
+      );
+    if (progress.eventCount === 0 && responseReader.isEndedByConnection(runnerResponse.response))
+      throw new Error("stream ended with its connection before the first event");
     if (!progress.started)
       call.reply.start(runnerResponse.head.status, runnerResponse.head.headers);
-    if (splitter.rest.byteLength > 0) await call.reply.write(splitter.rest, call.signal);
     call.reply.close();
     outcome.complete = isWhole;
   }
--- a/src/upstream/response-reader.ts
+++ b/src/upstream/response-reader.ts
@@ -9,6 +9,11 @@
   readonly idleTimeoutMs: number;
 }
 
+/** Whether the end of the connection is the only end of a body, so that a broken one looks complete. */
+export function isEndedByConnection({ headers }: http.IncomingMessage): boolean {
+  return headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
+}
+
 /**
  * Yields the chunks of a body; destroys the response when the iteration ends, also early.
  *
--- a/standins/users-platform/engine.ts
+++ b/standins/users-platform/engine.ts
@@ -22,6 +22,10 @@
   readonly eventPauseMs?: number;
   /** Closes the first stream that reaches the event with this number, in the middle of it. */
   readonly breakAfterEvents?: number;
+  /** Sends streams with neither a length nor chunks; they end with their connection. */
+  readonly isUnframed?: boolean;
+  /** Part of the event that is sent before a stream is closed. */
+  readonly brokenPart?: string;
   /** Resets the connection instead of answering this many prefills, which run nevertheless. */
   readonly droppedPrefillAnswers?: number;
   /**
@@ -143,6 +147,10 @@
       this.cancelled.push(id);
       this.#behaviour.onCancelled?.(id);
     });
+    if (this.#behaviour.isUnframed === true) {
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
     response.writeHead(200, {
       "content-type": "text/event-stream",
       "request-id": id,
@@ -152,8 +160,11 @@
     for (let event = first; event < eventCount; event += 1) {
       if (event === breakAfterEvents && this.#brokenStreams === 0) {
         this.#brokenStreams += 1;
-        response.write(`id: ${event}\ndata: half`);
-        setTimeout(() => response.destroy(), DEFAULT_PAUSE_MS);
+        response.write(this.#behaviour.brokenPart ?? `id: ${event}\ndata: half`);
+        setTimeout(() => {
+          if (this.#behaviour.isUnframed === true) response.end();
+          else response.destroy();
+        }, DEFAULT_PAUSE_MS);
         return;
       }
       response.write(`id: ${event}\ndata: piece ${event}\n\n`);
