Send requests with a prompt part that ends its runners in the soak

What the soak missed: it had no requests that end decode runners, and none with a prompt part in common. Change: a caller sends such requests at all gateways, through the faults and while the recovery is checked; arrivals later than 3 s after the fifth end of a runner are counted (BUDGET), and at least 0.9 of the sound requests, which have the same first part, must be served meanwhile (LOST).

--- a/standins/soak/callers.ts
+++ b/standins/soak/callers.ts
@@ -39,6 +39,13 @@
 
 let lastCallNumber = 0;
 
+/** Content of a request that differs from that of the others of its kind. */
+export interface CallContent {
+  readonly body?: string;
+  /** Parts of the prompt of a model request. */
+  readonly promptParts?: string;
+}
+
 /**
  * Sends a request and returns its record when its connection is closed; never rejects. Aborts it
  * after `abortAfterMs`, or else some time after its deadline.
@@ -48,7 +55,7 @@
   kind: CallKind,
   agent: http.Agent | false,
   abortAfterMs?: number,
-  body = "body",
+  { body = "body", promptParts }: CallContent = {},
 ): Promise<CallRecord> {
   lastCallNumber += 1;
   const record: CallRecord = {
@@ -77,6 +84,7 @@
         "request-id": record.id,
         "deadline-ms": String(DEADLINE_MS),
         ...HEADERS[kind],
+        ...(promptParts === undefined ? {} : { "prompt-prefix": promptParts }),
       },
     });
     const abort = (): void => {
--- a/standins/soak/child-main.ts
+++ b/standins/soak/child-main.ts
@@ -3,7 +3,7 @@
 import * as failing from "../users-platform/failing-runner.js";
 import * as engines from "../users-platform/engine.js";
 import * as store from "../users-platform/store.js";
-import type * as children from "./children.js";
+import * as children from "./children.js";
 import * as plainRunner from "./plain-runner.js";
 
 const EVENT_COUNT = 40;
@@ -36,6 +36,18 @@
   sendEvent({ kind: "arrived", call, isPrefill, hasRun });
 }
 
+/** Reports requests that end their runners, and ends this process with one that starts to run. */
+function createCrashHandlers(cause: children.CrashCause) {
+  return {
+    onCrashArrived: (call: string): void => {
+      sendEvent({ kind: "crashArrived", call, cause });
+    },
+    onCrash: (call: string): void => {
+      process.send?.({ kind: "crashed", call, cause }, () => process.exit(1));
+    },
+  };
+}
+
 async function startEngine(stage: string): Promise<string> {
   receiveCommands();
   const behaviour = { eventCount: EVENT_COUNT, eventPauseMs: EVENT_PAUSE_MS };
@@ -49,6 +61,7 @@
     onCancelled: (call) => {
       sendEvent({ kind: "cancelled", call });
     },
+    ...createCrashHandlers(children.CRASH_CAUSE.part),
   });
   await engine.start();
   return engine.address;
@@ -92,12 +105,7 @@
       onRan: (call) => {
         sendEvent({ kind: "ran", call });
       },
-      onCrashArrived: (call) => {
-        sendEvent({ kind: "crashArrived", call });
-      },
-      onCrash: (call) => {
-        process.send?.({ kind: "crashed", call }, () => process.exit(1));
-      },
+      ...createCrashHandlers(children.CRASH_CAUSE.bytes),
     });
   },
 };
--- a/standins/soak/children.ts
+++ b/standins/soak/children.ts
@@ -3,12 +3,23 @@
 import type * as failing from "../users-platform/failing-runner.js";
 import * as processes from "../processes.js";
 
+/** What requests that end their runners have in common: their bytes, or a part of their prompts. */
+export const CRASH_CAUSE = { bytes: "bytes", part: "part" } as const;
+
+/** One of the values of `CRASH_CAUSE`. */
+export type CrashCause = (typeof CRASH_CAUSE)[keyof typeof CRASH_CAUSE];
+
 /**
  * Message from a runner: a request arrived, started to run, or was cancelled while it ran; a request that ends its
  * runners arrived, or ends this one.
  */
 export type RunnerEvent =
-  | { readonly kind: "ran" | "cancelled" | "crashArrived" | "crashed"; readonly call: string }
+  | { readonly kind: "ran" | "cancelled"; readonly call: string }
+  | {
+      readonly kind: "crashArrived" | "crashed";
+      readonly call: string;
+      readonly cause: CrashCause;
+    }
   | {
       readonly kind: "arrived";
       readonly call: string;
--- a/standins/soak/main.ts
+++ b/standins/soak/main.ts
@@ -39,6 +39,10 @@
       long: "without-crashing-caller",
       description: "without the caller whose request ends its runners, as the older kept seeds",
     }),
+    withoutCrashingPart: cmd.flag({
+      long: "without-crashing-part",
+      description: "without the caller whose requests share a prompt part that ends its runners",
+    }),
     withoutFailingRunners: cmd.flag({
       long: "without-failing-runners",
       description: "without runners that fail all requests and gateways that start cut off",
@@ -55,12 +59,14 @@
     minutes,
     seconds,
     withoutCrashingCaller,
+    withoutCrashingPart,
     withoutFailingRunners,
     gateways,
   }) => {
     const options = {
       seconds,
       hasCrashingCaller: !withoutCrashingCaller,
+      hasCrashingPart: !withoutCrashingPart,
       hasFailingRunners: !withoutFailingRunners,
       size: { gateways },
     };
--- a/standins/soak/seeds.ts
+++ b/standins/soak/seeds.ts
@@ -27,4 +27,12 @@
     hasCrashingCaller: true,
     cause: "a relay forwarded a connection that had lost bytes",
   },
+  {
+    seed: 21,
+    seconds: 8,
+    hasCrashingCaller: true,
+    hasCrashingPart: true,
+    hasFailingRunners: true,
+    cause: "requests with a prompt part in common kept ending decode runners",
+  },
 ];
--- a/standins/soak/soak-cluster.ts
+++ b/standins/soak/soak-cluster.ts
@@ -84,7 +84,7 @@
   readonly at: number;
 }
 
-/** What was observed of the request that ends its runners. */
+/** What was observed of the requests that end their runners for one cause. */
 export interface CrashObservations {
   readonly arrivals: { readonly call: string; readonly at: number }[];
   readonly crashedAt: number[];
@@ -106,8 +106,11 @@
   readonly sentCalls: budgetCheck.SentCall[] = [];
   /** Runs by request id. */
   readonly runs = new Map<string, ObservedRun[]>();
-  /** The request that ends its runners: its arrivals, and the times at which runners ended. */
-  readonly crashing: CrashObservations = { arrivals: [], crashedAt: [] };
+  /** Requests that end their runners: their arrivals, and the times at which runners ended. */
+  readonly crashing: Readonly<Record<children.CrashCause, CrashObservations>> = {
+    bytes: { arrivals: [], crashedAt: [] },
+    part: { arrivals: [], crashedAt: [] },
+  };
   /** Times at which runs were cancelled, by request id. */
   readonly cancelled = new Map<string, number>();
   readonly #store: children.Child;
@@ -264,11 +267,11 @@
       return;
     }
     if (event.kind === "crashArrived") {
-      this.crashing.arrivals.push({ call: event.call, at });
+      this.crashing[event.cause].arrivals.push({ call: event.call, at });
       return;
     }
     if (event.kind === "crashed") {
-      this.crashing.crashedAt.push(at);
+      this.crashing[event.cause].crashedAt.push(at);
       void this.#restartRunner(runner);
       return;
     }
--- a/standins/soak/soak.ts
+++ b/standins/soak/soak.ts
@@ -4,6 +4,7 @@
  * shutdown.
  */
 import * as callers from "./callers.js";
+import * as children from "./children.js";
 import * as crashingCallers from "./crashing-caller.js";
 import * as faults from "./faults.js";
 import * as guaranteeChecks from "./guarantee-checks.js";
@@ -62,6 +63,8 @@
   readonly seconds: number;
   /** Whether a caller sends a request that ends its runners. */
   readonly hasCrashingCaller?: boolean;
+  /** Whether a caller sends requests with a prompt part that ends its runners, also while the recovery is checked. */
+  readonly hasCrashingPart?: boolean;
   /** Whether runners fail all their requests for a time, and gateways start cut off from each other. */
   readonly hasFailingRunners?: boolean;
   /** Sizes that differ from `CLUSTER_SIZE`. */
@@ -71,14 +74,19 @@
 /** Runs the soak of one seed. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { seed, seconds, hasCrashingCaller = false, hasFailingRunners = false } = options;
+  const { bytes, part } = children.CRASH_CAUSE;
   const size = { ...CLUSTER_SIZE, ...options.size };
   const retryRatio = hasFailingRunners ? LOW_RETRY_RATIO : undefined;
   await using cluster = await soakCluster.SoakCluster.start(size, retryRatio);
   const plan = faults.createPlan(seed, seconds * MS_PER_S, FAULT_INTERVAL_MS, hasFailingRunners);
   const faultPhaseCallers = new callers.Callers(cluster, CALLER_COUNT, seed);
   const crashingCaller = hasCrashingCaller
-    ? new crashingCallers.CrashingCaller(cluster, seed)
+    ? new crashingCallers.CrashingCaller(cluster, bytes, seed)
     : undefined;
+  const partCaller =
+    options.hasCrashingPart === true
+      ? new crashingCallers.CrashingCaller(cluster, part, seed)
+      : undefined;
   await faults.runPlan(cluster, plan);
   await faultPhaseCallers.stop();
   await crashingCaller?.stop();
@@ -86,12 +94,14 @@
   const recoveryPhaseCallers = new callers.Callers(cluster, CALLER_COUNT, seed);
   await sleep(RECOVERY_CHECK_MS);
   await recoveryPhaseCallers.stop();
+  await partCaller?.stop();
   const violations = [...(await checkCancelledStreams(cluster)), ...(await checkDrain(cluster))];
   // The last events of the runners may still be in flight to this process.
   await sleep(EVENT_DELIVERY_MS);
   const records = [...faultPhaseCallers.records, ...recoveryPhaseCallers.records];
   violations.push(...guaranteeChecks.listViolations({ records, runs: cluster.runs }));
-  violations.push(...(crashingCaller?.listViolations() ?? []));
+  for (const caller of [crashingCaller, partCaller])
+    violations.push(...(caller?.listViolations() ?? []));
   violations.push(...guaranteeChecks.listBudgetViolations(cluster));
   const servedShare = guaranteeChecks.computeServedShare(recoveryPhaseCallers.records);
   if (servedShare < MIN_SERVED_SHARE)
--- a/standins/users-platform/crashing-runner.ts
+++ b/standins/users-platform/crashing-runner.ts
@@ -197,7 +197,7 @@
 }
 
 /** Whether the crashing part is a part of the prompt other than the last one. */
-function hasCrashingPart(request: http.IncomingMessage): boolean {
+export function hasCrashingPart(request: http.IncomingMessage): boolean {
   const parts = String(request.headers["prompt-prefix"] ?? "").split(",");
   return parts.slice(0, -1).some((part) => part.startsWith(`${CRASHING_PART}:`));
 }
--- a/standins/users-platform/engine.ts
+++ b/standins/users-platform/engine.ts
@@ -5,6 +5,7 @@
 import * as events from "node:events";
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as crashing from "./crashing-runner.js";
 import * as failing from "./failing-runner.js";
 
 /** Request ids by KV cache handle (`address/handle`), shared by all engines of a test. */
@@ -37,6 +38,10 @@
   readonly chooseFailure?: () => failing.Failure;
   /** Called when a request or a prefill arrives, with whether it runs. */
   readonly onArrived?: (call: string, isPrefill: boolean, hasRun: boolean) => void;
+  /** Called when a request or a prefill with the crashing part arrives. */
+  readonly onCrashArrived?: (call: string) => void;
+  /** Called when a request with the crashing part starts to run; must end the process. */
+  readonly onCrash?: (call: string) => void;
   /** Called when a request starts to run. */
   readonly onRan?: (call: string) => void;
   /** Called when the connection of a running request closes before the response ends. */
@@ -92,10 +97,17 @@
     if (request.url === "/-/report") {
       const report = { stage: this.#stage, kv_total: 72_680, runs: [] };
       response.end(JSON.stringify(report));
-    } else if (request.method === "DELETE") {
+      return;
+    }
+    if (request.method === "DELETE") {
       this.#handles.delete(`${this.address}/${request.url?.split("/").at(-1) ?? ""}`);
       response.end();
-    } else if (request.headers["serving-stage"] === "prefill") this.#prefill(id, response);
+      return;
+    }
+    const isCrashing = crashing.hasCrashingPart(request);
+    if (isCrashing) this.#behaviour.onCrashArrived?.(id);
+    if (request.headers["serving-stage"] === "prefill") this.#prefill(id, response);
+    else if (isCrashing) this.#behaviour.onCrash?.(id);
     else await this.#decode(id, request, response);
   }
 
