Hold a request back only if it has all traits that open runs have in common

Cause: a trait with two runs without a known outcome held back every request with it, sound ones included, and a VM that had not served the trait itself never learned that its peers had. Change: the rule of verdicts holds for open runs too: a request waits for their outcome only if it has all traits that they have in common; and a success of a trait that is held is announced, at most twice a second. The three new tests fail without the change (the methods are new).

--- a/src/caller/types.ts
+++ b/src/caller/types.ts
@@ -120,8 +120,12 @@
   isSuspect(fingerprint: string): boolean;
   /** Records that a suspect generated tokens after a crash, which reduces the suspicion. */
   recordProgress(fingerprint: string): void;
-  /** Records that a request completed, after which it is no suspect. */
-  recordSuccess(fingerprint: string): void;
+  /**
+   * Records that a request completed, after which it is no suspect.
+   *
+   * @param isHeld - whether runs without a known outcome may hold it back at peers, which are then told of the success.
+   */
+  recordSuccess(fingerprint: string, isHeld?: boolean): void;
   /** Whether requests with the fingerprint are refused, because they crashed several upstreams. */
   isQuarantined(fingerprint: string): boolean;
   /**
--- a/src/request/run-holds.ts
+++ b/src/request/run-holds.ts
@@ -52,6 +52,14 @@
   expiresAt: number;
 }
 
+/** What is known of traits beside their open runs. */
+export interface TraitEvidence {
+  /** Whether the trait was answered lately, so that it holds no request back. */
+  readonly isTrusted: (trait: string) => boolean;
+  /** Returns the upstreams that are known to have crashed under the trait. */
+  readonly listCrashed: (trait: string) => ReadonlySet<string>;
+}
+
 /** The hold of a run of this node. */
 export interface OwnHold {
   /** Records that the run ended without an answer. */
@@ -109,13 +117,52 @@
    */
   findReason(fingerprint: string, crashed: ReadonlySet<string>): HoldReason | undefined {
     const open = this.#listOpen(fingerprint);
-    const isUnknown = ([id, { state }]: readonly [string, Hold]): boolean =>
-      state === RUN_STATE.unsettled || this.#isAbandoned(id);
-    const unknown = new Set(open.filter(isUnknown).map(([, { upstream }]) => upstream));
+    const unknown = new Set(this.#listUnknown(fingerprint));
     for (const upstream of crashed) unknown.delete(upstream);
     const isHeldBack = unknown.size > 0 && unknown.size + crashed.size >= MAX_OPEN_OUTCOMES;
     if (isHeldBack) return HOLD_REASON.unsettled;
-    return open.every(isUnknown) ? undefined : HOLD_REASON.inProgress;
+    return open.every(([id, hold]) => this.#isUnknown(id, hold))
+      ? undefined
+      : HOLD_REASON.inProgress;
+  }
+
+  /**
+   * Returns why a request with several traits has to wait, if it does. It is held back only if it has all traits that the
+   * runs without a known outcome have in common; with some of them it runs alone, which tells them apart.
+   */
+  findRequestReason(traits: readonly string[], evidence: TraitEvidence): HoldReason | undefined {
+    const open = traits.filter((trait) => this.has(trait) && !evidence.isTrusted(trait));
+    const isHeldBack = open.some(
+      (trait) =>
+        this.findReason(trait, evidence.listCrashed(trait)) === HOLD_REASON.unsettled &&
+        this.#listAlike(trait).every(
+          (other) => traits.includes(other) || evidence.isTrusted(other),
+        ),
+    );
+    if (isHeldBack) return HOLD_REASON.unsettled;
+    const isInProgress = open.some((trait) =>
+      this.#listOpen(trait).some(([id, hold]) => !this.#isUnknown(id, hold)),
+    );
+    return isInProgress ? HOLD_REASON.inProgress : undefined;
+  }
+
+  /** Lists the traits whose runs without a known outcome are at the same upstreams as those of `trait`. */
+  #listAlike(trait: string): readonly string[] {
+    const upstreams = this.#listUnknown(trait);
+    return [...this.#idsByFingerprint.keys()].filter((other) => {
+      const own = this.#listUnknown(other);
+      return own.size === upstreams.size && [...own].every((name) => upstreams.has(name));
+    });
+  }
+
+  /** Returns the upstreams of the open runs of a trait without a known outcome. */
+  #listUnknown(trait: string): ReadonlySet<string> {
+    const unknown = this.#listOpen(trait).filter(([id, hold]) => this.#isUnknown(id, hold));
+    return new Set(unknown.map(([, { upstream }]) => upstream));
+  }
+
+  #isUnknown(id: string, { state }: Hold): boolean {
+    return state === RUN_STATE.unsettled || this.#isAbandoned(id);
   }
 
   /** Shortens the lifetime of the runs of nodes that ended. */
--- a/src/request/trait-records.ts
+++ b/src/request/trait-records.ts
@@ -20,6 +20,8 @@
 const RECORD_LIFETIME_MS = 3_600_000;
 /** Time for which a trait that was cleared is trusted after one further crash. */
 const CLEARED_LIFETIME_MS = 600_000;
+/** Least time between two announcements that a held trait was answered. */
+const ANNOUNCE_INTERVAL_MS = 500;
 /** Limit on the traits with crashes, and on those that were cleared. */
 const MAX_TRAITS = 10_000;
 /** Limit on the remembered crashes, which tell how many have other causes. */
@@ -67,6 +69,8 @@
   readonly #clearedAt = new lru.LRUCache<string, number>({ max: MAX_TRAITS });
   /** Monotonic times of all known crashes, also of those that no trait explains. */
   readonly #crashedAt = new lru.LRUCache<string, number>({ max: MAX_CRASHES });
+  /** Monotonic time at which the success of a held trait was last announced. */
+  readonly #announcedAt = new lru.LRUCache<string, number>({ max: MAX_TRAITS });
   readonly #listeners: ((trait: string) => void)[] = [];
   #verdicts: readonly crashCauses.Verdict[] = [];
 
@@ -131,8 +135,14 @@
     // A run that answers for long enough is reported as a success.
   }
 
-  recordSuccess(fingerprint: string): void {
-    this.#clearedAt.set(fingerprint, this.#clock.now());
+  recordSuccess(fingerprint: string, isHeld = false): void {
+    const now = this.#clock.now();
+    this.#clearedAt.set(fingerprint, now);
+    const announcedAt = this.#announcedAt.get(fingerprint) ?? -Infinity;
+    if (isHeld && now - announcedAt >= ANNOUNCE_INTERVAL_MS) {
+      this.#announcedAt.set(fingerprint, now);
+      this.#notifyListeners(fingerprint);
+    }
     if (!this.#entries.delete(fingerprint)) return;
     this.#log.write(events.LOG_EVENTS.crashRecordCleared, { fingerprint });
     this.#notifyListeners(fingerprint);
--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -162,14 +162,10 @@
 
   #findHoldReason(call: types.ServedCall): runHolds.HoldReason | undefined {
     const { crashes, holds } = this.#options;
-    const reasons = this.#listTraitHashes(call)
-      .filter((trait) => holds.has(trait) && !crashes.hasSucceededLately(trait))
-      .map((trait) => {
-        const crashed = crashes.findRecord(trait)?.[2].map(([name]) => name);
-        return holds.findReason(trait, new Set(crashed));
-      });
-    const { unsettled, inProgress } = runHolds.HOLD_REASON;
-    return [unsettled, inProgress].find((reason) => reasons.includes(reason));
+    return holds.findRequestReason(this.#listTraitHashes(call), {
+      isTrusted: (trait) => crashes.hasSucceededLately(trait),
+      listCrashed: (trait) => new Set(crashes.findRecord(trait)?.[2].map(([name]) => name)),
+    });
   }
 
   /**
@@ -213,9 +209,10 @@
     };
   }
 
-  #recordSuccess({ run, holds }: HeldRun): void {
-    for (const trait of run.traits) this.#options.crashes.recordSuccess(trait);
-    settleAll(holds);
+  #recordSuccess({ run, holds: own }: HeldRun): void {
+    const { crashes, holds } = this.#options;
+    for (const trait of run.traits) crashes.recordSuccess(trait, holds.has(trait));
+    settleAll(own);
   }
 
   /** Adds a hold for each suspected trait of a run. */
--- a/test/request/run-holds.test.ts
+++ b/test/request/run-holds.test.ts
@@ -84,3 +84,36 @@
     earl.expect(second.findReason(FINGERPRINT, ONE)).toEqual("unsettled");
   });
 });
+
+test.describe("RunHolds.findRequestReason", () => {
+  const evidence: runHolds.TraitEvidence = {
+    isTrusted: () => false,
+    listCrashed: () => NONE,
+  };
+
+  /** Adds runs without a known outcome, each with all of the given traits. */
+  function addUnsettled(holds: runHolds.RunHolds, traits: readonly string[]): void {
+    for (const upstream of ["u1@1", "u2@1"])
+      for (const trait of traits) holds.add(trait, upstream, LIFETIME_MS).markUnsettled();
+  }
+
+  // Guards against LOST: sound requests were held back for what they share with those that silenced runners.
+  test.it("holds back only requests with all traits that the open runs have in common", () => {
+    const { first } = createPair();
+    addUnsettled(first, [FINGERPRINT, OTHER]);
+    earl.expect(first.findRequestReason([FINGERPRINT, OTHER], evidence)).toEqual("unsettled");
+    earl.expect(first.findRequestReason([FINGERPRINT], evidence)).toEqual(undefined);
+    first.add(FINGERPRINT, "u3@1", LIFETIME_MS);
+    earl.expect(first.findRequestReason([FINGERPRINT], evidence)).toEqual("inProgress");
+  });
+
+  test.it("trusts a trait that was answered lately", () => {
+    const { first } = createPair();
+    addUnsettled(first, [FINGERPRINT, OTHER]);
+    const isTrusted = (trait: string): boolean => trait === OTHER;
+    earl
+      .expect(first.findRequestReason([FINGERPRINT], { ...evidence, isTrusted }))
+      .toEqual("unsettled");
+    earl.expect(first.findRequestReason([OTHER], { ...evidence, isTrusted })).toEqual(undefined);
+  });
+});
--- a/test/request/trait-records.test.ts
+++ b/test/request/trait-records.test.ts
@@ -107,6 +107,16 @@
     earl.expect(first.records.isSuspect(SHARED)).toEqual(false);
   });
 
+  // Guards against LOST: a VM that started held requests back that its peers served.
+  test.it("tells the peers of a success while the trait is held", async () => {
+    const fleet = new fakes.FakeFleet();
+    const first = addNode(fleet, "a");
+    const second = addNode(fleet, "b");
+    first.records.recordSuccess(SHARED, true);
+    await fleet.clock.advance(MESSAGE_MS);
+    earl.expect(second.records.hasSucceededLately(SHARED)).toEqual(true);
+  });
+
   test.it("trusts a trait that was answered lately after one crash, but not after two", () => {
     const { records } = addNode(new fakes.FakeFleet(), "a");
     records.recordSuccess(SHARED);
