--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -168,9 +168,7 @@
     });
   }
 
-  /**
-   * Starts to track a step of a call on a runner.
-   */
+  /** Starts to track a step of a call on a runner. */
   add(call: types.ServedCall, runner: runners.Runner, step: sendAccount.SendStep): TrackedRun {
     const start = this.#getOrCreateStart(runner);
     const sentAt = this.#options.clock.now();
