--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -54,6 +54,13 @@
   readonly decode: runners.Runner;
 }
 
+/** The answer of a decode runner, whose body has not been read yet. */
+interface RunAnswer {
+  readonly runner: runners.Runner;
+  readonly runnerResponse: runnerCalls.RunnerResponse;
+  readonly trackedRun: crashDetector.TrackedRun;
+}
+
 /** Executes requests in three steps: prefill, transfer of the KV cache, decode. */
 export class EngineExecutor {
   readonly #options: EngineExecutorOptions;
@@ -169,7 +176,8 @@
         const reason = `runner answered ${runnerResponse.head.status}, not run`;
         return { kind: "notRun", reason, excluded: undefined };
       }
-      const result = await this.#sendAnswer(call, progress, runnerResponse, outcome, trackedRun);
+      const answer = { runner, runnerResponse, trackedRun };
+      const result = await this.#sendAnswer(call, progress, answer, outcome);
       if (result.kind === "done") trackedRun.recordCompletion(runnerResponse.head);
       return result;
     } catch (error) {
@@ -186,13 +194,12 @@
   async #sendAnswer(
     call: types.ServedCall,
     progress: modelProgress.ModelProgress,
-    runnerResponse: runnerCalls.RunnerResponse,
+    answer: RunAnswer,
     outcome: Writable<placementTypes.RunOutcome>,
-    trackedRun: crashDetector.TrackedRun,
   ): Promise<modelProgress.RunResult> {
-    const { head, response } = runnerResponse;
+    const { head, response } = answer.runnerResponse;
     if (answers.isSuccess(head.status) && head.signed) {
-      await this.#sendStream(call, progress, runnerResponse, outcome, trackedRun);
+      await this.#sendStream(call, progress, answer, outcome);
       return { kind: "done" };
     }
     const body = await this.#readBody(call, response);
@@ -208,14 +215,14 @@
   async #sendStream(
     call: types.ServedCall,
     progress: modelProgress.ModelProgress,
-    runnerResponse: runnerCalls.RunnerResponse,
+    { runner, runnerResponse, trackedRun }: RunAnswer,
     outcome: Writable<placementTypes.RunOutcome>,
-    trackedRun: crashDetector.TrackedRun,
   ): Promise<void> {
     const { clock } = this.#options;
     const splitter = new eventSplitter.EventSplitter();
     const tokensPerEvent = call.service.engine?.tokensPerEvent ?? 1;
     const isWhole = !progress.started;
+    const eventsBefore = progress.eventCount;
     const startedAt = clock.now();
     for await (const chunk of this.#readChunks(call, runnerResponse.response)) {
       const heldBytes = splitter.rest.byteLength;
@@ -231,6 +238,12 @@
       outcome.decodeMs = clock.now() - startedAt;
       await call.reply.write(events.bytes, call.signal);
     }
+    if (responseReader.isEndedByConnection(runnerResponse.response))
+      this.#recordUnframedEnd(call, runner, {
+        events: progress.eventCount - eventsBefore,
+        eventsBefore,
+        restBytes: splitter.rest.byteLength,
+      });
     if (splitter.rest.byteLength > 0)
       throw new Error(
         `stream ended inside an event, after ${splitter.rest.byteLength} bytes of it`,
@@ -243,6 +256,16 @@
     outcome.complete = isWhole;
   }
 
+  /** Records a stream without a length or chunks whose connection was closed. */
+  #recordUnframedEnd(
+    call: types.ServedCall,
+    { id, bornAt }: runners.Runner,
+    counts: Readonly<Record<"events" | "eventsBefore" | "restBytes", number>>,
+  ): void {
+    const fields = { request: call.head.id, runner: id, bornAt, ...counts };
+    this.#options.log.write(logEvents.LOG_EVENTS.unframedStreamEnded, fields);
+  }
+
   #readBody(call: types.ServedCall, response: http.IncomingMessage): Promise<Buffer> {
     const limits = { ...BUFFERED_BODY_LIMITS, buffers: call.buffers };
     return responseReader.readBody(this.#options.clock, response, limits);
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -53,6 +53,11 @@
   crashRecordCleared: { number: 4012, level: "info", message: "crash record cleared" },
   crashPullFailed: { number: 4013, level: "warn", message: "crash record pull from peer failed" },
   retryShareChanged: { number: 4014, level: "info", message: "share of retry budget changed" },
+  unframedStreamEnded: {
+    number: 4015,
+    level: "info",
+    message: "stream without length or chunks ended with its connection",
+  },
   logSuppressed: { number: 1005, level: "warn", message: "log entries suppressed" },
   allocatorChanged: { number: 5001, level: "info", message: "allocator of runner changed" },
   orphanCancelled: { number: 5002, level: "warn", message: "orphaned request cancelled on runner" },
