Show unframed answers that are cut short and handed on as whole

Callers saw 3 of 5 events, or 2 of 5 bytes, with status 200 and a proper end, in two ways: a run that went on ended with its connection before its first event, and a runner stopped between two events or in the body of a plain answer.

--- a/standins/users-platform/engine.ts
+++ b/standins/users-platform/engine.ts
@@ -27,6 +27,8 @@
   readonly isUnframed?: boolean;
   /** Part of the event that is sent before a stream is closed. */
   readonly brokenPart?: string;
+  /** Whether the engine stops with the stream that it closes. */
+  readonly stopsWhenBroken?: boolean;
   /** Resets the connection instead of answering this many prefills, which run nevertheless. */
   readonly droppedPrefillAnswers?: number;
   /**
@@ -88,6 +90,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.#server.closeAllConnections();
+    if (!this.#server.listening) return;
     this.#server.close();
     await events.default.once(this.#server, "close");
   }
@@ -173,6 +176,7 @@
       if (event === breakAfterEvents && this.#brokenStreams === 0) {
         this.#brokenStreams += 1;
         response.write(this.#behaviour.brokenPart ?? `id: ${event}\ndata: half`);
+        if (this.#behaviour.stopsWhenBroken === true) this.#server.close();
         setTimeout(() => {
           if (this.#behaviour.isUnframed === true) response.end();
           else response.destroy();
--- a/test/gateway/unframed-streams.test.ts
+++ b/test/gateway/unframed-streams.test.ts
@@ -22,12 +22,12 @@
 /** Returns behaviours of two engines of which the one that runs the first request breaks it off. */
 function createPair(
   breakAfterEvents: number,
-  brokenPart?: string,
+  changes: engines.EngineBehaviour = {},
 ): readonly engines.EngineBehaviour[] {
   let runs = 0;
   const behaviour = {
     ...UNFRAMED,
-    ...(brokenPart === undefined ? {} : { brokenPart }),
+    ...changes,
     get breakAfterEvents(): number {
       runs += 1;
       return runs === 1 ? breakAfterEvents : Infinity;
@@ -47,12 +47,34 @@
   });
 
   test.it("are resumed when only the last line end is missing", async () => {
-    const pair = createPair(4, "id: 4\ndata: piece 4\n");
+    const pair = createPair(4, { brokenPart: "id: 4\ndata: piece 4\n" });
     earl.expect(await sendStream(193, ...pair)).toEqual(`200 ${COMPLETE_STREAM}`);
   });
 
   test.it("are resumed when their connection ends before the first event", async () => {
-    earl.expect(await sendStream(194, ...createPair(0, ""))).toEqual(`200 ${COMPLETE_STREAM}`);
+    earl
+      .expect(await sendStream(194, ...createPair(0, { brokenPart: "" })))
+      .toEqual(`200 ${COMPLETE_STREAM}`);
+  });
+
+  // Guards against judging the end of a run by the events of earlier runs.
+  test.it("are not whole when a run that goes on ends before its first event", async () => {
+    let runs = 0;
+    const behaviour = {
+      ...UNFRAMED,
+      breakAfterEvents: 3,
+      get brokenPart(): string {
+        runs += 1;
+        return runs === 1 ? "id: 3\ndata: ha" : "";
+      },
+    };
+    earl.expect(await sendStream(196, behaviour, behaviour)).toEqual("broken off");
+  });
+
+  // Guards against taking the end of a runner for the end of its answer.
+  test.it("are resumed when their runner stops between two events", async () => {
+    const pair = createPair(3, { brokenPart: "", stopsWhenBroken: true });
+    earl.expect(await sendStream(197, ...pair)).toEqual(`200 ${COMPLETE_STREAM}`);
   });
 
   test.it("are broken off when no runner can go on", async () => {
--- a/test/serving/plain-serving.test.ts
+++ b/test/serving/plain-serving.test.ts
@@ -63,6 +63,25 @@
     }
   });
 
+  // Guards against taking the end of a runner for the end of its answer.
+  test.it("returns no answer without a length whose runner stops with it", async () => {
+    const start =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nConnection: close\r\n\r\n";
+    for (const [isStopped, body, kind, expected] of [
+      [true, "wh", UNSAFE, "502 ran unknown"],
+      [true, "", UNSAFE, "502 ran unknown"],
+      [false, "whole", UNSAFE, "200 whole"],
+    ] as const) {
+      const runner: raw.RawRunner = await raw.startRawRunner("one", (socket) => {
+        socket.end(start + body);
+        if (isStopped) void runner[Symbol.asyncDispose]();
+      });
+      await using _stopped = runner;
+      const plain = fixture.createPlainServing([runner.runner]);
+      earl.expect(await fixture.serve(plain, fixture.createCall(kind))).toEqual(expected);
+    }
+  });
+
   test.it("times out at the deadline if no response to a non-idempotent call arrives", async () => {
     await using pair = await startPair(() => undefined);
     const result = await fixture.serve(pair.plain, fixture.createCall(UNSAFE));
