Judge the end of a run by the events of this run

Callers got 2 to 4 events of 8 and a proper end, without an error. The end of a stream without length or chunks was refused only if the request had had no event at all. A run that went on after a break and ended before its own first event passed as complete, since the events of the run before counted.

The count is now that of the run. A run without events counts as an end only if the events sent so far hold all output that the request allows; unknown for a stream that began in another request.

--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -238,9 +238,11 @@
       outcome.decodeMs = clock.now() - startedAt;
       await call.reply.write(events.bytes, call.signal);
     }
-    if (responseReader.isEndedByConnection(runnerResponse.response))
+    const runEvents = progress.eventCount - eventsBefore;
+    const isUnframed = responseReader.isEndedByConnection(runnerResponse.response);
+    if (isUnframed)
       this.#recordUnframedEnd(call, runner, {
-        events: progress.eventCount - eventsBefore,
+        events: runEvents,
         eventsBefore,
         restBytes: splitter.rest.byteLength,
       });
@@ -248,8 +250,8 @@
       throw new Error(
         `stream ended inside an event, after ${splitter.rest.byteLength} bytes of it`,
       );
-    if (progress.eventCount === 0 && responseReader.isEndedByConnection(runnerResponse.response))
-      throw new Error("stream ended with its connection before the first event");
+    if (isUnframed && runEvents === 0 && !progress.isExhausted)
+      throw new Error("stream ended with its connection before the first event of the run");
     if (!progress.started)
       call.reply.start(runnerResponse.head.status, runnerResponse.head.headers);
     call.reply.close();
--- a/src/serving/model-progress.ts
+++ b/src/serving/model-progress.ts
@@ -60,6 +60,19 @@
     return this.#eventCount;
   }
 
+  /**
+   * Whether the events that were sent hold all output that the request allows, so that a further run has none to add.
+   * Unknown, hence false, for a stream that began in another request.
+   */
+  get isExhausted(): boolean {
+    const { head, service } = this.#call;
+    const generatedTokens = this.#eventCount * (service.engine?.tokensPerEvent ?? 1);
+    return (
+      head.lastEventId === undefined &&
+      generatedTokens >= (head.prompt?.maxOutputTokens ?? Infinity)
+    );
+  }
+
   /** Whether the head of the response was sent to the caller. */
   get started(): boolean {
     return this.#call.reply.started;
--- a/test/serving/model-progress.test.ts
+++ b/test/serving/model-progress.test.ts
@@ -19,6 +19,25 @@
 }
 
 test.describe("ModelProgress", () => {
+  test.it("is exhausted once the events hold all output that the request allows", () => {
+    const prompt = { model: "m", promptTokens: 9, maxOutputTokens: 100, partIds: [] };
+    const engine = { tokensPerEvent: 40 };
+    const createStream = (lastEventId: string | undefined, events: number): boolean => {
+      const head = { prompt: { ...prompt, expectedOutputTokens: undefined }, lastEventId };
+      const { call } = fixture.createCall({}, head);
+      const service = { ...call.service, engine } as never;
+      const account = new sendAccount.SendAccount(1, {
+        reserve: () => true,
+        release: () => undefined,
+      });
+      const progress = new modelProgress.ModelProgress({ ...call, service }, account);
+      progress.recordEvents(events, "1", 0);
+      return progress.isExhausted;
+    };
+    earl.expect([createStream(undefined, 2), createStream(undefined, 3)]).toEqual([false, true]);
+    earl.expect(createStream("0", 3)).toEqual(false);
+  });
+
   // Guards against BUDGET: a retry that repeats prefill and decode took one retry from the budget.
   test.it("reserves a retry for each request that another placement repeats", () => {
     const { progress, reserved } = createProgress(3);
