Probe a runner whose answer ended with its connection

Callers got a part of a stream or of a plain answer with a proper end: a crash of a runner closes its connections, and where an answer has neither length nor chunks that is also how a whole one ends. Bytes cannot tell the two apart when the stream stops between two events or in a plain body.

The runner is probed before the end is passed on (the probe of the crash detector, a new connection, 150 ms at most). The end counts only if the runner still answers as the same process; else a stream goes on elsewhere, a safe call is repeated and an unsafe one has an unknown outcome. Prefill answers and reports are JSON, of which no proper part parses.

--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -242,6 +242,7 @@
     zone: kernel.use("settings").zone,
     runners: kernel.use("runners"),
     calls: kernel.use("runnerCalls"),
+    codec: kernel.use("adapter").runnerCodec,
     budgets: kernel.use("retryBudgets"),
     crashDetector: kernel.use("crashDetector"),
   });
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -12,6 +12,7 @@
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
 import * as responseReader from "../upstream/response-reader.js";
+import * as answerEnd from "./answer-end.js";
 import * as answers from "./answers.js";
 import * as crashDetector from "./crash-detector.js";
 import * as eventSplitter from "./event-splitter.js";
@@ -203,6 +204,7 @@
       return { kind: "done" };
     }
     const body = await this.#readBody(call, response);
+    await answerEnd.checkAnswerEnd(this.#options, answer.runner, response);
     const reason = `runner answered ${head.status}`;
     const isForwardableError =
       !answers.isSuccess(head.status) && !answers.isNotRunStatus(head.status);
@@ -252,6 +254,7 @@
       );
     if (isUnframed && runEvents === 0 && !progress.isExhausted)
       throw new Error("stream ended with its connection before the first event of the run");
+    await answerEnd.checkAnswerEnd(this.#options, runner, runnerResponse.response);
     if (!progress.started)
       call.reply.start(runnerResponse.head.status, runnerResponse.head.headers);
     call.reply.close();
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -14,6 +14,7 @@
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
 import * as responseReader from "../upstream/response-reader.js";
+import * as answerEnd from "./answer-end.js";
 import * as answers from "./answers.js";
 import * as crashDetector from "./crash-detector.js";
 import * as plainRunnerChoice from "./plain-runner-choice.js";
@@ -49,6 +50,7 @@
   readonly zone: string;
   readonly runners: runnerTable.RunnerTable;
   readonly calls: runnerCalls.RunnerCalls;
+  readonly codec: gateway.RunnerCodec;
   readonly budgets: retryBudgets.RetryBudgets;
   readonly crashDetector: crashDetector.CrashDetector;
 }
@@ -164,6 +166,8 @@
       const { buffers } = call;
       const limits = { maxBytes: MAX_RESPONSE_BYTES, idleTimeoutMs: leftMs, buffers };
       const body = await responseReader.readBody(clock, runnerResponse.response, limits);
+      if (!runnerResponse.head.notRun)
+        await answerEnd.checkAnswerEnd(this.#options, record.runner, runnerResponse.response);
       endCall();
       trackedRun.recordCompletion(runnerResponse.head);
       return this.#handleResponse(record, { head: runnerResponse.head, body });
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -99,6 +99,7 @@
     zone: "a",
     runners: table,
     calls,
+    codec: runnerCodec.RUNNER_CODEC,
     crashDetector: new crashDetector.CrashDetector({
       clock,
       log,
