--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -74,6 +74,8 @@
   readonly prompt: PromptSpec | undefined;
   /** Id of the last event that the caller received, when it resumes a stream. */
   readonly lastEventId: string | undefined;
+  /** Call id of the attempt that brought the first event of the stream that the caller resumes. */
+  readonly firstAttemptId: string | undefined;
 }
 
 /** Converts between the callers' HTTP format and the gateway's types; contains no routing logic. */
--- a/src/runners/runner-table.ts
+++ b/src/runners/runner-table.ts
@@ -76,8 +76,8 @@
 
   #addRunner(runner: types.Runner): void {
     this.#records.set(runner.id, new runnerRecord.RunnerRecord(runner, this.#clock));
-    const { id, service, stage, leaving, bornAt } = runner;
-    const fields = { runner: id, service, stage, leaving, bornAt };
+    const { id, service, stage, leaving, bornAt, softwareVersion } = runner;
+    const fields = { runner: id, service, stage, leaving, bornAt, softwareVersion };
     this.#log.write(logEvents.LOG_EVENTS.runnerArrived, fields);
   }
 
--- a/src/runners/types.ts
+++ b/src/runners/types.ts
@@ -21,6 +21,8 @@
   readonly stage: Stage | undefined;
   /** Start time of its process in Unix milliseconds; distinguishes incarnations with the same id. */
   readonly bornAt: number;
+  /** Version of its software, compared for equality only; `undefined` in an entry from a peer of an older build. */
+  readonly softwareVersion: string | undefined;
   /** Models that it serves. */
   readonly models: readonly ServedModel[];
 }
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -157,6 +157,7 @@
     if (refusal !== undefined) return createHeldResult(refusal);
     const leftMs = call.deadlineAt - clock.now();
     if (leftMs <= 0) return { kind: "notRun", reason: "no time left", excluded: undefined };
+    this.#recordRun(call, progress, runner);
     const send = progress.startDecode(runner.id);
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
     using trackedRun = this.#options.crashDetector.add(call, runner, sendAccount.SEND_STEP.run);
@@ -261,6 +262,22 @@
     outcome.complete = isWhole;
   }
 
+  #recordRun(
+    call: types.ServedCall,
+    progress: modelProgress.ModelProgress,
+    { id, bornAt, softwareVersion }: runners.Runner,
+  ): void {
+    const { id: request, firstAttemptId } = call.head;
+    this.#options.log.write(logEvents.LOG_EVENTS.runStarted, {
+      request,
+      firstAttempt: firstAttemptId,
+      lastEvent: progress.lastEventId,
+      runner: id,
+      bornAt,
+      softwareVersion,
+    });
+  }
+
   /** Records a stream without a length or chunks whose connection was closed. */
   #recordUnframedEnd(
     call: types.ServedCall,
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -58,6 +58,7 @@
     level: "info",
     message: "stream without length or chunks ended with its connection",
   },
+  runStarted: { number: 4016, level: "info", message: "run of a stream sent to a runner" },
   logSuppressed: { number: 1005, level: "warn", message: "log entries suppressed" },
   allocatorChanged: { number: 5001, level: "info", message: "allocator of runner changed" },
   orphanCancelled: { number: 5002, level: "warn", message: "orphaned request cancelled on runner" },
--- a/test/placement/pool-replay.ts
+++ b/test/placement/pool-replay.ts
@@ -283,6 +283,7 @@
     leaving: false,
     stage,
     bornAt: 1,
+    softwareVersion: "v1",
     models: [],
   });
   const { prefill, decode } = options;
--- a/test/runners/raw-runner.ts
+++ b/test/runners/raw-runner.ts
@@ -72,6 +72,7 @@
     leaving: false,
     stage: undefined,
     bornAt: 1,
+    softwareVersion: "v1",
     models: [],
   };
 }
@@ -91,6 +92,7 @@
     deadlineMs: 1_000,
     prompt: undefined,
     lastEventId: undefined,
+    firstAttemptId: undefined,
     ...changes,
   };
 }
