--- a/standins/users-platform/crashing-runner.ts
+++ b/standins/users-platform/crashing-runner.ts
@@ -36,6 +36,24 @@
   readonly eventCount?: number;
   /** Whether a decode runner sends an event before it ends. */
   readonly sendsEvent?: boolean;
+  /** Time after each event of a stream. */
+  readonly eventPauseMs?: number;
+  /** Returns the software version of the `start`-th start of a runner; its events name it. */
+  readonly chooseVersion?: (name: string, start: number) => string;
+  /** Time from a start to its registry entry. */
+  readonly entryDelayMs?: number;
+  /** Returns the event at which the next stream is broken off, if it is. */
+  readonly chooseBreak?: () => number | undefined;
+}
+
+/** A stream to be sent. */
+export interface StreamOptions {
+  readonly eventCount?: number | undefined;
+  readonly eventPauseMs?: number | undefined;
+  /** Text in each event, after its number. */
+  readonly label?: string | undefined;
+  /** The event at which the stream is broken off. */
+  readonly breakAt?: number | undefined;
 }
 
 /** Arrivals of crashing requests and ends of runners, shared by all runners of a test. */
@@ -101,11 +119,37 @@
     await events.default.once(server, "listening");
     this.#server = server;
     this.#port = (server.address() as net.AddressInfo).port;
+    const { entryDelayMs } = this.#behaviour;
+    if (entryDelayMs === undefined || this.#starts === 1) this.#publish("ready");
+    else
+      this.#schedule(entryDelayMs, () => {
+        this.#publish("ready");
+      });
+  }
+
+  /** Lists the runner as leaving. */
+  markLeaving(): void {
+    this.#publish("draining");
+  }
+
+  /** Ends the process for good and removes its entry. */
+  async retire(): Promise<void> {
+    this.#platform.remove(`servers/${this.#id}`);
+    await this[Symbol.asyncDispose]();
+  }
+
+  get #version(): string {
+    return this.#behaviour.chooseVersion?.(this.#name, this.#starts) ?? "v1";
+  }
+
+  #publish(state: string): void {
     const isPlain = this.#role === RUNNER_ROLE.plain;
     const changes = isPlain ? {} : { service: "model", stage: this.#role, slots: 16 };
     const entry = examples.createRunnerEntry(`127.0.0.1:${this.#port}`, {
       ...changes,
       born: this.#starts,
+      version: this.#version,
+      state,
     });
     this.#platform.set(`servers/${this.#id}`, entry);
   }
@@ -134,7 +178,7 @@
     }
     const crashes = this.#role === this.#behaviour.crashingRole && isCrashing;
     if (!crashes || !this.#log.isCrashing) {
-      await ANSWERS[this.#role](request, response, this.#behaviour.eventCount);
+      await ANSWERS[this.#role](request, response, this.#createStream());
       return;
     }
     this.#log.crashes.push(performance.now());
@@ -142,6 +186,12 @@
     await this.crash();
   }
 
+  #createStream(): StreamOptions {
+    const { eventCount, eventPauseMs, chooseVersion, chooseBreak } = this.#behaviour;
+    const label = chooseVersion === undefined ? undefined : this.#version;
+    return { eventCount, eventPauseMs, label, breakAt: chooseBreak?.() };
+  }
+
   #handleReport(request: http.IncomingMessage, response: http.ServerResponse): void {
     if (request.headers["expect-instance"] !== this.#id) response.writeHead(421).end();
     else if (this.#role === RUNNER_ROLE.plain) response.writeHead(404).end();
@@ -212,7 +262,7 @@
 type AnswerHandler = (
   request: http.IncomingMessage,
   response: http.ServerResponse,
-  eventCount?: number,
+  stream?: StreamOptions,
 ) => Promise<void>;
 
 /** Answers to requests that do not end the runner, by role. */
@@ -226,12 +276,23 @@
     response.end(JSON.stringify({ kv_handle: "h", tokens: 100, version: 1 }));
     return Promise.resolve();
   },
-  decode: async (request, response, eventCount = DEFAULT_EVENT_COUNT) => {
+  decode: async (request, response, stream = {}) => {
+    const {
+      eventCount = DEFAULT_EVENT_COUNT,
+      eventPauseMs = PLAIN_WORK_MS,
+      label,
+      breakAt,
+    } = stream;
     response.writeHead(200, createAnswerHeaders(request));
     const first = Number(request.headers["last-event-id"] ?? -1) + 1;
     for (let event = first; event < eventCount; event += 1) {
-      response.write(`id: ${event}\ndata: piece ${event}\n\n`);
-      await new Promise((resolve) => setTimeout(resolve, PLAIN_WORK_MS));
+      if (event === breakAt) {
+        response.destroy();
+        return;
+      }
+      const text = label === undefined ? "" : ` of ${label}`;
+      response.write(`id: ${event}\ndata: piece ${event}${text}\n\n`);
+      await new Promise((resolve) => setTimeout(resolve, eventPauseMs));
     }
     response.end();
   },
--- a/test/gateway/unframed-streams.test.ts
+++ b/test/gateway/unframed-streams.test.ts
@@ -68,13 +68,13 @@
         return runs === 1 ? "id: 3\ndata: ha" : "";
       },
     };
-    earl.expect(await sendStream(196, behaviour, behaviour)).toEqual("broken off");
+    earl.expect(await sendStream(97, behaviour, behaviour)).toEqual("broken off");
   });
 
   // Guards against taking the end of a runner for the end of its answer.
   test.it("are resumed when their runner stops between two events", async () => {
     const pair = createPair(3, { brokenPart: "", stopsWhenBroken: true });
-    earl.expect(await sendStream(197, ...pair)).toEqual(`200 ${COMPLETE_STREAM}`);
+    earl.expect(await sendStream(98, ...pair)).toEqual(`200 ${COMPLETE_STREAM}`);
   });
 
   test.it("are broken off when no runner can go on", async () => {
