--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -20,6 +20,11 @@
 import * as traitRecords from "../request/trait-records.js";
 import * as runnerCalls from "../runners/runner-calls.js";
 import * as runnerTable from "../runners/runner-table.js";
+import * as connectionStarts from "../runners/connection-starts.js";
+import * as versionHistory from "../runners/version-history.js";
+import * as streamOriginExchange from "../streams/stream-origin-exchange.js";
+import * as streamOrigins from "../streams/stream-origins.js";
+import * as streamVersions from "../streams/stream-versions.js";
 import * as crashDetector from "../serving/crash-detector.js";
 import * as modelServing from "../serving/model-serving.js";
 import * as plainServing from "../serving/plain-serving.js";
@@ -63,7 +68,12 @@
   kernel.register("routing", () => new routingState.RoutingState(kernel.use("log")));
   kernel.register(
     "runners",
-    () => new runnerTable.RunnerTable(kernel.use("clock"), kernel.use("log")),
+    () =>
+      new runnerTable.RunnerTable(
+        kernel.use("clock"),
+        kernel.use("log"),
+        adapter.settings.runnerDrainMs,
+      ),
   );
   kernel.register("registrySync", registrySync.createRegistrySync);
   kernel.register("runnerCalls", createRunnerCalls);
@@ -75,6 +85,7 @@
   kernel.register("runHolds", runHolds.createRunHolds);
   kernel.register("crashRecordSync", crashRecordSync.createCrashRecordSync);
   kernel.register("crashDetector", createCrashDetector);
+  kernel.register("streamVersions", createStreamVersions);
   kernel.register("plainServing", createPlainServing);
   kernel.register("modelServing", createModelServing);
   return kernel;
@@ -164,6 +175,7 @@
         clock,
         log: kernel.use("log"),
         listCandidates: () => runners.listUsable(service),
+        listDraining: () => runners.listDraining(service),
         findEngine: () => routing.current?.findService(service)?.engine,
       }),
   });
@@ -233,6 +245,32 @@
   });
 }
 
+function createStreamVersions(kernel: container.Kernel): streamVersions.StreamVersions {
+  const clock = kernel.use("clock");
+  const runners = kernel.use("runners");
+  const sync = kernel.use("registrySync");
+  const calls = kernel.use("runnerCalls");
+  const { runnerCodec: codec } = kernel.use("adapter");
+  const history = new versionHistory.VersionHistory({
+    clock,
+    runners,
+    findContinuousSince: () => sync.runnersContinuousSince,
+  });
+  return new streamVersions.StreamVersions({
+    metrics: kernel.use("metrics"),
+    runners,
+    history,
+    starts: new connectionStarts.ConnectionStarts({ clock, calls, codec }),
+    exchange: new streamOriginExchange.StreamOriginExchange({
+      clock,
+      network: kernel.use("network"),
+      membership: kernel.use("membership"),
+      origins: new streamOrigins.StreamOrigins(clock),
+      history,
+    }),
+  });
+}
+
 function createPlainServing(kernel: container.Kernel): plainServing.PlainServing {
   return new plainServing.PlainServing({
     clock: kernel.use("clock"),
@@ -260,6 +298,7 @@
     budgets: kernel.use("retryBudgets"),
     crashDetector: kernel.use("crashDetector"),
     placement: kernel.use("placement"),
+    streams: kernel.use("streamVersions"),
     tracer: kernel.use("tracer"),
   });
 }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -36,6 +36,8 @@
    * new scheduler waits for a multiple of it before its first order.
    */
   readonly orderLeaseMs: number;
+  /** Time from the notice of a runner that leaves for which the platform allows requests to it. */
+  readonly runnerDrainMs: number;
   readonly retryBudget: retryBudgets.RetryBudgetSettings;
 }
 
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -17,6 +17,7 @@
 import type * as crashRecordSync from "../request/crash-record-sync.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as runnerTable from "../runners/runner-table.js";
+import type * as streamVersions from "../streams/stream-versions.js";
 import type * as crashDetector from "../serving/crash-detector.js";
 import type * as modelServing from "../serving/model-serving.js";
 import type * as plainServing from "../serving/plain-serving.js";
@@ -63,6 +64,7 @@
   placement: placementService.PlacementService;
   engineReportPoller: engineReportPoller.EngineReportPoller;
   stageReconciler: stageReconciler.StageReconciler;
+  streamVersions: streamVersions.StreamVersions;
   crashDetector: crashDetector.CrashDetector;
   plainServing: plainServing.PlainServing;
   modelServing: modelServing.ModelServing;
--- a/src/placement/calls.ts
+++ b/src/placement/calls.ts
@@ -23,6 +23,7 @@
   cachedBy: runnerId.optional(),
   excluded: zod.array(runnerId).max(16),
   skipsPrefill: zod.boolean().optional(),
+  softwareVersion: zod.string().max(200).optional(),
 }) satisfies zod.ZodType<types.PlacementRequest>;
 
 const placementStreamItemSchema = zod.object({
--- a/src/placement/placement-queue.ts
+++ b/src/placement/placement-queue.ts
@@ -32,6 +32,8 @@
   readonly relativeCost: number;
   /** Whether this is a retry of a refused request. */
   readonly isRetry: boolean;
+  /** Whether it goes on with a stream that its caller has in part. */
+  readonly isResumed: boolean;
 }
 
 interface QueueItem<Entry extends QueueEntry> {
@@ -68,13 +70,14 @@
 
   /**
    * Adds a request, or refuses it if its expected wait exceeds `maxWaitMs`. Retries are always
-   * added.
+   * added, and so are streams that go on.
    *
    * @param slackMs - time left in which a grant still meets the target.
    */
   add(entry: Entry, slackMs: number, maxWaitMs: number): QueueRefusal | undefined {
     const waitMs = this.#computeExpectedWait();
-    if (waitMs > maxWaitMs && !entry.isRetry) return { retryAfterMs: computeRetryAfter(waitMs) };
+    if (waitMs > maxWaitMs && !entry.isRetry && !entry.isResumed)
+      return { retryAfterMs: computeRetryAfter(waitMs) };
     const now = this.#clock.now();
     const onTimeUntil = now + slackMs;
     const rank = onTimeUntil + COST_PENALTY_MS * Math.min(MAX_RELATIVE_COST, entry.relativeCost);
@@ -88,17 +91,28 @@
   }
 
   /**
-   * Returns the entry that is to be granted next, and whether it is late; `undefined` when the
-   * queue is empty.
+   * Returns the entry that is to be granted next, and whether it is late; `undefined` when there is none. Streams that go on
+   * come first, since what they have produced would be lost.
+   *
+   * @param blocked - entries to leave out.
    */
-  findNext(): { readonly entry: Entry; readonly late: boolean } | undefined {
+  findNext(
+    blocked: ReadonlySet<Entry> = new Set(),
+  ): { readonly entry: Entry; readonly late: boolean } | undefined {
     const now = this.#clock.now();
-    const onTime = this.#items.find((item) => item.onTimeUntil >= now);
+    const items = this.#items.filter(({ entry }) => !blocked.has(entry));
+    const resumed = items.find(({ entry }) => entry.isResumed);
+    if (resumed !== undefined) return { entry: resumed.entry, late: resumed.onTimeUntil < now };
+    const onTime = items.find((item) => item.onTimeUntil >= now);
     if (onTime !== undefined) return { entry: onTime.entry, late: false };
-    const next = this.#items.find((item) => item.entry.isRetry) ?? this.#items[0];
+    const next = items.find((item) => item.entry.isRetry) ?? items[0];
     return next === undefined ? undefined : { entry: next.entry, late: true };
   }
 
+  listEntries(): readonly Entry[] {
+    return this.#items.map(({ entry }) => entry);
+  }
+
   recordGrant(entry: Entry): void {
     this.remove(entry);
     this.#grantTimes.push(this.#clock.now());
--- a/src/placement/pool-placer.ts
+++ b/src/placement/pool-placer.ts
@@ -27,6 +27,8 @@
   readonly clock: clocks.Clock;
   /** Returns the runners of the service that accept new work. */
   readonly listCandidates: () => readonly Candidate[];
+  /** Returns the runners of the service that leave and may still be sent requests for some time. */
+  readonly listDraining?: () => readonly Candidate[];
   /** Returns the engine's properties from the current configuration. */
   readonly findEngine: () => routing.EngineSpec | undefined;
 }
@@ -145,7 +147,9 @@
   ): runnerChoice.PrefillChoice {
     const needsNone = request.prefilledBy !== undefined || request.skipsPrefill === true;
     if (needsNone) return { kind: "none" };
-    return runnerChoice.choosePrefillRunner(usable, this.loads, request.zone, request.cachedBy);
+    const { zone, cachedBy, softwareVersion } = request;
+    const preferred = { zone, cachedBy, softwareVersion };
+    return runnerChoice.choosePrefillRunner(usable, this.loads, preferred);
   }
 
   #computePrefillTime(request: types.PlacementRequest, prefillRunner: string | undefined): number {
@@ -160,11 +164,34 @@
     return { memoryTokens: capacity * memoryShare * capacityShare, slotShare: capacityShare };
   }
 
+  /** Whether a decode runner of the request's version is left; true for a request that may run at any version. */
+  isVersionListed({ softwareVersion, excluded }: types.PlacementRequest): boolean {
+    if (softwareVersion === undefined) return true;
+    return this.#listServing(softwareVersion).some(
+      (one) => isDecodeRunner(one) && !excluded.includes(one.runner.id),
+    );
+  }
+
+  /**
+   * Returns the runners that may serve a request. For a stream that goes on these are prefill runners of any version and decode
+   * runners of its own; those that leave only if there are no others.
+   */
+  #listServing(softwareVersion: string | undefined): readonly Candidate[] {
+    const candidates = this.#options.listCandidates();
+    if (softwareVersion === undefined) return candidates;
+    const isOfVersion = ({ runner }: Candidate): boolean =>
+      runner.softwareVersion === softwareVersion;
+    const serving = candidates.filter((one) => !isDecodeRunner(one) || isOfVersion(one));
+    if (serving.some(isDecodeRunner)) return serving;
+    const draining = this.#options.listDraining?.() ?? [];
+    return [...serving, ...draining.filter((one) => isDecodeRunner(one) && isOfVersion(one))];
+  }
+
   /** Returns the runners that are not switching; those in backoff only if there are no others. */
   #listUsable(request: types.PlacementRequest): readonly runners.Runner[] {
-    const listed = this.#options
-      .listCandidates()
-      .filter(({ runner }) => !request.excluded.includes(runner.id));
+    const listed = this.#listServing(request.softwareVersion).filter(
+      ({ runner }) => !request.excluded.includes(runner.id),
+    );
     const notSwitching = listed.filter(({ runner }) => !this.switches.has(runner));
     const healthy = notSwitching.filter(
       ({ runner, inBackoff }) => !inBackoff && !this.backoff.has(runner.id),
@@ -173,6 +200,11 @@
   }
 }
 
+/** Whether a runner decodes, also one that has not stated its stage. */
+function isDecodeRunner({ runner }: Candidate): boolean {
+  return runner.stage !== runners.STAGE.prefill;
+}
+
 function createRun(
   request: types.PlacementRequest,
   expectedOutputTokens: number,
--- a/src/placement/pool-scheduler.ts
+++ b/src/placement/pool-scheduler.ts
@@ -39,6 +39,8 @@
  */
 const RETRY_SLACK_MS = -1;
 const EXPIRY_INTERVAL_MS = 1_000;
+/** Retry time of a stream whose version no runner serves; one that crashed is back after some seconds. */
+const VERSION_RETRY_AFTER_MS = 1_000;
 
 /** Dependencies of a scheduler. */
 export interface SchedulerOptions extends poolPlacer.PoolPlacerOptions {
@@ -131,6 +133,10 @@
     onAnswer: (result: types.PlacementResult) => void,
   ): () => void {
     const queuedRequest = this.#createQueuedRequest(request, onAnswer);
+    if (!this.#placer.isVersionListed(request)) {
+      this.#refuse(queuedRequest, VERSION_RETRY_AFTER_MS);
+      return () => undefined;
+    }
     const startMs = this.#placer.computeTimeToFirstEvent(request.promptTokens);
     const slackMs = queuedRequest.isRetry ? RETRY_SLACK_MS : request.targetMs - startMs;
     const refusal = this.#queue.add(queuedRequest, slackMs, request.maxWaitMs);
@@ -191,11 +197,18 @@
    */
   update(): void {
     this.#expireLoads();
+    this.#refuseUnserved();
+    /** Streams whose version has no room, which does not keep others waiting. */
+    const blocked = new Set<QueuedRequest>();
     for (;;) {
-      const next = this.#queue.findNext();
+      const next = this.#queue.findNext(blocked);
       if (next === undefined) break;
       const place = this.#grant(next.entry, next.late);
-      if (place === undefined) break;
+      if (place === undefined && !next.entry.isResumed) break;
+      if (place === undefined) {
+        blocked.add(next.entry);
+        continue;
+      }
       this.#queue.recordGrant(next.entry);
       next.entry.onAnswer({ granted: true, place });
     }
@@ -205,6 +218,15 @@
     this.#scheduleUpdate();
   }
 
+  /** Refuses queued streams whose version is no longer listed. */
+  #refuseUnserved(): void {
+    for (const entry of this.#queue.listEntries()) {
+      if (this.#placer.isVersionListed(entry.request)) continue;
+      this.#queue.remove(entry);
+      this.#refuse(entry, VERSION_RETRY_AFTER_MS);
+    }
+  }
+
   close(): void {
     this.#cancelTimer?.();
   }
@@ -226,6 +248,7 @@
       arrivedAt: this.#options.clock.now(),
       relativeCost: this.#costs.computeRelativeCost(promptTokens, expectedOutputTokens, msPerToken),
       isRetry: this.#refusedRequests.has(request.retryKey),
+      isResumed: request.softwareVersion !== undefined,
       onAnswer,
     };
   }
@@ -280,6 +303,7 @@
       waitedMs: Math.round(this.#options.clock.now() - queuedRequest.arrivedAt),
       late,
       returned: queuedRequest.isRetry,
+      softwareVersion: request.softwareVersion,
       waiting: this.#queue.size,
       runs: runCount,
       peakTokens: Math.round(peakTokens),
@@ -293,6 +317,6 @@
 }
 
 function getMemoryShare(queuedRequest: QueuedRequest, late: boolean): number {
-  if (!late) return ON_TIME_MEMORY_SHARE;
+  if (!late || queuedRequest.isResumed) return ON_TIME_MEMORY_SHARE;
   return queuedRequest.isRetry ? RETRY_MEMORY_SHARE : LATE_MEMORY_SHARE;
 }
--- a/src/placement/runner-choice.ts
+++ b/src/placement/runner-choice.ts
@@ -17,26 +17,37 @@
   /** There is no prefill runner: the decode runner processes the prompt itself. */
   | { readonly kind: "none" };
 
+/** Properties of a prefill runner that a request prefers. */
+export interface PrefillPreference {
+  readonly zone: string;
+  /** The runner that processed the prompt last. */
+  readonly cachedBy: string | undefined;
+  /** Version of the decode runner that fetches the KV cache, if only one will do. */
+  readonly softwareVersion: string | undefined;
+}
+
 /**
- * Returns the prefill runner with the shortest queue, preferring the zone on a tie. The runner
+ * Returns the prefill runner with the shortest queue, preferring the software version and then the zone on a tie. The runner
  * `cachedBy` goes before all others: when the response to a prefill is lost, the runner that
  * processed the prompt still has it in its cache for some seconds.
  */
 export function choosePrefillRunner(
   usable: readonly runners.Runner[],
   loads: poolLoads.PoolLoads,
-  zone: string,
-  cachedBy: string | undefined,
+  { zone, cachedBy, softwareVersion }: PrefillPreference,
 ): PrefillChoice {
   const prefillRunners = usable.filter((runner) => runner.stage === runners.STAGE.prefill);
   const waits = prefillRunners.map((runner) => ({
     id: runner.id,
     waitMs: loads.getOrCreatePrefill(runner.id).computeQueueTime(),
+    isOtherVersion: softwareVersion !== undefined && runner.softwareVersion !== softwareVersion,
     isOtherZone: runner.zone !== zone,
   }));
   waits.sort(
     (first, second) =>
-      first.waitMs - second.waitMs || Number(first.isOtherZone) - Number(second.isOtherZone),
+      first.waitMs - second.waitMs ||
+      Number(first.isOtherVersion) - Number(second.isOtherVersion) ||
+      Number(first.isOtherZone) - Number(second.isOtherZone),
   );
   const best = waits.find(({ id }) => id === cachedBy) ?? waits[0];
   if (best === undefined) return { kind: "none" };
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -32,6 +32,8 @@
   readonly excluded: readonly string[];
   /** Whether the decode runner processes the prompt itself. */
   readonly skipsPrefill?: boolean;
+  /** Software version of the decode runner, for a stream that another run began. */
+  readonly softwareVersion?: string | undefined;
 }
 
 /** The runners of a request. */
--- a/src/protocol/result-codes.ts
+++ b/src/protocol/result-codes.ts
@@ -41,6 +41,11 @@
   leaving: { number: 2003, status: 503, message: "node is leaving" },
   notReady: { number: 2004, status: 503, message: "no configuration yet" },
   recordsFull: { number: 2005, status: 503, message: "request records are full" },
+  versionUnavailable: {
+    number: 2006,
+    status: 503,
+    message: "software version of the stream is not known or not served",
+  },
   deadlineExceeded: { number: 3001, status: 504, message: "deadline exceeded" },
   upstreamUnavailable: { number: 3002, status: 502, message: "no upstream available" },
   upstreamFailed: { number: 3003, status: 502, message: "upstream failed" },
--- a/src/registry/registry-reader.ts
+++ b/src/registry/registry-reader.ts
@@ -66,6 +66,7 @@
       this.#handleSuccess();
       this.#reportInvalidItems(snapshot.items);
       view.applySnapshot(snapshot);
+      view.startContinuity();
       this.#needsFullRead = false;
       return;
     }
@@ -104,12 +105,14 @@
     const { log, name, view } = this.#options;
     log.write(logEvents.LOG_EVENTS.registryGap, { what: name, revision: view.revision });
     this.#needsFullRead = true;
+    view.markGap();
   }
 
   async #handleFailure(error: unknown, signal: AbortSignal): Promise<void> {
     const { clock, random: randomSource, log, name, view } = this.#options;
     if (signal.aborted) return;
     this.#failures += 1;
+    view.markGap();
     // After a long outage the history may no longer hold all missed changes, and a full read costs no
     // more than a watch.
     this.#needsFullRead = true;
--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -75,6 +75,11 @@
     return this.#kernel.use("routing").current !== undefined && this.#runnersView.revision > 0;
   }
 
+  /** Monotonic time since which the runner list was read without a gap; `undefined` while the platform is not reached. */
+  get runnersContinuousSince(): number | undefined {
+    return this.#runnersView.continuousSince;
+  }
+
   /** Newest platform revision that this VM has seen. */
   get revision(): number {
     return Math.max(this.#configurationView.revision, this.#runnersView.revision);
--- a/src/registry/registry-view.ts
+++ b/src/registry/registry-view.ts
@@ -21,6 +21,7 @@
   #revision = 0;
   #newestRevision = 0;
   #graceEndsAt = 0;
+  #continuousSince: number | undefined;
 
   constructor(clock: clocks.Clock) {
     this.#clock = clock;
@@ -39,6 +40,11 @@
     return this.#newestRevision;
   }
 
+  /** Monotonic time since which no change was missed; `undefined` while changes may be. */
+  get continuousSince(): number | undefined {
+    return this.#continuousSince;
+  }
+
   list(): readonly types.RegistryItem<Value>[] {
     return [...this.#items.values()];
   }
@@ -47,6 +53,16 @@
     this.#listeners.push(listener);
   }
 
+  /** Records that no change is missed from now on. */
+  startContinuity(): void {
+    this.#continuousSince = this.#clock.now();
+  }
+
+  /** Records that changes may be missed. */
+  markGap(): void {
+    this.#continuousSince = undefined;
+  }
+
   /** Starts the grace period after a platform outage, during which entries may have expired. */
   startGracePeriod(): void {
     this.#graceEndsAt = this.#clock.now() + EXPIRY_GRACE_MS;
@@ -59,6 +75,7 @@
   applySnapshot(snapshot: types.RegistrySnapshot<Value>): boolean {
     if (snapshot.revision < this.#revision) return false;
     this.#revision = snapshot.revision;
+    if (this.#continuousSince !== undefined) this.startContinuity();
     const present = new Set(snapshot.items.map((item) => item.key));
     for (const item of snapshot.items) this.#setItem(item);
     for (const key of [...this.#items.keys()]) {
--- a/src/runners/runner-calls.ts
+++ b/src/runners/runner-calls.ts
@@ -3,6 +3,7 @@
  * sends the router's own messages, whose responses are not verified.
  */
 import type * as http from "node:http";
+import type * as net from "node:net";
 import type * as gateway from "../gateway/types.js";
 import type * as clocks from "../kernel/clock.js";
 import * as spans from "../telemetry/spans.js";
@@ -18,6 +19,8 @@
  * milliseconds unless a packet is lost.
  */
 const CONNECT_TIMEOUT_MS = 400;
+/** Time limit of the answer that states a runner's start. */
+const START_TIMEOUT_MS = 500;
 /** Limits of the responses to the router's own messages. */
 const SMALL_BODY_LIMITS = { maxBytes: 1_000_000, idleTimeoutMs: 1_000 };
 /** Fraction of a runner's connection limit that all VMs together may use. */
@@ -43,6 +46,8 @@
   /** Time limit for the response headers. */
   readonly headersTimeoutMs: number;
   readonly signal: AbortSignal;
+  /** Called with the connection on which the call is sent. */
+  readonly onConnection?: (connection: net.Socket) => void;
 }
 
 /** A response whose body has not been read yet. */
@@ -69,12 +74,54 @@
   send(call: RunnerCall): Promise<RunnerResponse> {
     const { runner, options } = call;
     const attributes = { runner: runner.id, stage: options.stage ?? "" };
+    const agent = this.#getAgent(runner);
     return spans.runInSpan(this.#options.tracer, "runner-call", attributes, () =>
-      this.#sendInSpan(call),
+      this.#sendInSpan(call, agent, (_request, connection) => call.onConnection?.(connection)),
     );
   }
 
-  async #sendInSpan(call: RunnerCall): Promise<RunnerResponse> {
+  /**
+   * Sends a call to the listed start of its runner only: asks the process at the other end of a new connection for its
+   * start, and sends the call on the same connection.
+   *
+   * @throws UpstreamError `notConnected` also when another start answers or the connection is closed after the answer.
+   */
+  async sendToStart(call: RunnerCall): Promise<RunnerResponse> {
+    const { runner, options } = call;
+    const attributes = { runner: runner.id, stage: options.stage ?? "" };
+    return spans.runInSpan(this.#options.tracer, "runner-call", attributes, async () => {
+      const agent = new runnerAgent.RunnerAgent(1);
+      await this.#checkStart(runner, agent, call.signal);
+      return this.#sendInSpan(call, agent, (request) => {
+        if (!request.reusedSocket)
+          request.destroy(new Error("connection was closed before the call"));
+      });
+    });
+  }
+
+  async #checkStart(
+    runner: types.Runner,
+    agent: runnerAgent.RunnerAgent,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const message = this.#options.codec.formatReport(runner);
+    const request = createMessageCall(runner, message, agent, START_TIMEOUT_MS, signal);
+    const failure = upstream.UPSTREAM_FAILURE.notConnected;
+    const answer = await this.#readMessage(request).catch((error: unknown) => {
+      throw httpCall.createUpstreamError(failure, request, error);
+    });
+    const { isOtherRunner, bornAt } = this.#options.codec.parseProbe(answer.status, answer.body);
+    if (!isOtherRunner && (bornAt ?? 0) === runner.bornAt) return;
+    agent.destroy();
+    const reason = new Error(`start ${bornAt ?? "unknown"} answers, not ${runner.bornAt}`);
+    throw httpCall.createUpstreamError(failure, request, reason);
+  }
+
+  async #sendInSpan(
+    call: RunnerCall,
+    agent: runnerAgent.RunnerAgent,
+    onConnection: NonNullable<httpCall.HttpCall["onConnection"]>,
+  ): Promise<RunnerResponse> {
     const { clock, codec } = this.#options;
     const { runner, head, options } = call;
     const httpRequest: httpCall.HttpCall = {
@@ -83,10 +130,11 @@
       path: head.target,
       headers: codec.formatHeaders(head, { ...options, runnerId: runner.id }),
       body: call.body.byteLength > 0 ? call.body : undefined,
-      agent: this.#getAgent(runner),
+      agent,
       headersTimeoutMs: call.headersTimeoutMs,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       signal: call.signal,
+      onConnection,
     };
     const response = await httpCall.sendCall(clock, httpRequest);
     watchForReset(response);
@@ -109,19 +157,16 @@
     message: gateway.RunnerMessage,
     headersTimeoutMs: number,
     signal: AbortSignal,
+  ): Promise<{ readonly status: number; readonly body: Buffer }> {
+    const agent = message.newConnection === true ? false : this.#getAgent(runner);
+    return this.#readMessage(createMessageCall(runner, message, agent, headersTimeoutMs, signal));
+  }
+
+  async #readMessage(
+    request: httpCall.HttpCall,
   ): Promise<{ readonly status: number; readonly body: Buffer }> {
     const { clock } = this.#options;
-    const response = await httpCall.sendCall(clock, {
-      upstream: createUpstream(runner),
-      method: message.method,
-      path: message.target,
-      headers: message.headers,
-      body: message.body,
-      agent: message.newConnection === true ? false : this.#getAgent(runner),
-      headersTimeoutMs,
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      signal,
-    });
+    const response = await httpCall.sendCall(clock, request);
     const body = await responseReader.readBody(clock, response, SMALL_BODY_LIMITS);
     return { status: response.statusCode ?? 0, body };
   }
@@ -173,3 +218,23 @@
 function createUpstream(runner: types.Runner): upstream.Upstream {
   return { name: runner.id, host: runner.host, port: runner.port };
 }
+
+function createMessageCall(
+  runner: types.Runner,
+  message: gateway.RunnerMessage,
+  agent: httpCall.HttpCall["agent"],
+  headersTimeoutMs: number,
+  signal: AbortSignal,
+): httpCall.HttpCall {
+  return {
+    upstream: createUpstream(runner),
+    method: message.method,
+    path: message.target,
+    headers: message.headers,
+    body: message.body,
+    agent,
+    headersTimeoutMs,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    signal,
+  };
+}
--- a/src/runners/runner-record.ts
+++ b/src/runners/runner-record.ts
@@ -15,6 +15,7 @@
   readonly #clock: clocks.Clock;
   #runner: types.Runner;
   #updatedAt: number;
+  #leavingSince: number | undefined;
   #inFlight = 0;
   #failureRate = 0;
   #externalLoad = 0;
@@ -37,8 +38,14 @@
     return this.#clock.now() - this.#updatedAt;
   }
 
+  /** Monotonic time at which the entry was found to say that the runner leaves; `undefined` if it always said so. */
+  get leavingSince(): number | undefined {
+    return this.#leavingSince;
+  }
+
   /** Replaces the runner's registry entry or stage. */
   setRunner(runner: types.Runner): void {
+    if (runner.leaving && !this.#runner.leaving) this.#leavingSince = this.#clock.now();
     this.#runner = runner;
     this.#updatedAt = this.#clock.now();
   }
--- a/src/runners/runner-table.ts
+++ b/src/runners/runner-table.ts
@@ -11,6 +11,9 @@
  */
 const REGISTRY_ENTRY_PRECEDENCE_MS = 1_500;
 
+/** Time for a notice to arrive, and for a request to be prefilled and sent. */
+const DRAIN_MARGIN_MS = 1_000;
+
 /** Called with a runner that was added or changed, or with `undefined` when it was removed. */
 export type RunnerListener = (id: string, runner: types.Runner | undefined) => void;
 
@@ -18,14 +21,17 @@
 export class RunnerTable {
   readonly #clock: clocks.Clock;
   readonly #log: telemetry.EventLog;
+  readonly #drainLimitMs: number;
   readonly #records = new Map<string, runnerRecord.RunnerRecord>();
   readonly #listeners: RunnerListener[] = [];
   /** Ids of runners whose address is listed for a newer process. */
   #superseded: ReadonlySet<string> = new Set();
 
-  constructor(clock: clocks.Clock, log: telemetry.EventLog) {
+  /** @param drainLimitMs - time from the notice of a runner that leaves for which it may be sent requests. */
+  constructor(clock: clocks.Clock, log: telemetry.EventLog, drainLimitMs = 0) {
     this.#clock = clock;
     this.#log = log;
+    this.#drainLimitMs = drainLimitMs;
   }
 
   get size(): number {
@@ -74,6 +80,20 @@
     );
   }
 
+  /**
+   * Returns the runners of a service that leave and still accept requests for some time: those whose notice is younger than
+   * the platform's limit, less the time that it may have taken to arrive and that a request takes to be sent.
+   */
+  listDraining(service: string): readonly runnerRecord.RunnerRecord[] {
+    return [...this.#records.values()].filter(
+      ({ runner, leavingSince }) =>
+        runner.service === service &&
+        runner.leaving &&
+        !this.#superseded.has(runner.id) &&
+        this.#clock.now() - (leavingSince ?? -Infinity) < this.#drainLimitMs - DRAIN_MARGIN_MS,
+    );
+  }
+
   #addRunner(runner: types.Runner): void {
     this.#records.set(runner.id, new runnerRecord.RunnerRecord(runner, this.#clock));
     const { id, service, stage, leaving, bornAt, softwareVersion } = runner;
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -6,11 +6,13 @@
 import type * as placementTypes from "../placement/types.js";
 import type * as resultCodes from "../protocol/result-codes.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
+import type * as connectionStarts from "../runners/connection-starts.js";
 import type * as runnerTable from "../runners/runner-table.js";
 import * as sendAccount from "../request/send-account.js";
 import * as runners from "../runners/types.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
+import type * as streamVersions from "../streams/stream-versions.js";
 import * as responseReader from "../upstream/response-reader.js";
 import * as answerEnd from "./answer-end.js";
 import * as answers from "./answers.js";
@@ -43,6 +45,7 @@
   readonly codec: gateway.RunnerCodec;
   readonly placement: placementService.PlacementService;
   readonly crashDetector: crashDetector.CrashDetector;
+  readonly streams: streamVersions.StreamVersions;
 }
 
 /** An outcome that is filled in during the run. */
@@ -55,6 +58,14 @@
   readonly decode: runners.Runner;
 }
 
+/** Options and limits of a call to a runner. */
+interface SendLimits {
+  readonly options: runnerCalls.RunnerCall["options"];
+  /** Time limit for the response headers. */
+  readonly headLimitMs: number;
+  readonly signal: AbortSignal;
+}
+
 /** The answer of a decode runner, whose body has not been read yet. */
 interface RunAnswer {
   readonly runner: runners.Runner;
@@ -113,7 +124,12 @@
     const send = progress.startPrefill(runner.id);
     using trackedRun = this.#options.crashDetector.add(call, runner, sendAccount.SEND_STEP.prefill);
     try {
-      const runnerResponse = await this.#send(call, runner, options, limitMs, limit.signal);
+      const message = this.#createRunnerCall(call, runner, {
+        options,
+        headLimitMs: limitMs,
+        signal: limit.signal,
+      });
+      const runnerResponse = await this.#options.calls.send(message);
       trackedRun.recordAnswer();
       const body = await this.#readBody(call, runnerResponse.response);
       call.buffers.release(body.byteLength);
@@ -168,7 +184,11 @@
     };
     try {
       const limitMs = call.route.resumable ? Math.min(leftMs, STREAM_IDLE_TIMEOUT_MS) : leftMs;
-      const runnerResponse = await this.#send(call, runner, options, limitMs, limit.signal);
+      const runnerResponse = await this.#sendRun(call, progress, runner, {
+        options,
+        headLimitMs: limitMs,
+        signal: limit.signal,
+      });
       trackedRun.recordAnswer();
       if (runnerResponse.head.notRun) {
         send.recordRejected();
@@ -275,6 +295,7 @@
       runner: id,
       bornAt,
       softwareVersion,
+      streamVersion: progress.softwareVersion,
     });
   }
 
@@ -300,23 +321,37 @@
     return responseReader.readChunks(clock, response, idleTimeoutMs);
   }
 
-  #send(
+  /**
+   * Sends a run to a decode runner. A run that goes on with a stream goes to the listed start of the runner only, whose version
+   * is known; for any other the start is found out meanwhile.
+   */
+  #sendRun(
     call: types.ServedCall,
+    progress: modelProgress.ModelProgress,
     runner: runners.Runner,
-    options: Omit<gateway.RunnerCallOptions, "runnerId">,
-    headLimitMs: number,
-    signal: AbortSignal,
+    limits: SendLimits,
   ): Promise<runnerCalls.RunnerResponse> {
-    const { calls } = this.#options;
-    calls.setConnectionLimit(runner, call.service.maxConnections);
-    return calls.send({
-      runner,
-      head: call.head,
-      body: call.body,
-      options,
-      headersTimeoutMs: headLimitMs,
-      signal,
-    });
+    const { calls, streams } = this.#options;
+    const message = this.#createRunnerCall(call, runner, limits);
+    const run = progress.placementCount;
+    if (progress.softwareVersion !== undefined) {
+      streams.recordResumed(call, runner, run);
+      return calls.sendToStart(message);
+    }
+    const onConnection = (connection: connectionStarts.Connection): void => {
+      progress.setOrigin(streams.recordBegin(call, runner, connection, run));
+    };
+    return calls.send({ ...message, onConnection });
+  }
+
+  #createRunnerCall(
+    call: types.ServedCall,
+    runner: runners.Runner,
+    { options, headLimitMs, signal }: SendLimits,
+  ): runnerCalls.RunnerCall {
+    this.#options.calls.setConnectionLimit(runner, call.service.maxConnections);
+    const { head, body } = call;
+    return { runner, head, body, options, headersTimeoutMs: headLimitMs, signal };
   }
 
   #recordFailure(
--- a/src/serving/model-progress.ts
+++ b/src/serving/model-progress.ts
@@ -3,6 +3,7 @@
 import * as sendAccount from "../request/send-account.js";
 import * as routing from "../routing/types.js";
 import type * as runners from "../runners/types.js";
+import type * as streamOrigins from "../streams/stream-origins.js";
 import * as answers from "./answers.js";
 import type * as types from "./types.js";
 
@@ -43,9 +44,13 @@
   #lastEventAt: number | undefined;
   #cachedBy: string | undefined;
   #skipsPrefill = false;
+  #softwareVersion: string | undefined;
+  #origin: Promise<streamOrigins.StreamOrigin> | undefined;
 
-  constructor(call: types.ServedCall, account: sendAccount.SendAccount) {
+  /** @param softwareVersion - version of a stream that began in another request. */
+  constructor(call: types.ServedCall, account: sendAccount.SendAccount, softwareVersion?: string) {
     this.#call = call;
+    this.#softwareVersion = softwareVersion;
     this.account = account;
     this.#lastEventId = call.head.lastEventId;
   }
@@ -93,6 +98,24 @@
     return this.#skipsPrefill;
   }
 
+  /** Version to which further runs have to keep; `undefined` while the stream has no event. */
+  get softwareVersion(): string | undefined {
+    return this.#softwareVersion;
+  }
+
+  /** Where the run that was sent last began, while no run has brought an event. */
+  get origin(): Promise<streamOrigins.StreamOrigin> | undefined {
+    return this.#origin;
+  }
+
+  setOrigin(origin: Promise<streamOrigins.StreamOrigin>): void {
+    this.#origin = origin;
+  }
+
+  setSoftwareVersion(version: string): void {
+    this.#softwareVersion = version;
+  }
+
   /** Records a prefill before it is sent. */
   startPrefill(runnerId: string): sendAccount.Send {
     this.#cachedBy = runnerId;
--- a/src/serving/model-serving.ts
+++ b/src/serving/model-serving.ts
@@ -10,6 +10,8 @@
 import * as logEvents from "../telemetry/log-events.js";
 import * as spans from "../telemetry/spans.js";
 import type * as telemetry from "../telemetry/types.js";
+import type * as streamVersions from "../streams/stream-versions.js";
+import * as answers from "./answers.js";
 import type * as crashDetector from "./crash-detector.js";
 import * as engineExecutor from "./engine-executor.js";
 import * as modelProgress from "./model-progress.js";
@@ -47,6 +49,7 @@
   readonly budgets: retryBudgets.RetryBudgets;
   readonly placement: placementService.PlacementService;
   readonly crashDetector: crashDetector.CrashDetector;
+  readonly streams: streamVersions.StreamVersions;
   readonly tracer: telemetry.Tracer;
 }
 
@@ -68,8 +71,10 @@
    */
   async serve(call: types.ServedCall): Promise<void> {
     const { budgets } = this.#options;
+    const softwareVersion = await this.#options.streams.findStreamVersion(call);
+    call.signal.throwIfAborted();
     using account = budgets.createAccount(call.service.name, call.route.maxAttempts);
-    const progress = new modelProgress.ModelProgress(call, account);
+    const progress = new modelProgress.ModelProgress(call, account, softwareVersion);
     try {
       await this.#runWithRetries(call, progress);
     } finally {
@@ -86,12 +91,27 @@
       call.signal.throwIfAborted();
       if (result.kind === "done") return;
       progress.recordFailure(result);
+      await this.#setVersion(call, progress);
       if (!this.#canRetry(call, progress)) break;
       this.#recordRetry(call, progress, result);
     }
     throw progress.createError();
   }
 
+  /**
+   * Keeps a stream that has begun to the version of the run that began it.
+   *
+   * @throws RequestError when that is not known or no runner of it is left.
+   */
+  async #setVersion(call: types.ServedCall, progress: modelProgress.ModelProgress): Promise<void> {
+    const { streams } = this.#options;
+    if (progress.eventCount === 0 || progress.origin === undefined) return;
+    const version = streams.findVersion(await progress.origin, call.route.timeoutMs);
+    if (version === undefined)
+      throw answers.createFailure("broke off, and its software version is not known");
+    progress.setSoftwareVersion(version);
+  }
+
   async #runOnce(
     call: types.ServedCall,
     progress: modelProgress.ModelProgress,
@@ -114,6 +134,11 @@
         ? undefined
         : this.#findRunner(answer.place.prefillRunner);
       if (decode === undefined) return { kind: "noPlace", retryAfterMs: NO_RUNNER_RETRY_AFTER_MS };
+      const { softwareVersion } = progress;
+      if (softwareVersion !== undefined && decode.softwareVersion !== softwareVersion) {
+        const reason = `runner is of version ${String(decode.softwareVersion)}, not ${softwareVersion}`;
+        return { kind: "notRun", reason, excluded: decode.id };
+      }
       const place = { key: request.key, decode, prefill };
       return await this.#executor.run(call, progress, place, outcome);
     } finally {
@@ -162,6 +187,7 @@
       cachedBy: progress.cachedBy,
       excluded: [...progress.excluded],
       skipsPrefill: progress.skipsPrefill,
+      softwareVersion: progress.softwareVersion,
     };
   }
 
@@ -186,6 +212,7 @@
     this.#options.log.write(logEvents.LOG_EVENTS.requestResumed, {
       request: call.head.id,
       events: progress.eventCount,
+      streamVersion: progress.softwareVersion,
       before: "reason" in result ? result.reason : result.kind,
     });
   }
--- /dev/null
+++ b/src/streams/stream-versions.ts
@@ -0,0 +1,205 @@
+/**
+ * Keeps each stream to the software version of the runner that wrote its first event. What two versions write does not fit
+ * together, and runners do not check it.
+ */
+import * as resultCodes from "../protocol/result-codes.js";
+import type * as connectionStarts from "../runners/connection-starts.js";
+import type * as runnerTable from "../runners/runner-table.js";
+import * as runners from "../runners/types.js";
+import type * as versionHistory from "../runners/version-history.js";
+import type * as serving from "../serving/types.js";
+import type * as telemetry from "../telemetry/types.js";
+import type * as streamOriginExchange from "./stream-origin-exchange.js";
+import type * as streamOrigins from "./stream-origins.js";
+
+/** Retry time when the version of a stream is not known. The caller may ask another VM, or begin anew. */
+const UNKNOWN_RETRY_AFTER_MS = 250;
+/** Retry time when no runner of the version is listed; one that crashed is back after some seconds. */
+const GONE_RETRY_AFTER_MS = 1_000;
+
+/** How the version of a stream that a caller takes up is known. */
+const KNOWN_BY = {
+  /** From a record of this VM. */
+  record: "record",
+  /** From the record of a peer. */
+  peer: "peer",
+  /** No other version was listed for as long as the stream can have lived. */
+  soleVersion: "soleVersion",
+} as const;
+
+type KnownBy = (typeof KNOWN_BY)[keyof typeof KNOWN_BY];
+
+/** Why a stream cannot go on. */
+const REFUSAL = {
+  unknown: {
+    reason: "unknown",
+    text: "the software version that began the stream is not known",
+    retryAfterMs: UNKNOWN_RETRY_AFTER_MS,
+  },
+  gone: {
+    reason: "gone",
+    text: "no runner of the software version that began the stream is listed",
+    retryAfterMs: GONE_RETRY_AFTER_MS,
+  },
+} as const;
+
+/** Services that `StreamVersions` uses. */
+export interface StreamVersionsOptions {
+  readonly metrics: telemetry.Metrics;
+  readonly runners: runnerTable.RunnerTable;
+  readonly history: versionHistory.VersionHistory;
+  readonly starts: connectionStarts.ConnectionStarts;
+  readonly exchange: streamOriginExchange.StreamOriginExchange;
+}
+
+/** Finds the version to which a stream has to keep, and records where streams began. */
+export class StreamVersions {
+  readonly #options: StreamVersionsOptions;
+
+  constructor(options: StreamVersionsOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Returns the version at which the stream of a call has to go on; `undefined` if the call begins a stream.
+   *
+   * @throws RequestError when the version is not known or serves no more; the call has not run.
+   */
+  async findStreamVersion(call: serving.ServedCall): Promise<string | undefined> {
+    const { firstAttemptId: attempt, lastEventId } = call.head;
+    if (attempt === undefined && lastEventId === undefined) return undefined;
+    const question = { attempt, service: call.service.name, livedMs: call.route.timeoutMs };
+    const known = await this.#findKnown(question);
+    if (known === undefined) throw this.#createRefusal(call, REFUSAL.unknown);
+    const { version, knownBy } = known;
+    this.#options.metrics.count("streams_taken_up", { known: knownBy });
+    this.checkServed(call, version);
+    return version;
+  }
+
+  /** @throws RequestError when no runner of the version is listed for the service of a call. */
+  checkServed(call: serving.ServedCall, version: string): void {
+    const { runners: table } = this.#options;
+    const service = call.service.name;
+    const serving = [...table.listUsable(service), ...table.listDraining(service)];
+    const isServed = serving.some(
+      ({ runner }) => runner.softwareVersion === version && runner.stage !== runners.STAGE.prefill,
+    );
+    if (!isServed) throw this.#createRefusal(call, REFUSAL.gone);
+  }
+
+  /**
+   * Records a run that may bring the first event of a stream. Returns its origin once the start of the runner is known, which
+   * takes one round trip on a new connection.
+   *
+   * @param connection - the connection on which the run was sent.
+   */
+  async recordBegin(
+    call: serving.ServedCall,
+    runner: runners.Runner,
+    connection: connectionStarts.Connection,
+    run: number,
+  ): Promise<streamOrigins.StreamOrigin> {
+    const { starts, exchange } = this.#options;
+    const stated = await starts.readStart(runner, connection);
+    const origin = {
+      attempt: call.head.id,
+      service: call.service.name,
+      runner: runner.id,
+      run,
+      bornAt: stated,
+      softwareVersion: this.#findListedVersion(runner, stated),
+    };
+    exchange.publish(origin);
+    return origin;
+  }
+
+  /** Records a run that goes on with a stream, at a start whose version was verified. */
+  recordResumed(call: serving.ServedCall, runner: runners.Runner, run: number): void {
+    const { exchange } = this.#options;
+    const { id: attempt, firstAttemptId } = call.head;
+    const { id, bornAt, softwareVersion } = runner;
+    const origin = {
+      attempt,
+      service: call.service.name,
+      runner: id,
+      run,
+      bornAt,
+      softwareVersion,
+    };
+    exchange.publish(origin);
+    const first = firstAttemptId === undefined ? undefined : exchange.findOrigin(firstAttemptId);
+    // Announced anew for the VMs that keep it now.
+    if (first !== undefined) exchange.publish(first);
+  }
+
+  /** Returns the version of the start at which a stream began, if it is known. */
+  findVersion(origin: streamOrigins.StreamOrigin, livedMs: number): string | undefined {
+    const { history } = this.#options;
+    const { service, runner, bornAt, softwareVersion } = origin;
+    if (softwareVersion !== undefined) return softwareVersion;
+    if (bornAt !== undefined) return history.findVersion({ id: runner, bornAt });
+    return history.findSoleVersion(service, livedMs);
+  }
+
+  /** Returns the version of a start that a runner stated, which may be newer than the listed one. */
+  #findListedVersion(runner: runners.Runner, bornAt: number | undefined): string | undefined {
+    if (bornAt === runner.bornAt) return runner.softwareVersion;
+    return bornAt === undefined
+      ? undefined
+      : this.#options.history.findVersion({ id: runner.id, bornAt });
+  }
+
+  async #findKnown(
+    question: streamOriginExchange.StreamQuestion,
+  ): Promise<{ readonly version: string; readonly knownBy: KnownBy } | undefined> {
+    const { exchange } = this.#options;
+    const own = exchange.findOwn(question);
+    const kept = this.#findOriginVersion(question, own.origin);
+    if (kept !== undefined) return { version: kept, knownBy: KNOWN_BY.record };
+    const answers = await exchange.callPeers(question);
+    const origins = [own, ...answers].flatMap(({ origin }) =>
+      origin === undefined ? [] : [origin],
+    );
+    const latest = origins
+      .filter(({ service }) => service === question.service)
+      .sort((first, second) => second.run - first.run)[0];
+    if (latest !== undefined) {
+      exchange.addOrigin(latest);
+      const version = this.#findOriginVersion(question, latest);
+      return version === undefined ? undefined : { version, knownBy: KNOWN_BY.peer };
+    }
+    const version = findSoleVersion([own, ...answers]);
+    return version === undefined ? undefined : { version, knownBy: KNOWN_BY.soleVersion };
+  }
+
+  #findOriginVersion(
+    { service, livedMs }: streamOriginExchange.StreamQuestion,
+    origin: streamOrigins.StreamOrigin | undefined,
+  ): string | undefined {
+    if (origin?.service !== service) return undefined;
+    return this.findVersion(origin, livedMs);
+  }
+
+  #createRefusal(
+    call: serving.ServedCall,
+    { reason, text, retryAfterMs }: (typeof REFUSAL)[keyof typeof REFUSAL],
+  ): resultCodes.RequestError {
+    const { RESULT_CODES, RAN } = resultCodes;
+    this.#options.metrics.count("version_refusals", { service: call.service.name, reason });
+    return new resultCodes.RequestError(RESULT_CODES.versionUnavailable, RAN.no, {
+      detail: text,
+      retryAfterMs,
+    });
+  }
+}
+
+/** Returns the only version that a service can have had, if one VM knows it and none knows of another version. */
+function findSoleVersion(
+  answers: readonly streamOriginExchange.StreamAnswer[],
+): string | undefined {
+  const versions = new Set(answers.flatMap((answer) => answer.versions));
+  const soleVersions = new Set(answers.flatMap(({ soleVersion }) => soleVersion ?? []));
+  const [version] = soleVersions;
+  return versions.size === 1 && soleVersions.size === 1 ? version : undefined;
+}
--- a/src/upstream/http-call.ts
+++ b/src/upstream/http-call.ts
@@ -27,6 +27,8 @@
   readonly signal: AbortSignal;
   /** Time limit for the TCP connection; by default `CONNECT_TIMEOUT_MS`. */
   readonly connectTimeoutMs?: number;
+  /** Called with the request once it has a connection and before it is sent; may destroy the request. */
+  readonly onConnection?: (request: http.ClientRequest, connection: net.Socket) => void;
 }
 
 type RequestOptions = NonNullable<Parameters<typeof wreck.default.request>[2]>;
@@ -76,6 +78,7 @@
     pending.req,
     call.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
   );
+  pending.req.once("socket", (socket: net.Socket) => call.onConnection?.(pending.req, socket));
   const removeAbortListener = closeOnAbort(pending.req, call.signal);
   const cancelTimeout = clock.schedule(call.headersTimeoutMs, () => {
     pending.req.destroy(new Error(`no response headers within ${call.headersTimeoutMs} ms`));
--- a/standins/users-platform/engine.ts
+++ b/standins/users-platform/engine.ts
@@ -6,6 +6,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as crashing from "./crashing-runner.js";
+import * as examples from "./examples.js";
 import * as failing from "./failing-runner.js";
 
 /** Request ids by KV cache handle (`address/handle`), shared by all engines of a test. */
@@ -98,7 +99,7 @@
   async #handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const id = String(request.headers["request-id"]);
     if (request.url === "/-/report") {
-      const report = { stage: this.#stage, kv_total: 72_680, runs: [] };
+      const report = { born: examples.BORN, stage: this.#stage, kv_total: 72_680, runs: [] };
       response.end(JSON.stringify(report));
       return;
     }
--- a/standins/users-platform/examples.ts
+++ b/standins/users-platform/examples.ts
@@ -3,6 +3,9 @@
 /** Ports of a machine; all machines use the same ports on different loopback addresses. */
 export const PORTS = { front: 8144, ready: 8140, control: 8146, directory: 8143 } as const;
 
+/** Start time of a runner's process, in Unix milliseconds. */
+export const BORN = 1;
+
 /** Values of a settings file that differ between machines. */
 export interface SettingsChanges {
   readonly node?: string;
@@ -105,7 +108,7 @@
     state: "ready",
     cold_remaining_ms: 0,
     sequence: 4,
-    born: 1,
+    born: BORN,
     ...changes,
   };
 }
--- a/standins/users-platform/failing-runner.ts
+++ b/standins/users-platform/failing-runner.ts
@@ -83,7 +83,8 @@
   async #handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     await crashing.readBody(request);
     if (request.url === "/-/report") {
-      response.end(JSON.stringify({ stage: this.#role, kv_total: 72_680, runs: [] }));
+      const report = { born: examples.BORN, stage: this.#role, kv_total: 72_680, runs: [] };
+      response.end(JSON.stringify(report));
       return;
     }
     if (request.method === "DELETE") {
--- a/test/gateway/stream-versions-fixture.ts
+++ b/test/gateway/stream-versions-fixture.ts
@@ -20,6 +20,7 @@
 /** Attempts of a caller at one stream. */
 const MAX_ATTEMPTS = 5;
 const RETRY_DELAY_MS = 400;
+const REFUSAL_TEXT = /"message":"([^"]*)"/;
 
 /** Software versions of the runners. */
 export const VERSIONS = ["v1.1", "v1.2"] as const;
@@ -60,10 +61,14 @@
   readonly mixed: number;
   /** Streams with events that are missing, repeated or out of order. */
   readonly disordered: number;
+  /** Numbers of refusals by their text. */
+  readonly refusals: Readonly<Record<string, number>>;
 }
 
 interface Attempt {
   readonly events: readonly string[];
+  /** Text of the refusal, if it was refused. */
+  readonly refusal: string | undefined;
   readonly isComplete: boolean;
 }
 
@@ -80,6 +85,7 @@
   readonly #prefill: crashing.CrashingRunner[] = [];
   readonly #gateways = new Map<number, fixture.TestGateway>();
   readonly #streams: PlayedStream[] = [];
+  readonly #refusals = new Map<string, number>();
   readonly #source = random.createSeededRandom(1);
   readonly #changed = createDeferred();
   #leftCount = 0;
@@ -129,6 +135,7 @@
       mixed: begun.filter(({ events }) => new Set(events.map(getVersion)).size > 1).length,
       disordered: begun.filter(({ events }) => events.some((event, id) => getId(event) !== id))
         .length,
+      refusals: Object.fromEntries(this.#refusals),
     };
   }
 
@@ -190,6 +197,9 @@
       const limit = leavesLeft > 0 ? LEAVE_AFTER_EVENTS : Infinity;
       const ip = this.#chooseGateway(attempt);
       const result = await readStream(ip, { ...headers, "request-id": id }, index, limit);
+      const { refusal } = result;
+      if (refusal !== undefined)
+        this.#refusals.set(refusal, (this.#refusals.get(refusal) ?? 0) + 1);
       if (result.events.length > 0) firstAttempt ??= id;
       stream.hasGoneOn ||= isResumed && result.events.length > 0;
       stream.events.push(...result.events);
@@ -252,6 +262,7 @@
   return new Promise((resolve) => {
     let body = "";
     let isComplete = false;
+    let isRefused = false;
     const listEvents = (): readonly string[] => body.split("\n\n").slice(0, -1).slice(0, limit);
     const request = http.request({
       host: ip,
@@ -268,20 +279,20 @@
       },
     });
     request.on("response", (response) => {
-      if (response.statusCode !== 200) response.resume();
-      else
-        response.on("data", (chunk: Buffer) => {
-          body += chunk.toString();
-          if (listEvents().length >= limit) request.destroy();
-        });
+      isRefused = response.statusCode !== 200;
+      response.on("data", (chunk: Buffer) => {
+        body += chunk.toString();
+        if (!isRefused && listEvents().length >= limit) request.destroy();
+      });
       response.on("end", () => {
-        isComplete = response.statusCode === 200 && response.complete;
+        isComplete = !isRefused && response.complete;
       });
       response.on("error", () => undefined);
     });
     request.on("error", () => undefined);
     request.on("close", () => {
-      resolve({ events: listEvents(), isComplete });
+      const refusal = isRefused ? REFUSAL_TEXT.exec(body)?.[1] : undefined;
+      resolve({ events: isRefused ? [] : listEvents(), isComplete, refusal });
     });
     request.end(`body ${index}`);
   });
--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -83,7 +83,7 @@
 // Guards against ORDER: streams held events of two software versions.
 test.describe(
   "streams go on only at the software version that began them",
-  { concurrency: 3 },
+  { concurrency: 2 },
   () => {
     for (const [index, [name, options]] of Object.entries(PLAYS).entries())
       test.it(`and do go on when ${name}`, async () => {
--- a/test/placement/placement-queue.test.ts
+++ b/test/placement/placement-queue.test.ts
@@ -10,7 +10,7 @@
 const MAX_WAIT_MS = 2_500;
 
 function createEntry(name: string, relativeCost = 1, isRetry = false): Entry {
-  return { name, relativeCost, isRetry };
+  return { name, relativeCost, isRetry, isResumed: false };
 }
 
 test.describe("PlacementQueue", () => {
--- a/test/placement/pool-scheduler.test.ts
+++ b/test/placement/pool-scheduler.test.ts
@@ -204,3 +204,91 @@
     scheduler.close();
   });
 });
+
+/** A scheduler with a single-slot decode runner of each version; returns the answers by request. */
+function createVersionedPool() {
+  const clock = fakeClock.createFakeClock();
+  const create = (id: string, softwareVersion: string, leaving = false) => ({
+    runner: {
+      ...raw.createRunner(id, 1),
+      stage: "decode" as const,
+      slots: 1,
+      softwareVersion,
+      leaving,
+    },
+    inBackoff: false,
+  });
+  const listed = [create("old", "v1"), create("new", "v2")];
+  const draining = [create("leaving", "v0", true)];
+  const scheduler = new poolScheduler.PoolScheduler({
+    clock,
+    log: { write: () => undefined },
+    listCandidates: () => listed,
+    listDraining: () => draining,
+    findEngine: () => ({ ...routingFixture.ENGINE, slots: 1 }),
+  });
+  const answers = new Map<string, string>();
+  const submit = (name: string, changes: Partial<types.PlacementRequest> = {}): void => {
+    const request = {
+      key: `${name}/0`,
+      service: "model",
+      retryKey: name,
+      promptTokens: 1_000,
+      estimatedOutputTokens: 1_000,
+      generatedTokens: 0,
+      maxOutputTokens: 2_000,
+      targetMs: 900,
+      maxWaitMs: 1_000,
+      zone: "a",
+      excluded: [],
+      ...changes,
+    };
+    scheduler.submit(request, (answer) => {
+      answers.set(name, answer.granted ? answer.place.decodeRunner : "refused");
+    });
+  };
+  return { clock, scheduler, listed, answers, submit };
+}
+
+test.describe("PoolScheduler with runners of several software versions", () => {
+  test.it(
+    "places a stream that goes on at its own version, on a leaving runner if no other has it",
+    () => {
+      const { submit, answers } = createVersionedPool();
+      submit("a", { softwareVersion: "v2" });
+      submit("b", { softwareVersion: "v0" });
+      earl.expect([...answers]).toEqual([
+        ["a", "new"],
+        ["b", "leaving"],
+      ]);
+    },
+  );
+
+  test.it(
+    "refuses a stream at once if no runner of its version is left, also while it waits",
+    () => {
+      const { submit, answers, listed, scheduler } = createVersionedPool();
+      submit("gone", { softwareVersion: "v9" });
+      submit("failed", { softwareVersion: "v1", excluded: ["old"] });
+      earl.expect([...answers.values()]).toEqual(["refused", "refused"]);
+      submit("first", { softwareVersion: "v1" });
+      submit("waits", { softwareVersion: "v1" });
+      earl.expect(answers.get("waits")).toEqual(undefined);
+      listed.shift();
+      scheduler.update();
+      earl.expect(answers.get("waits")).toEqual("refused");
+    },
+  );
+
+  test.it("places streams that go on first, and others while their version has no room", () => {
+    const { submit, answers, scheduler } = createVersionedPool();
+    submit("one", { softwareVersion: "v1" });
+    submit("goes on", { softwareVersion: "v1" });
+    submit("two");
+    earl.expect(answers.get("two")).toEqual("new");
+    submit("waits");
+    submit("goes on later", { softwareVersion: "v2" });
+    scheduler.recordProgress({ key: "two/0", ended: true });
+    earl.expect([answers.get("goes on later"), answers.get("waits")]).toEqual(["new", undefined]);
+  });
+});
--- a/test/registry/registry-view.test.ts
+++ b/test/registry/registry-view.test.ts
@@ -22,6 +22,23 @@
     earl.expect(seen).toEqual(["a=v9"]);
   });
 
+  test.it("is continuous from the last snapshot on, until a gap", async () => {
+    const { clock, view } = createView();
+    view.applySnapshot({ revision: 1, items: [] });
+    earl.expect(view.continuousSince).toEqual(undefined);
+    view.startContinuity();
+    const startedAt = clock.now();
+    await clock.advance(500);
+    view.applyChanges({ revision: 2, changes: [] });
+    earl.expect(view.continuousSince).toEqual(startedAt);
+    view.applySnapshot({ revision: 3, items: [] });
+    earl.expect(view.continuousSince).toEqual(startedAt + 500);
+    view.markGap();
+    // A snapshot from a peer tells nothing of what follows it.
+    view.applySnapshot({ revision: 4, items: [] });
+    earl.expect(view.continuousSince).toEqual(undefined);
+  });
+
   test.it("removes a missing key immediately if there was no outage", () => {
     const { view, seen } = createView();
     view.applySnapshot({ revision: 10, items: [item("a", 9)] });
--- a/test/runners/raw-runner.ts
+++ b/test/runners/raw-runner.ts
@@ -18,12 +18,12 @@
  *
  * @param onRequest - called with the socket, the number of the request (from 1, over all connections)
  *   and the received text.
- * @param answersProbes - whether the runner answers report queries; otherwise it ignores them.
+ * @param answerProbe - answers a report query; by default with status 404.
  */
 export async function startRawRunner(
   id: string,
   onRequest: (socket: net.Socket, count: number, head: string) => void,
-  answersProbes = true,
+  answerProbe: (socket: net.Socket) => void = answerNotFound,
 ): Promise<RawRunner> {
   const requests: string[] = [];
   const sockets = new Set<net.Socket>();
@@ -36,7 +36,7 @@
       // After a broken connection, the router checks whether the runner is still alive. This is not a
       // request to execute.
       if (bytes.toString().startsWith("GET /-/report")) {
-        if (answersProbes) socket.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+        answerProbe(socket);
         return;
       }
       requests.push(bytes.toString());
@@ -60,6 +60,13 @@
   };
 }
 
+/** Leaves a report query without an answer, as a silent runner does. */
+export const IGNORED_PROBE = (): void => undefined;
+
+function answerNotFound(socket: net.Socket): void {
+  socket.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+}
+
 /** Creates a runner of the service "plain" at a loopback port. */
 export function createRunner(id: string, port: number): runners.Runner {
   return {
--- a/test/runners/runner-calls.test.ts
+++ b/test/runners/runner-calls.test.ts
@@ -113,4 +113,37 @@
       earl.expect(request.endsWith("\r\n\r\nb")).toEqual(true);
     },
   );
+
+  // Guards against sending a stream that goes on to a process of another version that started under the same id.
+  test.it("sends a call to the listed start only, on the connection that stated it", async () => {
+    const { signal } = new AbortController();
+    const options = { deadlineMs: 500 };
+    const send = async (bornAt: number, reportHead: string): Promise<readonly unknown[]> => {
+      const requests: string[] = [];
+      await using runner = await raw.startRawRunner(
+        "r",
+        (socket, _count, head) => {
+          requests.push(head.split(" ")[0] ?? "");
+          socket.write(raw.formatResponse("r1", "whole"));
+        },
+        (socket) => {
+          const body = JSON.stringify({ born: bornAt });
+          const text = `HTTP/1.1 200 OK\r\n${reportHead}Content-Length: ${body.length}\r\n\r\n${body}`;
+          if (reportHead === "") socket.write(text);
+          else socket.end(text);
+        },
+      );
+      const head = raw.createHead("r1");
+      const body = Buffer.from("b");
+      const call = { runner: runner.runner, head, body, options, headersTimeoutMs: 500, signal };
+      const outcome = createCalls()
+        .sendToStart(call)
+        .then(({ head: { status } }) => String(status));
+      return [await getOutcome(outcome), requests, runner.connections()];
+    };
+    earl.expect(await send(1, "")).toEqual(["200", ["POST"], 1]);
+    earl.expect(await send(2, "")).toEqual(["not-connected", [], 1]);
+    const closed = await send(1, "Connection: close\r\n");
+    earl.expect(closed.slice(0, 2)).toEqual(["not-connected", []]);
+  });
 });
--- a/test/runners/runner-table.test.ts
+++ b/test/runners/runner-table.test.ts
@@ -7,9 +7,11 @@
 
 const PORT = 8_080;
 
+const DRAIN_LIMIT_MS = 2_000;
+
 function createTable() {
   const clock = fakeClock.createFakeClock();
-  const table = new runnerTable.RunnerTable(clock, { write: () => undefined });
+  const table = new runnerTable.RunnerTable(clock, { write: () => undefined }, DRAIN_LIMIT_MS);
   const set = (id: string, changes: Partial<runners.Runner> = {}): void => {
     table.setRunner(id, { ...raw.createRunner(id, PORT), ...changes });
   };
@@ -39,6 +41,22 @@
     },
   );
 
+  test.it(
+    "lists a runner that leaves for a part of the time that the platform allows",
+    async () => {
+      const { clock, table, set } = createTable();
+      const listDraining = (): string[] =>
+        table.listDraining("plain").map(({ runner }) => runner.id);
+      set("known", {});
+      set("known", { leaving: true });
+      // Nobody knows since when it leaves.
+      set("found", { leaving: true });
+      earl.expect(listDraining()).toEqual(["known"]);
+      await clock.advance(DRAIN_LIMIT_MS / 2);
+      earl.expect(listDraining()).toEqual([]);
+    },
+  );
+
   test.it("applies a reported stage only when the runner's registry entry is old", async () => {
     const { clock, table, set } = createTable();
     set("r", { stage: "prefill" });
--- a/test/serving/crash-detector.test.ts
+++ b/test/serving/crash-detector.test.ts
@@ -49,7 +49,7 @@
   // Guards against BUDGET: the end of a runner that fell silent was never attributed to its request.
   test.it("records a crash when a runner that fell silent is no longer listed", async () => {
     const { records, crashed } = createRecords();
-    await using silent = await raw.startRawRunner("one", () => undefined, false);
+    await using silent = await raw.startRawRunner("one", () => undefined, raw.IGNORED_PROBE);
     const table = new runnerTable.RunnerTable(fixture.clock, fixture.log);
     const plain = fixture.createPlainServing([silent.runner], 0, records, table);
     await fixture.serve(plain, fixture.createCall({ maxAttempts: 1 }));
@@ -68,7 +68,7 @@
         (socket, count) => {
           if (count > 1) socket.write(raw.formatResponse("r1", "whole"));
         },
-        false,
+        raw.IGNORED_PROBE,
       );
       const table = new runnerTable.RunnerTable(fixture.clock, fixture.log);
       const plain = fixture.createPlainServing([runner.runner], 0, records, table);
@@ -88,7 +88,7 @@
   test.it("records no crash when a runner that was silent answers or leaves", async () => {
     const { records, crashed } = createRecords();
     await using healthy = await raw.startRawRunner("one", () => undefined);
-    await using leaving = await raw.startRawRunner("two", () => undefined, false);
+    await using leaving = await raw.startRawRunner("two", () => undefined, raw.IGNORED_PROBE);
     for (const { runner } of [healthy, leaving]) {
       const table = new runnerTable.RunnerTable(fixture.clock, fixture.log);
       const plain = fixture.createPlainServing([runner], 0, records, table);
@@ -109,8 +109,8 @@
       const plain = fixture.createPlainServing(runners, 0, records, undefined, holds);
       return await fixture.serve(plain, fixture.createCall({ maxAttempts: 1 }));
     };
-    await using first = await raw.startRawRunner("one", () => undefined, false);
-    await using second = await raw.startRawRunner("two", () => undefined, false);
+    await using first = await raw.startRawRunner("one", () => undefined, raw.IGNORED_PROBE);
+    await using second = await raw.startRawRunner("two", () => undefined, raw.IGNORED_PROBE);
     await using healthy = await raw.startRawRunner("three", (socket) => {
       socket.write(raw.formatResponse("r1", "whole"));
     });
