--- a/test/platform/formats.test.ts
+++ b/test/platform/formats.test.ts
@@ -63,12 +63,15 @@
   test.it("is parsed into a runner whose id comes from the key", () => {
     const runner = runnerFormat.parseRunner("servers/i-1", encodeJson(entry));
     earl.expect([runner?.id, runner?.leaving, runner?.bornAt]).toEqual(["i-1", true, 5]);
+    earl.expect(runner?.softwareVersion).toEqual("v1");
   });
 
   test.it("is ignored when it does not match the schema", () => {
     const invalidEntries = [
       { ...entry, state: "resting" },
       { ...entry, address: 7 },
+      { ...entry, version: 2 },
+      { ...entry, version: undefined },
       { service: "plain" },
       "x",
       null,
