Take no decode runner that is the last of its version for prefill

A stream in progress could lose the last runner at which it may go on: the split of a pool counts runners of all versions as one, and the runner with the least work, often that of the smaller version, was switched. Found by looking for what else treats two versions as one. The test failed before (d1 ordered in place of d2).

--- a/src/placement/stage-reconciler.ts
+++ b/src/placement/stage-reconciler.ts
@@ -155,7 +155,9 @@
     const change = stagePlan.chooseStageChange(split, costs);
     if (change === undefined) return;
     const [candidates, stage] =
-      change === "toDecode" ? [prefill, runners.STAGE.decode] : [decode, runners.STAGE.prefill];
+      change === "toDecode"
+        ? [prefill, runners.STAGE.decode]
+        : [listReplaceable(decode), runners.STAGE.prefill];
     const runner = scheduler.chooseRunnerToSwitch(candidates);
     if (runner === undefined) return;
     this.#nextCheckAt.set(service, this.#options.clock.now() + MIN_DECISION_INTERVAL_MS);
@@ -264,3 +266,12 @@
     return getRevision() * TOKEN_VM_RANGE + (rendezvous.computeHash(vm) % TOKEN_VM_RANGE);
   }
 }
+
+/** Returns the decode runners that are not the last of their software version, to which streams in progress keep. */
+function listReplaceable(decode: readonly runners.Runner[]): readonly runners.Runner[] {
+  return decode.filter((runner) =>
+    decode.some(
+      ({ id, softwareVersion }) => id !== runner.id && softwareVersion === runner.softwareVersion,
+    ),
+  );
+}
--- a/test/placement/stage-reconciler.test.ts
+++ b/test/placement/stage-reconciler.test.ts
@@ -37,8 +37,8 @@
 function createPool(vm = "vm-1") {
   const clock = fakeClock.createFakeClock();
   const table = new runnerTable.RunnerTable(clock, log);
-  const set = (id: string, stage: runners.Stage, bornAt = 1): void => {
-    const runner = { ...raw.createRunner(id, 1), service: SERVICE, slots: 16, stage, bornAt };
+  const set = (id: string, stage: runners.Stage, changes: Partial<runners.Runner> = {}): void => {
+    const runner = { ...raw.createRunner(id, 1), service: SERVICE, slots: 16, stage, ...changes };
     table.setRunner(id, runner);
   };
   for (const number of [1, 2, 3]) {
@@ -77,7 +77,7 @@
     getRevision: () => state.revision,
   });
   void reconciler.run();
-  const load = (): void => {
+  const load = (promptTokens = 5_000, outputTokens = 4_000): void => {
     const source = random.createSeededRandom(1);
     for (let count = 0; count < 12; count += 1) {
       const key = `r${count}-${source.nextFloat()}/0`;
@@ -85,10 +85,10 @@
         key,
         service: SERVICE,
         retryKey: key,
-        promptTokens: 5_000,
-        estimatedOutputTokens: 4_000,
+        promptTokens,
+        estimatedOutputTokens: outputTokens,
         generatedTokens: 0,
-        maxOutputTokens: 8_000,
+        maxOutputTokens: 2 * outputTokens,
         targetMs: 900,
         maxWaitMs: 2_500,
         zone: "a",
@@ -129,6 +129,17 @@
     },
   );
 
+  // Guards against streams that cannot go on since their version has no decode runner left.
+  test.it("takes no decode runner that is the last of its software version", async () => {
+    await using pool = createPool();
+    pool.set("d1", "decode", { softwareVersion: "v0" });
+    pool.load(50_000, 10);
+    await pool.clock.advance(11_000);
+    earl
+      .expect(pool.orders.map(({ runner, stage }) => [runner, stage]))
+      .toEqual([["d2", "prefill"]]);
+  });
+
   test.it("waits at least for the order lease before its first order", async () => {
     await using pool = createPool();
     pool.load();
