Take streams up at any gateway in the soak, at runners of several versions

Decode runners of two versions serve in one service and are rolled over in series, also while other faults overlap; every event names its version. ORDER: more than two streams of two versions, or any out of order; LOST: while two runners of their version are listed, streams taken up in the calm phase go on less than half as often as new ones begin.

--- a/standins/soak/callers.ts
+++ b/standins/soak/callers.ts
@@ -44,6 +44,7 @@
   readonly body?: string;
   /** Parts of the prompt of a model request. */
   readonly promptParts?: string;
+  readonly headers?: Readonly<Record<string, string>>;
 }
 
 /**
@@ -55,7 +56,7 @@
   kind: CallKind,
   agent: http.Agent | false,
   abortAfterMs?: number,
-  { body = "body", promptParts }: CallContent = {},
+  { body = "body", promptParts, headers = {} }: CallContent = {},
 ): Promise<CallRecord> {
   lastCallNumber += 1;
   const record: CallRecord = {
@@ -85,6 +86,7 @@
         "deadline-ms": String(DEADLINE_MS),
         ...HEADERS[kind],
         ...(promptParts === undefined ? {} : { "prompt-prefix": promptParts }),
+        ...headers,
       },
     });
     const abort = (): void => {
--- a/standins/soak/child-main.ts
+++ b/standins/soak/child-main.ts
@@ -48,9 +48,13 @@
   };
 }
 
-async function startEngine(stage: string): Promise<string> {
+async function startEngine(stage: string, softwareVersion: string): Promise<string> {
   receiveCommands();
-  const behaviour = { eventCount: EVENT_COUNT, eventPauseMs: EVENT_PAUSE_MS };
+  const behaviour = {
+    eventCount: EVENT_COUNT,
+    eventPauseMs: EVENT_PAUSE_MS,
+    ...(softwareVersion === "" ? {} : { softwareVersion }),
+  };
   const engine = new engines.EngineStandIn(stage, STATELESS_HANDLES, {
     ...behaviour,
     chooseFailure: () => failure,
@@ -91,10 +95,12 @@
 }
 
 /** Start functions by role; each returns the address on which the process listens. */
-const ROLES: Readonly<Record<string, (id: string, seed: number) => Promise<string>>> = {
+const ROLES: Readonly<
+  Record<string, (id: string, seed: number, softwareVersion: string) => Promise<string>>
+> = {
   store: startStore,
-  prefill: () => startEngine("prefill"),
-  decode: () => startEngine("decode"),
+  prefill: (_id, _seed, softwareVersion) => startEngine("prefill", softwareVersion),
+  decode: (_id, _seed, softwareVersion) => startEngine("decode", softwareVersion),
   plain: (id, seed) => {
     receiveCommands();
     return plainRunner.startPlainRunner(id, seed, {
@@ -116,12 +122,13 @@
     role: cmd.option({ long: "role" }),
     id: cmd.option({ long: "id", defaultValue: () => "" }),
     seed: cmd.option({ long: "seed", type: cmd.number, defaultValue: () => 1 }),
+    softwareVersion: cmd.option({ long: "software-version", defaultValue: () => "" }),
   },
-  handler: async ({ role, id, seed }) => {
+  handler: async ({ role, id, seed, softwareVersion }) => {
     const start = ROLES[role];
     if (start === undefined)
       throw new Error(`unknown role ${role}: expected ${Object.keys(ROLES).join(", ")}`);
-    console.log(`listening ${await start(id, seed)}`);
+    console.log(`listening ${await start(id, seed, softwareVersion)}`);
     process.once("disconnect", () => process.exit(0));
   },
 });
--- a/standins/soak/faults.ts
+++ b/standins/soak/faults.ts
@@ -77,6 +77,16 @@
   await cluster.addRunner(runner.role);
 }
 
+async function releaseRunner(
+  cluster: soakCluster.SoakCluster,
+  runner: soakCluster.Runner,
+): Promise<void> {
+  cluster.markLeaving(runner);
+  await replaceRunner(cluster, runner);
+  await sleep(RUNNER_DRAIN_MS);
+  await cluster.killRunner(runner);
+}
+
 /** Applies changes to a relay for the given time, then reverts them and resets its connections. */
 async function degradeRelay(
   relay: relays.Relay,
@@ -151,10 +161,7 @@
   releaseRunner: async (cluster, source) => {
     const runner = chooseRunner(cluster, source);
     if (runner === undefined) return;
-    cluster.markLeaving(runner);
-    await replaceRunner(cluster, runner);
-    await sleep(RUNNER_DRAIN_MS);
-    await cluster.killRunner(runner);
+    await releaseRunner(cluster, runner);
   },
   pauseRunner: async (cluster, source) => {
     const runner = chooseRunner(cluster, source);
@@ -257,6 +264,24 @@
     }),
 };
 
+/** Faults of clusters with runners of several software versions, by name. */
+const VERSION_FAULTS: Readonly<Record<string, Fault>> = {
+  /** Replaces decode runners in turn, every second one by a runner of a new version. */
+  rollVersion: async (cluster, source) => {
+    cluster.startVersion();
+    const decode = [...cluster.runners.values()].filter(({ role }) => role === "decode");
+    const rolled: Promise<void>[] = [];
+    for (const runner of decode) {
+      if (!cluster.runners.has(runner.id)) continue;
+      rolled.push(releaseRunner(cluster, runner));
+      await sleep(chooseDuration(source) / 2);
+    }
+    await Promise.all(rolled);
+  },
+};
+
+const ALL_FAULTS = { ...FAULTS, ...BUDGET_FAULTS, ...VERSION_FAULTS };
+
 /** Makes all runners of a role reject or reset their requests for as long as `during` takes. */
 async function failRunners(
   cluster: soakCluster.SoakCluster,
@@ -284,15 +309,21 @@
  * overlap.
  *
  * @param hasFailingRunners - whether the faults include those of `BUDGET_FAULTS`.
+ * @param hasVersions - whether the faults include those of `VERSION_FAULTS`.
  */
 export function createPlan(
   seed: number,
   durationMs: number,
   meanIntervalMs: number,
   hasFailingRunners = false,
+  hasVersions = false,
 ): PlannedFault[] {
   const source = random.createSeededRandom(seed);
-  const kinds = Object.keys(hasFailingRunners ? { ...FAULTS, ...BUDGET_FAULTS } : FAULTS);
+  const kinds = Object.keys({
+    ...FAULTS,
+    ...(hasFailingRunners ? BUDGET_FAULTS : {}),
+    ...(hasVersions ? VERSION_FAULTS : {}),
+  });
   const plan: PlannedFault[] = [];
   let atMs = 0;
   while (atMs < durationMs) {
@@ -311,7 +342,7 @@
   await Promise.all(
     plan.map(async ({ kind, atMs, seed }) => {
       await sleep(atMs);
-      await { ...FAULTS, ...BUDGET_FAULTS }[kind]?.(cluster, random.createSeededRandom(seed));
+      await ALL_FAULTS[kind]?.(cluster, random.createSeededRandom(seed));
     }),
   );
 }
--- a/standins/soak/guarantee-checks.ts
+++ b/standins/soak/guarantee-checks.ts
@@ -13,6 +13,8 @@
 /** Number of events in a complete stream. */
 const EVENT_COUNT = 40;
 
+const VERSION_LABEL = /( of \S+)$/;
+
 /** Everything that callers and runners observed during a soak. */
 export interface Observations {
   readonly records: readonly callers.CallRecord[];
@@ -64,8 +66,13 @@
 function checkStream(record: callers.CallRecord): string | undefined {
   if (record.kind !== callers.CALL_KIND.notes || record.status !== HTTP_OK) return undefined;
   const events = record.body.split("\n\n").slice(0, -1);
-  const isInOrder = events.every((event, index) => event === `id: ${index}\ndata: piece ${index}`);
-  if (!isInOrder) return "got events that are out of order, repeated or incomplete";
+  // Runners of several software versions name theirs in each event.
+  const [, label = ""] = VERSION_LABEL.exec(events[0] ?? "") ?? [];
+  const isInOrder = events.every(
+    (event, index) => event === `id: ${index}\ndata: piece ${index}${label}`,
+  );
+  if (!isInOrder)
+    return "got events that are out of order, repeated, incomplete or of two versions";
   return record.isComplete && events.length !== EVENT_COUNT
     ? `got a complete stream of ${events.length} events`
     : undefined;
--- a/standins/soak/main.ts
+++ b/standins/soak/main.ts
@@ -47,6 +47,10 @@
       long: "without-failing-runners",
       description: "without runners that fail all requests and gateways that start cut off",
     }),
+    withoutVersions: cmd.flag({
+      long: "without-versions",
+      description: "without runners of several software versions and callers that take streams up",
+    }),
     gateways: cmd.option({
       long: "gateways",
       type: cmd.number,
@@ -61,6 +65,7 @@
     withoutCrashingCaller,
     withoutCrashingPart,
     withoutFailingRunners,
+    withoutVersions,
     gateways,
   }) => {
     const options = {
@@ -68,6 +73,7 @@
       hasCrashingCaller: !withoutCrashingCaller,
       hasCrashingPart: !withoutCrashingPart,
       hasFailingRunners: !withoutFailingRunners,
+      hasVersions: !withoutVersions,
       size: { gateways },
     };
     const endsAt = performance.now() + minutes * MS_PER_MINUTE;
--- a/standins/soak/seeds.ts
+++ b/standins/soak/seeds.ts
@@ -35,4 +35,10 @@
     hasFailingRunners: true,
     cause: "requests with a prompt part in common kept ending decode runners",
   },
+  {
+    seed: 29,
+    seconds: 4,
+    hasVersions: true,
+    cause: "streams went on at another software version than the one that began them",
+  },
 ];
--- a/standins/soak/soak-cluster.ts
+++ b/standins/soak/soak-cluster.ts
@@ -76,6 +76,8 @@
   readonly role: keyof Omit<ClusterSize, "gateways">;
   readonly child: children.Child;
   readonly relay: relays.Relay;
+  /** Version that its entry states; its events name it if the cluster has several. */
+  readonly softwareVersion: string;
 }
 
 /** A run of a request, as reported by a runner. */
@@ -118,6 +120,7 @@
   readonly #network = computeNetwork(process.pid);
   #configurationVersion = 1;
   #startedRunners = 0;
+  #versionCount = 0;
 
   /** Retries per call in the gateways' settings. */
   readonly retryRatio: number;
@@ -130,10 +133,15 @@
   }
 
   /** Starts all processes and relays, and waits until every gateway is ready. */
-  static async start(size: ClusterSize, retryRatio = RETRY_RATIO): Promise<SoakCluster> {
+  static async start(
+    size: ClusterSize,
+    retryRatio = RETRY_RATIO,
+    versionCount = 0,
+  ): Promise<SoakCluster> {
     const directory = await fs.mkdtemp(path.join(os.tmpdir(), "ebonyhook-soak-"));
     const store = await children.startChild(["--role", "store"], () => undefined);
     const cluster = new SoakCluster(directory, store, retryRatio);
+    cluster.#versionCount = versionCount;
     cluster.publishConfiguration();
     for (const role of ["prefill", "decode", "plain"] as const) {
       for (let count = 0; count < size[role]; count += 1) await cluster.addRunner(role);
@@ -160,11 +168,13 @@
     this.#startedRunners += 1;
     const id = `${role}-${this.#startedRunners}`;
     const flags = ["--role", role, "--id", id, "--seed", String(this.#startedRunners)];
+    const softwareVersion = this.#chooseVersion();
+    if (this.#versionCount > 0) flags.push("--software-version", softwareVersion);
     const child = await children.startChild(flags, (event) => {
       this.#recordEvent(id, event);
     });
     const relay = await relays.Relay.start(child.port);
-    const runner = { id, role, child, relay };
+    const runner = { id, role, child, relay, softwareVersion };
     this.runners.set(id, runner);
     this.#publishRunner(runner, "ready");
     return runner;
@@ -293,10 +303,25 @@
     await this.addRunner(runner.role);
   }
 
+  /** Raises the version of every second runner that starts from now on. */
+  startVersion(): void {
+    this.#versionCount += 1;
+  }
+
+  /** Alternates between the two newest versions. */
+  #chooseVersion(): string {
+    const newest = Math.max(1, this.#versionCount);
+    return `v${Math.max(1, newest - (this.#startedRunners % 2))}`;
+  }
+
   #publishRunner(runner: Runner, state: string): void {
-    const { id, role, relay } = runner;
+    const { id, role, relay, softwareVersion } = runner;
     const changes = role === "plain" ? {} : { service: "model", stage: role, slots: 16 };
-    const value = examples.createRunnerEntry(`127.0.0.1:${relay.port}`, { ...changes, state });
+    const value = examples.createRunnerEntry(`127.0.0.1:${relay.port}`, {
+      ...changes,
+      version: softwareVersion,
+      state,
+    });
     this.sendStoreCommand({ kind: "set", key: `servers/${id}`, value });
   }
 
--- a/standins/soak/soak.ts
+++ b/standins/soak/soak.ts
@@ -8,10 +8,15 @@
 import * as crashingCallers from "./crashing-caller.js";
 import * as faults from "./faults.js";
 import * as guaranteeChecks from "./guarantee-checks.js";
+import * as resumingCaller from "./resuming-caller.js";
 import * as soakCluster from "./soak-cluster.js";
 
 const CLUSTER_SIZE: soakCluster.ClusterSize = { gateways: 3, prefill: 2, decode: 2, plain: 2 };
 const CALLER_COUNT = 9;
+/** Decode runners and first number of software versions of a cluster with several. */
+const VERSIONED_DECODE_RUNNERS = 4;
+const VERSION_COUNT = 2;
+const RESUMING_CALLERS = 8;
 const MS_PER_S = 1_000;
 /** Retries per call while runners fail all requests; low, so that the calls do not hide what exceeds the slack. */
 const LOW_RETRY_RATIO = 0.02;
@@ -67,6 +72,8 @@
   readonly hasCrashingPart?: boolean;
   /** Whether runners fail all their requests for a time, and gateways start cut off from each other. */
   readonly hasFailingRunners?: boolean;
+  /** Whether runners are of several software versions, and callers take streams up at any gateway. */
+  readonly hasVersions?: boolean;
   /** Sizes that differ from `CLUSTER_SIZE`. */
   readonly size?: Partial<soakCluster.ClusterSize>;
 }
@@ -74,11 +81,20 @@
 /** Runs the soak of one seed. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { seed, seconds, hasCrashingCaller = false, hasFailingRunners = false } = options;
+  const { hasVersions = false } = options;
   const { bytes, part } = children.CRASH_CAUSE;
-  const size = { ...CLUSTER_SIZE, ...options.size };
+  const versioned = hasVersions ? { decode: VERSIONED_DECODE_RUNNERS } : {};
+  const size = { ...CLUSTER_SIZE, ...versioned, ...options.size };
   const retryRatio = hasFailingRunners ? LOW_RETRY_RATIO : undefined;
-  await using cluster = await soakCluster.SoakCluster.start(size, retryRatio);
-  const plan = faults.createPlan(seed, seconds * MS_PER_S, FAULT_INTERVAL_MS, hasFailingRunners);
+  const versionCount = hasVersions ? VERSION_COUNT : 0;
+  await using cluster = await soakCluster.SoakCluster.start(size, retryRatio, versionCount);
+  const plan = faults.createPlan(
+    seed,
+    seconds * MS_PER_S,
+    FAULT_INTERVAL_MS,
+    hasFailingRunners,
+    hasVersions,
+  );
   const faultPhaseCallers = new callers.Callers(cluster, CALLER_COUNT, seed);
   const crashingCaller = hasCrashingCaller
     ? new crashingCallers.CrashingCaller(cluster, bytes, seed)
@@ -87,13 +103,18 @@
     options.hasCrashingPart === true
       ? new crashingCallers.CrashingCaller(cluster, part, seed)
       : undefined;
+  const resumingCount = hasVersions ? RESUMING_CALLERS : 0;
+  const faultPhaseStreams = new resumingCaller.ResumingCaller(cluster, resumingCount, seed);
   await faults.runPlan(cluster, plan);
   await faultPhaseCallers.stop();
+  await faultPhaseStreams.stop();
   await crashingCaller?.stop();
   await sleep(RECOVERY_MS);
   const recoveryPhaseCallers = new callers.Callers(cluster, CALLER_COUNT, seed);
+  const calmStreams = new resumingCaller.ResumingCaller(cluster, resumingCount, seed);
   await sleep(RECOVERY_CHECK_MS);
   await recoveryPhaseCallers.stop();
+  await calmStreams.stop();
   await partCaller?.stop();
   const violations = [...(await checkCancelledStreams(cluster)), ...(await checkDrain(cluster))];
   // The last events of the runners may still be in flight to this process.
@@ -103,6 +124,9 @@
   for (const caller of [crashingCaller, partCaller])
     violations.push(...(caller?.listViolations() ?? []));
   violations.push(...guaranteeChecks.listBudgetViolations(cluster));
+  for (const streams of [faultPhaseStreams, calmStreams])
+    violations.push(...streams.listOrderViolations());
+  violations.push(...calmStreams.listLostViolations());
   const servedShare = guaranteeChecks.computeServedShare(recoveryPhaseCallers.records);
   if (servedShare < MIN_SERVED_SHARE)
     violations.push(`RECOVER: share ${servedShare.toFixed(3)} served after recovery`);
--- a/standins/users-platform/engine.ts
+++ b/standins/users-platform/engine.ts
@@ -20,6 +20,8 @@
 export interface EngineBehaviour {
   /** Number of events in a complete answer. */
   readonly eventCount?: number;
+  /** Software version that each event names. */
+  readonly softwareVersion?: string;
   /** Pause after each event. */
   readonly eventPauseMs?: number;
   /** Closes the first stream that reaches the event with this number, in the middle of it. */
@@ -79,6 +81,11 @@
     this.#behaviour = behaviour;
   }
 
+  get #label(): string {
+    const { softwareVersion } = this.#behaviour;
+    return softwareVersion === undefined ? "" : ` of ${softwareVersion}`;
+  }
+
   get address(): string {
     const { address, port } = this.#server.address() as net.AddressInfo;
     return `${address}:${port}`;
@@ -184,7 +191,7 @@
         }, DEFAULT_PAUSE_MS);
         return;
       }
-      response.write(`id: ${event}\ndata: piece ${event}\n\n`);
+      response.write(`id: ${event}\ndata: piece ${event}${this.#label}\n\n`);
       await this.#pause();
     }
     response.end();
--- a/test/soak/guarantee-checks.test.ts
+++ b/test/soak/guarantee-checks.test.ts
@@ -80,6 +80,19 @@
     },
   );
 
+  test.it(
+    "report a stream with events of two software versions, not one of a single version",
+    () => {
+      const label = (first: number): string =>
+        WHOLE_STREAM.replace(
+          /piece (\d+)/g,
+          (text, id) => `${text} of v${Number(id) < first ? 1 : 2}`,
+        );
+      earl.expect(listViolatedGuarantees({ kind: "notes", body: label(0) })).toEqual([]);
+      earl.expect(listViolatedGuarantees({ kind: "notes", body: label(20) })).toEqual(["ORDER"]);
+    },
+  );
+
   test.it("report retries beyond the shared budget, and requests on too many runners", () => {
     const createArrivals = (count: number, runners: number, isPrefill = false) =>
       Array.from({ length: count }, (_, call) =>
