Send nothing to a runner whose time to leave is over since its placement

A runner may leave between the placement of a request and the end of its prefill, which takes up to 1.2 s; a stream that goes on at a leaving runner of its version begins that late on purpose. The decode is now checked against the platform's limit less 200 ms and placed elsewhere. The test calls a method that was not there before.

--- a/src/placement/pool-scheduler.ts
+++ b/src/placement/pool-scheduler.ts
@@ -198,7 +198,7 @@
   update(): void {
     this.#expireLoads();
     this.#refuseUnserved();
-    /** Streams whose version has no room, which does not keep others waiting. */
+    // Streams whose version has no room, which does not keep others waiting.
     const blocked = new Set<QueuedRequest>();
     for (;;) {
       const next = this.#queue.findNext(blocked);
@@ -218,15 +218,6 @@
     this.#scheduleUpdate();
   }
 
-  /** Refuses queued streams whose version is no longer listed. */
-  #refuseUnserved(): void {
-    for (const entry of this.#queue.listEntries()) {
-      if (this.#placer.isVersionListed(entry.request)) continue;
-      this.#queue.remove(entry);
-      this.#refuse(entry, VERSION_RETRY_AFTER_MS);
-    }
-  }
-
   close(): void {
     this.#cancelTimer?.();
   }
@@ -265,6 +256,15 @@
     if (complete === true && estimate !== undefined) this.#estimator.record(estimate, outputTokens);
   }
 
+  /** Refuses queued streams whose version is no longer listed. */
+  #refuseUnserved(): void {
+    for (const entry of this.#queue.listEntries()) {
+      if (this.#placer.isVersionListed(entry.request)) continue;
+      this.#queue.remove(entry);
+      this.#refuse(entry, VERSION_RETRY_AFTER_MS);
+    }
+  }
+
   #refuse(queuedRequest: QueuedRequest, retryAfterMs: number): void {
     this.#refusedRequests.add(queuedRequest.request.retryKey);
     queuedRequest.onAnswer({ granted: false, retryAfterMs });
--- a/src/runners/runner-table.ts
+++ b/src/runners/runner-table.ts
@@ -13,6 +13,8 @@
 
 /** Time for a notice to arrive, and for a request to be prefilled and sent. */
 const DRAIN_MARGIN_MS = 1_000;
+/** Time for a notice to arrive, and for a request to be sent. */
+const SEND_MARGIN_MS = 200;
 
 /** Called with a runner that was added or changed, or with `undefined` when it was removed. */
 export type RunnerListener = (id: string, runner: types.Runner | undefined) => void;
@@ -86,14 +88,25 @@
    */
   listDraining(service: string): readonly runnerRecord.RunnerRecord[] {
     return [...this.#records.values()].filter(
-      ({ runner, leavingSince }) =>
-        runner.service === service &&
-        runner.leaving &&
-        !this.#superseded.has(runner.id) &&
-        this.#clock.now() - (leavingSince ?? -Infinity) < this.#drainLimitMs - DRAIN_MARGIN_MS,
+      (record) =>
+        record.runner.service === service &&
+        record.runner.leaving &&
+        !this.#superseded.has(record.runner.id) &&
+        !this.#hasLeft(record, DRAIN_MARGIN_MS),
     );
   }
 
+  /** Whether a runner leaves and the time in which it may be sent requests is over. */
+  hasDrained(id: string): boolean {
+    const record = this.#records.get(id);
+    return record?.runner.leaving === true && this.#hasLeft(record, SEND_MARGIN_MS);
+  }
+
+  #hasLeft({ leavingSince }: runnerRecord.RunnerRecord, marginMs: number): boolean {
+    const leavesForMs = this.#clock.now() - (leavingSince ?? -Infinity);
+    return leavesForMs >= this.#drainLimitMs - marginMs;
+  }
+
   #addRunner(runner: types.Runner): void {
     this.#records.set(runner.id, new runnerRecord.RunnerRecord(runner, this.#clock));
     const { id, service, stage, leaving, bornAt, softwareVersion } = runner;
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -173,6 +173,8 @@
     if (refusal !== undefined) return createHeldResult(refusal);
     const leftMs = call.deadlineAt - clock.now();
     if (leftMs <= 0) return { kind: "notRun", reason: "no time left", excluded: undefined };
+    if (this.#options.runners.hasDrained(runner.id))
+      return { kind: "notRun", reason: "runner left during the prefill", excluded: runner.id };
     this.#recordRun(call, progress, runner);
     const send = progress.startDecode(runner.id);
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
--- a/test/runners/runner-table.test.ts
+++ b/test/runners/runner-table.test.ts
@@ -52,8 +52,11 @@
       // Nobody knows since when it leaves.
       set("found", { leaving: true });
       earl.expect(listDraining()).toEqual(["known"]);
+      earl.expect([table.hasDrained("known"), table.hasDrained("found")]).toEqual([false, true]);
       await clock.advance(DRAIN_LIMIT_MS / 2);
-      earl.expect(listDraining()).toEqual([]);
+      earl.expect([listDraining(), table.hasDrained("known")]).toEqual([[], false]);
+      await clock.advance(DRAIN_LIMIT_MS / 2);
+      earl.expect(table.hasDrained("known")).toEqual(true);
     },
   );
 
