--- a/src/placement/placement-queue.ts
+++ b/src/placement/placement-queue.ts
@@ -32,7 +32,7 @@
   readonly relativeCost: number;
   /** Whether this is a retry of a refused request. */
   readonly isRetry: boolean;
-  /** Whether it goes on with a stream that its caller has in part. */
+  /** Whether it resumes a stream that its caller has in part. */
   readonly isResumed: boolean;
 }
 
@@ -70,7 +70,7 @@
 
   /**
    * Adds a request, or refuses it if its expected wait exceeds `maxWaitMs`. Retries are always
-   * added, and so are streams that go on.
+   * added, and so are resumed streams.
    *
    * @param slackMs - time left in which a grant still meets the target.
    */
@@ -91,7 +91,7 @@
   }
 
   /**
-   * Returns the entry that is to be granted next, and whether it is late; `undefined` when there is none. Streams that go on
+   * Returns the entry that is to be granted next, and whether it is late; `undefined` when there is none. Resumed streams
    * come first, since what they have produced would be lost.
    *
    * @param blocked - entries to leave out.
--- a/src/placement/pool-placer.ts
+++ b/src/placement/pool-placer.ts
@@ -173,7 +173,7 @@
   }
 
   /**
-   * Returns the runners that may serve a request. For a stream that goes on these are prefill runners of any version and decode
+   * Returns the runners that may serve a request. For a resumed stream these are prefill runners of any version and decode
    * runners of its own; those that leave only if there are no others.
    */
   #listServing(softwareVersion: string | undefined): readonly Candidate[] {
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -324,7 +324,7 @@
   }
 
   /**
-   * Sends a run to a decode runner. A run that goes on with a stream goes to the listed start of the runner only, whose version
+   * Sends a run to a decode runner. A run that resumes a stream goes to the listed start of the runner only, whose version
    * is known; for any other the start is found out meanwhile.
    */
   #sendRun(
--- a/src/streams/stream-origin-exchange.ts
+++ b/src/streams/stream-origin-exchange.ts
@@ -1,6 +1,6 @@
 /**
- * Shares the origins of streams with other VMs, since a caller may take its stream up at any of them. The VM that sends a run
- * tells some VMs, chosen by rendezvous from the attempt's id, before the first event; a VM that is asked to go on and does not know
+ * Shares the origins of streams with other VMs, since a caller may resume its stream at any of them. The VM that sends a run
+ * tells some VMs, chosen by rendezvous from the attempt's id, before the first event; a VM that is asked to resume a stream and does not know
  * the origin asks these and some more, as the fleet may have changed.
  */
 import * as zod from "zod";
@@ -52,7 +52,7 @@
   }),
 );
 
-/** What is asked of a stream that a caller takes up. */
+/** What is asked of a stream that a caller resumes. */
 export interface StreamQuestion {
   /** The client attempt that brought the first event, if the caller names it. */
   readonly attempt: string | undefined;
--- a/src/streams/stream-versions.ts
+++ b/src/streams/stream-versions.ts
@@ -17,7 +17,7 @@
 /** Retry time when no runner of the version is listed; one that crashed is back after some seconds. */
 const GONE_RETRY_AFTER_MS = 1_000;
 
-/** How the version of a stream that a caller takes up is known. */
+/** How the version of a stream that a caller resumes is known. */
 const KNOWN_BY = {
   /** From a record of this VM. */
   record: "record",
@@ -29,7 +29,7 @@
 
 type KnownBy = (typeof KNOWN_BY)[keyof typeof KNOWN_BY];
 
-/** Why a stream cannot go on. */
+/** Why a stream cannot be resumed. */
 const REFUSAL = {
   unknown: {
     reason: "unknown",
@@ -61,7 +61,7 @@
   }
 
   /**
-   * Returns the version at which the stream of a call has to go on; `undefined` if the call begins a stream.
+   * Returns the version at which the stream of a call has to be resumed; `undefined` if the call begins a stream.
    *
    * @throws RequestError when the version is not known or serves no more; the call has not run.
    */
@@ -73,12 +73,12 @@
     if (known === undefined) throw this.#createRefusal(call, REFUSAL.unknown);
     const { version, knownBy } = known;
     this.#options.metrics.count("streams_taken_up", { known: knownBy });
-    this.checkServed(call, version);
+    this.#checkServed(call, version);
     return version;
   }
 
   /** @throws RequestError when no runner of the version is listed for the service of a call. */
-  checkServed(call: serving.ServedCall, version: string): void {
+  #checkServed(call: serving.ServedCall, version: string): void {
     const { runners: table } = this.#options;
     const service = call.service.name;
     const serving = [...table.listUsable(service), ...table.listDraining(service)];
@@ -114,7 +114,7 @@
     return origin;
   }
 
-  /** Records a run that goes on with a stream, at a start whose version was verified. */
+  /** Records a run that resumes a stream at a runner of its version, before it is sent. */
   recordResumed(call: serving.ServedCall, runner: runners.Runner, run: number): void {
     const { exchange } = this.#options;
     const { id: attempt, firstAttemptId } = call.head;
--- a/standins/soak/main.ts
+++ b/standins/soak/main.ts
@@ -49,7 +49,7 @@
     }),
     withoutVersions: cmd.flag({
       long: "without-versions",
-      description: "without runners of several software versions and callers that take streams up",
+      description: "without runners of several software versions and callers that resume streams",
     }),
     gateways: cmd.option({
       long: "gateways",
--- a/standins/soak/resuming-caller.ts
+++ b/standins/soak/resuming-caller.ts
@@ -1,5 +1,5 @@
 /**
- * Callers that leave streams and take them up at any gateway. Every event names the software version of the runner that wrote
+ * Callers that leave streams and resume them at any gateway. Every event names the software version of the runner that wrote
  * it, so that a stream of two versions shows.
  */
 import * as random from "../../src/kernel/random.js";
@@ -16,11 +16,11 @@
 const LEFT_SHARE = 0.8;
 /** Number of streams of two versions that are tolerated. */
 const MAX_MIXED = 2;
-/** Number of streams taken up below which the share that goes on is not judged. */
+/** Number of resumed streams below which the share that continues is not judged. */
 const MIN_TAKEN_UP = 12;
-/** Least share that goes on, of the share of new streams that begin. */
+/** Least share that continues, relative to the share of new streams that begin. */
 const MIN_WENT_ON = 0.5;
-/** Number of runners of a version from which on its streams have to go on. */
+/** Number of runners of a version from which on its streams have to continue. */
 const MIN_RUNNERS = 2;
 
 /** One stream over all attempts of its caller. */
@@ -28,7 +28,7 @@
   readonly events: string[];
   isTakenUp: boolean;
   hasGoneOn: boolean;
-  /** Whether enough runners of its version were listed when it was taken up. */
+  /** Whether enough runners of its version were listed when it was resumed. */
   isServed: boolean;
 }
 
@@ -66,7 +66,7 @@
     ];
   }
 
-  /** Returns a line if too few streams go on that may. */
+  /** Returns a line if too few of the streams continue whose version is served. */
   listLostViolations(): string[] {
     const begun = this.#streams.filter(({ events }) => events.length > 0).length;
     const takenUp = this.#streams.filter(({ isTakenUp, isServed }) => isTakenUp && isServed);
--- a/standins/soak/soak.ts
+++ b/standins/soak/soak.ts
@@ -72,7 +72,7 @@
   readonly hasCrashingPart?: boolean;
   /** Whether runners fail all their requests for a time, and gateways start cut off from each other. */
   readonly hasFailingRunners?: boolean;
-  /** Whether runners are of several software versions, and callers take streams up at any gateway. */
+  /** Whether runners are of several software versions, and callers resume streams at any gateway. */
   readonly hasVersions?: boolean;
   /** Sizes that differ from `CLUSTER_SIZE`. */
   readonly size?: Partial<soakCluster.ClusterSize>;
