--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -81,21 +81,17 @@
 const FIRST_NET = 110;
 
 // Guards against ORDER: streams held events of two software versions.
-test.describe(
-  "streams go on only at the software version that began them",
-  { concurrency: 2 },
-  () => {
-    for (const [index, [name, options]] of Object.entries(PLAYS).entries())
-      test.it(`and do go on when ${name}`, async () => {
-        const result = await fixture.runVersionPlay({ ...options, net: FIRST_NET + index });
-        checkOrder(result);
-        checkLost(result);
-      });
+test.describe("streams go on only at the software version that began them", () => {
+  for (const [index, [name, options]] of Object.entries(PLAYS).entries())
+    test.it(`and do go on when ${name}`, async () => {
+      const result = await fixture.runVersionPlay({ ...options, net: FIRST_NET + index });
+      checkOrder(result);
+      checkLost(result);
+    });
 
-    const firstNet = FIRST_NET + Object.keys(PLAYS).length;
-    for (const [index, [name, options]] of Object.entries(PLAYS_WITHOUT_VERSION).entries())
-      test.it(`or not at all when ${name}`, async () => {
-        checkOrder(await fixture.runVersionPlay({ ...options, net: firstNet + index }));
-      });
-  },
-);
+  const firstNet = FIRST_NET + Object.keys(PLAYS).length;
+  for (const [index, [name, options]] of Object.entries(PLAYS_WITHOUT_VERSION).entries())
+    test.it(`or not at all when ${name}`, async () => {
+      checkOrder(await fixture.runVersionPlay({ ...options, net: firstNet + index }));
+    });
+});
