--- a/standins/processes.ts
+++ b/standins/processes.ts
@@ -4,7 +4,7 @@
 import * as readline from "node:readline";
 
 const STOP_TIMEOUT_MS = 5_000;
-const MAX_KEPT_LINES = 2_000;
+const MAX_KEPT_LINES = 20_000;
 const FIRST_PORT = 10_000;
 const PORT_LIMIT = 32_000;
 const PORT_RANGE_SIZE = 64;
--- a/standins/soak/faults.ts
+++ b/standins/soak/faults.ts
@@ -3,6 +3,7 @@
 import * as relays from "../relay.js";
 import * as failing from "../users-platform/failing-runner.js";
 import * as store from "../users-platform/store.js";
+import type * as runLog from "./run-log.js";
 import * as soakCluster from "./soak-cluster.js";
 
 /** Time from marking a runner as leaving until it is killed. */
@@ -334,15 +335,19 @@
   return plan;
 }
 
-/** Runs a plan; resolves when all its faults are over. */
+/** Runs a plan; resolves with its timeline when all its faults are over. */
 export async function runPlan(
   cluster: soakCluster.SoakCluster,
   plan: readonly PlannedFault[],
-): Promise<void> {
+): Promise<readonly runLog.TimelineEntry[]> {
+  const timeline: runLog.TimelineEntry[] = [];
   await Promise.all(
     plan.map(async ({ kind, atMs, seed }) => {
       await sleep(atMs);
+      timeline.push({ at: performance.now(), text: `${kind} begins` });
       await ALL_FAULTS[kind]?.(cluster, random.createSeededRandom(seed));
+      timeline.push({ at: performance.now(), text: `${kind} ends` });
     }),
   );
+  return timeline;
 }
--- a/standins/soak/main.ts
+++ b/standins/soak/main.ts
@@ -57,8 +57,14 @@
       defaultValue: () => 3,
       description: "number of gateways",
     }),
+    logs: cmd.option({
+      long: "logs",
+      type: cmd.optional(cmd.string),
+      description: "directory for the logs of the runs that violate a guarantee",
+    }),
   },
   handler: async ({
+    logs,
     seed,
     minutes,
     seconds,
@@ -75,6 +81,7 @@
       hasFailingRunners: !withoutFailingRunners,
       hasVersions: !withoutVersions,
       size: { gateways },
+      logDirectory: logs,
     };
     const endsAt = performance.now() + minutes * MS_PER_MINUTE;
     const plannedRuns = seed === undefined ? [...seeds.KEPT_SEEDS] : [{ ...options, seed }];
--- a/standins/soak/soak-cluster.ts
+++ b/standins/soak/soak-cluster.ts
@@ -63,6 +63,8 @@
   /** Key that the process shares with its peers; with another key than theirs it is cut off from them. */
   fleetKey: string;
   process: processes.ManagedProcess;
+  /** All processes of the gateway, in the order of their starts. */
+  readonly processes: processes.ManagedProcess[];
   /** Time at which the process was last started. */
   startedAt: number;
   /** Faults at the gateway or its connections; its start counts as one. */
@@ -202,6 +204,7 @@
   async restartGateway(gateway: Gateway): Promise<void> {
     await gateway.process.exited;
     gateway.process = this.#spawnGateway(gateway);
+    gateway.processes.push(gateway.process);
     gateway.startedAt = performance.now();
     gateway.state = GATEWAY_STATE.up;
   }
@@ -344,7 +347,14 @@
     const startedAt = performance.now();
     const child = this.#spawnGateway(gateway);
     const disturbances = [{ from: startedAt, to: startedAt }];
-    this.gateways.push({ ...gateway, process: child, startedAt, disturbances, state });
+    this.gateways.push({
+      ...gateway,
+      process: child,
+      processes: [child],
+      startedAt,
+      disturbances,
+      state,
+    });
   }
 
   #spawnGateway({
--- a/standins/soak/soak.ts
+++ b/standins/soak/soak.ts
@@ -3,12 +3,14 @@
  * router's guarantees during the faults, after recovery, when callers abort streams, and at a
  * shutdown.
  */
+import * as path from "node:path";
 import * as callers from "./callers.js";
 import * as children from "./children.js";
 import * as crashingCallers from "./crashing-caller.js";
 import * as faults from "./faults.js";
 import * as guaranteeChecks from "./guarantee-checks.js";
 import * as resumingCaller from "./resuming-caller.js";
+import * as runLog from "./run-log.js";
 import * as soakCluster from "./soak-cluster.js";
 
 const CLUSTER_SIZE: soakCluster.ClusterSize = { gateways: 3, prefill: 2, decode: 2, plain: 2 };
@@ -74,6 +76,8 @@
   readonly hasFailingRunners?: boolean;
   /** Whether runners are of several software versions, and callers resume streams at any gateway. */
   readonly hasVersions?: boolean;
+  /** Directory for the logs of a run that violates a guarantee; they are not kept without it. */
+  readonly logDirectory?: string | undefined;
   /** Sizes that differ from `CLUSTER_SIZE`. */
   readonly size?: Partial<soakCluster.ClusterSize>;
 }
@@ -105,7 +109,7 @@
       : undefined;
   const resumingCount = hasVersions ? RESUMING_CALLERS : 0;
   const faultPhaseStreams = new resumingCaller.ResumingCaller(cluster, resumingCount, seed);
-  await faults.runPlan(cluster, plan);
+  const timeline = await faults.runPlan(cluster, plan);
   await faultPhaseCallers.stop();
   await faultPhaseStreams.stop();
   await crashingCaller?.stop();
@@ -130,6 +134,8 @@
   const servedShare = guaranteeChecks.computeServedShare(recoveryPhaseCallers.records);
   if (servedShare < MIN_SERVED_SHARE)
     violations.push(`RECOVER: share ${servedShare.toFixed(3)} served after recovery`);
+  if (violations.length > 0 && options.logDirectory !== undefined)
+    await runLog.writeRunLog(path.join(options.logDirectory, String(seed)), cluster, timeline);
   return { seed, requests: records.length, faults: plan.length, servedShare, violations };
 }
 
