Log when a quarantine is lifted

The logs showed when traits were quarantined (4005), not when the verdict ended, so a verdict that was withdrawn could not be told from one that never covered a request. Event 4017 names the traits and the crashes that are left.

--- a/src/request/trait-records.ts
+++ b/src/request/trait-records.ts
@@ -262,13 +262,23 @@
       if (starts !== undefined && starts.size >= MAJORITY_CRASHES)
         sets.set(trait, new Set(starts.keys()));
     }
-    const known = new Set(this.#verdicts.map(({ traits }) => traits.join()));
+    const before = this.#verdicts;
     this.#verdicts = crashCauses.findCauses(sets, (starts) => this.#isEnough(starts));
-    for (const { traits, starts } of this.#verdicts) {
+    this.#logVerdicts(events.LOG_EVENTS.quarantineLifted, before, this.#verdicts);
+    this.#logVerdicts(events.LOG_EVENTS.fingerprintQuarantined, this.#verdicts, before);
+  }
+
+  /** Writes an entry for each verdict whose traits are those of none of the others. */
+  #logVerdicts(
+    event: events.LogEvent,
+    verdicts: readonly crashCauses.Verdict[],
+    others: readonly crashCauses.Verdict[],
+  ): void {
+    const known = new Set(others.map(({ traits }) => traits.join()));
+    for (const { traits, starts } of verdicts) {
       if (known.has(traits.join())) continue;
       const [fingerprint, ...together] = traits;
-      const fields = { fingerprint, together, upstreams: [...starts] };
-      this.#log.write(events.LOG_EVENTS.fingerprintQuarantined, fields);
+      this.#log.write(event, { fingerprint, together, upstreams: [...starts] });
     }
   }
 
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -58,6 +58,7 @@
     level: "info",
     message: "stream without length or chunks ended with its connection",
   },
+  quarantineLifted: { number: 4017, level: "info", message: "quarantine lifted" },
   runStarted: { number: 4016, level: "info", message: "run of a stream sent to a runner" },
   logSuppressed: { number: 1005, level: "warn", message: "log entries suppressed" },
   allocatorChanged: { number: 5001, level: "info", message: "allocator of runner changed" },
