--- a/standins/users-platform/crashing-runner.ts
+++ b/standins/users-platform/crashing-runner.ts
@@ -14,8 +14,11 @@
 /** Id of the prompt part that ends runners if it is not the last part of a prompt. */
 export const CRASHING_PART = "dead";
 
-/** How a runner ends: it resets its connections, or first falls silent. */
-export const CRASH_MODE = { reset: "reset", silent: "silent" } as const;
+/**
+ * How a runner ends: it resets its connections, first falls silent, or is ended behind a forwarder that goes on to accept
+ * connections and resets each.
+ */
+export const CRASH_MODE = { reset: "reset", silent: "silent", forwarded: "forwarded" } as const;
 
 /** Roles of a runner. */
 export const RUNNER_ROLE = { plain: "plain", prefill: "prefill", decode: "decode" } as const;
@@ -160,7 +163,10 @@
   }
 
   async #handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    if (this.#isSilent) return;
+    if (this.#isSilent) {
+      if (this.#behaviour.mode === CRASH_MODE.forwarded) relays.resetSocket(request.socket);
+      return;
+    }
     if (request.url === "/-/report") {
       this.#handleReport(request, response);
       return;
@@ -211,6 +217,8 @@
     });
     this.#isSilent = true;
     if (mode === CRASH_MODE.reset) await this.#closeServer();
+    if (mode === CRASH_MODE.forwarded)
+      for (const socket of this.#sockets) relays.resetSocket(socket);
     this.#schedule(restartMs, () => {
       clearTimeout(expiry);
       void this.#restart(key);
--- a/test/gateway/crashing-parts-fixture.ts
+++ b/test/gateway/crashing-parts-fixture.ts
@@ -29,10 +29,14 @@
   readonly soundParts: (index: number) => string;
   /** Time between two requests with the part; without it none is sent. */
   readonly taintedEveryMs?: number;
+  /** Time of the first request with the part; after `SOUND_ONLY_MS` without it. */
+  readonly taintedFromMs?: number;
   /** Time between two ends of a runner without a cause. */
   readonly accidentEveryMs?: number;
   /** Time between two restarts of a gateway. */
   readonly restartEveryMs?: number;
+  /** Number of a gateway that has only itself as seed, and that none of the others has. */
+  readonly aloneGateway?: number;
 }
 
 /** What the runners and callers of a play observed. */
@@ -81,19 +85,20 @@
     await this.#startRunners(prefill, PREFILL_RUNNERS);
     await this.#startRunners(decode, DECODE_RUNNERS);
     for (let number = 1; number <= GATEWAY_COUNT; number += 1) {
-      this.#gateways.push(await fixture.startGateway(this.#platform, this.#options.net, number));
+      this.#gateways.push(await this.#startGateway(number));
     }
     await Promise.all(this.#gateways.map(({ ip }) => fixture.waitForReady(ip)));
   }
 
   async run(): Promise<void> {
     const { taintedEveryMs, accidentEveryMs, restartEveryMs } = this.#options;
+    const { taintedFromMs = SOUND_ONLY_MS } = this.#options;
     this.#startedAt = performance.now();
     await Promise.all([
       this.#repeat(0, SOUND_INTERVAL_MS, (index) => {
         this.#pending.push(this.#sendSound(index));
       }),
-      this.#repeat(SOUND_ONLY_MS, taintedEveryMs, (index) => {
+      this.#repeat(taintedFromMs, taintedEveryMs, (index) => {
         this.#pending.push(this.#sendTainted(index));
       }),
       this.#repeat(SOUND_ONLY_MS, accidentEveryMs, () => {
@@ -149,14 +154,16 @@
     }
   }
 
+  #startGateway(number: number): Promise<fixture.TestGateway> {
+    const { net, aloneGateway } = this.#options;
+    const seeds = number === aloneGateway ? [number] : [1];
+    return fixture.startGateway(this.#platform, net, number, { seeds });
+  }
+
   async #restartGateway(index: number): Promise<void> {
     const place = index % GATEWAY_COUNT;
     await this.#gateways[place]?.[Symbol.asyncDispose]();
-    this.#gateways[place] = await fixture.startGateway(
-      this.#platform,
-      this.#options.net,
-      place + 1,
-    );
+    this.#gateways[place] = await this.#startGateway(place + 1);
     await fixture.waitForReady(this.#gateways[place].ip);
   }
 
--- a/test/gateway/crashing-parts.test.ts
+++ b/test/gateway/crashing-parts.test.ts
@@ -11,6 +11,7 @@
 const { CRASH_MODE, CRASHING_PART } = crashing;
 const DEADLY = `${CRASHING_PART}:50`;
 const RESET = { mode: CRASH_MODE.reset, restartMs: 3_000, keepsId: false, eventCount: 40 } as const;
+const FORWARDED = { ...RESET, mode: CRASH_MODE.forwarded } as const;
 const SILENT = { ...RESET, mode: CRASH_MODE.silent } as const;
 
 /** Ten first parts in turn, as sound and other requests share them. */
@@ -24,6 +25,12 @@
   taintedEveryMs: 250,
 } as const;
 
+/** The same first part of all requests. */
+const ONE_FIRST_PART = {
+  soundParts: () => "a0:50",
+  taintedParts: () => `a0:50,${DEADLY}`,
+} as const;
+
 /** Whether sound requests are served as LOST demands; true if there are too few to judge. */
 function isServed({ servedBefore = 0, servedAfter = 1 }: fixture.PartPlayResult): boolean {
   return servedAfter >= MIN_SERVED_PART * servedBefore;
@@ -78,6 +85,19 @@
     });
   });
 
+  test.it("when the end of a runner is known only when its entry expires", async () => {
+    await checkPlay({ net: 197, ...FORWARDED, ...PARTS });
+  });
+
+  test.it("when one gateway knows no other", async () => {
+    await checkPlay({ net: 198, ...RESET, ...PARTS, aloneGateway: 5 });
+  });
+
+  test.it("when one gateway knows no other, and ends of runners are known late", async () => {
+    const parts = { ...PARTS, ...ONE_FIRST_PART, taintedFromMs: 0, accidentEveryMs: 900 };
+    await checkPlay({ net: 199, ...FORWARDED, ...parts, aloneGateway: 5 });
+  });
+
   test.it("when half of the requests have it", async () => {
     await checkPlay({ net: 189, ...RESET, ...PARTS, taintedEveryMs: 55 });
   });
--- a/test/request/run-holds.test.ts
+++ b/test/request/run-holds.test.ts
@@ -107,6 +107,18 @@
     earl.expect(first.findRequestReason([FINGERPRINT], evidence)).toEqual("inProgress");
   });
 
+  // Guards against BUDGET: requests with the part ran on while the end of the last runner was not known yet.
+  test.it("counts known crashes with the open runs of a trait, whatever else the runs have", () => {
+    const { first } = createPair();
+    const own = "aaaaaaaaaaaaaaaa";
+    for (const trait of [OTHER, FINGERPRINT]) first.add(trait, "u3@1", LIFETIME_MS).markUnsettled();
+    const crashes = (trait: string): ReadonlySet<string> =>
+      trait === FINGERPRINT ? new Set(["u1@1", "u2@1"]) : NONE;
+    const known = { ...evidence, listCrashed: crashes };
+    earl.expect(first.findRequestReason([own, FINGERPRINT], known)).toEqual("unsettled");
+    earl.expect(first.findRequestReason([OTHER], known)).toEqual(undefined);
+  });
+
   test.it("trusts a trait that was answered lately", () => {
     const { first } = createPair();
     addUnsettled(first, [FINGERPRINT, OTHER]);
--- a/test/request/trait-records.test.ts
+++ b/test/request/trait-records.test.ts
@@ -59,6 +59,46 @@
     earl.expect(isRefused(records, DEAD)).toEqual(true);
   });
 
+  // Guards against BUDGET: a verdict was withdrawn when runners ended for other reasons later.
+  test.it("keeps a verdict of two crashes when others follow", () => {
+    const { records } = addNode(new fakes.FakeFleet(), "a");
+    for (const start of ["u1@1", "u2@1"]) records.recordCrash(start, [DEAD]);
+    for (const [index, bytes] of BYTES.entries())
+      records.recordCrash(`accident${index}@1`, [bytes]);
+    earl.expect(isRefused(records, DEAD)).toEqual(true);
+  });
+
+  // Guards against RECOVER: sound requests were refused for crashes whose cause only a VM out of reach had seen.
+  test.it("blames a trait that was answered lately only after three crashes", () => {
+    const { records } = addNode(new fakes.FakeFleet(), "a");
+    records.recordSuccess(SHARED);
+    for (const start of ["u1@1", "u2@1"]) records.recordCrash(start, [SHARED]);
+    earl.expect(isRefused(records, SHARED)).toEqual(false);
+    records.recordCrash("u3@1", [SHARED]);
+    earl.expect(isRefused(records, SHARED)).toEqual(true);
+  });
+
+  // Guards against RECOVER: traits that all requests share explained one crash more than the cause did.
+  test.it("blames a trait that was never answered before one that was", () => {
+    const { records } = addNode(new fakes.FakeFleet(), "a");
+    records.recordSuccess(SHARED);
+    for (const start of ["u1@1", "u2@1", "u3@1"]) records.recordCrash(start, [SHARED, DEAD]);
+    records.recordCrash("u4@1", [SHARED]);
+    earl.expect(records.listQuarantined()).toEqual([DEAD]);
+  });
+
+  // Guards against RECOVER: what could have told traits apart was refused with them.
+  test.it("allows a request that lacks a trait of most of the crashes, to tell them apart", () => {
+    const { records } = addNode(new fakes.FakeFleet(), "a");
+    for (const start of ["u1@1", "u2@1", "u3@1"]) records.recordCrash(start, [SHARED, DEAD]);
+    records.recordCrash("u4@1", [SHARED]);
+    earl.expect(records.listQuarantined()).toEqual([SHARED]);
+    earl.expect([isRefused(records, SHARED), records.isSuspect(SHARED)]).toEqual([false, true]);
+    earl.expect(isRefused(records, SHARED, DEAD)).toEqual(true);
+    records.recordCrash("u5@1", [SHARED]);
+    earl.expect(isRefused(records, SHARED)).toEqual(true);
+  });
+
   test.it("counts a crash that several nodes see once", async () => {
     const fleet = new fakes.FakeFleet();
     const first = addNode(fleet, "a");
--- a/test/serving/crash-detector.test.ts
+++ b/test/serving/crash-detector.test.ts
@@ -59,6 +59,23 @@
     earl.expect(crashed).toEqual(["one@1"]);
   });
 
+  // Guards against RECOVER: answers between a crash and the time at which it became known cleared nothing.
+  test.it("dates a crash by the end of the run, not by when it became known", async () => {
+    const crashedAt: (number | undefined)[] = [];
+    const records = {
+      ...fixture.createInertCrashRecords(),
+      recordCrash: (_runner: string, _traits: readonly string[], at?: number) => crashedAt.push(at),
+    };
+    await using silent = await raw.startRawRunner("one", () => undefined, raw.IGNORED_PROBE);
+    const table = new runnerTable.RunnerTable(fixture.clock, fixture.log);
+    const plain = fixture.createPlainServing([silent.runner], 0, records, table);
+    await fixture.serve(plain, fixture.createCall({ maxAttempts: 1 }));
+    const endedBy = fixture.clock.now();
+    await clocks.sleep(fixture.clock, PROBE_MARGIN_MS);
+    table.setRunner("one", undefined);
+    earl.expect(crashedAt.map((at) => at !== undefined && at <= endedBy)).toEqual([true]);
+  });
+
   test.it(
     "records the crash of a runner whose entry had been missing for a time before",
     async () => {
