Count known crashes together with the runs whose outcome is open

Callers saw requests with a part that ends runners run on for 2 s after two crashes were known (soak: four requests at two runners). A request is held back if its trait has two crashes or open runs, unless it lacks a trait with the same open runs; the exact bytes of the one request that had run last were always such a trait, since the known crashes were left out of the comparison.

Traits are now alike if their crashes and open runs together are the same. A request that shares only a part of these still runs alone.

--- a/src/request/run-holds.ts
+++ b/src/request/run-holds.ts
@@ -127,15 +127,15 @@
   }
 
   /**
-   * Returns why a request with several traits has to wait, if it does. It is held back only if it has all traits that the
-   * runs without a known outcome have in common; with some of them it runs alone, which tells them apart.
+   * Returns why a request with several traits has to wait, if it does. It is held back only if it has all traits with the
+   * same crashes and runs without a known outcome; with some of them it runs alone, which tells them apart.
    */
   findRequestReason(traits: readonly string[], evidence: TraitEvidence): HoldReason | undefined {
     const open = traits.filter((trait) => this.has(trait) && !evidence.isTrusted(trait));
     const isHeldBack = open.some(
       (trait) =>
         this.findReason(trait, evidence.listCrashed(trait)) === HOLD_REASON.unsettled &&
-        this.#listAlike(trait).every(
+        this.#listAlike(trait, evidence).every(
           (other) => traits.includes(other) || evidence.isTrusted(other),
         ),
     );
@@ -146,11 +146,13 @@
     return isInProgress ? HOLD_REASON.inProgress : undefined;
   }
 
-  /** Lists the traits whose runs without a known outcome are at the same upstreams as those of `trait`. */
-  #listAlike(trait: string): readonly string[] {
-    const upstreams = this.#listUnknown(trait);
+  /** Lists the traits with crashes and runs without a known outcome at the same upstreams as `trait`. */
+  #listAlike(trait: string, evidence: TraitEvidence): readonly string[] {
+    const listUpstreams = (one: string): ReadonlySet<string> =>
+      new Set([...this.#listUnknown(one), ...evidence.listCrashed(one)]);
+    const upstreams = listUpstreams(trait);
     return [...this.#idsByFingerprint.keys()].filter((other) => {
-      const own = this.#listUnknown(other);
+      const own = listUpstreams(other);
       return own.size === upstreams.size && [...own].every((name) => upstreams.has(name));
     });
   }
