Keep a verdict of two crashes when runners end for other reasons later

Two crashes suffice for a verdict if they are half of the crashes within 30 s; crashes after the last of the two counted as well, so a verdict ended when anything else crashed, and a third and fourth runner had to end.

Only crashes up to the last of the two count. A verdict still ends when one of its traits is answered or another trait explains its crashes.

--- a/src/request/trait-records.ts
+++ b/src/request/trait-records.ts
@@ -33,7 +33,7 @@
 const MAX_LOGGED_TRAITS = 16;
 /** Crashes that suffice for a verdict, whatever else crashes. */
 const SUFFICIENT_CRASHES = 3;
-/** Crashes that suffice if they are at least half of those within `CRASH_WINDOW_MS`. */
+/** Crashes that suffice if they are at least half of those in the `CRASH_WINDOW_MS` up to the last of them. */
 const MAJORITY_CRASHES = 2;
 const CRASH_WINDOW_MS = 30_000;
 /** Time from the last crash to the first trial of a refused trait; doubles with each further crash. */
@@ -284,9 +284,10 @@
 
   #isEnough(starts: ReadonlySet<string>): boolean {
     if (starts.size !== MAJORITY_CRASHES) return starts.size >= SUFFICIENT_CRASHES;
+    // Later crashes do not count: they say nothing of the cause of the earlier ones.
     const lastAt = this.#findLastCrash(starts);
     const nearby = [...this.#crashedAt.values()].filter(
-      (at) => Math.abs(lastAt - at) <= CRASH_WINDOW_MS,
+      (at) => at <= lastAt && lastAt - at <= CRASH_WINDOW_MS,
     );
     return 2 * starts.size >= nearby.length;
   }
--- a/test/request/trait-records.test.ts
+++ b/test/request/trait-records.test.ts
@@ -60,9 +60,11 @@
   });
 
   // Guards against BUDGET: a verdict was withdrawn when runners ended for other reasons later.
-  test.it("keeps a verdict of two crashes when others follow", () => {
-    const { records } = addNode(new fakes.FakeFleet(), "a");
+  test.it("keeps a verdict of two crashes when others follow", async () => {
+    const fleet = new fakes.FakeFleet();
+    const { records } = addNode(fleet, "a");
     for (const start of ["u1@1", "u2@1"]) records.recordCrash(start, [DEAD]);
+    await fleet.clock.advance(MESSAGE_MS);
     for (const [index, bytes] of BYTES.entries())
       records.recordCrash(`accident${index}@1`, [bytes]);
     earl.expect(isRefused(records, DEAD)).toEqual(true);
