Date a crash by the end of the runs, not by when it became known

The end of a runner is often known only when its entry expires, some 2 s later; the crash got that time, so no answer in between cleared the traits.

A crash has the time at which the first of its runs ended, and implicates no trait that was answered later.

--- a/src/caller/types.ts
+++ b/src/caller/types.ts
@@ -110,8 +110,10 @@
   /**
    * Records that `upstream` crashed while it ran the requests with these fingerprints. Crashes of an upstream count
    * once; one that is known to have started again is given another name.
+   *
+   * @param at - monotonic time of the crash; the current time by default.
    */
-  recordCrash(upstream: string, fingerprints: readonly string[]): void;
+  recordCrash(upstream: string, fingerprints: readonly string[], at?: number): void;
   /** Whether a crash of `upstream` under the request is recorded. */
   hasCrashed(fingerprint: string, upstream: string): boolean;
   /** Whether the request completed lately, so that it is unlikely to be the cause of crashes. */
--- a/src/request/trait-records.ts
+++ b/src/request/trait-records.ts
@@ -93,9 +93,13 @@
     return hash.digest().toString(16).padStart(16, "0");
   }
 
-  recordCrash(upstream: string, fingerprints: readonly string[]): void {
-    const traits = [...new Set(fingerprints)];
-    const at = this.#clock.now();
+  recordCrash(
+    upstream: string,
+    fingerprints: readonly string[],
+    at: number = this.#clock.now(),
+  ): void {
+    // A trait that was answered since the crash did not cause it.
+    const traits = [...new Set(fingerprints)].filter((trait) => !this.#isClearedSince(trait, at));
     this.#recordCrashTime(upstream, at);
     if (traits.length === 0) return;
     this.#log.write(events.LOG_EVENTS.crashRecorded, {
@@ -188,13 +192,12 @@
   merge(records: readonly format.SentRecord[]): void {
     const now = this.#clock.now();
     for (const [trait, , starts] of records) {
-      const clearedAt = this.#clearedAt.get(trait) ?? -Infinity;
       for (const [start, weight, ageMs] of starts) {
         const at = now - ageMs;
         if (ageMs >= RECORD_LIFETIME_MS) continue;
         this.#recordCrashTime(start, at);
         // The sender does not know yet that the trait was cleared since.
-        if (at <= clearedAt) this.#notifyListeners(trait);
+        if (this.#isClearedSince(trait, at)) this.#notifyListeners(trait);
         else if (this.#addEvidence(trait, start, { weight, at }))
           this.#log.write(events.LOG_EVENTS.crashRecordReceived, {
             fingerprint: trait,
@@ -225,6 +228,10 @@
     this.#listeners.push(listener);
   }
 
+  #isClearedSince(trait: string, at: number): boolean {
+    return at < (this.#clearedAt.get(trait) ?? -Infinity);
+  }
+
   #removeEvidenceBefore(trait: string, clearedAt: number): void {
     const entry = this.#entries.get(trait);
     if (entry === undefined) return;
--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -348,9 +348,9 @@
   #recordCrash(start: runnerStarts.RunnerStart): void {
     const { crashes, holds } = this.#options;
     const elsewhere = holds.listFingerprints(start.name);
-    const interrupted = start.shiftInterrupted();
-    if (interrupted.length > 0 && !start.isLeaving)
-      crashes.recordCrash(start.name, [...interrupted, ...elsewhere]);
+    const { traits, endedAt } = start.shiftInterrupted();
+    if (traits.length > 0 && !start.isLeaving)
+      crashes.recordCrash(start.name, [...traits, ...elsewhere], endedAt);
   }
 
   #getOrCreateStart(runner: runners.Runner): runnerStarts.RunnerStart {
--- a/src/serving/runner-starts.ts
+++ b/src/serving/runner-starts.ts
@@ -41,6 +41,14 @@
   onSettled: () => void;
 }
 
+/** The runs that the end of a process interrupted. */
+export interface InterruptedRuns {
+  /** Traits of the requests that may have caused the end. */
+  readonly traits: readonly string[];
+  /** Time at which the first of the runs ended. */
+  readonly endedAt: number;
+}
+
 /** Creates a run that has just begun. */
 export function createRun(traits: readonly string[], sentAt: number): Run {
   return {
@@ -175,14 +183,14 @@
     return !this.#isLeaving && this.#lastAnsweredAt < this.#unlistedAt;
   }
 
-  /**
-   * Removes all runs that the end of the process interrupted; returns the traits of those that may have caused it.
-   */
-  shiftInterrupted(): readonly string[] {
+  /** Removes all runs that the end of the process interrupted. */
+  shiftInterrupted(): InterruptedRuns {
     const runs = [...this.#unsettled, ...this.#inProgress];
     this.#inProgress.clear();
     this.settleAll();
-    return runs.filter((run) => !run.isCleared).flatMap((run) => run.traits);
+    const endedAt = Math.min(...runs.map((run) => run.endedAt ?? Infinity), this.#clock.now());
+    const traits = runs.filter((run) => !run.isCleared).flatMap((run) => run.traits);
+    return { traits, endedAt };
   }
 }
 
--- a/test/request/trait-records.test.ts
+++ b/test/request/trait-records.test.ts
@@ -101,6 +101,16 @@
     earl.expect(isRefused(records, SHARED)).toEqual(true);
   });
 
+  test.it("does not suspect a trait that was answered after the crash", async () => {
+    const fleet = new fakes.FakeFleet();
+    const { node, records } = addNode(fleet, "a");
+    const crashedAt = node.kernel.use("clock").now();
+    await fleet.clock.advance(MESSAGE_MS);
+    records.recordSuccess(SHARED);
+    records.recordCrash("u1@1", [SHARED, DEAD], crashedAt);
+    earl.expect([records.isSuspect(SHARED), records.isSuspect(DEAD)]).toEqual([false, true]);
+  });
+
   test.it("counts a crash that several nodes see once", async () => {
     const fleet = new fakes.FakeFleet();
     const first = addNode(fleet, "a");
