Blame traits that were answered lately only after those that never were

A trait that runs are answered with does not end runners by itself, but a verdict took whichever trait had most crashes, and two were enough.

Traits without a recent answer come first, and one with an answer needs three crashes since. A part that ends runners is never answered, so it is refused as early as before.

--- a/src/request/crash-causes.ts
+++ b/src/request/crash-causes.ts
@@ -12,24 +12,27 @@
   readonly starts: ReadonlySet<string>;
 }
 
+/** What verdicts are based on beside the crashes. */
+export interface Judgement {
+  /** Whether crashes of these starts suffice for a verdict on a trait. */
+  readonly isEnough: (starts: ReadonlySet<string>, trait: string) => boolean;
+  /** Whether requests with the trait were answered lately. */
+  readonly wasAnswered: (trait: string) => boolean;
+}
+
 /**
- * Returns the smallest set of causes, largest first. Crashes that a cause explains count against no other trait, so that
- * a request that was in flight beside it at two crashes is not blamed.
- *
- * @param isEnough - whether crashes of these starts suffice for a verdict.
+ * Returns the smallest set of causes: first traits that were never answered, then those with most crashes. Crashes that a
+ * cause explains count against no other trait, so that a request that was in flight beside it at two crashes is not blamed.
  */
-export function findCauses(
-  sets: CrashSets,
-  isEnough: (starts: ReadonlySet<string>) => boolean,
-): readonly Verdict[] {
+export function findCauses(sets: CrashSets, judgement: Judgement): readonly Verdict[] {
   const verdicts: Verdict[] = [];
-  let open = listBySize(sets);
-  for (let [largest] = open; largest !== undefined; [largest] = open) {
-    const [, starts] = largest;
+  let open = listByRank(sets, judgement);
+  for (let [first] = open; first !== undefined; [first] = open) {
+    const [trait, starts] = first;
     const group = open.filter(([, other]) => isEqual(other, starts));
-    if (isEnough(starts)) {
-      verdicts.push({ traits: group.map(([trait]) => trait), starts });
-      open = listBySize(removeStarts(open, starts));
+    if (judgement.isEnough(starts, trait)) {
+      verdicts.push({ traits: group.map(([name]) => name), starts });
+      open = listByRank(removeStarts(open, starts), judgement);
     } else {
       open = open.filter((entry) => !group.includes(entry));
     }
@@ -39,11 +42,13 @@
 
 type Entry = readonly [trait: string, starts: ReadonlySet<string>];
 
-/** Sorts by number of crashes, then by name, so that all nodes with the same evidence reach the same verdict. */
-function listBySize(sets: Iterable<Entry>): readonly Entry[] {
+/** Sorts the sets; ties by name, so that all nodes with the same evidence reach the same verdict. */
+function listByRank(sets: Iterable<Entry>, { wasAnswered }: Judgement): readonly Entry[] {
   return [...sets].sort(
     ([firstTrait, first], [secondTrait, second]) =>
-      second.size - first.size || (firstTrait < secondTrait ? -1 : 1),
+      Number(wasAnswered(firstTrait)) - Number(wasAnswered(secondTrait)) ||
+      second.size - first.size ||
+      (firstTrait < secondTrait ? -1 : 1),
   );
 }
 
--- a/src/request/trait-records.ts
+++ b/src/request/trait-records.ts
@@ -33,7 +33,7 @@
 const MAX_LOGGED_TRAITS = 16;
 /** Crashes that suffice for a verdict, whatever else crashes. */
 const SUFFICIENT_CRASHES = 3;
-/** Crashes that suffice if they are at least half of those in the `CRASH_WINDOW_MS` up to the last of them. */
+/** Crashes that suffice for a trait that was not answered lately if they are at least half of those in the `CRASH_WINDOW_MS` up to the last of them. */
 const MAJORITY_CRASHES = 2;
 const CRASH_WINDOW_MS = 30_000;
 /** Time from the last crash to the first trial of a refused trait; doubles with each further crash. */
@@ -120,9 +120,7 @@
   }
 
   hasSucceededLately(fingerprint: string): boolean {
-    const clearedAt = this.#clearedAt.get(fingerprint) ?? -Infinity;
-    const isRecent = this.#clock.now() - clearedAt < CLEARED_LIFETIME_MS;
-    return isRecent && this.#countCrashes(fingerprint) < MAJORITY_CRASHES;
+    return this.#wasAnswered(fingerprint) && this.#countCrashes(fingerprint) < MAJORITY_CRASHES;
   }
 
   isSuspect(fingerprint: string): boolean {
@@ -228,6 +226,11 @@
     this.#listeners.push(listener);
   }
 
+  #wasAnswered(trait: string): boolean {
+    const clearedAt = this.#clearedAt.get(trait) ?? -Infinity;
+    return this.#clock.now() - clearedAt < CLEARED_LIFETIME_MS;
+  }
+
   #isClearedSince(trait: string, at: number): boolean {
     return at < (this.#clearedAt.get(trait) ?? -Infinity);
   }
@@ -270,7 +273,10 @@
         sets.set(trait, new Set(starts.keys()));
     }
     const before = this.#verdicts;
-    this.#verdicts = crashCauses.findCauses(sets, (starts) => this.#isEnough(starts));
+    this.#verdicts = crashCauses.findCauses(sets, {
+      isEnough: (starts, trait) => this.#isEnough(starts, trait),
+      wasAnswered: (trait) => this.#wasAnswered(trait),
+    });
     this.#logVerdicts(events.LOG_EVENTS.quarantineLifted, before, this.#verdicts);
     this.#logVerdicts(events.LOG_EVENTS.fingerprintQuarantined, this.#verdicts, before);
   }
@@ -289,8 +295,9 @@
     }
   }
 
-  #isEnough(starts: ReadonlySet<string>): boolean {
-    if (starts.size !== MAJORITY_CRASHES) return starts.size >= SUFFICIENT_CRASHES;
+  #isEnough(starts: ReadonlySet<string>, trait: string): boolean {
+    const isMajorityEnough = starts.size === MAJORITY_CRASHES && !this.#wasAnswered(trait);
+    if (!isMajorityEnough) return starts.size >= SUFFICIENT_CRASHES;
     // Later crashes do not count: they say nothing of the cause of the earlier ones.
     const lastAt = this.#findLastCrash(starts);
     const nearby = [...this.#crashedAt.values()].filter(
