Let one request tell the traits of a verdict apart

After a start, when nothing was answered yet, sound requests were refused for 30 s with those that end runners: their traits explained one crash more than the part that caused the others, and what would have cleared them was refused with them.

A request that lacks a trait of all but one of the crashes may run, alone, while the verdict rests on four crashes: if it is answered its traits are cleared, and if it ends a runner the verdict rests on five, so this costs one crash at most.

--- a/src/request/crash-causes.ts
+++ b/src/request/crash-causes.ts
@@ -10,6 +10,8 @@
 export interface Verdict {
   readonly traits: readonly string[];
   readonly starts: ReadonlySet<string>;
+  /** Traits that would suffice for a verdict on all but one of the crashes. */
+  readonly rivals: readonly string[];
 }
 
 /** What verdicts are based on beside the crashes. */
@@ -31,7 +33,8 @@
     const [trait, starts] = first;
     const group = open.filter(([, other]) => isEqual(other, starts));
     if (judgement.isEnough(starts, trait)) {
-      verdicts.push({ traits: group.map(([name]) => name), starts });
+      const traits = group.map(([name]) => name);
+      verdicts.push({ traits, starts, rivals: listRivals(open, starts) });
       open = listByRank(removeStarts(open, starts), judgement);
     } else {
       open = open.filter((entry) => !group.includes(entry));
@@ -52,6 +55,12 @@
   );
 }
 
+function listRivals(entries: readonly Entry[], starts: ReadonlySet<string>): readonly string[] {
+  return entries
+    .filter(([, own]) => own.size === starts.size - 1 && [...own].every((name) => starts.has(name)))
+    .map(([trait]) => trait);
+}
+
 function removeStarts(entries: readonly Entry[], starts: ReadonlySet<string>): readonly Entry[] {
   return entries
     .map(([trait, own]): Entry => [trait, new Set([...own].filter((name) => !starts.has(name)))])
--- a/src/request/trait-records.ts
+++ b/src/request/trait-records.ts
@@ -36,6 +36,8 @@
 /** Crashes that suffice for a trait that was not answered lately if they are at least half of those in the `CRASH_WINDOW_MS` up to the last of them. */
 const MAJORITY_CRASHES = 2;
 const CRASH_WINDOW_MS = 30_000;
+/** Number of crashes of a verdict at which a request may tell traits apart; with one number it costs one crash at most. */
+const DISTINGUISHED_CRASHES = SUFFICIENT_CRASHES + 1;
 /** Time from the last crash to the first trial of a refused trait; doubles with each further crash. */
 const TRIAL_DELAY_MS = 30_000;
 /** Crashes after which a trait gets no further trial. */
@@ -159,6 +161,7 @@
     const own = new Set(fingerprints);
     for (const verdict of this.#verdicts) {
       if (!verdict.traits.every((trait) => own.has(trait))) continue;
+      if (canTellApart(verdict, own)) continue;
       const retryAfterMs = this.#computeRetryTime(verdict);
       if (retryAfterMs > 0) return retryAfterMs;
     }
@@ -373,6 +376,14 @@
   }
 }
 
+/**
+ * Whether a request may run although it has all traits of the verdict, since it lacks one that all but one of the crashes have: its
+ * outcome shows which of them is the cause. It runs alone, as its traits are suspected.
+ */
+function canTellApart({ starts, rivals }: crashCauses.Verdict, own: ReadonlySet<string>): boolean {
+  return starts.size === DISTINGUISHED_CRASHES && rivals.some((rival) => !own.has(rival));
+}
+
 /**
  * Creates the crash records of a gateway and registers their gossip topic.
  *
