Require three crashes before all requests of a caller are refused

Two crashes suffice only for traits that say something of the content; a caller alone needs three. The unit test fails without the change.

--- a/src/caller/types.ts
+++ b/src/caller/types.ts
@@ -120,6 +120,8 @@
   hasSucceededLately(fingerprint: string): boolean;
   /** Whether a request was in flight during a crash and has not completed since, or lately before. */
   isSuspect(fingerprint: string): boolean;
+  /** Records that requests with the fingerprint have nothing else in common, so that two crashes show little. */
+  markBroad(fingerprint: string): void;
   /** Records that a suspect generated tokens after a crash, which reduces the suspicion. */
   recordProgress(fingerprint: string): void;
   /**
--- a/src/request/crash-causes.ts
+++ b/src/request/crash-causes.ts
@@ -16,8 +16,8 @@
 
 /** What verdicts are based on beside the crashes. */
 export interface Judgement {
-  /** Whether crashes of these starts suffice for a verdict on a trait. */
-  readonly isEnough: (starts: ReadonlySet<string>, trait: string) => boolean;
+  /** Whether crashes of these starts suffice for a verdict on the traits that all of them have. */
+  readonly isEnough: (starts: ReadonlySet<string>, traits: readonly string[]) => boolean;
   /** Whether requests with the trait were answered lately. */
   readonly wasAnswered: (trait: string) => boolean;
 }
@@ -30,10 +30,10 @@
   const verdicts: Verdict[] = [];
   let open = listByRank(sets, judgement);
   for (let [first] = open; first !== undefined; [first] = open) {
-    const [trait, starts] = first;
+    const [, starts] = first;
     const group = open.filter(([, other]) => isEqual(other, starts));
-    if (judgement.isEnough(starts, trait)) {
-      const traits = group.map(([name]) => name);
+    const traits = group.map(([trait]) => trait);
+    if (judgement.isEnough(starts, traits)) {
       verdicts.push({ traits, starts, rivals: listRivals(open, starts) });
       open = listByRank(removeStarts(open, starts), judgement);
     } else {
--- a/src/request/crash-records.ts
+++ b/src/request/crash-records.ts
@@ -125,6 +125,10 @@
     return this.#findEntry(fingerprint) !== undefined && !this.hasSucceededLately(fingerprint);
   }
 
+  markBroad(): void {
+    // Fingerprints of whole requests are never broad.
+  }
+
   recordProgress(fingerprint: string): void {
     const entry = this.#findEntry(fingerprint);
     if (entry !== undefined) entry.hasProgressed = true;
--- a/src/request/trait-records.ts
+++ b/src/request/trait-records.ts
@@ -33,7 +33,7 @@
 const MAX_LOGGED_TRAITS = 16;
 /** Crashes that suffice for a verdict, whatever else crashes. */
 const SUFFICIENT_CRASHES = 3;
-/** Crashes that suffice for a trait that was not answered lately if they are at least half of those in the `CRASH_WINDOW_MS` up to the last of them. */
+/** Crashes that suffice for a trait that is not broad and was not answered lately if they are at least half of those in the `CRASH_WINDOW_MS` up to the last of them. */
 const MAJORITY_CRASHES = 2;
 const CRASH_WINDOW_MS = 30_000;
 /** Number of crashes of a verdict at which a request may tell traits apart; with one number it costs one crash at most. */
@@ -73,6 +73,8 @@
   readonly #crashedAt = new lru.LRUCache<string, number>({ max: MAX_CRASHES });
   /** Monotonic time at which the success of a held trait was last announced. */
   readonly #announcedAt = new lru.LRUCache<string, number>({ max: MAX_TRAITS });
+  /** Traits that requests of any content may have. */
+  readonly #broad = new lru.LRUCache<string, true>({ max: MAX_TRAITS });
   readonly #listeners: ((trait: string) => void)[] = [];
   #verdicts: readonly crashCauses.Verdict[] = [];
 
@@ -135,6 +137,10 @@
     return ![...entry.starts.keys()].every(isExplained);
   }
 
+  markBroad(fingerprint: string): void {
+    this.#broad.set(fingerprint, true);
+  }
+
   recordProgress(): void {
     // A run that answers for long enough is reported as a success.
   }
@@ -277,7 +283,7 @@
     }
     const before = this.#verdicts;
     this.#verdicts = crashCauses.findCauses(sets, {
-      isEnough: (starts, trait) => this.#isEnough(starts, trait),
+      isEnough: (starts, traits) => this.#isEnough(starts, traits),
       wasAnswered: (trait) => this.#wasAnswered(trait),
     });
     this.#logVerdicts(events.LOG_EVENTS.quarantineLifted, before, this.#verdicts);
@@ -298,9 +304,9 @@
     }
   }
 
-  #isEnough(starts: ReadonlySet<string>, trait: string): boolean {
-    const isMajorityEnough = starts.size === MAJORITY_CRASHES && !this.#wasAnswered(trait);
-    if (!isMajorityEnough) return starts.size >= SUFFICIENT_CRASHES;
+  #isEnough(starts: ReadonlySet<string>, traits: readonly string[]): boolean {
+    const isSpecific = traits.some((trait) => !this.#wasAnswered(trait) && !this.#broad.has(trait));
+    if (starts.size !== MAJORITY_CRASHES || !isSpecific) return starts.size >= SUFFICIENT_CRASHES;
     // Later crashes do not count: they say nothing of the cause of the earlier ones.
     const lastAt = this.#findLastCrash(starts);
     const nearby = [...this.#crashedAt.values()].filter(
--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -386,6 +386,8 @@
       steps.map((step) => [step, requestTraits.listTraits(crashes, call, step)]),
     );
     this.#traits.set(call, traits);
+    for (const { kind, hash } of Object.values(traits).flat())
+      if (kind === requestTraits.TRAIT_KIND.caller) crashes.markBroad(hash);
     return traits;
   }
 
--- a/test/request/trait-records.test.ts
+++ b/test/request/trait-records.test.ts
@@ -80,6 +80,17 @@
     earl.expect(isRefused(records, SHARED)).toEqual(true);
   });
 
+  // Guards against RECOVER: all requests of a caller were refused, whatever they held, after two crashes.
+  test.it("blames a caller alone only after three crashes", () => {
+    const { records } = addNode(new fakes.FakeFleet(), "a");
+    records.markBroad(SHARED);
+    records.recordCrash("u1@1", [SHARED, BYTES[0]]);
+    records.recordCrash("u2@1", [SHARED, BYTES[1]]);
+    earl.expect(isRefused(records, SHARED, BYTES[2])).toEqual(false);
+    records.recordCrash("u3@1", [SHARED, BYTES[2]]);
+    earl.expect(isRefused(records, SHARED, BYTES[0])).toEqual(true);
+  });
+
   // Guards against RECOVER: traits that all requests share explained one crash more than the cause did.
   test.it("blames a trait that was never answered before one that was", () => {
     const { records } = addNode(new fakes.FakeFleet(), "a");
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -35,6 +35,7 @@
     hasCrashed: () => false,
     hasSucceededLately: () => false,
     isSuspect: () => false,
+    markBroad: () => undefined,
     recordProgress: () => undefined,
     recordSuccess: () => undefined,
     isQuarantined: () => false,
