--- a/standins/users-platform/failing-runner.ts
+++ b/standins/users-platform/failing-runner.ts
@@ -38,6 +38,8 @@
   readonly failure: Failure;
   /** Fails one request in this many. */
   readonly every: number;
+  /** Returns the limit that each answer names, if it names one. */
+  readonly chooseLimit?: () => string | undefined;
 }
 
 /** A runner that listens on loopback and is listed in the registry. */
@@ -91,6 +93,8 @@
       response.end();
       return;
     }
+    const limit = this.#behaviour.chooseLimit?.();
+    if (limit !== undefined) response.setHeader("server-limit", limit);
     const failure = this.#chooseFailure();
     this.#recordArrival(request, failure !== FAILURE.reject);
     await this.#answer(failure, request, response);
