Keep to the limits that runners name, as one fleet

Answers state the limit of their runner; a change is announced to all VMs at once. For each service one VM, chosen by rendezvous, grants the sends to limited runners from a token bucket that begins empty; plain calls ask it, and the scheduler of a model service, which is the same VM, counts them as it places. The grants are scaled by the part of the known VMs that the granting VM sees, so the sides of a partition add up to one limit; a VM that cannot reach it keeps to its part of half the limit. An answer to a request that was sent before the last change was learned changes nothing. A call that no runner may be sent is refused at once, not run, with the time to the next send; no budget, backoff or blame is involved.

--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -19,6 +19,7 @@
 import * as runHolds from "../request/run-holds.js";
 import * as traitRecords from "../request/trait-records.js";
 import * as runnerCalls from "../runners/runner-calls.js";
+import * as runnerLimits from "../runners/runner-limits.js";
 import * as runnerTable from "../runners/runner-table.js";
 import * as connectionStarts from "../runners/connection-starts.js";
 import * as versionHistory from "../runners/version-history.js";
@@ -76,6 +77,7 @@
       ),
   );
   kernel.register("registrySync", registrySync.createRegistrySync);
+  kernel.register("runnerLimits", createRunnerLimits);
   kernel.register("runnerCalls", createRunnerCalls);
   kernel.register("retryBudgets", createRetryBudgets);
   kernel.register("placement", createPlacement);
@@ -135,6 +137,20 @@
     codec: runnerCodec,
     tracer: kernel.use("tracer"),
     countVms: () => kernel.use("fleetSize").countKnown(),
+    onLimit: (runner, limit, sentAt) => {
+      kernel.use("runnerLimits").recordAnswer(runner, limit, sentAt);
+    },
+  });
+}
+
+function createRunnerLimits(kernel: container.Kernel): runnerLimits.RunnerLimits {
+  return new runnerLimits.RunnerLimits({
+    clock: kernel.use("clock"),
+    log: kernel.use("log"),
+    metrics: kernel.use("metrics"),
+    network: kernel.use("network"),
+    membership: kernel.use("membership"),
+    fleetSize: kernel.use("fleetSize"),
   });
 }
 
@@ -163,6 +179,7 @@
   const clock = kernel.use("clock");
   const runners = kernel.use("runners");
   const routing = kernel.use("routing");
+  const limits = kernel.use("runnerLimits");
   const placement = new placementService.PlacementService({
     clock,
     log: kernel.use("log"),
@@ -176,6 +193,12 @@
         log: kernel.use("log"),
         listCandidates: () => runners.listUsable(service),
         listDraining: () => runners.listDraining(service),
+        limits: {
+          computeWait: (runner) => limits.computeWait(service, runner),
+          take: (runner) => {
+            limits.take(service, runner);
+          },
+        },
         findEngine: () => routing.current?.findService(service)?.engine,
       }),
   });
@@ -281,6 +304,7 @@
     runners: kernel.use("runners"),
     calls: kernel.use("runnerCalls"),
     codec: kernel.use("adapter").runnerCodec,
+    limits: kernel.use("runnerLimits"),
     budgets: kernel.use("retryBudgets"),
     crashDetector: kernel.use("crashDetector"),
   });
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -138,6 +138,7 @@
   /** Whether the response has a signature header; the signature is not verified. */
   readonly signed: boolean;
   readonly load: runners.ReportedLoad | undefined;
+  readonly limit: runners.ReportedLimit;
   /** Headers to forward to the caller. */
   readonly headers: HeaderList;
 }
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -16,6 +16,7 @@
 import type * as runHolds from "../request/run-holds.js";
 import type * as crashRecordSync from "../request/crash-record-sync.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
+import type * as runnerLimits from "../runners/runner-limits.js";
 import type * as runnerTable from "../runners/runner-table.js";
 import type * as streamVersions from "../streams/stream-versions.js";
 import type * as crashDetector from "../serving/crash-detector.js";
@@ -60,6 +61,7 @@
   runners: runnerTable.RunnerTable;
   registrySync: registrySync.RegistrySync;
   runnerCalls: runnerCalls.RunnerCalls;
+  runnerLimits: runnerLimits.RunnerLimits;
   retryBudgets: retryBudgets.RetryBudgets;
   placement: placementService.PlacementService;
   engineReportPoller: engineReportPoller.EngineReportPoller;
--- a/src/placement/pool-placer.ts
+++ b/src/placement/pool-placer.ts
@@ -22,6 +22,13 @@
   readonly inBackoff: boolean;
 }
 
+/** Grants sends to runners that named a limit. */
+export interface LimitGate {
+  /** Returns the time in milliseconds until a runner may be sent a request, 0 if it may now. */
+  computeWait(runner: runners.Runner): number;
+  take(runner: runners.Runner): void;
+}
+
 /** Dependencies of the placer. */
 export interface PoolPlacerOptions {
   readonly clock: clocks.Clock;
@@ -29,6 +36,8 @@
   readonly listCandidates: () => readonly Candidate[];
   /** Returns the runners of the service that leave and may still be sent requests for some time. */
   readonly listDraining?: () => readonly Candidate[];
+  /** Limits that runners named; without it there are none. */
+  readonly limits?: LimitGate;
   /** Returns the engine's properties from the current configuration. */
   readonly findEngine: () => routing.EngineSpec | undefined;
 }
@@ -125,6 +134,8 @@
     const decodeLimits = this.#computeLimits(limits);
     const id = runnerChoice.chooseDecodeRunner(usable, this.loads, run, decodeLimits, now);
     if (id === undefined) return undefined;
+    for (const one of usable)
+      if (one.id === id || one.id === prefillRunner) this.#options.limits?.take(one);
     const load = this.loads.getOrCreateDecode(id);
     const { runCount, msPerToken } = load;
     const peakTokens = load.computePeakTokens(run, now);
@@ -187,7 +198,23 @@
     return [...serving, ...draining.filter((one) => isDecodeRunner(one) && isOfVersion(one))];
   }
 
-  /** Returns the runners that are not switching; those in backoff only if there are no others. */
+  /** Returns the time until a runner that reached its limit may be sent a request; `undefined` if there is none. */
+  computeTimeToNextSend(): number | undefined {
+    const waits = this.#options
+      .listCandidates()
+      .map(({ runner }) => this.#computeLimitWait(runner))
+      .filter((waitMs) => waitMs > 0);
+    return waits.length === 0 ? undefined : Math.ceil(Math.min(...waits));
+  }
+
+  #computeLimitWait(runner: runners.Runner): number {
+    return this.#options.limits?.computeWait(runner) ?? 0;
+  }
+
+  /**
+   * Returns the runners that are not switching and have not reached their limits; those in backoff only if there are no
+   * others.
+   */
   #listUsable(request: types.PlacementRequest): readonly runners.Runner[] {
     const listed = this.#listServing(request.softwareVersion).filter(
       ({ runner }) => !request.excluded.includes(runner.id),
@@ -196,7 +223,9 @@
     const healthy = notSwitching.filter(
       ({ runner, inBackoff }) => !inBackoff && !this.backoff.has(runner.id),
     );
-    return (healthy.length > 0 ? healthy : notSwitching).map((candidate) => candidate.runner);
+    return (healthy.length > 0 ? healthy : notSwitching)
+      .map((candidate) => candidate.runner)
+      .filter((runner) => this.#computeLimitWait(runner) === 0);
   }
 }
 
--- a/src/placement/pool-scheduler.ts
+++ b/src/placement/pool-scheduler.ts
@@ -273,9 +273,10 @@
   #scheduleUpdate(): void {
     this.#cancelTimer?.();
     this.#cancelTimer = undefined;
-    const waitMs = this.#queue.computeTimeToNextChange();
-    if (waitMs === undefined) return;
-    this.#cancelTimer = this.#options.clock.schedule(waitMs, () => {
+    const changeMs = this.#queue.computeTimeToNextChange();
+    if (changeMs === undefined) return;
+    const sendMs = this.#placer.computeTimeToNextSend() ?? changeMs;
+    this.#cancelTimer = this.#options.clock.schedule(Math.min(changeMs, sendMs), () => {
       this.update();
     });
   }
--- a/src/runners/runner-calls.ts
+++ b/src/runners/runner-calls.ts
@@ -35,6 +35,8 @@
   readonly tracer: telemetry.Tracer;
   /** Returns how many VMs share the runners' connection limits. */
   readonly countVms: () => number;
+  /** Called with the limit that each answer of a runner to a caller's request states. */
+  readonly onLimit?: (runner: types.Runner, limit: types.ReportedLimit, sentAt: number) => void;
 }
 
 /** A caller's request to be sent to one runner. */
@@ -136,9 +138,12 @@
       signal: call.signal,
       onConnection,
     };
+    const sentAt = clock.now();
     const response = await httpCall.sendCall(clock, httpRequest);
     watchForReset(response);
     const responseHead = codec.parseResponse(response);
+    // Another process answers with 421.
+    if (!responseHead.misdirected) this.#options.onLimit?.(runner, responseHead.limit, sentAt);
     const isMismatched = responseHead.callId !== undefined && responseHead.callId !== head.id;
     if (!isMismatched) return { head: responseHead, response };
     response.destroy();
--- /dev/null
+++ b/src/runners/runner-limits.ts
@@ -0,0 +1,264 @@
+/**
+ * Limits on the requests that runners take from all VMs together. Each service has one VM, its holder, that grants the sends
+ * to its limited runners; the scheduler of a model service is the same VM. A VM that cannot reach the holder sends within a
+ * small share of its own.
+ */
+import * as lru from "lru-cache";
+import * as zod from "zod";
+import type * as clocks from "../kernel/clock.js";
+import type * as fleetSizes from "../membership/fleet-size.js";
+import * as rendezvous from "../membership/rendezvous.js";
+import type * as membership from "../membership/types.js";
+import * as network from "../protocol/network.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
+import type * as types from "./types.js";
+
+/** Limit on the starts of runners whose limits are kept. */
+const MAX_STARTS = 2_000;
+/** Lowest rate in requests per second; a runner that gets no request cannot say that its need is over. */
+const MIN_RATE = 0.2;
+/** Time for which unused sends are kept, in addition to one send. */
+const BURST_S = 0.5;
+/** Part of a limit that all VMs which cannot reach the holder use together. */
+const FALLBACK_SHARE = 0.5;
+const GRANT_TIMEOUT_MS = 150;
+const ANNOUNCE_TIMEOUT_MS = 500;
+/** Time for which a holder that did not answer is not asked again. */
+const HOLDER_BACKOFF_MS = 500;
+const MS_PER_S = 1_000;
+
+const statementSchema = zod.object({
+  /** Start of a runner, as `id@bornAt`. */
+  start: zod.string().min(1).max(240),
+  /** Requests per second; absent when the runner names no limit any more. */
+  perSecond: zod.number().min(0).optional(),
+  /** Time since the request was sent whose answer stated it. */
+  ageMs: zod.number().min(0),
+});
+
+type Statement = zod.infer<typeof statementSchema>;
+
+const ANNOUNCE = network.createPeerCall(82, "announce-limit", statementSchema, zod.object({}));
+
+const TAKE = network.createPeerCall(
+  83,
+  "take-send",
+  statementSchema.extend({ service: zod.string().max(200) }),
+  zod.object({
+    /** 0 when the send is granted; otherwise the time until the next one. */
+    waitMs: zod.number().min(0),
+  }),
+);
+
+/** What a runner last stated. */
+interface StatedLimit {
+  readonly perSecond: number | undefined;
+  /** Monotonic time at which the request was sent whose answer stated it. */
+  readonly statedAt: number;
+  /** Monotonic time at which this VM learned of it. */
+  readonly learnedAt: number;
+}
+
+/** Sends that may be made now, as a token bucket. */
+interface Bucket {
+  tokens: number;
+  refilledAt: number;
+}
+
+/** Services that `RunnerLimits` uses. */
+export interface RunnerLimitsOptions {
+  readonly clock: clocks.Clock;
+  readonly log: telemetry.EventLog;
+  readonly metrics: telemetry.Metrics;
+  readonly network: network.PeerNetwork;
+  readonly membership: membership.Membership;
+  readonly fleetSize: Pick<fleetSizes.FleetSize, "countKnown">;
+}
+
+/** Learns the limits that runners name, shares them with the other VMs, and grants sends within them. */
+export class RunnerLimits {
+  readonly #options: RunnerLimitsOptions;
+  readonly #stated = new lru.LRUCache<string, StatedLimit>({ max: MAX_STARTS });
+  readonly #buckets = new lru.LRUCache<string, Bucket>({ max: MAX_STARTS });
+  /** Monotonic time until which the holder refused a send. */
+  readonly #refusedUntil = new lru.LRUCache<string, number>({ max: MAX_STARTS });
+  readonly #unreadable = new lru.LRUCache<string, string>({ max: MAX_STARTS });
+  #holderFailedUntil = -Infinity;
+
+  constructor(options: RunnerLimitsOptions) {
+    this.#options = options;
+    options.network.onCall(ANNOUNCE, (statement, from) => {
+      this.#merge(statement, from.vm);
+      return {};
+    });
+    options.network.onCall(TAKE, ({ service: _service, ...statement }, from) => {
+      this.#merge(statement, from.vm);
+      return { waitMs: this.#take(statement.start, this.#computeHolderShare()) };
+    });
+  }
+
+  /** Records what an answer says of the limit of its runner, for a request that was sent at `sentAt`. */
+  recordAnswer(runner: types.Runner, limit: types.ReportedLimit, sentAt: number): void {
+    const start = formatStart(runner);
+    if (limit.kind === "unreadable") {
+      this.#recordUnreadable(start, limit.text);
+      return;
+    }
+    const perSecond = limit.kind === "named" ? limit.perSecond : undefined;
+    const known = this.#stated.get(start);
+    // The answer may be older than the one that stated what is known.
+    if (known?.perSecond === perSecond || sentAt < (known?.learnedAt ?? -Infinity)) return;
+    this.#set(start, { perSecond, statedAt: sentAt, learnedAt: this.#options.clock.now() });
+    this.#logChange(start, known?.perSecond, perSecond, this.#options.membership.self.vm);
+    this.#announce(start);
+  }
+
+  /**
+   * Takes a send to a runner from its limit.
+   *
+   * @returns 0 if the call may be sent, otherwise the time in milliseconds until one may be.
+   */
+  async acquire(service: string, runner: types.Runner, signal: AbortSignal): Promise<number> {
+    const start = formatStart(runner);
+    if (this.#stated.get(start)?.perSecond === undefined) return 0;
+    const refusedForMs = (this.#refusedUntil.get(start) ?? -Infinity) - this.#options.clock.now();
+    if (refusedForMs > 0) return refusedForMs;
+    const waitMs = await this.#takeFromHolder(service, start, signal);
+    if (waitMs > 0) this.#refusedUntil.set(start, this.#options.clock.now() + waitMs);
+    return waitMs;
+  }
+
+  /** Returns the time until this VM may grant a send to a runner by itself, 0 if it may do so now. */
+  computeWait(service: string, runner: types.Runner): number {
+    return this.#computeWait(formatStart(runner), this.#computeOwnShare(service));
+  }
+
+  /** Takes a send to a runner that this VM grants by itself. */
+  take(service: string, runner: types.Runner): void {
+    this.#take(formatStart(runner), this.#computeOwnShare(service));
+  }
+
+  async #takeFromHolder(service: string, start: string, signal: AbortSignal): Promise<number> {
+    const { clock, network: peers } = this.#options;
+    const holder = this.#findHolder(service);
+    const isAsked = !this.#isOwn(holder) && clock.now() >= this.#holderFailedUntil;
+    if (!isAsked) return this.#take(start, this.#computeOwnShare(service));
+    try {
+      const request = { ...this.#formatStatement(start), service };
+      const options = { timeoutMs: GRANT_TIMEOUT_MS, signal };
+      return (await peers.call(holder, TAKE, request, options)).waitMs;
+    } catch (error) {
+      signal.throwIfAborted();
+      this.#holderFailedUntil = clock.now() + HOLDER_BACKOFF_MS;
+      const fields = { runner: start, holder, error: String(error) };
+      this.#options.log.write(logEvents.LOG_EVENTS.limitHolderUnreachable, fields);
+      return this.#take(start, this.#computeFallbackShare());
+    }
+  }
+
+  #findHolder(service: string): string {
+    const { membership: fleet } = this.#options;
+    const alive = fleet.listAlive().map(({ vm }) => vm);
+    return rendezvous.chooseByRendezvous(service, alive, 1)[0] ?? fleet.self.vm;
+  }
+
+  #isOwn(vm: string): boolean {
+    return vm === this.#options.membership.self.vm;
+  }
+
+  #computeOwnShare(service: string): number {
+    return this.#isOwn(this.#findHolder(service))
+      ? this.#computeHolderShare()
+      : this.#computeFallbackShare();
+  }
+
+  /** The part of the known VMs that this VM sees alive: each side of a partition has a holder of its own. */
+  #computeHolderShare(): number {
+    const { membership: fleet, fleetSize } = this.#options;
+    return Math.min(1, fleet.listAlive().length / Math.max(1, fleetSize.countKnown()));
+  }
+
+  #computeFallbackShare(): number {
+    return FALLBACK_SHARE / Math.max(1, this.#options.fleetSize.countKnown());
+  }
+
+  #computeWait(start: string, share: number): number {
+    const perSecond = this.#stated.get(start)?.perSecond;
+    if (perSecond === undefined) return 0;
+    const rate = Math.max(MIN_RATE, perSecond) * share;
+    const missing = 1 - this.#refill(start, perSecond, rate).tokens;
+    return missing <= 0 ? 0 : (missing / rate) * MS_PER_S;
+  }
+
+  #take(start: string, share: number): number {
+    const waitMs = this.#computeWait(start, share);
+    const bucket = this.#buckets.get(start);
+    if (waitMs === 0 && bucket !== undefined) bucket.tokens -= 1;
+    return waitMs;
+  }
+
+  /** Adds the sends that became due; a bucket begins empty, since it is not known what was sent before. */
+  #refill(start: string, perSecond: number, rate: number): Bucket {
+    const now = this.#options.clock.now();
+    const bucket = this.#buckets.get(start) ?? { tokens: 0, refilledAt: now };
+    const added = (rate * (now - bucket.refilledAt)) / MS_PER_S;
+    bucket.tokens = Math.min(1 + BURST_S * perSecond, bucket.tokens + added);
+    bucket.refilledAt = now;
+    this.#buckets.set(start, bucket);
+    return bucket;
+  }
+
+  #set(start: string, limit: StatedLimit): void {
+    this.#stated.set(start, limit);
+    this.#refusedUntil.delete(start);
+    if (limit.perSecond === undefined) this.#buckets.delete(start);
+  }
+
+  #merge({ start, perSecond, ageMs }: Statement, from: string): void {
+    const now = this.#options.clock.now();
+    const statedAt = now - ageMs;
+    const known = this.#stated.get(start);
+    if (known?.perSecond === perSecond || statedAt <= (known?.statedAt ?? -Infinity)) return;
+    this.#set(start, { perSecond, statedAt, learnedAt: now });
+    this.#logChange(start, known?.perSecond, perSecond, from);
+  }
+
+  #announce(start: string): void {
+    const { network: peers, membership: fleet } = this.#options;
+    for (const { vm } of fleet.listAlive()) {
+      if (this.#isOwn(vm)) continue;
+      peers
+        .call(vm, ANNOUNCE, this.#formatStatement(start), { timeoutMs: ANNOUNCE_TIMEOUT_MS })
+        // A VM that missed it learns of the limit from its own answers.
+        .catch(() => undefined);
+    }
+  }
+
+  #formatStatement(start: string): Statement {
+    const { perSecond, statedAt } = this.#stated.get(start) ?? {};
+    const ageMs = Math.max(0, this.#options.clock.now() - (statedAt ?? -Infinity));
+    return { start, perSecond, ageMs };
+  }
+
+  #logChange(
+    runner: string,
+    before: number | undefined,
+    limit: number | undefined,
+    from: string,
+  ): void {
+    const { log, metrics } = this.#options;
+    log.write(logEvents.LOG_EVENTS.runnerLimitChanged, { runner, before, limit, from });
+    metrics.set("runner_limit", limit ?? -1, { runner });
+  }
+
+  #recordUnreadable(runner: string, value: string): void {
+    if (this.#unreadable.get(runner) === value) return;
+    this.#unreadable.set(runner, value);
+    this.#options.log.write(logEvents.LOG_EVENTS.runnerLimitUnreadable, { runner, value });
+  }
+}
+
+function formatStart({ id, bornAt }: types.Runner): string {
+  return `${id}@${bornAt}`;
+}
--- a/src/runners/types.ts
+++ b/src/runners/types.ts
@@ -34,6 +34,13 @@
   readonly version: number;
 }
 
+/** What an answer says of the limit on the requests that its runner takes from all VMs together. */
+export type ReportedLimit =
+  /** Requests per second. */
+  | { readonly kind: "named"; readonly perSecond: number }
+  | { readonly kind: "none" }
+  | { readonly kind: "unreadable"; readonly text: string };
+
 /** Load that a runner reports in a response. */
 export interface ReportedLoad {
   readonly running: number;
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -9,6 +9,7 @@
 import * as sendAccount from "../request/send-account.js";
 import * as routing from "../routing/types.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
+import type * as runnerLimits from "../runners/runner-limits.js";
 import type * as runnerRecord from "../runners/runner-record.js";
 import type * as runnerTable from "../runners/runner-table.js";
 import * as logEvents from "../telemetry/log-events.js";
@@ -51,6 +52,7 @@
   readonly runners: runnerTable.RunnerTable;
   readonly calls: runnerCalls.RunnerCalls;
   readonly codec: gateway.RunnerCodec;
+  readonly limits: Pick<runnerLimits.RunnerLimits, "acquire">;
   readonly budgets: retryBudgets.RetryBudgets;
   readonly crashDetector: crashDetector.CrashDetector;
 }
@@ -61,6 +63,8 @@
   readonly body: Buffer;
 }
 
+const LIMIT_TEXT = "all runners have reached the limits that they named";
+
 /** Result of one attempt. */
 type AttemptResult =
   | { readonly kind: "answered"; readonly answer: BufferedResponse }
@@ -92,11 +96,11 @@
     const { maxAttempts } = call.route;
     while (account.arrivalCount < maxAttempts && triedIds.size < maxAttempts + MAX_UNSENT_TRIES) {
       if (lastResult !== undefined && !this.#canRetry(call, lastResult, account)) break;
+      const record = await this.#takeRunner(call, triedIds, hasNotRun(bestResult));
+      if (record === undefined) break;
       const refusal = await this.#options.crashDetector.waitUntilAllowed(call);
       if (refusal !== undefined && hasNotRun(bestResult)) throw refusal;
       if (refusal !== undefined) break;
-      const record = this.#chooseRunner(call, triedIds);
-      if (record === undefined) break;
       triedIds.add(record.runner.id);
       if (lastResult !== undefined) this.#recordRetry(call, record, lastResult);
       lastResult = await this.#callRunner(call, record, account);
@@ -107,6 +111,31 @@
     this.#sendResult(call, bestResult);
   }
 
+  /**
+   * Chooses a runner and takes a send from its limit, if it named one.
+   *
+   * @throws RequestError when all runners have reached their limits and the call has not run.
+   */
+  async #takeRunner(
+    call: types.ServedCall,
+    triedIds: ReadonlySet<string>,
+    isNotRun: boolean,
+  ): Promise<runnerRecord.RunnerRecord | undefined> {
+    const { limits, metrics } = this.#options;
+    const service = call.service.name;
+    const waits = new Map<string, number>();
+    for (;;) {
+      const record = this.#chooseRunner(call, new Set([...triedIds, ...waits.keys()]));
+      if (record === undefined) break;
+      const waitMs = await limits.acquire(service, record.runner, call.signal);
+      if (waitMs === 0) return record;
+      waits.set(record.runner.id, waitMs);
+    }
+    if (waits.size === 0 || !isNotRun) return undefined;
+    metrics.count("limit_refusals", { service });
+    throw answers.createRefusal(Math.min(...waits.values()), LIMIT_TEXT);
+  }
+
   #chooseRunner(
     call: types.ServedCall,
     triedIds: ReadonlySet<string>,
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -74,5 +74,12 @@
     level: "info",
     message: "runner reports a stage that differs from the registry",
   },
+  runnerLimitChanged: { number: 6007, level: "info", message: "limit of runner changed" },
+  runnerLimitUnreadable: { number: 6008, level: "warn", message: "limit of runner not valid" },
+  limitHolderUnreachable: {
+    number: 6009,
+    level: "warn",
+    message: "VM that grants sends to limited runners unreachable",
+  },
   orderSent: { number: 6002, level: "info", message: "order sent to runner" },
 } as const satisfies Record<string, LogEvent>;
