--- a/src/runners/runner-limits.ts
+++ b/src/runners/runner-limits.ts
@@ -20,7 +20,10 @@
 const MIN_RATE = 0.2;
 /** Time for which unused sends are kept, in addition to one send. */
 const BURST_S = 0.5;
-/** Part of a limit that all VMs which cannot reach the holder use together. */
+/**
+ * Part of a limit that all VMs which cannot reach the holder use together, and that a VM uses which knows no other, since
+ * there may be others that do not know it.
+ */
 const FALLBACK_SHARE = 0.5;
 const GRANT_TIMEOUT_MS = 150;
 const ANNOUNCE_TIMEOUT_MS = 500;
@@ -176,7 +179,9 @@
   /** The part of the known VMs that this VM sees alive: each side of a partition has a holder of its own. */
   #computeHolderShare(): number {
     const { membership: fleet, fleetSize } = this.#options;
-    return Math.min(1, fleet.listAlive().length / Math.max(1, fleetSize.countKnown()));
+    const aliveCount = fleet.listAlive().length;
+    const largestShare = aliveCount > 1 ? 1 : FALLBACK_SHARE;
+    return Math.min(largestShare, aliveCount / Math.max(1, fleetSize.countKnown()));
   }
 
   #computeFallbackShare(): number {
--- a/test/platform/formats.test.ts
+++ b/test/platform/formats.test.ts
@@ -57,6 +57,26 @@
   });
 });
 
+test.describe("limit of a runner", () => {
+  function parseLimit(value?: string): unknown {
+    const headers = value === undefined ? {} : { "server-limit": value };
+    const response: unknown = { statusCode: 200, headers, rawHeaders: [] };
+    return runnerCodec.RUNNER_CODEC.parseResponse(response as http.IncomingMessage).limit;
+  }
+
+  test.it("is a decimal number, and absent without the header", () => {
+    earl.expect(parseLimit()).toEqual({ kind: "none" });
+    earl.expect(parseLimit(" 5.9")).toEqual({ kind: "named", perSecond: 5.9 });
+    earl.expect(parseLimit("0")).toEqual({ kind: "named", perSecond: 0 });
+    earl.expect(parseLimit("9".repeat(400))).toEqual({ kind: "named", perSecond: 1_000_000 });
+  });
+
+  test.it("is not readable as any other text", () => {
+    for (const text of ["", "-1", "4, 5", "1e3", "NaN", "Infinity", "four"])
+      earl.expect(parseLimit(text)).toEqual({ kind: "unreadable", text });
+  });
+});
+
 test.describe("runner entry", () => {
   const entry = examples.createRunnerEntry("127.0.0.1:80", { state: "draining", born: 5 });
 
