--- a/standins/retry-budget-check.ts
+++ b/standins/retry-budget-check.ts
@@ -18,6 +18,8 @@
   readonly call: string;
   readonly service: string;
   readonly at: number;
+  /** Name of the gateway that got it. */
+  readonly gateway?: string;
 }
 
 /** Limits of the retry budget of a service. */
--- a/standins/soak/callers.ts
+++ b/standins/soak/callers.ts
@@ -72,7 +72,8 @@
     abortedAt: undefined,
   };
   const service = kind === CALL_KIND.notes ? "model" : "plain";
-  gateway.sentCalls.push({ call: record.id, service, at: record.startedAt });
+  const { name, sentCalls } = gateway;
+  sentCalls.push({ call: record.id, service, at: record.startedAt, gateway: name });
   return new Promise((resolve) => {
     const request = http.request({
       host: "127.0.0.1",
--- a/standins/soak/child-main.ts
+++ b/standins/soak/child-main.ts
@@ -24,14 +24,20 @@
 };
 
 let failure: failing.Failure = failing.FAILURE.none;
+let limit: number | null = null;
 
-/** Follows the commands of the soak to fail requests. */
+/** Follows the commands of the soak to fail requests and to name a limit. */
 function receiveCommands(): void {
   process.on("message", (command: children.RunnerCommand) => {
-    ({ failure } = command);
+    ({ failure = failure, limit = limit } = command);
   });
 }
 
+/** Returns the headers that all answers of a runner have. */
+function createCommonHeaders(): Record<string, string> {
+  return limit === null ? {} : { "server-limit": String(limit) };
+}
+
 function sendArrival(call: string, isPrefill: boolean, hasRun: boolean): void {
   sendEvent({ kind: "arrived", call, isPrefill, hasRun });
 }
@@ -58,6 +64,7 @@
   const engine = new engines.EngineStandIn(stage, STATELESS_HANDLES, {
     ...behaviour,
     chooseFailure: () => failure,
+    createCommonHeaders,
     onArrived: sendArrival,
     onRan: (call) => {
       sendEvent({ kind: "ran", call });
@@ -105,6 +112,7 @@
     receiveCommands();
     return plainRunner.startPlainRunner(id, seed, {
       chooseFailure: () => failure,
+      createCommonHeaders,
       onArrived: (call, hasRun) => {
         sendArrival(call, false, hasRun);
       },
--- a/standins/soak/children.ts
+++ b/standins/soak/children.ts
@@ -30,7 +30,9 @@
 
 /** Message to a runner: what to do with the requests that arrive from now on. */
 export interface RunnerCommand {
-  readonly failure: failing.Failure;
+  readonly failure?: failing.Failure;
+  /** Limit that answers name from now on; `null` for none. */
+  readonly limit?: number | null;
 }
 
 /** Message to the store. */
--- a/standins/soak/main.ts
+++ b/standins/soak/main.ts
@@ -51,6 +51,10 @@
       long: "without-versions",
       description: "without runners of several software versions and callers that resume streams",
     }),
+    withoutLimits: cmd.flag({
+      long: "without-limits",
+      description: "without runners that name a limit on their requests",
+    }),
     gateways: cmd.option({
       long: "gateways",
       type: cmd.number,
@@ -72,6 +76,7 @@
     withoutCrashingPart,
     withoutFailingRunners,
     withoutVersions,
+    withoutLimits,
     gateways,
   }) => {
     const options = {
@@ -80,6 +85,7 @@
       hasCrashingPart: !withoutCrashingPart,
       hasFailingRunners: !withoutFailingRunners,
       hasVersions: !withoutVersions,
+      hasLimits: !withoutLimits,
       size: { gateways },
       logDirectory: logs,
     };
--- a/standins/soak/plain-runner.ts
+++ b/standins/soak/plain-runner.ts
@@ -28,6 +28,8 @@
 export interface CallObserver {
   /** Returns what to do with the next call. */
   readonly chooseFailure: () => failing.Failure;
+  /** Returns headers that all answers have. */
+  readonly createCommonHeaders: () => Record<string, string>;
   /** A call arrives; tells whether it runs. */
   readonly onArrived: (call: string, hasRun: boolean) => void;
   /** A call starts to run. */
@@ -46,6 +48,7 @@
 ): Promise<string> {
   const source = random.createSeededRandom(seed);
   const server = http.createServer((request, response) => {
+    response.setHeaders(new Map(Object.entries(observer.createCommonHeaders())));
     let body = "";
     request.on("data", (chunk: Buffer) => {
       body += chunk.toString("latin1");
--- a/standins/soak/soak.ts
+++ b/standins/soak/soak.ts
@@ -10,6 +10,7 @@
 import * as faults from "./faults.js";
 import * as guaranteeChecks from "./guarantee-checks.js";
 import * as resumingCaller from "./resuming-caller.js";
+import * as runnerLimits from "./runner-limits.js";
 import * as runLog from "./run-log.js";
 import * as soakCluster from "./soak-cluster.js";
 
@@ -76,6 +77,8 @@
   readonly hasFailingRunners?: boolean;
   /** Whether runners are of several software versions, and callers resume streams at any gateway. */
   readonly hasVersions?: boolean;
+  /** Whether the runners of a role name a limit for a time. */
+  readonly hasLimits?: boolean;
   /** Directory for the logs of a run that violates a guarantee; they are not kept without it. */
   readonly logDirectory?: string | undefined;
   /** Sizes that differ from `CLUSTER_SIZE`. */
@@ -107,12 +110,15 @@
     options.hasCrashingPart === true
       ? new crashingCallers.CrashingCaller(cluster, part, seed)
       : undefined;
+  const limits =
+    options.hasLimits === true ? new runnerLimits.LimitingRunners(cluster, seed) : undefined;
   const resumingCount = hasVersions ? RESUMING_CALLERS : 0;
   const faultPhaseStreams = new resumingCaller.ResumingCaller(cluster, resumingCount, seed);
   const timeline = await faults.runPlan(cluster, plan);
   await faultPhaseCallers.stop();
   await faultPhaseStreams.stop();
   await crashingCaller?.stop();
+  await limits?.stop();
   await sleep(RECOVERY_MS);
   const recoveryPhaseCallers = new callers.Callers(cluster, CALLER_COUNT, seed);
   const calmStreams = new resumingCaller.ResumingCaller(cluster, resumingCount, seed);
@@ -127,6 +133,7 @@
   violations.push(...guaranteeChecks.listViolations({ records, runs: cluster.runs }));
   for (const caller of [crashingCaller, partCaller])
     violations.push(...(caller?.listViolations() ?? []));
+  violations.push(...(limits?.listViolations() ?? []));
   violations.push(...guaranteeChecks.listBudgetViolations(cluster));
   for (const streams of [faultPhaseStreams, calmStreams])
     violations.push(...streams.listOrderViolations());
--- a/standins/users-platform/engine.ts
+++ b/standins/users-platform/engine.ts
@@ -41,6 +41,8 @@
   readonly refusals?: number;
   /** Returns what to do with the next request; by default it is served. */
   readonly chooseFailure?: () => failing.Failure;
+  /** Returns headers that all answers have. */
+  readonly createCommonHeaders?: () => Record<string, string>;
   /** Called when a request or a prefill arrives, with whether it runs. */
   readonly onArrived?: (call: string, isPrefill: boolean, hasRun: boolean) => void;
   /** Called when a request or a prefill with the crashing part arrives. */
@@ -67,6 +69,8 @@
   readonly #behaviour: EngineBehaviour;
   readonly #server = http.createServer((request, response) => {
     request.resume();
+    const headers = this.#behaviour.createCommonHeaders?.() ?? {};
+    response.setHeaders(new Map(Object.entries(headers)));
     request.once("end", () => {
       void this.#handle(request, response);
     });
