Join what peers know of crashes when they are back

Crashes that are no verdict on either side were joined by no path.

A node pulls from the first peers that come back, at once, and dead members are tried every 1.5 s (0.75 to 2.25 s with jitter).

--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -23,8 +23,8 @@
 const INDIRECT_PROBE_COUNT = 2;
 /** Time a suspect has to refute the suspicion before it is marked as dead. */
 export const SUSPICION_TIMEOUT_MS = 3000;
-/** Time between two attempts to reach one of the dead members, before jitter. */
-const DEAD_MEMBER_SYNC_PERIOD_MS = 5000;
+/** Time between two attempts to reach one of the dead members, before jitter; a peer that is back is known within 3 s. */
+const DEAD_MEMBER_SYNC_PERIOD_MS = 1500;
 /** Shortest time from a full sync that a probe has caused to the next one due to differing views. */
 const MIN_SYNC_PERIOD_MS = 5000;
 const SYNC_TIMEOUT_MS = 1500;
--- a/src/request/crash-record-sync.ts
+++ b/src/request/crash-record-sync.ts
@@ -7,7 +7,7 @@
 import * as clocks from "../kernel/clock.js";
 import type * as container from "../kernel/container.js";
 import * as randoms from "../kernel/random.js";
-import type * as membership from "../membership/types.js";
+import * as membership from "../membership/types.js";
 import * as network from "../protocol/network.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
@@ -23,6 +23,8 @@
 const CALL_TIMEOUT_MS = 500;
 /** Number of peers, those that run longest, from which a starting node pulls. */
 const START_PEERS = 3;
+/** Number of peers that are back from which a node pulls within `MIN_PULL_INTERVAL_MS`; the others have the same records. */
+const RETURNED_PEERS = 3;
 /** Time after which a starting node gives up on peers that do not answer. */
 const START_LIMIT_MS = 2_000;
 const START_RETRY_MS = 100;
@@ -73,6 +75,8 @@
   #isPulling = false;
   #nextPullAt = 0;
   #pullIntervalMs = MIN_PULL_INTERVAL_MS;
+  /** Pulls from peers that came back, and the end of the time in which they are counted. */
+  readonly #returnPulls = { count: 0, until: 0 };
 
   constructor(kernel: container.Kernel) {
     this.#clock = kernel.use("clock");
@@ -99,6 +103,10 @@
         if (digestSchema.parse(payload) !== this.#crashes.digest) void this.#pullIfDue(from.vm);
       },
     });
+    this.#membership.onChange(({ vm, state }) => {
+      const isBack = state === membership.MEMBER_STATE.alive && vm !== this.#membership.self.vm;
+      if (isBack) this.#handleReturn(vm);
+    });
     this.#crashes.onChange((fingerprint) => {
       this.#pullIntervalMs = MIN_PULL_INTERVAL_MS;
       this.#changed.fingerprints.add(fingerprint);
@@ -163,6 +171,18 @@
     this.#nextPullAt = this.#clock.now() + this.#pullIntervalMs;
   }
 
+  /** Pulls from a peer that was away: digests show only verdicts, and what it knows may make one together with the own records. */
+  #handleReturn(vm: string): void {
+    const now = this.#clock.now();
+    const pulls = this.#returnPulls;
+    if (now >= pulls.until) Object.assign(pulls, { count: 0, until: now + MIN_PULL_INTERVAL_MS });
+    this.#nextPullAt = 0;
+    this.#pullIntervalMs = MIN_PULL_INTERVAL_MS;
+    if (pulls.count >= RETURNED_PEERS) return;
+    pulls.count += 1;
+    void this.#pull(vm);
+  }
+
   /** Pulls a peer's records; returns `undefined` when it does not answer. */
   async #pull(vm: string): Promise<{ readonly isSynced: boolean } | undefined> {
     try {
--- a/test/request/trait-records.test.ts
+++ b/test/request/trait-records.test.ts
@@ -1,5 +1,6 @@
 import * as test from "node:test";
 import * as earl from "earl";
+import * as membership from "../../src/membership/types.js";
 import * as crashRecordSync from "../../src/request/crash-record-sync.js";
 import * as traitRecords from "../../src/request/trait-records.js";
 import * as fakes from "./fake-fleet.js";
@@ -137,6 +138,20 @@
       .toEqual([true, false]);
   });
 
+  // Guards against BUDGET: what both sides of a partition knew was not joined afterwards.
+  test.it("joins crashes that are no verdict on either side when a peer is back", async () => {
+    const fleet = new fakes.FakeFleet();
+    const [first, second] = [addNode(fleet, "a"), addNode(fleet, "b")];
+    for (const link of ["a>b", "b>a"]) fleet.lostRequests.add(link);
+    first.records.recordCrash("u1@1", [DEAD, BYTES[0]]);
+    second.records.recordCrash("u2@1", [DEAD, BYTES[1]]);
+    await fleet.clock.advance(TRIAL_MS / 2);
+    fleet.lostRequests.clear();
+    fleet.setState("b", membership.MEMBER_STATE.alive);
+    await fleet.clock.advance(MESSAGE_MS);
+    earl.expect(isRefused(first.records, DEAD)).toEqual(true);
+  });
+
   // Guards against BUDGET: a VM that started knew nothing of the part.
   test.it("reaches the same verdict at a node that starts later", async () => {
     const fleet = new fakes.FakeFleet();
