--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -195,8 +195,8 @@
         listDraining: () => runners.listDraining(service),
         limits: {
           computeWait: (runner) => limits.computeWait(service, runner),
-          take: (runner) => {
-            limits.take(service, runner);
+          recordSend: (runner) => {
+            limits.recordSend(service, runner);
           },
         },
         findEngine: () => routing.current?.findService(service)?.engine,
--- a/src/placement/pool-placer.ts
+++ b/src/placement/pool-placer.ts
@@ -26,7 +26,7 @@
 export interface LimitGate {
   /** Returns the time in milliseconds until a runner may be sent a request, 0 if it may now. */
   computeWait(runner: runners.Runner): number;
-  take(runner: runners.Runner): void;
+  recordSend(runner: runners.Runner): void;
 }
 
 /** Dependencies of the placer. */
@@ -135,7 +135,7 @@
     const id = runnerChoice.chooseDecodeRunner(usable, this.loads, run, decodeLimits, now);
     if (id === undefined) return undefined;
     for (const one of usable)
-      if (one.id === id || one.id === prefillRunner) this.#options.limits?.take(one);
+      if (one.id === id || one.id === prefillRunner) this.#options.limits?.recordSend(one);
     const load = this.loads.getOrCreateDecode(id);
     const { runCount, msPerToken } = load;
     const peakTokens = load.computePeakTokens(run, now);
--- a/src/request/trait-records.ts
+++ b/src/request/trait-records.ts
@@ -124,7 +124,7 @@
   }
 
   hasSucceededLately(fingerprint: string): boolean {
-    return this.#wasAnswered(fingerprint) && this.#countCrashes(fingerprint) < MAJORITY_CRASHES;
+    return this.#hasBeenAnswered(fingerprint) && this.#countCrashes(fingerprint) < MAJORITY_CRASHES;
   }
 
   isSuspect(fingerprint: string): boolean {
@@ -235,7 +235,7 @@
     this.#listeners.push(listener);
   }
 
-  #wasAnswered(trait: string): boolean {
+  #hasBeenAnswered(trait: string): boolean {
     const clearedAt = this.#clearedAt.get(trait) ?? -Infinity;
     return this.#clock.now() - clearedAt < CLEARED_LIFETIME_MS;
   }
@@ -284,14 +284,14 @@
     const before = this.#verdicts;
     this.#verdicts = crashCauses.findCauses(sets, {
       isEnough: (starts, traits) => this.#isEnough(starts, traits),
-      wasAnswered: (trait) => this.#wasAnswered(trait),
+      wasAnswered: (trait) => this.#hasBeenAnswered(trait),
     });
-    this.#logVerdicts(events.LOG_EVENTS.quarantineLifted, before, this.#verdicts);
-    this.#logVerdicts(events.LOG_EVENTS.fingerprintQuarantined, this.#verdicts, before);
+    this.#writeVerdicts(events.LOG_EVENTS.quarantineLifted, before, this.#verdicts);
+    this.#writeVerdicts(events.LOG_EVENTS.fingerprintQuarantined, this.#verdicts, before);
   }
 
   /** Writes an entry for each verdict whose traits are those of none of the others. */
-  #logVerdicts(
+  #writeVerdicts(
     event: events.LogEvent,
     verdicts: readonly crashCauses.Verdict[],
     others: readonly crashCauses.Verdict[],
@@ -305,7 +305,9 @@
   }
 
   #isEnough(starts: ReadonlySet<string>, traits: readonly string[]): boolean {
-    const isSpecific = traits.some((trait) => !this.#wasAnswered(trait) && !this.#broad.has(trait));
+    const isSpecific = traits.some(
+      (trait) => !this.#hasBeenAnswered(trait) && !this.#broad.has(trait),
+    );
     if (starts.size !== MAJORITY_CRASHES || !isSpecific) return starts.size >= SUFFICIENT_CRASHES;
     // Later crashes do not count: they say nothing of the cause of the earlier ones.
     const lastAt = this.#findLastCrash(starts);
--- a/src/runners/runner-limits.ts
+++ b/src/runners/runner-limits.ts
@@ -97,7 +97,7 @@
     });
     options.network.onCall(TAKE, ({ service: _service, ...statement }, from) => {
       this.#merge(statement, from.vm);
-      return { waitMs: this.#take(statement.start, this.#computeHolderShare()) };
+      return { waitMs: this.#grantSend(statement.start, this.#computeHolderShare()) };
     });
   }
 
@@ -113,21 +113,21 @@
     // The answer may be older than the one that stated what is known.
     if (known?.perSecond === perSecond || sentAt < (known?.learnedAt ?? -Infinity)) return;
     this.#set(start, { perSecond, statedAt: sentAt, learnedAt: this.#options.clock.now() });
-    this.#logChange(start, known?.perSecond, perSecond, this.#options.membership.self.vm);
-    this.#announce(start);
+    this.#recordChange(start, known?.perSecond, perSecond, this.#options.membership.self.vm);
+    this.#sendStatement(start);
   }
 
   /**
-   * Takes a send to a runner from its limit.
+   * Reserves a send to a runner from its limit.
    *
    * @returns 0 if the call may be sent, otherwise the time in milliseconds until one may be.
    */
-  async acquire(service: string, runner: types.Runner, signal: AbortSignal): Promise<number> {
+  async reserveSend(service: string, runner: types.Runner, signal: AbortSignal): Promise<number> {
     const start = formatStart(runner);
     if (this.#stated.get(start)?.perSecond === undefined) return 0;
     const refusedForMs = (this.#refusedUntil.get(start) ?? -Infinity) - this.#options.clock.now();
     if (refusedForMs > 0) return refusedForMs;
-    const waitMs = await this.#takeFromHolder(service, start, signal);
+    const waitMs = await this.#reserveAtHolder(service, start, signal);
     if (waitMs > 0) this.#refusedUntil.set(start, this.#options.clock.now() + waitMs);
     return waitMs;
   }
@@ -137,16 +137,16 @@
     return this.#computeWait(formatStart(runner), this.#computeOwnShare(service));
   }
 
-  /** Takes a send to a runner that this VM grants by itself. */
-  take(service: string, runner: types.Runner): void {
-    this.#take(formatStart(runner), this.#computeOwnShare(service));
+  /** Records a send to a runner that this VM grants by itself. */
+  recordSend(service: string, runner: types.Runner): void {
+    this.#grantSend(formatStart(runner), this.#computeOwnShare(service));
   }
 
-  async #takeFromHolder(service: string, start: string, signal: AbortSignal): Promise<number> {
+  async #reserveAtHolder(service: string, start: string, signal: AbortSignal): Promise<number> {
     const { clock, network: peers } = this.#options;
     const holder = this.#findHolder(service);
     const isAsked = !this.#isOwn(holder) && clock.now() >= this.#holderFailedUntil;
-    if (!isAsked) return this.#take(start, this.#computeOwnShare(service));
+    if (!isAsked) return this.#grantSend(start, this.#computeOwnShare(service));
     try {
       const request = { ...this.#formatStatement(start), service };
       const options = { timeoutMs: GRANT_TIMEOUT_MS, signal };
@@ -156,7 +156,7 @@
       this.#holderFailedUntil = clock.now() + HOLDER_BACKOFF_MS;
       const fields = { runner: start, holder, error: String(error) };
       this.#options.log.write(logEvents.LOG_EVENTS.limitHolderUnreachable, fields);
-      return this.#take(start, this.#computeFallbackShare());
+      return this.#grantSend(start, this.#computeFallbackShare());
     }
   }
 
@@ -192,11 +192,11 @@
     const perSecond = this.#stated.get(start)?.perSecond;
     if (perSecond === undefined) return 0;
     const rate = Math.max(MIN_RATE, perSecond) * share;
-    const missing = 1 - this.#refill(start, perSecond, rate).tokens;
+    const missing = 1 - this.#updateBucket(start, perSecond, rate).tokens;
     return missing <= 0 ? 0 : (missing / rate) * MS_PER_S;
   }
 
-  #take(start: string, share: number): number {
+  #grantSend(start: string, share: number): number {
     const waitMs = this.#computeWait(start, share);
     const bucket = this.#buckets.get(start);
     if (waitMs === 0 && bucket !== undefined) bucket.tokens -= 1;
@@ -204,7 +204,7 @@
   }
 
   /** Adds the sends that became due; a bucket begins empty, since it is not known what was sent before. */
-  #refill(start: string, perSecond: number, rate: number): Bucket {
+  #updateBucket(start: string, perSecond: number, rate: number): Bucket {
     const now = this.#options.clock.now();
     const bucket = this.#buckets.get(start) ?? { tokens: 0, refilledAt: now };
     const added = (rate * (now - bucket.refilledAt)) / MS_PER_S;
@@ -226,10 +226,10 @@
     const known = this.#stated.get(start);
     if (known?.perSecond === perSecond || statedAt <= (known?.statedAt ?? -Infinity)) return;
     this.#set(start, { perSecond, statedAt, learnedAt: now });
-    this.#logChange(start, known?.perSecond, perSecond, from);
+    this.#recordChange(start, known?.perSecond, perSecond, from);
   }
 
-  #announce(start: string): void {
+  #sendStatement(start: string): void {
     const { network: peers, membership: fleet } = this.#options;
     for (const { vm } of fleet.listAlive()) {
       if (this.#isOwn(vm)) continue;
@@ -246,7 +246,7 @@
     return { start, perSecond, ageMs };
   }
 
-  #logChange(
+  #recordChange(
     runner: string,
     before: number | undefined,
     limit: number | undefined,
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -52,7 +52,7 @@
   readonly runners: runnerTable.RunnerTable;
   readonly calls: runnerCalls.RunnerCalls;
   readonly codec: gateway.RunnerCodec;
-  readonly limits: Pick<runnerLimits.RunnerLimits, "acquire">;
+  readonly limits: Pick<runnerLimits.RunnerLimits, "reserveSend">;
   readonly budgets: retryBudgets.RetryBudgets;
   readonly crashDetector: crashDetector.CrashDetector;
 }
@@ -96,7 +96,7 @@
     const { maxAttempts } = call.route;
     while (account.arrivalCount < maxAttempts && triedIds.size < maxAttempts + MAX_UNSENT_TRIES) {
       if (lastResult !== undefined && !this.#canRetry(call, lastResult, account)) break;
-      const record = await this.#takeRunner(call, triedIds, hasNotRun(bestResult));
+      const record = await this.#reserveRunner(call, triedIds, hasNotRun(bestResult));
       if (record === undefined) break;
       const refusal = await this.#options.crashDetector.waitUntilAllowed(call);
       if (refusal !== undefined && hasNotRun(bestResult)) throw refusal;
@@ -112,11 +112,11 @@
   }
 
   /**
-   * Chooses a runner and takes a send from its limit, if it named one.
+   * Chooses a runner and reserves a send from its limit, if it named one.
    *
    * @throws RequestError when all runners have reached their limits and the call has not run.
    */
-  async #takeRunner(
+  async #reserveRunner(
     call: types.ServedCall,
     triedIds: ReadonlySet<string>,
     isNotRun: boolean,
@@ -127,7 +127,7 @@
     for (;;) {
       const record = this.#chooseRunner(call, new Set([...triedIds, ...waits.keys()]));
       if (record === undefined) break;
-      const waitMs = await limits.acquire(service, record.runner, call.signal);
+      const waitMs = await limits.reserveSend(service, record.runner, call.signal);
       if (waitMs === 0) return record;
       waits.set(record.runner.id, waitMs);
     }
--- a/test/runners/runner-limits.test.ts
+++ b/test/runners/runner-limits.test.ts
@@ -38,7 +38,7 @@
   let granted = 0;
   for (let elapsedMs = 0; elapsedMs < seconds * MS_PER_S; elapsedMs += 20) {
     for (const node of nodes)
-      void node.acquire(SERVICE, createRunner(), signal).then((waitMs) => {
+      void node.reserveSend(SERVICE, createRunner(), signal).then((waitMs) => {
         if (waitMs === 0) granted += 1;
       });
     await fleet.clock.advance(20);
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -101,7 +101,7 @@
     runners: table,
     calls,
     codec: runnerCodec.RUNNER_CODEC,
-    limits: { acquire: () => Promise.resolve(0) },
+    limits: { reserveSend: () => Promise.resolve(0) },
     crashDetector: new crashDetector.CrashDetector({
       clock,
       log,
