Give emulated runners ports that outgoing connections cannot take

Two whole runs of the tests failed once each with 'listen EADDRINUSE' in the play of a part that is the first: a runner that ended listens on its port again, and in the meantime an outgoing connection had taken it; the plays with limits open more connections. Ports now come from below the ephemeral range, as for processes.

--- a/standins/users-platform/crashing-runner.ts
+++ b/standins/users-platform/crashing-runner.ts
@@ -5,6 +5,7 @@
 import * as events from "node:events";
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as processes from "../processes.js";
 import * as relays from "../relay.js";
 import * as examples from "./examples.js";
 import type * as store from "./store.js";
@@ -109,6 +110,8 @@
   /** Starts the process, on the same port as before, and lists it in the registry. */
   async start(): Promise<void> {
     this.#starts += 1;
+    // Outgoing connections must not take the port while the runner is down.
+    if (this.#port === 0) this.#port = await processes.findFreePort();
     this.#isSilent = false;
     const server = http.createServer((request, response) => {
       void this.#handle(request, response);
@@ -121,7 +124,6 @@
     server.listen(this.#port, "127.0.0.1");
     await events.default.once(server, "listening");
     this.#server = server;
-    this.#port = (server.address() as net.AddressInfo).port;
     const { entryDelayMs } = this.#behaviour;
     if (entryDelayMs === undefined || this.#starts === 1) this.#publish("ready");
     else
