--- a/src/request/crash-causes.ts
+++ b/src/request/crash-causes.ts
@@ -10,7 +10,7 @@
 export interface Verdict {
   readonly traits: readonly string[];
   readonly starts: ReadonlySet<string>;
-  /** Traits that would suffice for a verdict on all but one of the crashes. */
+  /** Other traits that all but one of the crashes have. */
   readonly rivals: readonly string[];
 }
 
