Send heartbeats only while a call waits on the connection

Cause: each end of each open connection woke every 500 ms. With probes to all VMs over pooled connections about twenty stay open, so most timers of a VM at rest were heartbeats.

An end now monitors a connection while calls are pending on it. An idle one has one timer, which closes it after 5 s (20 s at the accepting end, for a dialling end that is gone). A call that is given up after 200 ms without any message keeps later calls off the connection, since nothing else shows that an idle connection went silent. A peer of an earlier version, which closes a connection without pings, still gets them: the challenge says whether the acceptor bears idle connections.

--- a/src/protocol/handshake.ts
+++ b/src/protocol/handshake.ts
@@ -36,6 +36,8 @@
     incarnation,
     nonce: createBytesSchema(NONCE_BYTES),
     mac: createBytesSchema(MAC_BYTES),
+    /** Whether the acceptor keeps a connection open that is silent while no call is pending on it. */
+    acceptsIdle: zod.boolean().optional(),
   }),
 );
 const proofCodec = fields.createFieldCodec(zod.object({ mac: createBytesSchema(MAC_BYTES) }));
@@ -72,6 +74,13 @@
   readonly frames: AsyncIterator<Uint8Array>;
 }
 
+/** What the dialling end learns about the accepting one. */
+export interface AcceptedPeer {
+  readonly peer: network.PeerIdentity;
+  /** Whether the peer keeps a connection open that is silent while no call is pending on it. */
+  readonly acceptsIdle: boolean;
+}
+
 interface Participant {
   readonly identity: network.PeerIdentity;
   readonly nonce: Uint8Array;
@@ -92,7 +101,7 @@
 export async function runDialerHandshake(
   endpoint: HandshakeEndpoint,
   credentials: Credentials,
-): Promise<network.PeerIdentity> {
+): Promise<AcceptedPeer> {
   const nonce = crypto.randomBytes(NONCE_BYTES);
   const dialer = { identity: credentials.self, nonce };
   const hello = { version: PROTOCOL_VERSION, ...credentials.self, nonce } as const;
@@ -106,7 +115,7 @@
   const mac = computeMac(getSigningKey(credentials), "dialer", transcript);
   send(endpoint, messages.MESSAGE_TYPE.proof, proofCodec.encode({ mac }));
   welcomeCodec.decode(await receive(endpoint, messages.MESSAGE_TYPE.welcome, credentials.clock));
-  return peer;
+  return { peer, acceptsIdle: challenge.acceptsIdle === true };
 }
 
 /**
@@ -130,7 +139,12 @@
     acceptor: { identity: credentials.self, nonce },
   };
   const localMac = computeMac(getSigningKey(credentials), "acceptor", transcript);
-  const challenge = challengeCodec.encode({ ...credentials.self, nonce, mac: localMac });
+  const challenge = challengeCodec.encode({
+    ...credentials.self,
+    nonce,
+    mac: localMac,
+    acceptsIdle: true,
+  });
   send(endpoint, messages.MESSAGE_TYPE.challenge, challenge);
   const proof = proofCodec.decode(
     await receive(endpoint, messages.MESSAGE_TYPE.proof, credentials.clock),
--- a/src/protocol/incoming-calls.ts
+++ b/src/protocol/incoming-calls.ts
@@ -53,6 +53,11 @@
     this.#onError = onError;
   }
 
+  /** Number of calls in progress. */
+  get size(): number {
+    return this.#served.size;
+  }
+
   /**
    * Handles one message.
    *
--- a/src/protocol/incoming-connection.ts
+++ b/src/protocol/incoming-connection.ts
@@ -5,6 +5,12 @@
 import type * as network from "./network.js";
 import * as peerLink from "./peer-link.js";
 
+/**
+ * Time without a message after which a connection without calls is closed. Longer than the dialling end keeps one open, so
+ * it only ends connections whose dialling end is gone.
+ */
+const MAX_IDLE_MS = 20_000;
+
 /** Credentials and call handlers for serving a connection. */
 export interface ServeOptions {
   readonly credentials: handshake.Credentials;
@@ -27,10 +33,12 @@
   const peer = await handshake.runAcceptorHandshake(endpoint, options.credentials);
   const link = new peerLink.PeerLink(peer, channel, endpoint.frames, options.credentials.clock);
   const calls = new incomingCalls.IncomingCalls(link, options.handlers, options.onHandlerError);
-  void link.runHeartbeat(() => undefined);
+  const isInUse = (): boolean => calls.size > 0;
+  void link.runIdleCheck(MAX_IDLE_MS, () => (isInUse() ? undefined : link.lastReceivedAt));
   try {
     await link.run((message) => {
       calls.handleMessage(message);
+      if (isInUse()) void link.runHeartbeat(isInUse, () => undefined);
     });
   } finally {
     calls.close(link.signal.reason);
--- a/src/protocol/outgoing-calls.ts
+++ b/src/protocol/outgoing-calls.ts
@@ -1,4 +1,5 @@
 /** Calls that this node sends on one connection. */
+import type * as clocks from "../kernel/clock.js";
 import * as asyncQueue from "./async-queue.js";
 import * as handlers from "./call-handlers.js";
 import * as messages from "./message-codec.js";
@@ -23,6 +24,8 @@
 /** Sends calls over a link and matches replies to them by their correlation number. */
 export class OutgoingCalls {
   readonly #link: peerLink.PeerLink;
+  readonly #clock: clocks.Clock;
+  readonly #onUnanswered: (sentAt: number) => void;
   readonly #pending = new Map<number, PendingCall>();
   #lastCorrelation = 0;
 
@@ -47,8 +50,15 @@
     },
   };
 
-  constructor(link: peerLink.PeerLink) {
+  /** @param onUnanswered - called when a call is given up before its first answer, with the time at which it was sent. */
+  constructor(
+    link: peerLink.PeerLink,
+    clock: clocks.Clock,
+    onUnanswered: (sentAt: number) => void,
+  ) {
     this.#link = link;
+    this.#clock = clock;
+    this.#onUnanswered = onUnanswered;
   }
 
   /** Number of pending calls. */
@@ -77,9 +87,11 @@
     signal: AbortSignal,
   ): Promise<Reply> {
     const codecs = handlers.useCallCodecs(call);
+    const sentAt = this.#clock.now();
     return new Promise<Reply>((resolve, reject) => {
       const onAbort = (): void => {
         this.#cancel(correlation);
+        this.#onUnanswered(sentAt);
         reject(createNoReplyError(`no reply to ${call.name}`, signal.reason));
       };
       const removeAbortListener = (): void => {
@@ -118,6 +130,7 @@
     const codecs = handlers.useCallCodecs(call);
     const queue = new asyncQueue.AsyncQueue<unknown>();
     const pending = this.#createPendingStream(call.name, queue);
+    const sentAt = this.#clock.now();
     const correlation = this.#send(messages.MESSAGE_TYPE.stream, call, request, pending);
     const onAbort = (): void => {
       queue.close(createNoReplyError(`${call.name} was given up`, signal.reason));
@@ -133,6 +146,7 @@
     } finally {
       signal.removeEventListener("abort", onAbort);
       this.#cancel(correlation);
+      if (consumed === 0) this.#onUnanswered(sentAt);
     }
   }
 
--- a/src/protocol/outgoing-connection.ts
+++ b/src/protocol/outgoing-connection.ts
@@ -9,6 +9,8 @@
 const MAX_AGE_MS = 600_000;
 /** Time without a new call after which an idle connection is closed. */
 const MAX_IDLE_MS = 5000;
+/** Time without any message after which a call that was given up casts doubt on its connection. */
+const MIN_DOUBTFUL_SILENCE_MS = 200;
 /** Time after `MAX_AGE_MS` within which the pending calls may end before the connection is closed. */
 const MAX_DRAIN_MS = 600_000;
 /** Time limit for the transport to connect, without the handshake. */
@@ -27,12 +29,19 @@
   readonly #calls: outgoingCalls.OutgoingCalls;
   readonly #clock: clocks.Clock;
   readonly #openedAt: number;
+  readonly #needsSteadyHeartbeat: boolean;
   #lastUsedAt: number;
+  /** Whether a call was given up after silence; the connection may be dead although it is open. */
+  #isDoubtful = false;
 
-  constructor(link: peerLink.PeerLink, clock: clocks.Clock) {
+  /** @param needsSteadyHeartbeat - whether the peer closes a connection without pings, as earlier versions do. */
+  constructor(link: peerLink.PeerLink, clock: clocks.Clock, needsSteadyHeartbeat: boolean) {
     this.#link = link;
-    this.#calls = new outgoingCalls.OutgoingCalls(link);
+    this.#calls = new outgoingCalls.OutgoingCalls(link, clock, (sentAt) => {
+      this.#handleUnanswered(sentAt);
+    });
     this.#clock = clock;
+    this.#needsSteadyHeartbeat = needsSteadyHeartbeat;
     this.#openedAt = clock.now();
     this.#lastUsedAt = this.#openedAt;
   }
@@ -41,9 +50,10 @@
     return this.#link.peer;
   }
 
-  /** Whether new calls may be sent: the connection is open and has not reached its maximum age. */
+  /** Whether new calls may be sent: the connection is open, not doubtful and below its maximum age. */
   get usable(): boolean {
-    return !this.#link.signal.aborted && this.#clock.now() - this.#openedAt < MAX_AGE_MS;
+    const ageMs = this.#clock.now() - this.#openedAt;
+    return !this.#link.signal.aborted && !this.#isDoubtful && ageMs < MAX_AGE_MS;
   }
 
   /** Whether no call is pending on it. */
@@ -62,9 +72,8 @@
    * @throws MalformedMessageError, FrameLengthError or what ended the connection.
    */
   async run(): Promise<void> {
-    void this.#link.runHeartbeat(() => {
-      this.#handleHeartbeat();
-    });
+    if (this.#needsSteadyHeartbeat) this.#startHeartbeat();
+    void this.#link.runIdleCheck(MAX_IDLE_MS, () => (this.idle ? this.#lastUsedAt : undefined));
     try {
       await this.#link.run((message) => {
         this.#calls.handleMessage(message);
@@ -80,7 +89,7 @@
     request: Request,
     signal: AbortSignal,
   ): Promise<Reply> {
-    this.#lastUsedAt = this.#clock.now();
+    this.#recordUse();
     return this.#calls.call(call, request, signal);
   }
 
@@ -90,7 +99,7 @@
     request: Request,
     signal: AbortSignal,
   ): AsyncIterable<Item> {
-    this.#lastUsedAt = this.#clock.now();
+    this.#recordUse();
     return this.#calls.stream(call, request, signal);
   }
 
@@ -98,14 +107,33 @@
     this.#link.close(reason);
   }
 
+  #recordUse(): void {
+    this.#lastUsedAt = this.#clock.now();
+    this.#startHeartbeat();
+  }
+
+  #startHeartbeat(): void {
+    const isInUse = (): boolean => this.#needsSteadyHeartbeat || !this.idle;
+    void this.#link.runHeartbeat(isInUse, () => {
+      this.#handleHeartbeat();
+    });
+  }
+
   #handleHeartbeat(): void {
-    const now = this.#clock.now();
-    const isUnused = this.idle && now - this.#lastUsedAt > MAX_IDLE_MS;
+    const isTooOld = this.#clock.now() - this.#openedAt > MAX_AGE_MS + MAX_DRAIN_MS;
     const isDrained = !this.usable && this.idle;
-    const isTooOld = now - this.#openedAt > MAX_AGE_MS + MAX_DRAIN_MS;
-    if (isUnused || isDrained || isTooOld) this.close("connection is idle or too old");
+    if (isTooOld || isDrained) this.close("connection is idle or too old");
     else this.#link.sendPing();
   }
+
+  /** Keeps further calls off the connection if nothing was received since an unanswered call was sent. */
+  #handleUnanswered(sentAt: number): void {
+    const isSilent = this.#link.lastReceivedAt < sentAt;
+    const waitedMs = this.#clock.now() - sentAt;
+    if (!isSilent || waitedMs < MIN_DOUBTFUL_SILENCE_MS) return;
+    this.#isDoubtful = true;
+    if (this.idle) this.close("peer did not answer a call");
+  }
 }
 
 /**
@@ -123,9 +151,9 @@
   const channel = await options.transport.connect(address, limit.signal);
   const endpoint = { channel, frames: channel.receive()[Symbol.asyncIterator]() };
   try {
-    const peer = await handshake.runDialerHandshake(endpoint, options.credentials);
+    const { peer, acceptsIdle } = await handshake.runDialerHandshake(endpoint, options.credentials);
     const link = new peerLink.PeerLink(peer, channel, endpoint.frames, clock);
-    return new OutgoingConnection(link, clock);
+    return new OutgoingConnection(link, clock, !acceptsIdle);
   } catch (error) {
     await channel[Symbol.asyncDispose]();
     throw error;
--- a/src/protocol/peer-link.ts
+++ b/src/protocol/peer-link.ts
@@ -1,11 +1,14 @@
-/** Common part of both ends of an authenticated connection: messages, heartbeats and time-outs. */
+/**
+ * Common part of both ends of an authenticated connection: messages, heartbeats and time-outs. Heartbeats run only while an
+ * end waits for the other one; an idle connection costs one timer.
+ */
 import * as clocks from "../kernel/clock.js";
 import * as frames from "./frame-decoder.js";
 import * as messages from "./message-codec.js";
 import type * as network from "./network.js";
 
 /**
- * Time between two checks of a connection; the end that opened the connection sends a ping at each.
+ * Time between two checks of a connection that is in use; the end that opened it sends a ping at each.
  */
 export const HEARTBEAT_PERIOD_MS = 500;
 /** Consecutive periods without a received message after which a connection is closed. */
@@ -21,6 +24,8 @@
   readonly #clock: clocks.Clock;
   readonly #controller = new AbortController();
   #hasReceived = true;
+  #isHeartbeatRunning = false;
+  #lastReceivedAt: number;
 
   constructor(
     peer: network.PeerIdentity,
@@ -32,6 +37,12 @@
     this.#channel = channel;
     this.#frames = receivedFrames;
     this.#clock = clock;
+    this.#lastReceivedAt = clock.now();
+  }
+
+  /** Monotonic time of the last received message; the opening time before the first one. */
+  get lastReceivedAt(): number {
+    return this.#lastReceivedAt;
   }
 
   /** Aborts when the connection ends, with the cause. */
@@ -75,6 +86,7 @@
         const next = await this.#frames.next();
         if (next.done === true || this.signal.aborted) return;
         this.#hasReceived = true;
+        this.#lastReceivedAt = this.#clock.now();
         onMessage(messages.decodeMessage(next.value));
       }
     } catch (error) {
@@ -86,25 +98,48 @@
   }
 
   /**
-   * Monitors the connection until it ends. Silence is measured in periods, not in elapsed time, so
-   * that a pause of the local process is not mistaken for silence of the peer.
+   * Monitors the connection while it is in use; does nothing if it is monitored already. Silence is measured in periods,
+   * not in elapsed time, so that a pause of the local process is not mistaken for silence of the peer.
    *
-   * @param onPeriod - called once per period while the connection is open.
+   * @param isInUse - whether either end waits for the other one; monitoring ends when it returns false.
+   * @param onPeriod - called once per period while the connection is open and in use.
    */
-  async runHeartbeat(onPeriod: () => void): Promise<void> {
+  async runHeartbeat(isInUse: () => boolean, onPeriod: () => void): Promise<void> {
+    if (this.#isHeartbeatRunning) return;
+    this.#isHeartbeatRunning = true;
     let silentPeriods = 0;
-    while (await this.#waitForPeriod()) {
+    this.#hasReceived = true;
+    while ((await this.#waitForPeriod()) && isInUse()) {
       silentPeriods = this.#hasReceived ? 0 : silentPeriods + 1;
       this.#hasReceived = false;
       if (silentPeriods >= MAX_SILENT_PERIODS) this.close("peer is silent");
       else onPeriod();
     }
+    this.#isHeartbeatRunning = false;
+  }
+
+  /**
+   * Closes the connection once it has been idle for `limitMs`.
+   *
+   * @param findIdleSince - returns the monotonic time of the last use, `undefined` while it is in use.
+   */
+  async runIdleCheck(limitMs: number, findIdleSince: () => number | undefined): Promise<void> {
+    let waitMs = limitMs;
+    while (await this.#waitWhileOpen(waitMs)) {
+      const idleSince = findIdleSince() ?? this.#clock.now();
+      waitMs = idleSince + limitMs - this.#clock.now();
+      if (waitMs <= 0) this.close("connection is idle or too old");
+    }
+  }
+
+  #waitForPeriod(): Promise<boolean> {
+    return this.#waitWhileOpen(HEARTBEAT_PERIOD_MS);
   }
 
-  /** Waits for one period; returns whether the connection is still open. */
-  async #waitForPeriod(): Promise<boolean> {
+  /** Waits; returns whether the connection is still open. */
+  async #waitWhileOpen(waitMs: number): Promise<boolean> {
     try {
-      await clocks.sleep(this.#clock, HEARTBEAT_PERIOD_MS, this.signal);
+      await clocks.sleep(this.#clock, waitMs, this.signal);
       return true;
     } catch {
       return false;
--- a/standins/memory-channel.ts
+++ b/standins/memory-channel.ts
@@ -12,6 +12,8 @@
   isFrozen(node: string): boolean;
   /** Returns the one-way delay in milliseconds. */
   getDelay(from: string, to: string): number;
+  /** Counts a frame that a node sends. */
+  recordFrame(): void;
 }
 
 /** A frame in flight; `undefined` instead of the frame marks the end of the stream. */
@@ -41,6 +43,7 @@
   }
 
   send(frame: Uint8Array | undefined): void {
+    this.#conditions.recordFrame();
     if (this.#silent || this.inbox.closed) return;
     const delayMs = this.#conditions.getDelay(this.#from, this.#to);
     const copy = frame === undefined ? undefined : Uint8Array.from(frame);
