Probe members by datagrams

Cause: a probe every 500 ms to each member in turn dials and authenticates a connection once there are more than ten VMs, as connections close after 5 s without use.

A probe and its acknowledgement are now one datagram each, with a MAC by the fleet key, the sender's incarnation and a window against replays. A missing reply shows nothing: the probe goes on over a connection, then through other members, before anyone is suspected. A member that answers over connections only gets no datagrams for 30 s, as one of an earlier version. Announcements of leaving go by datagram first.

--- a/bench/local-fleet.ts
+++ b/bench/local-fleet.ts
@@ -126,6 +126,13 @@
         request: Request,
         options: network.CallOptions,
       ) => this.#call(vm, to, call, request, options) as Promise<Reply>,
+      callByDatagram: <Request, Reply>(
+        to: string,
+        call: network.PeerCall<Request, Reply>,
+        request: Request,
+        options: network.CallOptions,
+      ) => this.#call(vm, to, call, request, options) as Promise<Reply>,
+      allowDatagrams: () => undefined,
       stream: () => {
         throw new Error("the local fleet does not support peer streams");
       },
--- a/src/membership/membership-calls.ts
+++ b/src/membership/membership-calls.ts
@@ -26,20 +26,20 @@
 /** The gossip in a probe or its acknowledgement. */
 export type Gossip = zod.infer<typeof gossipSchema>;
 
+const probeReplySchema = zod.object({
+  gossip: gossipSchema,
+  /**
+   * Whether this incarnation of the prober is unknown to the probed node; the prober then starts a
+   * full sync.
+   */
+  isUnknown: zod.boolean(),
+});
+
+/** The acknowledgement of a probe. */
+export type ProbeReply = zod.infer<typeof probeReplySchema>;
+
 /** Checks that a node is alive and exchanges gossip. */
-export const PROBE = network.createPeerCall(
-  1,
-  "probe",
-  gossipSchema,
-  zod.object({
-    gossip: gossipSchema,
-    /**
-     * Whether this incarnation of the prober is unknown to the probed node; the prober then starts a
-     * full sync.
-     */
-    isUnknown: zod.boolean(),
-  }),
-);
+export const PROBE = network.createPeerCall(1, "probe", gossipSchema, probeReplySchema);
 
 /** Asks a node to probe another one (an indirect probe). */
 export const INDIRECT_PROBE = network.createPeerCall(
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -16,6 +16,8 @@
 /** Peers notified directly that a node is leaving; in larger fleets the rest learn it by gossip. */
 const MAX_ANNOUNCEMENTS = 32;
 const ANNOUNCE_TIMEOUT_MS = 500;
+/** Wait for the reply to an announcement by datagram, before it is sent over a connection. */
+const ANNOUNCE_DATAGRAM_MS = 150;
 
 class SwimMembership implements types.Membership {
   readonly #network: network.PeerNetwork;
@@ -123,9 +125,11 @@
     const receivers = randoms
       .createShuffled(this.#table.listOthers(), this.#random)
       .slice(0, MAX_ANNOUNCEMENTS);
-    const sends = receivers.map((other) =>
-      this.#network.call(other.vm, calls.ANNOUNCE, request, options),
-    );
+    const sends = receivers.map(async (other) => {
+      await this.#network
+        .callByDatagram(other.vm, calls.ANNOUNCE, request, { timeoutMs: ANNOUNCE_DATAGRAM_MS })
+        .catch(() => this.#network.call(other.vm, calls.ANNOUNCE, request, options));
+    });
     await Promise.allSettled(sends);
   }
 
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -1,6 +1,6 @@
 /**
  * Failure detection based on the SWIM protocol. In each period one member is probed, in shuffled
- * rounds. If it does not answer, two other members are asked to probe it. If they fail too, it is
+ * rounds: by a datagram, and if that is not answered, over a connection. If it does not answer either, two other members are asked to probe it. If they fail too, it is
  * marked as suspect, and as dead after a timeout unless it refutes the suspicion; it is marked as
  * dead at once if its process is gone. An accusation by a peer only triggers a local probe, the
  * result of which is applied. A node whose probes fail repeatedly extends its timeouts, as it may
@@ -18,6 +18,10 @@
 /** Period of the regular probes, before jitter; probes of accused members are sent in addition. */
 export const PROBE_PERIOD_MS = 500;
 const PROBE_TIMEOUT_MS = 500;
+const DATAGRAM_TIMEOUT_MS = 250;
+/** Consecutive datagrams without a reply after which a member that answers over a connection gets none for some time. */
+const MAX_LOST_DATAGRAMS = 3;
+const DATAGRAM_RETRY_PERIOD_MS = 30_000;
 const INDIRECT_PROBE_TIMEOUT_MS = 1200;
 /** Number of other members that are asked to probe a member that did not answer. */
 const INDIRECT_PROBE_COUNT = 2;
@@ -37,6 +41,13 @@
 /** Maximum local health score; the factor of the timeouts is the score plus one. */
 const MAX_LOCAL_HEALTH_SCORE = 3;
 
+/** Datagrams to a member that were not answered although the member is alive. */
+interface LostDatagrams {
+  readonly count: number;
+  /** Monotonic time from which on datagrams are sent to it again. */
+  readonly until: number;
+}
+
 /** Services that the prober uses. */
 export interface ProberOptions {
   readonly network: network.PeerNetwork;
@@ -59,6 +70,7 @@
    * each answered one. 0 is healthy; higher is less healthy.
    */
   #localHealthScore = 0;
+  readonly #lostDatagrams = new Map<string, LostDatagrams>();
 
   constructor(options: ProberOptions) {
     this.#options = options;
@@ -71,6 +83,8 @@
       gossiper.receiveRecords(request.updates);
       return {};
     });
+    peers.allowDatagrams(calls.PROBE);
+    peers.allowDatagrams(calls.ANNOUNCE);
     peers.onCall(calls.SYNC, (request) => {
       gossiper.receiveRecords(request.members);
       return { members: [...table.list()] };
@@ -178,14 +192,13 @@
   /** Probes a member; returns how the probe failed, or `undefined` when it was answered. */
   async #probeDirectly(member: records.MemberRecord): Promise<network.CallFailure | undefined> {
     const { network: peers, gossiper } = this.#options;
+    if (await this.#probeByDatagram(member)) return undefined;
     const timeoutMs = PROBE_TIMEOUT_MS * this.#getTimeoutFactor();
     const options = { timeoutMs, incarnation: member.incarnation };
     try {
       const request = gossiper.createGossip(member.vm);
-      const reply = await peers.call(member.vm, calls.PROBE, request, options);
-      this.#localHealthScore = Math.max(0, this.#localHealthScore - 1);
-      gossiper.receiveGossip(reply.gossip, member);
-      this.#startSyncIfNeeded(member.vm, reply.isUnknown, reply.gossip.digest);
+      this.#handleAnswer(member, await peers.call(member.vm, calls.PROBE, request, options));
+      this.#recordLostDatagram(member.vm);
       return undefined;
     } catch (error) {
       const failure =
@@ -196,6 +209,38 @@
     }
   }
 
+  /** Returns whether a member answered a datagram. */
+  async #probeByDatagram(member: records.MemberRecord): Promise<boolean> {
+    const { network: peers, gossiper, clock } = this.#options;
+    const lost = this.#lostDatagrams.get(member.vm);
+    if (lost !== undefined && clock.now() < lost.until) return false;
+    const timeoutMs = DATAGRAM_TIMEOUT_MS * this.#getTimeoutFactor();
+    const options = { timeoutMs, incarnation: member.incarnation };
+    try {
+      const request = gossiper.createGossip(member.vm);
+      const reply = await peers.callByDatagram(member.vm, calls.PROBE, request, options);
+      this.#lostDatagrams.delete(member.vm);
+      this.#handleAnswer(member, reply);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  #handleAnswer(member: records.MemberRecord, { gossip, isUnknown }: calls.ProbeReply): void {
+    this.#localHealthScore = Math.max(0, this.#localHealthScore - 1);
+    this.#options.gossiper.receiveGossip(gossip, member);
+    this.#startSyncIfNeeded(member.vm, isUnknown, gossip.digest);
+  }
+
+  /** Records that a member answered over a connection only; one of an earlier version knows no datagrams. */
+  #recordLostDatagram(vm: string): void {
+    const count = (this.#lostDatagrams.get(vm)?.count ?? 0) + 1;
+    const isGivenUp = count >= MAX_LOST_DATAGRAMS;
+    const until = isGivenUp ? this.#options.clock.now() + DATAGRAM_RETRY_PERIOD_MS : -Infinity;
+    this.#lostDatagrams.set(vm, { count: isGivenUp ? MAX_LOST_DATAGRAMS - 1 : count, until });
+  }
+
   async #probeIndirectly(vm: string): Promise<boolean> {
     const { network: peers } = this.#options;
     const relays = this.#chooseOthers(INDIRECT_PROBE_COUNT, vm);
--- a/src/protocol/connection-pool.ts
+++ b/src/protocol/connection-pool.ts
@@ -36,6 +36,10 @@
     this.#addresses.set(vm, address);
   }
 
+  findAddress(vm: string): network.PeerAddress | undefined {
+    return this.#addresses.get(vm);
+  }
+
   /**
    * Returns the pooled connection to a peer, or dials one.
    *
--- a/src/protocol/network.ts
+++ b/src/protocol/network.ts
@@ -34,8 +34,18 @@
   override readonly name = "ConnectionRefusedError";
 }
 
+/** Sends datagrams, each of which may be lost, duplicated or delivered out of order. */
+export interface DatagramSocket extends AsyncDisposable {
+  send(bytes: Uint8Array, address: PeerAddress): void;
+}
+
 /** Opens and accepts channels: TCP in production, an in-memory pair in tests. */
 export interface Transport {
+  /** Binds a socket for datagrams; absent where there are none. */
+  readonly bindDatagrams?: (
+    address: PeerAddress,
+    onDatagram: (bytes: Uint8Array, from: PeerAddress) => void,
+  ) => Promise<DatagramSocket>;
   /** @throws `ConnectionRefusedError` when nothing listens there, else any network error. */
   connect(address: PeerAddress, signal: AbortSignal): Promise<FrameChannel>;
   /** Listens and calls `onChannel` for each accepted connection. */
@@ -124,6 +134,18 @@
     request: Request,
     options: CallOptions,
   ): Promise<Reply>;
+  /**
+   * Sends a request as one datagram and waits for the reply, without a connection. A missing reply shows nothing, as
+   * datagrams get lost.
+   *
+   * @throws PeerCallError
+   */
+  callByDatagram<Request, Reply>(
+    vm: string,
+    call: PeerCall<Request, Reply>,
+    request: Request,
+    options: CallOptions,
+  ): Promise<Reply>;
   /**
    * Sends a request and yields the items of the streamed reply.
    *
@@ -145,6 +167,8 @@
     call: PeerCall<Request, Reply>,
     handler: (request: Request, from: PeerIdentity, signal: AbortSignal) => Promise<Reply> | Reply,
   ): void;
+  /** Accepts a call as a datagram too; its handler has to bear being run twice for one call. */
+  allowDatagrams(call: Pick<PeerCall<unknown, unknown>, "kind">): void;
   /**
    * Registers the handler of a streamed call. `signal` aborts when the reader stops or the connection
    * is lost.
--- a/src/protocol/peer-network.ts
+++ b/src/protocol/peer-network.ts
@@ -5,6 +5,7 @@
 import * as logEvents from "../telemetry/log-events.js";
 import * as callHandlers from "./call-handlers.js";
 import * as connectionPool from "./connection-pool.js";
+import * as datagramCalls from "./datagram-calls.js";
 import * as handshake from "./handshake.js";
 import * as incarnations from "./incarnation.js";
 import * as incoming from "./incoming-connection.js";
@@ -24,6 +25,7 @@
   readonly #controller = new AbortController();
   readonly #pool: connectionPool.ConnectionPool;
   readonly #localCalls: localCalls.LocalCalls;
+  readonly #datagrams: datagramCalls.DatagramCalls;
   readonly #accepted = new Set<network.FrameChannel>();
   #listener: AsyncDisposable | undefined;
 
@@ -47,6 +49,14 @@
       this.#log,
     );
     this.#localCalls = new localCalls.LocalCalls(this.#credentials.self, this.#handlers);
+    this.#datagrams = new datagramCalls.DatagramCalls({
+      transport: this.#transport,
+      credentials: this.#credentials,
+      handlers: this.#handlers,
+      clock: this.#clock,
+      log: this.#log,
+      findAddress: (vm) => this.#pool.findAddress(vm),
+    });
   }
 
   async call<Request, Reply>(
@@ -64,6 +74,19 @@
     return await connection.call(call, request, limit.signal);
   }
 
+  callByDatagram<Request, Reply>(
+    vm: string,
+    call: network.PeerCall<Request, Reply>,
+    request: Request,
+    options: network.CallOptions,
+  ): Promise<Reply> {
+    return this.#datagrams.call(vm, call, request, options);
+  }
+
+  allowDatagrams(call: Pick<network.PeerCall<unknown, unknown>, "kind">): void {
+    this.#datagrams.addKind(call.kind);
+  }
+
   async *stream<Request, Item>(
     vm: string,
     call: network.PeerCall<Request, Item>,
@@ -114,15 +137,27 @@
     this.#listener = await this.#transport.listen(this.#address, (channel) => {
       void this.#handle(channel);
     });
+    await this.#startDatagrams();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.#controller.abort(new Error("node stops"));
     this.#pool.close();
+    await this.#datagrams[Symbol.asyncDispose]();
     for (const channel of this.#accepted) await channel[Symbol.asyncDispose]();
     await this.#listener?.[Symbol.asyncDispose]();
   }
 
+  /** Datagrams only save connections, so a node that cannot bind its port for them works without. */
+  async #startDatagrams(): Promise<void> {
+    try {
+      await this.#datagrams.start(this.#address);
+    } catch (error) {
+      const fields = { host: this.#address.host, port: this.#address.port, error: String(error) };
+      this.#log.write(logEvents.LOG_EVENTS.datagramsUnavailable, fields);
+    }
+  }
+
   async #startStream<Request, Item>(
     vm: string,
     call: network.PeerCall<Request, Item>,
--- a/src/protocol/tcp-transport.ts
+++ b/src/protocol/tcp-transport.ts
@@ -1,8 +1,9 @@
-/** Transport over TCP, with one socket per channel. */
+/** Transport over TCP, with one socket per channel, and over UDP for datagrams. */
 import * as net from "node:net";
 import * as asyncQueue from "./async-queue.js";
 import * as frames from "./frame-decoder.js";
 import * as network from "./network.js";
+import * as udpSocket from "./udp-socket.js";
 
 /** Received frames that may be queued for the reader before the socket is paused. */
 const MAX_QUEUED_FRAMES = 256;
@@ -78,6 +79,8 @@
 const CLOSE_TIMEOUT_MS = 1000;
 
 class TcpTransport implements network.Transport {
+  readonly bindDatagrams = udpSocket.bindUdpSocket;
+
   async connect(address: network.PeerAddress, signal: AbortSignal): Promise<network.FrameChannel> {
     signal.throwIfAborted();
     const socket = net.connect({ host: address.host, port: address.port });
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -20,6 +20,12 @@
   unexpectedError: { number: 1004, level: "error", message: "unexpected error" },
   memberChanged: { number: 2001, level: "info", message: "member changed state" },
   peerRejected: { number: 2002, level: "warn", message: "peer connection rejected" },
+  datagramRejected: { number: 2003, level: "warn", message: "datagrams rejected" },
+  datagramsUnavailable: {
+    number: 2004,
+    level: "warn",
+    message: "no port for datagrams; members are probed over connections",
+  },
   configurationApplied: { number: 3001, level: "info", message: "configuration applied" },
   configurationRefused: { number: 3002, level: "error", message: "configuration refused" },
   configurationConflict: {
--- a/standins/matrix/observed-network.ts
+++ b/standins/matrix/observed-network.ts
@@ -42,6 +42,15 @@
       await hostProcess.waitUntilRunning();
       return (mutant?.replaceReply?.(call.kind, reply) ?? reply) as typeof reply;
     },
+    callByDatagram: async (vm, call, request, options) => {
+      await hostProcess.waitUntilRunning();
+      const reply = await inner.callByDatagram(vm, call, request, options);
+      await hostProcess.waitUntilRunning();
+      return reply;
+    },
+    allowDatagrams: (call) => {
+      inner.allowDatagrams(call);
+    },
     stream: (vm, call, request, options) => inner.stream(vm, call, request, options),
     onCall: (call, handler) => {
       inner.onCall(call, async (request, from, signal) => {
--- a/standins/memory-transport.ts
+++ b/standins/memory-transport.ts
@@ -1,6 +1,7 @@
 /** An in-memory network for tests: channels between named nodes, with fault injection per pair. */
 import type * as clocks from "../src/kernel/clock.js";
 import * as network from "../src/protocol/network.js";
+import * as memoryDatagrams from "./memory-datagrams.js";
 import * as memoryChannel from "./memory-channel.js";
 
 const DEFAULT_DELAY_MS = 1;
@@ -25,6 +26,8 @@
  */
 export class MemoryNetwork implements memoryChannel.NetworkConditions {
   readonly clock: clocks.Clock;
+  readonly datagrams: memoryDatagrams.MemoryDatagrams;
+  #sentFrames = 0;
   readonly #defaultDelayMs: number;
   readonly #listeners = new Map<string, Listener>();
   readonly #connections = new Set<memoryChannel.MemoryConnection>();
@@ -35,17 +38,29 @@
 
   constructor(clock: clocks.Clock, defaultDelayMs = DEFAULT_DELAY_MS) {
     this.clock = clock;
+    this.datagrams = new memoryDatagrams.MemoryDatagrams(this);
     this.#defaultDelayMs = defaultDelayMs;
   }
 
   /** Creates a node's transport. */
   createTransport(node: string): network.Transport {
     return {
+      bindDatagrams: (address, onDatagram) =>
+        Promise.resolve(this.datagrams.bind(node, address, onDatagram)),
       connect: (address, signal) => this.#connect(node, address, signal),
       listen: (address, onChannel) => Promise.resolve(this.#listen(node, address, onChannel)),
     };
   }
 
+  /** Number of frames sent on all connections. */
+  get sentFrames(): number {
+    return this.#sentFrames;
+  }
+
+  recordFrame(): void {
+    this.#sentFrames += 1;
+  }
+
   /** Partitions two nodes: suspends all frames and new connections between them. */
   cut(first: string, second: string): void {
     this.#cuts.add(formatPair(first, second));
@@ -91,6 +106,7 @@
 
   /** Kills a node as SIGKILL does: its connections are reset and its addresses refuse new ones. */
   kill(node: string): void {
+    this.datagrams.kill(node);
     for (const [address, listener] of this.#listeners) {
       if (listener.node === node) this.#listeners.delete(address);
     }
--- a/test/protocol/connection-faults.test.ts
+++ b/test/protocol/connection-faults.test.ts
@@ -36,6 +36,14 @@
   return outcome;
 }
 
+/** Starts the network of vm-0 without membership, and returns that of a peer that can call it. */
+async function startStrangers(fleet: fleets.TestFleet): Promise<network.PeerNetwork> {
+  const server = fleet.createNonMemberPeer("vm-0");
+  server.onCall(ECHO, () => ({}));
+  await server.start();
+  return fleet.createNonMemberPeer("vm-1");
+}
+
 test.describe("Peer connections under faults", () => {
   test.it("fails a pending call when the connection is silent, then reconnects", async () => {
     await using fleet = await startPair();
@@ -49,6 +57,35 @@
     earl.expect(await echo).toEqual({});
   });
 
+  // Without heartbeats on idle connections, only an unanswered call shows that the connection is dead.
+  test.it("gives up an idle connection that went silent after one unanswered call", async () => {
+    await using fleet = await startPair();
+    const peers = fleet.getNode("vm-0").kernel.use("network");
+    const first = peers.call("vm-1", ECHO, {}, LIMITS);
+    await fleet.clock.advance(100);
+    earl.expect(await first).toEqual({});
+    fleet.network.silence("vm-0", "vm-1");
+    const lost = peers.call("vm-1", ECHO, {}, { timeoutMs: 300 }).catch(() => undefined);
+    await fleet.clock.advance(400);
+    await lost;
+    const second = peers.call("vm-1", ECHO, {}, { timeoutMs: 300 });
+    await fleet.clock.advance(400);
+    earl.expect(await second).toEqual({});
+  });
+
+  test.it("sends nothing on an idle connection and closes it", async () => {
+    const fleet = new fleets.TestFleet();
+    const peers = await startStrangers(fleet);
+    const echo = peers.call("vm-0", ECHO, {}, LIMITS);
+    await fleet.clock.advance(100);
+    earl.expect(await echo).toEqual({});
+    const sentBefore = fleet.network.sentFrames;
+    await fleet.clock.advance(4_000);
+    earl.expect(fleet.network.sentFrames).toEqual(sentBefore);
+    await fleet.clock.advance(2_000);
+    earl.expect(fleet.network.countConnections("vm-0")).toEqual(0);
+  });
+
   test.it("keeps a connection on which only heartbeats are sent", async () => {
     await using fleet = await startPair();
     const outcome = startHanging(fleet);
--- a/test/request/fake-fleet.ts
+++ b/test/request/fake-fleet.ts
@@ -199,6 +199,9 @@
     return {
       call: (vm, call, request, options) =>
         this.#call(node, vm, call.kind, request, options) as never,
+      callByDatagram: (vm, call, request, options) =>
+        this.#call(node, vm, call.kind, request, options) as never,
+      allowDatagrams: () => undefined,
       stream: () => {
         throw new Error("FakeFleet does not support peer streams");
       },
