Send no request of a caller that left while the VM stood still

Cause: after a stall the request and the close of its connection are read in the same turns of the event loop, the request first. Nothing looked at the caller or at the clock between the queue and the socket; the response closes only some turns after the end was read.

Each send now waits two turns of the event loop, then looks at the caller and the deadline, and the end of a caller's connection cancels its call as soon as it is read.

--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -111,6 +111,11 @@
     response.on("error", (error) => {
       controller.abort(error);
     });
+    // The response is closed some turns of the event loop later.
+    const onEnd = (): void => {
+      controller.abort(new Error("caller disconnected"));
+    };
+    request.socket.once("end", onEnd);
     this.#active += 1;
     const reply = new callerReply.CallerReply(response);
     let head: types.CallHead | undefined;
@@ -132,6 +137,7 @@
     } catch (error) {
       this.#handleFailure(head, reply, controller.signal, error, arrivedAt);
     } finally {
+      request.socket.off("end", onEnd);
       this.#active -= 1;
     }
   }
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -20,6 +20,7 @@
 import * as eventSplitter from "./event-splitter.js";
 import type * as modelProgress from "./model-progress.js";
 import * as runnerProbe from "./runner-probe.js";
+import * as sendCheck from "./send-check.js";
 import type * as types from "./types.js";
 
 /**
@@ -36,6 +37,12 @@
 /** Limits of responses that are buffered. */
 const BUFFERED_BODY_LIMITS = { maxBytes: 1_048_576, idleTimeoutMs: 1_000 };
 
+const NO_TIME_LEFT: modelProgress.RunResult = {
+  kind: "notRun",
+  reason: "no time left",
+  excluded: undefined,
+};
+
 /** Dependencies of the executor. */
 export interface EngineExecutorOptions {
   readonly clock: clocks.Clock;
@@ -116,6 +123,7 @@
     const { clock, codec, placement } = this.#options;
     const refusal = await this.#options.crashDetector.waitUntilAllowed(call);
     if (refusal !== undefined) return createHeldResult(refusal);
+    if (!(await sendCheck.checkSendable(clock, call))) return NO_TIME_LEFT;
     const startedAt = clock.now();
     const leftMs = call.deadlineAt - startedAt;
     const limitMs = Math.min(PREFILL_TIMEOUT_MS, leftMs);
@@ -171,8 +179,8 @@
     const runner = place.decode;
     const refusal = await this.#options.crashDetector.waitUntilAllowed(call);
     if (refusal !== undefined) return createHeldResult(refusal);
+    if (!(await sendCheck.checkSendable(clock, call))) return NO_TIME_LEFT;
     const leftMs = call.deadlineAt - clock.now();
-    if (leftMs <= 0) return { kind: "notRun", reason: "no time left", excluded: undefined };
     if (this.#options.runners.hasDrained(runner.id))
       return { kind: "notRun", reason: "runner left during the prefill", excluded: runner.id };
     this.#recordRun(call, progress, runner);
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -20,6 +20,7 @@
 import * as crashDetector from "./crash-detector.js";
 import * as plainRunnerChoice from "./plain-runner-choice.js";
 import * as runnerProbe from "./runner-probe.js";
+import * as sendCheck from "./send-check.js";
 import type * as types from "./types.js";
 
 /** Maximum size of a response, which is buffered; typical ones have some kilobytes. */
@@ -101,6 +102,10 @@
       const refusal = await this.#options.crashDetector.waitUntilAllowed(call);
       if (refusal !== undefined && hasNotRun(bestResult)) throw refusal;
       if (refusal !== undefined) break;
+      if (!(await sendCheck.checkSendable(this.#options.clock, call, MIN_CALL_MS))) {
+        bestResult ??= { kind: "notRun", reason: "no time left" };
+        break;
+      }
       triedIds.add(record.runner.id);
       if (lastResult !== undefined) this.#recordRetry(call, record, lastResult);
       lastResult = await this.#callRunner(call, record, account);
