Give the duties of the fleet to VMs that can bear them

A member's record now states what the VM may use. Scheduler and holder of runners' limits are chosen by rendezvous among the VMs with at least half of the largest processor, then of the largest link; all VMs count while one of an earlier version states nothing. The choice and the member lists are kept until a member changes: before, each progress report hashed all members again.

The duty itself costs less: progress and reports cause a pass over the queue at most every 5 ms, and engine reports are polled in steps of 100 ms, at most 40 a second, in place of all runners at once every 700 ms.

--- a/bench/local-fleet.ts
+++ b/bench/local-fleet.ts
@@ -132,7 +132,7 @@
         request: Request,
         options: network.CallOptions,
       ) => this.#call(vm, to, call, request, options) as Promise<Reply>,
-      allowDatagrams: () => undefined,
+      acceptDatagrams: () => undefined,
       stream: () => {
         throw new Error("the local fleet does not support peer streams");
       },
--- a/src/cli/node-command.ts
+++ b/src/cli/node-command.ts
@@ -47,8 +47,8 @@
   terminal: terminals.Terminal,
   flags: catalogue.RawNodeSettings,
 ): catalogue.RawNodeSettings {
-  const raw: Partial<Record<keyof nodeSettings.NodeSettings, string>> = {};
-  for (const key of Object.keys(flags) as (keyof nodeSettings.NodeSettings)[]) {
+  const raw: Partial<Record<nodeSettings.NodeSettingName, string>> = {};
+  for (const key of Object.keys(flags) as nodeSettings.NodeSettingName[]) {
     const text = options.getSetting(terminal, catalogue.NODE_SETTINGS[key], flags[key]);
     if (text !== undefined) raw[key] = text;
   }
--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -4,6 +4,7 @@
 import * as clocks from "../kernel/clock.js";
 import * as random from "../kernel/random.js";
 import type * as membershipTypes from "../membership/types.js";
+import * as dutyHolders from "../membership/duty-holders.js";
 import * as fleetSize from "../membership/fleet-size.js";
 import * as membership from "../membership/membership.js";
 import * as placementService from "../placement/placement-service.js";
@@ -66,6 +67,7 @@
   kernel.register("platform", () => seedList.createSeedListClient(kernel.use("liveSettings")));
   kernel.register("membership", membership.createMembership);
   kernel.register("fleetSize", createFleetSize);
+  kernel.register("dutyHolders", () => new dutyHolders.DutyHolders(kernel.use("membership")));
   kernel.register("routing", () => new routingState.RoutingState(kernel.use("log")));
   kernel.register(
     "runners",
@@ -111,6 +113,7 @@
     logLevel: options.logLevel,
     otlpUrl: options.otlpUrl,
     drainLimitMs: settings.shutdownLimitMs,
+    capacity: settings.capacity,
   };
 }
 
@@ -151,6 +154,7 @@
     network: kernel.use("network"),
     membership: kernel.use("membership"),
     fleetSize: kernel.use("fleetSize"),
+    holders: kernel.use("dutyHolders"),
   });
 }
 
@@ -186,6 +190,7 @@
     metrics: kernel.use("metrics"),
     network: kernel.use("network"),
     membership: kernel.use("membership"),
+    holders: kernel.use("dutyHolders"),
     countVms: () => kernel.use("fleetSize").countKnown(),
     createScheduler: (service) =>
       new poolScheduler.PoolScheduler({
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -3,6 +3,7 @@
  * through an adapter.
  */
 import type * as http from "node:http";
+import type * as membership from "../membership/types.js";
 import type * as network from "../protocol/network.js";
 import type * as resultCodes from "../protocol/result-codes.js";
 import type * as registry from "../registry/types.js";
@@ -39,6 +40,8 @@
   /** Time from the notice of a runner that leaves for which the platform allows requests to it. */
   readonly runnerDrainMs: number;
   readonly retryBudget: retryBudgets.RetryBudgetSettings;
+  /** What this VM may use; `undefined` when not stated. */
+  readonly capacity: membership.VmCapacity | undefined;
 }
 
 /** Headers as a list, which preserves their order and repetitions. */
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -3,6 +3,7 @@
 import type * as gateway from "../gateway/types.js";
 import type * as liveSettings from "../gateway/live-settings.js";
 import type * as configuration from "../configuration/types.js";
+import type * as dutyHolders from "../membership/duty-holders.js";
 import type * as fleetSize from "../membership/fleet-size.js";
 import type * as membership from "../membership/types.js";
 import type * as orders from "../orders/types.js";
@@ -43,6 +44,7 @@
   network: network.PeerNetwork;
   membership: membership.Membership;
   fleetSize: fleetSize.FleetSize;
+  dutyHolders: dutyHolders.DutyHolders;
   platform: configuration.PlatformClient;
   configuration: configuration.Configuration;
   sessions: callerTypes.Sessions;
--- a/src/membership/member-record.ts
+++ b/src/membership/member-record.ts
@@ -28,6 +28,9 @@
   host: text,
   peerPort: port,
   callerPort: port,
+  /** Capacity of the VM; constant within an incarnation. Absent if the node does not state it. */
+  cores: zod.number().min(0).optional(),
+  linkMbps: zod.number().min(0).optional(),
 });
 
 /** Record of one node, as exchanged by gossip. */
@@ -49,6 +52,7 @@
     host: settings.host,
     peerPort: settings.peerPort,
     callerPort: settings.callerPort,
+    ...settings.capacity,
   };
 }
 
@@ -64,12 +68,24 @@
   const newer = compareRecords(first, second) >= 0 ? first : second;
   if (first.incarnation !== second.incarnation) return newer;
   const leaving = first.leaving || second.leaving;
-  return leaving === newer.leaving ? newer : { ...newer, leaving };
+  // A node of an earlier version passes records on without the capacity.
+  const stated = newer.cores === undefined ? chooseCapacity(first, second) : {};
+  const isUnchanged = leaving === newer.leaving && stated.cores === undefined;
+  return isUnchanged ? newer : { ...newer, ...stated, leaving };
+}
+
+function chooseCapacity(
+  first: MemberRecord,
+  second: MemberRecord,
+): Partial<Pick<MemberRecord, "cores" | "linkMbps">> {
+  const { cores, linkMbps } = first.cores === undefined ? second : first;
+  return cores === undefined || linkMbps === undefined ? {} : { cores, linkMbps };
 }
 
 /** Whether two records of the same node are equal. */
 export function isSameRecord(first: MemberRecord, second: MemberRecord): boolean {
-  return compareRecords(first, second) === 0 && first.leaving === second.leaving;
+  const isSame = compareRecords(first, second) === 0 && first.leaving === second.leaving;
+  return isSame && first.cores === second.cores;
 }
 
 /** Returns the member state that a record implies. */
@@ -91,9 +107,14 @@
     peer: { host: record.host, port: record.peerPort },
     caller: { host: record.host, port: record.callerPort },
     state: computeState(record),
+    capacity: createCapacity(record),
   };
 }
 
+function createCapacity({ cores, linkMbps }: MemberRecord): types.VmCapacity | undefined {
+  return cores === undefined || linkMbps === undefined ? undefined : { cores, linkMbps };
+}
+
 /** Returns the hash of a record; 0 for a dead member, so that it does not affect the digest. */
 export function computeRecordHash(record: MemberRecord): number {
   if (record.liveness === LIVENESS.dead) return 0;
--- a/src/membership/member-table.ts
+++ b/src/membership/member-table.ts
@@ -35,6 +35,7 @@
   readonly #queue = new updateQueue.UpdateQueue();
   readonly #listeners = new Set<(member: types.Member) => void>();
   #digest = 0;
+  #changeCount = 0;
 
   constructor(local: records.MemberRecord, clock: clocks.Clock) {
     this.#clock = clock;
@@ -51,6 +52,11 @@
     return this.#digest;
   }
 
+  /** Number of changes of any record so far. */
+  get changeCount(): number {
+    return this.#changeCount;
+  }
+
   /** Whether every update was sent as often as the fleet size requires. */
   get isFullyDisseminated(): boolean {
     return this.#queue.empty;
@@ -190,6 +196,7 @@
     this.#queue.push(record.vm, this.#entries.size);
     const isVisible =
       before?.incarnation !== record.incarnation ||
+      before.cores !== record.cores ||
       records.computeState(before) !== records.computeState(record);
     if (!isVisible) return;
     const member = records.createMember(record);
@@ -197,6 +204,7 @@
   }
 
   #set(record: records.MemberRecord): void {
+    this.#changeCount += 1;
     const before = this.#entries.get(record.vm);
     const isSameLiveness = before?.record.liveness === record.liveness;
     const since = isSameLiveness ? before.livenessSince : this.#clock.now();
@@ -206,6 +214,7 @@
   }
 
   #remove(record: records.MemberRecord): void {
+    this.#changeCount += 1;
     this.#digest = (this.#digest ^ records.computeRecordHash(record)) >>> 0;
     this.#entries.delete(record.vm);
     this.#queue.remove(record.vm);
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -19,6 +19,15 @@
 /** Wait for the reply to an announcement by datagram, before it is sent over a connection. */
 const ANNOUNCE_DATAGRAM_MS = 150;
 
+/** The members of a table after a number of changes. */
+interface MemberLists {
+  readonly changeCount: number;
+  readonly known: readonly types.Member[];
+  /** Members that are not dead. */
+  readonly members: readonly types.Member[];
+  readonly alive: readonly types.Member[];
+}
+
 class SwimMembership implements types.Membership {
   readonly #network: network.PeerNetwork;
   readonly #random: prober.ProberOptions["random"];
@@ -29,6 +38,7 @@
   readonly #listReader: vmListReader.VmListReader;
   readonly #controller = new AbortController();
   readonly #tasks: Promise<void>[] = [];
+  #lists: MemberLists = { changeCount: -1, known: [], members: [], alive: [] };
 
   constructor(kernel: container.Kernel) {
     const clock = kernel.use("clock");
@@ -65,17 +75,15 @@
   }
 
   listMembers(): readonly types.Member[] {
-    const members = this.#table.list().map(records.createMember);
-    return members.filter((member) => member.state !== types.MEMBER_STATE.dead);
+    return this.#useLists().members;
   }
 
   listKnown(): readonly types.Member[] {
-    return this.#table.list().map(records.createMember);
+    return this.#useLists().known;
   }
 
   listAlive(): readonly types.Member[] {
-    const members = this.#table.list().map(records.createMember);
-    return members.filter((member) => member.state === types.MEMBER_STATE.alive);
+    return this.#useLists().alive;
   }
 
   findMember(vm: string): types.Member | undefined {
@@ -118,6 +126,17 @@
     await Promise.all(this.#tasks);
   }
 
+  /** Returns the lists of members, which are made anew only after a change. */
+  #useLists(): MemberLists {
+    const { changeCount } = this.#table;
+    if (this.#lists.changeCount === changeCount) return this.#lists;
+    const known = this.#table.list().map(records.createMember);
+    const members = known.filter(({ state }) => state !== types.MEMBER_STATE.dead);
+    const alive = members.filter(({ state }) => state === types.MEMBER_STATE.alive);
+    this.#lists = { changeCount, known, members, alive };
+    return this.#lists;
+  }
+
   /** Sends one member's record to peers directly, without waiting for their probes. */
   async #sendRecord(vm: string): Promise<void> {
     const request = { updates: [this.#table.get(vm)] };
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -83,8 +83,8 @@
       gossiper.receiveRecords(request.updates);
       return {};
     });
-    peers.allowDatagrams(calls.PROBE);
-    peers.allowDatagrams(calls.ANNOUNCE);
+    peers.acceptDatagrams(calls.PROBE);
+    peers.acceptDatagrams(calls.ANNOUNCE);
     peers.onCall(calls.SYNC, (request) => {
       gossiper.receiveRecords(request.members);
       return { members: [...table.list()] };
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -14,6 +14,13 @@
 /** One of the values of `MEMBER_STATE`. */
 export type MemberState = (typeof MEMBER_STATE)[keyof typeof MEMBER_STATE];
 
+/** What a VM may use, as its settings state it. */
+export interface VmCapacity {
+  /** Processor time, in cores of the usual speed. */
+  readonly cores: number;
+  readonly linkMbps: number;
+}
+
 /** One node of the fleet. */
 export interface Member {
   /** The VM's id in the platform's list. */
@@ -27,6 +34,8 @@
   /** Address for callers. */
   readonly caller: network.PeerAddress;
   readonly state: MemberState;
+  /** `undefined` when the VM does not state it. */
+  readonly capacity?: VmCapacity | undefined;
 }
 
 /** Data of another module that is piggybacked on probes; should stay within a few hundred bytes. */
--- a/src/placement/engine-report-poller.ts
+++ b/src/placement/engine-report-poller.ts
@@ -13,10 +13,14 @@
 import type * as poolScheduler from "./pool-scheduler.js";
 
 /**
- * Interval between two polls of a runner. Runners refresh their reports about once a second, and
+ * Shortest interval between two polls of a runner. Runners refresh their reports about once a second, and
  * each poll costs them some time.
  */
-const POLL_INTERVAL_MS = 700;
+const MIN_ROUND_MS = 700;
+/** Share of a round for each runner, which bounds the polls per second of a large pool. */
+const RUNNER_SHARE_MS = 25;
+/** Time between two groups of polls; a poll of all runners at once would delay the requests of callers. */
+const STEP_MS = 100;
 /** Time limit of a poll; a healthy runner answers within a few milliseconds. */
 const POLL_TIMEOUT_MS = 500;
 const HTTP_OK = 200;
@@ -42,18 +46,33 @@
   }
 
   async run(): Promise<void> {
-    const { clock } = this.#options;
     const { signal } = this.#controller;
-    while (!signal.aborted) {
-      await clocks.sleep(clock, POLL_INTERVAL_MS, signal).catch(() => undefined);
-      for (const [service, scheduler] of this.#options.listSchedulers()) {
-        for (const { runner } of this.#options.runners.listUsable(service)) {
-          void this.#updateFromReport(runner, scheduler);
-        }
-      }
+    while (!signal.aborted) await this.#runRound(signal);
+  }
+
+  /** Polls each runner once, in steps. */
+  async #runRound(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
+    const polls = this.#listPolls();
+    if (polls.length === 0) {
+      await clocks.sleep(clock, MIN_ROUND_MS, signal).catch(() => undefined);
+      return;
+    }
+    const steps = computeStepCount(polls.length);
+    for (let step = 0; step < steps; step += 1) {
+      await clocks.sleep(clock, STEP_MS, signal).catch(() => undefined);
+      if (signal.aborted) return;
+      for (const [runner, scheduler] of polls.filter((_poll, index) => index % steps === step))
+        void this.#updateFromReport(runner, scheduler);
     }
   }
 
+  #listPolls(): readonly (readonly [runners.Runner, poolScheduler.PoolScheduler])[] {
+    return [...this.#options.listSchedulers()].flatMap(([service, scheduler]) =>
+      this.#options.runners.listUsable(service).map(({ runner }) => [runner, scheduler] as const),
+    );
+  }
+
   [Symbol.asyncDispose](): Promise<void> {
     this.#controller.abort(new Error("node is stopping"));
     return Promise.resolve();
@@ -89,3 +108,8 @@
     }
   }
 }
+
+/** Returns the number of steps of a round that polls `runnerCount` runners. */
+function computeStepCount(runnerCount: number): number {
+  return Math.ceil(Math.max(MIN_ROUND_MS, runnerCount * RUNNER_SHARE_MS) / STEP_MS);
+}
--- a/src/placement/placement-service.ts
+++ b/src/placement/placement-service.ts
@@ -2,7 +2,7 @@
  * Obtains placements for model requests from the scheduler of their service, or locally if it is
  * unreachable.
  */
-import * as rendezvous from "../membership/rendezvous.js";
+import type * as dutyHolders from "../membership/duty-holders.js";
 import type * as membership from "../membership/types.js";
 import type * as clocks from "../kernel/clock.js";
 import type * as network from "../protocol/network.js";
@@ -28,6 +28,7 @@
   readonly metrics: telemetry.Metrics;
   readonly network: network.PeerNetwork;
   readonly membership: membership.Membership;
+  readonly holders: Pick<dutyHolders.DutyHolders, "find">;
   /** Returns how many VMs share the runners when this one places alone. */
   readonly countVms: () => number;
   readonly createScheduler: (service: string) => poolScheduler.PoolScheduler;
@@ -130,9 +131,8 @@
 
   /** Returns the VM that schedules a service according to this VM's member list. */
   #findScheduler(service: string): string {
-    const { membership: fleet } = this.#options;
-    const vms = fleet.listAlive().map((member) => member.vm);
-    return rendezvous.chooseByRendezvous(service, vms, 1)[0] ?? fleet.self.vm;
+    const { membership: fleet, holders } = this.#options;
+    return holders.find(service) ?? fleet.self.vm;
   }
 
   #isOwn(vm: string): boolean {
--- a/src/placement/pool-scheduler.ts
+++ b/src/placement/pool-scheduler.ts
@@ -39,6 +39,11 @@
  */
 const RETRY_SLACK_MS = -1;
 const EXPIRY_INTERVAL_MS = 1_000;
+/**
+ * Minimum time between two passes over the queue that progress or reports cause. At a large pool these come several hundred
+ * times a second, and a pass looks at all of its runners.
+ */
+const MIN_PASS_INTERVAL_MS = 5;
 /** Retry time of a stream whose version no runner serves; one that crashed is back after some seconds. */
 const VERSION_RETRY_AFTER_MS = 1_000;
 
@@ -63,6 +68,8 @@
   readonly #estimator = new outputEstimator.OutputEstimator();
   readonly #refusedRequests: refusedRequests.RefusedRequests;
   #nextExpiryAt = 0;
+  #passedAt = -Infinity;
+  #cancelDeferredPass: (() => void) | undefined;
   #cancelTimer: (() => void) | undefined;
   /** Fraction of the runners' capacity that this scheduler may use. */
   #capacityShare = 1;
@@ -159,7 +166,7 @@
     if (failedRunner !== undefined) backoff.recordFailure(failedRunner);
     if (prefillMs !== undefined || ended === true) loads.releasePrefill(key, prefillMs);
     if (ended === true) this.#recordEnd(progress);
-    this.update();
+    this.#updateQueue();
   }
 
   /** Records a running request that another scheduler placed. */
@@ -181,7 +188,7 @@
     backoff.recordAnswer(runner.id);
     loads.getOrCreateDecode(runner.id).recordReport(report, this.#options.clock.now());
     if (report.busy) this.#placer.recordSwitching(runner);
-    this.update();
+    this.#updateQueue();
   }
 
   /**
@@ -196,6 +203,7 @@
    * `maxWaitMs` has passed.
    */
   update(): void {
+    this.#passedAt = this.#options.clock.now();
     this.#expireLoads();
     this.#refuseUnserved();
     // Streams whose version has no room, which does not keep others waiting.
@@ -220,6 +228,22 @@
 
   close(): void {
     this.#cancelTimer?.();
+    this.#cancelDeferredPass?.();
+  }
+
+  /** Passes over the queue, if there is one, at most every `MIN_PASS_INTERVAL_MS`. */
+  #updateQueue(): void {
+    if (this.#queue.size === 0 || this.#cancelDeferredPass !== undefined) return;
+    const { clock } = this.#options;
+    const waitMs = this.#passedAt + MIN_PASS_INTERVAL_MS - clock.now();
+    if (waitMs <= 0) {
+      this.update();
+      return;
+    }
+    this.#cancelDeferredPass = clock.schedule(waitMs, () => {
+      this.#cancelDeferredPass = undefined;
+      this.update();
+    });
   }
 
   #createQueuedRequest(
--- a/src/protocol/datagram-calls.ts
+++ b/src/protocol/datagram-calls.ts
@@ -68,7 +68,7 @@
   /** Starts receiving at `address`, on the port that the connections use. */
   async start(address: network.PeerAddress): Promise<void> {
     const { transport } = this.#options;
-    this.#socket = await transport.bindDatagrams?.(address, (bytes, from) => {
+    this.#socket = await transport.listenForDatagrams?.(address, (bytes, from) => {
       this.#handleBytes(bytes, from);
     });
   }
--- a/src/protocol/network.ts
+++ b/src/protocol/network.ts
@@ -42,7 +42,7 @@
 /** Opens and accepts channels: TCP in production, an in-memory pair in tests. */
 export interface Transport {
   /** Binds a socket for datagrams; absent where there are none. */
-  readonly bindDatagrams?: (
+  readonly listenForDatagrams?: (
     address: PeerAddress,
     onDatagram: (bytes: Uint8Array, from: PeerAddress) => void,
   ) => Promise<DatagramSocket>;
@@ -168,7 +168,7 @@
     handler: (request: Request, from: PeerIdentity, signal: AbortSignal) => Promise<Reply> | Reply,
   ): void;
   /** Accepts a call as a datagram too; its handler has to bear being run twice for one call. */
-  allowDatagrams(call: Pick<PeerCall<unknown, unknown>, "kind">): void;
+  acceptDatagrams(call: Pick<PeerCall<unknown, unknown>, "kind">): void;
   /**
    * Registers the handler of a streamed call. `signal` aborts when the reader stops or the connection
    * is lost.
--- a/src/protocol/peer-network.ts
+++ b/src/protocol/peer-network.ts
@@ -83,7 +83,7 @@
     return this.#datagrams.call(vm, call, request, options);
   }
 
-  allowDatagrams(call: Pick<network.PeerCall<unknown, unknown>, "kind">): void {
+  acceptDatagrams(call: Pick<network.PeerCall<unknown, unknown>, "kind">): void {
     this.#datagrams.addKind(call.kind);
   }
 
--- a/src/protocol/tcp-transport.ts
+++ b/src/protocol/tcp-transport.ts
@@ -79,7 +79,7 @@
 const CLOSE_TIMEOUT_MS = 1000;
 
 class TcpTransport implements network.Transport {
-  readonly bindDatagrams = udpSocket.bindUdpSocket;
+  readonly listenForDatagrams = udpSocket.listenForDatagrams;
 
   async connect(address: network.PeerAddress, signal: AbortSignal): Promise<network.FrameChannel> {
     signal.throwIfAborted();
--- a/src/protocol/udp-socket.ts
+++ b/src/protocol/udp-socket.ts
@@ -6,7 +6,7 @@
 const MAX_QUEUED_BYTES = 262_144;
 
 /** Binds a UDP socket; `onDatagram` is called with each received datagram. */
-export async function bindUdpSocket(
+export async function listenForDatagrams(
   address: network.PeerAddress,
   onDatagram: (bytes: Uint8Array, from: network.PeerAddress) => void,
 ): Promise<network.DatagramSocket> {
--- a/src/runners/runner-limits.ts
+++ b/src/runners/runner-limits.ts
@@ -7,7 +7,7 @@
 import * as zod from "zod";
 import type * as clocks from "../kernel/clock.js";
 import type * as fleetSizes from "../membership/fleet-size.js";
-import * as rendezvous from "../membership/rendezvous.js";
+import type * as dutyHolders from "../membership/duty-holders.js";
 import type * as membership from "../membership/types.js";
 import * as network from "../protocol/network.js";
 import * as logEvents from "../telemetry/log-events.js";
@@ -77,6 +77,7 @@
   readonly network: network.PeerNetwork;
   readonly membership: membership.Membership;
   readonly fleetSize: Pick<fleetSizes.FleetSize, "countKnown">;
+  readonly holders: Pick<dutyHolders.DutyHolders, "find">;
 }
 
 /** Learns the limits that runners name, shares them with the other VMs, and grants sends within them. */
@@ -161,9 +162,8 @@
   }
 
   #findHolder(service: string): string {
-    const { membership: fleet } = this.#options;
-    const alive = fleet.listAlive().map(({ vm }) => vm);
-    return rendezvous.chooseByRendezvous(service, alive, 1)[0] ?? fleet.self.vm;
+    const { membership: fleet, holders } = this.#options;
+    return holders.find(service) ?? fleet.self.vm;
   }
 
   #isOwn(vm: string): boolean {
--- a/src/settings/node-settings-catalogue.ts
+++ b/src/settings/node-settings-catalogue.ts
@@ -74,7 +74,7 @@
     description: "maximum wait for running requests on shutdown, in milliseconds",
     defaultText: "60000",
   },
-} as const satisfies Record<keyof settings.NodeSettings, SettingDefinition>;
+} as const satisfies Record<settings.NodeSettingName, SettingDefinition>;
 
 /** Schema of the comma-separated fleet keys. */
 export const fleetKeysSchema = zod
@@ -108,7 +108,7 @@
 });
 
 /** Settings as text, before validation. */
-export type RawNodeSettings = Readonly<Partial<Record<keyof settings.NodeSettings, string>>>;
+export type RawNodeSettings = Readonly<Partial<Record<settings.NodeSettingName, string>>>;
 
 /** Result of validating settings. */
 export type NodeSettingsCheck =
@@ -137,7 +137,7 @@
     return { ok: true, settings: { ...required, adminToken, otlpUrl } };
   }
   const faults = parsed.error.issues.map((issue) => {
-    const key = issue.path[0] as keyof settings.NodeSettings;
+    const key = issue.path[0] as settings.NodeSettingName;
     return formatFault(NODE_SETTINGS[key], withDefaults[key], issue);
   });
   return { ok: false, faults };
@@ -153,8 +153,8 @@
   return `--${flag} (${getEnvironmentName(flag)}): ${formatReason(value, issue)}`;
 }
 
-function listDefinitions(): [keyof settings.NodeSettings, SettingDefinition][] {
-  return Object.entries(NODE_SETTINGS) as [keyof settings.NodeSettings, SettingDefinition][];
+function listDefinitions(): [settings.NodeSettingName, SettingDefinition][] {
+  return Object.entries(NODE_SETTINGS) as [settings.NodeSettingName, SettingDefinition][];
 }
 
 function formatReason(value: string | undefined, issue: zod.core.$ZodIssue): string {
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -1,5 +1,7 @@
 /** Settings of `ebonyhook node`; each can be set by flag or environment variable. */
 
+import type * as membership from "../membership/types.js";
+
 /** Validated settings of a node. */
 export interface NodeSettings {
   readonly vm: string;
@@ -21,4 +23,9 @@
   readonly otlpUrl: string | undefined;
   /** Maximum wait for running requests while draining. */
   readonly drainLimitMs: number;
+  /** What this VM may use, which no flag sets; `undefined` when the platform does not state it. */
+  readonly capacity?: membership.VmCapacity | undefined;
 }
+
+/** Name of a setting that a flag or an environment variable sets. */
+export type NodeSettingName = Exclude<keyof NodeSettings, "capacity">;
--- a/standins/matrix/observed-network.ts
+++ b/standins/matrix/observed-network.ts
@@ -48,8 +48,8 @@
       await hostProcess.waitUntilRunning();
       return reply;
     },
-    allowDatagrams: (call) => {
-      inner.allowDatagrams(call);
+    acceptDatagrams: (call) => {
+      inner.acceptDatagrams(call);
     },
     stream: (vm, call, request, options) => inner.stream(vm, call, request, options),
     onCall: (call, handler) => {
--- a/standins/memory-transport.ts
+++ b/standins/memory-transport.ts
@@ -45,7 +45,7 @@
   /** Creates a node's transport. */
   createTransport(node: string): network.Transport {
     return {
-      bindDatagrams: (address, onDatagram) =>
+      listenForDatagrams: (address, onDatagram) =>
         Promise.resolve(this.datagrams.bind(node, address, onDatagram)),
       connect: (address, signal) => this.#connect(node, address, signal),
       listen: (address, onChannel) => Promise.resolve(this.#listen(node, address, onChannel)),
--- a/test/placement/placement-service.test.ts
+++ b/test/placement/placement-service.test.ts
@@ -42,6 +42,7 @@
       metrics: inertMetrics.createInertMetrics(),
       network: network as never,
       membership: createMembership(),
+      holders: { find: () => "b" },
       countVms: () => 7,
       createScheduler: () => scheduler,
     });
--- a/test/placement/pool-scheduler.test.ts
+++ b/test/placement/pool-scheduler.test.ts
@@ -12,6 +12,8 @@
 const NORMAL_REQUESTS_PER_SECOND = 7;
 const BURST_REQUESTS_PER_SECOND = 16;
 const MEAN_PROMPT_TOKENS = 5_200;
+/** Time within which progress of a run leads to a pass over the queue. */
+const PASS_INTERVAL_MS = 5;
 
 /** Requests per second of a load pattern: normally, and in each of its three bursts. */
 interface LoadRates {
@@ -177,7 +179,9 @@
     submit("refused", 2, 3_000);
     submit("fresh", 1, 3_000);
     end("first-1/0");
+    await clock.advance(PASS_INTERVAL_MS);
     end("fresh-1/0");
+    await clock.advance(PASS_INTERVAL_MS);
     earl
       .expect(answered)
       .toEqual(["first granted", "refused refused", "fresh granted", "refused granted"]);
@@ -280,15 +284,19 @@
     },
   );
 
-  test.it("places streams that go on first, and others while their version has no room", () => {
-    const { submit, answers, scheduler } = createVersionedPool();
-    submit("one", { softwareVersion: "v1" });
-    submit("goes on", { softwareVersion: "v1" });
-    submit("two");
-    earl.expect(answers.get("two")).toEqual("new");
-    submit("waits");
-    submit("goes on later", { softwareVersion: "v2" });
-    scheduler.recordProgress({ key: "two/0", ended: true });
-    earl.expect([answers.get("goes on later"), answers.get("waits")]).toEqual(["new", undefined]);
-  });
+  test.it(
+    "places streams that go on first, and others while their version has no room",
+    async () => {
+      const { clock, submit, answers, scheduler } = createVersionedPool();
+      submit("one", { softwareVersion: "v1" });
+      submit("goes on", { softwareVersion: "v1" });
+      submit("two");
+      earl.expect(answers.get("two")).toEqual("new");
+      submit("waits");
+      submit("goes on later", { softwareVersion: "v2" });
+      scheduler.recordProgress({ key: "two/0", ended: true });
+      await clock.advance(PASS_INTERVAL_MS);
+      earl.expect([answers.get("goes on later"), answers.get("waits")]).toEqual(["new", undefined]);
+    },
+  );
 });
--- a/test/request/fake-fleet.ts
+++ b/test/request/fake-fleet.ts
@@ -201,7 +201,7 @@
         this.#call(node, vm, call.kind, request, options) as never,
       callByDatagram: (vm, call, request, options) =>
         this.#call(node, vm, call.kind, request, options) as never,
-      allowDatagrams: () => undefined,
+      acceptDatagrams: () => undefined,
       stream: () => {
         throw new Error("FakeFleet does not support peer streams");
       },
--- a/test/runners/runner-limits.test.ts
+++ b/test/runners/runner-limits.test.ts
@@ -1,5 +1,6 @@
 import * as test from "node:test";
 import * as earl from "earl";
+import * as dutyHolders from "../../src/membership/duty-holders.js";
 import * as runnerLimits from "../../src/runners/runner-limits.js";
 import type * as runners from "../../src/runners/types.js";
 import * as fakes from "../request/fake-fleet.js";
@@ -15,6 +16,7 @@
 
 function addNode(fleet: fakes.FakeFleet, vm: string, knownVms: number) {
   const { kernel } = fleet.add(vm, "zone-a");
+  const holders = new dutyHolders.DutyHolders(kernel.use("membership"));
   return new runnerLimits.RunnerLimits({
     clock: kernel.use("clock"),
     log: kernel.use("log"),
@@ -22,6 +24,7 @@
     network: kernel.use("network"),
     membership: kernel.use("membership"),
     fleetSize: { countKnown: () => knownVms },
+    holders,
   });
 }
 
