Read the platform from three VMs a zone, and relay what they read

Three VMs a zone, chosen by rendezvous, watch for up to 2 s at a time. They push changes to the others in datagrams. A VM whose readers all know nothing younger than 4 s reads by itself, after a random delay, until a reader is up to date again. Every VM still reads once at its start, and the revisions in probes still spread changes across zones. A zone of three VMs or fewer works as before. A push whose predecessor was missed restarts the time since which no change was missed, so what is known of runners' versions stays true.

--- a/src/registry/registry-reader.ts
+++ b/src/registry/registry-reader.ts
@@ -1,8 +1,9 @@
-/** Keeps a registry view up to date by long-polling the platform. */
+/** Keeps a registry view up to date by long-polling the platform, while this VM has to read it. */
 import * as clocks from "../kernel/clock.js";
 import type * as random from "../kernel/random.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
+import type * as registryRelay from "./registry-relay.js";
 import type * as registryView from "./registry-view.js";
 import type * as types from "./types.js";
 
@@ -11,6 +12,8 @@
  * `RESPONSE_MARGIN_MS`; until then, changes arrive from peers.
  */
 const LONG_POLL_MS = 5_000;
+/** Maximum duration while other VMs rely on this one, which have to know how old its knowledge is. */
+const READER_LONG_POLL_MS = 2_000;
 /**
  * Time allowed for a response after the end of a long poll; a slow platform takes 0.25 s.
  */
@@ -24,12 +27,20 @@
 /** Must stay below the 2 s within which a published change must take effect. */
 const MAX_BACKOFF_MS = 800;
 
+/** Decides whether this VM reads the platform or relies on other VMs. */
+export type ReaderRole = Pick<
+  registryRelay.RegistryRelay,
+  "isReading" | "waitUntilNeeded" | "hasFollowers"
+>;
+
 /** Dependencies and settings of a `RegistryReader`. */
 export interface RegistryReaderOptions<Value> {
   /** Name of the registry, for logs and metrics. */
   readonly name: string;
   readonly source: types.RegistrySource<Value>;
   readonly view: registryView.RegistryView<Value>;
+  /** Without it, this VM always reads. */
+  readonly role?: ReaderRole;
   readonly clock: clocks.Clock;
   readonly random: random.RandomSource;
   readonly log: telemetry.EventLog;
@@ -41,15 +52,22 @@
   readonly #options: RegistryReaderOptions<Value>;
   #failures = 0;
   #needsFullRead = true;
+  #answeredAt: number | undefined;
 
   constructor(options: RegistryReaderOptions<Value>) {
     this.#options = options;
   }
 
+  /** Monotonic time of the platform's last answer; `undefined` while reads fail. */
+  get answeredAt(): number | undefined {
+    return this.#failures > 0 ? undefined : this.#answeredAt;
+  }
+
   /** Runs until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       try {
+        await this.#waitForRole(signal);
         await this.#readOrWatch(signal);
       } catch (error) {
         await this.#handleFailure(error, signal);
@@ -57,6 +75,15 @@
     }
   }
 
+  /** Waits while this VM relies on others; it reads once at its start, since the fleet may not be known yet. */
+  async #waitForRole(signal: AbortSignal): Promise<void> {
+    const { role, view } = this.#options;
+    if (role === undefined || role.isReading() || view.revision === 0) return;
+    await role.waitUntilNeeded(signal);
+    signal.throwIfAborted();
+    this.#needsFullRead = true;
+  }
+
   async #readOrWatch(signal: AbortSignal): Promise<void> {
     const { source, view, clock, metrics, name } = this.#options;
     metrics.count("platform_calls", { kind: name });
@@ -70,8 +97,10 @@
       this.#needsFullRead = false;
       return;
     }
-    using limit = clocks.createTimeLimit(clock, LONG_POLL_MS + RESPONSE_MARGIN_MS, signal);
-    const changes = await source.watch(view.revision, LONG_POLL_MS, limit.signal);
+    const hasFollowers = this.#options.role?.hasFollowers === true;
+    const longPollMs = hasFollowers ? READER_LONG_POLL_MS : LONG_POLL_MS;
+    using limit = clocks.createTimeLimit(clock, longPollMs + RESPONSE_MARGIN_MS, signal);
+    const changes = await source.watch(view.revision, longPollMs, limit.signal);
     this.#handleSuccess();
     if (changes === undefined) {
       this.#handleGap();
@@ -93,7 +122,8 @@
   }
 
   #handleSuccess(): void {
-    const { view, log, name } = this.#options;
+    const { view, log, name, clock } = this.#options;
+    this.#answeredAt = clock.now();
     if (this.#failures > 0) {
       log.write(logEvents.LOG_EVENTS.platformRegained, { what: name, failures: this.#failures });
       view.startGracePeriod();
--- /dev/null
+++ b/src/registry/registry-relay.ts
@@ -0,0 +1,303 @@
+/**
+ * Spreads what few VMs of each availability zone read from the platform to the other VMs of the zone, so that the calls to
+ * the platform do not grow with the fleet. Readers push changes in datagrams. The other VMs ask the readers in turn what they
+ * know and how old it is; they pull what they miss, and read by themselves while all readers' knowledge is too old.
+ */
+import * as zod from "zod";
+import * as clocks from "../kernel/clock.js";
+import * as rendezvous from "../membership/rendezvous.js";
+import type * as membership from "../membership/types.js";
+import * as network from "../protocol/network.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
+import type * as registryView from "./registry-view.js";
+
+const STATE_CALL = 32;
+const PUSH_CALL = 33;
+/** VMs of each zone that read the platform. */
+export const READERS_PER_ZONE = 3;
+/** Time between two questions to readers, each to the next one. */
+const POLL_PERIOD_MS = 700;
+const POLL_TIMEOUT_MS = 400;
+const PUSH_TIMEOUT_MS = 400;
+/** Age of the newest knowledge of all readers from which on a VM reads by itself. */
+export const MAX_AGE_MS = 4_000;
+/** Largest random delay of a VM's own reads, so that the VMs of a zone do not all call the platform at once. */
+const MAX_OWN_READ_DELAY_MS = 1_000;
+
+const name = zod.string().max(32);
+const revision = zod.int().min(0);
+
+const stateSchema = zod.object({
+  name,
+  revision,
+  newestRevision: revision,
+  /** Hash of the keys and revisions in the view. */
+  digest: zod.int().min(0),
+  /** Time since the platform last answered the reader; absent while its reads fail. */
+  ageMs: zod.number().min(0).optional(),
+});
+const changeSchema = zod.object({
+  key: zod.string(),
+  /** Revision of the item, or of the removed item. */
+  revision,
+  value: zod.unknown(),
+  removed: zod.boolean(),
+});
+
+type RegistryState = zod.infer<typeof stateSchema>;
+type PushedChange = zod.infer<typeof changeSchema>;
+
+/** Asks a reader for the state of its views. */
+const READ_STATE = network.createPeerCall(
+  STATE_CALL,
+  "registry-state",
+  zod.object({}),
+  zod.object({ states: zod.array(stateSchema).max(8) }),
+);
+
+/** Sends changes of a reader's view to a VM of its zone. */
+const PUSH = network.createPeerCall(
+  PUSH_CALL,
+  "push-registry",
+  zod.object({
+    name,
+    /** Digest of the reader's view before the changes. */
+    before: zod.int().min(0),
+    changes: zod.array(changeSchema).max(64),
+  }),
+  zod.object({}),
+);
+
+/** A registry that is relayed. */
+export interface RelayedRegistry {
+  readonly name: string;
+  readonly view: registryView.RegistryView<unknown>;
+  /** Returns the monotonic time of the platform's last answer to this VM; `undefined` while its reads fail. */
+  readonly findAnsweredAt: () => number | undefined;
+  /** Pulls a peer's snapshot. */
+  readonly pull: (vm: string) => Promise<boolean>;
+}
+
+/** Dependencies of the relay. */
+export interface RegistryRelayOptions {
+  readonly clock: clocks.Clock;
+  readonly random: { nextFloat(): number };
+  readonly log: telemetry.EventLog;
+  readonly metrics: telemetry.Metrics;
+  readonly network: network.PeerNetwork;
+  readonly membership: membership.Membership;
+}
+
+/** Decides which VMs read the platform, and passes on what they read. */
+export class RegistryRelay {
+  readonly #options: RegistryRelayOptions;
+  readonly #registries = new Map<string, RelayedRegistry>();
+  /** Changes of this VM's views that have not been pushed, by registry. */
+  readonly #unpushed = new Map<string, PushedChange[]>();
+  /** Digest of each view when its changes were last pushed. */
+  readonly #pushedDigests = new Map<string, number>();
+  /** Monotonic time until which the knowledge of a reader is recent enough, by VM. */
+  readonly #freshUntil = new Map<string, number>();
+  #readers: readonly string[] | undefined;
+  #nextReader = 0;
+  /** Monotonic time until which this VM relies on readers that it has not asked yet. */
+  #trustsUntil = 0;
+  #readsAlone = false;
+  #waiters: (() => void)[] = [];
+
+  constructor(options: RegistryRelayOptions) {
+    this.#options = options;
+    const { network: peers, membership: fleet } = options;
+    peers.onCall(READ_STATE, () => ({ states: this.#listStates() }));
+    peers.onCall(PUSH, (push) => {
+      this.#handlePush(push);
+      return {};
+    });
+    peers.acceptDatagrams(READ_STATE);
+    peers.acceptDatagrams(PUSH);
+    fleet.onChange(() => {
+      this.#readers = undefined;
+    });
+  }
+
+  /** Adds a registry; call before `run`. */
+  addRegistry(registry: RelayedRegistry): void {
+    this.#registries.set(registry.name, registry);
+    registry.view.onChange((key, value, itemRevision) => {
+      const change = { key, revision: itemRevision, value, removed: value === undefined };
+      this.#addUnpushed(registry.name, change);
+    });
+  }
+
+  /** Whether other VMs depend on what this VM reads. */
+  get hasFollowers(): boolean {
+    return this.#isReader() && this.#listZone().length > READERS_PER_ZONE;
+  }
+
+  /** Whether this VM has to read the platform: as a reader, or because no reader knows enough. */
+  isReading(): boolean {
+    return this.#isReader() || this.#readsAlone;
+  }
+
+  /** Waits until this VM has to read the platform or `signal` aborts. */
+  async waitUntilNeeded(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && !this.isReading()) {
+      await new Promise<void>((resolve) => {
+        this.#waiters.push(resolve);
+      });
+    }
+  }
+
+  /** Asks the readers until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.#options;
+    this.#trustsUntil = clock.now() + MAX_AGE_MS;
+    while (!signal.aborted) {
+      const jitter = 0.9 + 0.2 * random.nextFloat();
+      await clocks.sleep(clock, POLL_PERIOD_MS * jitter, signal).catch(() => undefined);
+      if (!this.#isReader()) await this.#callNextReader();
+      this.#updateRole();
+    }
+    this.#notifyWaiters();
+  }
+
+  async #callNextReader(): Promise<void> {
+    const { network: peers, clock } = this.#options;
+    const readers = this.#listReaders();
+    this.#nextReader = (this.#nextReader + 1) % Math.max(1, readers.length);
+    const reader = readers[this.#nextReader];
+    if (reader === undefined) return;
+    try {
+      const limits = { timeoutMs: POLL_TIMEOUT_MS };
+      const { states } = await peers
+        .callByDatagram(reader, READ_STATE, {}, limits)
+        .catch(() => peers.call(reader, READ_STATE, {}, limits));
+      const oldest = Math.max(...states.map(({ ageMs }) => ageMs ?? Number.POSITIVE_INFINITY));
+      this.#freshUntil.set(reader, clock.now() + MAX_AGE_MS - oldest);
+      for (const state of states) await this.#pullIfMissing(reader, state);
+    } catch {
+      // Its knowledge grows too old, unless another reader answers.
+    }
+  }
+
+  /** Pulls a reader's snapshot if it holds something else than this VM's view, which is no newer. */
+  async #pullIfMissing(reader: string, state: RegistryState): Promise<void> {
+    const registry = this.#registries.get(state.name);
+    if (registry === undefined) return;
+    const { view, pull } = registry;
+    const isSame = state.digest === view.digest;
+    const isOlder = state.newestRevision < view.newestRevision || state.revision < view.revision;
+    if (!isSame && !isOlder) await pull(reader);
+  }
+
+  /** Starts or ends this VM's own reads by what it learned from the readers. */
+  #updateRole(): void {
+    const { clock, log, metrics, random } = this.#options;
+    const now = clock.now();
+    const isFresh =
+      this.#listReaders().some((vm) => (this.#freshUntil.get(vm) ?? -Infinity) > now) ||
+      now < this.#trustsUntil;
+    const mustRead = !isFresh && !this.#isReader();
+    if (mustRead !== this.#readsAlone) {
+      this.#readsAlone = mustRead;
+      if (mustRead) metrics.count("registry_reads_alone");
+      const fields = { reads: mustRead, readers: this.#listReaders().join(" ") };
+      log.write(logEvents.LOG_EVENTS.registryReadAlone, fields);
+    }
+    if (!this.isReading() || this.#waiters.length === 0) return;
+    const delayMs = this.#isReader() ? 0 : MAX_OWN_READ_DELAY_MS * random.nextFloat();
+    clock.schedule(delayMs, () => {
+      this.#notifyWaiters();
+    });
+  }
+
+  #notifyWaiters(): void {
+    const waiters = this.#waiters;
+    this.#waiters = [];
+    for (const wake of waiters) wake();
+  }
+
+  #isReader(): boolean {
+    return this.#listReaders().includes(this.#options.membership.self.vm);
+  }
+
+  /** Returns the VMs of this VM's zone that read the platform, according to its member list. */
+  #listReaders(): readonly string[] {
+    this.#readers ??= rendezvous.chooseByRendezvous("registry", this.#listZone(), READERS_PER_ZONE);
+    return this.#readers;
+  }
+
+  #listZone(): readonly string[] {
+    const { membership: fleet } = this.#options;
+    const { zone, vm } = fleet.self;
+    const alive = fleet.listAlive().filter((member) => member.zone === zone);
+    const vms = alive.map((member) => member.vm);
+    return vms.includes(vm) ? vms : [...vms, vm];
+  }
+
+  #listStates(): RegistryState[] {
+    const { clock } = this.#options;
+    return [...this.#registries.values()].map(({ name: registry, view, findAnsweredAt }) => {
+      const answeredAt = findAnsweredAt();
+      const ageMs = answeredAt === undefined ? undefined : Math.max(0, clock.now() - answeredAt);
+      const { revision: own, newestRevision, digest } = view;
+      return { name: registry, revision: own, newestRevision, digest, ageMs };
+    });
+  }
+
+  #handlePush({ name: registry, before, changes }: zod.infer<typeof PUSH.request>): void {
+    const view = this.#registries.get(registry)?.view;
+    if (view === undefined) return;
+    const digest = view.digest;
+    view.applyChanges({
+      // The platform's revision is not reached: changes before these may be missing.
+      revision: view.revision,
+      changes: changes.map(({ key, revision: changed, value, removed }) =>
+        removed
+          ? ({ removed: true, key, revision: changed + 1 } as const)
+          : ({ removed: false, item: { key, revision: changed, value } } as const),
+      ),
+    });
+    if (view.digest !== digest && digest !== before) view.resetContinuity();
+  }
+
+  #addUnpushed(registry: string, change: PushedChange): void {
+    if (!this.hasFollowers) return;
+    const unpushed = this.#unpushed.get(registry);
+    if (unpushed !== undefined) {
+      unpushed.push(change);
+      return;
+    }
+    this.#unpushed.set(registry, [change]);
+    // Sent after all changes of one answer have been applied.
+    this.#options.clock.schedule(0, () => {
+      this.#pushChanges(registry);
+    });
+  }
+
+  #pushChanges(registry: string): void {
+    const { network: peers, membership: fleet } = this.#options;
+    const changes = this.#unpushed.get(registry) ?? [];
+    this.#unpushed.delete(registry);
+    const view = this.#registries.get(registry)?.view;
+    if (view === undefined) return;
+    const before = this.#pushedDigests.get(registry) ?? view.digest;
+    this.#pushedDigests.set(registry, view.digest);
+    const push = { name: registry, before, changes };
+    const readers = this.#listReaders();
+    const receivers = this.#listZone().filter((vm) => !readers.includes(vm));
+    for (const vm of receivers) {
+      if (vm === fleet.self.vm) continue;
+      // What is lost or does not fit a datagram is pulled after the receiver's next question.
+      peers.callByDatagram(vm, PUSH, push, { timeoutMs: PUSH_TIMEOUT_MS }).catch(() => undefined);
+    }
+  }
+}
+
+/** A relayed registry of any value type. */
+export function createRelayedRegistry<Value>(
+  registry: Omit<RelayedRegistry, "view"> & { readonly view: registryView.RegistryView<Value> },
+): RelayedRegistry {
+  return registry as unknown as RelayedRegistry;
+}
--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -8,6 +8,7 @@
 import type * as routing from "../routing/types.js";
 import type * as runners from "../runners/types.js";
 import * as registryExchange from "./registry-exchange.js";
+import * as registryRelay from "./registry-relay.js";
 import * as registryReader from "./registry-reader.js";
 import * as registryView from "./registry-view.js";
 
@@ -25,6 +26,7 @@
   readonly #runnersView: registryView.RegistryView<runners.Runner>;
   readonly #readers: readonly { run(signal: AbortSignal): Promise<void> }[];
   readonly #exchanges: readonly { pull(vm: string): Promise<boolean> }[];
+  readonly #relay: registryRelay.RegistryRelay;
 
   constructor(kernel: container.Kernel) {
     this.#kernel = kernel;
@@ -43,30 +45,33 @@
       membership: kernel.use("membership"),
     };
     const { configurationSource, runnerSource } = adapter;
-    this.#readers = [
-      new registryReader.RegistryReader({
-        ...sharedOptions,
-        ...configurationOptions,
-        source: configurationSource,
-      }),
-      new registryReader.RegistryReader({
-        ...sharedOptions,
-        ...runnersOptions,
-        source: runnerSource,
-      }),
-    ];
-    this.#exchanges = [
-      new registryExchange.RegistryExchange({
-        ...sharedOptions,
-        ...configurationOptions,
-        callKind: CONFIGURATION_CALL,
-      }),
-      new registryExchange.RegistryExchange({
-        ...sharedOptions,
-        ...runnersOptions,
-        callKind: RUNNERS_CALL,
-      }),
-    ];
+    this.#relay = new registryRelay.RegistryRelay(sharedOptions);
+    const configurationReader = new registryReader.RegistryReader({
+      ...sharedOptions,
+      ...configurationOptions,
+      source: configurationSource,
+      role: this.#relay,
+    });
+    const runnersReader = new registryReader.RegistryReader({
+      ...sharedOptions,
+      ...runnersOptions,
+      source: runnerSource,
+      role: this.#relay,
+    });
+    this.#readers = [configurationReader, runnersReader];
+    const configurationExchange = new registryExchange.RegistryExchange({
+      ...sharedOptions,
+      ...configurationOptions,
+      callKind: CONFIGURATION_CALL,
+    });
+    const runnersExchange = new registryExchange.RegistryExchange({
+      ...sharedOptions,
+      ...runnersOptions,
+      callKind: RUNNERS_CALL,
+    });
+    this.#exchanges = [configurationExchange, runnersExchange];
+    this.#addRelayed(configurationOptions, configurationReader, configurationExchange);
+    this.#addRelayed(runnersOptions, runnersReader, runnersExchange);
     this.#connectViews();
   }
 
@@ -89,6 +94,7 @@
   start(): void {
     const { signal } = this.#controller;
     for (const reader of this.#readers) void reader.run(signal);
+    void this.#relay.run(signal);
     void this.#runExpiry(signal);
     void this.#pullFromPeers(signal);
   }
@@ -98,6 +104,20 @@
     return Promise.resolve();
   }
 
+  #addRelayed<Value>(
+    { name, view }: { readonly name: string; readonly view: registryView.RegistryView<Value> },
+    reader: registryReader.RegistryReader<Value>,
+    exchange: registryExchange.RegistryExchange<Value>,
+  ): void {
+    const registry = {
+      name,
+      view,
+      findAnsweredAt: () => reader.answeredAt,
+      pull: (vm: string) => exchange.pull(vm),
+    };
+    this.#relay.addRegistry(registryRelay.createRelayedRegistry(registry));
+  }
+
   #connectViews(): void {
     const routing = this.#kernel.use("routing");
     const table = this.#kernel.use("runners");
--- a/src/registry/registry-view.ts
+++ b/src/registry/registry-view.ts
@@ -1,5 +1,6 @@
 /** Local copy of the items of one registry. Only newer revisions change it. */
 import type * as clocks from "../kernel/clock.js";
+import * as rendezvous from "../membership/rendezvous.js";
 import type * as types from "./types.js";
 
 /**
@@ -8,8 +9,15 @@
  */
 export const EXPIRY_GRACE_MS = 2_000;
 
-/** Receives the new value of a key, or `undefined` when the key was removed. */
-export type ChangeListener<Value> = (key: string, value: Value | undefined) => void;
+/**
+ * Receives the new value of a key, or `undefined` when the key was removed or its value cannot be parsed, with the revision of
+ * the item that was set or removed.
+ */
+export type ChangeListener<Value> = (
+  key: string,
+  value: Value | undefined,
+  revision: number,
+) => void;
 
 /** Stores the newest known item of each key. */
 export class RegistryView<Value> {
@@ -20,6 +28,7 @@
   readonly #listeners: ChangeListener<Value>[] = [];
   #revision = 0;
   #newestRevision = 0;
+  #digest = 0;
   #graceEndsAt = 0;
   #continuousSince: number | undefined;
 
@@ -40,6 +49,11 @@
     return this.#newestRevision;
   }
 
+  /** Hash of the keys and revisions of all items; equal in views with equal items. */
+  get digest(): number {
+    return this.#digest;
+  }
+
   /** Monotonic time since which no change was missed; `undefined` while changes may be. */
   get continuousSince(): number | undefined {
     return this.#continuousSince;
@@ -58,6 +72,11 @@
     this.#continuousSince = this.#clock.now();
   }
 
+  /** Records that changes may have been missed until now, but not from now on. */
+  resetContinuity(): void {
+    if (this.#continuousSince !== undefined) this.startContinuity();
+  }
+
   /** Records that changes may be missed. */
   markGap(): void {
     this.#continuousSince = undefined;
@@ -75,7 +94,7 @@
   applySnapshot(snapshot: types.RegistrySnapshot<Value>): boolean {
     if (snapshot.revision < this.#revision) return false;
     this.#revision = snapshot.revision;
-    if (this.#continuousSince !== undefined) this.startContinuity();
+    this.resetContinuity();
     const present = new Set(snapshot.items.map((item) => item.key));
     for (const item of snapshot.items) this.#setItem(item);
     for (const key of [...this.#items.keys()]) {
@@ -111,8 +130,10 @@
     this.#newestRevision = Math.max(this.#newestRevision, item.revision);
     this.#expiring.delete(item.key);
     if (!this.isNewer(item.key, item.revision)) return;
+    this.#updateDigest(this.#items.get(item.key));
+    this.#updateDigest(item);
     this.#items.set(item.key, item);
-    this.#notifyListeners(item.key, item.value);
+    this.#notifyListeners(item.key, item.value, item.revision);
   }
 
   #removeOrScheduleExpiry(key: string): void {
@@ -122,10 +143,20 @@
 
   #remove(key: string): void {
     this.#expiring.delete(key);
-    if (this.#items.delete(key)) this.#notifyListeners(key, undefined);
+    const item = this.#items.get(key);
+    if (item === undefined) return;
+    this.#items.delete(key);
+    this.#updateDigest(item);
+    this.#notifyListeners(key, undefined, item.revision);
+  }
+
+  /** Adds an item to the digest or removes it, which is the same operation. */
+  #updateDigest(item: types.RegistryItem<Value> | undefined): void {
+    if (item === undefined) return;
+    this.#digest = (this.#digest ^ rendezvous.computeHash(`${item.key}@${item.revision}`)) >>> 0;
   }
 
-  #notifyListeners(key: string, value: Value | undefined): void {
-    for (const listener of this.#listeners) listener(key, value);
+  #notifyListeners(key: string, value: Value | undefined, revision: number): void {
+    for (const listener of this.#listeners) listener(key, value, revision);
   }
 }
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -45,6 +45,11 @@
   registryItemUnreadable: { number: 3009, level: "warn", message: "registry item not valid" },
   settingsReloaded: { number: 3010, level: "info", message: "settings reloaded" },
   settingsRefused: { number: 3011, level: "warn", message: "settings reload failed" },
+  registryReadAlone: {
+    number: 3012,
+    level: "info",
+    message: "own reads of the platform started or ended",
+  },
   requestRefused: { number: 4001, level: "info", message: "request refused" },
   requestFinished: { number: 4002, level: "debug", message: "request finished" },
   requestRetried: { number: 4003, level: "info", message: "request retried" },
