--- a/src/registry/registry-reader.ts
+++ b/src/registry/registry-reader.ts
@@ -12,8 +12,6 @@
  * `RESPONSE_MARGIN_MS`; until then, changes arrive from peers.
  */
 const LONG_POLL_MS = 5_000;
-/** Maximum duration while other VMs rely on this one, which have to know how old its knowledge is. */
-const READER_LONG_POLL_MS = 2_000;
 /**
  * Time allowed for a response after the end of a long poll; a slow platform takes 0.25 s.
  */
@@ -28,10 +26,7 @@
 const MAX_BACKOFF_MS = 800;
 
 /** Decides whether this VM reads the platform or relies on other VMs. */
-export type ReaderRole = Pick<
-  registryRelay.RegistryRelay,
-  "isReading" | "waitUntilNeeded" | "hasFollowers"
->;
+export type ReaderRole = Pick<registryRelay.RegistryRelay, "isReading" | "waitUntilNeeded">;
 
 /** Dependencies and settings of a `RegistryReader`. */
 export interface RegistryReaderOptions<Value> {
@@ -97,10 +92,8 @@
       this.#needsFullRead = false;
       return;
     }
-    const hasFollowers = this.#options.role?.hasFollowers === true;
-    const longPollMs = hasFollowers ? READER_LONG_POLL_MS : LONG_POLL_MS;
-    using limit = clocks.createTimeLimit(clock, longPollMs + RESPONSE_MARGIN_MS, signal);
-    const changes = await source.watch(view.revision, longPollMs, limit.signal);
+    using limit = clocks.createTimeLimit(clock, LONG_POLL_MS + RESPONSE_MARGIN_MS, signal);
+    const changes = await source.watch(view.revision, LONG_POLL_MS, limit.signal);
     this.#handleSuccess();
     if (changes === undefined) {
       this.#handleGap();
--- a/src/registry/registry-relay.ts
+++ b/src/registry/registry-relay.ts
@@ -14,14 +14,19 @@
 
 const STATE_CALL = 32;
 const PUSH_CALL = 33;
-/** VMs of each zone that read the platform. */
-export const READERS_PER_ZONE = 3;
+/** VMs that read the platform in a zone with more than `MAX_UNRELAYED_VMS`. */
+export const READERS_PER_ZONE = 2;
+/** Size of a zone up to which all of its VMs read the platform. */
+export const MAX_UNRELAYED_VMS = 3;
 /** Time between two questions to readers, each to the next one. */
 const POLL_PERIOD_MS = 700;
 const POLL_TIMEOUT_MS = 400;
 const PUSH_TIMEOUT_MS = 400;
-/** Age of the newest knowledge of all readers from which on a VM reads by itself. */
-export const MAX_AGE_MS = 4_000;
+/**
+ * Age of the newest knowledge of all readers from which on a VM reads by itself; longer than a long poll and the time between
+ * two questions to the same reader. Until then, changes arrive from other zones with the probes.
+ */
+export const MAX_AGE_MS = 7_500;
 /** Largest random delay of a VM's own reads, so that the VMs of a zone do not all call the platform at once. */
 const MAX_OWN_READ_DELAY_MS = 1_000;
 
@@ -132,7 +137,7 @@
 
   /** Whether other VMs depend on what this VM reads. */
   get hasFollowers(): boolean {
-    return this.#isReader() && this.#listZone().length > READERS_PER_ZONE;
+    return this.#isReader() && this.#listZone().length > MAX_UNRELAYED_VMS;
   }
 
   /** Whether this VM has to read the platform: as a reader, or because no reader knows enough. */
@@ -224,7 +229,7 @@
 
   /** Returns the VMs of this VM's zone that read the platform, according to its member list. */
   #listReaders(): readonly string[] {
-    this.#readers ??= rendezvous.chooseByRendezvous("registry", this.#listZone(), READERS_PER_ZONE);
+    this.#readers ??= chooseReaders(this.#listZone());
     return this.#readers;
   }
 
@@ -295,7 +300,12 @@
   }
 }
 
-/** A relayed registry of any value type. */
+function chooseReaders(zone: readonly string[]): readonly string[] {
+  if (zone.length <= MAX_UNRELAYED_VMS) return zone;
+  return rendezvous.chooseByRendezvous("registry", zone, READERS_PER_ZONE);
+}
+
+/** Creates the relayed registry of a view of any value type. */
 export function createRelayedRegistry<Value>(
   registry: Omit<RelayedRegistry, "view"> & { readonly view: registryView.RegistryView<Value> },
 ): RelayedRegistry {
