Pass on since when a reader of the platform missed no change

Cause: a reader that had a gap pushes the outcome of its full read as one chain with what it pushed before, so the other VMs took their knowledge of runners' starts for complete. A push now says for how long its reader missed nothing, and the receiver claims no more.

--- a/src/registry/registry-relay.ts
+++ b/src/registry/registry-relay.ts
@@ -42,6 +42,8 @@
   /** Time since the platform last answered the reader; absent while its reads fail. */
   ageMs: zod.number().min(0).optional(),
 });
+/** Time for which the reader missed no change; absent while it may. */
+const continuousMs = zod.number().min(0).optional();
 const changeSchema = zod.object({
   key: zod.string(),
   /** Revision of the item, or of the removed item. */
@@ -70,6 +72,7 @@
     /** Digest of the reader's view before the changes. */
     before: zod.int().min(0),
     changes: zod.array(changeSchema).max(64),
+    continuousMs,
   }),
   zod.object({}),
 );
@@ -251,7 +254,8 @@
     });
   }
 
-  #handlePush({ name: registry, before, changes }: zod.infer<typeof PUSH.request>): void {
+  #handlePush(push: zod.infer<typeof PUSH.request>): void {
+    const { name: registry, before, changes } = push;
     const view = this.#registries.get(registry)?.view;
     if (view === undefined) return;
     const digest = view.digest;
@@ -264,7 +268,8 @@
           : ({ removed: false, item: { key, revision: changed, value } } as const),
       ),
     });
-    if (view.digest !== digest && digest !== before) view.resetContinuity();
+    if (view.digest === digest) return;
+    view.limitContinuity(digest === before ? push.continuousMs : 0);
   }
 
   #addUnpushed(registry: string, change: PushedChange): void {
@@ -289,7 +294,8 @@
     if (view === undefined) return;
     const before = this.#pushedDigests.get(registry) ?? view.digest;
     this.#pushedDigests.set(registry, view.digest);
-    const push = { name: registry, before, changes };
+    const continuous = view.computeContinuousTime();
+    const push = { name: registry, before, changes, continuousMs: continuous };
     const readers = this.#listReaders();
     const receivers = this.#listZone().filter((vm) => !readers.includes(vm));
     for (const vm of receivers) {
--- a/src/registry/registry-view.ts
+++ b/src/registry/registry-view.ts
@@ -74,7 +74,20 @@
 
   /** Records that changes may have been missed until now, but not from now on. */
   resetContinuity(): void {
-    if (this.#continuousSince !== undefined) this.startContinuity();
+    this.limitContinuity(0);
+  }
+
+  /** Records that changes before the last `continuousMs` may have been missed; all, if it is `undefined`. */
+  limitContinuity(continuousMs: number | undefined): void {
+    if (continuousMs === undefined) this.markGap();
+    if (continuousMs === undefined || this.#continuousSince === undefined) return;
+    this.#continuousSince = Math.max(this.#continuousSince, this.#clock.now() - continuousMs);
+  }
+
+  /** Returns how long no change was missed; `undefined` while changes may be. */
+  computeContinuousTime(): number | undefined {
+    const since = this.#continuousSince;
+    return since === undefined ? undefined : this.#clock.now() - since;
   }
 
   /** Records that changes may be missed. */
--- a/test/registry/registry-relay.test.ts
+++ b/test/registry/registry-relay.test.ts
@@ -227,6 +227,22 @@
     for (const vm of frozen) relayed.fleet.resume(vm);
   });
 
+  // What is known of the versions of runners rests on the time since which no change was missed.
+  test.it("passes on since when a reader missed no change", async () => {
+    await using relayed = await RelayFleet.start(24);
+    const [follower] = relayed.listFollowers();
+    const view = relayed.views.get(follower ?? "");
+    const getContinuousSince = (): number => view?.continuousSince ?? Number.POSITIVE_INFINITY;
+    const changedAt = relayed.fleet.clock.now();
+    relayed.registry.set("b", "b1");
+    await relayed.fleet.clock.advance(1_000);
+    earl.expect(getContinuousSince() < changedAt).toEqual(true);
+    for (const vm of relayed.listReaders()) relayed.views.get(vm)?.markGap();
+    relayed.registry.set("b", "b2");
+    await relayed.fleet.clock.advance(1_000);
+    earl.expect(getContinuousSince() > changedAt).toEqual(true);
+  });
+
   test.it("never shows a VM an older value after a newer one", async () => {
     await using relayed = await RelayFleet.start(24);
     const reverts: string[] = [];
