--- a/src/registry/registry-relay.ts
+++ b/src/registry/registry-relay.ts
@@ -269,7 +269,7 @@
       ),
     });
     if (view.digest === digest) return;
-    view.limitContinuity(digest === before ? push.continuousMs : 0);
+    view.setContinuityLimit(digest === before ? push.continuousMs : 0);
   }
 
   #addUnpushed(registry: string, change: PushedChange): void {
--- a/src/registry/registry-view.ts
+++ b/src/registry/registry-view.ts
@@ -74,11 +74,11 @@
 
   /** Records that changes may have been missed until now, but not from now on. */
   resetContinuity(): void {
-    this.limitContinuity(0);
+    this.setContinuityLimit(0);
   }
 
   /** Records that changes before the last `continuousMs` may have been missed; all, if it is `undefined`. */
-  limitContinuity(continuousMs: number | undefined): void {
+  setContinuityLimit(continuousMs: number | undefined): void {
     if (continuousMs === undefined) this.markGap();
     if (continuousMs === undefined || this.#continuousSince === undefined) return;
     this.#continuousSince = Math.max(this.#continuousSince, this.#clock.now() - continuousMs);
