Relay removals and unreadable entries of a registry as they are

Found by reading, then by a test that failed first. An entry that cannot be parsed was pushed as a removal, a removal raised the newest revision of its receiver above that of its reader, and every VM would then have pulled from that receiver with each probe.

--- a/src/registry/registry-exchange.ts
+++ b/src/registry/registry-exchange.ts
@@ -26,8 +26,12 @@
 const snapshotSchema = zod.object({
   revision: revisionSchema,
   items: zod
-    .array(zod.object({ key: zod.string(), revision: revisionSchema, value: zod.unknown() }))
+    .array(
+      zod.object({ key: zod.string(), revision: revisionSchema, value: zod.unknown().optional() }),
+    )
     .max(MAX_ITEMS),
+  /** Newest change in the sender's view; absent from nodes of an earlier version. */
+  newestRevision: revisionSchema.optional(),
 });
 
 /** Dependencies and settings of a `RegistryExchange`. */
@@ -46,14 +50,17 @@
 /** Serves this VM's snapshots to peers and pulls newer ones from them, for one registry. */
 export class RegistryExchange<Value> {
   readonly #options: RegistryExchangeOptions<Value>;
-  readonly #call: network.PeerCall<Record<string, never>, types.RegistrySnapshot<unknown>>;
+  readonly #call: network.PeerCall<Record<string, never>, zod.infer<typeof snapshotSchema>>;
   #isPulling = false;
 
   constructor(options: RegistryExchangeOptions<Value>) {
     this.#options = options;
     const { name, callKind, view, network: peers, membership: fleet } = options;
     this.#call = network.createPeerCall(callKind, `pull-${name}`, zod.object({}), snapshotSchema);
-    peers.onCall(this.#call, () => ({ revision: view.revision, items: [...view.list()] }));
+    peers.onCall(this.#call, () => {
+      const { revision, newestRevision } = view;
+      return { revision, items: [...view.list()], newestRevision };
+    });
     fleet.onGossip(name, {
       create: () => view.newestRevision,
       onReceive: (payload, from) => {
@@ -64,16 +71,17 @@
   }
 
   /**
-   * Pulls a peer's snapshot and applies it if its platform revision is newer; returns whether the
+   * Pulls a peer's snapshot and applies it unless its platform revision is older; returns whether the
    * peer responded and the snapshot was valid.
    */
   async pull(vm: string): Promise<boolean> {
     const { network: peers, view, log, name } = this.#options;
     try {
       const snapshot = await peers.call(vm, this.#call, {}, { timeoutMs: PULL_TIMEOUT_MS });
-      if (snapshot.revision <= view.revision) return true;
+      if (snapshot.revision < view.revision) return true;
       const fields = { what: name, peer: vm, revision: snapshot.revision, before: view.revision };
       view.applySnapshot(snapshot as types.RegistrySnapshot<Value>);
+      view.setNewestRevision(snapshot.newestRevision ?? 0);
       log.write(logEvents.LOG_EVENTS.registryPulled, fields);
       return true;
     } catch (error) {
--- a/src/registry/registry-relay.ts
+++ b/src/registry/registry-relay.ts
@@ -48,7 +48,8 @@
   key: zod.string(),
   /** Revision of the item, or of the removed item. */
   revision,
-  value: zod.unknown(),
+  /** Absent if the reader cannot parse it. */
+  value: zod.unknown().optional(),
   removed: zod.boolean(),
 });
 
@@ -73,6 +74,8 @@
     before: zod.int().min(0),
     changes: zod.array(changeSchema).max(64),
     continuousMs,
+    /** Newest change in the reader's view. */
+    newestRevision: revision,
   }),
   zod.object({}),
 );
@@ -133,7 +136,8 @@
   addRegistry(registry: RelayedRegistry): void {
     this.#registries.set(registry.name, registry);
     registry.view.onChange((key, value, itemRevision) => {
-      const change = { key, revision: itemRevision, value, removed: value === undefined };
+      const removed = !registry.view.has(key);
+      const change = { key, revision: itemRevision, value, removed };
       this.#addUnpushed(registry.name, change);
     });
   }
@@ -195,6 +199,7 @@
     if (registry === undefined) return;
     const { view, pull } = registry;
     const isSame = state.digest === view.digest;
+    if (isSame) view.setNewestRevision(state.newestRevision);
     const isOlder = state.newestRevision < view.newestRevision || state.revision < view.revision;
     if (!isSame && !isOlder) await pull(reader);
   }
@@ -255,21 +260,18 @@
   }
 
   #handlePush(push: zod.infer<typeof PUSH.request>): void {
-    const { name: registry, before, changes } = push;
-    const view = this.#registries.get(registry)?.view;
+    const view = this.#registries.get(push.name)?.view;
     if (view === undefined) return;
     const digest = view.digest;
-    view.applyChanges({
-      // The platform's revision is not reached: changes before these may be missing.
-      revision: view.revision,
-      changes: changes.map(({ key, revision: changed, value, removed }) =>
-        removed
-          ? ({ removed: true, key, revision: changed + 1 } as const)
-          : ({ removed: false, item: { key, revision: changed, value } } as const),
-      ),
-    });
-    if (view.digest === digest) return;
-    view.setContinuityLimit(digest === before ? push.continuousMs : 0);
+    const isContiguous = digest === push.before;
+    for (const { key, revision: changed, value, removed } of push.changes) {
+      const item = { key, revision: changed, value };
+      if (removed) view.removeItem(key, changed);
+      // The platform's revision is not reached: changes before this one may be missing.
+      else view.applyChanges({ revision: view.revision, changes: [{ removed: false, item }] });
+    }
+    if (isContiguous) view.setNewestRevision(push.newestRevision);
+    if (view.digest !== digest) view.setContinuityLimit(isContiguous ? push.continuousMs : 0);
   }
 
   #addUnpushed(registry: string, change: PushedChange): void {
@@ -295,7 +297,8 @@
     const before = this.#pushedDigests.get(registry) ?? view.digest;
     this.#pushedDigests.set(registry, view.digest);
     const continuous = view.computeContinuousTime();
-    const push = { name: registry, before, changes, continuousMs: continuous };
+    const { newestRevision } = view;
+    const push = { name: registry, before, changes, continuousMs: continuous, newestRevision };
     const readers = this.#listReaders();
     const receivers = this.#listZone().filter((vm) => !readers.includes(vm));
     for (const vm of receivers) {
--- a/src/registry/registry-view.ts
+++ b/src/registry/registry-view.ts
@@ -126,6 +126,21 @@
     this.#revision = Math.max(this.#revision, changes.revision);
   }
 
+  /** Removes a key that a peer no longer has, unless this view knows a newer revision of it. */
+  removeItem(key: string, revision: number): void {
+    if (this.#items.has(key) && !this.isNewer(key, revision + 1)) return;
+    this.#removeOrScheduleExpiry(key);
+  }
+
+  /** Records that the view reflects all changes up to a revision, including removals. */
+  setNewestRevision(revision: number): void {
+    this.#newestRevision = Math.max(this.#newestRevision, revision);
+  }
+
+  has(key: string): boolean {
+    return this.#items.has(key);
+  }
+
   /** Removes missing keys whose grace period has ended. */
   removeExpired(): void {
     const now = this.#clock.now();
--- a/test/registry/registry-relay.test.ts
+++ b/test/registry/registry-relay.test.ts
@@ -31,7 +31,8 @@
     this.#clock = clock;
   }
 
-  set(key: string, value: string): void {
+  /** Writes an item; one without a value cannot be parsed. */
+  set(key: string, value: string | undefined): void {
     this.#revision += 1;
     const item = { key, revision: this.#revision, value };
     this.#items.set(key, item);
@@ -227,6 +228,25 @@
     for (const vm of frozen) relayed.fleet.resume(vm);
   });
 
+  // A VM whose newest revision differed from that of the others would be pulled from with each probe.
+  test.it(
+    "leads all VMs to the same newest revision, also by removals and unreadable items",
+    async () => {
+      await using relayed = await RelayFleet.start(24);
+      const views = [...relayed.views.values()];
+      const countRevisions = (): number =>
+        new Set(views.map(({ newestRevision }) => newestRevision)).size;
+      relayed.registry.set("b", "b1");
+      relayed.registry.remove("b");
+      await relayed.fleet.clock.advance(3_000);
+      earl.expect(countRevisions()).toEqual(1);
+      relayed.registry.set("c", undefined);
+      await relayed.fleet.clock.advance(3_000);
+      earl.expect(countRevisions()).toEqual(1);
+      earl.expect(new Set(views.map(({ digest }) => digest)).size).toEqual(1);
+    },
+  );
+
   // What is known of the versions of runners rests on the time since which no change was missed.
   test.it("passes on since when a reader missed no change", async () => {
     await using relayed = await RelayFleet.start(24);
