--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -1,7 +1,7 @@
 /**
  * Failure detection based on the SWIM protocol. In each period one member is probed, in shuffled
- * rounds: by a datagram, and if that is not answered, over a connection. If it does not answer either, two other members are asked to probe it. If they fail too, it is
- * marked as suspect, and as dead after a timeout unless it refutes the suspicion; it is marked as
+ * rounds: by a datagram and, if that is not answered, over a connection. If both fail, two other
+ * members are asked to probe it. If these fail too, it is marked as suspect, and as dead after a timeout unless it refutes the suspicion; it is marked as
  * dead at once if its process is gone. An accusation by a peer only triggers a local probe, the
  * result of which is applied. A node whose probes fail repeatedly extends its timeouts, as it may
  * itself be slow (based on Lifeguard, Dadgar et al., 2018).
