Take no answer that may be to an earlier request on the same connection

Cause: an answer counted as another request's only if it named another id. One without an id was believed, with the limit in its head; an answer to an earlier run of the same request on the same connection names the same id; answers to reports and orders were compared with nothing.

Change: an answer without an id counts only as the first one on its connection; a request that was sent to a runner before gets a connection of its own, and so does an order; nothing of an answer counts before its id was compared.

Two stand-ins answered 421 without the id; they name it now, as the pages say.

--- a/src/placement/stage-reconciler.ts
+++ b/src/placement/stage-reconciler.ts
@@ -247,9 +247,10 @@
   ): Promise<number | undefined> {
     const { calls, log } = this.#options;
     try {
+      // On a kept connection, an earlier answer could be taken for the one to the order.
       const answer = await calls.sendMessage(
         runner,
-        message,
+        { ...message, newConnection: true },
         CALL_TIMEOUT_MS,
         this.#controller.signal,
       );
--- a/src/runners/connection-starts.ts
+++ b/src/runners/connection-starts.ts
@@ -8,6 +8,8 @@
 /** Time limit of a query; runners answer it without waiting for a slot, and nothing waits for it. */
 const QUERY_TIMEOUT_MS = 1_000;
 const MAX_QUERIES = 3;
+/** Statuses of a report, and of a runner that has no reports. */
+const REPORT_STATUSES: ReadonlySet<number> = new Set([200, 404]);
 /** Least time that a runner takes to start again. */
 const MIN_RESTART_MS = 500;
 
@@ -64,6 +66,7 @@
     try {
       const message = codec.formatReport(runner);
       const answer = await calls.sendMessage(runner, message, QUERY_TIMEOUT_MS, limit.signal);
+      if (!REPORT_STATUSES.has(answer.status)) return undefined;
       const { isOtherRunner, bornAt } = codec.parseProbe(answer.status, answer.body);
       // Runners that state no start in their answers have none in their entries either.
       return isOtherRunner ? undefined : (bornAt ?? 0);
--- a/src/runners/runner-calls.ts
+++ b/src/runners/runner-calls.ts
@@ -62,6 +62,10 @@
 export class RunnerCalls {
   readonly #options: RunnerCallsOptions;
   readonly #agents = new Map<string, runnerAgent.RunnerAgent>();
+  /** Connections that have carried a request. */
+  readonly #usedConnections = new WeakSet<net.Socket>();
+  /** Ids of the runners to which a caller's request was sent. */
+  readonly #sentTo = new WeakMap<gateway.CallHead, Set<string>>();
 
   constructor(options: RunnerCallsOptions) {
     this.#options = options;
@@ -70,13 +74,13 @@
   /**
    * Sends a call; the response body must be read or destroyed.
    *
-   * @throws UpstreamError `notConnected` when nothing was sent; otherwise `broken`, also for a response
-   *   to another request. The runner may have executed the call that broke.
+   * @throws UpstreamError `notConnected` when nothing was sent; otherwise `broken`, also for a response that may be to
+   *   another request. The runner may have executed the call that broke.
    */
   send(call: RunnerCall): Promise<RunnerResponse> {
     const { runner, options } = call;
     const attributes = { runner: runner.id, stage: options.stage ?? "" };
-    const agent = this.#getAgent(runner);
+    const agent = this.#chooseAgent(call);
     return spans.runInSpan(this.#options.tracer, "runner-call", attributes, () =>
       this.#sendInSpan(call, agent, (_request, connection) => call.onConnection?.(connection)),
     );
@@ -92,7 +96,7 @@
     const { runner, options } = call;
     const attributes = { runner: runner.id, stage: options.stage ?? "" };
     return spans.runInSpan(this.#options.tracer, "runner-call", attributes, async () => {
-      const agent = new runnerAgent.RunnerAgent(1);
+      const agent = this.#createSingleAgent();
       await this.#checkStart(runner, agent, call.signal);
       return this.#sendInSpan(call, agent, (request) => {
         if (!request.reusedSocket)
@@ -139,16 +143,38 @@
       onConnection,
     };
     const sentAt = clock.now();
-    const response = await httpCall.sendCall(clock, httpRequest);
-    watchForReset(response);
-    const responseHead = codec.parseResponse(response);
+    const answer = await this.#sendChecked(httpRequest, head.id);
     // Another process answers with 421.
-    if (!responseHead.misdirected) this.#options.onLimit?.(runner, responseHead.limit, sentAt);
-    const isMismatched = responseHead.callId !== undefined && responseHead.callId !== head.id;
-    if (!isMismatched) return { head: responseHead, response };
+    if (!answer.head.misdirected) this.#options.onLimit?.(runner, answer.head.limit, sentAt);
+    return answer;
+  }
+
+  /**
+   * Sends a request and checks that the response is to it.
+   *
+   * @param callId - id of the caller's request; `undefined` for a message, whose response has no id.
+   * @throws UpstreamError `broken` also when the response may be to an earlier request on the same connection.
+   */
+  async #sendChecked(
+    request: httpCall.HttpCall,
+    callId: string | undefined,
+  ): Promise<RunnerResponse> {
+    let isFirst = false;
+    const onConnection: httpCall.HttpCall["onConnection"] = (clientRequest, connection) => {
+      isFirst = !this.#usedConnections.has(connection);
+      this.#usedConnections.add(connection);
+      request.onConnection?.(clientRequest, connection);
+    };
+    const { clock, codec } = this.#options;
+    const response = await httpCall.sendCall(clock, { ...request, onConnection });
+    watchForReset(response);
+    const head = codec.parseResponse(response);
+    const reason = findMismatch(callId, head.callId, isFirst);
+    if (reason === undefined) return { head, response };
     response.destroy();
-    const reason = new Error(`answer to another request (${responseHead.callId})`);
-    throw httpCall.createUpstreamError(upstream.UPSTREAM_FAILURE.broken, httpRequest, reason);
+    if (request.agent instanceof runnerAgent.RunnerAgent) request.agent.closeIdleConnections();
+    const failure = upstream.UPSTREAM_FAILURE.broken;
+    throw httpCall.createUpstreamError(failure, request, new Error(reason));
   }
 
   /**
@@ -171,7 +197,7 @@
     request: httpCall.HttpCall,
   ): Promise<{ readonly status: number; readonly body: Buffer }> {
     const { clock } = this.#options;
-    const response = await httpCall.sendCall(clock, request);
+    const { response } = await this.#sendChecked(request, undefined);
     const body = await responseReader.readBody(clock, response, SMALL_BODY_LIMITS);
     return { status: response.statusCode ?? 0, body };
   }
@@ -187,15 +213,45 @@
     this.#agents.delete(runner.id);
   }
 
+  /**
+   * Chooses the connections of a call. A request that was sent to the runner before gets its own: on an earlier one, its
+   * id does not tell the answers apart.
+   */
+  #chooseAgent({ runner, head }: RunnerCall): runnerAgent.RunnerAgent {
+    const sentTo = this.#sentTo.get(head) ?? new Set();
+    if (sentTo.has(runner.id)) return this.#createSingleAgent();
+    this.#sentTo.set(head, sentTo.add(runner.id));
+    return this.#getAgent(runner);
+  }
+
+  /** Creates an agent with one connection. */
+  #createSingleAgent(): runnerAgent.RunnerAgent {
+    return new runnerAgent.RunnerAgent(this.#options.clock, 1);
+  }
+
   #getAgent(runner: types.Runner): runnerAgent.RunnerAgent {
     const known = this.#agents.get(runner.id);
     if (known !== undefined) return known;
-    const agent = new runnerAgent.RunnerAgent(Number.POSITIVE_INFINITY);
+    const agent = new runnerAgent.RunnerAgent(this.#options.clock, Number.POSITIVE_INFINITY);
     this.#agents.set(runner.id, agent);
     return agent;
   }
 }
 
+/**
+ * Returns why a response may be to another request than the one with `callId`, if it may. Runners repeat the id of a request
+ * in their response. One without an id is to the only request that its connection has carried.
+ */
+function findMismatch(
+  callId: string | undefined,
+  answeredId: string | undefined,
+  isFirst: boolean,
+): string | undefined {
+  if (answeredId === callId) return undefined;
+  if (answeredId !== undefined) return `answer to another request (${answeredId})`;
+  return isFirst ? undefined : "answer that names no request, on a connection used before";
+}
+
 /**
  * Destroys a response with an error if its connection is reset and its body has no other delimiter
  * than the end of the connection. Node.js reports a reset right after data as a normal end, because
--- a/standins/soak/plain-runner.ts
+++ b/standins/soak/plain-runner.ts
@@ -76,7 +76,7 @@
   const call = String(request.headers["request-id"]);
   if (request.headers["expect-instance"] !== id) {
     onArrived(call, false);
-    response.writeHead(HTTP_MISDIRECTED_REQUEST, { "not-executed": "1" }).end();
+    response.writeHead(HTTP_MISDIRECTED_REQUEST, { "not-executed": "1", "request-id": call }).end();
     return;
   }
   const failure = chooseFailure();
--- a/standins/users-platform/crashing-runner.ts
+++ b/standins/users-platform/crashing-runner.ts
@@ -181,7 +181,8 @@
     const isCrashing = body === CRASHING_BODY || hasCrashingPart(request);
     if (isCrashing) this.#log.arrivals.push(performance.now());
     if (request.headers["expect-instance"] !== this.#id) {
-      response.writeHead(421, { "not-executed": "1" }).end();
+      const headers = { "not-executed": "1", "request-id": String(request.headers["request-id"]) };
+      response.writeHead(421, headers).end();
       return;
     }
     const crashes = this.#role === this.#behaviour.crashingRole && isCrashing;
--- a/test/placement/stage-reconciler.test.ts
+++ b/test/placement/stage-reconciler.test.ts
@@ -26,6 +26,7 @@
   readonly stage: string;
   readonly token: number;
   readonly at: number;
+  readonly hasOwnConnection: boolean;
 }
 
 interface OrderBody {
@@ -60,7 +61,8 @@
     }
     const body = JSON.parse(String(message.body)) as OrderBody;
     const { stage, fencing_token: token } = body;
-    orders.push({ runner: runner.id, stage, token, at: clock.now() });
+    const hasOwnConnection = message.newConnection === true;
+    orders.push({ runner: runner.id, stage, token, at: clock.now(), hasOwnConnection });
     return Promise.resolve({ status: state.status, body: Buffer.from("") });
   };
   const reconciler = new stageReconciler.StageReconciler({
@@ -115,6 +117,14 @@
  * time, after a partition or a pause, and would then switch the same runners back and forth.
  */
 test.describe("StageReconciler", () => {
+  // Guards against taking an earlier answer, which a runner wrote once more on a kept connection, for that to an order.
+  test.it("sends an order on a connection of its own", async () => {
+    await using pool = createPool();
+    pool.load();
+    await pool.clock.advance(2 * LEASE_MS + 5_000);
+    earl.expect(pool.orders.map(({ hasOwnConnection }) => hasOwnConnection)).toEqual([true]);
+  });
+
   test.it(
     "orders one prefill runner to decode, and sends no further order in the 20 s after its switch",
     async () => {
--- a/test/runners/connection-starts.test.ts
+++ b/test/runners/connection-starts.test.ts
@@ -9,8 +9,8 @@
 const RUNNER = raw.createRunner("r", 1);
 const RESTART_MS = 600;
 
-/** Creates starts of a runner that answers a query after `delayMs`, `failures` of which fail first. */
-function createStarts(delayMs: number, failures = 0) {
+/** Creates starts of a runner that answers a query after `delayMs`; the first ones fail or have the given statuses. */
+function createStarts(delayMs: number, failures = 0, firstStatuses: readonly number[] = []) {
   const clock = fakeClock.createFakeClock();
   const state = { queries: 0 };
   const starts = new connectionStarts.ConnectionStarts({
@@ -21,7 +21,9 @@
         state.queries += 1;
         await clocks.sleep(clock, delayMs);
         if (state.queries <= failures) throw new Error("no answer");
-        return { status: 200, body: Buffer.from(JSON.stringify({ born: 7 })) };
+        const status = firstStatuses[state.queries - 1] ?? 200;
+        const body = status === 200 ? JSON.stringify({ born: 7 }) : "";
+        return { status, body: Buffer.from(body) };
       },
     },
   });
@@ -39,6 +41,19 @@
     earl.expect(state.queries).toEqual(2);
   });
 
+  // Guards against taking a refusal that a runner wrote once more for a report that states no start.
+  test.it("asks again after a refusal, and takes a runner without reports for one", async () => {
+    for (const [statuses, expected, queries] of [
+      [[503, 429], 7, 3],
+      [[404], 0, 1],
+    ] as const) {
+      const { clock, state, starts } = createStarts(10, 0, statuses);
+      const start = starts.readStart(RUNNER, { destroyed: false });
+      await clock.advance(100);
+      earl.expect([await start, state.queries]).toEqual([expected, queries]);
+    }
+  });
+
   // Guards against taking the start that answers for the one that ended with its connection.
   test.it(
     "knows nothing if the connection ended and the process may have started again",
--- a/test/runners/raw-runner.ts
+++ b/test/runners/raw-runner.ts
@@ -60,6 +60,12 @@
   };
 }
 
+/** Answers a report query as an idle model runner of the given stage. */
+export function answerReport(stage: runners.Stage, socket: net.Socket): void {
+  const report = JSON.stringify({ born: 1, stage, kv_total: 72_680 });
+  socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${report.length}\r\n\r\n${report}`);
+}
+
 /** Leaves a report query without an answer, as a silent runner does. */
 export const IGNORED_PROBE = (): void => undefined;
 
@@ -109,3 +115,9 @@
   const length = Buffer.byteLength(body);
   return `HTTP/1.1 ${status}\r\nRequest-Id: ${id}\r\nResponse-Stamp: s\r\nContent-Length: ${length}\r\n\r\n${body}`;
 }
+
+/** Formats a refusal that states that the request did not run, and the request that it names. */
+export function formatRefusal(id?: string): string {
+  const name = id === undefined ? "" : `Request-Id: ${id}\r\n`;
+  return `HTTP/1.1 503 Busy\r\n${name}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`;
+}
--- a/test/runners/runner-calls.test.ts
+++ b/test/runners/runner-calls.test.ts
@@ -1,6 +1,7 @@
 import * as test from "node:test";
 import * as earl from "earl";
 import * as runnerCodec from "../../platform/runner-codec.js";
+import type * as gateway from "../../src/gateway/types.js";
 import * as clocks from "../../src/kernel/clock.js";
 import * as spans from "../../src/telemetry/spans.js";
 import * as runnerCalls from "../../src/runners/runner-calls.js";
@@ -12,27 +13,31 @@
 const UNFRAMED = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n\r\nhalf of it";
 const LIMITS = { maxBytes: 1_000, idleTimeoutMs: 500 };
 
-function createCalls(): runnerCalls.RunnerCalls {
+function createCalls(
+  onLimit: runnerCalls.RunnerCallsOptions["onLimit"] = () => undefined,
+): runnerCalls.RunnerCalls {
   return new runnerCalls.RunnerCalls({
     clock,
     codec: runnerCodec.RUNNER_CODEC,
     tracer: spans.createNoopTracer(),
     countVms: () => 1,
+    onLimit,
   });
 }
 
 async function readResponse(
   calls: runnerCalls.RunnerCalls,
   runner: raw.RawRunner["runner"],
-  id: string,
+  request: string | gateway.CallHead,
 ): Promise<string> {
   const { signal } = new AbortController();
-  const head = raw.createHead(id);
+  const head = typeof request === "string" ? raw.createHead(request) : request;
   const options = { deadlineMs: 500 };
   const body = Buffer.from("b");
   const call = { runner, head, body, options, headersTimeoutMs: 500, signal };
   const answer = await calls.send(call);
-  return (await responseReader.readBody(clock, answer.response, LIMITS)).toString();
+  const text = (await responseReader.readBody(clock, answer.response, LIMITS)).toString();
+  return answer.head.notRun ? "not run" : text;
 }
 
 async function getOutcome(answer: Promise<string>): Promise<string> {
@@ -89,6 +94,116 @@
     earl.expect(extra.connections()).toEqual(2);
   });
 
+  // Guards against taking an earlier refusal that its runner wrote once more for the answer to a request that runs.
+  test.it("takes no repeated refusal that names no request for an answer", async () => {
+    for (const writeBoth of [false, true]) {
+      await using repeating = await raw.startRawRunner("r", (socket, count) => {
+        const answer = raw.formatResponse(`r${count}`, "x");
+        if (count === 1) socket.write(raw.formatRefusal("r1"));
+        else if (count === 2) socket.write(raw.formatRefusal() + (writeBoth ? answer : ""));
+        else socket.write(answer);
+      });
+      const calls = createCalls();
+      earl.expect(await getOutcome(readResponse(calls, repeating.runner, "r1"))).toEqual("not run");
+      earl.expect(await getOutcome(readResponse(calls, repeating.runner, "r2"))).toEqual("broken");
+      earl.expect(await getOutcome(readResponse(calls, repeating.runner, "r3"))).toEqual("x");
+    }
+  });
+
+  test.it(
+    "takes an answer that names no request if it is the first on its connection",
+    async () => {
+      await using full = await raw.startRawRunner("f", (socket) => {
+        socket.write(raw.formatRefusal());
+      });
+      earl
+        .expect(await getOutcome(readResponse(createCalls(), full.runner, "r1")))
+        .toEqual("not run");
+    },
+  );
+
+  // Guards against a connection that passes from one request to the next without ever being idle.
+  test.it(
+    "takes no refusal that names no request on a connection with queued requests",
+    async () => {
+      const firstIds = ["r1", "r2", "r3", "r4"];
+      await using busy = await raw.startRawRunner("b", (socket, _count, head) => {
+        const id = /request-id: (\w+)/.exec(head)?.[1] ?? "";
+        setTimeout(() => {
+          socket.write(raw.formatRefusal(firstIds.includes(id) ? id : undefined));
+        }, 20);
+      });
+      const calls = createCalls();
+      calls.setConnectionLimit(busy.runner, 1);
+      const outcomes = [...firstIds, "r5"].map((id) =>
+        getOutcome(readResponse(calls, busy.runner, id)),
+      );
+      const refused = firstIds.map(() => "not run");
+      earl.expect(await Promise.all(outcomes)).toEqual([...refused, "broken"]);
+      earl.expect(busy.connections()).toEqual(firstIds.length);
+    },
+  );
+
+  // Guards against a refusal of the earlier run of the same request, which the id does not tell apart.
+  test.it("sends a request to a runner again on another connection", async () => {
+    await using full = await raw.startRawRunner("f", (socket, count) => {
+      if (count === 1) socket.write(raw.formatRefusal("r1"));
+      else socket.write(raw.formatResponse("r1", "x"));
+    });
+    const calls = createCalls();
+    const head = raw.createHead("r1");
+    earl.expect(await getOutcome(readResponse(calls, full.runner, head))).toEqual("not run");
+    earl.expect(await getOutcome(readResponse(calls, full.runner, head))).toEqual("x");
+    earl.expect(full.connections()).toEqual(2);
+  });
+
+  // Guards against more requests whose answer is lost behind that of an earlier one.
+  test.it("reuses no connection of a runner that sent data without a request", async () => {
+    await using extra = await raw.startRawRunner("e", (socket, count) => {
+      socket.write(raw.formatResponse(`r${count}`, "x"));
+      if (count === 1) setTimeout(() => socket.write(raw.formatRefusal("r1")), 5);
+    });
+    const calls = createCalls();
+    for (const id of ["r1", "r2", "r3"]) {
+      earl.expect(await getOutcome(readResponse(calls, extra.runner, id))).toEqual("x");
+      await clocks.sleep(clock, 30);
+    }
+    earl.expect(extra.connections()).toEqual(3);
+  });
+
+  // Guards against a limit, a load or a refusal that belongs to another request.
+  test.it("takes nothing from the head of an answer to another request", async () => {
+    const limits: unknown[] = [];
+    await using repeating = await raw.startRawRunner("r", (socket, count) => {
+      const limit = `Server-Limit: ${count}\r\n`;
+      const refusal = raw.formatRefusal("r1").replace("\r\n", `\r\n${limit}`);
+      socket.write(refusal);
+    });
+    const calls = createCalls((_runner, limit) => limits.push(limit));
+    earl.expect(await getOutcome(readResponse(calls, repeating.runner, "r1"))).toEqual("not run");
+    earl.expect(await getOutcome(readResponse(calls, repeating.runner, "r2"))).toEqual("broken");
+    earl.expect(limits).toEqual([{ kind: "named", perSecond: 1 }]);
+  });
+
+  // Guards against reading a caller's answer as the report of a runner or as the answer to an order.
+  test.it("takes no answer to a caller's request for the answer to a message", async () => {
+    await using repeating = await raw.startRawRunner(
+      "r",
+      (socket) => {
+        socket.write(raw.formatResponse("r1", "x"));
+      },
+      (socket) => {
+        socket.write(raw.formatResponse("r1", "{}"));
+      },
+    );
+    const calls = createCalls();
+    earl.expect(await getOutcome(readResponse(calls, repeating.runner, "r1"))).toEqual("x");
+    const message = runnerCodec.RUNNER_CODEC.formatReport(repeating.runner);
+    const { signal } = new AbortController();
+    const report = calls.sendMessage(repeating.runner, message, 500, signal);
+    earl.expect(await getOutcome(report.then(({ status }) => String(status)))).toEqual("broken");
+  });
+
   test.it("reports `not-connected` only if nothing was sent", async () => {
     const calls = createCalls();
     await using silent = await raw.startRawRunner("s", () => undefined);
