Take no run without an event for the end of a stream

So did streams that went on with another status, type or encoding, or with events that begin anew, repeat one or leave one out.

Cause: the check for a run without an event applied only to answers that end with their connection; any signed success was handed on as events; the first event of a run was compared with nothing.

Change: a run ends a stream only if it brought an event, or if all output that the request allows had been sent. A stream is a 200 with events or without a type, not encoded. Comments and blank lines are no events. The first event of a run must follow the last one sent. Anything else counts as a run that broke off.

--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -21,6 +21,7 @@
 import type * as modelProgress from "./model-progress.js";
 import * as runnerProbe from "./runner-probe.js";
 import * as sendCheck from "./send-check.js";
+import * as streamRun from "./stream-run.js";
 import type * as types from "./types.js";
 
 /**
@@ -230,10 +231,10 @@
     outcome: Writable<placementTypes.RunOutcome>,
   ): Promise<modelProgress.RunResult> {
     const { head, response } = answer.runnerResponse;
-    if (answers.isSuccess(head.status) && head.signed) {
-      await this.#sendStream(call, progress, answer, outcome);
-      return { kind: "done" };
-    }
+    const isSignedSuccess = answers.isSuccess(head.status) && head.signed;
+    const fault = isSignedSuccess ? streamRun.findHeadFault(response) : undefined;
+    if (fault !== undefined) return createFaultResult(answer, fault);
+    if (isSignedSuccess) return await this.#sendStream(call, progress, answer, outcome);
     const body = await this.#readBody(call, response);
     await answerEnd.checkAnswerEnd(this.#options, answer.runner, response);
     const reason = `runner answered ${head.status}`;
@@ -248,10 +249,11 @@
   async #sendStream(
     call: types.ServedCall,
     progress: modelProgress.ModelProgress,
-    { runner, runnerResponse, trackedRun }: RunAnswer,
+    answer: RunAnswer,
     outcome: Writable<placementTypes.RunOutcome>,
-  ): Promise<void> {
+  ): Promise<modelProgress.RunResult> {
     const { clock } = this.#options;
+    const { runner, runnerResponse, trackedRun } = answer;
     const splitter = new eventSplitter.EventSplitter();
     const tokensPerEvent = call.service.engine?.tokensPerEvent ?? 1;
     const isWhole = !progress.started;
@@ -262,13 +264,18 @@
       call.buffers.add(chunk.byteLength);
       const events = splitter.push(chunk);
       call.buffers.release(heldBytes + chunk.byteLength - splitter.rest.byteLength);
-      if (events.count === 0) continue;
+      if (events.bytes.byteLength === 0) continue;
+      const isFirst = progress.eventCount === eventsBefore;
+      const fault = isFirst ? progress.findOrderFault(events.firstId) : undefined;
+      if (fault !== undefined) return createFaultResult(answer, fault);
       if (!progress.started)
         call.reply.start(runnerResponse.head.status, runnerResponse.head.headers);
-      trackedRun.recordEvent();
-      progress.recordEvents(events.count, events.lastId, clock.now());
-      outcome.outputTokens += events.count * tokensPerEvent;
-      outcome.decodeMs = clock.now() - startedAt;
+      if (events.count > 0) {
+        trackedRun.recordEvent();
+        progress.recordEvents(events, clock.now());
+        outcome.outputTokens += events.count * tokensPerEvent;
+        outcome.decodeMs = clock.now() - startedAt;
+      }
       await call.reply.write(events.bytes, call.signal);
     }
     const runEvents = progress.eventCount - eventsBefore;
@@ -283,13 +290,17 @@
       throw new Error(
         `stream ended inside an event, after ${splitter.rest.byteLength} bytes of it`,
       );
-    if (isUnframed && runEvents === 0 && !progress.isExhausted)
-      throw new Error("stream ended with its connection before the first event of the run");
+    if (runEvents === 0 && !progress.isExhausted) {
+      const fault = "ended before the first event of the run";
+      if (isUnframed) throw new Error(`stream ${fault}`);
+      return createFaultResult(answer, fault);
+    }
     await answerEnd.checkAnswerEnd(this.#options, runner, runnerResponse.response);
     if (!progress.started)
       call.reply.start(runnerResponse.head.status, runnerResponse.head.headers);
     call.reply.close();
     outcome.complete = isWhole;
+    return { kind: "done" };
   }
 
   #recordRun(
@@ -403,6 +414,16 @@
   return { host, port, handle: prefilled.handle };
 }
 
+/** Closes the connection of an answer that is not the stream that was asked for; it may have run. */
+function createFaultResult(
+  { runner, runnerResponse }: RunAnswer,
+  fault: string,
+): modelProgress.RunResult {
+  runnerResponse.response.destroy();
+  const reason = `runner answered ${runnerResponse.head.status}: ${fault}`;
+  return { kind: "broken", reason, excluded: runner.id };
+}
+
 function createHeldResult(refusal: resultCodes.RequestError): modelProgress.RunResult {
   const retryAfterMs = refusal.retryAfterMs ?? 0;
   return { kind: "noPlace", reason: refusal.message, retryAfterMs };
--- a/src/serving/model-progress.ts
+++ b/src/serving/model-progress.ts
@@ -5,6 +5,8 @@
 import type * as runners from "../runners/types.js";
 import type * as streamOrigins from "../streams/stream-origins.js";
 import * as answers from "./answers.js";
+import type * as eventSplitter from "./event-splitter.js";
+import * as streamRun from "./stream-run.js";
 import type * as types from "./types.js";
 
 /** Result of one placement. */
@@ -38,6 +40,7 @@
   #placementCount = 0;
   #runCount = 0;
   #eventCount = 0;
+  #firstEventId: string | undefined;
   #lastEventId: string | undefined;
   #lastResult: RunResult | undefined;
   #prefilled: PrefilledPrompt | undefined;
@@ -162,12 +165,21 @@
   }
 
   /** Records events that were sent to the caller. */
-  recordEvents(count: number, lastId: string | undefined, now: number): void {
+  recordEvents(
+    { count, firstId, lastId }: Pick<eventSplitter.CompleteEvents, "count" | "firstId" | "lastId">,
+    now: number,
+  ): void {
+    if (this.#eventCount === 0) this.#firstEventId = firstId;
     this.#lastEventAt = now;
     this.#eventCount += count;
     this.#lastEventId = lastId ?? this.#lastEventId;
   }
 
+  /** Returns why the first event of a run cannot follow the events that the caller has, if it cannot. */
+  findOrderFault(eventId: string | undefined): string | undefined {
+    return streamRun.findOrderFault(this.#lastEventId, eventId, this.#isConsecutive());
+  }
+
   /** Sets the prefilled prompt, or clears it (`undefined`) once it is used. */
   setPrefilled(prefilled: PrefilledPrompt | undefined): void {
     this.#prefilled = prefilled;
@@ -196,6 +208,12 @@
     );
   }
 
+  /** Whether the ids of the events that were sent are consecutive numbers; unknown, hence false, for fewer than two. */
+  #isConsecutive(): boolean {
+    const distance = Number(this.#lastEventId) - Number(this.#firstEventId);
+    return this.#eventCount > 1 && distance === this.#eventCount - 1;
+  }
+
   #isIdempotent(): boolean {
     const { kind, resumable } = this.#call.route;
     return kind === routing.CALL_KIND.safe || resumable;
--- a/test/serving/event-splitter.test.ts
+++ b/test/serving/event-splitter.test.ts
@@ -40,4 +40,16 @@
     earl.expect(events.bytes.toString()).toEqual("id: 4\ndata: x\n\n");
     earl.expect([events.count, events.lastId]).toEqual([1, "4"]);
   });
+
+  // Guards against taking comments and blank lines for events of a stream.
+  test.it("counts no comments, and holds those before the first event", () => {
+    const splitter = new eventSplitter.EventSplitter();
+    const before = splitter.push(Buffer.from(": busy\n\n\n\n"));
+    earl.expect([before.count, before.bytes.byteLength]).toEqual([0, 0]);
+    const first = splitter.push(Buffer.from("id: 4\ndata: x\n\nid: 5\ndata\n\n"));
+    earl.expect([first.count, first.firstId, first.lastId]).toEqual([2, "4", "5"]);
+    earl.expect(first.bytes.toString().startsWith(": busy")).toEqual(true);
+    const after = splitter.push(Buffer.from(": idle\n\n"));
+    earl.expect([after.count, after.bytes.toString()]).toEqual([0, ": idle\n\n"]);
+  });
 });
--- a/test/serving/model-progress.test.ts
+++ b/test/serving/model-progress.test.ts
@@ -31,7 +31,7 @@
         release: () => undefined,
       });
       const progress = new modelProgress.ModelProgress({ ...call, service }, account);
-      progress.recordEvents(events, "1", 0);
+      progress.recordEvents({ count: events, firstId: "0", lastId: "1" }, 0);
       return progress.isExhausted;
     };
     earl.expect([createStream(undefined, 2), createStream(undefined, 3)]).toEqual([false, true]);
