Take a sole version only if it served for longer than a stream lives

Cause: a VM without a record takes the version of a stream for known if no other was listed for as long as the stream can have lived, and took the timeout of the route for that time. The timeout limits one attempt of a caller, and may have been longer when the stream began; a caller resumes its stream over several attempts.

Change: that time is a minute at least, as long as records are kept, and four timeouts.

--- a/src/streams/stream-versions.ts
+++ b/src/streams/stream-versions.ts
@@ -16,6 +16,10 @@
 const UNKNOWN_RETRY_AFTER_MS = 250;
 /** Retry time when no runner of the version is listed; one that crashed is back after some seconds. */
 const GONE_RETRY_AFTER_MS = 1_000;
+/** Least time for which streams are taken to live: each attempt of a caller may last as long as the route allows. */
+const MIN_STREAM_LIFETIME_MS = 60_000;
+/** Number of attempts that a caller makes at one stream, at most. */
+const CALLER_ATTEMPTS = 4;
 
 /** How the version of a stream that a caller resumes is known. */
 const KNOWN_BY = {
@@ -68,7 +72,8 @@
   async findStreamVersion(call: serving.ServedCall): Promise<string | undefined> {
     const { firstAttemptId: attempt, lastEventId } = call.head;
     if (attempt === undefined && lastEventId === undefined) return undefined;
-    const question = { attempt, service: call.service.name, livedMs: call.route.timeoutMs };
+    const livedMs = computeStreamLifetime(call.route.timeoutMs);
+    const question = { attempt, service: call.service.name, livedMs };
     const known = await this.#findKnown(question);
     if (known === undefined) throw this.#createRefusal(call, REFUSAL.unknown);
     const { version, knownBy } = known;
@@ -133,7 +138,11 @@
     if (first !== undefined) exchange.publish(first);
   }
 
-  /** Returns the version of the start at which a stream began, if it is known. */
+  /**
+   * Returns the version of the start at which a stream began, if it is known.
+   *
+   * @param livedMs - longest time for which the stream can have lived.
+   */
   findVersion(origin: streamOrigins.StreamOrigin, livedMs: number): string | undefined {
     const { history } = this.#options;
     const { service, runner, bornAt, softwareVersion } = origin;
@@ -194,6 +203,14 @@
   }
 }
 
+/**
+ * Returns the longest time in ms for which a stream can have lived. The timeout of its route limits one attempt, and may have
+ * been longer when the stream began.
+ */
+function computeStreamLifetime(timeoutMs: number): number {
+  return Math.max(MIN_STREAM_LIFETIME_MS, CALLER_ATTEMPTS * timeoutMs);
+}
+
 /** Returns the only version that a service can have had, if one VM knows it and none knows of another version. */
 function findSoleVersion(
   answers: readonly streamOriginExchange.StreamAnswer[],
--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -11,6 +11,8 @@
 
 /** Time from the notice of a runner that leaves to its end. */
 const LEAVE_NOTICE_MS = 500;
+/** Time after which only one version was listed for as long as the route lets an attempt last, 3 s. */
+const LONG_ABSENCE_MS = 3_500;
 /** Time between the ends of two runners. */
 const RESTART_INTERVAL_MS = 300;
 
@@ -27,6 +29,14 @@
   earl.expect([isKept, result]).toEqual([true, result]);
 }
 
+/** Lets the decode runners of the first version leave. */
+async function retireFirstVersion(decode: fixture.PlayControl["decode"]): Promise<void> {
+  const ofFirst = decode.filter((_, index) => index % 2 === 0);
+  for (const runner of ofFirst) runner.markLeaving();
+  await fixture.sleep(LEAVE_NOTICE_MS);
+  for (const runner of ofFirst) await runner.retire();
+}
+
 /** Plays in which the version of a stream is known and serves when its caller returns. */
 const PLAYS: Readonly<Record<string, Omit<fixture.VersionPlayOptions, "net">>> = {
   "runners break streams off": { breaks: true, leaves: 1 },
@@ -58,11 +68,17 @@
   },
   "the runners of one version are gone before callers return": {
     leaves: 1,
-    beforeReturn: async ({ decode }) => {
-      const ofFirst = decode.filter((_, index) => index % 2 === 0);
-      for (const runner of ofFirst) runner.markLeaving();
-      await fixture.sleep(LEAVE_NOTICE_MS);
-      for (const runner of ofFirst) await runner.retire();
+    beforeReturn: ({ decode }) => retireFirstVersion(decode),
+  },
+  // The timeout of the route limits an attempt of a caller, not the life of its stream.
+  "all VMs are killed when one version has left, and callers return late": {
+    leaves: 1,
+    chooseVersion: (name) =>
+      name.startsWith("prefill") ? fixture.VERSIONS[1] : fixture.chooseVersionByName(name),
+    beforeReturn: async ({ decode, restartGateways }) => {
+      await retireFirstVersion(decode);
+      await restartGateways([1, 2, 3, 4]);
+      await fixture.sleep(LONG_ABSENCE_MS);
     },
   },
   "runners start again at the other version under their id": {
--- a/test/streams/stream-versions.test.ts
+++ b/test/streams/stream-versions.test.ts
@@ -17,7 +17,10 @@
 const ORIGIN = { attempt: "a1", service: SERVICE, runner: "r1", run: 0, bornAt: 1 };
 
 /** Creates stream versions of a VM with a runner of "v1" and one of "v2", and peers with the given answers. */
-function createVersions(own: exchange.StreamAnswer, ...answers: exchange.StreamAnswer[]) {
+function createVersions(
+  own: exchange.StreamAnswer | ((question: exchange.StreamQuestion) => exchange.StreamAnswer),
+  ...answers: exchange.StreamAnswer[]
+) {
   const clock = fakeClock.createFakeClock();
   const table = new runnerTable.RunnerTable(clock, { write: () => undefined });
   for (const version of ["v1", "v2"]) {
@@ -31,7 +34,8 @@
   });
   table.setRunner("r1", { ...raw.createRunner("r1", 1), softwareVersion: "v1" });
   const peers = {
-    findOwn: () => own,
+    findOwn: (question: exchange.StreamQuestion) =>
+      typeof own === "function" ? own(question) : own,
     callPeers: () => Promise.resolve(answers),
     addOrigin: () => undefined,
   } as unknown as exchange.StreamOriginExchange;
@@ -100,6 +104,20 @@
     earl.expect(await findVersion(createVersions(started, knows))).toEqual("v1");
   });
 
+  // Guards against ORDER: callers resume a stream over several attempts, each as long as the timeout of the route.
+  test.it("takes a sole version only if it served for longer than a stream lives", async () => {
+    for (const [soleForMs, expected] of [
+      [3_000, UNKNOWN],
+      [59_000, UNKNOWN],
+      [61_000, "v1"],
+    ] as const) {
+      const versions = createVersions(({ livedMs }) =>
+        createAnswer(undefined, livedMs <= soleForMs ? "v1" : undefined, ["v1"]),
+      );
+      earl.expect(await findVersion(versions)).toEqual(expected);
+    }
+  });
+
   test.it("refuses a stream at once if no runner of its version is listed", async () => {
     const gone = createAnswer({ ...ORIGIN, softwareVersion: "v0" });
     earl.expect(await findVersion(createVersions(gone))).toEqual(GONE);
