Take the version of a stream from the reports of runners when all VMs lost their records

Cause: records of where streams began live at VMs only, and nothing that outlives the VMs was asked.

Change: the scheduler of a service keeps the runs with events in the reports that it reads, by attempt, with the version of the reporting start. It is asked with the keepers of records; a record goes first, and reports of two versions count as unknown. So that an attempt has one version, a request whose run broke off without an event runs again at that version while another runner of it serves. A VM that starts reads reports as soon as it has to.

--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -24,6 +24,7 @@
 import * as runnerTable from "../runners/runner-table.js";
 import * as connectionStarts from "../runners/connection-starts.js";
 import * as versionHistory from "../runners/version-history.js";
+import * as reportedRuns from "../streams/reported-runs.js";
 import * as streamOriginExchange from "../streams/stream-origin-exchange.js";
 import * as streamOrigins from "../streams/stream-origins.js";
 import * as streamVersions from "../streams/stream-versions.js";
@@ -89,6 +90,7 @@
   kernel.register("runHolds", runHolds.createRunHolds);
   kernel.register("crashRecordSync", crashRecordSync.createCrashRecordSync);
   kernel.register("crashDetector", createCrashDetector);
+  kernel.register("reportedRuns", () => new reportedRuns.ReportedRuns(kernel.use("clock")));
   kernel.register("streamVersions", createStreamVersions);
   kernel.register("plainServing", createPlainServing);
   kernel.register("modelServing", createModelServing);
@@ -221,6 +223,9 @@
     calls: kernel.use("runnerCalls"),
     codec: kernel.use("adapter").runnerCodec,
     listSchedulers: () => listSchedulers(kernel),
+    onReport: (runner, report) => {
+      kernel.use("reportedRuns").record(runner, report);
+    },
   });
 }
 
@@ -293,6 +298,8 @@
       clock,
       network: kernel.use("network"),
       membership: kernel.use("membership"),
+      holders: kernel.use("dutyHolders"),
+      reportedRuns: kernel.use("reportedRuns"),
       origins: new streamOrigins.StreamOrigins(clock),
       history,
     }),
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -19,6 +19,7 @@
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as runnerLimits from "../runners/runner-limits.js";
 import type * as runnerTable from "../runners/runner-table.js";
+import type * as reportedRuns from "../streams/reported-runs.js";
 import type * as streamVersions from "../streams/stream-versions.js";
 import type * as crashDetector from "../serving/crash-detector.js";
 import type * as modelServing from "../serving/model-serving.js";
@@ -68,6 +69,7 @@
   placement: placementService.PlacementService;
   engineReportPoller: engineReportPoller.EngineReportPoller;
   stageReconciler: stageReconciler.StageReconciler;
+  reportedRuns: reportedRuns.ReportedRuns;
   streamVersions: streamVersions.StreamVersions;
   crashDetector: crashDetector.CrashDetector;
   plainServing: plainServing.PlainServing;
--- a/src/placement/engine-report-poller.ts
+++ b/src/placement/engine-report-poller.ts
@@ -21,6 +21,11 @@
 const RUNNER_SHARE_MS = 25;
 /** Time between two groups of polls; a poll of all runners at once would delay the requests of callers. */
 const STEP_MS = 100;
+/**
+ * Time after its start in which a VM begins to poll as soon as it has to: reports are the only record of the streams of a
+ * fleet that was restarted, and runs disappear from them as they end.
+ */
+const START_MS = 5_000;
 /** Time limit of a poll; a healthy runner answers within a few milliseconds. */
 const POLL_TIMEOUT_MS = 500;
 const HTTP_OK = 200;
@@ -34,15 +39,19 @@
   readonly codec: gateway.RunnerCodec;
   /** Returns the schedulers of the services that this VM currently schedules. */
   readonly listSchedulers: () => ReadonlyMap<string, poolScheduler.PoolScheduler>;
+  /** Called with each report of a listed start. */
+  readonly onReport: (runner: runners.Runner, report: gateway.EngineReport) => void;
 }
 
 /** Polls reports until it is disposed of. */
 export class EngineReportPoller implements AsyncDisposable {
   readonly #options: EngineReportPollerOptions;
   readonly #controller = new AbortController();
+  readonly #startedAt: number;
 
   constructor(options: EngineReportPollerOptions) {
     this.#options = options;
+    this.#startedAt = options.clock.now();
   }
 
   async run(): Promise<void> {
@@ -55,7 +64,9 @@
     const { clock } = this.#options;
     const polls = this.#listPolls();
     if (polls.length === 0) {
-      await clocks.sleep(clock, MIN_ROUND_MS, signal).catch(() => undefined);
+      const isStarting = clock.now() - this.#startedAt < START_MS;
+      const waitMs = isStarting ? STEP_MS : MIN_ROUND_MS;
+      await clocks.sleep(clock, waitMs, signal).catch(() => undefined);
       return;
     }
     const steps = computeStepCount(polls.length);
@@ -100,6 +111,7 @@
       if (!report.busy && report.stage !== undefined)
         this.#options.runners.recordReportedStage(runner.id, report.stage);
       scheduler.recordReport(runner, report);
+      this.#options.onReport(runner, report);
     } catch (error) {
       if (signal.aborted) return;
       scheduler.recordMissingReport(runner.id);
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -185,7 +185,7 @@
     if (this.#options.runners.hasDrained(runner.id))
       return { kind: "notRun", reason: "runner left during the prefill", excluded: runner.id };
     this.#recordRun(call, progress, runner);
-    const send = progress.startDecode(runner.id);
+    const send = progress.startDecode(runner);
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
     using trackedRun = this.#options.crashDetector.add(call, runner, sendAccount.SEND_STEP.run);
     const options = {
--- a/src/serving/model-progress.ts
+++ b/src/serving/model-progress.ts
@@ -48,6 +48,7 @@
   #cachedBy: string | undefined;
   #skipsPrefill = false;
   #softwareVersion: string | undefined;
+  #runVersion: string | undefined;
   #origin: Promise<streamOrigins.StreamOrigin> | undefined;
 
   /** @param softwareVersion - version of a stream that began in another request. */
@@ -106,6 +107,12 @@
     return this.#softwareVersion;
   }
 
+  /** Version of the runner of the last run, if it may have run and has brought no event; it may still be running. */
+  get openRunVersion(): string | undefined {
+    const isOpen = this.#lastResult?.kind === "broken" && this.#eventCount === 0;
+    return isOpen ? this.#runVersion : undefined;
+  }
+
   /** Where the run that was sent last began, while no run has brought an event. */
   get origin(): Promise<streamOrigins.StreamOrigin> | undefined {
     return this.#origin;
@@ -126,8 +133,12 @@
   }
 
   /** Records a decode before it is sent. */
-  startDecode(runnerId: string): sendAccount.Send {
-    return this.account.startSend(runnerId, sendAccount.SEND_STEP.run);
+  startDecode({
+    id,
+    softwareVersion,
+  }: Pick<runners.Runner, "id" | "softwareVersion">): sendAccount.Send {
+    this.#runVersion = softwareVersion;
+    return this.account.startSend(id, sendAccount.SEND_STEP.run);
   }
 
   /** Monotonic time at which the last event was sent to the caller. */
--- a/src/serving/model-serving.ts
+++ b/src/serving/model-serving.ts
@@ -5,7 +5,7 @@
 import type * as placementTypes from "../placement/types.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as runnerTable from "../runners/runner-table.js";
-import type * as runners from "../runners/types.js";
+import * as runners from "../runners/types.js";
 import type * as retryBudgets from "../request/retry-budgets.js";
 import * as logEvents from "../telemetry/log-events.js";
 import * as spans from "../telemetry/spans.js";
@@ -105,6 +105,8 @@
    */
   async #setVersion(call: types.ServedCall, progress: modelProgress.ModelProgress): Promise<void> {
     const { streams } = this.#options;
+    if (progress.softwareVersion !== undefined) return;
+    if (progress.eventCount === 0) this.#setOpenRunVersion(call, progress);
     if (progress.eventCount === 0 || progress.origin === undefined) return;
     const version = streams.findVersion(await progress.origin, call.route.timeoutMs);
     if (version === undefined)
@@ -112,6 +114,21 @@
     progress.setSoftwareVersion(version);
   }
 
+  /**
+   * Sets the version of a run that broke off without an event, while others of that version serve: the run may go on
+   * and be reported, which is how the version of a stream is known after all VMs have lost their records.
+   */
+  #setOpenRunVersion(call: types.ServedCall, progress: modelProgress.ModelProgress): void {
+    const version = progress.openRunVersion;
+    if (version === undefined) return;
+    const isServed = this.#options.runners
+      .listUsable(call.service.name)
+      .map(({ runner }) => runner)
+      .filter(({ id, stage }) => stage === runners.STAGE.decode && !progress.excluded.has(id))
+      .some(({ softwareVersion }) => softwareVersion === version);
+    if (isServed) progress.setSoftwareVersion(version);
+  }
+
   async #runOnce(
     call: types.ServedCall,
     progress: modelProgress.ModelProgress,
--- a/src/streams/stream-origin-exchange.ts
+++ b/src/streams/stream-origin-exchange.ts
@@ -1,14 +1,16 @@
 /**
  * Shares the origins of streams with other VMs, since a caller may resume its stream at any of them. The VM that sends a run
  * tells some VMs, chosen by rendezvous from the attempt's id, before the first event; a VM that is asked to resume a stream and does not know
- * the origin asks these and some more, as the fleet may have changed.
+ * the origin asks these and some more, as the fleet may have changed, and the scheduler of the service, as all may have lost their records.
  */
 import * as zod from "zod";
 import type * as clocks from "../kernel/clock.js";
+import type * as dutyHolders from "../membership/duty-holders.js";
 import type * as membership from "../membership/types.js";
 import * as rendezvous from "../membership/rendezvous.js";
 import * as network from "../protocol/network.js";
 import type * as versionHistory from "../runners/version-history.js";
+import type * as reportedRuns from "./reported-runs.js";
 import * as streamOrigins from "./stream-origins.js";
 
 /** Number of VMs that keep an origin beside the one that announces it. */
@@ -49,6 +51,8 @@
     versions: zod.array(versionSchema).max(MAX_VERSIONS),
     /** The only version that it can have had. */
     soleVersion: versionSchema.optional(),
+    /** Versions of the runners that reported a run of the attempt; absent in the answer of an older build. */
+    reportedVersions: zod.array(versionSchema).max(MAX_VERSIONS).optional(),
   }),
 );
 
@@ -68,6 +72,8 @@
   readonly versions: readonly string[];
   /** The only version that it can have had. */
   readonly soleVersion?: string | undefined;
+  /** Versions of the runners that reported a run of the attempt. */
+  readonly reportedVersions?: readonly string[] | undefined;
 }
 
 /** Services that the exchange uses. */
@@ -75,7 +81,10 @@
   readonly clock: clocks.Clock;
   readonly network: network.PeerNetwork;
   readonly membership: membership.Membership;
+  /** Finds the scheduler of a service, which reads the reports of its runners. */
+  readonly holders: Pick<dutyHolders.DutyHolders, "find">;
   readonly origins: streamOrigins.StreamOrigins;
+  readonly reportedRuns: reportedRuns.ReportedRuns;
   readonly history: versionHistory.VersionHistory;
 }
 
@@ -92,19 +101,22 @@
       return {};
     });
     peers.onCall(ASK, (question) => {
-      const { versions, ...answer } = this.findOwn({ attempt: undefined, ...question });
-      return { ...answer, versions: [...versions] };
+      const own = this.findOwn({ attempt: undefined, ...question });
+      const { versions, reportedVersions = [], ...answer } = own;
+      return { ...answer, versions: [...versions], reportedVersions: [...reportedVersions] };
     });
   }
 
   /** Returns what this VM knows itself. */
   findOwn({ attempt, service, livedMs }: StreamQuestion): StreamAnswer {
-    const { origins, history } = this.#options;
+    const { origins, history, reportedRuns: reported } = this.#options;
     const versions = [...history.listVersions(service, livedMs)];
     return {
       origin: attempt === undefined ? undefined : origins.find(attempt),
       versions: versions.filter((version) => version !== undefined).slice(0, MAX_VERSIONS),
       soleVersion: history.findSoleVersion(service, livedMs),
+      reportedVersions:
+        attempt === undefined ? [] : reported.listVersions(attempt).slice(0, MAX_VERSIONS),
     };
   }
 
@@ -133,9 +145,9 @@
   async callPeers(question: StreamQuestion): Promise<readonly StreamAnswer[]> {
     const { network: peers } = this.#options;
     const answers: StreamAnswer[] = [];
-    const asked = this.#choosePeers(question.attempt ?? question.service, ASKED_COUNT);
+    const asked = this.#chooseAsked(question);
     await new Promise<void>((resolve) => {
-      const calls = asked.map(async (vm) => {
+      const calls = [...asked].map(async (vm) => {
         const answer = await peers.call(vm, ASK, question, { timeoutMs: ASK_TIMEOUT_MS });
         answers.push(answer);
         if (answer.origin !== undefined) resolve();
@@ -147,6 +159,15 @@
     return answers;
   }
 
+  /** Chooses the VMs that keep the origin of a stream, and the scheduler of its service. */
+  #chooseAsked({ attempt, service }: StreamQuestion): ReadonlySet<string> {
+    const { holders, membership: fleet } = this.#options;
+    const scheduler = holders.find(service);
+    const asked = new Set(this.#choosePeers(attempt ?? service, ASKED_COUNT));
+    if (scheduler !== undefined && scheduler !== fleet.self.vm) asked.add(scheduler);
+    return asked;
+  }
+
   #sendPending(): void {
     const byVm = new Map<string, streamOrigins.StreamOrigin[]>();
     for (const origin of this.#pending.splice(0)) {
--- a/src/streams/stream-versions.ts
+++ b/src/streams/stream-versions.ts
@@ -27,11 +27,16 @@
   record: "record",
   /** From the record of a peer. */
   peer: "peer",
+  /** From a runner that reports the run. */
+  report: "report",
   /** No other version was listed for as long as the stream can have lived. */
   soleVersion: "soleVersion",
 } as const;
 
-type KnownBy = (typeof KNOWN_BY)[keyof typeof KNOWN_BY];
+interface KnownVersion {
+  readonly version: string;
+  readonly knownBy: (typeof KNOWN_BY)[keyof typeof KNOWN_BY];
+}
 
 /** Why a stream cannot be resumed. */
 const REFUSAL = {
@@ -161,7 +166,7 @@
 
   async #findKnown(
     question: streamOriginExchange.StreamQuestion,
-  ): Promise<{ readonly version: string; readonly knownBy: KnownBy } | undefined> {
+  ): Promise<KnownVersion | undefined> {
     const { exchange } = this.#options;
     const own = exchange.findOwn(question);
     const kept = this.#findOriginVersion(question, own.origin);
@@ -178,6 +183,11 @@
       const version = this.#findOriginVersion(question, latest);
       return version === undefined ? undefined : { version, knownBy: KNOWN_BY.peer };
     }
+    const reported = listReportedVersions([own, ...answers]);
+    const [reportedVersion] = reported;
+    if (reported.length > 1) return undefined;
+    if (reportedVersion !== undefined)
+      return { version: reportedVersion, knownBy: KNOWN_BY.report };
     const version = findSoleVersion([own, ...answers]);
     return version === undefined ? undefined : { version, knownBy: KNOWN_BY.soleVersion };
   }
@@ -211,6 +221,13 @@
   return Math.max(MIN_STREAM_LIFETIME_MS, CALLER_ATTEMPTS * timeoutMs);
 }
 
+/** Returns the versions of the runners that reported a run of the stream. */
+function listReportedVersions(
+  answers: readonly streamOriginExchange.StreamAnswer[],
+): readonly string[] {
+  return [...new Set(answers.flatMap(({ reportedVersions = [] }) => reportedVersions))];
+}
+
 /** Returns the only version that a service can have had, if one VM knows it and none knows of another version. */
 function findSoleVersion(
   answers: readonly streamOriginExchange.StreamAnswer[],
--- a/standins/users-platform/crashing-runner.ts
+++ b/standins/users-platform/crashing-runner.ts
@@ -58,6 +58,8 @@
   readonly label?: string | undefined;
   /** The event at which the stream is broken off. */
   readonly breakAt?: number | undefined;
+  /** Called with each event. */
+  readonly onEvent?: () => void;
 }
 
 /** Arrivals of crashing requests and ends of runners, shared by all runners of a test. */
@@ -84,6 +86,8 @@
   readonly #log: CrashLog;
   readonly #sockets = new Set<net.Socket>();
   readonly #timers = new Set<NodeJS.Timeout>();
+  /** Number of events of each stream in progress, also after its connection ended. */
+  readonly #runs = new Map<string, number>();
   #server: http.Server | undefined;
   #port = 0;
   #starts = 0;
@@ -187,7 +191,7 @@
     }
     const crashes = this.#role === this.#behaviour.crashingRole && isCrashing;
     if (!crashes || !this.#log.isCrashing) {
-      await ANSWERS[this.#role](request, response, this.#createStream());
+      await this.#answer(request, response);
       return;
     }
     this.#log.crashes.push(performance.now());
@@ -195,6 +199,15 @@
     await this.crash();
   }
 
+  async #answer(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const call = String(request.headers["request-id"]);
+    const onEvent = (): void => {
+      this.#runs.set(call, (this.#runs.get(call) ?? 0) + 1);
+    };
+    await ANSWERS[this.#role](request, response, { ...this.#createStream(), onEvent });
+    this.#runs.delete(call);
+  }
+
   #createStream(): StreamOptions {
     const { eventCount, eventPauseMs, chooseVersion, chooseBreak } = this.#behaviour;
     const label = chooseVersion === undefined ? undefined : this.#version;
@@ -205,7 +218,8 @@
     if (request.headers["expect-instance"] !== this.#id) response.writeHead(421).end();
     else if (this.#role === RUNNER_ROLE.plain) response.writeHead(404).end();
     else {
-      const report = { born: this.#starts, stage: this.#role, kv_total: 72_680, runs: [] };
+      const runs = [...this.#runs].map(([call, events]) => [call, 100, events, 5]);
+      const report = { born: this.#starts, stage: this.#role, kv_total: 72_680, runs };
       response.end(JSON.stringify(report));
     }
   }
@@ -293,6 +307,7 @@
       eventPauseMs = PLAIN_WORK_MS,
       label,
       breakAt,
+      onEvent,
     } = stream;
     response.writeHead(200, createAnswerHeaders(request));
     const first = Number(request.headers["last-event-id"] ?? -1) + 1;
@@ -303,6 +318,7 @@
       }
       const text = label === undefined ? "" : ` of ${label}`;
       response.write(`id: ${event}\ndata: piece ${event}${text}\n\n`);
+      onEvent?.();
       await new Promise((resolve) => setTimeout(resolve, eventPauseMs));
     }
     response.end();
--- a/test/gateway/stream-continuations.test.ts
+++ b/test/gateway/stream-continuations.test.ts
@@ -329,3 +329,40 @@
     expectAll(await playStreams(78, judged, true), () => ({ status: 502, isComplete: true }));
   });
 });
+
+const VERSIONS = ["v1", "v2"] as const;
+const STREAM_COUNT = 12;
+
+// Guards against ORDER after all VMs were killed: a broken run may go on and be reported, so its version has to be the stream's.
+test.describe("requests whose first run breaks off without an event", () => {
+  test.it("run again at the same software version while it serves", async () => {
+    await using testPlatform = await fixture.startPlatform();
+    const runVersions = new Map<string, string[]>();
+    const started: raw.RawRunner[] = [];
+    for (const [index, version] of [...VERSIONS, ...VERSIONS].entries()) {
+      const answer = (socket: net.Socket, _count: number, head: string): void => {
+        const call = /request-id: (\S+)/i.exec(head)?.[1] ?? "";
+        const versions = runVersions.get(call) ?? [];
+        runVersions.set(call, [...versions, version]);
+        if (versions.length === 0) socket.destroy();
+        else WHOLE(socket, call, 0);
+      };
+      const runner = await raw.startRawRunner(`d${index}`, answer, (socket) => {
+        raw.answerReport("decode", socket);
+      });
+      started.push(runner);
+      const changes = { service: "model", stage: "decode", slots: 16, version };
+      const address = `127.0.0.1:${runner.runner.port}`;
+      testPlatform.platform.set(`servers/d${index}`, examples.createRunnerEntry(address, changes));
+    }
+    await using gateway = await fixture.startGateway(testPlatform.platform, 80, 1);
+    await fixture.waitForReady(gateway.ip);
+    for (let index = 0; index < STREAM_COUNT; index += 1) {
+      fixture.addRetries(gateway, "model");
+      await readAnswer(gateway.ip, { "request-id": `r${index}`, "prompt-prefix": `${index}:100` });
+    }
+    for (const runner of started) await runner[Symbol.asyncDispose]();
+    const mixed = [...runVersions.values()].filter(([first, second]) => first !== second);
+    earl.expect([runVersions.size, mixed]).toEqual([STREAM_COUNT, []]);
+  });
+});
--- a/test/gateway/stream-versions-fixture.ts
+++ b/test/gateway/stream-versions-fixture.ts
@@ -40,6 +40,8 @@
   readonly leaves?: number;
   /** Whether runners break every second stream off. */
   readonly breaks?: boolean;
+  /** Pause of the runners after each event of a stream. */
+  readonly eventPauseMs?: number;
   readonly chooseVersion?: (name: string, start: number) => string;
   /** Gateway at which all streams begin; by default any. */
   readonly beginsAt?: number;
@@ -157,7 +159,7 @@
       keepsId: true,
       entryDelayMs: 1_000,
       eventCount: EVENT_COUNT,
-      eventPauseMs: EVENT_PAUSE_MS,
+      eventPauseMs: this.#options.eventPauseMs ?? EVENT_PAUSE_MS,
       chooseVersion: this.#options.chooseVersion ?? chooseVersionByName,
       chooseBreak: () => this.#chooseBreak(),
     };
--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -57,6 +57,12 @@
       for (const number of [1, 2, 3, 4]) await restartGateways([number]);
     },
   },
+  // Runners go on with the streams of VMs that have lost their power.
+  "all VMs are killed and runners still report the streams": {
+    leaves: 1,
+    eventPauseMs: 600,
+    beforeReturn: ({ restartGateways }) => restartGateways([1, 2, 3, 4]),
+  },
   "one version only": { leaves: 2, breaks: true, chooseVersion: () => "v1.1" },
 };
 
--- a/test/serving/model-progress.test.ts
+++ b/test/serving/model-progress.test.ts
@@ -45,7 +45,7 @@
     earl.expect([progress.reserveRetry(), reserved]).toEqual([true, [1]]);
     progress.startPrefill("p2");
     progress.setPrefilled(PROMPT);
-    progress.startDecode("d1");
+    progress.startDecode(raw.createRunner("d1", 1));
     progress.setPrefilled(undefined);
     earl
       .expect([progress.reserveRetry(), reserved, progress.skipsPrefill])
@@ -57,10 +57,10 @@
     for (const maxRunners of [1, 2]) {
       const { progress, reserved } = createProgress(maxRunners);
       progress.startPrefill("p1");
-      if (maxRunners === 2) progress.startDecode("d1");
+      if (maxRunners === 2) progress.startDecode(raw.createRunner("d1", 1));
       earl.expect([progress.reserveRetry(), progress.skipsPrefill]).toEqual([true, true]);
       earl.expect(reserved).toEqual(maxRunners === 2 ? [1] : []);
-      progress.startDecode("d2");
+      progress.startDecode(raw.createRunner("d2", 1));
       earl.expect(progress.reserveRetry()).toEqual(false);
     }
   });
--- a/test/streams/stream-versions.test.ts
+++ b/test/streams/stream-versions.test.ts
@@ -104,6 +104,20 @@
     earl.expect(await findVersion(createVersions(started, knows))).toEqual("v1");
   });
 
+  test.it(
+    "takes the version of the runners that report the run, unless they are of two",
+    async () => {
+      const reports = (...reportedVersions: readonly string[]) => ({
+        ...createAnswer(),
+        reportedVersions,
+      });
+      earl.expect(await findVersion(createVersions(reports(), reports("v2")))).toEqual("v2");
+      earl.expect(await findVersion(createVersions(reports("v1"), reports("v2")))).toEqual(UNKNOWN);
+      const record = createAnswer({ ...ORIGIN, softwareVersion: "v1" });
+      earl.expect(await findVersion(createVersions(reports("v2"), record))).toEqual("v1");
+    },
+  );
+
   // Guards against ORDER: callers resume a stream over several attempts, each as long as the timeout of the route.
   test.it("takes a sole version only if it served for longer than a stream lives", async () => {
     for (const [soleForMs, expected] of [
