Give each call to a plain service a connection of its own

Seen in a test: a service that writes its earlier answer once more when the next call arrives; the caller of the second of three idempotent calls got the answer of the first.

Change: no connection to a plain service is shared. The test of connections that are reused gave way to one that requires a connection for each call and the own answer for each; it fails with shared connections.

test/processes/silent-connections.test.ts required that an idle connection to a backend was there to be silenced. None is now: the test requires that none is open between calls, and goes on as before.

--- a/src/request/idempotent-calls.ts
+++ b/src/request/idempotent-calls.ts
@@ -116,10 +116,8 @@
     const timeoutMs = isLastUntried ? remainingMs : remainingMs * BACKEND_TIMEOUT_SHARE;
     using limit = clocks.createTimeLimit(this.#clock, timeoutMs, signal);
     using trackedCall = this.#tracker.add(backend.name, fingerprint);
-    const needsNewConnection = state.mayHaveRun || state.tried.size > 1;
     try {
-      const options = { newConnection: needsNewConnection, signal: limit.signal };
-      const response = await this.#backends.send(backend, call.request, options);
+      const response = await this.#backends.send(backend, call.request, limit.signal);
       this.#recordResponse(backend, trackedCall, response);
       return response;
     } catch (error) {
--- a/src/request/owned-calls.ts
+++ b/src/request/owned-calls.ts
@@ -166,7 +166,7 @@
       const response = await this.#backends.send(
         backend,
         { ...call.request, headers },
-        { newConnection: true, signal: limit.signal },
+        limit.signal,
       );
       this.#selector.recordSuccess(backend);
       trackedCall.recordCompletion(response.status);
--- a/src/upstream/service-client.ts
+++ b/src/upstream/service-client.ts
@@ -1,5 +1,5 @@
 /** HTTP client of plain services; bodies are forwarded without being parsed. */
-import * as http from "node:http";
+import type * as http from "node:http";
 import type * as kernels from "../kernel/container.js";
 import type * as clocks from "../kernel/clock.js";
 import * as spans from "../telemetry/spans.js";
@@ -14,9 +14,6 @@
  * deadline of an operation aborts earlier.
  */
 const MAX_CALL_MS = 3_600_000;
-const MAX_CONNECTIONS_PER_BACKEND = 64;
-/** Idle timeout of a connection, well below the time after which intermediaries drop idle ones. */
-const IDLE_CONNECTION_TIMEOUT_MS = 4_000;
 /** Hop-by-hop headers (RFC 9110, section 7.6.1), and headers that are set for each connection. */
 const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
   "connection",
@@ -38,23 +35,13 @@
  *
  * @example kernel.register("backends", createServiceClient);
  */
-export function createServiceClient(kernel: kernels.Kernel): types.ServiceClient & AsyncDisposable {
+export function createServiceClient(kernel: kernels.Kernel): types.ServiceClient {
   return new HttpServiceClient(kernel.use("clock"), kernel.use("tracer"));
 }
 
-interface SendOptions {
-  readonly newConnection: boolean;
-  readonly signal: AbortSignal;
-}
-
-class HttpServiceClient implements types.ServiceClient, AsyncDisposable {
+class HttpServiceClient implements types.ServiceClient {
   readonly #clock: clocks.Clock;
   readonly #tracer: telemetry.Tracer;
-  readonly #agent = new http.Agent({
-    keepAlive: true,
-    maxSockets: MAX_CONNECTIONS_PER_BACKEND,
-    timeout: IDLE_CONNECTION_TIMEOUT_MS,
-  });
 
   constructor(clock: clocks.Clock, tracer: telemetry.Tracer) {
     this.#clock = clock;
@@ -64,18 +51,18 @@
   send(
     backend: types.Upstream,
     request: types.PlainRequest,
-    options: SendOptions,
+    signal: AbortSignal,
   ): Promise<types.PlainResponse> {
     const attributes = { backend: backend.name };
     return spans.runInSpan(this.#tracer, "backend-call", attributes, () =>
-      this.#sendInSpan(backend, request, options),
+      this.#sendInSpan(backend, request, signal),
     );
   }
 
   async #sendInSpan(
     backend: types.Upstream,
     request: types.PlainRequest,
-    options: SendOptions,
+    signal: AbortSignal,
   ): Promise<types.PlainResponse> {
     const call: httpCall.HttpCall = {
       upstream: backend,
@@ -83,9 +70,9 @@
       path: request.path,
       headers: removeHopByHopHeaders(request.headers),
       body: Buffer.from(request.body),
-      agent: options.newConnection ? false : this.#agent,
+      agent: false,
       headersTimeoutMs: MAX_CALL_MS,
-      signal: options.signal,
+      signal,
     };
     const response = await httpCall.sendCall(this.#clock, call);
     const limits = { maxBytes: MAX_BODY_BYTES, idleTimeoutMs: MAX_CALL_MS };
@@ -100,12 +87,6 @@
       body,
     };
   }
-
-  /** Closes the keep-alive connections. */
-  [Symbol.asyncDispose](): Promise<void> {
-    this.#agent.destroy();
-    return Promise.resolve();
-  }
 }
 
 function removeHopByHopHeaders(
--- a/src/upstream/types.ts
+++ b/src/upstream/types.ts
@@ -162,12 +162,10 @@
 /** Calls plain services. */
 export interface ServiceClient {
   /**
-   * @param newConnection - whether to open a new connection, which non-idempotent calls require.
+   * Sends a call on a connection of its own: on a shared one, an earlier answer that the backend writes once more would be
+   * taken for the one to this call, as plain services name no request in their answers.
+   *
    * @throws UpstreamError
    */
-  send(
-    backend: Upstream,
-    request: PlainRequest,
-    options: { readonly newConnection: boolean; readonly signal: AbortSignal },
-  ): Promise<PlainResponse>;
+  send(backend: Upstream, request: PlainRequest, signal: AbortSignal): Promise<PlainResponse>;
 }
--- a/standins/matrix/naive-router.ts
+++ b/standins/matrix/naive-router.ts
@@ -58,8 +58,7 @@
     for (let count = 0; count < MAX_ATTEMPTS; count += 1) {
       using limit = clocks.createTimeLimit(this.process.clock, ATTEMPT_TIMEOUT_MS, signal);
       try {
-        const options = { newConnection: false, signal: limit.signal };
-        return await this.#backends.send(this.#nextBackend(), plain, options);
+        return await this.#backends.send(this.#nextBackend(), plain, limit.signal);
       } catch {
         if (signal.aborted) break;
       }
--- a/standins/matrix/plain-service.ts
+++ b/standins/matrix/plain-service.ts
@@ -110,7 +110,7 @@
   /** Creates the service client of a process. */
   createClient(clientProcess: nodeProcess.NodeProcess): upstream.ServiceClient {
     return {
-      send: async (backend, request, { signal }) => {
+      send: async (backend, request, signal) => {
         await clientProcess.waitUntilRunning();
         const response = await this.#send(backend.name, request, clientProcess, signal);
         await clientProcess.waitUntilRunning();
--- a/test/processes/silent-connections.test.ts
+++ b/test/processes/silent-connections.test.ts
@@ -16,6 +16,7 @@
 test.describe("upstream connections that stop responding", () => {
   let fleet: processFleet.ProcessFleet;
   const startedRelays: relays.Relay[] = [];
+  const backendRelays: relays.Relay[] = [];
 
   test.before(async () => {
     fleet = await fixture.startFleet();
@@ -45,10 +46,15 @@
     earl.expect(await demoChecks.waitUntilReleased(fleet)).toEqual(undefined);
   });
 
-  test.it("answers plain calls when every idle connection stops responding", async () => {
+  // A connection to a backend is open only while its call is in progress, so none can stop responding before the next call.
+  test.it("answers plain calls when every open connection stops responding", async () => {
     const node = fixture.getNodeAddress(fleet, 0);
-    await readTile(node);
-    earl.expect(silenceConnections()).toBeGreaterThan(0);
+    earl.expect(await readTile(node)).toEqual(200);
+    await fixture.waitUntil(
+      "no connection to a backend is open",
+      () => countBackendConnections() === 0,
+    );
+    silenceConnections();
     earl.expect(await readTile(node)).toEqual(200);
     silenceConnections();
     const id = `${await fixture.readSession(node)}.1`;
@@ -62,16 +68,20 @@
     const document: documents.FleetDocument = structuredClone(fleet.document);
     document.revision = revision;
     const decodeRunners = document.runners.filter((runner) => runner.pool.endsWith("decode"));
-    const backends = document.services.flatMap((service) => service.backends);
-    for (const target of [...decodeRunners, ...backends]) {
-      const relay = await relays.Relay.start(target.port);
+    for (const runner of decodeRunners) startedRelays.push(await addRelay(runner));
+    for (const backend of document.services.flatMap((service) => service.backends)) {
+      const relay = await addRelay(backend);
+      backendRelays.push(relay);
       startedRelays.push(relay);
-      target.port = relay.port;
     }
     await fixture.writeControl(fleet.platformPort, { publish: { revision, document } });
     for (const node of fleet.nodeAddresses) await fixture.waitForRevision(node, revision);
   }
 
+  function countBackendConnections(): number {
+    return backendRelays.reduce((sum, relay) => sum + relay.activeConnections, 0);
+  }
+
   function silenceConnections(): number {
     const active = startedRelays.reduce((sum, relay) => sum + relay.activeConnections, 0);
     for (const relay of startedRelays) relay.silence();
@@ -79,6 +89,13 @@
   }
 });
 
+/** Starts a relay before an upstream and replaces the port of the upstream by its own. */
+async function addRelay(target: { port: number }): Promise<relays.Relay> {
+  const relay = await relays.Relay.start(target.port);
+  target.port = relay.port;
+  return relay;
+}
+
 async function readTile(node: processFleet.NodeAddress): Promise<number> {
   const path = `/services/${fixture.SERVICE}/tiles/8803/5374`;
   const response = await fetch(`http://${fixture.HOST}:${node.callerPort}${path}`, {
--- a/test/request/fake-fleet.ts
+++ b/test/request/fake-fleet.ts
@@ -55,14 +55,14 @@
   async send(
     backend: upstream.Upstream,
     request: upstream.PlainRequest,
-    options: { readonly newConnection: boolean; readonly signal: AbortSignal },
+    signal: AbortSignal,
   ): Promise<upstream.PlainResponse> {
     this.backendsUsed.push(backend.name);
     const key = request.headers["idempotency-key"] ?? "none";
     await this.handleCall(
       backend.name,
       () => this.executions.set(key, (this.executions.get(key) ?? 0) + 1),
-      options.signal,
+      signal,
     );
     return { status: this.status, headers: {}, body: Buffer.from(`booked by ${backend.name}`) };
   }
--- a/test/upstream/service-client.test.ts
+++ b/test/upstream/service-client.test.ts
@@ -24,8 +24,8 @@
   return { method: "POST", path: "/visits?a=b", headers, body: Buffer.from("ň"), ...changes };
 }
 
-function createOptions(newConnection = true): { newConnection: boolean; signal: AbortSignal } {
-  return { newConnection, signal: AbortSignal.timeout(5_000) };
+function createSignal(): AbortSignal {
+  return AbortSignal.timeout(5_000);
 }
 
 test.describe("createServiceClient", () => {
@@ -33,7 +33,7 @@
     await using kernel = fixture.createClientKernel();
     await using listening = await startService();
     const client = kernel.use("backends");
-    const response = await client.send(listening.backend, createRequest(), createOptions());
+    const response = await client.send(listening.backend, createRequest(), createSignal());
     earl.expect(response.status).toEqual(200);
     const answer = JSON.parse(Buffer.from(response.body).toString()) as Record<string, unknown>;
     earl.expect([answer.method, answer.path, answer.body]).toEqual(["POST", "/visits?a=b", "ň"]);
@@ -53,24 +53,33 @@
     });
     const headers = { connection: "x-private", "x-private": "1", te: "trailers", "x-kept": "2" };
     const request = createRequest({ headers });
-    const response = await kernel.use("backends").send(server.upstream, request, createOptions());
+    const response = await kernel.use("backends").send(server.upstream, request, createSignal());
     earl.expect(sent).toMatchRegex(/x-kept: 2/);
     earl.expect(sent).not.toMatchRegex(/x-private|te: trailers/);
     earl.expect(response.headers).toEqual({ "x-a": "1" });
   });
 
-  test.it("opens a new connection on demand and otherwise reuses one", async () => {
+  // Guards against an earlier answer that a service writes once more when the next call arrives.
+  test.it("takes no earlier answer, as each call has a connection of its own", async () => {
     await using kernel = fixture.createClientKernel();
     let connections = 0;
     await using server = await fixture.startRawServer((socket) => {
       connections += 1;
-      socket.on("data", () => socket.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"));
+      let answers = "";
+      socket.on("data", (bytes) => {
+        const id = /idempotency-key: (\S+)/i.exec(bytes.toString())?.[1] ?? "";
+        answers += `HTTP/1.1 200 OK\r\nX-Of: ${id}\r\nContent-Length: 0\r\n\r\n`;
+        socket.write(answers);
+      });
     });
     const client = kernel.use("backends");
-    for (const newConnection of [false, false, true, true]) {
-      await client.send(server.upstream, createRequest(), createOptions(newConnection));
+    const calls = ["k1", "k2", "k3"];
+    for (const key of calls) {
+      const request = createRequest({ headers: { "idempotency-key": key } });
+      const { headers } = await client.send(server.upstream, request, createSignal());
+      earl.expect(headers["x-of"]).toEqual(key);
     }
-    earl.expect(connections).toEqual(3);
+    earl.expect(connections).toEqual(calls.length);
   });
 
   test.it("reports broken when the call has run and its response is lost", async () => {
@@ -79,7 +88,7 @@
     listening.service.setFaults({ dropReply: true });
     const response = kernel
       .use("backends")
-      .send(listening.backend, createRequest(), createOptions());
+      .send(listening.backend, createRequest(), createSignal());
     earl.expect(await fixture.getFailure(response)).toEqual("broken");
     earl.expect(listening.service.getReport().executions).toEqual({ k1: 1 });
   });
@@ -87,7 +96,7 @@
   test.it("reports not-connected when nothing listens", async () => {
     await using kernel = fixture.createClientKernel();
     const unreachable = await fixture.createUnreachableUpstream();
-    const response = kernel.use("backends").send(unreachable, createRequest(), createOptions());
+    const response = kernel.use("backends").send(unreachable, createRequest(), createSignal());
     earl.expect(await fixture.getFailure(response)).toEqual("not-connected");
   });
 
@@ -95,8 +104,8 @@
     await using kernel = fixture.createClientKernel();
     await using listening = await startService();
     listening.service.setFaults({ silent: true });
-    const options = { newConnection: true, signal: AbortSignal.timeout(100) };
-    const response = kernel.use("backends").send(listening.backend, createRequest(), options);
+    const signal = AbortSignal.timeout(100);
+    const response = kernel.use("backends").send(listening.backend, createRequest(), signal);
     earl.expect(await fixture.getFailure(response)).toEqual("broken");
   });
 });
