--- a/review/2/run.ts
+++ b/review/2/run.ts
@@ -1,25 +1,23 @@
-/** A configuration that has grown by many routes; then one route moves to another service. */
+/** The store comes back from a copy some seconds old; the configuration changes six seconds later. */
 import * as examples from "../../standins/users-platform/examples.js";
 import * as clients from "../lib/client.js";
 import * as deployments from "../lib/deployment.js";
 import * as plainRunner from "../lib/plain-runner.js";
 import * as records from "../lib/record.js";
+import * as restoredStore from "../lib/restored-store.js";
 
-/** Steps by which the configuration grows: each as large as the largest `big_config` of the small sites. */
-const GROWTH_STEPS = 16;
-const ROUTES_PER_STEP = 350;
-/** `value_bytes` of the settings. */
-const MAX_VALUE_BYTES = 1_048_576;
-const STEP_PAUSE_MS = 500;
-/** Time from the last growth to the change of the route. */
 const SETTLE_MS = 6_000;
+/** The storm of the site file: a change each 330 ms for 4 s. */
+const STORM_CHANGES = 12;
+const STORM_GAP_MS = 330;
+const AWAY_MS = 1_000;
+/** Time from the return of the store to the change, twice the time in which it counts as stable again. */
+const CALM_MS = 6_000;
 const OBSERVE_MS = 12_000;
-const REQUEST_PERIOD_MS = 250;
+const REQUEST_PERIOD_MS = 200;
 const DEADLINE_MS = 1_000;
-const PATH = "/status/x";
 
-/** Returns a configuration with idle routes; `service` serves the route that is asked for. */
-function createConfiguration(version: number, idleRoutes: number, service: string): unknown {
+function createConfiguration(version: number, service: string): unknown {
   const base = examples.createConfiguration(version) as {
     routes: Record<string, unknown>[];
     services: unknown[];
@@ -27,66 +25,55 @@
   const routes = base.routes.map((route) =>
     route.name === "status" ? { ...route, service } : route,
   );
-  for (let number = 0; number < idleRoutes; number += 1) {
-    const name = number.toString(36).padStart(7, "0");
-    routes.push({
-      name: `r-${name}`,
-      host: "api.example",
-      path_prefix: `/i${String(number).padStart(6, "0")}/`,
-      kind: "safe",
-      timeout_ms: 1_000,
-      target_latency_ms: 193,
-      priority: 2,
-      service: "plain",
-      max_attempts: 2,
-    });
-  }
   const other = { name: "other", health_path: "/health", max_connections: 100 };
   return { ...base, routes, services: [...base.services, other] };
 }
 
 await records.runCase("2", async (record) => {
-  await using deployment = await deployments.Deployment.create(record);
+  const store = new restoredStore.RestoredStore();
+  await using deployment = await deployments.Deployment.create(record, store);
   await using first = new plainRunner.PlainRunner("i-first", "plain", 5);
   await using second = new plainRunner.PlainRunner("i-second", "other", 5);
   let version = 4;
-  const publish = (idleRoutes: number, service: string): void => {
-    const configuration = createConfiguration(version, idleRoutes, service);
-    const bytes = Buffer.byteLength(JSON.stringify(configuration));
-    if (bytes > MAX_VALUE_BYTES) throw new Error(`configuration has ${bytes} bytes`);
-    deployment.store.set("op/config", configuration);
-    record.write(`version ${version} acknowledged: ${idleRoutes} idle routes, ${bytes} bytes`);
-    version += 3;
+  const publish = (service: string): void => {
+    store.set("op/config", createConfiguration(version, service));
+    record.write(`version ${version} acknowledged at revision ${store.revision}`);
   };
-  publish(0, "plain");
-  await first.start(deployment.store);
-  await second.start(deployment.store);
-  await deployment.startGateways(["a", "a", "a", "a", "a"]);
+  publish("plain");
+  for (const runner of [first, second]) await runner.start(store);
+  await deployment.startGateways(["a", "b", "c"]);
   await records.wait(SETTLE_MS);
-  let idleRoutes = 0;
-  for (let step = 0; records.isDisrupted && step < GROWTH_STEPS; step += 1) {
-    idleRoutes += ROUTES_PER_STEP;
-    publish(idleRoutes, "plain");
-    await records.wait(STEP_PAUSE_MS);
+  const copy = store.copy();
+  for (let change = 0; change < STORM_CHANGES; change += 1) {
+    version += 3;
+    publish("plain");
+    await records.wait(STORM_GAP_MS);
   }
-  await records.wait(SETTLE_MS);
-  publish(idleRoutes, "other");
+  if (records.isDisrupted) {
+    store.leave();
+    await records.wait(AWAY_MS);
+    store.restore(copy);
+    record.write(`the store is back from its copy, at revision ${store.revision}`);
+    // The operator and the runners write again what the store has lost.
+    publish("plain");
+    for (const runner of [first, second]) runner.publish(store);
+  }
+  await records.wait(CALM_MS);
+  version += 3;
+  publish("other");
   const acknowledgedAt = performance.now();
   const sent: Promise<clients.Answer>[] = [];
   while (performance.now() - acknowledgedAt < OBSERVE_MS) {
     for (const gateway of deployment.gateways)
-      sent.push(clients.sendRequest(gateway, "GET", PATH, DEADLINE_MS));
+      sent.push(clients.sendRequest(gateway, "GET", "/status/x", DEADLINE_MS));
     await records.wait(REQUEST_PERIOD_MS);
   }
-  const boundAt = acknowledgedAt + deployments.BOUNDS.configMs;
   let stale = 0;
-  const staleByGateway = new Map<string, number>();
   for (const answer of await Promise.all(sent)) {
+    const afterMs = Math.round(answer.sentAt - acknowledgedAt);
     const ranOld = first.ran.has(answer.id);
-    const isStale = answer.sentAt > boundAt && ranOld;
+    const isStale = afterMs > deployments.BOUNDS.configMs && ranOld;
     if (isStale) stale += 1;
-    if (isStale) staleByGateway.set(answer.gateway, (staleByGateway.get(answer.gateway) ?? 0) + 1);
-    const afterMs = Math.round(answer.sentAt - acknowledgedAt);
     const ran = ranOld ? "old service" : second.ran.has(answer.id) ? "new service" : "not run";
     record.write(
       `${answer.id} to ${answer.gateway}, sent ${afterMs} ms after the change: ` +
@@ -94,6 +81,5 @@
     );
   }
   record.write(`requests sent over 2000 ms after the change and run by the old service: ${stale}`);
-  for (const [gateway, count] of staleByGateway) record.write(`of these at ${gateway}: ${count}`);
   return stale > 0 ? records.EXIT_CODE.broken : records.EXIT_CODE.held;
 });
--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -35,22 +35,33 @@
   process: processes.ManagedProcess;
 }
 
+/** What the deployment and the runners use of a store. */
+export interface Store extends AsyncDisposable {
+  readonly address: string;
+  start(): Promise<void>;
+  set(key: string, value: unknown): void;
+}
+
 /** Runs the store and the gateways until it is disposed of. */
 export class Deployment implements AsyncDisposable {
-  readonly store = new store.StoreStandIn();
+  readonly store: Store;
   readonly gateways: Gateway[] = [];
   readonly #directory: string;
   readonly #record: records.CaseRecord;
   #network = "";
 
-  constructor(directory: string, record: records.CaseRecord) {
+  constructor(directory: string, record: records.CaseRecord, platform: Store) {
+    this.store = platform;
     this.#directory = directory;
     this.#record = record;
   }
 
-  static async create(record: records.CaseRecord): Promise<Deployment> {
+  static async create(
+    record: records.CaseRecord,
+    platform: Store = new store.StoreStandIn(),
+  ): Promise<Deployment> {
     const directory = await fs.mkdtemp(path.join(os.tmpdir(), "review-"));
-    const deployment = new Deployment(directory, record);
+    const deployment = new Deployment(directory, record, platform);
     await deployment.store.start();
     return deployment;
   }
--- a/review/lib/plain-runner.ts
+++ b/review/lib/plain-runner.ts
@@ -2,7 +2,7 @@
 import * as events from "node:events";
 import * as http from "node:http";
 import type * as net from "node:net";
-import type * as store from "../../standins/users-platform/store.js";
+import type * as deployments from "./deployment.js";
 import * as examples from "../../standins/users-platform/examples.js";
 
 const HTTP_MISDIRECTED = 421;
@@ -15,6 +15,7 @@
   /** Ids of the requests that it ran, with the time at which each began. */
   readonly ran = new Map<string, number>();
   readonly #workMs: number;
+  readonly #born = Date.now();
   readonly #server = http.createServer((request, response) => {
     request.resume();
     request.once("end", () => {
@@ -28,11 +29,16 @@
     this.#workMs = workMs;
   }
 
-  async start(platform: store.StoreStandIn): Promise<void> {
+  async start(platform: deployments.Store): Promise<void> {
     this.#server.listen(0, "127.0.0.1");
     await events.default.once(this.#server, "listening");
+    this.publish(platform);
+  }
+
+  /** Writes its entry to the store. */
+  publish(platform: deployments.Store): void {
     const { port } = this.#server.address() as net.AddressInfo;
-    const changes = { service: this.service, slots: 64, born: Date.now() };
+    const changes = { service: this.service, slots: 64, born: this.#born };
     const entry = examples.createRunnerEntry(`127.0.0.1:${port}`, changes);
     platform.set(`servers/${this.id}`, entry);
   }
--- a/review/lib/raw-runner.ts
+++ b/review/lib/raw-runner.ts
@@ -2,7 +2,7 @@
 import * as events from "node:events";
 import * as net from "node:net";
 import * as examples from "../../standins/users-platform/examples.js";
-import type * as store from "../../standins/users-platform/store.js";
+import type * as deployments from "./deployment.js";
 
 const HEAD_END = "\r\n\r\n";
 const REPORT_START = "GET /-/report ";
@@ -33,7 +33,7 @@
     this.#spoil = spoil;
   }
 
-  async start(platform: store.StoreStandIn): Promise<void> {
+  async start(platform: deployments.Store): Promise<void> {
     this.#server.listen(0, "127.0.0.1");
     await events.default.once(this.#server, "listening");
     const { port } = this.#server.address() as net.AddressInfo;
