Take what a platform serves that was restored from a copy

A VM that started afterwards took the older configuration back from its peers. Cause: revisions go back at a restore and are given out again, and were compared as if they never did: in the view, in pulls, pushes, gossip, the questions to readers, the check of a sole software version and fencing tokens. Nothing read Store-Era. Change: revisions belong to an epoch, the store's era; a newer epoch goes before all of an older one, whichever way it arrives. What the copy shows of items that changed since is decided by a policy: the highest version of the configuration, leaving and later-born runners stay, runners that were gone are held back. Fencing tokens do not go back. Answers of an older era, or of none once one is known, count as failed. Event 3014 names the epoch and how it was learned. Why it works: no comparison crosses two counters any more.

--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -280,7 +280,7 @@
     codec: runnerCodec,
     listSchedulers: () => listSchedulers(kernel),
     hasMajority: () => hasMajority(fleet),
-    getRevision: () => sync.revision,
+    getRevision: () => sync.fencingRevision,
   });
 }
 
@@ -330,7 +330,7 @@
       reportedRuns: kernel.use("reportedRuns"),
       origins: new streamOrigins.StreamOrigins(clock),
       history,
-      getListRevision: () => sync.runnersRevision,
+      getListPosition: () => sync.runnersPosition,
     }),
     verifier: new versionVerifier.VersionVerifier({ clock, source }),
   });
--- a/src/placement/stage-reconciler.ts
+++ b/src/placement/stage-reconciler.ts
@@ -6,9 +6,9 @@
  * Two VMs that both send orders would switch the same runners back and forth, and the VMs share no
  * lock. So a VM sends orders only while it has been the scheduler of the service without
  * interruption for longer than the order lease, sees a majority of the VMs, and was not paused;
- * otherwise it sends none. A fencing token consists of the platform's revision and a hash of the
- * VM's id. It grows with the revision, and the tokens of two VMs at the same revision differ with
- * high probability.
+ * otherwise it sends none. A fencing token consists of a number that grows with the platform's
+ * revision and a hash of the VM's id. It does not go back when the platform is restored from a copy,
+ * and the tokens of two VMs at the same revision differ with high probability.
  *
  * Reference: "Kubernetes Controller Reconciliation: Idempotent Desired-State Loops".
  */
@@ -68,7 +68,7 @@
   readonly listSchedulers: () => ReadonlyMap<string, poolScheduler.PoolScheduler>;
   /** Whether this VM sees a majority of the VMs. */
   readonly hasMajority: () => boolean;
-  /** Returns the newest platform revision of the registry that this VM knows. */
+  /** Returns a number that grows with the platform's revision and never goes back. */
   readonly getRevision: () => number;
 }
 
--- a/src/registry/registry-exchange.ts
+++ b/src/registry/registry-exchange.ts
@@ -1,7 +1,7 @@
 /**
  * Synchronizes a registry view with the views of other VMs (anti-entropy). Each VM gossips the
- * revision of the newest change in its view, and a VM whose newest change is older pulls a snapshot
- * from the sender of the gossip. A VM that cannot reach the platform thus still receives changes,
+ * epoch and the revision of the newest change in its view, and a VM whose newest change is older pulls
+ * a snapshot from the sender of the gossip. A VM that cannot reach the platform thus still receives changes,
  * and the platform gets no extra calls.
  */
 import * as zod from "zod";
@@ -23,6 +23,7 @@
 const MAX_ITEMS = 20_000;
 
 const revisionSchema = zod.int().min(0);
+const positionSchema = zod.object({ epoch: revisionSchema, revision: revisionSchema });
 
 const snapshotSchema = zod.object({
   revision: revisionSchema,
@@ -33,6 +34,8 @@
     .max(MAX_ITEMS),
   /** Newest change in the sender's view; absent from nodes of an earlier version. */
   newestRevision: revisionSchema.optional(),
+  /** Epoch of all revisions; absent from nodes of an earlier version. */
+  epoch: revisionSchema.optional(),
 });
 
 /** Dependencies and settings of a `RegistryExchange`. */
@@ -56,19 +59,13 @@
 
   constructor(options: RegistryExchangeOptions<Value>) {
     this.#options = options;
-    const { name, callKind, view, network: peers, membership: fleet } = options;
+    const { name, callKind, view, network: peers } = options;
     this.#call = network.createPeerCall(callKind, `pull-${name}`, zod.object({}), snapshotSchema);
     peers.onCall(this.#call, () => {
-      const { revision, newestRevision } = view;
-      return { revision, items: [...view.list()], newestRevision };
-    });
-    fleet.onGossip(name, {
-      create: () => view.newestRevision,
-      onReceive: (payload, from) => {
-        const revision = revisionSchema.parse(payload);
-        if (revision > view.newestRevision) void this.#schedulePull(from.vm, revision);
-      },
+      const { epoch, revision, newestRevision } = view;
+      return { revision, items: [...view.list()], newestRevision, epoch };
     });
+    this.#addTopics();
   }
 
   /**
@@ -83,7 +80,8 @@
         .call(vm, this.#call, {}, { timeoutMs: firstMs })
         .catch(() => peers.call(vm, this.#call, {}, { timeoutMs: secondMs }));
       if (isOlder(snapshot, view)) return true;
-      const fields = { what: name, peer: vm, revision: snapshot.revision, before: view.revision };
+      const { epoch, revision } = snapshot;
+      const fields = { what: name, peer: vm, epoch, revision, before: view.revision };
       view.applySnapshot(snapshot as types.RegistrySnapshot<Value>, types.CHANGE_PATH.pull);
       view.setNewestRevision(snapshot.newestRevision ?? 0);
       log.write(logEvents.LOG_EVENTS.registryPulled, fields);
@@ -95,22 +93,51 @@
     }
   }
 
-  async #schedulePull(vm: string, revision: number): Promise<void> {
+  /** VMs of earlier builds read the revision only, which they compare without an epoch. */
+  #addTopics(): void {
+    const { name, view, membership: fleet } = this.#options;
+    fleet.onGossip(name, {
+      create: () => view.newestRevision,
+      onReceive: (payload, from) => {
+        const revision = revisionSchema.parse(payload);
+        this.#handlePosition({ epoch: 0, revision }, from.vm);
+      },
+    });
+    fleet.onGossip(`${name}-epoch`, {
+      create: () =>
+        view.epoch === 0 ? undefined : { epoch: view.epoch, revision: view.newestRevision },
+      onReceive: (payload, from) => {
+        this.#handlePosition(positionSchema.parse(payload), from.vm);
+      },
+    });
+  }
+
+  #handlePosition(position: types.RegistryPosition, vm: string): void {
+    if (this.#isBehind(position)) void this.#schedulePull(vm, position);
+  }
+
+  #isBehind({ epoch, revision }: types.RegistryPosition): boolean {
+    const { view } = this.#options;
+    return epoch === view.epoch ? revision > view.newestRevision : epoch > view.epoch;
+  }
+
+  async #schedulePull(vm: string, position: types.RegistryPosition): Promise<void> {
     if (this.#isPulling) return;
     this.#isPulling = true;
     await new Promise<void>((resolve) => {
       this.#options.clock.schedule(PULL_DELAY_MS, resolve);
     });
-    if (this.#options.view.newestRevision < revision) await this.pull(vm);
+    if (this.#isBehind(position)) await this.pull(vm);
     this.#isPulling = false;
   }
 }
 
 /** Whether a view has taken newer changes than a snapshot holds, such as while the snapshot was on its way. */
 function isOlder(
-  { revision, newestRevision }: zod.infer<typeof snapshotSchema>,
-  view: Pick<registryView.RegistryView<unknown>, "revision" | "newestRevision">,
+  { epoch = 0, revision, newestRevision }: zod.infer<typeof snapshotSchema>,
+  view: Pick<registryView.RegistryView<unknown>, "epoch" | "revision" | "newestRevision">,
 ): boolean {
+  if (epoch !== view.epoch) return epoch < view.epoch;
   if (revision < view.revision) return true;
   // Pushed changes do not raise the platform revision that the view reflects.
   return view.revision > 0 && newestRevision !== undefined && newestRevision < view.newestRevision;
--- a/src/registry/registry-reader.ts
+++ b/src/registry/registry-reader.ts
@@ -80,6 +80,9 @@
   constructor(options: RegistryReaderOptions<Value>) {
     this.#options = options;
     this.#outages = options.outages ?? new platformOutages.PlatformOutages(options.clock);
+    options.view.onEpoch((epoch, path) => {
+      this.#handleEpoch(epoch, path);
+    });
   }
 
   /** Monotonic time of the platform's last answer; `undefined` while reads fail. */
@@ -142,6 +145,7 @@
     const { view, clock, onDeadWatch } = this.#options;
     const beganAt = clock.now();
     const snapshot = await this.#callReadAll(signal);
+    this.#checkEpoch(snapshot.epoch);
     const tookMs = clock.now() - beganAt;
     // A platform that is as slow on a new connection tells nothing of the old one.
     const givenUpAt = this.#givenUpAt;
@@ -171,14 +175,19 @@
   }
 
   async #watch(signal: AbortSignal): Promise<void> {
-    const { clock } = this.#options;
+    const { clock, view } = this.#options;
     const pollMs = this.#computePollMs();
+    const { epoch } = view;
     this.#watchBeganAt = clock.now();
     this.#pollEndsAt = this.#watchBeganAt + pollMs;
     const restart = new AbortController();
     this.#restart = restart;
     try {
-      this.#applyChanges(await this.#callWatch(pollMs, restart.signal, signal));
+      const changes = await this.#callWatch(pollMs, restart.signal, signal);
+      if (changes !== undefined) this.#checkEpoch(changes.epoch);
+      // Changes after a revision of another epoch show nothing of those before.
+      const isSameEpoch = (changes?.epoch ?? 0) === epoch && view.epoch === epoch;
+      this.#applyChanges(isSameEpoch ? changes : undefined);
     } catch (error) {
       // The same changes are asked for again on a new connection, so none is missed.
       if (restart.signal.aborted && !signal.aborted) this.#soundAt = clock.now();
@@ -192,6 +201,13 @@
     }
   }
 
+  /** @throws when an answer is of an older epoch than the view: it is that of an outdated platform, or of none. */
+  #checkEpoch(epoch: types.RegistryEpoch = 0): void {
+    const { view } = this.#options;
+    if (epoch >= view.epoch) return;
+    throw new Error(`platform answered in epoch ${epoch}, but epoch ${view.epoch} is known`);
+  }
+
   #computePollMs(): number {
     return Math.round(this.#options.computePollMs?.() ?? LONG_POLL_MS);
   }
@@ -244,6 +260,15 @@
     this.#failures = 0;
   }
 
+  /** A watch that began in an older epoch waits for revisions that may never come. */
+  #handleEpoch(epoch: types.RegistryEpoch, path: types.ChangePath): void {
+    const { log, name, view } = this.#options;
+    const fields = { what: name, epoch, path, items: view.list().length };
+    log.write(logEvents.LOG_EVENTS.registryEpochStarted, fields);
+    this.#needsFullRead = true;
+    this.replaceWatch();
+  }
+
   #handleGap(): void {
     const { log, name, view } = this.#options;
     log.write(logEvents.LOG_EVENTS.registryGap, { what: name, revision: view.revision });
--- a/src/registry/registry-relay.ts
+++ b/src/registry/registry-relay.ts
@@ -38,6 +38,8 @@
   digest: zod.int().min(0),
   /** Time since the platform last answered the reader; absent while its reads fail. */
   ageMs: zod.number().min(0).optional(),
+  /** Epoch of the revisions; absent in the answer of a VM of an earlier build. */
+  epoch: revision.optional(),
 });
 /** Time for which the reader missed no change; absent while it may. */
 const continuousMs = zod.number().min(0).optional();
@@ -73,6 +75,8 @@
     continuousMs,
     /** Newest change in the reader's view. */
     newestRevision: revision,
+    /** Epoch of the revisions; absent in the push of a VM of an earlier build. */
+    epoch: revision.optional(),
   }),
   zod.object({}),
 );
@@ -188,21 +192,33 @@
         .callByDatagram(reader, READ_STATE, {}, limits)
         .catch(() => peers.call(reader, READ_STATE, {}, limits));
       const oldest = Math.max(...states.map(({ ageMs }) => ageMs ?? Number.POSITIVE_INFINITY));
-      this.#freshUntil.set(reader, clock.now() + MAX_AGE_MS - oldest);
+      if (this.#isOutdated(states)) this.#freshUntil.delete(reader);
+      else this.#freshUntil.set(reader, clock.now() + MAX_AGE_MS - oldest);
       for (const state of states) await this.#pullIfMissing(reader, state);
     } catch {
       // Its knowledge grows too old, unless another reader answers.
     }
   }
 
+  /** Whether a reader has not learned of an epoch that this VM knows, as one of an earlier build. */
+  #isOutdated(states: readonly RegistryState[]): boolean {
+    return states.some(
+      ({ name: registry, epoch = 0 }) => epoch < (this.#registries.get(registry)?.view.epoch ?? 0),
+    );
+  }
+
   /** Pulls a reader's snapshot if it holds something else than this VM's view, which is no newer. */
   async #pullIfMissing(reader: string, state: RegistryState): Promise<void> {
     const registry = this.#registries.get(state.name);
     if (registry === undefined) return;
     const { view, pull } = registry;
-    const isSame = state.digest === view.digest;
+    const { epoch = 0 } = state;
+    const isSame = epoch === view.epoch && state.digest === view.digest;
     if (isSame) view.setNewestRevision(state.newestRevision);
-    const isOlder = state.newestRevision < view.newestRevision || state.revision < view.revision;
+    const isOlder =
+      epoch === view.epoch
+        ? state.newestRevision < view.newestRevision || state.revision < view.revision
+        : epoch < view.epoch;
     if (!isSame && !isOlder) await pull(reader);
   }
 
@@ -253,14 +269,15 @@
     return [...this.#registries.values()].map(({ name: registry, view, findAnsweredAt }) => {
       const answeredAt = findAnsweredAt();
       const ageMs = answeredAt === undefined ? undefined : Math.max(0, clock.now() - answeredAt);
-      const { revision: own, newestRevision, digest } = view;
-      return { name: registry, revision: own, newestRevision, digest, ageMs };
+      const { epoch, revision: own, newestRevision, digest } = view;
+      return { name: registry, revision: own, newestRevision, digest, ageMs, epoch };
     });
   }
 
   #handlePush(push: zod.infer<typeof PUSH.request>): void {
     const view = this.#registries.get(push.name)?.view;
-    if (view === undefined) return;
+    // The snapshot of a newer epoch is pulled after the next question.
+    if (view?.epoch !== (push.epoch ?? 0)) return;
     const digest = view.digest;
     const isContiguous = digest === push.before;
     for (const { key, revision: changed, value, removed } of push.changes) {
@@ -299,8 +316,9 @@
     const before = this.#pushedDigests.get(registry) ?? view.digest;
     this.#pushedDigests.set(registry, view.digest);
     const continuous = view.computeContinuousTime();
-    const { newestRevision } = view;
-    const push = { name: registry, before, changes, continuousMs: continuous, newestRevision };
+    const { epoch, newestRevision } = view;
+    const base = { name: registry, before, changes, newestRevision, epoch };
+    const push = { ...base, continuousMs: continuous };
     const readers = this.#listReaders();
     const receivers = this.#listZone().filter((vm) => !readers.includes(vm));
     for (const vm of receivers) {
--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -14,6 +14,8 @@
 import * as registryRelay from "./registry-relay.js";
 import * as registryReader from "./registry-reader.js";
 import * as registryView from "./registry-view.js";
+import * as restorePolicies from "./restore-policies.js";
+import type * as types from "./types.js";
 import * as watchVerifier from "./watch-verifier.js";
 
 const CONFIGURATION_CALL = 30;
@@ -24,6 +26,12 @@
 /** Interval at which a starting VM pulls from peers while it has no data from the platform. */
 const PEER_PULL_PERIOD_MS = 300;
 
+/**
+ * Changes of the platform's revision that one epoch adds to a fencing revision; more than a restore from a copy that is minutes
+ * old takes back.
+ */
+const FENCING_REVISIONS_PER_EPOCH = 2 ** 20;
+
 /** Runs readers and peer synchronization for the configuration and the runners. */
 export class RegistrySync implements AsyncDisposable {
   readonly #kernel: container.Kernel;
@@ -38,8 +46,11 @@
     this.#kernel = kernel;
     const clock = kernel.use("clock");
     const adapter: gatewayTypes.PlatformAdapter = kernel.use("adapter");
-    this.#configurationView = new registryView.RegistryView(clock);
-    this.#runnersView = new registryView.RegistryView(clock);
+    this.#configurationView = new registryView.RegistryView(
+      clock,
+      restorePolicies.CONFIGURATION_RESTORE_POLICY,
+    );
+    this.#runnersView = new registryView.RegistryView(clock, restorePolicies.RUNNER_RESTORE_POLICY);
     const configurationOptions = { name: "configuration", view: this.#configurationView };
     const runnersOptions = { name: "runners", view: this.#runnersView };
     const sharedOptions = {
@@ -105,14 +116,18 @@
     return this.#runnersView.continuousSince;
   }
 
-  /** Platform revision that the runner list reflects; 0 before it was loaded. */
-  get runnersRevision(): number {
-    return this.#runnersView.revision;
+  /** Epoch and platform revision that the runner list reflects; 0 before it was loaded. */
+  get runnersPosition(): types.RegistryPosition {
+    const { epoch, revision } = this.#runnersView;
+    return { epoch, revision };
   }
 
-  /** Newest platform revision that this VM has seen. */
-  get revision(): number {
-    return Math.max(this.#configurationView.revision, this.#runnersView.revision);
+  /**
+   * Number for fencing tokens, equal on VMs that have seen the same platform revision; it grows with the revision and does not
+   * go back when the platform is restored from a copy.
+   */
+  get fencingRevision(): number {
+    return Math.max(...[this.#configurationView, this.#runnersView].map(computeFencingRevision));
   }
 
   /** Starts reading and watching the platform; runs until disposal. */
@@ -193,6 +208,12 @@
   }
 }
 
+/** Returns the number for fencing tokens at a point in the platform's history. */
+export function computeFencingRevision({ epoch, revision }: types.RegistryPosition): number {
+  // Epochs count from 1, and VMs of earlier builds know none: both give the same tokens until the first restore.
+  return revision + Math.max(0, epoch - 1) * FENCING_REVISIONS_PER_EPOCH;
+}
+
 /** Derives a runner's id from its key, for entries that were removed or cannot be parsed. */
 function parseRunnerId(key: string): string {
   return key.slice(key.lastIndexOf("/") + 1);
--- a/src/registry/registry-view.ts
+++ b/src/registry/registry-view.ts
@@ -1,4 +1,7 @@
-/** Local copy of the items of one registry. Only newer revisions change it. */
+/**
+ * Local copy of the items of one registry. Only newer revisions change it, and revisions of a newer epoch are newer than all of
+ * an older one.
+ */
 import * as util from "node:util";
 import type * as clocks from "../kernel/clock.js";
 import * as rendezvous from "../membership/rendezvous.js";
@@ -11,6 +14,11 @@
 export const EXPIRY_GRACE_MS = 2_000;
 /** Time for which a peer's snapshot cannot bring back a removed item; peers learn of the removal in less. */
 const REMOVAL_MEMORY_MS = 30_000;
+/**
+ * Time for which an entry that was removed is not used when a restored copy lists it again. The platform removes the entry of a
+ * runner that is gone in less; that of one that is alive is written again.
+ */
+const RESTORED_HOLD_MS = 10_000;
 
 const PEER_PATHS: ReadonlySet<types.ChangePath> = new Set([
   types.CHANGE_PATH.pull,
@@ -27,17 +35,38 @@
   revision: number,
 ) => void;
 
+/** Called when the view reaches a newer epoch, with the way by which it learned of it. */
+export type EpochListener = (epoch: types.RegistryEpoch, path: types.ChangePath) => void;
+
+interface HeldBackItem<Value> {
+  readonly item: types.RegistryItem<Value>;
+  readonly endsAt: number;
+}
+
+interface RemovedItem<Value> {
+  readonly revision: number;
+  readonly value: Value | undefined;
+  readonly endsAt: number;
+}
+
 /** Stores the newest known item of each key. */
 export class RegistryView<Value> {
   readonly #clock: clocks.Clock;
   readonly #items = new Map<string, types.RegistryItem<Value>>();
   /** Keys missing after an outage, with the time at which they are removed. */
   readonly #expiring = new Map<string, number>();
-  /** Revisions of the items that were removed lately, by key. */
-  readonly #removed = new Map<string, { readonly revision: number; readonly endsAt: number }>();
+  /** Items that were removed lately, by key. */
+  readonly #removed = new Map<string, RemovedItem<Value>>();
+  /** Items of a restored copy that had been removed before, with the time until which they are not used. */
+  readonly #heldBack = new Map<string, HeldBackItem<Value>>();
   /** Keys whose values peers parsed, which may be of an earlier version. */
   readonly #fromPeers = new Set<string>();
+  /** Keys of items that were last written in an older epoch. */
+  readonly #fromOlderEpoch = new Set<string>();
   readonly #listeners: ChangeListener<Value>[] = [];
+  readonly #epochListeners: EpochListener[] = [];
+  readonly #restorePolicy: types.RestorePolicy<Value>;
+  #epoch: types.RegistryEpoch = 0;
   #revision = 0;
   #newestRevision = 0;
   #digest = 0;
@@ -45,8 +74,18 @@
   #continuousSince: number | undefined;
   #changePath: types.ChangePath = types.CHANGE_PATH.read;
 
-  constructor(clock: clocks.Clock) {
+  /** @param restorePolicy - without it, what a restored copy shows replaces what was known. */
+  constructor(clock: clocks.Clock, restorePolicy?: types.RestorePolicy<Value>) {
     this.#clock = clock;
+    this.#restorePolicy = restorePolicy ?? {
+      chooseValue: (_known, restored) => restored,
+      isSameInstance: () => false,
+    };
+  }
+
+  /** Epoch of all revisions in this view. */
+  get epoch(): types.RegistryEpoch {
+    return this.#epoch;
   }
 
   /** Platform revision that the view reflects; 0 before the first snapshot. */
@@ -85,6 +124,10 @@
     this.#listeners.push(listener);
   }
 
+  onEpoch(listener: EpochListener): void {
+    this.#epochListeners.push(listener);
+  }
+
   /** Records that no change is missed from now on. */
   startContinuity(): void {
     this.#continuousSince = this.#clock.now();
@@ -119,19 +162,28 @@
   }
 
   /**
-   * Applies a full snapshot unless the view reflects a newer platform revision; returns whether it
-   * was applied.
+   * Applies a full snapshot unless the view reflects a newer epoch or, in the same epoch, a newer platform revision; returns
+   * whether it was applied.
    */
   applySnapshot(
     snapshot: types.RegistrySnapshot<Value>,
     path: types.ChangePath = types.CHANGE_PATH.read,
   ): boolean {
-    if (snapshot.revision < this.#revision) return false;
+    const epoch = snapshot.epoch ?? 0;
+    if (epoch < this.#epoch) return false;
+    if (epoch === this.#epoch && snapshot.revision < this.#revision) return false;
     this.#changePath = path;
+    const restoredKeys = this.#startEpoch(epoch);
     this.#revision = snapshot.revision;
     this.resetContinuity();
     const present = new Set(snapshot.items.map((item) => item.key));
-    for (const item of snapshot.items) this.#setItem(item);
+    if (!PEER_PATHS.has(path))
+      for (const key of [...this.#heldBack.keys()])
+        if (!present.has(key)) this.#heldBack.delete(key);
+    for (const item of snapshot.items) {
+      if (restoredKeys.has(item.key)) this.#markHeldBack(item);
+      this.#setItem(item);
+    }
     for (const key of [...this.#items.keys()]) {
       // The snapshot says nothing of an item that is newer, which a peer pushed.
       const isJudged = this.isNewer(key, snapshot.revision + 1);
@@ -148,6 +200,7 @@
     for (const change of changes.changes) {
       const revision = change.removed ? change.revision : change.item.revision;
       this.#newestRevision = Math.max(this.#newestRevision, revision);
+      if (change.removed) this.#heldBack.delete(change.key);
       if (!change.removed) this.#setItem(change.item);
       else if (this.isNewer(change.key, change.revision)) this.#removeOrScheduleExpiry(change.key);
     }
@@ -156,6 +209,7 @@
 
   /** Removes a key that a peer no longer has, unless this view knows a newer revision of it. */
   removeItem(key: string, revision: number): void {
+    this.#heldBack.delete(key);
     if (this.#items.has(key) && !this.isNewer(key, revision + 1)) return;
     this.#removeOrScheduleExpiry(key);
   }
@@ -169,9 +223,18 @@
     return this.#items.has(key);
   }
 
-  /** Removes missing keys whose grace period has ended, and forgets removals that all peers know. */
+  /**
+   * Removes missing keys whose grace period has ended, forgets removals that all peers know, and adds items that were held back
+   * and are still listed.
+   */
   removeExpired(): void {
     const now = this.#clock.now();
+    for (const [key, { item, endsAt }] of [...this.#heldBack]) {
+      if (now < endsAt) continue;
+      this.#heldBack.delete(key);
+      this.#changePath = types.CHANGE_PATH.read;
+      this.#setItem(item);
+    }
     for (const [key, { endsAt }] of this.#removed) if (now >= endsAt) this.#removed.delete(key);
     for (const [key, expiresAt] of [...this.#expiring]) {
       if (now >= expiresAt) this.#remove(key);
@@ -180,11 +243,47 @@
 
   /** Whether a revision of a key is newer than the stored one. */
   isNewer(key: string, revision: number): boolean {
-    return (this.#items.get(key)?.revision ?? 0) < revision;
+    return (this.#items.get(key)?.revision ?? -1) < revision;
+  }
+
+  /**
+   * Starts a newer epoch: everything that the view holds becomes older than any revision of that epoch. Returns the keys that
+   * were removed before, which a copy may list again.
+   */
+  #startEpoch(epoch: types.RegistryEpoch): ReadonlySet<string> {
+    if (epoch === this.#epoch) return new Set();
+    const hadData = this.#revision > 0;
+    this.#epoch = epoch;
+    this.#revision = 0;
+    this.#newestRevision = 0;
+    this.#digest = 0;
+    this.#heldBack.clear();
+    for (const [key, item] of this.#items) {
+      const outdated = { ...item, revision: 0 };
+      this.#items.set(key, outdated);
+      this.#updateDigest(outdated);
+      this.#fromOlderEpoch.add(key);
+    }
+    for (const [key, removed] of this.#removed) this.#removed.set(key, { ...removed, revision: 0 });
+    // Live runners write again what the copy lacks.
+    if (hadData) this.startGracePeriod();
+    for (const listener of this.#epochListeners) listener(epoch, this.#changePath);
+    return new Set(this.#removed.keys());
+  }
+
+  /** Holds an item back if the copy lists it as it was before its removal, which the copy does not reflect. */
+  #markHeldBack(item: types.RegistryItem<Value>): void {
+    const removed = this.#removed.get(item.key)?.value;
+    if (removed === undefined || item.value === undefined) return;
+    if (!this.#restorePolicy.isSameInstance(removed, item.value)) return;
+    const endsAt = this.#clock.now() + RESTORED_HOLD_MS;
+    this.#heldBack.set(item.key, { item, endsAt });
   }
 
   #setItem(item: types.RegistryItem<Value>): void {
     this.#newestRevision = Math.max(this.#newestRevision, item.revision);
+    if ((this.#heldBack.get(item.key)?.item.revision ?? -1) >= item.revision) return;
+    this.#heldBack.delete(item.key);
     const isFromPeer = PEER_PATHS.has(this.#changePath);
     // A peer may list an item of the same revision only because its grace period has not ended either.
     if (!isFromPeer || this.isNewer(item.key, item.revision)) this.#expiring.delete(item.key);
@@ -193,10 +292,19 @@
     this.#removed.delete(item.key);
     if (isFromPeer) this.#fromPeers.add(item.key);
     else this.#fromPeers.delete(item.key);
+    const value = this.#chooseValue(item);
+    this.#fromOlderEpoch.delete(item.key);
     this.#updateDigest(this.#items.get(item.key));
     this.#updateDigest(item);
-    this.#items.set(item.key, item);
-    this.#notifyListeners(item.key, item.value, item.revision);
+    this.#items.set(item.key, { ...item, value });
+    this.#notifyListeners(item.key, value, item.revision);
+  }
+
+  /** Returns the value to keep of a newer item. */
+  #chooseValue({ key, value }: types.RegistryItem<Value>): Value | undefined {
+    const known = this.#items.get(key)?.value;
+    if (!this.#fromOlderEpoch.has(key) || known === undefined || value === undefined) return value;
+    return this.#restorePolicy.chooseValue(known, value);
   }
 
   /** Takes this VM's own reading of an item in place of that of a peer, which may have parsed the same bytes otherwise. */
@@ -204,9 +312,13 @@
     const known = this.#items.get(item.key);
     if (known?.revision !== item.revision || PEER_PATHS.has(this.#changePath)) return;
     if (!this.#fromPeers.delete(item.key)) return;
-    if (util.isDeepStrictEqual(known.value, item.value)) return;
-    this.#items.set(item.key, item);
-    this.#notifyListeners(item.key, item.value, item.revision);
+    const value =
+      known.value === undefined || item.value === undefined
+        ? item.value
+        : this.#restorePolicy.chooseValue(known.value, item.value);
+    if (util.isDeepStrictEqual(known.value, value)) return;
+    this.#items.set(item.key, { ...item, value });
+    this.#notifyListeners(item.key, value, item.revision);
   }
 
   /** Whether a peer brings an item that was removed since; the platform itself is right. */
@@ -226,8 +338,9 @@
     if (item === undefined) return;
     this.#items.delete(key);
     this.#fromPeers.delete(key);
+    this.#fromOlderEpoch.delete(key);
     const endsAt = this.#clock.now() + REMOVAL_MEMORY_MS;
-    this.#removed.set(key, { revision: item.revision, endsAt });
+    this.#removed.set(key, { revision: item.revision, value: item.value, endsAt });
     this.#updateDigest(item);
     this.#notifyListeners(key, undefined, item.revision);
   }
--- /dev/null
+++ b/src/registry/restore-policies.ts
@@ -0,0 +1,19 @@
+/** What remains of the known configuration and runners when the platform's registry was restored from a copy. */
+import type * as routing from "../routing/types.js";
+import type * as runners from "../runners/types.js";
+import type * as types from "./types.js";
+
+/** The configuration of the highest version remains in force. */
+export const CONFIGURATION_RESTORE_POLICY: types.RestorePolicy<routing.RoutingTable> = {
+  chooseValue: (known, restored) => (known.version > restored.version ? known : restored),
+  isSameInstance: () => false,
+};
+
+/** A process that was leaving, gone or replaced stays so. */
+export const RUNNER_RESTORE_POLICY: types.RestorePolicy<runners.Runner> = {
+  chooseValue: (known, restored) => {
+    if (known.bornAt !== restored.bornAt) return known.bornAt > restored.bornAt ? known : restored;
+    return { ...restored, leaving: known.leaving || restored.leaving };
+  },
+  isSameInstance: (removed, restored) => removed.bornAt >= restored.bornAt,
+};
--- a/src/registry/types.ts
+++ b/src/registry/types.ts
@@ -8,8 +8,16 @@
   readonly value: Value | undefined;
 }
 
+/**
+ * Counts how often the platform's registry was restored from a copy. Revisions go back at each restore and are given out again,
+ * so they are comparable within one epoch only. 0 is the epoch of data whose source names none; it is older than any other.
+ */
+export type RegistryEpoch = number;
+
 /** All items of one kind. */
 export interface RegistrySnapshot<Value> {
+  /** 0 by default. */
+  readonly epoch?: RegistryEpoch | undefined;
   /** Platform revision that the items reflect. */
   readonly revision: number;
   readonly items: readonly RegistryItem<Value>[];
@@ -22,6 +30,8 @@
 
 /** Changes after a revision. */
 export interface RegistryChanges<Value> {
+  /** Epoch in which the changes were read; 0 by default. */
+  readonly epoch?: RegistryEpoch | undefined;
   readonly revision: number;
   readonly changes: readonly RegistryChange<Value>[];
 }
@@ -57,3 +67,17 @@
     signal: AbortSignal,
   ): Promise<RegistryChanges<Value> | undefined>;
 }
+
+/** A point in the history of the platform's registry. */
+export interface RegistryPosition {
+  readonly epoch: RegistryEpoch;
+  readonly revision: number;
+}
+
+/** Decides what remains of the known items when the platform's registry was restored from a copy, which shows an earlier state. */
+export interface RestorePolicy<Value> {
+  /** Returns the value to keep of a known item that the copy lists as well. */
+  readonly chooseValue: (known: Value, restored: Value) => Value;
+  /** Whether a removed item and one that the copy lists under its key stand for the same thing, which is gone. */
+  readonly isSameInstance: (removed: Value, restored: Value) => boolean;
+}
--- a/src/runners/version-verifier.ts
+++ b/src/runners/version-verifier.ts
@@ -12,12 +12,10 @@
 const WATCH_MS = 1;
 const TIMEOUT_MS = 500;
 
-/** The only version that a list shows for a service. */
-export interface SoleVersion {
+/** The only version that a list shows for a service, and the point in the platform's history that the list reflects. */
+export interface SoleVersion extends registry.RegistryPosition {
   readonly service: string;
   readonly version: string;
-  /** Platform revision that the list reflects. */
-  readonly revision: number;
 }
 
 /** Services that `VersionVerifier` uses. */
@@ -29,17 +27,17 @@
 /** Reads what a list that shows a sole version does not reflect yet. */
 export class VersionVerifier {
   readonly #options: VersionVerifierOptions;
-  /** Reads that have not been sent, by the revision after which they read. */
-  readonly #pending = new Map<number, Promise<readonly types.Runner[]>>();
+  /** Reads that have not been sent, by the point after which they read. */
+  readonly #pending = new Map<string, Promise<readonly types.Runner[]>>();
 
   constructor(options: VersionVerifierOptions) {
     this.#options = options;
   }
 
   /** Whether no runner of another version was listed until this call; false if the platform does not answer. */
-  async verify({ service, version, revision }: SoleVersion): Promise<boolean> {
+  async verify({ service, version, epoch, revision }: SoleVersion): Promise<boolean> {
     try {
-      const listed = await this.#useRead(revision);
+      const listed = await this.#useRead({ epoch, revision });
       return listed.every(
         (runner) => runner.service !== service || runner.softwareVersion === version,
       );
@@ -48,26 +46,30 @@
     }
   }
 
-  /** Returns the next read after a revision. One that has been sent may miss what was listed since. */
-  #useRead(revision: number): Promise<readonly types.Runner[]> {
-    const pending = this.#pending.get(revision);
+  /** Returns the next read after a point. One that has been sent may miss what was listed since. */
+  #useRead(position: registry.RegistryPosition): Promise<readonly types.Runner[]> {
+    const key = `${position.epoch}/${position.revision}`;
+    const pending = this.#pending.get(key);
     if (pending !== undefined) return pending;
     const read = clocks.sleep(this.#options.clock, COLLECT_MS).then(() => {
-      this.#pending.delete(revision);
-      return this.#readAfter(revision);
+      this.#pending.delete(key);
+      return this.#readAfter(position);
     });
-    this.#pending.set(revision, read);
+    this.#pending.set(key, read);
     return read;
   }
 
   /** @throws when the platform does not answer in time. */
-  async #readAfter(revision: number): Promise<readonly types.Runner[]> {
+  async #readAfter({
+    epoch,
+    revision,
+  }: registry.RegistryPosition): Promise<readonly types.Runner[]> {
     const { clock, source } = this.#options;
     using limit = clocks.createTimeLimit(clock, TIMEOUT_MS);
     const changes = await source.watch(revision, WATCH_MS, limit.signal);
-    // Without the history, what is listed now is all that can be read.
+    // Without the history, or when it is that of another epoch, what is listed now is all that can be read.
     const items =
-      changes === undefined
+      changes === undefined || (changes.epoch ?? 0) !== epoch
         ? (await source.readAll(limit.signal)).items
         : changes.changes.flatMap((change) => (change.removed ? [] : [change.item]));
     // VMs send no requests to a runner whose entry they cannot parse.
--- a/src/streams/stream-origin-exchange.ts
+++ b/src/streams/stream-origin-exchange.ts
@@ -9,6 +9,7 @@
 import type * as membership from "../membership/types.js";
 import * as rendezvous from "../membership/rendezvous.js";
 import * as network from "../protocol/network.js";
+import type * as registry from "../registry/types.js";
 import type * as versionHistory from "../runners/version-history.js";
 import type * as reportedRuns from "./reported-runs.js";
 import * as streamOrigins from "./stream-origins.js";
@@ -56,6 +57,8 @@
     reportedVersions: zod.array(versionSchema).max(MAX_VERSIONS).optional(),
     /** Platform revision that the list behind `soleVersion` reflects; absent in the answer of an older build. */
     soleRevision: zod.int().min(0).optional(),
+    /** Epoch of `soleRevision`; absent in the answer of an older build. */
+    soleEpoch: zod.int().min(0).optional(),
   }),
 );
 
@@ -77,6 +80,8 @@
   readonly soleVersion?: string | undefined;
   /** Platform revision that the list behind `soleVersion` reflects; nothing is known of later changes. */
   readonly soleRevision?: number | undefined;
+  /** Epoch of `soleRevision`, 0 by default. */
+  readonly soleEpoch?: number | undefined;
   /** Versions of the runners that reported a run of the attempt. */
   readonly reportedVersions?: readonly string[] | undefined;
 }
@@ -98,8 +103,8 @@
   readonly origins: streamOrigins.StreamOrigins;
   readonly reportedRuns: reportedRuns.ReportedRuns;
   readonly history: versionHistory.VersionHistory;
-  /** Returns the platform revision that the runner list reflects. */
-  readonly getListRevision: () => number;
+  /** Returns the point in the platform's history that the runner list reflects. */
+  readonly getListPosition: () => registry.RegistryPosition;
 }
 
 /** Announces origins to other VMs and asks them. */
@@ -123,14 +128,16 @@
 
   /** Returns what this VM knows itself. */
   findOwn({ attempt, service, livedMs }: StreamQuestion): StreamAnswer {
-    const { origins, history, reportedRuns: reported, getListRevision } = this.#options;
+    const { origins, history, reportedRuns: reported, getListPosition } = this.#options;
     const versions = [...history.listVersions(service, livedMs)];
     const soleVersion = history.findSoleVersion(service, livedMs);
+    const position = soleVersion === undefined ? undefined : getListPosition();
     return {
       origin: attempt === undefined ? undefined : origins.find(attempt),
       versions: versions.filter((version) => version !== undefined).slice(0, MAX_VERSIONS),
       soleVersion,
-      soleRevision: soleVersion === undefined ? undefined : getListRevision(),
+      soleRevision: position?.revision,
+      soleEpoch: position?.epoch,
       reportedVersions:
         attempt === undefined ? [] : reported.listVersions(attempt).slice(0, MAX_VERSIONS),
     };
--- a/src/streams/stream-versions.ts
+++ b/src/streams/stream-versions.ts
@@ -249,15 +249,19 @@
 
 /**
  * Returns the only version that a service can have had, if one VM knows it and none knows of another version, with the newest
- * revision that shows it. Without a revision, as in the answer of an older build, nothing tells how old the list is.
+ * epoch and revision that show it. Without a revision, as in the answer of an older build, nothing tells how old the list is.
  */
 function findSoleVersion(
   answers: readonly streamOriginExchange.StreamAnswer[],
-): Pick<versionVerifier.SoleVersion, "version" | "revision"> | undefined {
+): Omit<versionVerifier.SoleVersion, "service"> | undefined {
   const versions = new Set(answers.flatMap((answer) => answer.versions));
   const soleVersions = new Set(answers.flatMap(({ soleVersion }) => soleVersion ?? []));
   const [version] = soleVersions;
   if (version === undefined || versions.size !== 1 || soleVersions.size !== 1) return undefined;
-  const revisions = answers.flatMap(({ soleRevision }) => soleRevision ?? []);
-  return revisions.length === 0 ? undefined : { version, revision: Math.max(...revisions) };
+  const positions = answers.flatMap(({ soleEpoch = 0, soleRevision }) =>
+    soleRevision === undefined ? [] : [{ epoch: soleEpoch, revision: soleRevision }],
+  );
+  positions.sort((one, other) => other.epoch - one.epoch || other.revision - one.revision);
+  const [newest] = positions;
+  return newest === undefined ? undefined : { version, ...newest };
 }
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -50,6 +50,11 @@
     level: "info",
     message: "own reads of the platform started or ended",
   },
+  registryEpochStarted: {
+    number: 3014,
+    level: "info",
+    message: "registry epoch learned, or platform restored from a copy",
+  },
   watchesRestarted: {
     number: 3013,
     level: "info",
--- a/standins/users-platform/store.ts
+++ b/standins/users-platform/store.ts
@@ -20,6 +20,14 @@
   readonly removed?: true;
 }
 
+/** What the store keeps. */
+export interface StoreCopy {
+  readonly items: ReadonlyMap<string, Item>;
+  readonly history: readonly Change[];
+  readonly compactedRevision: number;
+  readonly revision: number;
+}
+
 /** How the store responds: normally, with status 503, or not at all. */
 export const STORE_MODE = { sound: "sound", busy: "busy", silent: "silent" } as const;
 
@@ -31,7 +39,7 @@
   mode: StoreMode = STORE_MODE.sound;
   /** Number of calls received. */
   calls = 0;
-  readonly #items = new Map<string, Item>();
+  #items = new Map<string, Item>();
   readonly #changed = new events.EventEmitter();
   readonly #server = http.createServer((request, response) => {
     void this.#handle(request, response);
@@ -39,6 +47,7 @@
   #history: Change[] = [];
   #compactedRevision = 0;
   #revision = 1;
+  #era: string | undefined = "1";
 
   constructor() {
     this.#changed.setMaxListeners(0);
@@ -69,6 +78,32 @@
     this.#add({ key, revision: this.#revision, removed: true });
   }
 
+  /** Sets what the header of all answers names as the era; `undefined` for no header. */
+  setEra(era: string | undefined): void {
+    this.#era = era;
+  }
+
+  /** Returns a copy of what the store keeps now. */
+  copy(): StoreCopy {
+    return {
+      items: new Map(this.#items),
+      history: [...this.#history],
+      compactedRevision: this.#compactedRevision,
+      revision: this.#revision,
+    };
+  }
+
+  /** Comes back from a copy: what was written since is gone, and its revisions are given out again. */
+  restore({ items, history, compactedRevision, revision }: StoreCopy): void {
+    this.#server.closeAllConnections();
+    this.#items = new Map(items);
+    this.#history = [...history];
+    this.#compactedRevision = compactedRevision;
+    this.#revision = revision;
+    this.#era = String(Number(this.#era) + 1);
+    this.#changed.emit("change");
+  }
+
   /** Discards the history so far; watches from an earlier revision than the current one get 410. */
   compact(): void {
     this.#history = [];
@@ -98,9 +133,10 @@
     const prefix = url.searchParams.get("path_prefix") ?? "";
     const isWatch = url.pathname === "/-/kv-watch";
     const answer = isWatch ? await this.#watch(url, prefix) : this.#createRange(url, prefix);
-    if (answer === undefined) response.writeHead(410).end();
-    else
-      response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(answer));
+    const era = this.#era === undefined ? {} : { "store-era": this.#era };
+    const headers = { "content-type": "application/json", ...era };
+    if (answer === undefined) response.writeHead(410, era).end();
+    else response.writeHead(200, headers).end(JSON.stringify(answer));
   }
 
   /** Returns a page of the items after the given key, in the order of their keys. */
@@ -122,7 +158,7 @@
     const after = Number(url.searchParams.get("after"));
     const waitMs = Math.min(MAX_WAIT_MS, Number(url.searchParams.get("wait_ms")));
     const signal = AbortSignal.timeout(waitMs);
-    while (after >= this.#compactedRevision) {
+    while (after >= this.#compactedRevision && after <= this.#revision) {
       const changes = this.#history.filter(
         (change) => change.revision > after && change.key.startsWith(prefix),
       );
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -7,19 +7,61 @@
 const LONG_POLL_MS = 2_000;
 const SHORT_MS = 500;
 
+const PAGE_ITEMS = 500;
+
+function createSource(platform: store.StoreStandIn): storeClient.StoreSource<string> {
+  const [host = "", port] = platform.address.split(":");
+  const address = { host, port: Number(port) };
+  return new storeClient.StoreSource(clocks.createSystemClock(), address, "servers/", (key) => key);
+}
+
 test.describe("StoreSource", () => {
-  // A second call waited for the end of the long poll, and ended it when its own time was over.
-  test.it("answers a call while a long poll waits, and does not break the long poll", async () => {
+  for (const [header, epoch] of [
+    ["7", 7],
+    [undefined, 0],
+    ["soon", 0],
+    ["-1", 0],
+  ] as const)
+    test.it(`reads the era ${header ?? "of an answer without one"} as epoch ${epoch}`, async () => {
+      await using platform = new store.StoreStandIn();
+      await platform.start();
+      platform.setEra(header);
+      platform.set("servers/a", { id: "a" });
+      const source = createSource(platform);
+      const snapshot = await source.readAll(AbortSignal.timeout(SHORT_MS));
+      const changes = await source.watch(1, 1, AbortSignal.timeout(SHORT_MS));
+      earl.expect([snapshot.epoch, changes?.epoch]).toEqual([epoch, epoch]);
+    });
+
+  // Items of both states would stand side by side.
+  test.it("fails to read pages of two eras", async () => {
     await using platform = new store.StoreStandIn();
     await platform.start();
-    platform.set("servers/a", { id: "a" });
+    for (let number = 0; number <= PAGE_ITEMS; number += 1)
+      platform.set(`servers/${String(number).padStart(4, "0")}`, { id: number });
+    const copy = platform.copy();
     const [host = "", port] = platform.address.split(":");
+    let parsed = 0;
     const source = new storeClient.StoreSource(
       clocks.createSystemClock(),
       { host, port: Number(port) },
       "servers/",
-      (key) => key,
+      (key) => {
+        parsed += 1;
+        if (parsed === 1) platform.restore(copy);
+        return key;
+      },
     );
+    const read = source.readAll(AbortSignal.timeout(SHORT_MS)).then(() => "read", String);
+    earl.expect((await read) === "read").toEqual(false);
+  });
+
+  // A second call waited for the end of the long poll, and ended it when its own time was over.
+  test.it("answers a call while a long poll waits, and does not break the long poll", async () => {
+    await using platform = new store.StoreStandIn();
+    await platform.start();
+    platform.set("servers/a", { id: "a" });
+    const source = createSource(platform);
     const { revision } = await source.readAll(AbortSignal.timeout(SHORT_MS));
     const polled = source.watch(revision, LONG_POLL_MS, AbortSignal.timeout(2 * LONG_POLL_MS));
     const result = polled.then(
--- a/test/registry/registry-relay.test.ts
+++ b/test/registry/registry-relay.test.ts
@@ -4,163 +4,23 @@
  */
 import * as test from "node:test";
 import * as earl from "earl";
-import * as clocks from "../../src/kernel/clock.js";
-import * as registryExchange from "../../src/registry/registry-exchange.js";
 import * as registryReaders from "../../src/registry/registry-readers.js";
-import * as registryReader from "../../src/registry/registry-reader.js";
 import * as registryRelay from "../../src/registry/registry-relay.js";
-import * as registryView from "../../src/registry/registry-view.js";
-import type * as types from "../../src/registry/types.js";
-import * as inertMetrics from "../telemetry/inert-metrics.js";
-import * as fleets from "../membership/fleet.js";
+import * as relayFleet from "./relay-fleet.js";
 
 const ZONES = 3;
-const PULL_CALL = 30;
-const ANSWER_MS = 4;
-
-/** The platform's registry, with its calls counted. */
-class FakeRegistry {
-  readonly #clock: clocks.Clock;
-  readonly #items = new Map<string, types.RegistryItem<string>>();
-  readonly #changes: types.RegistryChange<string>[] = [];
-  #revision = 1;
-  callCount = 0;
-  /** Whether the platform answers a VM. */
-  isReachable: (vm: string) => boolean = () => true;
-
-  constructor(clock: clocks.Clock) {
-    this.#clock = clock;
-  }
-
-  /** Writes an item; one without a value cannot be parsed. */
-  set(key: string, value: string | undefined): void {
-    this.#revision += 1;
-    const item = { key, revision: this.#revision, value };
-    this.#items.set(key, item);
-    this.#changes.push({ removed: false, item });
-  }
-
-  remove(key: string): void {
-    this.#revision += 1;
-    this.#items.delete(key);
-    this.#changes.push({ removed: true, key, revision: this.#revision });
-  }
-
-  createSource(vm: string): types.RegistrySource<string> {
-    return {
-      readAll: async (signal) => {
-        await this.#answer(vm, signal);
-        return { revision: this.#revision, items: [...this.#items.values()] };
-      },
-      watch: async (after, waitMs, signal) => {
-        await this.#answer(vm, signal);
-        const until = this.#clock.now() + waitMs;
-        while (this.#revision <= after && this.#clock.now() < until)
-          await clocks.sleep(this.#clock, 20, signal);
-        if (!this.isReachable(vm)) await clocks.sleep(this.#clock, 60_000, signal);
-        const changes = this.#changes.filter((change) => getRevision(change) > after);
-        return { revision: this.#revision, changes };
-      },
-    };
-  }
-
-  async #answer(vm: string, signal: AbortSignal): Promise<void> {
-    this.callCount += 1;
-    await clocks.sleep(this.#clock, this.isReachable(vm) ? ANSWER_MS : 60_000, signal);
-  }
-}
-
-function getRevision(change: types.RegistryChange<string>): number {
-  return change.removed ? change.revision : change.item.revision;
-}
-
-/** A fleet whose VMs relay one registry. */
-class RelayFleet implements AsyncDisposable {
-  readonly fleet = new fleets.TestFleet();
-  readonly registry = new FakeRegistry(this.fleet.clock);
-  readonly views = new Map<string, registryView.RegistryView<string>>();
-  readonly roles = new Map<string, registryRelay.RegistryRelay>();
-  readonly #controller = new AbortController();
-
-  static async start(size: number): Promise<RelayFleet> {
-    const relayed = new RelayFleet();
-    relayed.registry.set("a", "a1");
-    relayed.fleet.startExtraServices = (kernel) => {
-      relayed.#startNode(kernel);
-      return Promise.resolve();
-    };
-    await relayed.fleet.start(size);
-    await relayed.fleet.waitUntil(() => relayed.fleet.isAliveCount(size), 30_000);
-    await relayed.fleet.clock.advance(10_000);
-    return relayed;
-  }
-
-  /** VMs that do not read the platform in their usual role. */
-  listFollowers(): readonly string[] {
-    return [...this.roles].filter(([, role]) => !role.isReading()).map(([vm]) => vm);
-  }
-
-  listReaders(): readonly string[] {
-    return [...this.roles].filter(([, role]) => role.hasFollowers).map(([vm]) => vm);
-  }
-
-  /** Returns how long it takes until every listed VM has a value. */
-  waitForValue(key: string, value: string | undefined, vms: readonly string[]): Promise<number> {
-    const isSeen = (vm: string): boolean =>
-      this.views
-        .get(vm)
-        ?.list()
-        .find((item) => item.key === key)?.value === value;
-    return this.fleet.waitUntil(() => vms.every(isSeen), 20_000);
-  }
-
-  #startNode(kernel: Parameters<fleets.TestFleet["startExtraServices"]>[0]): void {
-    const clock = kernel.use("clock");
-    const { vm } = kernel.use("settings");
-    const view = new registryView.RegistryView<string>(clock);
-    const shared = {
-      clock,
-      random: kernel.use("random"),
-      log: kernel.use("log"),
-      metrics: inertMetrics.createInertMetrics(),
-      network: kernel.use("network"),
-      membership: kernel.use("membership"),
-      name: "runners",
-      view,
-    };
-    const relay = new registryRelay.RegistryRelay(shared);
-    const source = this.registry.createSource(vm);
-    const reader = new registryReader.RegistryReader({ ...shared, source, role: relay });
-    const exchange = new registryExchange.RegistryExchange({ ...shared, callKind: PULL_CALL });
-    const { name } = shared;
-    const relayedRegistry = {
-      name,
-      view,
-      findAnsweredAt: () => reader.answeredAt,
-      pull: (peer: string) => exchange.pull(peer),
-    };
-    relay.addRegistry(registryRelay.createRelayedRegistry(relayedRegistry));
-    this.views.set(vm, view);
-    this.roles.set(vm, relay);
-    void reader.run(this.#controller.signal);
-    void relay.run(this.#controller.signal);
-  }
-
-  async [Symbol.asyncDispose](): Promise<void> {
-    this.#controller.abort();
-    await this.fleet[Symbol.asyncDispose]();
-  }
-}
 
 test.describe("RegistryRelay", () => {
   test.it("lets every VM of a small fleet read by itself", async () => {
-    await using relayed = await RelayFleet.start(ZONES * registryReaders.MAX_UNRELAYED_VMS);
+    await using relayed = await relayFleet.RelayFleet.start(
+      ZONES * registryReaders.MAX_UNRELAYED_VMS,
+    );
     earl.expect(relayed.listFollowers()).toEqual([]);
   });
 
   for (const size of [18, 48]) {
     test.it(`calls the platform no more often with ${size} VMs`, async () => {
-      await using relayed = await RelayFleet.start(size);
+      await using relayed = await relayFleet.RelayFleet.start(size);
       const before = relayed.registry.callCount;
       await relayed.fleet.clock.advance(20_000);
       // Each reader asks once in five seconds.
@@ -170,7 +30,7 @@
   }
 
   test.it("brings changes and removals to every VM within a second", async () => {
-    await using relayed = await RelayFleet.start(30);
+    await using relayed = await relayFleet.RelayFleet.start(30);
     const vms = [...relayed.views.keys()];
     relayed.registry.set("b", "b1");
     earl.expect((await relayed.waitForValue("b", "b1", vms)) <= 1_000).toEqual(true);
@@ -179,7 +39,7 @@
   });
 
   test.it("brings changes to every VM when a third of the datagrams is lost", async () => {
-    await using relayed = await RelayFleet.start(30);
+    await using relayed = await relayFleet.RelayFleet.start(30);
     relayed.fleet.network.datagrams.lossShare = 0.33;
     for (let number = 1; number <= 5; number += 1) {
       relayed.registry.set("b", `b${number}`);
@@ -191,7 +51,7 @@
   test.it(
     "does not hold back a VM that the platform answers when it answers no reader",
     async () => {
-      await using relayed = await RelayFleet.start(30);
+      await using relayed = await relayFleet.RelayFleet.start(30);
       const readers = relayed.listReaders();
       relayed.registry.isReachable = (vm) => !readers.includes(vm);
       await relayed.fleet.clock.advance(registryRelay.MAX_AGE_MS + 3_000);
@@ -203,7 +63,7 @@
 
   // Live runners write entries that expired again within two seconds.
   test.it("drops no item that expired while the platform answered no VM", async () => {
-    await using relayed = await RelayFleet.start(24);
+    await using relayed = await relayFleet.RelayFleet.start(24);
     const { clock } = relayed.fleet;
     const followers = relayed.listFollowers();
     const dropped = new Set<string>();
@@ -220,7 +80,7 @@
   });
 
   test.it("does not hold back a zone when one of its readers is frozen", async () => {
-    await using relayed = await RelayFleet.start(30);
+    await using relayed = await relayFleet.RelayFleet.start(30);
     const zone = relayed.fleet.getNode("vm-0").membership.self.zone;
     const frozen = relayed
       .listReaders()
@@ -234,7 +94,7 @@
   });
 
   test.it("brings changes to a zone whose readers are all frozen", async () => {
-    await using relayed = await RelayFleet.start(30);
+    await using relayed = await relayFleet.RelayFleet.start(30);
     const zone = relayed.fleet.getNode("vm-0").membership.self.zone;
     const isInZone = (vm: string): boolean =>
       relayed.fleet.getNode(vm).membership.self.zone === zone;
@@ -251,7 +111,7 @@
   test.it(
     "leads all VMs to the same newest revision, also by removals and unreadable items",
     async () => {
-      await using relayed = await RelayFleet.start(24);
+      await using relayed = await relayFleet.RelayFleet.start(24);
       const views = [...relayed.views.values()];
       const countRevisions = (): number =>
         new Set(views.map(({ newestRevision }) => newestRevision)).size;
@@ -268,7 +128,7 @@
 
   // What is known of the versions of runners rests on the time since which no change was missed.
   test.it("passes on since when a reader missed no change", async () => {
-    await using relayed = await RelayFleet.start(24);
+    await using relayed = await relayFleet.RelayFleet.start(24);
     const [follower] = relayed.listFollowers();
     const view = relayed.views.get(follower ?? "");
     const getContinuousSince = (): number => view?.continuousSince ?? Number.POSITIVE_INFINITY;
@@ -283,7 +143,7 @@
   });
 
   test.it("never shows a VM an older value after a newer one", async () => {
-    await using relayed = await RelayFleet.start(24);
+    await using relayed = await relayFleet.RelayFleet.start(24);
     const reverts: string[] = [];
     for (const [vm, view] of relayed.views) {
       let newest = 0;
--- a/test/runners/version-verifier.test.ts
+++ b/test/runners/version-verifier.test.ts
@@ -7,7 +7,7 @@
 import * as raw from "./raw-runner.js";
 
 const SERVICE = "plain";
-const CLAIM = { service: SERVICE, version: "v1", revision: 7 };
+const CLAIM = { service: SERVICE, version: "v1", epoch: 0, revision: 7 };
 /** Time in which a check is over, with or without an answer. */
 const OVER_MS = 1_000;
 
