--- a/src/registry/registry-exchange.ts
+++ b/src/registry/registry-exchange.ts
@@ -11,6 +11,7 @@
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
 import type * as registryView from "./registry-view.js";
+import * as snapshotTransfer from "./snapshot-transfer.js";
 import * as types from "./types.js";
 
 /**
@@ -20,30 +21,20 @@
 const PULL_DELAY_MS = 150;
 /** Time limits of the tries of a pull. After the first one a new connection is used, as an idle one may have gone silent. */
 const PULL_TIMEOUTS_MS = [400, 1_000] as const;
-const MAX_ITEMS = 20_000;
 
 const revisionSchema = zod.int().min(0);
 const positionSchema = zod.object({ epoch: revisionSchema, revision: revisionSchema });
 
-const snapshotSchema = zod.object({
-  revision: revisionSchema,
-  items: zod
-    .array(
-      zod.object({ key: zod.string(), revision: revisionSchema, value: zod.unknown().optional() }),
-    )
-    .max(MAX_ITEMS),
-  /** Newest change in the sender's view; absent from nodes of an earlier version. */
-  newestRevision: revisionSchema.optional(),
-  /** Epoch of all revisions; absent from nodes of an earlier version. */
-  epoch: revisionSchema.optional(),
-});
-
 /** Dependencies and settings of a `RegistryExchange`. */
 export interface RegistryExchangeOptions<Value> {
   /** Name of the registry and of its gossip topic; at most 32 characters. */
   readonly name: string;
-  /** Number of the peer call; unique among all peer calls. */
+  /** Number of the call for a snapshot in one message, which VMs of earlier builds use; unique among all peer calls. */
   readonly callKind: number;
+  /** Number of the streamed call for a snapshot; unique among all peer calls. */
+  readonly streamKind: number;
+  /** Called when a try of a pull has failed, so that this VM misses changes that a peer knows. */
+  readonly onFailedTry?: () => void;
   readonly view: registryView.RegistryView<Value>;
   readonly clock: clocks.Clock;
   readonly log: telemetry.EventLog;
@@ -54,17 +45,23 @@
 /** Serves this VM's snapshots to peers and pulls newer ones from them, for one registry. */
 export class RegistryExchange<Value> {
   readonly #options: RegistryExchangeOptions<Value>;
-  readonly #call: network.PeerCall<Record<string, never>, zod.infer<typeof snapshotSchema>>;
+  readonly #call: network.PeerCall<Record<string, never>, snapshotTransfer.PeerSnapshot>;
+  readonly #receiver: snapshotTransfer.SnapshotReceiver;
   #isPulling = false;
 
   constructor(options: RegistryExchangeOptions<Value>) {
     this.#options = options;
-    const { name, callKind, view, network: peers } = options;
+    const { name, callKind, streamKind, view, clock, network: peers } = options;
+    const { snapshotSchema } = snapshotTransfer;
     this.#call = network.createPeerCall(callKind, `pull-${name}`, zod.object({}), snapshotSchema);
     peers.onCall(this.#call, () => {
       const { epoch, revision, newestRevision } = view;
       return { revision, items: [...view.list()], newestRevision, epoch };
     });
+    const streamCall = snapshotTransfer.createSnapshotCall(streamKind, name);
+    const sender = new snapshotTransfer.SnapshotSender(clock, view);
+    peers.onStream(streamCall, (request) => sender.streamParts(request));
+    this.#receiver = new snapshotTransfer.SnapshotReceiver(clock, peers, streamCall);
     this.#addTopics();
   }
 
@@ -73,17 +70,14 @@
    * peer responded and the snapshot was valid.
    */
   async pull(vm: string): Promise<boolean> {
-    const { network: peers, view, log, name } = this.#options;
+    const { view, log, name } = this.#options;
     try {
-      const [firstMs, secondMs] = PULL_TIMEOUTS_MS;
-      const snapshot = await peers
-        .call(vm, this.#call, {}, { timeoutMs: firstMs })
-        .catch(() => peers.call(vm, this.#call, {}, { timeoutMs: secondMs }));
+      const snapshot = await this.#callSnapshot(vm);
       if (isOlder(snapshot, view)) return true;
-      const { epoch, revision } = snapshot;
+      const { epoch, revision, newestRevision } = snapshot;
       const fields = { what: name, peer: vm, epoch, revision, before: view.revision };
       view.applySnapshot(snapshot as types.RegistrySnapshot<Value>, types.CHANGE_PATH.pull);
-      view.setNewestRevision(snapshot.newestRevision ?? 0);
+      view.setNewestRevision(newestRevision ?? 0);
       log.write(logEvents.LOG_EVENTS.registryPulled, fields);
       return true;
     } catch (error) {
@@ -93,6 +87,32 @@
     }
   }
 
+  /** @throws PeerCallError, or an error that names what is malformed. */
+  async #callSnapshot(vm: string): Promise<snapshotTransfer.PeerSnapshot> {
+    const [firstMs, secondMs] = PULL_TIMEOUTS_MS;
+    try {
+      return await this.#receiver.receive(vm, firstMs);
+    } catch (error) {
+      const isEarlierBuild =
+        error instanceof network.PeerCallError && error.failure === network.CALL_FAILURE.failed;
+      if (isEarlierBuild) return await this.#callWhole(vm);
+      this.#options.onFailedTry?.();
+      return await this.#receiver.receive(vm, secondMs);
+    }
+  }
+
+  /** Reads a snapshot in one message from a VM of an earlier build. */
+  async #callWhole(vm: string): Promise<snapshotTransfer.PeerSnapshot> {
+    const { network: peers, onFailedTry } = this.#options;
+    const [firstMs, secondMs] = PULL_TIMEOUTS_MS;
+    try {
+      return await peers.call(vm, this.#call, {}, { timeoutMs: firstMs });
+    } catch {
+      onFailedTry?.();
+      return await peers.call(vm, this.#call, {}, { timeoutMs: secondMs });
+    }
+  }
+
   /** VMs of earlier builds read the revision only, which they compare without an epoch. */
   #addTopics(): void {
     const { name, view, membership: fleet } = this.#options;
@@ -134,7 +154,7 @@
 
 /** Whether a view has taken newer changes than a snapshot holds, such as while the snapshot was on its way. */
 function isOlder(
-  { epoch = 0, revision, newestRevision }: zod.infer<typeof snapshotSchema>,
+  { epoch = 0, revision, newestRevision }: snapshotTransfer.PeerSnapshot,
   view: Pick<registryView.RegistryView<unknown>, "epoch" | "revision" | "newestRevision">,
 ): boolean {
   if (epoch !== view.epoch) return epoch < view.epoch;
--- a/src/registry/registry-relay.ts
+++ b/src/registry/registry-relay.ts
@@ -3,6 +3,7 @@
  * the platform do not grow with the fleet. Readers push changes in datagrams. The other VMs ask the readers in turn what they
  * know and how old it is; they pull what they miss, and read by themselves while all readers' knowledge is too old.
  */
+import * as cbor from "cbor-x";
 import * as zod from "zod";
 import * as clocks from "../kernel/clock.js";
 import type * as membership from "../membership/types.js";
@@ -17,7 +18,9 @@
 const PUSH_CALL = 33;
 /** Time between two questions to readers, each to the next one. */
 const POLL_PERIOD_MS = 700;
-const POLL_TIMEOUT_MS = 400;
+/** Time for the reader in turn to answer a datagram, and then for all readers, over connections too. */
+const POLL_TIMEOUT_MS = 250;
+const SECOND_POLL_TIMEOUT_MS = 400;
 const PUSH_TIMEOUT_MS = 400;
 /**
  * Age of the newest knowledge of all readers from which on a VM reads by itself; longer than a long poll and the time between
@@ -25,7 +28,9 @@
  */
 export const MAX_AGE_MS = 7_500;
 /** Largest random delay of a VM's own reads, so that the VMs of a zone do not all call the platform at once. */
-const MAX_OWN_READ_DELAY_MS = 1_000;
+const MAX_OWN_READ_DELAY_MS = 250;
+/** Size of encoded changes beyond which they do not fit a datagram. */
+const MAX_PUSH_BYTES = 1_200;
 
 const name = zod.string().max(32);
 const revision = zod.int().min(0);
@@ -87,7 +92,7 @@
   readonly view: registryView.RegistryView<unknown>;
   /** Returns the monotonic time of the platform's last answer to this VM; `undefined` while its reads fail. */
   readonly findAnsweredAt: () => number | undefined;
-  /** Pulls a peer's snapshot. */
+  /** Pulls a peer's snapshot; returns whether the peer's response was valid. */
   readonly pull: (vm: string) => Promise<boolean>;
 }
 
@@ -109,8 +114,10 @@
   readonly #unpushed = new Map<string, PushedChange[]>();
   /** Digest of each view when its changes were last pushed. */
   readonly #pushedDigests = new Map<string, number>();
-  /** Monotonic time until which the knowledge of a reader is recent enough, by VM. */
+  /** Monotonic time until which the knowledge of a reader is recent enough and also that of this VM, by reader. */
   readonly #freshUntil = new Map<string, number>();
+  /** Registries of which a peer knows changes that this VM could not pull. */
+  readonly #behind = new Set<string>();
   #readers: readonly string[] | undefined;
   #nextReader = 0;
   /** Monotonic time until which this VM relies on readers that it has not asked yet. */
@@ -180,46 +187,80 @@
     this.#notifyWaiters();
   }
 
+  /** Records that a peer knows changes of a registry that this VM could not pull; it reads the platform for them. */
+  handleFailedPull(registry: string): void {
+    this.#behind.add(registry);
+    this.#updateRole();
+  }
+
+  /** Asks the reader in turn, and all of them if it does not answer. */
   async #callNextReader(): Promise<void> {
-    const { network: peers, clock } = this.#options;
     const readers = this.#listReaders();
     this.#nextReader = (this.#nextReader + 1) % Math.max(1, readers.length);
     const reader = readers[this.#nextReader];
     if (reader === undefined) return;
+    const { network: peers } = this.#options;
     try {
       const limits = { timeoutMs: POLL_TIMEOUT_MS };
-      const { states } = await peers
-        .callByDatagram(reader, READ_STATE, {}, limits)
-        .catch(() => peers.call(reader, READ_STATE, {}, limits));
-      const oldest = Math.max(...states.map(({ ageMs }) => ageMs ?? Number.POSITIVE_INFINITY));
-      if (this.#isOutdated(states)) this.#freshUntil.delete(reader);
-      else this.#freshUntil.set(reader, clock.now() + MAX_AGE_MS - oldest);
-      for (const state of states) await this.#pullIfMissing(reader, state);
+      const reply = await peers.callByDatagram(reader, READ_STATE, {}, limits);
+      await this.#handleStates(reader, reply.states);
+    } catch {
+      const answered = await Promise.all(readers.map((vm) => this.#callReader(vm)));
+      if (!answered.includes(true)) this.#handleSilentReaders();
+    }
+  }
+
+  /** Asks a reader by datagram and over a connection; returns whether it answered. */
+  async #callReader(reader: string): Promise<boolean> {
+    const { network: peers } = this.#options;
+    const limits = { timeoutMs: SECOND_POLL_TIMEOUT_MS };
+    try {
+      const reply = await Promise.any([
+        peers.callByDatagram(reader, READ_STATE, {}, limits),
+        peers.call(reader, READ_STATE, {}, limits),
+      ]);
+      await this.#handleStates(reader, reply.states);
+      return true;
     } catch {
-      // Its knowledge grows too old, unless another reader answers.
+      return false;
     }
   }
 
-  /** Whether a reader has not learned of an epoch that this VM knows, as one of an earlier build. */
-  #isOutdated(states: readonly RegistryState[]): boolean {
-    return states.some(
-      ({ name: registry, epoch = 0 }) => epoch < (this.#registries.get(registry)?.view.epoch ?? 0),
-    );
+  /** Nothing is known of what has changed since the last answer of any reader. */
+  #handleSilentReaders(): void {
+    this.#freshUntil.clear();
+    this.#trustsUntil = 0;
+  }
+
+  async #handleStates(reader: string, states: readonly RegistryState[]): Promise<void> {
+    const { clock } = this.#options;
+    const askedAt = clock.now();
+    let isInStep = true;
+    for (const state of states) if (!(await this.#pullIfMissing(reader, state))) isInStep = false;
+    const oldest = Math.max(...states.map(({ ageMs }) => ageMs ?? Number.POSITIVE_INFINITY));
+    if (isInStep) this.#freshUntil.set(reader, askedAt + MAX_AGE_MS - oldest);
+    else this.#freshUntil.delete(reader);
   }
 
-  /** Pulls a reader's snapshot if it holds something else than this VM's view, which is no newer. */
-  async #pullIfMissing(reader: string, state: RegistryState): Promise<void> {
+  /**
+   * Pulls a reader's snapshot if it holds something else than this VM's view, which is no newer; returns whether this VM then
+   * knows all that the reader knows, and the reader's epoch is not outdated.
+   */
+  async #pullIfMissing(reader: string, state: RegistryState): Promise<boolean> {
     const registry = this.#registries.get(state.name);
-    if (registry === undefined) return;
+    if (registry === undefined) return true;
     const { view, pull } = registry;
     const { epoch = 0 } = state;
+    if (epoch < view.epoch) return false;
     const isSame = epoch === view.epoch && state.digest === view.digest;
     if (isSame) view.setNewestRevision(state.newestRevision);
     const isOlder =
-      epoch === view.epoch
-        ? state.newestRevision < view.newestRevision || state.revision < view.revision
-        : epoch < view.epoch;
-    if (!isSame && !isOlder) await pull(reader);
+      epoch === view.epoch &&
+      (state.newestRevision < view.newestRevision || state.revision < view.revision);
+    const isPulled = isSame || isOlder || (await pull(reader));
+    if (isPulled) this.#behind.delete(state.name);
+    else this.#behind.add(state.name);
+    return isPulled;
   }
 
   /** Starts or ends this VM's own reads by what it learned from the readers. */
@@ -229,11 +270,15 @@
     const isFresh =
       this.#listReaders().some((vm) => (this.#freshUntil.get(vm) ?? -Infinity) > now) ||
       now < this.#trustsUntil;
-    const mustRead = !isFresh && !this.#isReader();
+    const mustRead = (!isFresh || this.#behind.size > 0) && !this.#isReader();
     if (mustRead !== this.#readsAlone) {
       this.#readsAlone = mustRead;
       if (mustRead) metrics.count("registry_reads_alone");
-      const fields = { reads: mustRead, readers: this.#listReaders().join(" ") };
+      const fields = {
+        reads: mustRead,
+        readers: this.#listReaders().join(" "),
+        behind: [...this.#behind].join(" "),
+      };
       log.write(logEvents.LOG_EVENTS.registryReadAlone, fields);
     }
     if (!this.isReading() || this.#waiters.length === 0) return;
@@ -315,6 +360,8 @@
     if (view === undefined) return;
     const before = this.#pushedDigests.get(registry) ?? view.digest;
     this.#pushedDigests.set(registry, view.digest);
+    // They are pulled after the receivers' next questions.
+    if (cbor.encode(changes).byteLength > MAX_PUSH_BYTES) return;
     const continuous = view.computeContinuousTime();
     const { epoch, newestRevision } = view;
     const base = { name: registry, before, changes, newestRevision, epoch };
@@ -323,7 +370,7 @@
     const receivers = this.#listZone().filter((vm) => !readers.includes(vm));
     for (const vm of receivers) {
       if (vm === fleet.self.vm) continue;
-      // What is lost or does not fit a datagram is pulled after the receiver's next question.
+      // What is lost is pulled after the receiver's next question.
       peers.callByDatagram(vm, PUSH, push, { timeoutMs: PUSH_TIMEOUT_MS }).catch(() => undefined);
     }
   }
--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -20,6 +20,8 @@
 
 const CONFIGURATION_CALL = 30;
 const RUNNERS_CALL = 31;
+const CONFIGURATION_STREAM = 35;
+const RUNNERS_STREAM = 36;
 /** Registries that a reader watches: the configuration and the runners. */
 const REGISTRY_COUNT = 2;
 const EXPIRY_CHECK_PERIOD_MS = 250;
@@ -94,11 +96,19 @@
       ...sharedOptions,
       ...configurationOptions,
       callKind: CONFIGURATION_CALL,
+      streamKind: CONFIGURATION_STREAM,
+      onFailedTry: () => {
+        this.#relay.handleFailedPull("configuration");
+      },
     });
     const runnersExchange = new registryExchange.RegistryExchange({
       ...sharedOptions,
       ...runnersOptions,
       callKind: RUNNERS_CALL,
+      streamKind: RUNNERS_STREAM,
+      onFailedTry: () => {
+        this.#relay.handleFailedPull("runners");
+      },
     });
     this.#exchanges = [configurationExchange, runnersExchange];
     this.#addRelayed(configurationOptions, configurationReader, configurationExchange);
--- a/test/registry/registry-exchange.test.ts
+++ b/test/registry/registry-exchange.test.ts
@@ -2,7 +2,7 @@
 import * as test from "node:test";
 import * as earl from "earl";
 import type * as membership from "../../src/membership/types.js";
-import type * as network from "../../src/protocol/network.js";
+import * as network from "../../src/protocol/network.js";
 import * as registryExchange from "../../src/registry/registry-exchange.js";
 import * as registryView from "../../src/registry/registry-view.js";
 import type * as types from "../../src/registry/types.js";
@@ -23,6 +23,11 @@
   const peers = {
     createPeerCall: () => ({}),
     onCall: () => undefined,
+    onStream: () => undefined,
+    // A peer of an earlier build sends the snapshot in one message.
+    stream: () => {
+      throw new network.PeerCallError(network.CALL_FAILURE.failed, "no handler");
+    },
     call: async () => {
       await Promise.resolve();
       change(view);
@@ -30,7 +35,7 @@
     },
   };
   const exchange = new registryExchange.RegistryExchange({
-    ...{ name: "runners", callKind: 31, view, clock },
+    ...{ name: "runners", callKind: 31, streamKind: 36, view, clock },
     log: { write: () => undefined },
     network: peers as unknown as network.PeerNetwork,
     membership: { onGossip: () => undefined } as unknown as membership.Membership,
--- a/test/registry/relay-fleet.ts
+++ b/test/registry/relay-fleet.ts
@@ -1,6 +1,7 @@
 /** A fleet on simulated time whose VMs relay one registry of the platform, which can be restored from a copy. */
 import * as clocks from "../../src/kernel/clock.js";
 import type * as container from "../../src/kernel/container.js";
+import * as network from "../../src/protocol/network.js";
 import * as registryExchange from "../../src/registry/registry-exchange.js";
 import * as registryReader from "../../src/registry/registry-reader.js";
 import * as registryRelay from "../../src/registry/registry-relay.js";
@@ -10,6 +11,7 @@
 import * as inertMetrics from "../telemetry/inert-metrics.js";
 
 const PULL_CALL = 30;
+const PULL_STREAM = 35;
 const ANSWER_MS = 4;
 const EXPIRY_CHECK_PERIOD_MS = 250;
 
@@ -99,6 +101,8 @@
   readonly registry = new FakeRegistry(this.fleet.clock);
   readonly views = new Map<string, registryView.RegistryView<string>>();
   readonly roles = new Map<string, registryRelay.RegistryRelay>();
+  /** Whether peers answer no call for a snapshot. */
+  breaksPulls = false;
   readonly #controllers = new Map<string, AbortController>();
 
   static async start(size: number): Promise<RelayFleet> {
@@ -146,6 +150,20 @@
     return this.fleet.waitUntil(() => vms.every(isSeen), 20_000);
   }
 
+  #createNetwork(peers: network.PeerNetwork): network.PeerNetwork {
+    const isBroken = (): boolean => this.breaksPulls;
+    return new Proxy(peers, {
+      get: (target, name) => {
+        if (name === "stream" && isBroken())
+          return () => {
+            throw new network.PeerCallError(network.CALL_FAILURE.noReply, "no part");
+          };
+        const member: unknown = Reflect.get(target, name);
+        return typeof member === "function" ? (member.bind(target) as unknown) : member;
+      },
+    });
+  }
+
   #startNode(kernel: container.Kernel): void {
     const clock = kernel.use("clock");
     const { vm } = kernel.use("settings");
@@ -155,7 +173,7 @@
       random: kernel.use("random"),
       log: kernel.use("log"),
       metrics: inertMetrics.createInertMetrics(),
-      network: kernel.use("network"),
+      network: this.#createNetwork(kernel.use("network")),
       membership: kernel.use("membership"),
       name: "runners",
       view,
@@ -164,7 +182,12 @@
     const source = this.registry.createSource(vm);
     const reader = new registryReader.RegistryReader({ ...shared, source, role: relay });
     const { name } = shared;
-    const exchange = new registryExchange.RegistryExchange({ ...shared, callKind: PULL_CALL });
+    const exchange = new registryExchange.RegistryExchange({
+      ...{ ...shared, callKind: PULL_CALL, streamKind: PULL_STREAM },
+      onFailedTry: () => {
+        relay.handleFailedPull(name);
+      },
+    });
     const relayedRegistry = {
       name,
       view,
--- a/test/registry/restored-view.test.ts
+++ b/test/registry/restored-view.test.ts
@@ -5,7 +5,7 @@
 import * as test from "node:test";
 import * as earl from "earl";
 import type * as membership from "../../src/membership/types.js";
-import type * as network from "../../src/protocol/network.js";
+import * as network from "../../src/protocol/network.js";
 import * as registryExchange from "../../src/registry/registry-exchange.js";
 import * as registryView from "../../src/registry/registry-view.js";
 import * as restorePolicies from "../../src/registry/restore-policies.js";
@@ -159,13 +159,17 @@
   const pulled: string[] = [];
   const peers = {
     onCall: () => undefined,
+    onStream: () => undefined,
+    stream: () => {
+      throw new network.PeerCallError(network.CALL_FAILURE.failed, "no handler");
+    },
     call: (vm: string) => {
       pulled.push(vm);
       return Promise.resolve(snapshot);
     },
   };
   const exchange = new registryExchange.RegistryExchange({
-    ...{ name: "runners", callKind: 31, view, clock },
+    ...{ name: "runners", callKind: 31, streamKind: 36, view, clock },
     log: { write: () => undefined },
     network: peers as unknown as network.PeerNetwork,
     membership: {
