Bound the memory and the processor that endless answers take

What callers saw: beside a runner that sends bytes without end, requests to sound runners were late or lost (134 of 155 beside tiny chunks, 112 of 157 beside interim answers), and a gateway took 204 MB where the smallest machines have 178. Cause: the limit on held bytes was the same for all machines and counted dropped bytes as free; interim answers had no count; all of one runner's connections were read as fast as bytes came; and calls went on to a runner none of whose answers had an end. Change: the limit follows memory_mb, dropped bytes count for half a second longer; at most 16 interim answers; two large bodies of a runner are read at a time; a circuit breaker for runners whose last three answers had no end; streams may bring 64 KiB without an event, and each byte of them is scanned once.

--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -127,8 +127,13 @@
 }
 
 function createBuffers(kernel: container.Kernel): bufferBudget.BufferBudget {
-  return new bufferBudget.BufferBudget(bufferBudget.MAX_BUFFERED_BYTES, () => {
-    kernel.use("metrics").count("buffer_refusals");
+  const { memoryMb } = kernel.use("adapter").settings;
+  return new bufferBudget.BufferBudget({
+    maxBytes: bufferBudget.computeMaxBufferedBytes(memoryMb),
+    clock: kernel.use("clock"),
+    onRefused: () => {
+      kernel.use("metrics").count("buffer_refusals");
+    },
   });
 }
 
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -40,6 +40,8 @@
   /** Time from the notice of a runner that leaves for which the platform allows requests to it. */
   readonly runnerDrainMs: number;
   readonly retryBudget: retryBudgets.RetryBudgetSettings;
+  /** Memory that the process may use, in MB; `undefined` when not stated. */
+  readonly memoryMb: number | undefined;
   /** What this VM may use; `undefined` when not stated. */
   readonly capacity: membership.VmCapacity | undefined;
 }
--- a/src/runners/runner-record.ts
+++ b/src/runners/runner-record.ts
@@ -9,6 +9,11 @@
 /** Backoff after the first connection failure; each consecutive failure doubles the backoff. */
 const INITIAL_BACKOFF_MS = 250;
 const MAX_BACKOFF_MS = 4_000;
+/** Answers without an end in a row, with no sound one between them, after which a runner gets one call at a time. */
+const MAX_ENDLESS_ANSWERS = 3;
+/** Time without calls after that; doubles with each further one that is sent and answered in the same way. */
+const INITIAL_REFUSAL_MS = 1_000;
+const MAX_REFUSAL_MS = 8_000;
 
 /** Tracks results, load and backoff of one runner. */
 export class RunnerRecord {
@@ -22,6 +27,11 @@
   #loadReportedAt = 0;
   #unreachableCount = 0;
   #backoffUntil = 0;
+  #endlessCount = 0;
+  #refusalMs = 0;
+  #refusedUntil = 0;
+  /** Whether a call was sent after the last refusals, to find out whether the runner is sound again. */
+  #isTrial = false;
 
   constructor(runner: types.Runner, clock: clocks.Clock) {
     this.#runner = runner;
@@ -65,6 +75,14 @@
     return this.#clock.now() < this.#backoffUntil;
   }
 
+  /**
+   * Whether the runner gets no call for now (circuit breaker): its last answers had no end, and reading them takes the time and
+   * the memory of the calls to other runners.
+   */
+  get isRefused(): boolean {
+    return this.#clock.now() < this.#refusedUntil;
+  }
+
   /** Estimates the number of calls at the runner, including those of other VMs. */
   computeLoad(): number {
     const ageMs = this.#clock.now() - this.#loadReportedAt;
@@ -73,6 +91,10 @@
 
   /** Counts a call as in flight until the returned function is called. */
   startCall(): () => void {
+    if (this.#endlessCount >= MAX_ENDLESS_ANSWERS) {
+      this.#isTrial = true;
+      this.#refusedUntil = this.#clock.now() + this.#refusalMs;
+    }
     this.#inFlight += 1;
     let isRunning = true;
     return () => {
@@ -98,6 +120,22 @@
     this.#failureRate += FAILURE_WEIGHT * ((succeeded ? 0 : 1) - this.#failureRate);
     this.#unreachableCount = 0;
     this.#backoffUntil = 0;
+    if (!succeeded) return;
+    this.#endlessCount = 0;
+    this.#refusalMs = 0;
+    this.#refusedUntil = 0;
+  }
+
+  /** Records an answer that was given up because it went on beyond all limits. */
+  recordEndlessAnswer(): void {
+    this.recordResult(false);
+    this.#endlessCount += 1;
+    // Calls that were sent before the first refusal say nothing new.
+    const isKnown = this.#endlessCount > MAX_ENDLESS_ANSWERS && !this.#isTrial;
+    if (this.#endlessCount < MAX_ENDLESS_ANSWERS || isKnown) return;
+    this.#isTrial = false;
+    this.#refusalMs = Math.min(MAX_REFUSAL_MS, Math.max(INITIAL_REFUSAL_MS, 2 * this.#refusalMs));
+    this.#refusedUntil = this.#clock.now() + this.#refusalMs;
   }
 
   /** Forgets failures and the backoff, which showed nothing of the runner: this VM had no path to it. */
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -263,10 +263,10 @@
     const eventsBefore = progress.eventCount;
     const startedAt = clock.now();
     for await (const chunk of this.#readChunks(call, runnerResponse.response)) {
-      const heldBytes = splitter.rest.byteLength;
+      const { heldBytes } = splitter;
       call.buffers.add(chunk.byteLength);
       const events = splitter.push(chunk);
-      call.buffers.release(heldBytes + chunk.byteLength - splitter.rest.byteLength);
+      call.buffers.release(heldBytes + chunk.byteLength - splitter.heldBytes);
       if (events.bytes.byteLength === 0) continue;
       const isFirst = progress.eventCount === eventsBefore;
       const fault = isFirst ? progress.findOrderFault(events.firstId) : undefined;
@@ -287,12 +287,10 @@
       this.#recordUnframedEnd(call, runner, {
         events: runEvents,
         eventsBefore,
-        restBytes: splitter.rest.byteLength,
+        restBytes: splitter.heldBytes,
       });
-    if (splitter.rest.byteLength > 0)
-      throw new Error(
-        `stream ended inside an event, after ${splitter.rest.byteLength} bytes of it`,
-      );
+    if (splitter.heldBytes > 0)
+      throw new Error(`stream ended inside an event, after ${splitter.heldBytes} bytes of it`);
     if (runEvents === 0 && !progress.isExhausted) {
       const fault = "ended before the first event of the run";
       if (isUnframed) throw new Error(`stream ${fault}`);
--- a/src/serving/event-splitter.ts
+++ b/src/serving/event-splitter.ts
@@ -2,11 +2,14 @@
 
 const EVENT_END = Buffer.from("\n\n");
 const SEPARATOR = "\n\n";
+const LINE_FEED = 0x0a;
 const ID_FIELD = /^id: ?(.*)$/m;
 /** Fields of an event; a block without them is a comment or blank. */
 const EVENT_FIELD = /^(?:data|id)(?::|$)/m;
 /** Maximum size of an event; no runner sends a longer one. */
 const MAX_EVENT_BYTES = 1_048_576;
+/** Maximum size of the comments and blank lines between two events; heartbeats are far shorter. */
+const MAX_COMMENT_BYTES = 65_536;
 
 /** Complete events, and comments between them, byte for byte as received. */
 export interface CompleteEvents {
@@ -25,30 +28,71 @@
   lastId: undefined,
 };
 
-/** Buffers the bytes of an event until it is complete. */
+/** Buffers the bytes of an event until it is complete. Each byte is scanned once, however small the chunks are. */
 export class EventSplitter {
-  #rest: Buffer = Buffer.alloc(0);
+  /** Chunks of an incomplete event. */
+  #rest: Buffer[] = [];
+  #restBytes = 0;
+  /** Comments before the first event. */
+  #comments: Buffer[] = [];
+  /** Bytes of comments and blank lines since the last event. */
+  #commentBytes = 0;
   #hasEvents = false;
 
-  /** Bytes of an incomplete event. */
-  get rest(): Buffer {
-    return this.#rest;
+  /** Number of bytes that are held: of an incomplete event, and of comments before the first one. */
+  get heldBytes(): number {
+    return this.#restBytes + (this.#hasEvents ? 0 : this.#commentBytes);
   }
 
   /**
    * Adds bytes and returns the events that are complete. Comments before the first event are held until it is complete.
    *
-   * @throws when an event exceeds `MAX_EVENT_BYTES`.
+   * @throws when an event exceeds `MAX_EVENT_BYTES`, or the comments between two exceed `MAX_COMMENT_BYTES`.
    */
   push(chunk: Buffer): CompleteEvents {
-    const all = this.#rest.byteLength === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
-    const lastEnd = all.lastIndexOf(EVENT_END);
-    const length = lastEnd < 0 ? 0 : lastEnd + EVENT_END.byteLength;
-    const events = createCompleteEvents(all.subarray(0, length));
-    this.#hasEvents ||= events.count > 0;
-    this.#rest = this.#hasEvents ? all.subarray(length) : all;
-    if (this.#rest.byteLength > MAX_EVENT_BYTES) throw new Error("event is too long");
-    return this.#hasEvents ? events : NO_EVENTS;
+    const end = this.#findLastEnd(chunk);
+    if (end === undefined) {
+      this.#addRest(chunk);
+      return NO_EVENTS;
+    }
+    const complete = Buffer.concat([...this.#rest, chunk.subarray(0, end)]);
+    this.#rest = [];
+    this.#restBytes = 0;
+    const events = createCompleteEvents(complete);
+    this.#recordComments(events);
+    this.#addRest(chunk.subarray(end));
+    if (this.#hasEvents) return this.#addHeldComments(events);
+    this.#comments.push(complete);
+    return NO_EVENTS;
+  }
+
+  /** Returns the position in a chunk after the last end of an event, which may have begun in the chunk before. */
+  #findLastEnd(chunk: Buffer): number | undefined {
+    const at = chunk.lastIndexOf(EVENT_END);
+    if (at >= 0) return at + EVENT_END.byteLength;
+    const endsAcross = this.#rest.at(-1)?.at(-1) === LINE_FEED && chunk[0] === LINE_FEED;
+    return endsAcross ? 1 : undefined;
+  }
+
+  #addRest(bytes: Buffer): void {
+    if (bytes.byteLength === 0) return;
+    this.#rest.push(bytes);
+    this.#restBytes += bytes.byteLength;
+    if (this.#restBytes > MAX_EVENT_BYTES) throw new Error("event is too long");
+  }
+
+  #recordComments({ bytes, count }: CompleteEvents): void {
+    this.#hasEvents ||= count > 0;
+    this.#commentBytes = count > 0 ? 0 : this.#commentBytes + bytes.byteLength;
+    if (this.#commentBytes > MAX_COMMENT_BYTES)
+      throw new Error(`stream has sent ${this.#commentBytes} bytes without an event`);
+  }
+
+  #addHeldComments(events: CompleteEvents): CompleteEvents {
+    if (this.#comments.length === 0) return events;
+    const bytes = Buffer.concat([...this.#comments, events.bytes]);
+    this.#comments = [];
+    return { ...events, bytes };
   }
 }
 
--- a/src/serving/plain-runner-choice.ts
+++ b/src/serving/plain-runner-choice.ts
@@ -15,7 +15,7 @@
 const OTHER_ZONE_PENALTY = 0.1;
 
 /**
- * Returns the runner with the lowest cost among those that are not excluded; considers runners that
+ * Returns the runner with the lowest cost among those that are not excluded or refused; considers runners that
  * are in backoff or not reached only if there are no others.
  */
 export function chooseRunner(
@@ -25,7 +25,7 @@
   source: random.RandomSource,
   isReachable: (runnerId: string) => boolean = () => true,
 ): runnerRecord.RunnerRecord | undefined {
-  const untried = records.filter((record) => !excluded.has(record.runner.id));
+  const untried = records.filter((record) => !excluded.has(record.runner.id) && !record.isRefused);
   const healthy = untried.filter((record) => !record.inBackoff && isReachable(record.runner.id));
   let best: { readonly record: runnerRecord.RunnerRecord; readonly cost: number } | undefined;
   for (const record of healthy.length > 0 ? healthy : untried) {
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -14,6 +14,8 @@
 import type * as runnerTable from "../runners/runner-table.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
+import * as bulkReads from "../upstream/bulk-reads.js";
+import * as endlessAnswer from "../upstream/endless-answer.js";
 import * as responseReader from "../upstream/response-reader.js";
 import * as answerEnd from "./answer-end.js";
 import * as answers from "./answers.js";
@@ -79,6 +81,7 @@
 /** Serves the calls of routes that are not for model requests. */
 export class PlainServing {
   readonly #options: PlainServingOptions;
+  readonly #bulkReads = new WeakMap<runnerRecord.RunnerRecord, bulkReads.BulkReads>();
 
   constructor(options: PlainServingOptions) {
     this.#options = options;
@@ -172,7 +175,7 @@
     const { runners, isReachable = () => true } = this.#options;
     return runners
       .listUsable(call.service.name)
-      .some(({ runner: { id } }) => !triedIds.has(id) && isReachable(id));
+      .some(({ runner: { id }, isRefused }) => !triedIds.has(id) && !isRefused && isReachable(id));
   }
 
   /**
@@ -220,7 +223,8 @@
       trackedRun.recordAnswer();
       if (runnerResponse.head.notRun) send.recordRejected();
       const { buffers } = call;
-      const limits = { maxBytes: MAX_RESPONSE_BYTES, idleTimeoutMs: leftMs, buffers };
+      const bulk = { reads: this.#useBulkReads(record), signal: limit.signal };
+      const limits = { maxBytes: MAX_RESPONSE_BYTES, idleTimeoutMs: leftMs, buffers, bulk };
       const body = await responseReader.readBody(clock, runnerResponse.response, limits);
       if (!runnerResponse.head.notRun)
         await answerEnd.checkAnswerEnd(this.#options, record.runner, runnerResponse.response);
@@ -237,6 +241,14 @@
     }
   }
 
+  #useBulkReads(record: runnerRecord.RunnerRecord): bulkReads.BulkReads {
+    const known = this.#bulkReads.get(record);
+    if (known !== undefined) return known;
+    const created = new bulkReads.BulkReads();
+    this.#bulkReads.set(record, created);
+    return created;
+  }
+
   /** Records the health and load that a response shows; returns the result of the attempt. */
   #handleResponse(record: runnerRecord.RunnerRecord, answer: BufferedResponse): AttemptResult {
     const { head } = answer;
@@ -263,6 +275,7 @@
     const isUnsent = runnerProbe.isUnsent(error);
     if (!call.signal.aborted) {
       if (isUnsent) record.recordUnreachable();
+      else if (endlessAnswer.isEndlessAnswer(error)) record.recordEndlessAnswer();
       else record.recordResult(false);
       const fields = { request: call.head.id, runner: record.runner.id, error: String(error) };
       log.write(logEvents.LOG_EVENTS.runnerUnavailable, fields);
@@ -289,7 +302,7 @@
     hasReachedNone: boolean,
   ): void {
     if (result === undefined)
-      throw answers.createRefusal(NO_RUNNER_RETRY_AFTER_MS, "no runner is listed");
+      throw answers.createRefusal(NO_RUNNER_RETRY_AFTER_MS, "no runner is usable");
     if (result.kind === "notRun")
       throw answers.createUnservedRefusal(FULL_RETRY_AFTER_MS, result.reason, hasReachedNone);
     if (result.kind === "answered") {
--- a/src/upstream/http-call.ts
+++ b/src/upstream/http-call.ts
@@ -5,6 +5,7 @@
 import * as otel from "@opentelemetry/api";
 import * as verror from "verror";
 import type * as clocks from "../kernel/clock.js";
+import * as endlessAnswer from "./endless-answer.js";
 import * as responseReader from "./response-reader.js";
 import * as types from "./types.js";
 
@@ -13,6 +14,9 @@
  */
 const CONNECT_TIMEOUT_MS = 1_000;
 
+/** Number of interim responses (1xx) to one request that are read; more show that the upstream is faulty. */
+const MAX_INTERIM_RESPONSES = 16;
+
 /** The request to send and its timeouts. */
 export interface HttpCall {
   readonly upstream: types.Upstream;
@@ -79,6 +83,7 @@
     call.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
   );
   pending.req.once("socket", (socket: net.Socket) => call.onConnection?.(pending.req, socket));
+  const fault = watchForFault(pending.req);
   const removeAbortListener = closeOnAbort(pending.req, call.signal);
   const cancelTimeout = clock.schedule(call.headersTimeoutMs, () => {
     pending.req.destroy(new Error(`no response headers within ${call.headersTimeoutMs} ms`));
@@ -90,7 +95,7 @@
     return response;
   } catch (error) {
     removeAbortListener();
-    throw createSendError(call, connection, error);
+    throw createSendError(call, connection, fault.error ?? error);
   } finally {
     cancelTimeout();
   }
@@ -147,6 +152,25 @@
   return connection;
 }
 
+/** What ended a request because of its upstream, which the HTTP library reports without its type. */
+interface ResponseFault {
+  error: Error | undefined;
+}
+
+/** Ends a request whose upstream sends interim responses without end, which would occupy the process until the deadline. */
+function watchForFault(request: http.ClientRequest): ResponseFault {
+  const fault: ResponseFault = { error: undefined };
+  let interimCount = 0;
+  request.on("information", () => {
+    interimCount += 1;
+    if (interimCount <= MAX_INTERIM_RESPONSES || fault.error !== undefined) return;
+    const text = `more than ${MAX_INTERIM_RESPONSES} interim responses`;
+    fault.error = new endlessAnswer.EndlessAnswerError(text);
+    request.destroy(fault.error);
+  });
+  return fault;
+}
+
 function closeOnAbort(request: http.ClientRequest, signal: AbortSignal): () => void {
   const onAbort = (): void => {
     // The HTTP library cannot wrap a DOMException, which is the abort reason of a timeout.
--- a/src/upstream/response-reader.ts
+++ b/src/upstream/response-reader.ts
@@ -2,6 +2,11 @@
 import type * as http from "node:http";
 import type * as bufferBudget from "../kernel/buffer-budget.js";
 import type * as clocks from "../kernel/clock.js";
+import * as bulkReads from "./bulk-reads.js";
+import * as endlessAnswer from "./endless-answer.js";
+
+/** Memory and work that a chunk costs besides its bytes, in bytes, so that tiny ones are not free. */
+const CHUNK_OVERHEAD_BYTES = 1_024;
 
 /** Limits for reading one body. */
 export interface ReadLimits {
@@ -10,6 +15,14 @@
   readonly idleTimeoutMs: number;
   /** Holds the bytes that are read; without it only `maxBytes` limits them. */
   readonly buffers?: Pick<bufferBudget.BufferAccount, "add" | "release">;
+  /** Reads of large bodies of the same upstream; without it they are not limited. */
+  readonly bulk?: BulkLimit;
+}
+
+/** Permits for large bodies, and the signal that ends the wait for one. */
+export interface BulkLimit {
+  readonly reads: Pick<bulkReads.BulkReads, "reserve">;
+  readonly signal: AbortSignal;
 }
 
 /** Whether the end of the connection is the only end of a body, so that a broken one looks complete. */
@@ -66,6 +79,18 @@
   }
 }
 
+/** Waits for a permit, while nothing is read from the connection. */
+async function reserveBulkRead(
+  { socket }: http.IncomingMessage,
+  { bulk }: ReadLimits,
+): Promise<(() => void) | undefined> {
+  if (bulk === undefined) return undefined;
+  socket.pause();
+  const releasePermit = await bulk.reads.reserve(bulk.signal);
+  socket.resume();
+  return releasePermit;
+}
+
 /**
  * Reads a complete body. The account of `limits` holds its bytes afterwards.
  *
@@ -78,17 +103,25 @@
 ): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let bytes = 0;
+  let releasePermit: (() => void) | undefined;
   try {
     for await (const chunk of readChunks(clock, response, limits.idleTimeoutMs)) {
       if (bytes + chunk.byteLength > limits.maxBytes)
-        throw new Error(`body is larger than ${limits.maxBytes} bytes`);
-      limits.buffers?.add(chunk.byteLength);
+        throw new endlessAnswer.EndlessAnswerError(`body is larger than ${limits.maxBytes} bytes`);
+      limits.buffers?.add(chunk.byteLength + CHUNK_OVERHEAD_BYTES);
       bytes += chunk.byteLength;
       chunks.push(chunk);
+      if (bytes > bulkReads.FREE_BYTES) releasePermit ??= await reserveBulkRead(response, limits);
     }
+    return Buffer.concat(chunks);
   } catch (error) {
     limits.buffers?.release(bytes);
-    throw error;
+    if (releasePermit === undefined || limits.bulk?.signal.aborted !== true) throw error;
+    throw new endlessAnswer.EndlessAnswerError(`body not complete after ${bytes} bytes`, {
+      cause: error,
+    });
+  } finally {
+    releasePermit?.();
+    limits.buffers?.release(chunks.length * CHUNK_OVERHEAD_BYTES);
   }
-  return Buffer.concat(chunks);
 }
--- a/standins/processes.ts
+++ b/standins/processes.ts
@@ -27,6 +27,8 @@
 /** Options for starting a process, besides its flags. */
 export interface ProcessOptions {
   readonly environment?: Readonly<Record<string, string>>;
+  /** Flags of Node.js itself, besides those of this process. */
+  readonly nodeFlags?: readonly string[];
   /** Called with each IPC message from the process; enables the IPC channel. */
   readonly onMessage?: (message: unknown) => void;
 }
@@ -46,7 +48,8 @@
     options: ProcessOptions = {},
   ) {
     this.name = name;
-    this.#child = childProcess.spawn(process.execPath, [...process.execArgv, script, ...flags], {
+    const nodeFlags = [...process.execArgv, ...(options.nodeFlags ?? [])];
+    this.#child = childProcess.spawn(process.execPath, [...nodeFlags, script, ...flags], {
       stdio: [
         "ignore",
         "pipe",
--- a/standins/users-platform/examples.ts
+++ b/standins/users-platform/examples.ts
@@ -13,12 +13,18 @@
   readonly seeds?: readonly string[];
   readonly platform?: string;
   readonly retryRatio?: number;
+  /** Memory of the machine; by default the settings name no limits. */
+  readonly memoryMb?: number;
 }
 
 /** Returns the text of a machine's settings file. */
 export function createSettingsText(ip: string, changes: SettingsChanges = {}): string {
   const { node = "front-1", zone = "a", seeds = [], platform = "127.0.0.1:1" } = changes;
-  const { retryRatio = 0.2 } = changes;
+  const { retryRatio = 0.2, memoryMb } = changes;
+  const limits =
+    memoryMb === undefined
+      ? ""
+      : `limits: { cpu_share: 1, cores: 1, memory_mb: ${memoryMb}, link_mbps: 1000 }\n`;
   return `node: "${node}"
 role: "gateway"
 ip: "${ip}"
@@ -39,7 +45,7 @@
   budget_window_s: 10
   ttl_max_s: 5
 platform: { address: "${platform}", form: "read" }
-`;
+${limits}`;
 }
 
 /** Returns an operator's configuration with a model route and a safe and an unsafe plain route. */
--- a/test/gateway/gateway-fixture.ts
+++ b/test/gateway/gateway-fixture.ts
@@ -87,7 +87,10 @@
   );
   if (links !== undefined) kernel.register("transport", () => links.createTransport(ip));
   if (maxBufferedBytes !== undefined)
-    kernel.register("buffers", () => new bufferBudget.BufferBudget(maxBufferedBytes));
+    kernel.register(
+      "buffers",
+      () => new bufferBudget.BufferBudget({ maxBytes: maxBufferedBytes, clock }),
+    );
   if (findPath !== undefined) {
     const create = () =>
       new PathRunnerTable(
--- a/test/serving/event-splitter.test.ts
+++ b/test/serving/event-splitter.test.ts
@@ -26,7 +26,7 @@
         }
         return (
           Buffer.concat(passed).equals(bytes) &&
-          splitter.rest.byteLength === 0 &&
+          splitter.heldBytes === 0 &&
           lastId === `${texts.length - 1}`
         );
       },
@@ -52,4 +52,24 @@
     const after = splitter.push(Buffer.from(": idle\n\n"));
     earl.expect([after.count, after.bytes.toString()]).toEqual([0, ": idle\n\n"]);
   });
+
+  // Such streams went on as if they were alive, and each byte was scanned again with each chunk.
+  for (const bytes of ["\n", ": busy\n\n", "data: x"])
+    test.it(`gives up a stream without an event, of ${JSON.stringify(bytes)}`, () => {
+      const splitter = new eventSplitter.EventSplitter();
+      const pushAll = (): void => {
+        for (let number = 0; number < 2_000; number += 1)
+          splitter.push(Buffer.from(bytes.repeat(1_000)));
+      };
+      earl.expect(pushAll).toThrow();
+    });
+
+  test.it("holds a stream whose comments stay between events", () => {
+    const splitter = new eventSplitter.EventSplitter();
+    for (let number = 0; number < 100; number += 1) {
+      splitter.push(Buffer.from(": busy\n\n".repeat(1_000)));
+      earl.expect(splitter.push(Buffer.from(`id: ${number}\n`)).count).toEqual(0);
+      earl.expect(splitter.push(Buffer.from("\n")).count).toEqual(1);
+    }
+  });
 });
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -140,7 +140,7 @@
     deadlineAt: arrivedAt + 600,
     signal: new AbortController().signal,
     reply,
-    buffers: new bufferBudget.BufferBudget(Infinity).createAccount(),
+    buffers: new bufferBudget.BufferBudget({ maxBytes: Infinity }).createAccount(),
   };
   return { call, answer };
 }
