End a call whose upstream switches protocols unasked

Cause: Node.js ends such a request without a response and without an error, and the call waited for either; its time limit and its abort only destroyed the request once more. Change: the switch is listened for, and the call fails at once as broken.

--- a/src/upstream/http-call.ts
+++ b/src/upstream/http-call.ts
@@ -1,6 +1,7 @@
 /** HTTP calls to an upstream; a failed call states whether a connection was established. */
 import type * as http from "node:http";
 import type * as net from "node:net";
+import type * as stream from "node:stream";
 import * as wreck from "@hapi/wreck";
 import * as otel from "@opentelemetry/api";
 import * as verror from "verror";
@@ -89,7 +90,7 @@
     pending.req.destroy(new Error(`no response headers within ${call.headersTimeoutMs} ms`));
   });
   try {
-    const response = await pending;
+    const response = await Promise.race([pending, fault.failed]);
     responseReader.watchForReset(response);
     response.once("close", removeAbortListener);
     return response;
@@ -155,11 +156,25 @@
 /** What ended a request because of its upstream, which the HTTP library reports without its type. */
 interface ResponseFault {
   error: Error | undefined;
+  /** Rejects on a fault after which the library's promise does not settle. */
+  readonly failed: Promise<never>;
 }
 
-/** Ends a request whose upstream sends interim responses without end, which would occupy the process until the deadline. */
+/**
+ * Ends a request whose upstream sends interim responses without end, which would occupy the process until the deadline, or
+ * switches protocols unasked, after which Node.js reports neither a response nor an error.
+ */
 function watchForFault(request: http.ClientRequest): ResponseFault {
-  const fault: ResponseFault = { error: undefined };
+  let onFailed: (error: Error) => void = () => undefined;
+  const failed = new Promise<never>((_resolve, reject) => {
+    onFailed = reject;
+  });
+  failed.catch(() => undefined);
+  const fault: ResponseFault = { error: undefined, failed };
+  request.once("upgrade", ({ statusCode }: http.IncomingMessage, socket: stream.Duplex) => {
+    socket.destroy();
+    onFailed(new Error(`unasked switch of protocols, status ${String(statusCode)}`));
+  });
   let interimCount = 0;
   request.on("information", () => {
     interimCount += 1;
--- a/test/upstream/http-call.test.ts
+++ b/test/upstream/http-call.test.ts
@@ -69,3 +69,17 @@
       earl.expect(await findFailure(send(call))).toEqual(upstream.UPSTREAM_FAILURE.notConnected);
   });
 });
+
+test.describe("a call whose upstream answers 101 unasked", () => {
+  // Node.js reports neither a response nor an error then, so that the call never ended, not even at its time limit.
+  test.it("fails at once as broken", async () => {
+    const head = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n";
+    await using server = await fixture.startRawServer((socket) => {
+      socket.once("data", () => socket.write(head));
+    });
+    const sentAt = performance.now();
+    const failure = await findFailure(send({ upstream: server.upstream }));
+    earl.expect(failure).toEqual(upstream.UPSTREAM_FAILURE.broken);
+    earl.expect(performance.now() - sentAt < 1_000).toEqual(true);
+  });
+});
