Keep the signal handlers while a process drains

Cause: the handler was installed for one signal only, so the second one had its default action. Change: the handlers of the gateway and of the node stay.

--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -152,10 +152,11 @@
   process.exit(0);
 }
 
+/** The handlers stay: without one, a further signal would end the process in the middle of its drain. */
 function waitForStopSignal(): Promise<void> {
   return new Promise((resolve) => {
     for (const name of ["SIGTERM", "SIGINT"] as const)
-      process.once(name, () => {
+      process.on(name, () => {
         resolve();
       });
   });
--- a/src/node.ts
+++ b/src/node.ts
@@ -180,10 +180,11 @@
   node.kernel.use("log").write(events.LOG_EVENTS.nodeStopped);
 }
 
+/** The handlers stay: without one, a further signal would end the process in the middle of its drain. */
 function waitForShutdownSignal(): Promise<void> {
   return new Promise((resolve) => {
     for (const name of SHUTDOWN_SIGNALS) {
-      process.once(name, () => {
+      process.on(name, () => {
         resolve();
       });
     }
