Let the soak restore the store from a copy

The fault copies the store, changes the configuration, takes the store away for a second, and brings it back from the copy; the owners then write their entries again.

--- a/standins/soak/child-main.ts
+++ b/standins/soak/child-main.ts
@@ -81,6 +81,7 @@
 async function startStore(): Promise<string> {
   const standIn = new store.StoreStandIn();
   await standIn.start();
+  let copy = standIn.copy();
   const handlers = {
     set: (command: { key: string; value: unknown }) => {
       standIn.set(command.key, command.value);
@@ -94,6 +95,12 @@
     compact: () => {
       standIn.compact();
     },
+    copy: () => {
+      copy = standIn.copy();
+    },
+    restore: () => {
+      standIn.restore(copy);
+    },
   } as const;
   process.on("message", (command: children.StoreCommand) => {
     (handlers[command.kind] as (command: children.StoreCommand) => void)(command);
--- a/standins/soak/children.ts
+++ b/standins/soak/children.ts
@@ -40,7 +40,11 @@
   | { readonly kind: "set"; readonly key: string; readonly value: unknown }
   | { readonly kind: "remove"; readonly key: string }
   | { readonly kind: "mode"; readonly mode: string }
-  | { readonly kind: "compact" };
+  | { readonly kind: "compact" }
+  /** Keeps a copy of what the store keeps now. */
+  | { readonly kind: "copy" }
+  /** Comes back from the copy that was kept last. */
+  | { readonly kind: "restore" };
 
 const CHILD_SCRIPT = url.fileURLToPath(new URL("child-main.js", import.meta.url));
 const LISTENING_PATTERN = /^listening (?<address>\S+)$/;
--- a/standins/soak/faults.ts
+++ b/standins/soak/faults.ts
@@ -11,6 +11,8 @@
 const MAX_FAULT_MS = 3_000;
 const MIN_FAULT_MS = 200;
 const MAX_DELAY_MS = 250;
+/** Time for which the store is away before it comes back from a copy. */
+const RESTORE_MS = 1_000;
 /** Time from SIGTERM until a gateway's process is killed; `grace_s` in the gateways' settings. */
 const SHUTDOWN_GRACE_MS = 8_000;
 /** Time from a gateway's start after which it handles SIGHUP; before, SIGHUP would end it. */
@@ -281,6 +283,23 @@
   },
 };
 
+/** Faults of stores that come back from a copy, by name. */
+const RESTORE_FAULTS: Readonly<Record<string, Fault>> = {
+  /** Restores the store from a copy, after changes that it loses; their owners then write them again. */
+  restoreStore: async (cluster, source) => {
+    cluster.sendStoreCommand({ kind: "copy" });
+    cluster.publishConfiguration();
+    await sleep(chooseDuration(source));
+    const { busy, sound } = store.STORE_MODE;
+    cluster.sendStoreCommand({ kind: "mode", mode: busy });
+    await cluster.disturb(cluster.gateways, () => sleep(RESTORE_MS));
+    cluster.sendStoreCommand({ kind: "restore" });
+    cluster.sendStoreCommand({ kind: "mode", mode: sound });
+    await sleep(MIN_FAULT_MS);
+    cluster.rewriteEntries();
+  },
+};
+
 /** Name of the fault that replaces gateways of an older build. */
 export const UPGRADE_FAULT = "upgradeGateways";
 
@@ -298,7 +317,13 @@
   },
 };
 
-const ALL_FAULTS = { ...FAULTS, ...BUDGET_FAULTS, ...VERSION_FAULTS, ...UPGRADE_FAULTS };
+const ALL_FAULTS = {
+  ...FAULTS,
+  ...BUDGET_FAULTS,
+  ...VERSION_FAULTS,
+  ...RESTORE_FAULTS,
+  ...UPGRADE_FAULTS,
+};
 
 /** Makes all runners of a role reject or reset their requests for as long as `during` takes. */
 async function failRunners(
@@ -328,6 +353,7 @@
  *
  * @param hasFailingRunners - whether the faults include those of `BUDGET_FAULTS`.
  * @param hasVersions - whether the faults include those of `VERSION_FAULTS`.
+ * @param hasRestores - whether the faults include those of `RESTORE_FAULTS`.
  */
 export function createPlan(
   seed: number,
@@ -335,12 +361,14 @@
   meanIntervalMs: number,
   hasFailingRunners = false,
   hasVersions = false,
+  hasRestores = false,
 ): PlannedFault[] {
   const source = random.createSeededRandom(seed);
   const kinds = Object.keys({
     ...FAULTS,
     ...(hasFailingRunners ? BUDGET_FAULTS : {}),
     ...(hasVersions ? VERSION_FAULTS : {}),
+    ...(hasRestores ? RESTORE_FAULTS : {}),
   });
   const plan: PlannedFault[] = [];
   let atMs = 0;
--- a/standins/soak/main.ts
+++ b/standins/soak/main.ts
@@ -55,6 +55,10 @@
       long: "without-limits",
       description: "without runners that name a limit on their requests",
     }),
+    withRestores: cmd.flag({
+      long: "with-restores",
+      description: "with a store that comes back from a copy; gives a seed another plan",
+    }),
     gateways: cmd.option({
       long: "gateways",
       type: cmd.number,
@@ -82,6 +86,7 @@
     withoutFailingRunners,
     withoutVersions,
     withoutLimits,
+    withRestores,
     gateways,
     olderBuild,
   }) => {
@@ -92,6 +97,7 @@
       hasFailingRunners: !withoutFailingRunners,
       hasVersions: !withoutVersions,
       hasLimits: !withoutLimits,
+      hasRestores: withRestores,
       size: { gateways },
       olderScript: olderBuild,
       logDirectory: logs,
--- a/standins/soak/seeds.ts
+++ b/standins/soak/seeds.ts
@@ -51,4 +51,5 @@
     cause: "verdicts of two crashes ended when other runners crashed",
   },
   { seed: 1004, seconds: 8, hasLimits: true, cause: "never failed; runners name limits" },
+  { seed: 53, seconds: 8, hasRestores: true, cause: "never failed; the store is restored" },
 ];
--- a/standins/soak/soak-cluster.ts
+++ b/standins/soak/soak-cluster.ts
@@ -123,6 +123,7 @@
   readonly #store: children.Child;
   readonly #directory: string;
   readonly #network = computeNetwork(process.pid);
+  readonly #killedRunners = new Set<string>();
   #configurationVersion = 1;
   #startedRunners = 0;
   #versionCount = 0;
@@ -169,6 +170,23 @@
     this.sendStoreCommand({ kind: "set", key: "op/config", value });
   }
 
+  /**
+   * Writes the newest configuration and the entries of the listed runners again, as their owners do when the store lost them, and
+   * lets the entries of killed ones expire again.
+   */
+  rewriteEntries(): void {
+    setTimeout(() => {
+      for (const id of this.#killedRunners)
+        this.sendStoreCommand({ kind: "remove", key: `servers/${id}` });
+    }, ENTRY_TTL_MS);
+    this.sendStoreCommand({
+      kind: "set",
+      key: "op/config",
+      value: examples.createConfiguration(this.#configurationVersion),
+    });
+    for (const runner of this.runners.values()) this.#publishRunner(runner, "ready");
+  }
+
   /** Sends a command to the platform's store. */
   sendStoreCommand(command: children.StoreCommand): void {
     this.#store.process.sendMessage(command);
@@ -199,6 +217,7 @@
 
   /** Kills a runner and resets its connections; its entry is removed after `ENTRY_TTL_MS`. */
   async killRunner(runner: Runner): Promise<void> {
+    this.#killedRunners.add(runner.id);
     this.runners.delete(runner.id);
     runner.child.process.sendSignal("SIGKILL");
     await runner.child.process.exited;
--- a/standins/soak/soak.ts
+++ b/standins/soak/soak.ts
@@ -77,6 +77,8 @@
   readonly hasFailingRunners?: boolean;
   /** Whether runners are of several software versions, and callers resume streams at any gateway. */
   readonly hasVersions?: boolean;
+  /** Whether the platform's store comes back from a copy. */
+  readonly hasRestores?: boolean;
   /** Whether the runners of a role name a limit for a time. */
   readonly hasLimits?: boolean;
   /** Entry point of an older build, of which all gateways are until an upgrade replaces them in turn. */
@@ -108,6 +110,7 @@
     FAULT_INTERVAL_MS,
     hasFailingRunners,
     hasVersions,
+    options.hasRestores,
   );
   if (options.olderScript !== undefined) plan.push({ kind: faults.UPGRADE_FAULT, atMs: 0, seed });
   const faultPhaseCallers = new callers.Callers(cluster, CALLER_COUNT, seed);
