--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -302,7 +302,7 @@
     hasReachedNone: boolean,
   ): void {
     if (result === undefined)
-      throw answers.createRefusal(NO_RUNNER_RETRY_AFTER_MS, "no runner is usable");
+      throw answers.createRefusal(NO_RUNNER_RETRY_AFTER_MS, "no runner is listed");
     if (result.kind === "notRun")
       throw answers.createUnservedRefusal(FULL_RETRY_AFTER_MS, result.reason, hasReachedNone);
     if (result.kind === "answered") {
