Name in refusals what configuration decided them

The line of each refusal said "unknown service" only, so that a VM with an older configuration could not be told from a route that does not exist, nor a VM that hears the platform and takes nothing from one that hears nothing.

The lines 4001 and 4006 now carry host and path, the version in force, the revision and epoch at which it was written, the revision up to which the VM knows the configuration, and the time since the platform last answered this VM and a reader of its zone. 3001 has the epoch too. No logic is changed.

--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -6,6 +6,7 @@
 import type * as clocks from "../kernel/clock.js";
 import * as signals from "../kernel/signals.js";
 import * as resultCodes from "../protocol/result-codes.js";
+import type * as registrySync from "../registry/registry-sync.js";
 import type * as routing from "../routing/types.js";
 import type * as routingState from "../routing/routing-state.js";
 import * as answers from "../serving/answers.js";
@@ -27,6 +28,9 @@
  */
 const IDLE_TIMEOUT_MARGIN_MS = 500;
 
+/** Maximum length of a host or path in a log line. */
+const MAX_LOGGED_LENGTH = 200;
+
 /** Dependencies and settings of a `CallerServer`. */
 export interface CallerServerOptions {
   readonly settings: types.GatewaySettings;
@@ -41,6 +45,8 @@
   readonly grace: servedCall.CallGrace;
   /** Whether the VM has the data that it needs to serve requests. */
   readonly isReady: () => boolean;
+  /** Returns the configuration in force and the age of what this VM knows, for the lines of refusals and failures. */
+  readonly getConfigurationState: () => registrySync.ConfigurationState;
 }
 
 /** Accepts the requests of callers on one VM. */
@@ -188,16 +194,19 @@
     error: unknown,
     arrivedAt: number,
   ): void {
-    const { log, codec, clock, metrics } = this.#options;
+    const { log, codec, clock, metrics, getConfigurationState } = this.#options;
     const failure = refusals.createRequestError(error);
     const fields = {
       request: head?.id,
+      host: head?.host.slice(0, MAX_LOGGED_LENGTH),
+      path: head?.path.slice(0, MAX_LOGGED_LENGTH),
       code: failure.code.number,
       ran: failure.ran,
       reason: failure.message,
       retryAfterMs: failure.retryAfterMs,
       afterMs: Math.round(clock.now() - arrivedAt),
       started: reply.started,
+      ...getConfigurationState(),
     };
     const isEnded = signal.reason instanceof resultCodes.RequestError;
     if (signal.aborted && !isEnded) {
--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -80,6 +80,7 @@
     handler: kernel.use("handover"),
     grace: kernel.use("shutdownGrace"),
     isReady,
+    getConfigurationState: () => kernel.use("registrySync").configurationState,
   });
 }
 
--- a/src/registry/registry-reader.ts
+++ b/src/registry/registry-reader.ts
@@ -90,6 +90,11 @@
     return this.#failures > 0 ? undefined : this.#answeredAt;
   }
 
+  /** Monotonic time of the platform's last answer, also while reads fail; `undefined` before the first one. */
+  get lastAnsweredAt(): number | undefined {
+    return this.#answeredAt;
+  }
+
   /**
    * Restarts the watch on a new connection if its connection may have been silent at a time, as it has shown no sign of life
    * since; returns whether it did.
--- a/src/registry/registry-relay.ts
+++ b/src/registry/registry-relay.ts
@@ -116,6 +116,8 @@
   readonly #pushedDigests = new Map<string, number>();
   /** Monotonic time until which the knowledge of a reader is recent enough and also that of this VM, by reader. */
   readonly #freshUntil = new Map<string, number>();
+  /** Newest monotonic time at which the platform had answered a reader, as the readers stated. */
+  #readersAnsweredAt: number | undefined;
   /** Registries of which a peer knows changes that this VM could not pull. */
   readonly #behind = new Set<string>();
   #readers: readonly string[] | undefined;
@@ -155,6 +157,11 @@
     return this.#isReader() && this.#listZone().length > registryReaders.MAX_UNRELAYED_VMS;
   }
 
+  /** Monotonic time at which the platform had last answered a reader that this VM asked; `undefined` if none stated one. */
+  get readersAnsweredAt(): number | undefined {
+    return this.#readersAnsweredAt;
+  }
+
   /** Whether this VM reads the platform because no reader of its zone knows enough. */
   get readsAlone(): boolean {
     return this.#readsAlone && !this.#isReader();
@@ -238,6 +245,8 @@
     let isInStep = true;
     for (const state of states) if (!(await this.#pullIfMissing(reader, state))) isInStep = false;
     const oldest = Math.max(...states.map(({ ageMs }) => ageMs ?? Number.POSITIVE_INFINITY));
+    if (Number.isFinite(oldest))
+      this.#readersAnsweredAt = Math.max(this.#readersAnsweredAt ?? -Infinity, askedAt - oldest);
     if (isInStep) this.#freshUntil.set(reader, askedAt + MAX_AGE_MS - oldest);
     else this.#freshUntil.delete(reader);
   }
--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -34,6 +34,21 @@
  */
 const FENCING_REVISIONS_PER_EPOCH = 2 ** 20;
 
+/** The configuration in force at this VM, and the age of what this VM knows of the platform, for logs. */
+export interface ConfigurationState {
+  /** Version of the configuration; absent before the first one. */
+  readonly configurationVersion: number | undefined;
+  /** Platform revision at which that version was written, and its epoch. */
+  readonly configurationRevision: number | undefined;
+  readonly configurationEpoch: number | undefined;
+  /** Platform revision up to which this VM knows the configuration. */
+  readonly knownRevision: number;
+  /** Milliseconds since the platform last answered this VM's reads of the configuration; absent if it never did. */
+  readonly answeredMs: number | undefined;
+  /** Milliseconds since the platform last answered a VM that reads it for this one, as far as that VM stated. */
+  readonly readersAnsweredMs: number | undefined;
+}
+
 /** Runs readers and peer synchronization for the configuration and the runners. */
 export class RegistrySync implements AsyncDisposable {
   readonly #kernel: container.Kernel;
@@ -43,6 +58,7 @@
   readonly #readers: readonly { run(signal: AbortSignal): Promise<void> }[];
   readonly #exchanges: readonly { pull(vm: string): Promise<boolean> }[];
   readonly #relay: registryRelay.RegistryRelay;
+  readonly #configurationReader: registryReader.RegistryReader<routing.RoutingTable>;
 
   constructor(kernel: container.Kernel) {
     this.#kernel = kernel;
@@ -90,6 +106,7 @@
       outages,
     });
     this.#readers = [configurationReader, runnersReader];
+    this.#configurationReader = configurationReader;
     verifier.addWatch(configurationReader);
     verifier.addWatch(runnersReader);
     const configurationExchange = new registryExchange.RegistryExchange({
@@ -113,7 +130,7 @@
     this.#exchanges = [configurationExchange, runnersExchange];
     this.#addRelayed(configurationOptions, configurationReader, configurationExchange);
     this.#addRelayed(runnersOptions, runnersReader, runnersExchange);
-    this.#connectViews(configurationReader);
+    this.#connectViews();
   }
 
   /** Whether the configuration and the runner list have been loaded. */
@@ -126,6 +143,19 @@
     return this.#runnersView.continuousSince;
   }
 
+  /** The configuration in force, and the age of what this VM knows of the platform. */
+  get configurationState(): ConfigurationState {
+    const { current, origin } = this.#kernel.use("routing");
+    return {
+      configurationVersion: current?.configuration.version,
+      configurationRevision: origin?.revision,
+      configurationEpoch: origin?.epoch,
+      knownRevision: this.#configurationView.revision,
+      answeredMs: this.#computeAge(this.#configurationReader.lastAnsweredAt),
+      readersAnsweredMs: this.#computeAge(this.#relay.readersAnsweredAt),
+    };
+  }
+
   /** Epoch and platform revision that the runner list reflects; 0 before it was loaded. */
   get runnersPosition(): types.RegistryPosition {
     const { epoch, revision } = this.#runnersView;
@@ -154,6 +184,11 @@
     return Promise.resolve();
   }
 
+  /** Returns the milliseconds since a monotonic time. */
+  #computeAge(since: number | undefined): number | undefined {
+    return since === undefined ? undefined : Math.round(this.#kernel.use("clock").now() - since);
+  }
+
   #createSchedule(): pollSchedule.PollSchedule {
     const services = {
       clock: this.#kernel.use("clock"),
@@ -180,17 +215,14 @@
     this.#relay.addRegistry(registryRelay.createRelayedRegistry(registry));
   }
 
-  #connectViews(configurationReader: registryReader.RegistryReader<routing.RoutingTable>): void {
+  #connectViews(): void {
     const routing = this.#kernel.use("routing");
     const table = this.#kernel.use("runners");
-    const clock = this.#kernel.use("clock");
     const view = this.#configurationView;
     view.onChange((_key, value, revision) => {
       if (value === undefined) return;
-      const answeredAt = configurationReader.answeredAt;
-      const answeredMs =
-        answeredAt === undefined ? undefined : Math.round(clock.now() - answeredAt);
-      routing.apply(value, { revision, path: view.changePath, answeredMs });
+      const answeredMs = this.#computeAge(this.#configurationReader.answeredAt);
+      routing.apply(value, { revision, epoch: view.epoch, path: view.changePath, answeredMs });
     });
     this.#runnersView.onChange((key, value) => {
       table.setRunner(value?.id ?? parseRunnerId(key), value);
--- a/src/routing/routing-state.ts
+++ b/src/routing/routing-state.ts
@@ -8,6 +8,8 @@
 export interface ConfigurationOrigin {
   /** Revision of the platform at which it was written. */
   readonly revision: number;
+  /** Epoch of the platform's revisions. */
+  readonly epoch: number;
   /** How it reached this VM. */
   readonly path: string;
   /** Time since the platform last answered this VM; `undefined` if it never did or its calls fail. */
@@ -19,6 +21,7 @@
   readonly #log: telemetry.EventLog;
   readonly #listeners: ((table: types.RoutingTable) => void)[] = [];
   #current: routeTable.RouteTable | undefined;
+  #origin: ConfigurationOrigin | undefined;
 
   constructor(log: telemetry.EventLog) {
     this.#log = log;
@@ -29,6 +32,11 @@
     return this.#current;
   }
 
+  /** Where the current configuration came from; `undefined` before the first one. */
+  get origin(): ConfigurationOrigin | undefined {
+    return this.#origin;
+  }
+
   onChange(listener: (table: types.RoutingTable) => void): void {
     this.#listeners.push(listener);
   }
@@ -38,6 +46,7 @@
     const before = this.#current?.configuration.version ?? 0;
     if (table.version <= before) return false;
     this.#current = new routeTable.RouteTable(table);
+    this.#origin = origin;
     const fields = { version: table.version, before, routes: table.routes.length, ...origin };
     this.#log.write(logEvents.LOG_EVENTS.configurationApplied, fields);
     for (const listener of this.#listeners) listener(table);
