Read from a runner's answers that it leaves

What callers and runners saw: a runner that said in its answers that it leaves (Server-Leaving) got requests as before, also later than its drain time, until its entry said so. Cause: the header was not read at all (class: a statement of a peer that no code listens to).

All answers, also those to reports, prefills, releases and orders, are parsed in one place and mark the start (id and bornAt) as leaving in the runner table, with the effect of an entry that says so. Later writes or a new listing of the same start don't undo it; another start does. A notice of a runner that states no start ends with its entry, or 30 s after it was repeated.

--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -22,6 +22,7 @@
 import * as runHolds from "../request/run-holds.js";
 import * as traitRecords from "../request/trait-records.js";
 import * as runnerCalls from "../runners/runner-calls.js";
+import * as leavingRunners from "../runners/leaving-runners.js";
 import * as runnerLimits from "../runners/runner-limits.js";
 import * as runnerTable from "../runners/runner-table.js";
 import * as connectionStarts from "../runners/connection-starts.js";
@@ -87,6 +88,7 @@
   );
   kernel.register("registrySync", registrySync.createRegistrySync);
   kernel.register("runnerLimits", createRunnerLimits);
+  kernel.register("leavingRunners", createLeavingRunners);
   kernel.register("runnerCalls", createRunnerCalls);
   kernel.register("retryBudgets", createRetryBudgets);
   kernel.register("placement", createPlacement);
@@ -157,10 +159,22 @@
     onLimit: (runner, limit, sentAt) => {
       kernel.use("runnerLimits").recordAnswer(runner, limit, sentAt);
     },
+    onLeaving: (runner, leaving) => {
+      kernel.use("leavingRunners").recordAnswer(runner, leaving);
+    },
     observer: kernel.use("pathEvidence"),
   });
 }
 
+function createLeavingRunners(kernel: container.Kernel): leavingRunners.LeavingRunners {
+  return new leavingRunners.LeavingRunners({
+    clock: kernel.use("clock"),
+    log: kernel.use("log"),
+    metrics: kernel.use("metrics"),
+    runners: kernel.use("runners"),
+  });
+}
+
 function createRunnerLimits(kernel: container.Kernel): runnerLimits.RunnerLimits {
   return new runnerLimits.RunnerLimits({
     clock: kernel.use("clock"),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -144,6 +144,7 @@
   readonly signed: boolean;
   readonly load: runners.ReportedLoad | undefined;
   readonly limit: runners.ReportedLimit;
+  readonly leaving: runners.ReportedLeaving;
   /** Headers to forward to the caller. */
   readonly headers: HeaderList;
 }
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -23,6 +23,7 @@
 import type * as runHolds from "../request/run-holds.js";
 import type * as crashRecordSync from "../request/crash-record-sync.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
+import type * as leavingRunners from "../runners/leaving-runners.js";
 import type * as runnerLimits from "../runners/runner-limits.js";
 import type * as runnerTable from "../runners/runner-table.js";
 import type * as reportedRuns from "../streams/reported-runs.js";
@@ -75,6 +76,7 @@
   runnerCalls: runnerCalls.RunnerCalls;
   runnerPaths: runnerPaths.RunnerPathMonitor;
   pathWatch: pathWatch.PathWatch;
+  leavingRunners: leavingRunners.LeavingRunners;
   runnerLimits: runnerLimits.RunnerLimits;
   retryBudgets: retryBudgets.RetryBudgets;
   placement: placementService.PlacementService;
--- a/src/runners/runner-record.ts
+++ b/src/runners/runner-record.ts
@@ -33,9 +33,10 @@
   /** Whether a call was sent after the last refusals, to find out whether the runner is sound again. */
   #isTrial = false;
 
-  constructor(runner: types.Runner, clock: clocks.Clock) {
+  constructor(runner: types.Runner, clock: clocks.Clock, leavingSince?: number) {
     this.#runner = runner;
     this.#clock = clock;
+    this.#leavingSince = leavingSince;
     this.#updatedAt = clock.now();
   }
 
@@ -48,14 +49,14 @@
     return this.#clock.now() - this.#updatedAt;
   }
 
-  /** Monotonic time at which the entry was found to say that the runner leaves; `undefined` if it always said so. */
+  /** Monotonic time at which the runner was found to leave; `undefined` if its entry always said so. */
   get leavingSince(): number | undefined {
     return this.#leavingSince;
   }
 
   /** Replaces the runner's registry entry or stage. */
-  setRunner(runner: types.Runner): void {
-    if (runner.leaving && !this.#runner.leaving) this.#leavingSince = this.#clock.now();
+  setRunner(runner: types.Runner, leavingSince = this.#clock.now()): void {
+    if (runner.leaving && !this.#runner.leaving) this.#leavingSince = leavingSince;
     this.#runner = runner;
     this.#updatedAt = this.#clock.now();
   }
--- a/src/runners/runner-table.ts
+++ b/src/runners/runner-table.ts
@@ -2,8 +2,9 @@
 import type * as clocks from "../kernel/clock.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
+import * as leavingNotices from "./leaving-notices.js";
 import * as runnerRecord from "./runner-record.js";
-import type * as types from "./types.js";
+import * as types from "./types.js";
 
 /**
  * Age below which a registry entry takes precedence over the stage that the runner reports, as
@@ -26,6 +27,7 @@
   readonly #drainLimitMs: number;
   readonly #records = new Map<string, runnerRecord.RunnerRecord>();
   readonly #listeners: RunnerListener[] = [];
+  readonly #notices = new leavingNotices.LeavingNotices();
   /** Ids of runners whose address is listed for a newer process. */
   #superseded: ReadonlySet<string> = new Set();
 
@@ -45,8 +47,9 @@
   }
 
   /** Applies a runner's registry entry; `undefined` removes the runner. */
-  setRunner(id: string, runner: types.Runner | undefined): void {
+  setRunner(id: string, listed: types.Runner | undefined): void {
     const known = this.#records.get(id);
+    const runner = listed && this.#applyNotice(listed);
     if (runner === undefined) this.#removeRunner(known);
     else if (known?.runner.bornAt === runner.bornAt) this.#updateRunner(known, runner);
     else this.#addRunner(runner);
@@ -54,6 +57,29 @@
     for (const listener of this.#listeners) listener(id, runner);
   }
 
+  /**
+   * Records that a start of a runner said that it leaves. What its registry entry says changes nothing of that.
+   *
+   * @param since - monotonic time at which it was first known to leave.
+   * @returns whether this is new.
+   */
+  recordLeaving(
+    start: leavingNotices.RunnerStart,
+    since: number,
+    path: types.LeavingPath,
+  ): boolean {
+    const now = this.#clock.now();
+    const isNew = this.#notices.find(start, now) === undefined;
+    const notice = this.#notices.record(start, since, now);
+    const known = this.#records.get(start.id);
+    if (known?.runner.bornAt === start.bornAt && !known.runner.leaving) {
+      known.setRunner({ ...known.runner, leaving: true }, notice.since);
+      this.#recordLeaving(known, path);
+      for (const listener of this.#listeners) listener(start.id, known.runner);
+    }
+    return isNew;
+  }
+
   /** Applies the stage that a runner reports, unless its registry entry was updated recently. */
   recordReportedStage(id: string, stage: types.Stage): void {
     const known = this.#records.get(id);
@@ -122,24 +148,37 @@
     return leavesForMs >= this.#drainLimitMs - marginMs;
   }
 
+  #applyNotice(runner: types.Runner): types.Runner {
+    const isLeaving = this.#notices.find(runner, this.#clock.now()) !== undefined;
+    return isLeaving && !runner.leaving ? { ...runner, leaving: true } : runner;
+  }
+
   #addRunner(runner: types.Runner): void {
-    this.#records.set(runner.id, new runnerRecord.RunnerRecord(runner, this.#clock));
+    const since = this.#notices.find(runner, this.#clock.now())?.since;
+    const record = new runnerRecord.RunnerRecord(runner, this.#clock, since);
+    this.#records.set(runner.id, record);
     const { id, service, stage, leaving, bornAt, softwareVersion } = runner;
     const fields = { runner: id, service, stage, leaving, bornAt, softwareVersion };
     this.#log.write(logEvents.LOG_EVENTS.runnerArrived, fields);
   }
 
   #updateRunner(known: runnerRecord.RunnerRecord, runner: types.Runner): void {
-    if (runner.leaving && !known.runner.leaving) {
-      const fields = { runner: runner.id, service: runner.service };
-      this.#log.write(logEvents.LOG_EVENTS.runnerLeaving, fields);
-    }
+    const isNew = runner.leaving && !known.runner.leaving;
     known.setRunner(runner);
+    if (isNew) this.#recordLeaving(known, types.LEAVING_PATH.registry);
+  }
+
+  #recordLeaving({ runner, leavingSince }: runnerRecord.RunnerRecord, path: string): void {
+    const { id, service, bornAt } = runner;
+    const ageMs = this.#clock.now() - (leavingSince ?? -Infinity);
+    const fields = { runner: id, service, bornAt, path, ageMs };
+    this.#log.write(logEvents.LOG_EVENTS.runnerLeaving, fields);
   }
 
   #removeRunner(known: runnerRecord.RunnerRecord | undefined): void {
     if (known === undefined) return;
     this.#records.delete(known.runner.id);
+    this.#notices.removeRunner(known.runner);
     const fields = { runner: known.runner.id, service: known.runner.service };
     this.#log.write(logEvents.LOG_EVENTS.runnerGone, fields);
   }
--- a/src/runners/types.ts
+++ b/src/runners/types.ts
@@ -41,6 +41,24 @@
   | { readonly kind: "none" }
   | { readonly kind: "unreadable"; readonly text: string };
 
+/** What an answer says of whether its runner leaves. */
+export type ReportedLeaving =
+  | { readonly kind: "leaving" }
+  | { readonly kind: "none" }
+  | { readonly kind: "unreadable"; readonly text: string };
+
+/** How this VM learned that a runner leaves. */
+export const LEAVING_PATH = {
+  registry: "registry",
+  /** An answer of the runner to this VM. */
+  answer: "answer",
+  /** Another VM. */
+  peer: "peer",
+} as const;
+
+/** One of the values of `LEAVING_PATH`. */
+export type LeavingPath = (typeof LEAVING_PATH)[keyof typeof LEAVING_PATH];
+
 /** Load that a runner reports in a response. */
 export interface ReportedLoad {
   readonly running: number;
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -110,5 +110,6 @@
     level: "warn",
     message: "paths to the runners of a service changed state",
   },
+  leavingNoticeUnreadable: { number: 6012, level: "warn", message: "leaving notice not valid" },
   orderSent: { number: 6002, level: "info", message: "order sent to runner" },
 } as const satisfies Record<string, LogEvent>;
--- a/standins/users-platform/failing-runner.ts
+++ b/standins/users-platform/failing-runner.ts
@@ -42,6 +42,8 @@
   readonly every: number;
   /** Returns the limit that each answer names, if it names one. */
   readonly chooseLimit?: () => string | undefined;
+  /** Returns the value with which each answer states that the runner leaves, if it does. */
+  readonly chooseLeaving?: () => string | undefined;
 }
 
 /** A runner that listens on loopback and is listed in the registry. */
@@ -72,9 +74,15 @@
   async start(platform: store.StoreStandIn): Promise<void> {
     this.#server.listen(0, "127.0.0.1");
     await events.default.once(this.#server, "listening");
+    this.list(platform);
+  }
+
+  /** Writes the runner's entry, also again. */
+  list(platform: store.StoreStandIn, born: number = examples.BORN): void {
     const { port } = this.#server.address() as net.AddressInfo;
     const isPlain = this.#role === crashing.RUNNER_ROLE.plain;
-    const changes = isPlain ? { slots: 100 } : { service: "model", stage: this.#role, slots: 100 };
+    const service = isPlain ? {} : { service: "model", stage: this.#role };
+    const changes = { ...service, slots: 100, born };
     platform.set(`servers/${this.#id}`, examples.createRunnerEntry(`127.0.0.1:${port}`, changes));
   }
 
@@ -86,6 +94,8 @@
 
   async #handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     await crashing.readBody(request);
+    const leaving = this.#behaviour.chooseLeaving?.();
+    if (leaving !== undefined) response.setHeader("server-leaving", leaving);
     if (request.url === "/-/report") {
       const report = { born: examples.BORN, stage: this.#role, kv_total: 72_680, runs: [] };
       response.end(JSON.stringify(report));
--- a/test/runners/runner-calls.test.ts
+++ b/test/runners/runner-calls.test.ts
@@ -15,6 +15,7 @@
 
 function createCalls(
   onLimit: runnerCalls.RunnerCallsOptions["onLimit"] = () => undefined,
+  changes: Partial<runnerCalls.RunnerCallsOptions> = {},
 ): runnerCalls.RunnerCalls {
   return new runnerCalls.RunnerCalls({
     clock,
@@ -22,6 +23,7 @@
     tracer: spans.createNoopTracer(),
     countVms: () => 1,
     onLimit,
+    ...changes,
   });
 }
 
@@ -261,4 +263,36 @@
     const closed = await send(1, "Connection: close\r\n");
     earl.expect(closed.slice(0, 2)).toEqual(["not-connected", []]);
   });
+
+  // Guards against DRAIN: the notice in answers other than those to callers' requests, or by another process.
+  test.it(
+    "passes on what every answer says of leaving, but not those of another process",
+    async () => {
+      const fields = ["Server-Leaving: 1", "X: y", "server-leaving: yes", "Server-Leaving: 1"];
+      const statuses = ["200 OK", "200 OK", "503 Busy", "421 Misdirected Request"];
+      await using leaving = await raw.startRawRunner(
+        "l",
+        (socket, count) => {
+          const start = `${statuses[count - 1] ?? ""}\r\n${fields[count - 1] ?? ""}`;
+          socket.write(raw.formatResponse(`r${count}`, "x", start));
+        },
+        (socket) => {
+          socket.write("HTTP/1.1 404 Not Found\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n");
+        },
+      );
+      const seen: string[] = [];
+      const calls = createCalls(undefined, {
+        onLeaving: (_runner, { kind }) => seen.push(kind),
+      });
+      for (const id of ["r1", "r2", "r3", "r4"])
+        await getOutcome(readResponse(calls, leaving.runner, id));
+      const { signal } = new AbortController();
+      const message = {
+        ...runnerCodec.RUNNER_CODEC.formatReport(leaving.runner),
+        newConnection: true,
+      };
+      await calls.sendMessage(leaving.runner, message, 500, signal);
+      earl.expect(seen).toEqual(["leaving", "none", "unreadable", "leaving"]);
+    },
+  );
 });
--- a/test/runners/runner-table.test.ts
+++ b/test/runners/runner-table.test.ts
@@ -1,7 +1,7 @@
 import * as test from "node:test";
 import * as earl from "earl";
 import * as runnerTable from "../../src/runners/runner-table.js";
-import type * as runners from "../../src/runners/types.js";
+import * as runners from "../../src/runners/types.js";
 import * as fakeClock from "../../standins/fake-clock.js";
 import * as raw from "./raw-runner.js";
 
@@ -81,4 +81,49 @@
     table.recordReportedStage("r", "decode");
     earl.expect(notifiedStages).toEqual(["decode"]);
   });
+
+  // Guards against DRAIN: what a runner said in its answers was forgotten when its entry was written or listed again.
+  test.it(
+    "treats a start that said that it leaves as leaving until another is listed",
+    async () => {
+      const { clock, table, set, list } = createTable();
+      set("r", { bornAt: 7 });
+      const { answer, peer } = runners.LEAVING_PATH;
+      earl.expect(table.recordLeaving({ id: "r", bornAt: 6 }, clock.now(), answer)).toEqual(true);
+      earl.expect(list()).toEqual(["r"]);
+      earl.expect(table.recordLeaving({ id: "r", bornAt: 7 }, clock.now(), answer)).toEqual(true);
+      earl.expect(table.recordLeaving({ id: "r", bornAt: 7 }, clock.now(), peer)).toEqual(false);
+      earl.expect([list(), table.listDraining("plain").length]).toEqual([[], 1]);
+      await clock.advance(DRAIN_LIMIT_MS);
+      set("r", { bornAt: 7 });
+      earl.expect([list(), table.hasDrained("r")]).toEqual([[], true]);
+      table.setRunner("r", undefined);
+      set("r", { bornAt: 7 });
+      earl.expect([list(), table.hasDrained("r")]).toEqual([[], true]);
+      set("r", { bornAt: 8 });
+      earl.expect(list()).toEqual(["r"]);
+    },
+  );
+
+  // Guards against a runner that states no start and is never used again.
+  test.it(
+    "forgets the notice of a runner without a start some time after it was repeated",
+    async () => {
+      const { clock, table, set, list } = createTable();
+      for (const id of ["kept", "removed"]) {
+        set(id, { bornAt: 0 });
+        table.recordLeaving({ id, bornAt: 0 }, clock.now(), runners.LEAVING_PATH.answer);
+      }
+      table.setRunner("removed", undefined);
+      set("removed", { bornAt: 0 });
+      await clock.advance(20_000);
+      table.recordLeaving({ id: "kept", bornAt: 0 }, clock.now(), runners.LEAVING_PATH.answer);
+      await clock.advance(20_000);
+      set("kept", { bornAt: 0 });
+      earl.expect(list()).toEqual(["removed"]);
+      await clock.advance(20_000);
+      set("kept", { bornAt: 0 });
+      earl.expect(list()).toEqual(["kept", "removed"]);
+    },
+  );
 });
