Check right before sending that a runner may still receive requests

What runners saw: a request that was placed before a runner left (or before its entry was removed) and that waited since, for a connection of the pool, a grant or the outcome of another run, was sent however late. Cause: the drain time was checked when a runner was chosen, and for decode sends once more before the send (class: a decision that is older than its use).

All calls, releases, orders and transfers of RunnerCalls now ask the runner table when their connection is established and before the first byte; only queries of the runner's state pass. A refused call counts as not sent, goes on at another runner, and says nothing of the path. Removed and replaced starts are remembered with the time since which they are gone. The question reads the clock after the wait, so a process that stood still sends nothing on what it decided before.

Evidence: with the check taken out, the fifth call of the new test in runner-calls.test.ts, which waits for one of four connections, reaches the runner ('x' in place of not-connected).

--- a/src/caller/health-routes.ts
+++ b/src/caller/health-routes.ts
@@ -13,8 +13,8 @@
       handler: (_request, toolkit) => {
         const ready = kernel.use("configuration").ready;
         const state = kernel.use("membership").self.state;
-        const acceptsRequests = ready && state !== membership.MEMBER_STATE.leaving;
-        return toolkit.response({ ready, state }).code(acceptsRequests ? 200 : 503);
+        const canReceive = ready && state !== membership.MEMBER_STATE.leaving;
+        return toolkit.response({ ready, state }).code(canReceive ? 200 : 503);
       },
     },
     {
--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -159,6 +159,7 @@
     onLimit: (runner, limit, sentAt) => {
       kernel.use("runnerLimits").recordAnswer(runner, limit, sentAt);
     },
+    canReceive: (runner) => kernel.use("runners").canReceive(runner),
     onLeaving: (runner, leaving) => {
       kernel.use("leavingRunners").recordAnswer(runner, leaving);
     },
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -199,6 +199,8 @@
   readonly body: Buffer | undefined;
   /** Whether to open a connection for this message instead of using a pooled one. */
   readonly newConnection?: boolean;
+  /** Whether it only asks for the runner's state, so that it may be sent to a runner at any time. */
+  readonly isQuery?: boolean;
 }
 
 /** Limits when runs may begin. */
--- a/src/runners/call-observer.ts
+++ b/src/runners/call-observer.ts
@@ -41,15 +41,20 @@
     isNew = connection.connecting;
     request.onConnection?.(clientRequest, connection);
   };
+  let refusal: Error | undefined;
+  const findRefusal: httpCall.HttpCall["findRefusal"] = () => {
+    refusal = request.findRefusal?.();
+    return refusal;
+  };
   const endCall = observer.startCall(request.upstream.name);
   let reach: CallReach = CALL_REACH.unknown;
   try {
-    const response = await httpCall.sendCall(clock, { ...request, onConnection });
+    const response = await httpCall.sendCall(clock, { ...request, onConnection, findRefusal });
     reach = isNew === true ? CALL_REACH.connected : CALL_REACH.answered;
     return response;
   } catch (error) {
     // A call that got no connection at all waited for a place in the pool.
-    if (isNew === true && isUnconnected(error) && !request.signal.aborted)
+    if (isNew === true && refusal === undefined && isUnconnected(error) && !request.signal.aborted)
       reach = CALL_REACH.notConnected;
     throw error;
   } finally {
--- a/src/runners/leaving-notices.ts
+++ b/src/runners/leaving-notices.ts
@@ -50,6 +50,7 @@
   }
 }
 
-function formatStart({ id, bornAt }: RunnerStart): string {
+/** Formats a start as a key. */
+export function formatStart({ id, bornAt }: RunnerStart): string {
   return `${id}@${bornAt}`;
 }
--- a/src/runners/runner-calls.ts
+++ b/src/runners/runner-calls.ts
@@ -38,6 +38,8 @@
   readonly countVms: () => number;
   /** Called with the limit that each answer of a runner to a caller's request states. */
   readonly onLimit?: (runner: types.Runner, limit: types.ReportedLimit, sentAt: number) => void;
+  /** Whether requests may be sent to a runner now; asked right before the bytes of each go out. */
+  readonly canReceive?: (runner: types.Runner) => boolean;
   /** Called with what each answer of a runner, also to the router's own messages, says of its leaving. */
   readonly onLeaving?: (runner: types.Runner, leaving: types.ReportedLeaving) => void;
   /** Told what each call shows of the path to its runner. */
@@ -116,7 +118,7 @@
     signal: AbortSignal,
   ): Promise<void> {
     const message = this.#options.codec.formatReport(runner);
-    const request = createMessageCall(runner, message, agent, START_TIMEOUT_MS, signal);
+    const request = this.#createMessageCall(runner, message, agent, START_TIMEOUT_MS, signal);
     const failure = upstream.UPSTREAM_FAILURE.notConnected;
     const answer = await this.#readMessage(runner, request).catch((error: unknown) => {
       throw httpCall.createUpstreamError(failure, request, error);
@@ -146,6 +148,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       signal: call.signal,
       onConnection,
+      findRefusal: () => this.#findRefusal(runner),
     };
     const sentAt = clock.now();
     const answer = await this.#sendChecked(runner, httpRequest, head.id);
@@ -199,7 +202,7 @@
     signal: AbortSignal,
   ): Promise<{ readonly status: number; readonly body: Buffer }> {
     const agent = message.newConnection === true ? false : this.#getAgent(runner);
-    const request = createMessageCall(runner, message, agent, headersTimeoutMs, signal);
+    const request = this.#createMessageCall(runner, message, agent, headersTimeoutMs, signal);
     return this.#readMessage(runner, request);
   }
 
@@ -240,6 +243,32 @@
     return this.#getAgent(runner);
   }
 
+  #findRefusal(runner: types.Runner): Error | undefined {
+    if (this.#options.canReceive?.(runner) !== false) return undefined;
+    return new Error(`the time to send to start ${runner.bornAt} is over, it left or leaves`);
+  }
+
+  #createMessageCall(
+    runner: types.Runner,
+    message: gateway.RunnerMessage,
+    agent: httpCall.HttpCall["agent"],
+    headersTimeoutMs: number,
+    signal: AbortSignal,
+  ): httpCall.HttpCall {
+    return {
+      upstream: createUpstream(runner),
+      method: message.method,
+      path: message.target,
+      headers: message.headers,
+      body: message.body,
+      agent,
+      headersTimeoutMs,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      signal,
+      findRefusal: () => (message.isQuery === true ? undefined : this.#findRefusal(runner)),
+    };
+  }
+
   /** Creates an agent with one connection. */
   #createSingleAgent(): runnerAgent.RunnerAgent {
     return new runnerAgent.RunnerAgent(this.#options.clock, 1);
@@ -271,23 +300,3 @@
 function createUpstream(runner: types.Runner): upstream.Upstream {
   return { name: runner.id, host: runner.host, port: runner.port };
 }
-
-function createMessageCall(
-  runner: types.Runner,
-  message: gateway.RunnerMessage,
-  agent: httpCall.HttpCall["agent"],
-  headersTimeoutMs: number,
-  signal: AbortSignal,
-): httpCall.HttpCall {
-  return {
-    upstream: createUpstream(runner),
-    method: message.method,
-    path: message.target,
-    headers: message.headers,
-    body: message.body,
-    agent,
-    headersTimeoutMs,
-    connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    signal,
-  };
-}
--- a/src/runners/runner-table.ts
+++ b/src/runners/runner-table.ts
@@ -1,4 +1,5 @@
 /** The listed runners with their recent health and load. */
+import * as lru from "lru-cache";
 import type * as clocks from "../kernel/clock.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
@@ -16,6 +17,8 @@
 const DRAIN_MARGIN_MS = 1_000;
 /** Time for a notice to arrive, and for a request to be sent. */
 const SEND_MARGIN_MS = 200;
+/** Limit on the removed starts that are remembered. */
+const MAX_REMOVED = 2_000;
 
 /** Called with a runner that was added or changed, or with `undefined` when it was removed. */
 export type RunnerListener = (id: string, runner: types.Runner | undefined) => void;
@@ -27,6 +30,8 @@
   readonly #drainLimitMs: number;
   readonly #records = new Map<string, runnerRecord.RunnerRecord>();
   readonly #listeners: RunnerListener[] = [];
+  /** Monotonic times since which starts leave that are no longer listed. */
+  readonly #removedSince = new lru.LRUCache<string, number>({ max: MAX_REMOVED });
   readonly #notices = new leavingNotices.LeavingNotices();
   /** Ids of runners whose address is listed for a newer process. */
   #superseded: ReadonlySet<string> = new Set();
@@ -52,7 +57,7 @@
     const runner = listed && this.#applyNotice(listed);
     if (runner === undefined) this.#removeRunner(known);
     else if (known?.runner.bornAt === runner.bornAt) this.#updateRunner(known, runner);
-    else this.#addRunner(runner);
+    else this.#addRunner(runner, known);
     this.#superseded = listSuperseded([...this.#records.values()].map((record) => record.runner));
     for (const listener of this.#listeners) listener(id, runner);
   }
@@ -139,11 +144,22 @@
     return record?.runner.leaving === true && this.#hasLeft(record, SEND_MARGIN_MS);
   }
 
+  /** Whether a start may be sent requests now: it does not leave and is listed, or that has not been so for long. */
+  canReceive(start: leavingNotices.RunnerStart): boolean {
+    const record = this.#records.get(start.id);
+    if (record?.runner.bornAt === start.bornAt) return !this.hasDrained(start.id);
+    const leavingSince = this.#removedSince.get(leavingNotices.formatStart(start));
+    return leavingSince === undefined || !this.#hasLeft({ leavingSince }, SEND_MARGIN_MS);
+  }
+
   #isUsable({ id, leaving }: types.Runner): boolean {
     return !leaving && !this.#superseded.has(id);
   }
 
-  #hasLeft({ leavingSince }: runnerRecord.RunnerRecord, marginMs: number): boolean {
+  #hasLeft(
+    { leavingSince }: Pick<runnerRecord.RunnerRecord, "leavingSince">,
+    marginMs: number,
+  ): boolean {
     const leavesForMs = this.#clock.now() - (leavingSince ?? -Infinity);
     return leavesForMs >= this.#drainLimitMs - marginMs;
   }
@@ -153,7 +169,9 @@
     return isLeaving && !runner.leaving ? { ...runner, leaving: true } : runner;
   }
 
-  #addRunner(runner: types.Runner): void {
+  #addRunner(runner: types.Runner, replaced: runnerRecord.RunnerRecord | undefined): void {
+    if (replaced !== undefined) this.#recordRemoval(replaced);
+    this.#removedSince.delete(leavingNotices.formatStart(runner));
     const since = this.#notices.find(runner, this.#clock.now())?.since;
     const record = new runnerRecord.RunnerRecord(runner, this.#clock, since);
     this.#records.set(runner.id, record);
@@ -175,9 +193,15 @@
     this.#log.write(logEvents.LOG_EVENTS.runnerLeaving, fields);
   }
 
+  #recordRemoval({ runner, leavingSince }: runnerRecord.RunnerRecord): void {
+    const since = runner.leaving ? (leavingSince ?? -Infinity) : this.#clock.now();
+    this.#removedSince.set(leavingNotices.formatStart(runner), since);
+  }
+
   #removeRunner(known: runnerRecord.RunnerRecord | undefined): void {
     if (known === undefined) return;
     this.#records.delete(known.runner.id);
+    this.#recordRemoval(known);
     this.#notices.removeRunner(known.runner);
     const fields = { runner: known.runner.id, service: known.runner.service };
     this.#log.write(logEvents.LOG_EVENTS.runnerGone, fields);
--- a/src/upstream/http-call.ts
+++ b/src/upstream/http-call.ts
@@ -33,6 +33,8 @@
   readonly signal: AbortSignal;
   /** Time limit for the TCP connection; by default `CONNECT_TIMEOUT_MS`. */
   readonly connectTimeoutMs?: number;
+  /** Called when the connection is established, right before the request is sent; a returned error ends the call unsent. */
+  readonly findRefusal?: () => Error | undefined;
   /** Called with the request once it has a connection and before it is sent; may destroy the request. */
   readonly onConnection?: (request: http.ClientRequest, connection: net.Socket) => void;
 }
@@ -66,7 +68,7 @@
  * read or the response destroyed. When `call.signal` aborts, the connection is closed, also while the
  * body is being read.
  *
- * @throws UpstreamError `notConnected` only if no TCP connection was established, else `broken`.
+ * @throws UpstreamError `notConnected` only if no TCP connection was established or the call was refused on it, else `broken`.
  * @example const response = await sendCall(clock, call);
  */
 export async function sendCall(clock: clocks.Clock, call: HttpCall): Promise<http.IncomingMessage> {
@@ -78,11 +80,7 @@
     exactPath: call.path,
   };
   const pending = startRequest(call, options);
-  const connection = watchConnection(
-    clock,
-    pending.req,
-    call.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
-  );
+  const connection = watchConnection(clock, pending.req, call);
   pending.req.once("socket", (socket: net.Socket) => call.onConnection?.(pending.req, socket));
   const fault = watchForFault(pending.req);
   const removeAbortListener = closeOnAbort(pending.req, call.signal);
@@ -131,11 +129,11 @@
   return { ...Object.fromEntries(forwarded), ...traceHeaders };
 }
 
-/** Tracks whether the connection is established, and destroys the request if that takes too long. */
+/** Tracks whether the connection is established, and destroys the request if that takes too long or it is refused then. */
 function watchConnection(
   clock: clocks.Clock,
   request: http.ClientRequest,
-  timeoutMs: number,
+  { connectTimeoutMs: timeoutMs = CONNECT_TIMEOUT_MS, findRefusal }: HttpCall,
 ): ConnectionState {
   const connection: ConnectionState = { connected: false };
   const cancelTimeout = clock.schedule(timeoutMs, () => {
@@ -143,7 +141,9 @@
   });
   const onConnect = (): void => {
     cancelTimeout();
-    connection.connected = true;
+    const refusal = findRefusal?.();
+    if (refusal === undefined) connection.connected = true;
+    else request.destroy(refusal);
   };
   request.once("close", cancelTimeout);
   request.once("socket", (socket: net.Socket) => {
--- a/test/runners/runner-calls.test.ts
+++ b/test/runners/runner-calls.test.ts
@@ -295,4 +295,38 @@
       earl.expect(seen).toEqual(["leaving", "none", "unreadable", "leaving"]);
     },
   );
+
+  // Guards against DRAIN: a request that waited for a connection until the time to send to its runner was over.
+  test.it("sends nothing but queries to a runner once it may receive nothing more", async () => {
+    const firstIds = ["r1", "r2", "r3", "r4"];
+    await using slow = await raw.startRawRunner("s", (socket, _count, head) => {
+      const id = /request-id: (\w+)/.exec(head)?.[1] ?? "";
+      setTimeout(() => socket.write(raw.formatResponse(id, "x")), 50);
+    });
+    let isOver = false;
+    const reaches: string[] = [];
+    const calls = createCalls(undefined, {
+      canReceive: () => !isOver,
+      observer: { startCall: () => (reach) => reaches.push(reach) },
+    });
+    calls.setConnectionLimit(slow.runner, 1);
+    const outcomes = [...firstIds, "r5"].map((id) =>
+      getOutcome(readResponse(calls, slow.runner, id)),
+    );
+    await clocks.sleep(clock, 25);
+    isOver = true;
+    const served = firstIds.map(() => "x");
+    earl.expect(await Promise.all(outcomes)).toEqual([...served, "not-connected"]);
+    // Also over a new connection.
+    calls.closeIdleConnections(slow.runner);
+    earl.expect(await getOutcome(readResponse(calls, slow.runner, "r6"))).toEqual("not-connected");
+    const { signal } = new AbortController();
+    const codec = runnerCodec.RUNNER_CODEC;
+    const release = calls.sendMessage(slow.runner, codec.formatRelease("h"), 500, signal);
+    earl.expect(await getOutcome(release.then(() => "sent"))).toEqual("not-connected");
+    const query = { ...codec.formatReport(slow.runner), newConnection: true };
+    earl.expect((await calls.sendMessage(slow.runner, query, 500, signal)).status).toEqual(404);
+    earl.expect(slow.requests.length).toEqual(firstIds.length);
+    earl.expect(reaches.filter((reach) => reach === "notConnected")).toEqual([]);
+  });
 });
--- a/test/runners/runner-table.test.ts
+++ b/test/runners/runner-table.test.ts
@@ -126,4 +126,29 @@
       earl.expect(list()).toEqual(["kept", "removed"]);
     },
   );
+
+  // Guards against DRAIN: a request that was placed before a runner left and is sent long after.
+  test.it("refuses requests to a start that left for longer than the drain time", async () => {
+    const { clock, table, set } = createTable();
+    const canReceive = (id: string, bornAt = 1) => table.canReceive({ id, bornAt });
+    for (const id of ["leaves", "removed", "replaced", "removed later"]) set(id);
+    set("leaves", { leaving: true });
+    set("removed later", { leaving: true });
+    table.setRunner("removed", undefined);
+    set("replaced", { bornAt: 2 });
+    const listStates = () => [
+      canReceive("leaves"),
+      canReceive("removed"),
+      canReceive("replaced"),
+      canReceive("removed later"),
+    ];
+    await clock.advance(DRAIN_LIMIT_MS / 2);
+    table.setRunner("removed later", undefined);
+    earl.expect(listStates()).toEqual([true, true, true, true]);
+    await clock.advance(DRAIN_LIMIT_MS / 2);
+    earl.expect(listStates()).toEqual([false, false, false, false]);
+    earl.expect([canReceive("replaced", 2), canReceive("never listed")]).toEqual([true, true]);
+    set("removed");
+    earl.expect(canReceive("removed")).toEqual(true);
+  });
 });
