Keep the connections to a runner by its start

A runner that is started again under its id and address may for a while answer as its former process on a kept connection, if that has closed its listener only. Its statements (that it leaves) were then taken for those of the new start, which would not be used until the next one. Cause: connections were pooled by id (class: a name used again for another process). They are pooled by id and bornAt now, so a call to a new start goes over a connection made after it was listed.

Evidence: the new test in runner-calls.test.ts failed before: the answer to the second call came from the former process.

--- a/src/runners/runner-calls.ts
+++ b/src/runners/runner-calls.ts
@@ -65,10 +65,16 @@
   readonly response: http.IncomingMessage;
 }
 
+/** The connections that were made to one start of a runner. */
+interface StartPool {
+  readonly bornAt: number;
+  readonly agent: runnerAgent.RunnerAgent;
+}
+
 /** HTTP client for runners, with one connection pool per runner. */
 export class RunnerCalls {
   readonly #options: RunnerCallsOptions;
-  readonly #agents = new Map<string, runnerAgent.RunnerAgent>();
+  readonly #pools = new Map<string, StartPool>();
   /** Connections that have carried a request. */
   readonly #usedConnections = new WeakSet<net.Socket>();
   /** Ids of the runners to which a caller's request was sent. */
@@ -224,12 +230,12 @@
 
   /** Closes the idle connections to a runner, which may have ended unnoticed while there was no path to it. */
   closeIdleConnections(runner: types.Runner): void {
-    this.#agents.get(runner.id)?.closeIdleConnections();
+    this.#pools.get(runner.id)?.agent.closeIdleConnections();
   }
 
   /** Discards the connection pool of a removed runner. */
   removeRunner(runner: types.Runner): void {
-    this.#agents.delete(runner.id);
+    this.#pools.delete(runner.id);
   }
 
   /**
@@ -274,11 +280,18 @@
     return new runnerAgent.RunnerAgent(this.#options.clock, 1);
   }
 
+  /**
+   * Returns the connections to a start. What answers on a connection to an earlier one may be that process still, which
+   * has only closed its listener.
+   */
   #getAgent(runner: types.Runner): runnerAgent.RunnerAgent {
-    const known = this.#agents.get(runner.id);
-    if (known !== undefined) return known;
+    const { id, bornAt } = runner;
+    const known = this.#pools.get(id);
+    if (known?.bornAt === bornAt) return known.agent;
+    if (known !== undefined && known.bornAt > bornAt) return this.#createSingleAgent();
+    known?.agent.closeIdleConnections();
     const agent = new runnerAgent.RunnerAgent(this.#options.clock, Number.POSITIVE_INFINITY);
-    this.#agents.set(runner.id, agent);
+    this.#pools.set(id, { bornAt, agent });
     return agent;
   }
 }
--- a/test/runners/runner-calls.test.ts
+++ b/test/runners/runner-calls.test.ts
@@ -329,4 +329,26 @@
     earl.expect(slow.requests.length).toEqual(firstIds.length);
     earl.expect(reaches.filter((reach) => reach === "notConnected")).toEqual([]);
   });
+
+  // Guards against a new start that is taken for leaving because its predecessor answers on a connection from before.
+  test.it("sends requests to a new start over new connections only", async () => {
+    const leavingSocket: { current?: unknown } = {};
+    await using restarted = await raw.startRawRunner("r", (socket, count) => {
+      leavingSocket.current ??= socket;
+      const field = socket === leavingSocket.current ? "Server-Leaving: 1" : "X: y";
+      socket.write(raw.formatResponse(`r${count}`, "x", `200 OK\r\n${field}`));
+    });
+    const seen: string[] = [];
+    const calls = createCalls(undefined, {
+      onLeaving: ({ bornAt }, { kind }) => seen.push(`${bornAt} ${kind}`),
+    });
+    const { runner } = restarted;
+    earl.expect(await getOutcome(readResponse(calls, runner, "r1"))).toEqual("x");
+    const started = { ...runner, bornAt: 2 };
+    earl.expect(await getOutcome(readResponse(calls, started, "r2"))).toEqual("x");
+    earl.expect(await getOutcome(readResponse(calls, started, "r3"))).toEqual("x");
+    earl.expect(await getOutcome(readResponse(calls, runner, "r4"))).toEqual("x");
+    earl.expect(seen).toEqual(["1 leaving", "2 none", "2 none", "1 none"]);
+    earl.expect(restarted.connections()).toEqual(3);
+  });
 });
