Tell the other VMs that a runner leaves

Each VM found out by a request of its own that a runner leaves; a VM that started or came back knew nothing of earlier notices. A VM that reads the notice in an answer now calls the others (84, notify-leaving) with the start and the age of the notice, and two VMs tell one that becomes alive of all they know. Builds without the call answer with a failure, which is ignored.

Evidence: with the calls taken out, two tests of leaving-runners.test.ts fail: of three VMs the first alone stops using the runner, and a VM that starts uses it.

--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -151,6 +151,7 @@
 
 function createRunnerCalls(kernel: container.Kernel): runnerCalls.RunnerCalls {
   const { runnerCodec } = kernel.use("adapter");
+  const leaving = kernel.use("leavingRunners");
   return new runnerCalls.RunnerCalls({
     clock: kernel.use("clock"),
     codec: runnerCodec,
@@ -160,8 +161,8 @@
       kernel.use("runnerLimits").recordAnswer(runner, limit, sentAt);
     },
     canReceive: (runner) => kernel.use("runners").canReceive(runner),
-    onLeaving: (runner, leaving) => {
-      kernel.use("leavingRunners").recordAnswer(runner, leaving);
+    onLeaving: (runner, reported) => {
+      leaving.recordAnswer(runner, reported);
     },
     observer: kernel.use("pathEvidence"),
   });
@@ -172,6 +173,8 @@
     clock: kernel.use("clock"),
     log: kernel.use("log"),
     metrics: kernel.use("metrics"),
+    network: kernel.use("network"),
+    membership: kernel.use("membership"),
     runners: kernel.use("runners"),
   });
 }
--- a/src/runners/leaving-notices.ts
+++ b/src/runners/leaving-notices.ts
@@ -14,10 +14,10 @@
 export type RunnerStart = Pick<types.Runner, "id" | "bornAt">;
 
 /** A runner's statement that it leaves. */
-export interface LeavingNotice {
+export interface LeavingNotice extends RunnerStart {
   /** Monotonic time of the first answer that said so. */
   readonly since: number;
-  /** Monotonic time of the last one. */
+  /** Monotonic time of the last one that is known. */
   readonly repeatedAt: number;
 }
 
@@ -26,22 +26,26 @@
   readonly #notices = new lru.LRUCache<string, LeavingNotice>({ max: MAX_STARTS });
 
   /**
-   * Records a notice.
+   * Records a notice that was given at a monotonic time.
    *
-   * @param since - monotonic time at which the start was first known to leave.
    * @returns the notice with the earliest time that is known.
    */
-  record(start: RunnerStart, since: number, now: number): LeavingNotice {
-    const known = this.find(start, now);
-    const notice = { since: Math.min(since, known?.since ?? since), repeatedAt: now };
-    this.#notices.set(formatStart(start), notice);
+  record({ id, bornAt }: RunnerStart, givenAt: number, now: number): LeavingNotice {
+    const known = this.find({ id, bornAt }, now) ?? { since: givenAt, repeatedAt: givenAt };
+    const since = Math.min(givenAt, known.since);
+    const notice = { id, bornAt, since, repeatedAt: Math.max(givenAt, known.repeatedAt) };
+    this.#notices.set(formatStart(notice), notice);
     return notice;
   }
 
   find(start: RunnerStart, now: number): LeavingNotice | undefined {
     const known = this.#notices.get(formatStart(start));
-    if (known === undefined || start.bornAt !== 0) return known;
-    return now - known.repeatedAt < UNKNOWN_START_NOTICE_MS ? known : undefined;
+    return known !== undefined && isInForce(known, now) ? known : undefined;
+  }
+
+  /** Returns the notices in force that were used last. */
+  list(maxCount: number, now: number): readonly LeavingNotice[] {
+    return [...this.#notices.values()].filter((one) => isInForce(one, now)).slice(0, maxCount);
   }
 
   /** Forgets the notice of a removed runner that states no start: what is listed next may be another process. */
@@ -54,3 +58,7 @@
 export function formatStart({ id, bornAt }: RunnerStart): string {
   return `${id}@${bornAt}`;
 }
+
+function isInForce({ bornAt, repeatedAt }: LeavingNotice, now: number): boolean {
+  return bornAt !== 0 || now - repeatedAt < UNKNOWN_START_NOTICE_MS;
+}
--- a/src/runners/runner-table.ts
+++ b/src/runners/runner-table.ts
@@ -65,17 +65,17 @@
   /**
    * Records that a start of a runner said that it leaves. What its registry entry says changes nothing of that.
    *
-   * @param since - monotonic time at which it was first known to leave.
+   * @param givenAt - monotonic time at which it said so.
    * @returns whether this is new.
    */
   recordLeaving(
     start: leavingNotices.RunnerStart,
-    since: number,
+    givenAt: number,
     path: types.LeavingPath,
   ): boolean {
     const now = this.#clock.now();
     const isNew = this.#notices.find(start, now) === undefined;
-    const notice = this.#notices.record(start, since, now);
+    const notice = this.#notices.record(start, givenAt, now);
     const known = this.#records.get(start.id);
     if (known?.runner.bornAt === start.bornAt && !known.runner.leaving) {
       known.setRunner({ ...known.runner, leaving: true }, notice.since);
@@ -85,6 +85,11 @@
     return isNew;
   }
 
+  /** Returns the last notices of `recordLeaving`. */
+  listLeavingNotices(maxCount: number): readonly leavingNotices.LeavingNotice[] {
+    return this.#notices.list(maxCount, this.#clock.now());
+  }
+
   /** Applies the stage that a runner reports, unless its registry entry was updated recently. */
   recordReportedStage(id: string, stage: types.Stage): void {
     const known = this.#records.get(id);
