Count the drain time from when an entry changed

Class: the age of knowledge taken for zero. Changes that a watch or a push brings count from their arrival.

Evidence: with the age taken as 0, the test of leaving-runners.test.ts that lets a gateway miss a change lists the runner as one that takes streams.

--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -15,7 +15,7 @@
 import * as registryReader from "./registry-reader.js";
 import * as registryView from "./registry-view.js";
 import * as restorePolicies from "./restore-policies.js";
-import type * as types from "./types.js";
+import * as types from "./types.js";
 import * as watchVerifier from "./watch-verifier.js";
 
 const CONFIGURATION_CALL = 30;
@@ -25,6 +25,16 @@
 /** Registries that a reader watches: the configuration and the runners. */
 const REGISTRY_COUNT = 2;
 const EXPIRY_CHECK_PERIOD_MS = 250;
+/** Paths on which a snapshot shows what has changed, not the change. */
+const SNAPSHOT_PATHS: ReadonlySet<types.ChangePath> = new Set([
+  types.CHANGE_PATH.read,
+  types.CHANGE_PATH.pull,
+]);
+/**
+ * Age that a change is taken to have which a snapshot shows: a VM that missed the change itself compares revisions this often.
+ * After an outage it may be older.
+ */
+const SNAPSHOT_AGE_MS = 1_000;
 /** Interval at which a starting VM pulls from peers while it has no data from the platform. */
 const PEER_PULL_PERIOD_MS = 300;
 
@@ -225,7 +235,8 @@
       routing.apply(value, { revision, epoch: view.epoch, path: view.changePath, answeredMs });
     });
     this.#runnersView.onChange((key, value) => {
-      table.setRunner(value?.id ?? parseRunnerId(key), value);
+      const ageMs = SNAPSHOT_PATHS.has(this.#runnersView.changePath) ? SNAPSHOT_AGE_MS : 0;
+      table.setRunner(value?.id ?? parseRunnerId(key), value, ageMs);
     });
   }
 
--- a/src/runners/runner-table.ts
+++ b/src/runners/runner-table.ts
@@ -51,13 +51,18 @@
     this.#listeners.push(listener);
   }
 
-  /** Applies a runner's registry entry; `undefined` removes the runner. */
-  setRunner(id: string, listed: types.Runner | undefined): void {
+  /**
+   * Applies a runner's registry entry; `undefined` removes the runner.
+   *
+   * @param ageMs - time that the change took to arrive.
+   */
+  setRunner(id: string, listed: types.Runner | undefined, ageMs = 0): void {
+    const changedAt = this.#clock.now() - ageMs;
     const known = this.#records.get(id);
     const runner = listed && this.#applyNotice(listed);
-    if (runner === undefined) this.#removeRunner(known);
-    else if (known?.runner.bornAt === runner.bornAt) this.#updateRunner(known, runner);
-    else this.#addRunner(runner, known);
+    if (runner === undefined) this.#removeRunner(known, changedAt);
+    else if (known?.runner.bornAt === runner.bornAt) this.#updateRunner(known, runner, changedAt);
+    else this.#addRunner(runner, known, changedAt);
     this.#superseded = listSuperseded([...this.#records.values()].map((record) => record.runner));
     for (const listener of this.#listeners) listener(id, runner);
   }
@@ -174,8 +179,12 @@
     return isLeaving && !runner.leaving ? { ...runner, leaving: true } : runner;
   }
 
-  #addRunner(runner: types.Runner, replaced: runnerRecord.RunnerRecord | undefined): void {
-    if (replaced !== undefined) this.#recordRemoval(replaced);
+  #addRunner(
+    runner: types.Runner,
+    replaced: runnerRecord.RunnerRecord | undefined,
+    changedAt: number,
+  ): void {
+    if (replaced !== undefined) this.#recordRemoval(replaced, changedAt);
     this.#removedSince.delete(leavingNotices.formatStart(runner));
     const since = this.#notices.find(runner, this.#clock.now())?.since;
     const record = new runnerRecord.RunnerRecord(runner, this.#clock, since);
@@ -185,9 +194,9 @@
     this.#log.write(logEvents.LOG_EVENTS.runnerArrived, fields);
   }
 
-  #updateRunner(known: runnerRecord.RunnerRecord, runner: types.Runner): void {
+  #updateRunner(known: runnerRecord.RunnerRecord, runner: types.Runner, changedAt: number): void {
     const isNew = runner.leaving && !known.runner.leaving;
-    known.setRunner(runner);
+    known.setRunner(runner, changedAt);
     if (isNew) this.#recordLeaving(known, types.LEAVING_PATH.registry);
   }
 
@@ -198,15 +207,15 @@
     this.#log.write(logEvents.LOG_EVENTS.runnerLeaving, fields);
   }
 
-  #recordRemoval({ runner, leavingSince }: runnerRecord.RunnerRecord): void {
-    const since = runner.leaving ? (leavingSince ?? -Infinity) : this.#clock.now();
+  #recordRemoval({ runner, leavingSince }: runnerRecord.RunnerRecord, removedAt: number): void {
+    const since = runner.leaving ? (leavingSince ?? -Infinity) : removedAt;
     this.#removedSince.set(leavingNotices.formatStart(runner), since);
   }
 
-  #removeRunner(known: runnerRecord.RunnerRecord | undefined): void {
+  #removeRunner(known: runnerRecord.RunnerRecord | undefined, removedAt: number): void {
     if (known === undefined) return;
     this.#records.delete(known.runner.id);
-    this.#recordRemoval(known);
+    this.#recordRemoval(known, removedAt);
     this.#notices.removeRunner(known.runner);
     const fields = { runner: known.runner.id, service: known.runner.service };
     this.#log.write(logEvents.LOG_EVENTS.runnerGone, fields);
--- a/test/gateway/gateway-fixture.ts
+++ b/test/gateway/gateway-fixture.ts
@@ -60,8 +60,8 @@
     this.#findPath = findPath;
   }
 
-  override setRunner(id: string, runner: runners.Runner | undefined): void {
-    super.setRunner(id, runner && { ...runner, ...this.#findPath(runner) });
+  override setRunner(id: string, runner: runners.Runner | undefined, ageMs?: number): void {
+    super.setRunner(id, runner && { ...runner, ...this.#findPath(runner) }, ageMs);
   }
 }
 
--- a/test/gateway/leaving-runners.test.ts
+++ b/test/gateway/leaving-runners.test.ts
@@ -1,6 +1,9 @@
 import * as test from "node:test";
 import * as earl from "earl";
+import * as clocks from "../../src/kernel/clock.js";
+import * as store from "../../standins/users-platform/store.js";
 import * as crashing from "../../standins/users-platform/crashing-runner.js";
+import * as examples from "../../standins/users-platform/examples.js";
 import * as gateways from "./gateway-fixture.js";
 import * as fixture from "./leaving-runners-fixture.js";
 
@@ -47,3 +50,34 @@
     });
   }
 });
+
+// Guards against DRAIN: the drain time counted from when a VM learned, which had missed the change itself.
+test.describe("a runner whose entry says that it leaves", () => {
+  test.it("gets no new request from a VM that learned of it from a snapshot", async () => {
+    await using platform = new store.StoreStandIn();
+    await platform.start();
+    platform.set("op/config", examples.createConfiguration(7));
+    const write = (id: string, state: string): void => {
+      platform.set(`servers/${id}`, examples.createRunnerEntry("127.0.0.1:1", { state }));
+    };
+    for (const id of ["watched", "missed"]) write(id, "ready");
+    await using gateway = await gateways.startGateway(platform, 166, 1);
+    await gateways.waitForReady(gateway.ip);
+    const runners = gateway.running.kernel.use("runners");
+    const isLeaving = (id: string) => () => runners.find(id)?.runner.leaving === true;
+    const listDraining = () => runners.listDraining("plain").map(({ runner }) => runner.id);
+    write("watched", "draining");
+    await gateways.waitFor("the first leaves", isLeaving("watched"));
+    earl.expect(listDraining()).toEqual(["watched"]);
+    platform.mode = store.STORE_MODE.busy;
+    // Ends the poll that waits for a change.
+    write("other", "ready");
+    await gateways.waitFor("it arrived", () => runners.find("other") !== undefined);
+    await clocks.sleep(gateways.clock, 50);
+    write("missed", "draining");
+    platform.compact();
+    platform.mode = store.STORE_MODE.sound;
+    await gateways.waitFor("the second leaves", isLeaving("missed"));
+    earl.expect(listDraining().includes("missed")).toEqual(false);
+  });
+});
--- a/test/runners/runner-table.test.ts
+++ b/test/runners/runner-table.test.ts
@@ -151,4 +151,21 @@
     set("removed");
     earl.expect(canReceive("removed")).toEqual(true);
   });
+
+  // Guards against DRAIN: a VM that learned late counted the drain time from then.
+  test.it(
+    "counts the drain time from when the entry changed, not from when it learned",
+    async () => {
+      const { clock, table, set } = createTable();
+      const ids = ["leaves", "removed"];
+      for (const id of ids) set(id);
+      const leaving = { ...raw.createRunner("leaves", PORT), leaving: true };
+      table.setRunner("leaves", leaving, DRAIN_LIMIT_MS / 2);
+      table.setRunner("removed", undefined, DRAIN_LIMIT_MS / 2);
+      const listReceiving = () => ids.filter((id) => table.canReceive({ id, bornAt: 1 }));
+      earl.expect([table.listDraining("plain").length, listReceiving()]).toEqual([0, ids]);
+      await clock.advance(DRAIN_LIMIT_MS / 2);
+      earl.expect(listReceiving()).toEqual([]);
+    },
+  );
 });
