--- a/src/runners/runner-calls.ts
+++ b/src/runners/runner-calls.ts
@@ -38,6 +38,10 @@
   readonly countVms: () => number;
   /** Called with the limit that each answer of a runner to a caller's request states. */
   readonly onLimit?: (runner: types.Runner, limit: types.ReportedLimit, sentAt: number) => void;
+  /** Whether requests may be sent to a runner now; asked right before the bytes of each go out. */
+  readonly canReceive?: (runner: types.Runner) => boolean;
+  /** Called with what each answer of a runner, also to the router's own messages, says of its leaving. */
+  readonly onLeaving?: (runner: types.Runner, leaving: types.ReportedLeaving) => void;
   /** Told what each call shows of the path to its runner. */
   readonly observer?: callObserver.CallObserver;
 }
@@ -61,10 +65,16 @@
   readonly response: http.IncomingMessage;
 }
 
+/** The connections that were made to one start of a runner. */
+interface StartPool {
+  readonly bornAt: number;
+  readonly agent: runnerAgent.RunnerAgent;
+}
+
 /** HTTP client for runners, with one connection pool per runner. */
 export class RunnerCalls {
   readonly #options: RunnerCallsOptions;
-  readonly #agents = new Map<string, runnerAgent.RunnerAgent>();
+  readonly #pools = new Map<string, StartPool>();
   /** Connections that have carried a request. */
   readonly #usedConnections = new WeakSet<net.Socket>();
   /** Ids of the runners to which a caller's request was sent. */
@@ -114,9 +124,9 @@
     signal: AbortSignal,
   ): Promise<void> {
     const message = this.#options.codec.formatReport(runner);
-    const request = createMessageCall(runner, message, agent, START_TIMEOUT_MS, signal);
+    const request = this.#createMessageCall(runner, message, agent, START_TIMEOUT_MS, signal);
     const failure = upstream.UPSTREAM_FAILURE.notConnected;
-    const answer = await this.#readMessage(request).catch((error: unknown) => {
+    const answer = await this.#readMessage(runner, request).catch((error: unknown) => {
       throw httpCall.createUpstreamError(failure, request, error);
     });
     const { isOtherRunner, bornAt } = this.#options.codec.parseProbe(answer.status, answer.body);
@@ -144,9 +154,10 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       signal: call.signal,
       onConnection,
+      findRefusal: () => this.#findRefusal(runner),
     };
     const sentAt = clock.now();
-    const answer = await this.#sendChecked(httpRequest, head.id);
+    const answer = await this.#sendChecked(runner, httpRequest, head.id);
     // Another process answers with 421.
     if (!answer.head.misdirected) this.#options.onLimit?.(runner, answer.head.limit, sentAt);
     return answer;
@@ -159,6 +170,7 @@
    * @throws UpstreamError `broken` also when the response may be to an earlier request on the same connection.
    */
   async #sendChecked(
+    runner: types.Runner,
     request: httpCall.HttpCall,
     callId: string | undefined,
   ): Promise<RunnerResponse> {
@@ -173,7 +185,10 @@
     const response = await callObserver.sendObserved(clock, observer, observed);
     const head = codec.parseResponse(response);
     const reason = findMismatch(callId, head.callId, isFirst);
-    if (reason === undefined) return { head, response };
+    if (reason === undefined) {
+      if (!head.misdirected) this.#options.onLeaving?.(runner, head.leaving);
+      return { head, response };
+    }
     response.destroy();
     if (request.agent instanceof runnerAgent.RunnerAgent) request.agent.refuseReuse();
     const failure = upstream.UPSTREAM_FAILURE.broken;
@@ -193,14 +208,16 @@
     signal: AbortSignal,
   ): Promise<{ readonly status: number; readonly body: Buffer }> {
     const agent = message.newConnection === true ? false : this.#getAgent(runner);
-    return this.#readMessage(createMessageCall(runner, message, agent, headersTimeoutMs, signal));
+    const request = this.#createMessageCall(runner, message, agent, headersTimeoutMs, signal);
+    return this.#readMessage(runner, request);
   }
 
   async #readMessage(
+    runner: types.Runner,
     request: httpCall.HttpCall,
   ): Promise<{ readonly status: number; readonly body: Buffer }> {
     const { clock } = this.#options;
-    const { response } = await this.#sendChecked(request, undefined);
+    const { response } = await this.#sendChecked(runner, request, undefined);
     const body = await responseReader.readBody(clock, response, SMALL_BODY_LIMITS);
     return { status: response.statusCode ?? 0, body };
   }
@@ -213,12 +230,12 @@
 
   /** Closes the idle connections to a runner, which may have ended unnoticed while there was no path to it. */
   closeIdleConnections(runner: types.Runner): void {
-    this.#agents.get(runner.id)?.closeIdleConnections();
+    this.#pools.get(runner.id)?.agent.closeIdleConnections();
   }
 
   /** Discards the connection pool of a removed runner. */
   removeRunner(runner: types.Runner): void {
-    this.#agents.delete(runner.id);
+    this.#pools.delete(runner.id);
   }
 
   /**
@@ -232,16 +249,49 @@
     return this.#getAgent(runner);
   }
 
+  #findRefusal(runner: types.Runner): Error | undefined {
+    if (this.#options.canReceive?.(runner) !== false) return undefined;
+    return new Error(`the time to send to start ${runner.bornAt} is over, it left or leaves`);
+  }
+
+  #createMessageCall(
+    runner: types.Runner,
+    message: gateway.RunnerMessage,
+    agent: httpCall.HttpCall["agent"],
+    headersTimeoutMs: number,
+    signal: AbortSignal,
+  ): httpCall.HttpCall {
+    return {
+      upstream: createUpstream(runner),
+      method: message.method,
+      path: message.target,
+      headers: message.headers,
+      body: message.body,
+      agent,
+      headersTimeoutMs,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      signal,
+      findRefusal: () => (message.isQuery === true ? undefined : this.#findRefusal(runner)),
+    };
+  }
+
   /** Creates an agent with one connection. */
   #createSingleAgent(): runnerAgent.RunnerAgent {
     return new runnerAgent.RunnerAgent(this.#options.clock, 1);
   }
 
+  /**
+   * Returns the connections to a start. What answers on a connection to an earlier one may be that process still, which
+   * has only closed its listener.
+   */
   #getAgent(runner: types.Runner): runnerAgent.RunnerAgent {
-    const known = this.#agents.get(runner.id);
-    if (known !== undefined) return known;
+    const { id, bornAt } = runner;
+    const known = this.#pools.get(id);
+    if (known?.bornAt === bornAt) return known.agent;
+    if (known !== undefined && known.bornAt > bornAt) return this.#createSingleAgent();
+    known?.agent.closeIdleConnections();
     const agent = new runnerAgent.RunnerAgent(this.#options.clock, Number.POSITIVE_INFINITY);
-    this.#agents.set(runner.id, agent);
+    this.#pools.set(id, { bornAt, agent });
     return agent;
   }
 }
@@ -263,23 +313,3 @@
 function createUpstream(runner: types.Runner): upstream.Upstream {
   return { name: runner.id, host: runner.host, port: runner.port };
 }
-
-function createMessageCall(
-  runner: types.Runner,
-  message: gateway.RunnerMessage,
-  agent: httpCall.HttpCall["agent"],
-  headersTimeoutMs: number,
-  signal: AbortSignal,
-): httpCall.HttpCall {
-  return {
-    upstream: createUpstream(runner),
-    method: message.method,
-    path: message.target,
-    headers: message.headers,
-    body: message.body,
-    agent,
-    headersTimeoutMs,
-    connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    signal,
-  };
-}
--- a/src/runners/runner-table.ts
+++ b/src/runners/runner-table.ts
@@ -1,9 +1,11 @@
 /** The listed runners with their recent health and load. */
+import * as lru from "lru-cache";
 import type * as clocks from "../kernel/clock.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
+import * as leavingNotices from "./leaving-notices.js";
 import * as runnerRecord from "./runner-record.js";
-import type * as types from "./types.js";
+import * as types from "./types.js";
 
 /**
  * Age below which a registry entry takes precedence over the stage that the runner reports, as
@@ -15,6 +17,8 @@
 const DRAIN_MARGIN_MS = 1_000;
 /** Time for a notice to arrive, and for a request to be sent. */
 const SEND_MARGIN_MS = 200;
+/** Limit on the removed starts that are remembered. */
+const MAX_REMOVED = 2_000;
 
 /** Called with a runner that was added or changed, or with `undefined` when it was removed. */
 export type RunnerListener = (id: string, runner: types.Runner | undefined) => void;
@@ -26,6 +30,9 @@
   readonly #drainLimitMs: number;
   readonly #records = new Map<string, runnerRecord.RunnerRecord>();
   readonly #listeners: RunnerListener[] = [];
+  /** Monotonic times since which starts leave that are no longer listed. */
+  readonly #removedSince = new lru.LRUCache<string, number>({ max: MAX_REMOVED });
+  readonly #notices = new leavingNotices.LeavingNotices();
   /** Ids of runners whose address is listed for a newer process. */
   #superseded: ReadonlySet<string> = new Set();
 
@@ -44,16 +51,50 @@
     this.#listeners.push(listener);
   }
 
-  /** Applies a runner's registry entry; `undefined` removes the runner. */
-  setRunner(id: string, runner: types.Runner | undefined): void {
+  /**
+   * Applies a runner's registry entry; `undefined` removes the runner.
+   *
+   * @param ageMs - time that the change took to arrive.
+   */
+  setRunner(id: string, listed: types.Runner | undefined, ageMs = 0): void {
+    const changedAt = this.#clock.now() - ageMs;
     const known = this.#records.get(id);
-    if (runner === undefined) this.#removeRunner(known);
-    else if (known?.runner.bornAt === runner.bornAt) this.#updateRunner(known, runner);
-    else this.#addRunner(runner);
+    const runner = listed && this.#applyNotice(listed);
+    if (runner === undefined) this.#removeRunner(known, changedAt);
+    else if (known?.runner.bornAt === runner.bornAt) this.#updateRunner(known, runner, changedAt);
+    else this.#addRunner(runner, known, changedAt);
     this.#superseded = listSuperseded([...this.#records.values()].map((record) => record.runner));
     for (const listener of this.#listeners) listener(id, runner);
   }
 
+  /**
+   * Records that a start of a runner said that it leaves. What its registry entry says changes nothing of that.
+   *
+   * @param givenAt - monotonic time at which it said so.
+   * @returns whether this is new.
+   */
+  recordLeaving(
+    start: leavingNotices.RunnerStart,
+    givenAt: number,
+    path: types.LeavingPath,
+  ): boolean {
+    const now = this.#clock.now();
+    const isNew = this.#notices.find(start, now) === undefined;
+    const notice = this.#notices.record(start, givenAt, now);
+    const known = this.#records.get(start.id);
+    if (known?.runner.bornAt === start.bornAt && !known.runner.leaving) {
+      known.setRunner({ ...known.runner, leaving: true }, notice.since);
+      this.#recordLeaving(known, path);
+      for (const listener of this.#listeners) listener(start.id, known.runner);
+    }
+    return isNew;
+  }
+
+  /** Returns the last notices of `recordLeaving`. */
+  listLeavingNotices(maxCount: number): readonly leavingNotices.LeavingNotice[] {
+    return this.#notices.list(maxCount, this.#clock.now());
+  }
+
   /** Applies the stage that a runner reports, unless its registry entry was updated recently. */
   recordReportedStage(id: string, stage: types.Stage): void {
     const known = this.#records.get(id);
@@ -113,33 +154,69 @@
     return record?.runner.leaving === true && this.#hasLeft(record, SEND_MARGIN_MS);
   }
 
+  /** Whether a start may be sent requests now: it does not leave and is listed, or that has not been so for long. */
+  canReceive(start: leavingNotices.RunnerStart): boolean {
+    const record = this.#records.get(start.id);
+    if (record?.runner.bornAt === start.bornAt) return !this.hasDrained(start.id);
+    const leavingSince = this.#removedSince.get(leavingNotices.formatStart(start));
+    return leavingSince === undefined || !this.#hasLeft({ leavingSince }, SEND_MARGIN_MS);
+  }
+
   #isUsable({ id, leaving }: types.Runner): boolean {
     return !leaving && !this.#superseded.has(id);
   }
 
-  #hasLeft({ leavingSince }: runnerRecord.RunnerRecord, marginMs: number): boolean {
+  #hasLeft(
+    { leavingSince }: Pick<runnerRecord.RunnerRecord, "leavingSince">,
+    marginMs: number,
+  ): boolean {
     const leavesForMs = this.#clock.now() - (leavingSince ?? -Infinity);
     return leavesForMs >= this.#drainLimitMs - marginMs;
   }
 
-  #addRunner(runner: types.Runner): void {
-    this.#records.set(runner.id, new runnerRecord.RunnerRecord(runner, this.#clock));
+  #applyNotice(runner: types.Runner): types.Runner {
+    const isLeaving = this.#notices.find(runner, this.#clock.now()) !== undefined;
+    return isLeaving && !runner.leaving ? { ...runner, leaving: true } : runner;
+  }
+
+  #addRunner(
+    runner: types.Runner,
+    replaced: runnerRecord.RunnerRecord | undefined,
+    changedAt: number,
+  ): void {
+    if (replaced !== undefined) this.#recordRemoval(replaced, changedAt);
+    this.#removedSince.delete(leavingNotices.formatStart(runner));
+    const since = this.#notices.find(runner, this.#clock.now())?.since;
+    const record = new runnerRecord.RunnerRecord(runner, this.#clock, since);
+    this.#records.set(runner.id, record);
     const { id, service, stage, leaving, bornAt, softwareVersion } = runner;
     const fields = { runner: id, service, stage, leaving, bornAt, softwareVersion };
     this.#log.write(logEvents.LOG_EVENTS.runnerArrived, fields);
   }
 
-  #updateRunner(known: runnerRecord.RunnerRecord, runner: types.Runner): void {
-    if (runner.leaving && !known.runner.leaving) {
-      const fields = { runner: runner.id, service: runner.service };
-      this.#log.write(logEvents.LOG_EVENTS.runnerLeaving, fields);
-    }
-    known.setRunner(runner);
+  #updateRunner(known: runnerRecord.RunnerRecord, runner: types.Runner, changedAt: number): void {
+    const isNew = runner.leaving && !known.runner.leaving;
+    known.setRunner(runner, changedAt);
+    if (isNew) this.#recordLeaving(known, types.LEAVING_PATH.registry);
+  }
+
+  #recordLeaving({ runner, leavingSince }: runnerRecord.RunnerRecord, path: string): void {
+    const { id, service, bornAt } = runner;
+    const ageMs = this.#clock.now() - (leavingSince ?? -Infinity);
+    const fields = { runner: id, service, bornAt, path, ageMs };
+    this.#log.write(logEvents.LOG_EVENTS.runnerLeaving, fields);
+  }
+
+  #recordRemoval({ runner, leavingSince }: runnerRecord.RunnerRecord, removedAt: number): void {
+    const since = runner.leaving ? (leavingSince ?? -Infinity) : removedAt;
+    this.#removedSince.set(leavingNotices.formatStart(runner), since);
   }
 
-  #removeRunner(known: runnerRecord.RunnerRecord | undefined): void {
+  #removeRunner(known: runnerRecord.RunnerRecord | undefined, removedAt: number): void {
     if (known === undefined) return;
     this.#records.delete(known.runner.id);
+    this.#recordRemoval(known, removedAt);
+    this.#notices.removeRunner(known.runner);
     const fields = { runner: known.runner.id, service: known.runner.service };
     this.#log.write(logEvents.LOG_EVENTS.runnerGone, fields);
   }
--- a/test/runners/runner-calls.test.ts
+++ b/test/runners/runner-calls.test.ts
@@ -15,6 +15,7 @@
 
 function createCalls(
   onLimit: runnerCalls.RunnerCallsOptions["onLimit"] = () => undefined,
+  changes: Partial<runnerCalls.RunnerCallsOptions> = {},
 ): runnerCalls.RunnerCalls {
   return new runnerCalls.RunnerCalls({
     clock,
@@ -22,6 +23,7 @@
     tracer: spans.createNoopTracer(),
     countVms: () => 1,
     onLimit,
+    ...changes,
   });
 }
 
@@ -261,4 +263,92 @@
     const closed = await send(1, "Connection: close\r\n");
     earl.expect(closed.slice(0, 2)).toEqual(["not-connected", []]);
   });
+
+  // Guards against DRAIN: the notice in answers other than those to callers' requests, or by another process.
+  test.it(
+    "passes on what every answer says of leaving, but not those of another process",
+    async () => {
+      const fields = ["Server-Leaving: 1", "X: y", "server-leaving: yes", "Server-Leaving: 1"];
+      const statuses = ["200 OK", "200 OK", "503 Busy", "421 Misdirected Request"];
+      await using leaving = await raw.startRawRunner(
+        "l",
+        (socket, count) => {
+          const start = `${statuses[count - 1] ?? ""}\r\n${fields[count - 1] ?? ""}`;
+          socket.write(raw.formatResponse(`r${count}`, "x", start));
+        },
+        (socket) => {
+          socket.write("HTTP/1.1 404 Not Found\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n");
+        },
+      );
+      const seen: string[] = [];
+      const calls = createCalls(undefined, {
+        onLeaving: (_runner, { kind }) => seen.push(kind),
+      });
+      for (const id of ["r1", "r2", "r3", "r4"])
+        await getOutcome(readResponse(calls, leaving.runner, id));
+      const { signal } = new AbortController();
+      const message = {
+        ...runnerCodec.RUNNER_CODEC.formatReport(leaving.runner),
+        newConnection: true,
+      };
+      await calls.sendMessage(leaving.runner, message, 500, signal);
+      earl.expect(seen).toEqual(["leaving", "none", "unreadable", "leaving"]);
+    },
+  );
+
+  // Guards against DRAIN: a request that waited for a connection until the time to send to its runner was over.
+  test.it("sends nothing but queries to a runner once it may receive nothing more", async () => {
+    const firstIds = ["r1", "r2", "r3", "r4"];
+    await using slow = await raw.startRawRunner("s", (socket, _count, head) => {
+      const id = /request-id: (\w+)/.exec(head)?.[1] ?? "";
+      setTimeout(() => socket.write(raw.formatResponse(id, "x")), 50);
+    });
+    let isOver = false;
+    const reaches: string[] = [];
+    const calls = createCalls(undefined, {
+      canReceive: () => !isOver,
+      observer: { startCall: () => (reach) => reaches.push(reach) },
+    });
+    calls.setConnectionLimit(slow.runner, 1);
+    const outcomes = [...firstIds, "r5"].map((id) =>
+      getOutcome(readResponse(calls, slow.runner, id)),
+    );
+    await clocks.sleep(clock, 25);
+    isOver = true;
+    const served = firstIds.map(() => "x");
+    earl.expect(await Promise.all(outcomes)).toEqual([...served, "not-connected"]);
+    // Also over a new connection.
+    calls.closeIdleConnections(slow.runner);
+    earl.expect(await getOutcome(readResponse(calls, slow.runner, "r6"))).toEqual("not-connected");
+    const { signal } = new AbortController();
+    const codec = runnerCodec.RUNNER_CODEC;
+    const release = calls.sendMessage(slow.runner, codec.formatRelease("h"), 500, signal);
+    earl.expect(await getOutcome(release.then(() => "sent"))).toEqual("not-connected");
+    const query = { ...codec.formatReport(slow.runner), newConnection: true };
+    earl.expect((await calls.sendMessage(slow.runner, query, 500, signal)).status).toEqual(404);
+    earl.expect(slow.requests.length).toEqual(firstIds.length);
+    earl.expect(reaches.filter((reach) => reach === "notConnected")).toEqual([]);
+  });
+
+  // Guards against a new start that is taken for leaving because its predecessor answers on a connection from before.
+  test.it("sends requests to a new start over new connections only", async () => {
+    const leavingSocket: { current?: unknown } = {};
+    await using restarted = await raw.startRawRunner("r", (socket, count) => {
+      leavingSocket.current ??= socket;
+      const field = socket === leavingSocket.current ? "Server-Leaving: 1" : "X: y";
+      socket.write(raw.formatResponse(`r${count}`, "x", `200 OK\r\n${field}`));
+    });
+    const seen: string[] = [];
+    const calls = createCalls(undefined, {
+      onLeaving: ({ bornAt }, { kind }) => seen.push(`${bornAt} ${kind}`),
+    });
+    const { runner } = restarted;
+    earl.expect(await getOutcome(readResponse(calls, runner, "r1"))).toEqual("x");
+    const started = { ...runner, bornAt: 2 };
+    earl.expect(await getOutcome(readResponse(calls, started, "r2"))).toEqual("x");
+    earl.expect(await getOutcome(readResponse(calls, started, "r3"))).toEqual("x");
+    earl.expect(await getOutcome(readResponse(calls, runner, "r4"))).toEqual("x");
+    earl.expect(seen).toEqual(["1 leaving", "2 none", "2 none", "1 none"]);
+    earl.expect(restarted.connections()).toEqual(3);
+  });
 });
