Leave runners alone for as long as they ask

Runners that turned a request away with 503 and Retry-After got the next requests of the same VM at once, and callers were told to come back after a fixed time. Nobody read the header in runners' answers, and a pool did not even avoid the runner.

The pause of a start is kept per VM and looked at where a runner is chosen and again directly before the send. Pool requests name the runners that pause for their VM as excluded, as the scheduler places for all VMs. While all runners pause, calls are refused at once with the shortest time left.

--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -23,6 +23,7 @@
 import * as traitRecords from "../request/trait-records.js";
 import * as runnerCalls from "../runners/runner-calls.js";
 import * as runnerLimits from "../runners/runner-limits.js";
+import * as runnerPauses from "../runners/runner-pauses.js";
 import * as runnerTable from "../runners/runner-table.js";
 import * as connectionStarts from "../runners/connection-starts.js";
 import * as versionHistory from "../runners/version-history.js";
@@ -87,6 +88,7 @@
   );
   kernel.register("registrySync", registrySync.createRegistrySync);
   kernel.register("runnerLimits", createRunnerLimits);
+  kernel.register("runnerPauses", createRunnerPauses);
   kernel.register("runnerCalls", createRunnerCalls);
   kernel.register("retryBudgets", createRetryBudgets);
   kernel.register("placement", createPlacement);
@@ -157,10 +159,21 @@
     onLimit: (runner, limit, sentAt) => {
       kernel.use("runnerLimits").recordAnswer(runner, limit, sentAt);
     },
+    onPause: (runner, pause, request) => {
+      kernel.use("runnerPauses").recordAnswer(runner, pause, request);
+    },
     observer: kernel.use("pathEvidence"),
   });
 }
 
+function createRunnerPauses(kernel: container.Kernel): runnerPauses.RunnerPauses {
+  return new runnerPauses.RunnerPauses({
+    clock: kernel.use("clock"),
+    log: kernel.use("log"),
+    metrics: kernel.use("metrics"),
+  });
+}
+
 function createRunnerLimits(kernel: container.Kernel): runnerLimits.RunnerLimits {
   return new runnerLimits.RunnerLimits({
     clock: kernel.use("clock"),
@@ -249,6 +262,7 @@
     runners: kernel.use("runners"),
     calls: kernel.use("runnerCalls"),
     codec: kernel.use("adapter").runnerCodec,
+    pauses: kernel.use("runnerPauses"),
     listSchedulers: () => listSchedulers(kernel),
     onReport: (runner, report) => {
       kernel.use("reportedRuns").record(runner, report);
@@ -283,6 +297,7 @@
     runners: kernel.use("runners"),
     calls: kernel.use("runnerCalls"),
     codec: runnerCodec,
+    pauses: kernel.use("runnerPauses"),
     listSchedulers: () => listSchedulers(kernel),
     hasMajority: () => hasMajority(fleet),
     getRevision: () => sync.fencingRevision,
@@ -352,6 +367,7 @@
     calls: kernel.use("runnerCalls"),
     codec: kernel.use("adapter").runnerCodec,
     limits: kernel.use("runnerLimits"),
+    pauses: kernel.use("runnerPauses"),
     budgets: kernel.use("retryBudgets"),
     crashDetector: kernel.use("crashDetector"),
     isReachable: (id) => kernel.use("runnerPaths").isReachable(id),
@@ -370,6 +386,7 @@
     budgets: kernel.use("retryBudgets"),
     crashDetector: kernel.use("crashDetector"),
     placement: kernel.use("placement"),
+    pauses: kernel.use("runnerPauses"),
     grace: kernel.use("shutdownGrace"),
     streams: kernel.use("streamVersions"),
     tracer: kernel.use("tracer"),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -144,6 +144,8 @@
   readonly signed: boolean;
   readonly load: runners.ReportedLoad | undefined;
   readonly limit: runners.ReportedLimit;
+  /** Set in answers that turn a request away. */
+  readonly pause: runners.ReportedPause;
   /** Headers to forward to the caller. */
   readonly headers: HeaderList;
 }
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -24,6 +24,7 @@
 import type * as crashRecordSync from "../request/crash-record-sync.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as runnerLimits from "../runners/runner-limits.js";
+import type * as runnerPauses from "../runners/runner-pauses.js";
 import type * as runnerTable from "../runners/runner-table.js";
 import type * as reportedRuns from "../streams/reported-runs.js";
 import type * as streamVersions from "../streams/stream-versions.js";
@@ -76,6 +77,7 @@
   runnerPaths: runnerPaths.RunnerPathMonitor;
   pathWatch: pathWatch.PathWatch;
   runnerLimits: runnerLimits.RunnerLimits;
+  runnerPauses: runnerPauses.RunnerPauses;
   retryBudgets: retryBudgets.RetryBudgets;
   placement: placementService.PlacementService;
   engineReportPoller: engineReportPoller.EngineReportPoller;
--- a/src/placement/engine-report-poller.ts
+++ b/src/placement/engine-report-poller.ts
@@ -6,6 +6,7 @@
 import type * as gateway from "../gateway/types.js";
 import * as clocks from "../kernel/clock.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
+import type * as runnerPauses from "../runners/runner-pauses.js";
 import type * as runnerTable from "../runners/runner-table.js";
 import type * as runners from "../runners/types.js";
 import * as logEvents from "../telemetry/log-events.js";
@@ -37,6 +38,7 @@
   readonly runners: runnerTable.RunnerTable;
   readonly calls: runnerCalls.RunnerCalls;
   readonly codec: gateway.RunnerCodec;
+  readonly pauses: runnerPauses.PauseTimes;
   /** Returns the schedulers of the services that this VM currently schedules. */
   readonly listSchedulers: () => ReadonlyMap<string, poolScheduler.PoolScheduler>;
   /** Called with each report of a listed start. */
@@ -63,7 +65,7 @@
 
   /** Polls each runner once, in steps. */
   async #runRound(signal: AbortSignal): Promise<void> {
-    const { clock } = this.#options;
+    const { clock, pauses } = this.#options;
     const polls = this.#listPolls();
     if (polls.length === 0) {
       const isStarting = clock.now() - this.#startedAt < START_MS;
@@ -75,7 +77,8 @@
     for (let step = 0; step < steps; step += 1) {
       await clocks.sleep(clock, STEP_MS, signal).catch(() => undefined);
       if (signal.aborted) return;
-      for (const [runner, scheduler] of polls.filter((_poll, index) => index % steps === step))
+      const due = polls.filter((_poll, index) => index % steps === step);
+      for (const [runner, scheduler] of due.filter(([one]) => pauses.computePause(one) === 0))
         void this.#updateFromReport(runner, scheduler);
     }
   }
--- a/src/placement/stage-reconciler.ts
+++ b/src/placement/stage-reconciler.ts
@@ -16,6 +16,7 @@
 import * as clocks from "../kernel/clock.js";
 import * as rendezvous from "../membership/rendezvous.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
+import type * as runnerPauses from "../runners/runner-pauses.js";
 import type * as runnerTable from "../runners/runner-table.js";
 import * as runners from "../runners/types.js";
 import * as logEvents from "../telemetry/log-events.js";
@@ -64,6 +65,7 @@
   readonly runners: runnerTable.RunnerTable;
   readonly calls: runnerCalls.RunnerCalls;
   readonly codec: gateway.RunnerCodec;
+  readonly pauses: runnerPauses.PauseTimes;
   /** Returns the schedulers of the services that this VM currently schedules. */
   readonly listSchedulers: () => ReadonlyMap<string, poolScheduler.PoolScheduler>;
   /** Whether this VM sees a majority of the VMs. */
@@ -158,7 +160,7 @@
       change === "toDecode"
         ? [prefill, runners.STAGE.decode]
         : [listReplaceable(decode), runners.STAGE.prefill];
-    const runner = scheduler.chooseRunnerToSwitch(candidates);
+    const runner = scheduler.chooseRunnerToSwitch(candidates.filter(this.#isOpen));
     if (runner === undefined) return;
     this.#nextCheckAt.set(service, this.#options.clock.now() + MIN_DECISION_INTERVAL_MS);
     await this.#applyStageChange(runner, stage, scheduler, { ...split, ...costs });
@@ -193,6 +195,7 @@
     const { codec, vm, log, metrics, hasMajority } = this.#options;
     const report = await this.#readReport(runner);
     if (report === undefined || report.busy || report.stage === stage || !hasMajority()) return;
+    if (!this.#isOpen(runner)) return;
     const fencingToken = this.#createFencingToken();
     if (fencingToken <= this.#rejectedToken) return;
     const expectedSequence = report.sequence;
@@ -219,6 +222,10 @@
     if (isRefused) scheduler.removeSwitching(runner.id);
   }
 
+  /** Whether a runner takes orders of this VM now. */
+  readonly #isOpen = (runner: runners.Runner): boolean =>
+    this.#options.pauses.computePause(runner) === 0;
+
   async #readReport(runner: runners.Runner): Promise<gateway.EngineReport | undefined> {
     const { codec, calls, log } = this.#options;
     const { signal } = this.#controller;
--- a/src/runners/runner-calls.ts
+++ b/src/runners/runner-calls.ts
@@ -13,6 +13,7 @@
 import * as upstream from "../upstream/types.js";
 import * as callObserver from "./call-observer.js";
 import * as runnerAgent from "./runner-agent.js";
+import type * as runnerPauses from "./runner-pauses.js";
 import type * as types from "./types.js";
 
 /**
@@ -38,6 +39,8 @@
   readonly countVms: () => number;
   /** Called with the limit that each answer of a runner to a caller's request states. */
   readonly onLimit?: (runner: types.Runner, limit: types.ReportedLimit, sentAt: number) => void;
+  /** Called with the pause that each answer of a runner asks for, and the id of the caller's request. */
+  readonly onPause?: runnerPauses.RunnerPauses["recordAnswer"];
   /** Told what each call shows of the path to its runner. */
   readonly observer?: callObserver.CallObserver;
 }
@@ -116,7 +119,7 @@
     const message = this.#options.codec.formatReport(runner);
     const request = createMessageCall(runner, message, agent, START_TIMEOUT_MS, signal);
     const failure = upstream.UPSTREAM_FAILURE.notConnected;
-    const answer = await this.#readMessage(request).catch((error: unknown) => {
+    const answer = await this.#readMessage(runner, request).catch((error: unknown) => {
       throw httpCall.createUpstreamError(failure, request, error);
     });
     const { isOtherRunner, bornAt } = this.#options.codec.parseProbe(answer.status, answer.body);
@@ -146,7 +149,7 @@
       onConnection,
     };
     const sentAt = clock.now();
-    const answer = await this.#sendChecked(httpRequest, head.id);
+    const answer = await this.#sendChecked(runner, httpRequest, head.id);
     // Another process answers with 421.
     if (!answer.head.misdirected) this.#options.onLimit?.(runner, answer.head.limit, sentAt);
     return answer;
@@ -159,6 +162,7 @@
    * @throws UpstreamError `broken` also when the response may be to an earlier request on the same connection.
    */
   async #sendChecked(
+    runner: types.Runner,
     request: httpCall.HttpCall,
     callId: string | undefined,
   ): Promise<RunnerResponse> {
@@ -173,7 +177,10 @@
     const response = await callObserver.sendObserved(clock, observer, observed);
     const head = codec.parseResponse(response);
     const reason = findMismatch(callId, head.callId, isFirst);
-    if (reason === undefined) return { head, response };
+    if (reason === undefined) {
+      this.#options.onPause?.(runner, head.pause, callId);
+      return { head, response };
+    }
     response.destroy();
     if (request.agent instanceof runnerAgent.RunnerAgent) request.agent.refuseReuse();
     const failure = upstream.UPSTREAM_FAILURE.broken;
@@ -193,14 +200,16 @@
     signal: AbortSignal,
   ): Promise<{ readonly status: number; readonly body: Buffer }> {
     const agent = message.newConnection === true ? false : this.#getAgent(runner);
-    return this.#readMessage(createMessageCall(runner, message, agent, headersTimeoutMs, signal));
+    const request = createMessageCall(runner, message, agent, headersTimeoutMs, signal);
+    return this.#readMessage(runner, request);
   }
 
   async #readMessage(
+    runner: types.Runner,
     request: httpCall.HttpCall,
   ): Promise<{ readonly status: number; readonly body: Buffer }> {
     const { clock } = this.#options;
-    const { response } = await this.#sendChecked(request, undefined);
+    const { response } = await this.#sendChecked(runner, request, undefined);
     const body = await responseReader.readBody(clock, response, SMALL_BODY_LIMITS);
     return { status: response.statusCode ?? 0, body };
   }
--- a/src/runners/types.ts
+++ b/src/runners/types.ts
@@ -41,6 +41,12 @@
   | { readonly kind: "none" }
   | { readonly kind: "unreadable"; readonly text: string };
 
+/** What an answer says of the time for which its runner wants nothing from this VM. */
+export type ReportedPause =
+  | { readonly kind: "named"; readonly durationMs: number }
+  | { readonly kind: "none" }
+  | { readonly kind: "unreadable"; readonly text: string };
+
 /** Load that a runner reports in a response. */
 export interface ReportedLoad {
   readonly running: number;
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -8,6 +8,7 @@
 import type * as resultCodes from "../protocol/result-codes.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as connectionStarts from "../runners/connection-starts.js";
+import type * as runnerPauses from "../runners/runner-pauses.js";
 import type * as runnerTable from "../runners/runner-table.js";
 import * as sendAccount from "../request/send-account.js";
 import * as runners from "../runners/types.js";
@@ -52,6 +53,7 @@
   readonly runners: runnerTable.RunnerTable;
   readonly calls: runnerCalls.RunnerCalls;
   readonly codec: gateway.RunnerCodec;
+  readonly pauses: runnerPauses.PauseTimes;
   readonly placement: placementService.PlacementService;
   readonly crashDetector: crashDetector.CrashDetector;
   readonly streams: streamVersions.StreamVersions;
@@ -127,6 +129,7 @@
     const refusal = await this.#options.crashDetector.waitUntilAllowed(call);
     if (refusal !== undefined) return createHeldResult(refusal);
     if (!(await sendCheck.checkSendable(clock, call))) return NO_TIME_LEFT;
+    if (this.#isPaused(runner)) return createPausedResult(runner);
     const startedAt = clock.now();
     const leftMs = call.deadlineAt - startedAt;
     const limitMs = Math.min(PREFILL_TIMEOUT_MS, leftMs);
@@ -187,6 +190,7 @@
     const leftMs = call.deadlineAt - clock.now();
     if (this.#options.runners.hasDrained(runner.id))
       return { kind: "notRun", reason: "runner left during the prefill", excluded: runner.id };
+    if (this.#isPaused(runner)) return createPausedResult(runner);
     this.#recordRun(call, progress, runner);
     const send = progress.startDecode(runner);
     using limit = clocks.createTimeLimit(clock, leftMs, call.signal);
@@ -403,11 +407,15 @@
     placement.recordFailedRunner(call.service.name, place.key, runner.id);
   }
 
-  /** Releases a prefilled prompt that will not be fetched, if the runner still keeps it. */
+  #isPaused(runner: runners.Runner): boolean {
+    return this.#options.pauses.computePause(runner) > 0;
+  }
+
+  /** Releases a prefilled prompt that will not be fetched, if the runner still keeps it and wants no pause. */
   releasePrefilled(prefilled: modelProgress.PrefilledPrompt): void {
     const { calls, codec, clock, log } = this.#options;
-    if (clock.now() >= prefilled.expiresAt) return;
     const { runner, handle } = prefilled;
+    if (clock.now() >= prefilled.expiresAt || this.#isPaused(runner)) return;
     const limit = clocks.createTimeLimit(clock, RELEASE_TIMEOUT_MS);
     calls
       .sendMessage(runner, codec.formatRelease(handle), RELEASE_TIMEOUT_MS, limit.signal)
@@ -436,6 +444,10 @@
   return { kind: "broken", reason, excluded: runner.id };
 }
 
+function createPausedResult({ id }: runners.Runner): modelProgress.RunResult {
+  return { kind: "notRun", reason: "runner asked for a pause", excluded: id };
+}
+
 function createHeldResult(refusal: resultCodes.RequestError): modelProgress.RunResult {
   const retryAfterMs = refusal.retryAfterMs ?? 0;
   return { kind: "noPlace", reason: refusal.message, retryAfterMs };
--- a/src/serving/model-serving.ts
+++ b/src/serving/model-serving.ts
@@ -5,6 +5,7 @@
 import type * as placementService from "../placement/placement-service.js";
 import * as placementTypes from "../placement/types.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
+import * as runnerPauses from "../runners/runner-pauses.js";
 import type * as runnerTable from "../runners/runner-table.js";
 import * as runners from "../runners/types.js";
 import type * as retryBudgets from "../request/retry-budgets.js";
@@ -37,6 +38,7 @@
 const KV_FETCH_MARGIN_MS = 150;
 /** Retry time when the decode runner of the placement is no longer listed. */
 const NO_RUNNER_RETRY_AFTER_MS = 500;
+const PAUSE_TEXT = "all decode runners have asked for a pause";
 
 /** Dependencies of model serving. */
 export interface ModelServingOptions {
@@ -48,6 +50,7 @@
   readonly calls: runnerCalls.RunnerCalls;
   readonly codec: gateway.RunnerCodec;
   readonly budgets: retryBudgets.RetryBudgets;
+  readonly pauses: runnerPauses.PauseTimes;
   readonly placement: placementService.PlacementService;
   readonly crashDetector: crashDetector.CrashDetector;
   readonly streams: streamVersions.StreamVersions;
@@ -139,6 +142,9 @@
     call: types.ServedCall,
     progress: modelProgress.ModelProgress,
   ): Promise<modelProgress.RunResult> {
+    const pauseMs = this.#computePause(call, progress);
+    if (pauseMs !== undefined)
+      return { kind: "noPlace", reason: PAUSE_TEXT, retryAfterMs: pauseMs };
     const request = this.#createPlacementRequest(call, progress);
     if (request.prefilledBy === undefined) progress.setPrefilled(undefined);
     const { placement, tracer } = this.#options;
@@ -215,10 +221,35 @@
     };
   }
 
-  /** Lists the runners that failed the request, and those that this VM does not reach while it reaches others. */
+  /** Returns the shortest pause if all runners that could decode a request want one, else `undefined`. */
+  #computePause(
+    call: types.ServedCall,
+    { softwareVersion }: modelProgress.ModelProgress,
+  ): number | undefined {
+    const { pauses, runners: table, metrics } = this.#options;
+    const { name: service } = call.service;
+    const listed = table
+      .listUsable(service)
+      .map(({ runner }) => runner)
+      .filter(({ stage }) => stage !== runners.STAGE.prefill)
+      .filter((one) => softwareVersion === undefined || one.softwareVersion === softwareVersion);
+    const pauseMs = runnerPauses.computeCommonPause(pauses, listed);
+    if (pauseMs !== undefined) metrics.count("pause_refusals", { service });
+    return pauseMs;
+  }
+
+  /**
+   * Lists the runners that failed the request, those that want a pause, and those that this VM does not reach while it
+   * reaches others.
+   */
   #listExcluded(call: types.ServedCall, progress: modelProgress.ModelProgress): readonly string[] {
-    const unreached = this.#options.paths.listUnreached(call.service.name);
-    const excluded = new Set([...progress.excluded, ...unreached]);
+    const { name } = call.service;
+    const unreached = this.#options.paths.listUnreached(name);
+    const paused = this.#options.runners
+      .listUsable(name)
+      .filter(({ runner }) => this.#options.pauses.computePause(runner) > 0)
+      .map(({ runner: { id } }) => id);
+    const excluded = new Set([...progress.excluded, ...paused, ...unreached]);
     return [...excluded].slice(0, placementTypes.MAX_EXCLUDED);
   }
 
--- a/src/serving/plain-runner-choice.ts
+++ b/src/serving/plain-runner-choice.ts
@@ -5,6 +5,7 @@
  */
 import type * as random from "../kernel/random.js";
 import type * as runnerRecord from "../runners/runner-record.js";
+import type * as runners from "../runners/types.js";
 
 /** Cost of a failure rate of 1; a runner with all slots in use costs 1 for its load. */
 const FAILURE_PENALTY = 4;
@@ -15,7 +16,7 @@
 const OTHER_ZONE_PENALTY = 0.1;
 
 /**
- * Returns the runner with the lowest cost among those that are not excluded or refused; considers runners that
+ * Returns the runner with the lowest cost among those that are neither excluded nor refused nor paused; considers runners that
  * are in backoff or not reached only if there are no others.
  */
 export function chooseRunner(
@@ -24,8 +25,11 @@
   zone: string,
   source: random.RandomSource,
   isReachable: (runnerId: string) => boolean = () => true,
+  isPaused: (runner: runners.Runner) => boolean = () => false,
 ): runnerRecord.RunnerRecord | undefined {
-  const untried = records.filter((record) => !excluded.has(record.runner.id) && !record.isRefused);
+  const untried = records.filter(
+    ({ runner, isRefused }) => !excluded.has(runner.id) && !isRefused && !isPaused(runner),
+  );
   const healthy = untried.filter((record) => !record.inBackoff && isReachable(record.runner.id));
   let best: { readonly record: runnerRecord.RunnerRecord; readonly cost: number } | undefined;
   for (const record of healthy.length > 0 ? healthy : untried) {
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -10,8 +10,10 @@
 import * as routing from "../routing/types.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as runnerLimits from "../runners/runner-limits.js";
+import * as runnerPauses from "../runners/runner-pauses.js";
 import type * as runnerRecord from "../runners/runner-record.js";
 import type * as runnerTable from "../runners/runner-table.js";
+import type * as runnerTypes from "../runners/types.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
 import * as bulkReads from "../upstream/bulk-reads.js";
@@ -56,6 +58,7 @@
   readonly calls: runnerCalls.RunnerCalls;
   readonly codec: gateway.RunnerCodec;
   readonly limits: Pick<runnerLimits.RunnerLimits, "reserveSend">;
+  readonly pauses: runnerPauses.PauseTimes;
   readonly budgets: retryBudgets.RetryBudgets;
   readonly crashDetector: crashDetector.CrashDetector;
   /** Whether this VM reached a runner when it last tried; by default it is taken to reach all. */
@@ -69,6 +72,7 @@
 }
 
 const LIMIT_TEXT = "all runners have reached the limits that they named";
+const PAUSE_TEXT = "all runners have asked for a pause";
 
 /** Result of one attempt. */
 type AttemptResult =
@@ -121,6 +125,7 @@
         bestResult ??= { kind: "notRun", reason: "no time left" };
         break;
       }
+      if (this.#isPaused(record.runner)) continue;
       triedIds.add(record.runner.id);
       if (lastResult !== undefined) this.#recordRetry(call, record, lastResult);
       lastResult = await this.#callRunner(call, record, account, this.#hasOther(call, triedIds));
@@ -128,13 +133,14 @@
       bestResult = chooseBetterResult(bestResult, lastResult);
       if (isFinal(call, lastResult)) break;
     }
+    if (hasNotRun(bestResult)) this.#checkPauses(call.service.name);
     this.#sendResult(call, bestResult, account.hasReachedNone);
   }
 
   /**
    * Chooses a runner and reserves a send from its limit, if it named one.
    *
-   * @throws RequestError when all runners have reached their limits and the call has not run.
+   * @throws RequestError when all runners have reached their limits or want a pause, and the call has not run.
    */
   async #reserveRunner(
     call: types.ServedCall,
@@ -151,11 +157,27 @@
       if (waitMs === 0) return record;
       waits.set(record.runner.id, waitMs);
     }
-    if (waits.size === 0 || !isNotRun) return undefined;
+    if (!isNotRun) return undefined;
+    this.#checkPauses(service);
+    if (waits.size === 0) return undefined;
     metrics.count("limit_refusals", { service });
     throw answers.createRefusal(Math.min(...waits.values()), LIMIT_TEXT);
   }
 
+  /** @throws RequestError when all runners of a service want a pause. */
+  #checkPauses(service: string): void {
+    const { pauses, runners, metrics } = this.#options;
+    const listed = runners.listUsable(service).map(({ runner }) => runner);
+    const pauseMs = runnerPauses.computeCommonPause(pauses, listed);
+    if (pauseMs === undefined) return;
+    metrics.count("pause_refusals", { service });
+    throw answers.createRefusal(pauseMs, PAUSE_TEXT);
+  }
+
+  #isPaused(runner: runnerTypes.Runner): boolean {
+    return this.#options.pauses.computePause(runner) > 0;
+  }
+
   #chooseRunner(
     call: types.ServedCall,
     triedIds: ReadonlySet<string>,
@@ -167,6 +189,7 @@
       zone,
       source,
       isReachable,
+      (runner) => this.#isPaused(runner),
     );
   }
 
@@ -175,7 +198,8 @@
     const { runners, isReachable = () => true } = this.#options;
     return runners
       .listUsable(call.service.name)
-      .some(({ runner: { id }, isRefused }) => !triedIds.has(id) && !isRefused && isReachable(id));
+      .filter(({ runner: { id }, isRefused }) => !triedIds.has(id) && !isRefused && isReachable(id))
+      .some(({ runner }) => !this.#isPaused(runner));
   }
 
   /**
@@ -254,7 +278,7 @@
     const { head } = answer;
     if (head.load !== undefined) record.recordLoad(head.load);
     if (head.misdirected) record.recordUnreachable();
-    else record.recordResult(!answers.isServerError(head.status));
+    else if (head.pause.kind !== "named") record.recordResult(!answers.isServerError(head.status));
     if (head.notRun) return { kind: "notRun", reason: `runner answered ${head.status}, not run` };
     const isUnsigned = answers.isSuccess(head.status) && !head.signed;
     if (isUnsigned) return { kind: "unknown", reason: "unsigned success" };
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -110,5 +110,7 @@
     level: "warn",
     message: "paths to the runners of a service changed state",
   },
+  runnerPauseOdd: { number: 6014, level: "warn", message: "pause of runner not valid" },
+  runnerPaused: { number: 6015, level: "info", message: "runner asked for a pause" },
   orderSent: { number: 6002, level: "info", message: "order sent to runner" },
 } as const satisfies Record<string, LogEvent>;
--- a/standins/users-platform/failing-runner.ts
+++ b/standins/users-platform/failing-runner.ts
@@ -42,6 +42,8 @@
   readonly every: number;
   /** Returns the limit that each answer names, if it names one. */
   readonly chooseLimit?: () => string | undefined;
+  /** Returns the pause in seconds for which a request is turned away, if it is; called with the id of the request. */
+  readonly choosePause?: (call: string) => string | undefined;
 }
 
 /** A runner that listens on loopback and is listed in the registry. */
@@ -102,7 +104,9 @@
     }
     const limit = this.#behaviour.chooseLimit?.();
     if (limit !== undefined) response.setHeader("server-limit", limit);
-    const failure = this.#chooseFailure();
+    const pause = this.#behaviour.choosePause?.(String(request.headers["request-id"]));
+    if (pause !== undefined) response.setHeader("retry-after", pause);
+    const failure = pause === undefined ? this.#chooseFailure() : FAILURE.reject;
     this.#recordArrival(request, failure !== FAILURE.reject);
     await this.#answer(failure, request, response);
   }
--- a/test/placement/engine-report-poller.test.ts
+++ b/test/placement/engine-report-poller.test.ts
@@ -24,6 +24,7 @@
     runners: table,
     calls: { sendMessage: () => Promise.reject(new Error("no connection")) } as never,
     codec: runnerCodec.RUNNER_CODEC,
+    pauses: { computePause: () => 0 },
     listSchedulers: () => new Map([[SERVICE, scheduler as unknown as poolScheduler.PoolScheduler]]),
     onReport: () => undefined,
     hasLostPath: ({ id }) => Promise.resolve(lostPaths.includes(id)),
--- a/test/placement/stage-reconciler.test.ts
+++ b/test/placement/stage-reconciler.test.ts
@@ -74,6 +74,7 @@
     runners: table,
     calls: { sendMessage } as unknown as runnerCalls.RunnerCalls,
     codec: runnerCodec.RUNNER_CODEC,
+    pauses: { computePause: () => 0 },
     listSchedulers: () => new Map(state.isScheduler ? [[SERVICE, scheduler]] : []),
     hasMajority: () => state.hasMajority,
     getRevision: () => state.revision,
--- a/test/platform/formats.test.ts
+++ b/test/platform/formats.test.ts
@@ -107,6 +107,26 @@
   });
 });
 
+test.describe("pause of a runner", () => {
+  function parsePause(value?: string, statusCode = 503): unknown {
+    const headers = value === undefined ? {} : { "retry-after": value };
+    const response: unknown = { statusCode, headers, rawHeaders: [] };
+    return runnerCodec.RUNNER_CODEC.parseResponse(response as http.IncomingMessage).pause;
+  }
+
+  test.it("is a decimal number of seconds, in answers that turn a request away only", () => {
+    earl.expect(parsePause()).toEqual({ kind: "none" });
+    earl.expect(parsePause("2.5")).toEqual({ kind: "named", durationMs: 2_500 });
+    earl.expect(parsePause(" 0")).toEqual({ kind: "named", durationMs: 0 });
+    earl.expect(parsePause("2.5", 500)).toEqual({ kind: "none" });
+  });
+
+  test.it("is not readable as any other text", () => {
+    for (const text of ["", "-1", "4, 5", "1e3", "NaN", "soon"])
+      earl.expect(parsePause(text)).toEqual({ kind: "unreadable", text });
+  });
+});
+
 test.describe("runner entry", () => {
   const entry = examples.createRunnerEntry("127.0.0.1:80", { state: "draining", born: 5 });
 
--- a/test/serving/serving-fixture.ts
+++ b/test/serving/serving-fixture.ts
@@ -102,6 +102,7 @@
     calls,
     codec: runnerCodec.RUNNER_CODEC,
     limits: { reserveSend: () => Promise.resolve(0) },
+    pauses: { computePause: () => 0 },
     crashDetector: new crashDetector.CrashDetector({
       clock,
       log,
