--- a/src/runners/runner-pauses.ts
+++ b/src/runners/runner-pauses.ts
@@ -31,6 +31,8 @@
   readonly #options: RunnerPausesOptions;
   /** Monotonic time at which the pause of a start ends. */
   readonly #endsAt = new lru.LRUCache<string, number>({ max: MAX_STARTS });
+  /** Latest end of all pauses. */
+  #allEndAt = -Infinity;
   /** The last value of each start that was not taken as it is. */
   readonly #oddValues = new lru.LRUCache<string, string>({ max: MAX_STARTS });
 
@@ -54,7 +56,8 @@
   }
 
   computePause(runner: types.Runner): number {
-    return Math.max(0, this.#getEnd(formatStart(runner)) - this.#options.clock.now());
+    const now = this.#options.clock.now();
+    return now >= this.#allEndAt ? 0 : Math.max(0, this.#getEnd(formatStart(runner)) - now);
   }
 
   #add(runner: types.Runner, statedMs: number, request: string | undefined): void {
@@ -66,6 +69,7 @@
     const before = this.#getEnd(start);
     // Requests that were under way bring further answers, which may ask for less.
     this.#endsAt.set(start, Math.max(before, now + pauseMs));
+    this.#allEndAt = Math.max(this.#allEndAt, now + pauseMs);
     if (before > now || pauseMs === 0) return;
     const { service } = runner;
     metrics.count("runner_pauses", { service });
