End the wait for a runner's probe at the deadline of the call

A caller whose call broke off shortly before its deadline got its answer up to 150 ms after it: the answer waited for the probe of the runner, on whose verdict a retry depends, though no retry was possible any more. The probe goes on for the records.

--- a/src/serving/crash-detector.ts
+++ b/src/serving/crash-detector.ts
@@ -5,6 +5,7 @@
 import type * as callerTypes from "../caller/types.js";
 import type * as gateway from "../gateway/types.js";
 import * as clocks from "../kernel/clock.js";
+import * as signals from "../kernel/signals.js";
 import type * as resultCodes from "../protocol/result-codes.js";
 import * as crashTracker from "../request/crash-tracker.js";
 import * as runHolds from "../request/run-holds.js";
@@ -84,7 +85,7 @@
   recordCompletion(head: gateway.RunnerResponseHead): void;
   /**
    * Records that the run ended without an answer. If the call can be retried, resolves once the runner was
-   * probed, so that the retry is decided on the verdict.
+   * probed, so that the retry is decided on the verdict, at the latest at the deadline of the call.
    *
    * @param error - a run whose request was not sent is not recorded.
    */
@@ -199,7 +200,7 @@
         if (runnerProbe.isUnsent(error)) return;
         isAnswered = false;
         const settled = this.#handleUnanswered(held, end);
-        if (end === UNANSWERED_END.failed) await settled;
+        if (end === UNANSWERED_END.failed) await this.#waitWithin(call, settled);
       },
       [Symbol.dispose]: () => {
         start.removeRun(run);
@@ -209,6 +210,15 @@
     };
   }
 
+  /** Waits for the end of `settled`, at most until the deadline of the call, after which it is not retried. */
+  async #waitWithin(call: types.ServedCall, settled: Promise<void>): Promise<void> {
+    const { clock } = this.#options;
+    using limit = clocks.createTimeLimit(clock, call.deadlineAt - clock.now());
+    await signals.runUntilAborted(limit.signal, settled).catch((error: unknown) => {
+      if (!limit.signal.aborted) throw error;
+    });
+  }
+
   #recordSuccess({ run, holds: own }: HeldRun): void {
     const { crashes, holds } = this.#options;
     for (const trait of run.traits) crashes.recordSuccess(trait, holds.has(trait));
