--- a/test/placement/engine-report-poller.test.ts
+++ b/test/placement/engine-report-poller.test.ts
@@ -11,7 +11,10 @@
 const log = { write: () => undefined };
 
 /** Polls two runners that do not answer for some seconds; returns those for which a report counts as missing. */
-async function pollSilent(lostPaths: readonly string[]): Promise<ReadonlySet<string>> {
+async function pollSilent(
+  lostPaths: readonly string[],
+  paused?: string,
+): Promise<ReadonlySet<string>> {
   const clock = fakeClock.createFakeClock();
   const table = new runnerTable.RunnerTable(clock, log);
   for (const id of ["one", "two"])
@@ -24,7 +27,7 @@
     runners: table,
     calls: { sendMessage: () => Promise.reject(new Error("no connection")) } as never,
     codec: runnerCodec.RUNNER_CODEC,
-    pauses: { computePause: () => 0 },
+    pauses: { computePause: ({ id }) => (id === paused ? 1_000 : 0) },
     listSchedulers: () => new Map([[SERVICE, scheduler as unknown as poolScheduler.PoolScheduler]]),
     onReport: () => undefined,
     hasLostPath: ({ id }) => Promise.resolve(lostPaths.includes(id)),
@@ -41,4 +44,9 @@
     earl.expect(await pollSilent(["one"])).toEqual(new Set(["two"]));
     earl.expect(await pollSilent(["one", "two"])).toEqual(new Set());
   });
+
+  // Guards against BUDGET: a runner that wanted nothing from this VM was polled.
+  test.it("polls no runner that asked for a pause, and misses none of its reports", async () => {
+    earl.expect(await pollSilent([], "one")).toEqual(new Set(["two"]));
+  });
 });
--- a/test/placement/stage-reconciler.test.ts
+++ b/test/placement/stage-reconciler.test.ts
@@ -53,7 +53,8 @@
     findEngine: () => routingFixture.ENGINE,
   });
   const orders: SentOrder[] = [];
-  const state = { hasMajority: true, isScheduler: true, status: 202, revision: 40 };
+  const paused = new Set<string>();
+  const state = { hasMajority: true, isScheduler: true, status: 202, revision: 40, paused };
   const sendMessage: runnerCalls.RunnerCalls["sendMessage"] = (runner, message) => {
     if (message.method === "GET") {
       const stage = table.find(runner.id)?.runner.stage;
@@ -74,7 +75,7 @@
     runners: table,
     calls: { sendMessage } as unknown as runnerCalls.RunnerCalls,
     codec: runnerCodec.RUNNER_CODEC,
-    pauses: { computePause: () => 0 },
+    pauses: { computePause: ({ id }) => (state.paused.has(id) ? 1_000 : 0) },
     listSchedulers: () => new Map(state.isScheduler ? [[SERVICE, scheduler]] : []),
     hasMajority: () => state.hasMajority,
     getRevision: () => state.revision,
@@ -151,6 +152,15 @@
       .toEqual([["d2", "prefill"]]);
   });
 
+  // Guards against orders to runners that want nothing from this VM.
+  test.it("orders no runner that asked for a pause", async () => {
+    await using pool = createPool();
+    pool.state.paused.add("d1");
+    pool.load(50_000, 10);
+    await pool.clock.advance(11_000);
+    earl.expect(pool.orders.map(({ runner }) => runner)).toEqual(["d2"]);
+  });
+
   test.it("waits at least for the order lease before its first order", async () => {
     await using pool = createPool();
     pool.load();
--- a/test/serving/plain-serving.test.ts
+++ b/test/serving/plain-serving.test.ts
@@ -1,6 +1,7 @@
 import * as test from "node:test";
 import * as earl from "earl";
 import * as routing from "../../src/routing/types.js";
+import * as runnerTable from "../../src/runners/runner-table.js";
 import * as raw from "../runners/raw-runner.js";
 import * as fixture from "./serving-fixture.js";
 
@@ -95,6 +96,24 @@
     earl.expect(await fixture.serve(pair.plain, fixture.createCall(UNSAFE))).toEqual("200 whole");
   });
 
+  // Guards against taking a pause that a runner asked for as a failure of its health.
+  test.it("counts a rejection as a failure of the runner unless it asks for a pause", async () => {
+    for (const [header, isSound] of [
+      ["", false],
+      ["Retry-After: 0.4\r\n", true],
+      ["Retry-After: -1\r\n", false],
+    ] as const) {
+      await using full = await raw.startRawRunner("full", (socket) => {
+        socket.write(NOT_RUN.replace("\r\n", `\r\n${header}`));
+      });
+      const table = new runnerTable.RunnerTable(fixture.clock, fixture.log);
+      const plain = fixture.createPlainServing([full.runner], 0.2, undefined, table);
+      const result = await fixture.serve(plain, fixture.createCall(UNSAFE));
+      earl.expect(result).toEqual("503 ran no");
+      earl.expect(table.find("full")?.failureRate === 0).toEqual(isSound);
+    }
+  });
+
   // Guards against counting a connection that was refused as an attempt and as a repeat.
   test.it("sends a call elsewhere without a retry when no connection is made", async () => {
     const ended = await raw.startRawRunner("ended", () => undefined);
