--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -302,7 +302,8 @@
       else if (endlessAnswer.isEndlessAnswer(error)) record.recordEndlessAnswer();
       else record.recordResult(false);
       const fields = { request: call.head.id, runner: record.runner.id, error: String(error) };
-      log.write(logEvents.LOG_EVENTS.runnerUnavailable, fields);
+      const limitMs = Math.round(call.deadlineAt - call.arrivedAt);
+      log.write(logEvents.LOG_EVENTS.runnerUnavailable, { ...fields, limitMs });
     }
     return { kind: isUnsent ? "notRun" : "unknown", reason: String(error) };
   }
