--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -145,6 +145,8 @@
   readonly load: runners.ReportedLoad | undefined;
   readonly limit: runners.ReportedLimit;
   readonly leaving: runners.ReportedLeaving;
+  /** Set in answers that turn a request away. */
+  readonly pause: runners.ReportedPause;
   /** Headers to forward to the caller. */
   readonly headers: HeaderList;
 }
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -25,6 +25,7 @@
 import type * as runnerCalls from "../runners/runner-calls.js";
 import type * as leavingRunners from "../runners/leaving-runners.js";
 import type * as runnerLimits from "../runners/runner-limits.js";
+import type * as runnerPauses from "../runners/runner-pauses.js";
 import type * as runnerTable from "../runners/runner-table.js";
 import type * as reportedRuns from "../streams/reported-runs.js";
 import type * as streamVersions from "../streams/stream-versions.js";
@@ -78,6 +79,7 @@
   pathWatch: pathWatch.PathWatch;
   leavingRunners: leavingRunners.LeavingRunners;
   runnerLimits: runnerLimits.RunnerLimits;
+  runnerPauses: runnerPauses.RunnerPauses;
   retryBudgets: retryBudgets.RetryBudgets;
   placement: placementService.PlacementService;
   engineReportPoller: engineReportPoller.EngineReportPoller;
--- a/src/runners/runner-calls.ts
+++ b/src/runners/runner-calls.ts
@@ -13,6 +13,7 @@
 import * as upstream from "../upstream/types.js";
 import * as callObserver from "./call-observer.js";
 import * as runnerAgent from "./runner-agent.js";
+import type * as runnerPauses from "./runner-pauses.js";
 import type * as types from "./types.js";
 
 /**
@@ -42,6 +43,8 @@
   readonly canReceive?: (runner: types.Runner) => boolean;
   /** Called with what each answer of a runner, also to the router's own messages, says of its leaving. */
   readonly onLeaving?: (runner: types.Runner, leaving: types.ReportedLeaving) => void;
+  /** Called with the pause that each answer of a runner asks for, and the id of the caller's request. */
+  readonly onPause?: runnerPauses.RunnerPauses["recordAnswer"];
   /** Told what each call shows of the path to its runner. */
   readonly observer?: callObserver.CallObserver;
 }
@@ -187,6 +190,7 @@
     const reason = findMismatch(callId, head.callId, isFirst);
     if (reason === undefined) {
       if (!head.misdirected) this.#options.onLeaving?.(runner, head.leaving);
+      this.#options.onPause?.(runner, head.pause, callId);
       return { head, response };
     }
     response.destroy();
--- a/src/runners/types.ts
+++ b/src/runners/types.ts
@@ -59,6 +59,12 @@
 /** One of the values of `LEAVING_PATH`. */
 export type LeavingPath = (typeof LEAVING_PATH)[keyof typeof LEAVING_PATH];
 
+/** What an answer says of the time for which its runner wants nothing from this VM. */
+export type ReportedPause =
+  | { readonly kind: "named"; readonly durationMs: number }
+  | { readonly kind: "none" }
+  | { readonly kind: "unreadable"; readonly text: string };
+
 /** Load that a runner reports in a response. */
 export interface ReportedLoad {
   readonly running: number;
--- a/standins/users-platform/failing-runner.ts
+++ b/standins/users-platform/failing-runner.ts
@@ -44,6 +44,8 @@
   readonly chooseLimit?: () => string | undefined;
   /** Returns the value with which each answer states that the runner leaves, if it does. */
   readonly chooseLeaving?: () => string | undefined;
+  /** Returns the pause in seconds for which a request is turned away, if it is; called with the id of the request. */
+  readonly choosePause?: (call: string) => string | undefined;
 }
 
 /** A runner that listens on loopback and is listed in the registry. */
@@ -112,7 +114,9 @@
     }
     const limit = this.#behaviour.chooseLimit?.();
     if (limit !== undefined) response.setHeader("server-limit", limit);
-    const failure = this.#chooseFailure();
+    const pause = this.#behaviour.choosePause?.(String(request.headers["request-id"]));
+    if (pause !== undefined) response.setHeader("retry-after", pause);
+    const failure = pause === undefined ? this.#chooseFailure() : FAILURE.reject;
     this.#recordArrival(request, failure !== FAILURE.reject);
     await this.#answer(failure, request, response);
   }
