Pass on requests that the HTTP framework refused by itself

Callers saw 400 (417 for an unknown expectation) on proper requests: invalid escapes in the path (`/status/%zz`), cookies that are no list of pairs (`a=b; c`), media types without a slash (`Content-Type: text`). No runner had sent it, the answer bore no code or request id, and no line was logged. GET with `Expect: 100-continue` never got its 100.

Cause: the caller port ran each request through hapi, which judges path, cookies, media type and host before a handler sees them. Class: a framework decides what only the runner may decide.

The caller port now takes requests from the HTTP parser. The ready, lookup and metrics ports keep hapi.

--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -52,7 +52,7 @@
 /** Accepts the requests of callers on one VM. */
 export class CallerServer implements AsyncDisposable {
   readonly #options: CallerServerOptions;
-  readonly #http: httpServer.HttpServer;
+  readonly #listener: http.Server;
   readonly #connections: callerConnections.CallerConnections;
   /** Cancel functions of the calls in progress. */
   readonly #cancels = new Set<() => void>();
@@ -60,17 +60,10 @@
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
-    this.#http = httpServer.createHttpServer(options.settings.callerAddress);
-    this.#connections = new callerConnections.CallerConnections(this.#http.listener);
-    this.#http.server.route({
-      method: "*",
-      path: "/{path*}",
-      options: { payload: { parse: false, output: "stream", maxBytes: Number.MAX_SAFE_INTEGER } },
-      handler: async (request, toolkit) => {
-        await this.#handle(request.raw.req, request.raw.res);
-        return toolkit.abandon;
-      },
-    });
+    // A framework judges paths, cookies and media types, and answers by itself; a runner may accept them.
+    this.#listener = httpServer.createListener();
+    this.#connections = new callerConnections.CallerConnections(this.#listener);
+    this.#addListeners();
     options.routing.onChange((table) => {
       this.#setLimits(table.limits);
     });
@@ -82,7 +75,7 @@
   }
 
   async start(): Promise<void> {
-    await this.#http.start();
+    await httpServer.startListener(this.#listener, this.#options.settings.callerAddress);
   }
 
   /** Ends each connection with its next answer, so that callers reconnect to other VMs. */
@@ -93,7 +86,7 @@
   /** Stops accepting connections. */
   closeListener(): void {
     // The method of `http.Server` also closes connections whose last response is still being sent.
-    net.Server.prototype.close.call(this.#http.listener);
+    net.Server.prototype.close.call(this.#listener);
   }
 
   /** Closes the connections that carry no request. */
@@ -106,14 +99,32 @@
     for (const cancel of this.#cancels) cancel();
   }
 
-  async [Symbol.asyncDispose](): Promise<void> {
-    await this.#http[Symbol.asyncDispose]();
+  [Symbol.asyncDispose](): Promise<void> {
+    httpServer.closeListener(this.#listener);
+    return Promise.resolve();
+  }
+
+  #addListeners(): void {
+    const onRequest = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+      // Whoever reads the body gets its error; later ones concern nobody.
+      request.on("error", () => undefined);
+      this.#handle(request, response).catch((error: unknown) => {
+        this.#options.log.write(logEvents.LOG_EVENTS.unexpectedError, { error: String(error) });
+        response.destroy();
+      });
+    };
+    this.#listener.on("request", onRequest);
+    // Other expectations than `100-continue` concern the runner at most.
+    this.#listener.on("checkExpectation", onRequest);
+    this.#listener.on("checkContinue", (request, response) => {
+      response.writeContinue();
+      onRequest(request, response);
+    });
   }
 
   #setLimits(limits: routing.CallerLimits): void {
-    const { listener } = this.#http;
-    listener.keepAliveTimeout = limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
-    listener.headersTimeout = limits.headerTimeoutMs;
+    this.#listener.keepAliveTimeout = limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
+    this.#listener.headersTimeout = limits.headerTimeoutMs;
   }
 
   async #handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
--- a/src/gateway/http-server.ts
+++ b/src/gateway/http-server.ts
@@ -18,14 +18,34 @@
   start(): Promise<void>;
 }
 
-/** Creates a server that leaves bodies, compression and request timeouts to its handlers. */
-export function createHttpServer(address: network.PeerAddress): HttpServer {
-  const listener = http.createServer({
+/** Creates a listener without request timeouts; it is started by `startListener`. */
+export function createListener(): http.Server {
+  return http.createServer({
     maxHeaderSize: MAX_HEAD_BYTES,
     connectionsCheckingInterval: CONNECTION_CHECK_PERIOD_MS,
     requestTimeout: 0,
     noDelay: true,
   });
+}
+
+/** Starts to accept connections at an address. */
+export async function startListener(
+  listener: http.Server,
+  { host, port }: network.PeerAddress,
+): Promise<void> {
+  listener.listen({ host, port, backlog: LISTEN_BACKLOG });
+  await events.default.once(listener, "listening");
+}
+
+/** Stops accepting connections, and closes those that are open. */
+export function closeListener(listener: http.Server): void {
+  listener.close();
+  listener.closeAllConnections();
+}
+
+/** Creates a server that leaves bodies, compression and request timeouts to its handlers. */
+export function createHttpServer(address: network.PeerAddress): HttpServer {
+  const listener = createListener();
   // hapi cannot set the backlog, so the listener is started separately.
   const server = hapi.server({ listener, autoListen: false, compression: false, debug: false });
   return {
@@ -33,12 +53,10 @@
     listener,
     start: async () => {
       await server.start();
-      listener.listen({ host: address.host, port: address.port, backlog: LISTEN_BACKLOG });
-      await events.default.once(listener, "listening");
+      await startListener(listener, address);
     },
     [Symbol.asyncDispose]: async () => {
-      listener.close();
-      listener.closeAllConnections();
+      closeListener(listener);
       await server.stop({ timeout: 0 });
     },
   };
--- /dev/null
+++ b/test/gateway/request-forms.test.ts
@@ -0,0 +1,144 @@
+/** Proper requests got a 4xx that no runner had sent, most of them without a line in the log. */
+import * as test from "node:test";
+import * as earl from "earl";
+import * as forms from "./request-forms-fixture.js";
+
+const NET = 159;
+const NUMBER = 21;
+const CHUNKED = "Transfer-Encoding: chunked";
+/** `max_body_bytes` of the example configuration. */
+const BODY_LIMIT = "b".repeat(1_000);
+
+/** A request, and what the runner is to receive of it if that differs from what was sent. */
+interface Form {
+  readonly name: string;
+  readonly bytes: string;
+  readonly line: string;
+  readonly host?: string;
+  readonly body?: string;
+  readonly statuses?: readonly number[];
+}
+
+function createForm(
+  name: string,
+  target: string,
+  options: Partial<Form> & { readonly headers?: readonly string[]; readonly method?: string } = {},
+): Form {
+  const { headers = [], method = "POST", host = "api.example", body = "", ...rest } = options;
+  const line = `${method} ${target}`;
+  const bytes = forms.formatRequest(line, headers, body, host);
+  return { name, bytes, line: `${line} HTTP/1.1`, host, body, ...rest };
+}
+
+/** The example request with other bytes, which mean the same. */
+function createVariant(name: string, change: (bytes: string) => string, body = ""): Form {
+  const form = createForm(name, "/status/x", { body });
+  return { ...form, bytes: change(form.bytes) };
+}
+
+function createChunkedForm(name: string, chunks: string, body: string): Form {
+  const form = createForm(name, "/status/x", { headers: [CHUNKED] });
+  return { ...form, bytes: form.bytes + chunks, body };
+}
+
+function createHeaderForm(name: string, header: string, options: Partial<Form> = {}): Form {
+  return createForm(name, "/status/x", { headers: [header], ...options });
+}
+
+const TARGETS = [
+  ...["/status/%zz", "/status/%", "/status/%ff%fe", "/status/%00", "/status/a%2Fb%2e%2e"],
+  ...["/status//x//", "/status/../status/x", "/status/./x", "/status/;a=b,c", "/status/?"],
+  ...[
+    "/status/x?%zz&%",
+    "/status/x?a[]=1&__proto__=2",
+    "/status/__proto__",
+    '/status/a|b{}^`"<>\\',
+  ],
+  ...["/status/x#part", "/status/*", "/status/{a}", "/status/~!$&'()*+,;=:@"],
+];
+const COOKIES = ["a=b; c", 'a={"x":1}', "no pair", "=", "a=\\", '"'];
+const MEDIA_TYPES = ["text", "///;;", "binary", "application/json; charset", ""];
+const METHODS = ["GET", "PUT", "DELETE", "PATCH", "OPTIONS", "TRACE", "PURGE", "REPORT"];
+
+const FORMS: readonly Form[] = [
+  createForm("plain", "/status/x"),
+  ...TARGETS.map((target) => createForm(`target ${target}`, target)),
+  createForm("long path", `/status/${"x".repeat(15_000)}`),
+  ...METHODS.map((method) => createForm(`method ${method}`, "/status/x", { method })),
+  createForm("HEAD", "/status/x", { method: "HEAD" }),
+  ...COOKIES.map((cookie) => createHeaderForm(`cookie ${cookie}`, `Cookie: ${cookie}`)),
+  ...MEDIA_TYPES.map((type) => createHeaderForm(`media type ${type}`, `Content-Type: ${type}`)),
+  createHeaderForm("another expectation", "Expect: tea"),
+  createHeaderForm("100-continue", "Expect: 100-continue", { statuses: [100, 200], body: "abc" }),
+  createForm("100-continue before GET", "/status/x", {
+    ...{ headers: ["Expect: 100-Continue"], method: "GET", statuses: [100, 200] },
+  }),
+  createHeaderForm("accepted codings", "Accept-Encoding: ;;q=x,"),
+  createHeaderForm("conditions", "If-None-Match: *"),
+  createHeaderForm("a range", "Range: bytes=0-1"),
+  createHeaderForm("a preflight", "Access-Control-Request-Method: GET", {}),
+  createHeaderForm("an empty header", "X:"),
+  createHeaderForm("tabs", "X:\t a\tb \t"),
+  createHeaderForm("other characters", "X: \xe9\xff"),
+  createForm("host with a port", "/status/x", { host: "api.example:8144" }),
+  createForm("host in capitals", "/status/x", { host: "API.Example" }),
+  createVariant("header names in capitals", (bytes) =>
+    bytes.replace("Host:", "HOST:").replace("Request-Id:", "REQUEST-ID:"),
+  ),
+  createVariant("spaces around values", (bytes) =>
+    bytes.replace("Host: api.example", "Host: \t api.example \t"),
+  ),
+  createVariant("no spaces before values", (bytes) => bytes.replaceAll(": ", ":")),
+  createVariant("empty lines before", (bytes) => `\r\n\r\n${bytes}`),
+  createVariant("an empty line behind", (bytes) => `${bytes}\r\n`),
+  createVariant("HTTP/1.0", (bytes) => bytes.replace("HTTP/1.1", "HTTP/1.0")),
+  createVariant("Upgrade: h2c", (bytes) =>
+    bytes.replace(
+      "Connection: close",
+      "Connection: Upgrade, HTTP2-Settings, close\r\nUpgrade: h2c\r\nHTTP2-Settings: AAA",
+    ),
+  ),
+  createVariant(
+    "length with zeros",
+    (bytes) => bytes.replace("Content-Length: 3", "Content-Length: 003"),
+    "abc",
+  ),
+  createChunkedForm(
+    "chunks with extension and trailer",
+    "3;a=b\r\nabc\r\n0\r\nT: x\r\n\r\n",
+    "abc",
+  ),
+  createChunkedForm("chunks with a quoted extension", '3;a="b c"\r\nabc\r\n0\r\n\r\n', "abc"),
+  createChunkedForm("chunks with zeros", "0003\r\nabc\r\n000\r\n\r\n", "abc"),
+  createForm("body at the limit", "/status/x", { body: BODY_LIMIT }),
+  createChunkedForm("chunks at the limit", `${"1\r\nb\r\n".repeat(1_000)}0\r\n\r\n`, BODY_LIMIT),
+  createChunkedForm("no chunks", "0\r\n\r\n", ""),
+];
+
+test.describe("a proper request", () => {
+  for (const form of FORMS)
+    test.it(`reaches the runner unchanged: ${form.name.slice(0, 60)}`, async () => {
+      const gateway = await useGateway();
+      gateway.received.length = 0;
+      const { statuses, text } = await gateway.exchange(form.bytes);
+      earl.expect({ statuses, isServed: text.includes("Response-Stamp: s") }).toEqual({
+        statuses: [...(form.statuses ?? [200])],
+        isServed: true,
+      });
+      const [request] = gateway.received;
+      earl.expect(gateway.received.length).toEqual(1);
+      earl.expect(request?.line).toEqual(form.line);
+      earl.expect(request?.host).toEqual(form.host);
+      earl.expect(request?.body).toEqual(form.body ?? "");
+    });
+});
+
+let shared: Promise<forms.FormsGateway> | undefined;
+
+function useGateway(): Promise<forms.FormsGateway> {
+  return (shared ??= forms.FormsGateway.start(NET, NUMBER));
+}
+
+test.after(async () => {
+  await (await shared)?.[Symbol.asyncDispose]();
+});
