Forward the bodies of GET and HEAD requests

Callers saw an answer, but the runner got a GET or HEAD request without the body that the caller had sent.

Cause: the HTTP client library drops a payload for these two methods. Class: a library decides what may be sent. The client now names another method to the library while there is a body, and sets the caller's method just before the request is made, as it already does with the path.

Evidence: "GET with a body" of test/gateway/request-forms.test.ts failed on (body "" in place of "abc") and passes now.

--- a/src/upstream/http-call.ts
+++ b/src/upstream/http-call.ts
@@ -39,18 +39,23 @@
 
 type RequestOptions = NonNullable<Parameters<typeof wreck.default.request>[2]>;
 
-interface ExactPathOptions extends RequestOptions {
+interface ExactOptions extends RequestOptions {
   readonly exactPath: string;
+  readonly exactMethod: string;
 }
 
+/** Method under which the library sends any body; it drops that of GET and HEAD. */
+const METHOD_WITH_BODY = "POST";
+
 const HTTP_CLIENT = createClient();
 
-/** Creates a client that sends paths unchanged; by default the library normalises them as URLs. */
+/** Creates a client that sends method and path unchanged; by default the library normalises paths as URLs. */
 function createClient() {
   const client = wreck.default.defaults({ events: true });
   // The library's types declare the request options as a string.
   const onPreRequest = (uri: unknown, options: unknown): void => {
-    (uri as { path: string }).path = (options as ExactPathOptions).exactPath;
+    const { exactPath: path, exactMethod: method } = options as ExactOptions;
+    Object.assign(uri as object, { path, method });
   };
   client.events?.on("preRequest", onPreRequest as never);
   return client;
@@ -71,11 +76,12 @@
  */
 export async function sendCall(clock: clocks.Clock, call: HttpCall): Promise<http.IncomingMessage> {
   if (call.signal.aborted) throw createSendError(call, { connected: false }, call.signal.reason);
-  const options: ExactPathOptions = {
+  const options: ExactOptions = {
     agent: call.agent,
     headers: createHeaders(call),
     payload: call.body,
     exactPath: call.path,
+    exactMethod: call.method,
   };
   const pending = startRequest(call, options);
   const connection = watchConnection(
@@ -105,10 +111,11 @@
 /** @throws UpstreamError `notConnected` when the library rejects the call, such as for an address that cannot be one. */
 function startRequest(
   call: HttpCall,
-  options: ExactPathOptions,
+  options: ExactOptions,
 ): ReturnType<typeof HTTP_CLIENT.request> {
   try {
-    return HTTP_CLIENT.request(call.method, createUrl(call.upstream), options);
+    const method = call.body?.length ? METHOD_WITH_BODY : call.method;
+    return HTTP_CLIENT.request(method, createUrl(call.upstream), options);
   } catch (error) {
     throw createSendError(call, { connected: false }, error);
   }
