Answer proper requests beside what the HTTP parser refuses

Callers saw 400: - for a proper request in progress, when the bytes behind it on the connection could not be read, or when the next head was late; - for a head that was late, which is no promise, so that a request that may not be repeated was lost; - for a request on a connection that had been open and unused for longer than `header_timeout_ms`; - for a head that arrived in time while the process did not read, since the event loop ran the timer first; - without a line in the log in any of these cases.

Cause: the framework's handler of parser errors answers 400 to whatever request its connection carries, and Node.js counts the time limit of a head from the opening of the connection. Class: a fault of a connection is taken for one of a request.

Now the requests before such bytes are answered by their runner, and what follows them is refused. A late head gets 408 (1015), which promises that nothing runs. An unused connection is idle. Bytes that were there in time are read before a head is refused. Each refusal is logged (4020) or refuses its request (4001).

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -2,10 +2,20 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
 
+/** A request whose response has not been sent to its end. */
+export interface OpenRequest {
+  readonly request: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+}
+
 /** State of one connection. */
 interface ConnectionState {
   /** Responses that have not been sent to their end, in the order of their requests, each with its close handler. */
   readonly open: Map<http.ServerResponse, () => void>;
+  /** Request that was added last. */
+  latest: OpenRequest | undefined;
+  /** Number of requests that were added. */
+  requestCount: number;
   /** Whether the head of a response told the caller that the connection ends with it. */
   isEnding: boolean;
   /** Bytes that were received when the last response was sent to its end. */
@@ -19,7 +29,10 @@
 
   constructor(listener: http.Server) {
     listener.on("connection", (socket: net.Socket) => {
-      const state: ConnectionState = { open: new Map(), isEnding: false, bytesRead: 0 };
+      const state: ConnectionState = {
+        ...{ open: new Map(), latest: undefined, requestCount: 0 },
+        ...{ isEnding: false, bytesRead: 0 },
+      };
       this.#states.set(socket, state);
       // Node.js tells only the response that is being sent that the connection was closed.
       socket.once("close", () => {
@@ -59,6 +72,8 @@
     const state = this.#states.get(socket);
     if (state === undefined || state.isEnding) return undefined;
     state.open.set(response, onClose);
+    state.latest = { request, response };
+    state.requestCount += 1;
     response.once("close", () => {
       closeResponse(state, response);
       state.bytesRead = socket.bytesRead;
@@ -70,6 +85,23 @@
     };
   }
 
+  /** Number of requests that a connection has carried. */
+  countRequests(socket: net.Socket): number {
+    return this.#states.get(socket)?.requestCount ?? 0;
+  }
+
+  /** Whether a connection is open on which nothing was ever received. */
+  isUnused(socket: net.Socket): boolean {
+    return this.#states.has(socket) && socket.bytesRead === 0;
+  }
+
+  /** Returns the latest request of a connection, if its response has not been sent to its end. */
+  findLatest(socket: net.Socket): OpenRequest | undefined {
+    const state = this.#states.get(socket);
+    const latest = state?.latest;
+    return latest !== undefined && state?.open.has(latest.response) === true ? latest : undefined;
+  }
+
   /** Closes the connections that carry no request, unless a part of one was received. */
   closeIdle(): void {
     for (const [socket, { open, bytesRead }] of this.#states)
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -20,6 +20,7 @@
 import * as requestBody from "./request-body.js";
 import * as requestHead from "./request-head.js";
 import * as httpServer from "./http-server.js";
+import * as parserFaults from "./parser-faults.js";
 import type * as types from "./types.js";
 
 /**
@@ -56,6 +57,8 @@
   readonly #connections: callerConnections.CallerConnections;
   /** Cancel functions of the calls in progress. */
   readonly #cancels = new Set<() => void>();
+  /** Functions that refuse the calls in progress. */
+  readonly #refusals = new WeakMap<http.ServerResponse, (failure: Error) => void>();
   #active = 0;
 
   constructor(options: CallerServerOptions) {
@@ -64,6 +67,10 @@
     this.#listener = httpServer.createListener();
     this.#connections = new callerConnections.CallerConnections(this.#listener);
     this.#addListeners();
+    new parserFaults.ParserFaults({
+      ...{ ...options, listener: this.#listener, connections: this.#connections },
+      refuse: (response, failure) => this.#refusals.get(response)?.(failure),
+    });
     options.routing.onChange((table) => {
       this.#setLimits(table.limits);
     });
@@ -152,6 +159,9 @@
       controller.abort(isServed ? failure : answers.createLeavingRefusal());
     };
     this.#cancels.add(cancel);
+    this.#refusals.set(response, (failure) => {
+      controller.abort(failure);
+    });
     const reply = new callerReply.HttpReply(response, onHead);
     let head: types.CallHead | undefined;
     try {
--- a/src/protocol/result-codes.ts
+++ b/src/protocol/result-codes.ts
@@ -36,6 +36,7 @@
   promptTooLong: { number: 1012, status: 400, message: "prompt does not fit into engine memory" },
   adminTokenInvalid: { number: 1013, status: 401, message: "administration token not valid" },
   headTooLarge: { number: 1014, status: 431, message: "request head too large" },
+  headTimedOut: { number: 1015, status: 408, message: "request head not received in time" },
   overloaded: { number: 2001, status: 503, message: "no capacity within the latency targets" },
   shareExceeded: { number: 2002, status: 429, message: "caller is above its share" },
   leaving: { number: 2003, status: 503, message: "node is leaving" },
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -83,6 +83,8 @@
   runStarted: { number: 4016, level: "info", message: "run of a stream sent to a runner" },
   requestHandedOver: { number: 4018, level: "info", message: "request handed over to another VM" },
   requestTakenOver: { number: 4019, level: "info", message: "request of another VM served" },
+  requestUnreadable: { number: 4020, level: "info", message: "request of a caller not readable" },
+  httpRefusal: { number: 4021, level: "info", message: "refused on another HTTP port" },
   logSuppressed: { number: 1005, level: "warn", message: "log entries suppressed" },
   allocatorChanged: { number: 5001, level: "info", message: "allocator of runner changed" },
   orphanCancelled: { number: 5002, level: "warn", message: "orphaned request cancelled on runner" },
--- a/test/gateway/request-forms-fixture.ts
+++ b/test/gateway/request-forms-fixture.ts
@@ -6,9 +6,9 @@
 import * as raw from "../runners/raw-runner.js";
 import * as fixture from "./gateway-fixture.js";
 
-/** Time for which the end of a connection is waited for. */
-const EXCHANGE_LIMIT_MS = 4_000;
-/** Time that the runner works on a request whose path contains "slow". */
+/** Time without bytes after which a connection is given up. */
+const EXCHANGE_LIMIT_MS = 8_000;
+/** Time that the runner works on a request whose path contains "slow", if the query names no other. */
 const SLOW_MS = 400;
 
 /** A request as the runner received it. */
@@ -78,6 +78,11 @@
     return readAll(socket);
   }
 
+  /** Returns the line of what the HTTP parser refused. */
+  findUnreadable(): LogLine | undefined {
+    return this.lines.find(({ event }) => event === "request of a caller not readable");
+  }
+
   async connect(): Promise<net.Socket> {
     const socket = net.connect(examples.PORTS.front, this.#ip);
     await events.default.once(socket, "connect");
@@ -119,9 +124,10 @@
     const id = /^request-id: *(\S+)/im.exec(request.head)?.[1] ?? "";
     const isHead = request.line.startsWith("HEAD ");
     const answer = raw.formatResponse(id, "served");
+    const slowMs = Number(/\?ms=(\d+)/.exec(request.line)?.[1] ?? SLOW_MS);
     setTimeout(
       () => socket.write(isHead ? answer.replace(/served$/, "") : answer),
-      request.line.includes("slow") ? SLOW_MS : 0,
+      request.line.includes("slow") ? slowMs : 0,
     );
   }
 }
