Accept request targets in absolute form

Callers saw 404 on `GET http://api.example/status/x HTTP/1.1`, a form that a server must accept (RFC 9112, section 3.2.2).

Cause: the target was matched against path prefixes and hosts as if it were a path. Class: one of several equal forms of a request was the only one known.

Its authority replaces the `Host` header for the route and for the runner, which gets path and query byte for byte. No path means `/`, or `*` for OPTIONS. A target that names no host, or a user, is malformed (RFC 9110, section 4.2). The limit of a head counts the target as received.

--- a/test/gateway/request-forms.test.ts
+++ b/test/gateway/request-forms.test.ts
@@ -6,9 +6,19 @@
 const NET = 159;
 const NUMBER = 21;
 const CHUNKED = "Transfer-Encoding: chunked";
+/** `max_header_bytes` of the example configuration. */
+const HEAD_LIMIT_BYTES = 16_384;
 /** `max_body_bytes` of the example configuration. */
 const BODY_LIMIT = "b".repeat(1_000);
 
+/** Adds a route for all paths of another host. */
+function addRootRoute(configuration: Record<string, unknown>): Record<string, unknown> {
+  const routes = configuration.routes as Record<string, unknown>[];
+  const status = routes.find(({ name }) => name === "status");
+  const root = { ...status, name: "root", host: "root.example", path_prefix: "/" };
+  return { ...configuration, routes: [...routes, root] };
+}
+
 /** A request, and what the runner is to receive of it if that differs from what was sent. */
 interface Form {
   readonly name: string;
@@ -30,6 +40,20 @@
   return { name, bytes, line: `${line} HTTP/1.1`, host, body, ...rest };
 }
 
+/** A target in absolute form; its authority counts, not the `Host` header (RFC 9112, section 3.2.2). */
+function createAbsoluteForm(
+  target: string,
+  origin: string,
+  options: Partial<Form> & { readonly method?: string } = {},
+): Form {
+  const { method = "POST" } = options;
+  const form = createForm(`absolute form ${method} ${target}`, target, {
+    ...{ host: "api.example", method, ...options },
+    line: `${method} ${origin} HTTP/1.1`,
+  });
+  return { ...form, bytes: form.bytes.replace(/Host: .*/, "Host: other.example") };
+}
+
 /** The example request with other bytes, which mean the same. */
 function createVariant(name: string, change: (bytes: string) => string, body = ""): Form {
   const form = createForm(name, "/status/x", { body });
@@ -85,6 +109,19 @@
   createHeaderForm("other characters", "X: \xe9\xff"),
   createForm("host with a port", "/status/x", { host: "api.example:8144" }),
   createForm("host in capitals", "/status/x", { host: "API.Example" }),
+  createAbsoluteForm("http://api.example/status/x", "/status/x"),
+  createAbsoluteForm(
+    "http://api.example/status/%zz//a?b=%&c=http://d",
+    "/status/%zz//a?b=%&c=http://d",
+  ),
+  createAbsoluteForm("HTTP://API.Example:80/status/X", "/status/X", { host: "API.Example:80" }),
+  createAbsoluteForm("https://api.example/status/x?", "/status/x?"),
+  createAbsoluteForm("http://api.example:8144/status/x#part", "/status/x#part", {
+    host: "api.example:8144",
+  }),
+  createAbsoluteForm("http://root.example", "/", { host: "root.example" }),
+  createAbsoluteForm("http://root.example?q=/status/x", "/?q=/status/x", { host: "root.example" }),
+  createAbsoluteForm("http://root.example/", "/", { host: "root.example", method: "OPTIONS" }),
   createVariant("header names in capitals", (bytes) =>
     bytes.replace("Host:", "HOST:").replace("Request-Id:", "REQUEST-ID:"),
   ),
@@ -136,10 +173,40 @@
     });
 });
 
+test.describe("a target in absolute form", () => {
+  test.it(
+    "is routed by its own authority, and refused when that names no host or a user",
+    async () => {
+      const gateway = await useGateway();
+      const refusals = {
+        "http://other.example/status/x": 404,
+        "http://api.example.other/status/x": 404,
+        "http://user@api.example/status/x": 400,
+        "http://other.example@api.example/status/x": 400,
+      };
+      for (const [target, status] of Object.entries(refusals)) {
+        gateway.received.length = 0;
+        const { statuses } = await gateway.exchange(forms.formatRequest(`POST ${target}`));
+        earl.expect([target, ...statuses]).toEqual([target, status]);
+        earl.expect(gateway.received).toEqual([]);
+      }
+    },
+  );
+
+  test.it("counts as it was received for the limit of a head", async () => {
+    const gateway = await useGateway();
+    const request = forms.formatRequest("POST http://api.example/status/x");
+    const fill = (bytes: number): string =>
+      request.replace("/x ", `/${"x".repeat(bytes - request.length + 1)} `);
+    earl.expect((await gateway.exchange(fill(HEAD_LIMIT_BYTES))).statuses).toEqual([200]);
+    earl.expect((await gateway.exchange(fill(HEAD_LIMIT_BYTES + 1))).statuses).toEqual([431]);
+  });
+});
+
 let shared: Promise<forms.FormsGateway> | undefined;
 
 function useGateway(): Promise<forms.FormsGateway> {
-  return (shared ??= forms.FormsGateway.start(NET, NUMBER));
+  return (shared ??= forms.FormsGateway.start(NET, NUMBER, addRootRoute));
 }
 
 test.after(async () => {
