Take a host with a final dot or an empty port for the same host

Callers saw 404 on `Host: api.example.` and `Host: api.example:`, on routes that every version has.

Cause: hosts were compared as text. Class: one of several equal forms of a request was the only one known. Both the hosts of routes and those of requests are now compared in one form, formatHost in src/routing/route-table.ts; the runner gets the header as the caller sent it.

--- a/src/routing/route-table.ts
+++ b/src/routing/route-table.ts
@@ -22,7 +22,7 @@
    * @example table.findRoute("api.example", "/fetch/tile/7");
    */
   findRoute(host: string, path: string): types.Route | undefined {
-    return this.#byHost.get(host.toLowerCase())?.find((route) => path.startsWith(route.pathPrefix));
+    return this.#byHost.get(formatHost(host))?.find((route) => path.startsWith(route.pathPrefix));
   }
 
   findService(name: string): types.ServiceSpec | undefined {
@@ -37,13 +37,18 @@
   }
 
   #add(route: types.Route): void {
-    const host = route.host.toLowerCase();
+    const host = formatHost(route.host);
     const routes = this.#byHost.get(host) ?? [];
     routes.push(route);
     this.#byHost.set(host, routes);
   }
 }
 
+/** Returns the one form of a host name that is compared: in lower case, and without the final dot of an absolute name. */
+export function formatHost(host: string): string {
+  return host.toLowerCase().replace(/\.$/, "");
+}
+
 function compareByPrefix(first: types.Route, second: types.Route): number {
   return second.pathPrefix.length - first.pathPrefix.length;
 }
--- a/test/gateway/request-forms.test.ts
+++ b/test/gateway/request-forms.test.ts
@@ -11,12 +11,13 @@
 /** `max_body_bytes` of the example configuration. */
 const BODY_LIMIT = "b".repeat(1_000);
 
-/** Adds a route for all paths of another host. */
-function addRootRoute(configuration: Record<string, unknown>): Record<string, unknown> {
+/** Adds routes for all paths of other hosts. */
+function addRoutes(configuration: Record<string, unknown>): Record<string, unknown> {
   const routes = configuration.routes as Record<string, unknown>[];
   const status = routes.find(({ name }) => name === "status");
   const root = { ...status, name: "root", host: "root.example", path_prefix: "/" };
-  return { ...configuration, routes: [...routes, root] };
+  const dotted = { ...root, name: "dotted", host: "dot.Example." };
+  return { ...configuration, routes: [...routes, root, dotted] };
 }
 
 /** A request, and what the runner is to receive of it if that differs from what was sent. */
@@ -108,6 +109,11 @@
   createHeaderForm("tabs", "X:\t a\tb \t"),
   createHeaderForm("other characters", "X: \xe9\xff"),
   createForm("host with a port", "/status/x", { host: "api.example:8144" }),
+  createForm("host with a final dot", "/status/x", { host: "api.example." }),
+  createForm("host with a final dot and a port", "/status/x", { host: "Api.example.:8144" }),
+  createForm("host with an empty port", "/status/x", { host: "api.example:" }),
+  createForm("host that the routes state with a final dot", "/x", { host: "Dot.example" }),
+  createAbsoluteForm("http://api.example.:80/status/x", "/status/x", { host: "api.example.:80" }),
   createForm("host in capitals", "/status/x", { host: "API.Example" }),
   createAbsoluteForm("http://api.example/status/x", "/status/x"),
   createAbsoluteForm(
@@ -206,7 +212,7 @@
 let shared: Promise<forms.FormsGateway> | undefined;
 
 function useGateway(): Promise<forms.FormsGateway> {
-  return (shared ??= forms.FormsGateway.start(NET, NUMBER, addRootRoute));
+  return (shared ??= forms.FormsGateway.start(NET, NUMBER, addRoutes));
 }
 
 test.after(async () => {
--- a/test/routing/route-table.test.ts
+++ b/test/routing/route-table.test.ts
@@ -21,6 +21,23 @@
   });
 });
 
+test.describe("a host name with a final dot", () => {
+  // Callers got 404: it is the same name in DNS.
+  test.it("is the same host, in routes and in requests", () => {
+    const table = new routeTable.RouteTable(
+      fixture.createTable(3, [
+        fixture.createRoute("dotted", { host: "Dot.example.", pathPrefix: "/" }),
+        fixture.createRoute("plain", { pathPrefix: "/" }),
+      ]),
+    );
+    for (const host of ["dot.example", "dot.example.", "DOT.Example."])
+      earl.expect(table.findRoute(host, "/x")?.name).toEqual("dotted");
+    earl.expect(table.findRoute("api.example.", "/x")?.name).toEqual("plain");
+    for (const host of ["api.example..", ".", "", "api", "xapi.example"])
+      earl.expect(table.findRoute(host, "/x")).toEqual(undefined);
+  });
+});
+
 test.describe("chooseService", () => {
   const split = fixture.createRoute("split", {
     services: [
