Log what the HTTP libraries refuse by themselves

Nobody could tell a 4xx of the HTTP parser or of the framework from that of a runner: a request without `Host` on the port of callers, an unknown or malformed path and unreadable bytes on the ports for readiness, lookup and metrics left no line.

The first is now checked by the gateway and refused with 1001 and a line 4001; the others are logged as 4021.

--- a/src/gateway/auxiliary-servers.ts
+++ b/src/gateway/auxiliary-servers.ts
@@ -1,6 +1,7 @@
 /** HTTP servers for readiness checks, address lookup and metrics. */
 import type * as hapi from "@hapi/hapi";
 import type * as membership from "../membership/types.js";
+import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
 import * as httpServer from "./http-server.js";
 import type * as liveSettings from "./live-settings.js";
@@ -16,6 +17,7 @@
   readonly codec: types.CallerCodec;
   readonly membership: membership.Membership;
   readonly metrics: telemetry.Metrics;
+  readonly log: telemetry.EventLog;
   /** Port of the metrics endpoint; `undefined` disables it. */
   readonly metricsPort: number | undefined;
   /** Whether the VM accepts requests. */
@@ -41,6 +43,7 @@
       addMetricsRoute(metrics.server, options);
       servers.push(metrics);
     }
+    for (const server of servers) addRefusalLog(server, options.log);
     this.#servers = servers;
   }
 
@@ -53,6 +56,25 @@
   }
 }
 
+const FIRST_ERROR_STATUS = 400;
+/** Maximum length of a path in a log line. */
+const MAX_LOGGED_LENGTH = 200;
+
+/** Logs what the framework and the HTTP parser refuse by themselves. */
+function addRefusalLog({ server, listener }: httpServer.HttpServer, log: telemetry.EventLog): void {
+  listener.on("clientError", ({ code: cause }: NodeJS.ErrnoException, socket) => {
+    if (!socket.readable) return;
+    const from = "remoteAddress" in socket ? socket.remoteAddress : undefined;
+    log.write(logEvents.LOG_EVENTS.httpRefusal, { cause, from });
+  });
+  server.events.on("response", ({ response, path, method, info }) => {
+    const status = "statusCode" in response ? response.statusCode : undefined;
+    if (status === undefined || status < FIRST_ERROR_STATUS || status === HTTP_UNAVAILABLE) return;
+    const fields = { status, method, path: path.slice(0, MAX_LOGGED_LENGTH) };
+    log.write(logEvents.LOG_EVENTS.httpRefusal, { ...fields, from: info.remoteAddress });
+  });
+}
+
 function addReadyRoute(server: hapi.Server, options: AuxiliaryServersOptions): void {
   server.route({
     method: "GET",
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -166,6 +166,7 @@
     let head: types.CallHead | undefined;
     try {
       head = this.#options.codec.parseHead(request);
+      requestHead.checkHost(request);
       this.#checkHeadSize(request);
       const call = await this.#createCall(head, request, {
         arrivedAt,
--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -94,6 +94,7 @@
     codec: kernel.use("adapter").callerCodec,
     membership: kernel.use("membership"),
     metrics: kernel.use("metrics"),
+    log: kernel.use("log"),
     metricsPort: options.metricsPort,
     isReady,
     isCutOff: (vm) => kernel.use("runnerPaths").isCutOff(vm),
--- a/src/gateway/http-server.ts
+++ b/src/gateway/http-server.ts
@@ -25,6 +25,8 @@
     connectionsCheckingInterval: CONNECTION_CHECK_PERIOD_MS,
     requestTimeout: 0,
     noDelay: true,
+    // The parser would refuse the request without a trace; `request-head.ts` checks it.
+    requireHostHeader: false,
   });
 }
 
--- a/src/gateway/request-head.ts
+++ b/src/gateway/request-head.ts
@@ -1,5 +1,6 @@
-/** Computes the size of a request head: request line and headers. */
+/** Checks request heads: the `Host` header, and the size of request line and headers. */
 import type * as http from "node:http";
+import * as resultCodes from "../protocol/result-codes.js";
 
 /**
  * Bytes of a request line besides method and target: two spaces and the version, as in `GET /path
@@ -17,3 +18,11 @@
   const headerSeparatorBytes = (rawHeaders.length / 2) * (SEPARATOR_BYTES + LINE_END_BYTES);
   return requestLineBytes + headerTextBytes + headerSeparatorBytes + LINE_END_BYTES;
 }
+
+/** @throws RequestError `malformedRequest` when the `Host` header is missing (RFC 9112, section 3.2). */
+export function checkHost({ httpVersion, headers }: http.IncomingMessage): void {
+  if (headers.host !== undefined || httpVersion === "1.0") return;
+  const detail = "malformed request: no host";
+  const { RESULT_CODES, RAN } = resultCodes;
+  throw new resultCodes.RequestError(RESULT_CODES.malformedRequest, RAN.no, { detail });
+}
--- a/test/gateway/parser-faults.test.ts
+++ b/test/gateway/parser-faults.test.ts
@@ -5,6 +5,7 @@
 import * as test from "node:test";
 import * as earl from "earl";
 import * as clocks from "../../src/kernel/clock.js";
+import * as examples from "../../standins/users-platform/examples.js";
 import * as forms from "./request-forms-fixture.js";
 import * as fixture from "./gateway-fixture.js";
 
@@ -77,6 +78,46 @@
   });
 });
 
+test.describe("what an HTTP library refuses by itself", () => {
+  // Nobody could tell such answers from those of runners.
+  test.it("leaves a line: no host on the port of callers", async () => {
+    const gateway = await useGateway();
+    const { statuses } = await gateway.exchange(SERVED.replace(/Host: .*\r\n/, ""));
+    earl.expect(statuses).toEqual([400]);
+    earl
+      .expect(gateway.lines)
+      .toEqual([
+        earl.expect.subset({
+          event: "request refused",
+          request: "r1",
+          code: 1001,
+          path: "/status/x",
+        }),
+      ]);
+  });
+
+  test.it("leaves a line: paths and bytes on the ports for readiness and lookup", async () => {
+    const gateway = await useGateway();
+    const expected = { event: "refused on another HTTP port" };
+    for (const port of [examples.PORTS.ready, examples.PORTS.directory]) {
+      for (const target of ["/absent", "/%zz"]) {
+        gateway.lines.length = 0;
+        const { statuses } = await gateway.exchange(forms.formatRequest(`GET ${target}`), port);
+        const [status] = statuses;
+        earl.expect(status === 400 || status === 404).toEqual(true);
+        earl
+          .expect(gateway.lines)
+          .toEqual([earl.expect.subset({ ...expected, status, path: target })]);
+      }
+      gateway.lines.length = 0;
+      earl.expect((await gateway.exchange("garbage\r\n\r\n", port)).statuses).toEqual([400]);
+      earl
+        .expect(gateway.lines)
+        .toEqual([earl.expect.subset({ ...expected, cause: "HPE_INVALID_METHOD" })]);
+    }
+  });
+});
+
 test.describe("a request head that is late", () => {
   test.it("gets 408, which promises that nothing runs, and a line", async () => {
     const gateway = await useGateway();
--- a/test/gateway/request-forms-fixture.ts
+++ b/test/gateway/request-forms-fixture.ts
@@ -72,9 +72,9 @@
   }
 
   /** Sends bytes on a new connection, and returns all that came until it was closed. */
-  async exchange(bytes: string, encoding: BufferEncoding = "latin1"): Promise<Exchange> {
-    const socket = await this.connect();
-    socket.write(bytes, encoding);
+  async exchange(bytes: string, port?: number): Promise<Exchange> {
+    const socket = await this.connect(port);
+    socket.write(bytes, "latin1");
     return readAll(socket);
   }
 
@@ -83,8 +83,8 @@
     return this.lines.find(({ event }) => event === "request of a caller not readable");
   }
 
-  async connect(): Promise<net.Socket> {
-    const socket = net.connect(examples.PORTS.front, this.#ip);
+  async connect(port: number = examples.PORTS.front): Promise<net.Socket> {
+    const socket = net.connect(port, this.#ip);
     await events.default.once(socket, "connect");
     return socket;
   }
