Count header bytes as received for their limit

Callers got 431 for requests within `max_header_bytes`: the count assumed a space behind each colon, and added the request line to a limit that is named for headers. With a limit above 65,536, the HTTP parser answered 400 by its own limit.

Cause: the size was computed from assumptions about what was received. Class: an own, narrower reading of a limit. White space that the parser drops and the request line no longer count, so that no request within the limit under either reading is refused, and the parser takes what the configuration allows.

--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -132,6 +132,7 @@
   #setLimits(limits: routing.CallerLimits): void {
     this.#listener.keepAliveTimeout = limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
     this.#listener.headersTimeout = limits.headerTimeoutMs;
+    httpServer.setHeadLimit(this.#listener, limits.maxHeaderBytes);
   }
 
   async #handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
@@ -192,7 +193,7 @@
   #checkHeadSize(request: http.IncomingMessage): void {
     const limits = this.#options.routing.current?.configuration.limits;
     if (limits === undefined) return;
-    if (requestHead.computeHeadBytes(request) <= limits.maxHeaderBytes) return;
+    if (requestHead.computeHeaderBytes(request) <= limits.maxHeaderBytes) return;
     throw new resultCodes.RequestError(resultCodes.RESULT_CODES.headTooLarge, resultCodes.RAN.no);
   }
 
--- a/src/gateway/http-server.ts
+++ b/src/gateway/http-server.ts
@@ -4,8 +4,12 @@
 import * as hapi from "@hapi/hapi";
 import type * as network from "../protocol/network.js";
 
-/** Maximum size of a request head in the HTTP parser, in addition to the configured limit. */
+/** Maximum size of a request head in the HTTP parser, unless the configuration allows more. */
 const MAX_HEAD_BYTES = 65_536;
+/** Size of a request line, and of white space around headers, that the parser takes besides the configured limit. */
+const HEAD_EXTRA_BYTES = 32_768;
+/** Greatest limit that the parser takes. */
+const MAX_INT_32 = 2 ** 31 - 1;
 /** How often connections are checked for header timeouts. */
 const CONNECTION_CHECK_PERIOD_MS = 500;
 /** Listen backlog: all callers of a zone may reconnect at once. */
@@ -30,6 +34,13 @@
   });
 }
 
+/** Lets the parser take heads with so many bytes of headers, on connections that are opened from now on. */
+export function setHeadLimit(listener: http.Server, headerBytes: number): void {
+  const maxHeaderSize = Math.max(MAX_HEAD_BYTES, headerBytes + HEAD_EXTRA_BYTES);
+  if (Number.isSafeInteger(maxHeaderSize) && maxHeaderSize <= MAX_INT_32)
+    Object.assign(listener, { maxHeaderSize });
+}
+
 /** Starts to accept connections at an address. */
 export async function startListener(
   listener: http.Server,
