--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -12,7 +12,7 @@
 interface ConnectionState {
   /** Responses that have not been sent to their end, in the order of their requests, each with its close handler. */
   readonly open: Map<http.ServerResponse, () => void>;
-  /** Request that was added last. */
+  /** Request that was added last, until its response has been sent to its end. */
   latest: OpenRequest | undefined;
   /** Number of requests that were added. */
   requestCount: number;
@@ -76,6 +76,7 @@
     state.requestCount += 1;
     response.once("close", () => {
       closeResponse(state, response);
+      if (state.latest?.response === response) state.latest = undefined;
       state.bytesRead = socket.bytesRead;
     });
     return () => {
@@ -97,9 +98,7 @@
 
   /** Returns the latest request of a connection, if its response has not been sent to its end. */
   findLatest(socket: net.Socket): OpenRequest | undefined {
-    const state = this.#states.get(socket);
-    const latest = state?.latest;
-    return latest !== undefined && state?.open.has(latest.response) === true ? latest : undefined;
+    return this.#states.get(socket)?.latest;
   }
 
   /** Closes the connections that carry no request, unless a part of one was received. */
--- a/test/gateway/parser-faults.test.ts
+++ b/test/gateway/parser-faults.test.ts
@@ -84,16 +84,14 @@
     const gateway = await useGateway();
     const { statuses } = await gateway.exchange(SERVED.replace(/Host: .*\r\n/, ""));
     earl.expect(statuses).toEqual([400]);
-    earl
-      .expect(gateway.lines)
-      .toEqual([
-        earl.expect.subset({
-          event: "request refused",
-          request: "r1",
-          code: 1001,
-          path: "/status/x",
-        }),
-      ]);
+    earl.expect(gateway.lines).toEqual([
+      earl.expect.subset({
+        event: "request refused",
+        request: "r1",
+        code: 1001,
+        path: "/status/x",
+      }),
+    ]);
   });
 
   test.it("leaves a line: paths and bytes on the ports for readiness and lookup", async () => {
@@ -158,6 +156,18 @@
     earl.expect((await exchange).statuses).toEqual([200]);
   });
 
+  test.it("does not begin with an idle time between requests, nor with an empty line", async () => {
+    const gateway = await useGateway();
+    const socket = await gateway.connect();
+    const exchange = forms.readAll(socket);
+    for (const rest of ["", "\r\n"]) {
+      socket.write(formatKept("/status/x") + rest);
+      await clocks.sleep(fixture.clock, PAUSE_MS);
+    }
+    socket.write(SERVED);
+    earl.expect((await exchange).statuses).toEqual([200, 200, 200]);
+  });
+
   test.it("closes a connection that stays unused, without an answer to nobody", async () => {
     const gateway = await useGateway();
     const openedAt = fixture.clock.now();
--- a/test/gateway/request-forms.test.ts
+++ b/test/gateway/request-forms.test.ts
@@ -128,6 +128,11 @@
   createAbsoluteForm("http://root.example", "/", { host: "root.example" }),
   createAbsoluteForm("http://root.example?q=/status/x", "/?q=/status/x", { host: "root.example" }),
   createAbsoluteForm("http://root.example/", "/", { host: "root.example", method: "OPTIONS" }),
+  createVariant("absolute form of HTTP/1.0 without a host", (bytes) =>
+    bytes
+      .replace("/status/x HTTP/1.1", "http://api.example/status/x HTTP/1.0")
+      .replace(/Host: .*\r\n/, ""),
+  ),
   createVariant("header names in capitals", (bytes) =>
     bytes.replace("Host:", "HOST:").replace("Request-Id:", "REQUEST-ID:"),
   ),
