Answer lookups and readiness checks whatever cookies they carry

A lookup or a readiness check with a cookie that is no list of pairs got 400, so that the VM counted as failed for that caller.

Cause: the framework judges cookies that nobody reads; the same as for requests of callers, on the ports that keep it.

Evidence: "is not the cookie of a lookup" of test/gateway/parser-faults.test.ts fails on (400) and passes now.

--- a/src/gateway/http-server.ts
+++ b/src/gateway/http-server.ts
@@ -60,7 +60,11 @@
 export function createHttpServer(address: network.PeerAddress): HttpServer {
   const listener = createListener();
   // hapi cannot set the backlog, so the listener is started separately.
-  const server = hapi.server({ listener, autoListen: false, compression: false, debug: false });
+  const server = hapi.server({
+    ...{ listener, autoListen: false, compression: false, debug: false },
+    // Nobody reads cookies, so none is wrong.
+    routes: { state: { parse: false, failAction: "ignore" } },
+  });
   return {
     server,
     listener,
--- a/test/gateway/parser-faults.test.ts
+++ b/test/gateway/parser-faults.test.ts
@@ -94,6 +94,20 @@
     ]);
   });
 
+  test.it("is not the cookie of a lookup or of a readiness check", async () => {
+    const gateway = await useGateway();
+    const { ready, directory } = examples.PORTS;
+    const targets = [
+      ["/-/ready", ready],
+      ["/-/resolve?name=api.example&zone=a", directory],
+      [`http://${gateway.ip}:${directory}/-/resolve?name=api.example&zone=a`, directory],
+    ] as const;
+    for (const [target, port] of targets) {
+      const request = forms.formatRequest(`GET ${target}`, ["Cookie: a=b; c"]);
+      earl.expect((await gateway.exchange(request, port)).statuses).toEqual([200]);
+    }
+  });
+
   test.it("leaves a line: paths and bytes on the ports for readiness and lookup", async () => {
     const gateway = await useGateway();
     const expected = { event: "refused on another HTTP port" };
