Forward all headers of a request, however many

A runner got a request without the headers behind some 1,000: the HTTP parser drops them without a trace. Their size is limited by the configuration; the number no longer is.

Evidence: "keeps them all" of test/gateway/request-forms.test.ts fails on (1,018 of 1,501 counted names) and passes now.

--- a/src/gateway/http-server.ts
+++ b/src/gateway/http-server.ts
@@ -24,7 +24,7 @@
 
 /** Creates a listener without request timeouts; it is started by `startListener`. */
 export function createListener(): http.Server {
-  return http.createServer({
+  const listener = http.createServer({
     maxHeaderSize: MAX_HEAD_BYTES,
     connectionsCheckingInterval: CONNECTION_CHECK_PERIOD_MS,
     requestTimeout: 0,
@@ -32,6 +32,9 @@
     // The parser would refuse the request without a trace; `request-head.ts` checks it.
     requireHostHeader: false,
   });
+  // The size is limited; headers above a number would be dropped without a trace.
+  listener.maxHeadersCount = 0;
+  return listener;
 }
 
 /** Lets the parser take heads with so many bytes of headers, on connections that are opened from now on. */
--- a/test/gateway/request-forms.test.ts
+++ b/test/gateway/request-forms.test.ts
@@ -205,6 +205,18 @@
   );
 });
 
+test.describe("a request with many headers", () => {
+  test.it("keeps them all", async () => {
+    const gateway = await useGateway();
+    gateway.received.length = 0;
+    const headers = Array.from({ length: 1_500 }, (_, index) => `x${index}: `);
+    const bytes = forms.formatRequest("POST /status/x", [...headers, "Last: 1"]);
+    earl.expect((await gateway.exchange(bytes)).statuses).toEqual([200]);
+    const names = gateway.received[0]?.head.match(/^(x\d+|last):/gim) ?? [];
+    earl.expect(names.length).toEqual(1_501);
+  });
+});
+
 test.describe("the limit of headers", () => {
   const createRequest = (limit: number, extra: number, separator: string): string => {
     const request = forms.formatRequest("POST /status/x", ["X: "]).replaceAll(": ", separator);
