--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -20,6 +20,7 @@
 import * as requestBody from "./request-body.js";
 import * as requestHead from "./request-head.js";
 import * as httpServer from "./http-server.js";
+import * as parserFaults from "./parser-faults.js";
 import type * as types from "./types.js";
 
 /**
@@ -52,24 +53,23 @@
 /** Accepts the requests of callers on one VM. */
 export class CallerServer implements AsyncDisposable {
   readonly #options: CallerServerOptions;
-  readonly #http: httpServer.HttpServer;
+  readonly #listener: http.Server;
   readonly #connections: callerConnections.CallerConnections;
   /** Cancel functions of the calls in progress. */
   readonly #cancels = new Set<() => void>();
+  /** Functions that refuse the calls in progress. */
+  readonly #refusals = new WeakMap<http.ServerResponse, (failure: Error) => void>();
   #active = 0;
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
-    this.#http = httpServer.createHttpServer(options.settings.callerAddress);
-    this.#connections = new callerConnections.CallerConnections(this.#http.listener);
-    this.#http.server.route({
-      method: "*",
-      path: "/{path*}",
-      options: { payload: { parse: false, output: "stream", maxBytes: Number.MAX_SAFE_INTEGER } },
-      handler: async (request, toolkit) => {
-        await this.#handle(request.raw.req, request.raw.res);
-        return toolkit.abandon;
-      },
+    // A framework judges paths, cookies and media types, and answers by itself; a runner may accept them.
+    this.#listener = httpServer.createListener();
+    this.#connections = new callerConnections.CallerConnections(this.#listener);
+    this.#addListeners();
+    new parserFaults.ParserFaults({
+      ...{ ...options, listener: this.#listener, connections: this.#connections },
+      refuse: (response, failure) => this.#refusals.get(response)?.(failure),
     });
     options.routing.onChange((table) => {
       this.#setLimits(table.limits);
@@ -82,7 +82,7 @@
   }
 
   async start(): Promise<void> {
-    await this.#http.start();
+    await httpServer.startListener(this.#listener, this.#options.settings.callerAddress);
   }
 
   /** Ends each connection with its next answer, so that callers reconnect to other VMs. */
@@ -93,7 +93,7 @@
   /** Stops accepting connections. */
   closeListener(): void {
     // The method of `http.Server` also closes connections whose last response is still being sent.
-    net.Server.prototype.close.call(this.#http.listener);
+    net.Server.prototype.close.call(this.#listener);
   }
 
   /** Closes the connections that carry no request. */
@@ -106,14 +106,33 @@
     for (const cancel of this.#cancels) cancel();
   }
 
-  async [Symbol.asyncDispose](): Promise<void> {
-    await this.#http[Symbol.asyncDispose]();
+  [Symbol.asyncDispose](): Promise<void> {
+    httpServer.closeListener(this.#listener);
+    return Promise.resolve();
+  }
+
+  #addListeners(): void {
+    const onRequest = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+      // Whoever reads the body gets its error; later ones concern nobody.
+      request.on("error", () => undefined);
+      this.#handle(request, response).catch((error: unknown) => {
+        this.#options.log.write(logEvents.LOG_EVENTS.unexpectedError, { error: String(error) });
+        response.destroy();
+      });
+    };
+    this.#listener.on("request", onRequest);
+    // Other expectations than `100-continue` concern the runner at most.
+    this.#listener.on("checkExpectation", onRequest);
+    this.#listener.on("checkContinue", (request, response) => {
+      response.writeContinue();
+      onRequest(request, response);
+    });
   }
 
   #setLimits(limits: routing.CallerLimits): void {
-    const { listener } = this.#http;
-    listener.keepAliveTimeout = limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
-    listener.headersTimeout = limits.headerTimeoutMs;
+    this.#listener.keepAliveTimeout = limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
+    this.#listener.headersTimeout = limits.headerTimeoutMs;
+    httpServer.setHeadLimit(this.#listener, limits.maxHeaderBytes);
   }
 
   async #handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
@@ -141,10 +160,14 @@
       controller.abort(isServed ? failure : answers.createLeavingRefusal());
     };
     this.#cancels.add(cancel);
+    this.#refusals.set(response, (failure) => {
+      controller.abort(failure);
+    });
     const reply = new callerReply.HttpReply(response, onHead);
     let head: types.CallHead | undefined;
     try {
       head = this.#options.codec.parseHead(request);
+      requestHead.checkHost(request);
       this.#checkHeadSize(request);
       const call = await this.#createCall(head, request, {
         arrivedAt,
@@ -170,7 +193,7 @@
   #checkHeadSize(request: http.IncomingMessage): void {
     const limits = this.#options.routing.current?.configuration.limits;
     if (limits === undefined) return;
-    if (requestHead.computeHeadBytes(request) <= limits.maxHeaderBytes) return;
+    if (requestHead.computeHeaderBytes(request) <= limits.maxHeaderBytes) return;
     throw new resultCodes.RequestError(resultCodes.RESULT_CODES.headTooLarge, resultCodes.RAN.no);
   }
 
