Read configurations part by part

What callers saw: a route that the operator added is answered 404 at every VM, for good, if another route, service or limit of the same version has one field that is missing, null or of an unknown form. Routes of an unknown kind were left out, so that their requests got 404 or went to the service of a shorter prefix.

Cause: one schema checked the whole document. Class: one part that isn't understood refuses the whole.

Why the fix works: each field is read by itself. What has a sound default gets it, an unknown kind runs at most once, a route that can be matched but not served stays and is refused as not run. Event 3017 names it, 3009 why an item is refused whole.

--- a/src/registry/registry-reader.ts
+++ b/src/registry/registry-reader.ts
@@ -244,12 +244,15 @@
     view.applyChanges(changes);
   }
 
-  /** Logs unparsable items, once per revision. */
+  /** Logs items that cannot be read, or only in part, once per revision. */
   #reportInvalidItems(items: readonly types.RegistryItem<Value>[]): void {
     const { view, log, name } = this.#options;
-    for (const { key, revision, value } of items) {
-      if (value !== undefined || !view.isNewer(key, revision)) continue;
-      log.write(logEvents.LOG_EVENTS.registryItemUnreadable, { what: name, key, revision });
+    for (const { key, revision, value, faults } of items) {
+      if ((value !== undefined && faults === undefined) || !view.isNewer(key, revision)) continue;
+      const { registryItemUnreadable, registryItemIncomplete } = logEvents.LOG_EVENTS;
+      const event = value === undefined ? registryItemUnreadable : registryItemIncomplete;
+      const fields = { what: name, key, revision };
+      log.write(event, faults === undefined ? fields : { ...fields, faults });
     }
   }
 
--- a/src/registry/types.ts
+++ b/src/registry/types.ts
@@ -6,6 +6,8 @@
   readonly revision: number;
   /** `undefined` when the item cannot be parsed; the key is then treated as unusable. */
   readonly value: Value | undefined;
+  /** What of the item could not be read, as text for the log; absent if all could, or if it came from a peer. */
+  readonly faults?: readonly string[];
 }
 
 /**
--- a/src/serving/served-call.ts
+++ b/src/serving/served-call.ts
@@ -45,7 +45,7 @@
   const route = table.findRoute(head.host, head.path);
   if (route === undefined) throw createRefusal("unknownService");
   const service = findService(table, head);
-  if (service === undefined) throw createRefusal("notReady");
+  if (service === undefined) throw createRefusal("notReady", "route has no service that is known");
   const deadlineMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
   const ownDeadlineAt = Math.min(context.arrivedAt + deadlineMs, latestDeadlineAt);
   grace.checkTaken(ownDeadlineAt);
@@ -57,8 +57,14 @@
   };
 }
 
-function createRefusal(name: "notReady" | "unknownService"): resultCodes.RequestError {
-  const options = name === "notReady" ? { retryAfterMs: NOT_READY_RETRY_MS } : {};
+function createRefusal(
+  name: "notReady" | "unknownService",
+  detail?: string,
+): resultCodes.RequestError {
+  const options = {
+    ...(detail === undefined ? {} : { detail }),
+    ...(name === "notReady" ? { retryAfterMs: NOT_READY_RETRY_MS } : {}),
+  };
   return new resultCodes.RequestError(resultCodes.RESULT_CODES[name], resultCodes.RAN.no, options);
 }
 
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -60,6 +60,7 @@
     level: "info",
     message: "watches of the platform restarted on new connections",
   },
+  registryItemIncomplete: { number: 3017, level: "warn", message: "registry item read in part" },
   requestRefused: { number: 4001, level: "info", message: "request refused" },
   requestFinished: { number: 4002, level: "debug", message: "request finished" },
   requestRetried: { number: 4003, level: "info", message: "request retried" },
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -33,6 +33,27 @@
       earl.expect([snapshot.epoch, changes?.epoch]).toEqual([epoch, epoch]);
     });
 
+  // From the line of an item that was refused nobody could tell why.
+  test.it("keeps the first faults of an item, cut to a length for the log", async () => {
+    await using platform = new store.StoreStandIn();
+    await platform.start();
+    platform.set("servers/a", { id: "a" });
+    const [host = "", port] = platform.address.split(":");
+    const source = new storeClient.StoreSource(
+      clocks.createSystemClock(),
+      { host, port: Number(port) },
+      "servers/",
+      (_key, _bytes, report) => {
+        for (let number = 0; number < 30; number += 1) report("x".repeat(10_000));
+        return undefined;
+      },
+    );
+    const snapshot = await source.readAll(AbortSignal.timeout(SHORT_MS));
+    const faults = snapshot.items[0]?.faults ?? [];
+    earl.expect([faults.length, faults.at(-1)]).toEqual([9, "and 22 more"]);
+    earl.expect(faults.join("").length < 2_100).toEqual(true);
+  });
+
   // Items of both states would stand side by side.
   test.it("fails to read pages of two eras", async () => {
     await using platform = new store.StoreStandIn();
