Let readers whose reads fail learn changes from others

What callers saw: while the platform serves few VMs, its other readers stayed at an older configuration for 3 to 20 s, so that an added route was answered 404 there.

Cause: readers get no pushes and ask nobody, and they dropped what they pulled from VMs that live on pushes, as those name an older platform revision beside a newer change. Class: of two numbers that say how new something is, one decided alone.

--- a/src/registry/registry-exchange.ts
+++ b/src/registry/registry-exchange.ts
@@ -73,7 +73,10 @@
     const { view, log, name } = this.#options;
     try {
       const snapshot = await this.#callSnapshot(vm);
-      if (isOlder(snapshot, view)) return true;
+      if (isOlder(snapshot, view)) {
+        this.#applyNewerItems(snapshot as types.RegistrySnapshot<Value>, vm);
+        return true;
+      }
       const { epoch, revision, newestRevision } = snapshot;
       const fields = { what: name, peer: vm, epoch, revision, before: view.revision };
       view.applySnapshot(snapshot as types.RegistrySnapshot<Value>, types.CHANGE_PATH.pull);
@@ -87,6 +90,23 @@
     }
   }
 
+  /**
+   * Takes from a snapshot that reflects an older platform revision than the view what was written after all that the view
+   * reflects: a reader pushes such items to the peer, whose own revision stays. Nothing is removed.
+   */
+  #applyNewerItems(snapshot: types.RegistrySnapshot<Value>, vm: string): void {
+    const { view, log, name } = this.#options;
+    const { epoch = 0, revision } = snapshot;
+    if (epoch !== view.epoch) return;
+    const before = Math.max(view.revision, view.newestRevision);
+    const items = snapshot.items.filter((item) => item.revision > before);
+    if (items.length === 0) return;
+    const changes = items.map((item) => ({ removed: false as const, item }));
+    view.applyChanges({ revision: view.revision, changes }, types.CHANGE_PATH.pull);
+    const fields = { what: name, peer: vm, epoch, revision, before, items: items.length };
+    log.write(logEvents.LOG_EVENTS.registryPulled, fields);
+  }
+
   /** @throws PeerCallError, or an error that names what is malformed. */
   async #callSnapshot(vm: string): Promise<snapshotTransfer.PeerSnapshot> {
     const [firstMs, secondMs] = PULL_TIMEOUTS_MS;
--- a/src/registry/registry-relay.ts
+++ b/src/registry/registry-relay.ts
@@ -189,6 +189,7 @@
       const jitter = 0.9 + 0.2 * random.nextFloat();
       await clocks.sleep(clock, POLL_PERIOD_MS * jitter, signal).catch(() => undefined);
       if (!this.#isReader()) await this.#callNextReader();
+      else if (this.#isMissingChanges()) await this.#callOtherReaders();
       this.#updateRole();
     }
     this.#notifyWaiters();
@@ -217,6 +218,34 @@
     }
   }
 
+  /** Whether a reader's own reads fail or have a gap, so that only others may know of the newest changes. */
+  #isMissingChanges(): boolean {
+    return [...this.#registries.values()].some(({ view }) => view.continuousSince === undefined);
+  }
+
+  /** Asks the readers of all zones, and pulls what they know as newer. */
+  async #callOtherReaders(): Promise<void> {
+    const { network: peers, membership: fleet } = this.#options;
+    const limits = { timeoutMs: POLL_TIMEOUT_MS };
+    const readers = registryReaders.listFleetReaders(fleet).filter((vm) => vm !== fleet.self.vm);
+    const asked = readers.map(async (vm) => {
+      const reply = await peers.callByDatagram(vm, READ_STATE, {}, limits);
+      return { vm, states: reply.states };
+    });
+    for (const answer of await Promise.allSettled(asked)) {
+      if (answer.status === "rejected") continue;
+      const { vm, states } = answer.value;
+      for (const state of states) if (this.#isNewer(state)) await this.#pullIfMissing(vm, state);
+    }
+  }
+
+  /** Whether a reader knows a newer change than this VM. */
+  #isNewer({ name: registry, epoch = 0, newestRevision }: RegistryState): boolean {
+    const view = this.#registries.get(registry)?.view;
+    if (view === undefined) return false;
+    return epoch === view.epoch ? newestRevision > view.newestRevision : epoch > view.epoch;
+  }
+
   /** Asks a reader by datagram and over a connection; returns whether it answered. */
   async #callReader(reader: string): Promise<boolean> {
     const { network: peers } = this.#options;
@@ -265,7 +294,8 @@
     if (isSame) view.setNewestRevision(state.newestRevision);
     const isOlder =
       epoch === view.epoch &&
-      (state.newestRevision < view.newestRevision || state.revision < view.revision);
+      (state.newestRevision < view.newestRevision ||
+        (state.newestRevision === view.newestRevision && state.revision < view.revision));
     const isPulled = isSame || isOlder || (await pull(reader));
     if (isPulled) this.#behind.delete(state.name);
     else this.#behind.add(state.name);
--- a/test/registry/registry-exchange.test.ts
+++ b/test/registry/registry-exchange.test.ts
@@ -70,4 +70,15 @@
     });
     earl.expect([...keys].sort()).toEqual(["kept", "leaving"]);
   });
+
+  // A reader whose own reads failed dropped all that VMs knew whose revision was lower, though they had newer changes.
+  test.it("takes what is newer from a peer that reflects an older revision", async () => {
+    const items = [item("kept", 12), item("gone", 9), item("leaving", 6)];
+    const snapshot = { revision: 8, newestRevision: 12, items };
+    earl
+      .expect([...(await pullDuring(snapshot, () => undefined))].sort())
+      .toEqual(["kept", "leaving"]);
+    const keys = await pullDuring({ ...snapshot, items: [item("added", 12)] }, () => undefined);
+    earl.expect([...keys].sort()).toEqual(["added", "kept", "leaving"]);
+  });
 });
--- a/test/registry/relay-fleet.ts
+++ b/test/registry/relay-fleet.ts
@@ -32,6 +32,10 @@
   callCount = 0;
   /** Whether the platform answers a VM. */
   isReachable: (vm: string) => boolean = () => true;
+  /** Whether the history that a VM's watch asks for is gone. */
+  hasGap: (vm: string) => boolean = () => false;
+  /** Ends or holds up the full reads of a VM. */
+  holdRead: (vm: string, signal: AbortSignal) => Promise<void> = () => Promise.resolve();
 
   constructor(clock: clocks.Clock) {
     this.#clock = clock;
@@ -68,17 +72,18 @@
     return {
       readAll: async (signal) => {
         await this.#answer(vm, signal);
+        await this.holdRead(vm, signal);
         const items = [...this.#items.values()];
         return { epoch: this.#epoch, revision: this.#revision, items };
       },
       watch: async (after, waitMs, signal) => {
         await this.#answer(vm, signal);
         const until = this.#clock.now() + waitMs;
-        while (this.#revision <= after && this.#clock.now() < until)
+        while (this.#revision <= after && this.#clock.now() < until && !this.hasGap(vm))
           await clocks.sleep(this.#clock, 20, signal);
         if (!this.isReachable(vm)) await clocks.sleep(this.#clock, 60_000, signal);
         // The history of a revision that has not been given out is not available.
-        if (after > this.#revision) return undefined;
+        if (after > this.#revision || this.hasGap(vm)) return undefined;
         const changes = this.#changes.filter((change) => getRevision(change) > after);
         return { epoch: this.#epoch, revision: this.#revision, changes };
       },
