Follow a store that went back and names no newer era

What callers saw: after the store came back from a copy, a route that the operator added got 404 at every VM for good, if the store named no era, or the same one.

Cause: a return was told by the header Store-Era alone. Without it, revisions of before and after the return were compared as if of one counter.

The fix: reads are linearizable, so an answer to a call that began after this VM knew a revision can't reflect less. If it does, and a second read on a new connection does too, the next part of the epoch begins, which goes before all of the part before, as an epoch does. Late answers show nothing, as only what was known when the call began is compared.

--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -337,7 +337,11 @@
       history,
       getListPosition: () => sync.runnersPosition,
     }),
-    verifier: new versionVerifier.VersionVerifier({ clock, source }),
+    verifier: new versionVerifier.VersionVerifier({
+      clock,
+      source,
+      getListPosition: () => sync.runnersPosition,
+    }),
   });
 }
 
--- a/src/registry/registry-exchange.ts
+++ b/src/registry/registry-exchange.ts
@@ -10,6 +10,7 @@
 import * as network from "../protocol/network.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
+import * as epochs from "./epochs.js";
 import type * as registryView from "./registry-view.js";
 import * as snapshotTransfer from "./snapshot-transfer.js";
 import * as types from "./types.js";
@@ -23,7 +24,12 @@
 const PULL_TIMEOUTS_MS = [400, 1_000] as const;
 
 const revisionSchema = zod.int().min(0);
-const positionSchema = zod.object({ epoch: revisionSchema, revision: revisionSchema });
+const positionSchema = zod.object({
+  epoch: revisionSchema,
+  /** Part of the epoch; absent from VMs of earlier builds. */
+  rewinds: revisionSchema.optional(),
+  revision: revisionSchema,
+});
 
 /** Dependencies and settings of a `RegistryExchange`. */
 export interface RegistryExchangeOptions<Value> {
@@ -55,8 +61,8 @@
     const { snapshotSchema } = snapshotTransfer;
     this.#call = network.createPeerCall(callKind, `pull-${name}`, zod.object({}), snapshotSchema);
     peers.onCall(this.#call, () => {
-      const { epoch, revision, newestRevision } = view;
-      return { revision, items: [...view.list()], newestRevision, epoch };
+      const { epoch, rewinds, revision, newestRevision } = view;
+      return { revision, items: [...view.list()], newestRevision, epoch, rewinds };
     });
     const streamCall = snapshotTransfer.createSnapshotCall(streamKind, name);
     const sender = new snapshotTransfer.SnapshotSender(clock, view);
@@ -74,8 +80,8 @@
     try {
       const snapshot = await this.#callSnapshot(vm);
       if (isOlder(snapshot, view)) return true;
-      const { epoch, revision, newestRevision } = snapshot;
-      const fields = { what: name, peer: vm, epoch, revision, before: view.revision };
+      const { epoch, rewinds, revision, newestRevision } = snapshot;
+      const fields = { what: name, peer: vm, epoch, rewinds, revision, before: view.revision };
       view.applySnapshot(snapshot as types.RegistrySnapshot<Value>, types.CHANGE_PATH.pull);
       view.setNewestRevision(newestRevision ?? 0);
       log.write(logEvents.LOG_EVENTS.registryPulled, fields);
@@ -124,8 +130,11 @@
       },
     });
     fleet.onGossip(`${name}-epoch`, {
-      create: () =>
-        view.epoch === 0 ? undefined : { epoch: view.epoch, revision: view.newestRevision },
+      create: () => {
+        const { epoch, rewinds, newestRevision } = view;
+        const isUnnamed = epoch === 0 && rewinds === 0;
+        return isUnnamed ? undefined : { epoch, rewinds, revision: newestRevision };
+      },
       onReceive: (payload, from) => {
         this.#handlePosition(positionSchema.parse(payload), from.vm);
       },
@@ -136,9 +145,10 @@
     if (this.#isBehind(position)) void this.#schedulePull(vm, position);
   }
 
-  #isBehind({ epoch, revision }: types.RegistryPosition): boolean {
+  #isBehind(position: types.RegistryPosition): boolean {
     const { view } = this.#options;
-    return epoch === view.epoch ? revision > view.newestRevision : epoch > view.epoch;
+    const order = epochs.compareEpochs(position, view);
+    return order === 0 ? position.revision > view.newestRevision : order > 0;
   }
 
   async #schedulePull(vm: string, position: types.RegistryPosition): Promise<void> {
@@ -154,10 +164,14 @@
 
 /** Whether a view has taken newer changes than a snapshot holds, such as while the snapshot was on its way. */
 function isOlder(
-  { epoch = 0, revision, newestRevision }: snapshotTransfer.PeerSnapshot,
-  view: Pick<registryView.RegistryView<unknown>, "epoch" | "revision" | "newestRevision">,
+  { epoch, rewinds, revision, newestRevision }: snapshotTransfer.PeerSnapshot,
+  view: Pick<
+    registryView.RegistryView<unknown>,
+    "epoch" | "rewinds" | "revision" | "newestRevision"
+  >,
 ): boolean {
-  if (epoch !== view.epoch) return epoch < view.epoch;
+  const order = epochs.compareEpochs({ epoch, rewinds }, view);
+  if (order !== 0) return order < 0;
   if (revision < view.revision) return true;
   // Pushed changes do not raise the platform revision that the view reflects.
   return view.revision > 0 && newestRevision !== undefined && newestRevision < view.newestRevision;
--- a/src/registry/registry-reader.ts
+++ b/src/registry/registry-reader.ts
@@ -7,7 +7,9 @@
 import * as platformOutages from "./platform-outages.js";
 import type * as registryRelay from "./registry-relay.js";
 import * as registryView from "./registry-view.js";
+import * as rewindDetector from "./rewind-detector.js";
 import type * as types from "./types.js";
+import * as unnamedAnswers from "./unnamed-answers.js";
 
 /** Duration of one long poll without a schedule. */
 const LONG_POLL_MS = 5_000;
@@ -52,6 +54,8 @@
   readonly onDeadWatch?: (givenUpAt: number) => void;
   /** Outages that any reader of this VM found; by default, those that this one found. */
   readonly outages?: platformOutages.PlatformOutages;
+  /** Answers without an epoch to any reader of this VM; by default, those to this one. */
+  readonly unnamed?: unnamedAnswers.UnnamedAnswers;
   readonly clock: clocks.Clock;
   readonly random: random.RandomSource;
   readonly log: telemetry.EventLog;
@@ -62,6 +66,7 @@
 export class RegistryReader<Value> {
   readonly #options: RegistryReaderOptions<Value>;
   readonly #outages: platformOutages.PlatformOutages;
+  readonly #rewinds: rewindDetector.RewindDetector<Value>;
   #failures = 0;
   #needsFullRead = true;
   /** Whether the next full read may follow an outage that other VMs met. */
@@ -80,8 +85,10 @@
   constructor(options: RegistryReaderOptions<Value>) {
     this.#options = options;
     this.#outages = options.outages ?? new platformOutages.PlatformOutages(options.clock);
-    options.view.onEpoch((epoch, path) => {
-      this.#handleEpoch(epoch, path);
+    const unnamed = options.unnamed ?? new unnamedAnswers.UnnamedAnswers(options.clock);
+    this.#rewinds = new rewindDetector.RewindDetector({ ...options, unnamed });
+    options.view.onEpoch((path) => {
+      this.#handleEpoch(path);
     });
   }
 
@@ -149,9 +156,12 @@
   async #readAll(signal: AbortSignal): Promise<void> {
     const { view, clock, onDeadWatch } = this.#options;
     const beganAt = clock.now();
-    const snapshot = await this.#callReadAll(signal);
-    this.#checkEpoch(snapshot.epoch);
+    const known = this.#rewinds.createKnown();
+    const answer = await this.#callReadAll(signal);
     const tookMs = clock.now() - beganAt;
+    const readAgain = () => this.#callReadAll(signal, true);
+    const snapshot = await this.#rewinds.placeSnapshot(known, answer, readAgain);
+    if (snapshot === undefined) return;
     // A platform that is as slow on a new connection tells nothing of the old one.
     const givenUpAt = this.#givenUpAt;
     const isConnectionDead = givenUpAt !== undefined && tookMs < RESPONSE_MARGIN_MS;
@@ -166,14 +176,17 @@
     if (isConnectionDead) onDeadWatch?.(givenUpAt);
   }
 
-  async #callReadAll(signal: AbortSignal): Promise<types.RegistrySnapshot<Value>> {
+  async #callReadAll(
+    signal: AbortSignal,
+    isOnNewConnection = false,
+  ): Promise<types.RegistrySnapshot<Value>> {
     const { source, clock } = this.#options;
     using limit = clocks.createTimeLimit(clock, READ_TIMEOUT_MS, signal);
     const cancel = clock.schedule(OUTAGE_MS, () => {
       this.#outages.recordFailure();
     });
     try {
-      return await source.readAll(limit.signal);
+      return await source.readAll(limit.signal, isOnNewConnection);
     } finally {
       cancel();
     }
@@ -182,17 +195,15 @@
   async #watch(signal: AbortSignal): Promise<void> {
     const { clock, view } = this.#options;
     const pollMs = this.#computePollMs();
-    const { epoch } = view;
+    const { epoch, rewinds, revision } = view;
     this.#watchBeganAt = clock.now();
     this.#pollEndsAt = this.#watchBeganAt + pollMs;
     const restart = new AbortController();
     this.#restart = restart;
     try {
       const changes = await this.#callWatch(pollMs, restart.signal, signal);
-      if (changes !== undefined) this.#checkEpoch(changes.epoch);
       // Changes after a revision of another epoch show nothing of those before.
-      const isSameEpoch = (changes?.epoch ?? 0) === epoch && view.epoch === epoch;
-      this.#applyChanges(isSameEpoch ? changes : undefined);
+      this.#applyChanges(this.#rewinds.placeChanges({ epoch, rewinds, revision }, changes));
     } catch (error) {
       // The same changes are asked for again on a new connection, so none is missed.
       if (restart.signal.aborted && !signal.aborted) this.#soundAt = clock.now();
@@ -206,13 +217,6 @@
     }
   }
 
-  /** @throws when an answer is of an older epoch than the view: it is that of an outdated platform, or of none. */
-  #checkEpoch(epoch: types.RegistryEpoch = 0): void {
-    const { view } = this.#options;
-    if (epoch >= view.epoch) return;
-    throw new Error(`platform answered in epoch ${epoch}, but epoch ${view.epoch} is known`);
-  }
-
   #computePollMs(): number {
     return Math.round(this.#options.computePollMs?.() ?? LONG_POLL_MS);
   }
@@ -266,9 +270,10 @@
   }
 
   /** A watch that began in an older epoch waits for revisions that may never come. */
-  #handleEpoch(epoch: types.RegistryEpoch, path: types.ChangePath): void {
+  #handleEpoch(path: types.ChangePath): void {
     const { log, name, view } = this.#options;
-    const fields = { what: name, epoch, path, items: view.list().length };
+    const { epoch, rewinds } = view;
+    const fields = { what: name, epoch, rewinds, path, items: view.list().length };
     log.write(logEvents.LOG_EVENTS.registryEpochStarted, fields);
     this.#needsFullRead = true;
     this.replaceWatch();
--- a/src/registry/registry-relay.ts
+++ b/src/registry/registry-relay.ts
@@ -10,6 +10,7 @@
 import * as network from "../protocol/network.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
+import * as epochs from "./epochs.js";
 import * as registryReaders from "./registry-readers.js";
 import type * as registryView from "./registry-view.js";
 import * as types from "./types.js";
@@ -43,8 +44,9 @@
   digest: zod.int().min(0),
   /** Time since the platform last answered the reader; absent while its reads fail. */
   ageMs: zod.number().min(0).optional(),
-  /** Epoch of the revisions; absent in the answer of a VM of an earlier build. */
+  /** Epoch of the revisions, and its part; absent in the answer of a VM of an earlier build. */
   epoch: revision.optional(),
+  rewinds: revision.optional(),
 });
 /** Time for which the reader missed no change; absent while it may. */
 const continuousMs = zod.number().min(0).optional();
@@ -80,8 +82,9 @@
     continuousMs,
     /** Newest change in the reader's view. */
     newestRevision: revision,
-    /** Epoch of the revisions; absent in the push of a VM of an earlier build. */
+    /** Epoch of the revisions, and its part; absent in the push of a VM of an earlier build. */
     epoch: revision.optional(),
+    rewinds: revision.optional(),
   }),
   zod.object({}),
 );
@@ -259,13 +262,12 @@
     const registry = this.#registries.get(state.name);
     if (registry === undefined) return true;
     const { view, pull } = registry;
-    const { epoch = 0 } = state;
-    if (epoch < view.epoch) return false;
-    const isSame = epoch === view.epoch && state.digest === view.digest;
+    const order = epochs.compareEpochs(state, view);
+    if (order < 0) return false;
+    const isSame = order === 0 && state.digest === view.digest;
     if (isSame) view.setNewestRevision(state.newestRevision);
     const isOlder =
-      epoch === view.epoch &&
-      (state.newestRevision < view.newestRevision || state.revision < view.revision);
+      order === 0 && (state.newestRevision < view.newestRevision || state.revision < view.revision);
     const isPulled = isSame || isOlder || (await pull(reader));
     if (isPulled) this.#behind.delete(state.name);
     else this.#behind.add(state.name);
@@ -323,15 +325,15 @@
     return [...this.#registries.values()].map(({ name: registry, view, findAnsweredAt }) => {
       const answeredAt = findAnsweredAt();
       const ageMs = answeredAt === undefined ? undefined : Math.max(0, clock.now() - answeredAt);
-      const { epoch, revision: own, newestRevision, digest } = view;
-      return { name: registry, revision: own, newestRevision, digest, ageMs, epoch };
+      const { epoch, rewinds, revision: own, newestRevision, digest } = view;
+      return { name: registry, revision: own, newestRevision, digest, ageMs, epoch, rewinds };
     });
   }
 
   #handlePush(push: zod.infer<typeof PUSH.request>): void {
     const view = this.#registries.get(push.name)?.view;
     // The snapshot of a newer epoch is pulled after the next question.
-    if (view?.epoch !== (push.epoch ?? 0)) return;
+    if (view === undefined || epochs.compareEpochs(push, view) !== 0) return;
     const digest = view.digest;
     const isContiguous = digest === push.before;
     for (const { key, revision: changed, value, removed } of push.changes) {
@@ -372,8 +374,8 @@
     // They are pulled after the receivers' next questions.
     if (cbor.encode(changes).byteLength > MAX_PUSH_BYTES) return;
     const continuous = view.computeContinuousTime();
-    const { epoch, newestRevision } = view;
-    const base = { name: registry, before, changes, newestRevision, epoch };
+    const { epoch, rewinds, newestRevision } = view;
+    const base = { name: registry, before, changes, newestRevision, epoch, rewinds };
     const push = { ...base, continuousMs: continuous };
     const readers = this.#listReaders();
     const receivers = this.#listZone().filter((vm) => !readers.includes(vm));
--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -16,6 +16,7 @@
 import * as registryView from "./registry-view.js";
 import * as restorePolicies from "./restore-policies.js";
 import type * as types from "./types.js";
+import * as unnamedAnswers from "./unnamed-answers.js";
 import * as watchVerifier from "./watch-verifier.js";
 
 const CONFIGURATION_CALL = 30;
@@ -84,6 +85,7 @@
     const verifier = new watchVerifier.WatchVerifier(sharedOptions);
     const schedule = this.#createSchedule();
     const outages = new platformOutages.PlatformOutages(clock);
+    const unnamed = new unnamedAnswers.UnnamedAnswers(clock);
     const onDeadWatch = (givenUpAt: number): void => {
       verifier.handleDeadWatch(givenUpAt);
     };
@@ -95,6 +97,7 @@
       computePollMs: () => schedule.computePollMs(0),
       onDeadWatch,
       outages,
+      unnamed,
     });
     const runnersReader = new registryReader.RegistryReader({
       ...sharedOptions,
@@ -104,6 +107,7 @@
       computePollMs: () => schedule.computePollMs(1),
       onDeadWatch,
       outages,
+      unnamed,
     });
     this.#readers = [configurationReader, runnersReader];
     this.#configurationReader = configurationReader;
@@ -156,10 +160,10 @@
     };
   }
 
-  /** Epoch and platform revision that the runner list reflects; 0 before it was loaded. */
+  /** Epoch, its part, and platform revision that the runner list reflects; 0 before it was loaded. */
   get runnersPosition(): types.RegistryPosition {
-    const { epoch, revision } = this.#runnersView;
-    return { epoch, revision };
+    const { epoch, rewinds, revision } = this.#runnersView;
+    return { epoch, rewinds, revision };
   }
 
   /**
@@ -222,7 +226,8 @@
     view.onChange((_key, value, revision) => {
       if (value === undefined) return;
       const answeredMs = this.#computeAge(this.#configurationReader.answeredAt);
-      routing.apply(value, { revision, epoch: view.epoch, path: view.changePath, answeredMs });
+      const { epoch, rewinds, changePath: path } = view;
+      routing.apply(value, { revision, epoch, rewinds, path, answeredMs });
     });
     this.#runnersView.onChange((key, value) => {
       table.setRunner(value?.id ?? parseRunnerId(key), value);
@@ -251,9 +256,14 @@
 }
 
 /** Returns the number for fencing tokens at a point in the platform's history. */
-export function computeFencingRevision({ epoch, revision }: types.RegistryPosition): number {
+export function computeFencingRevision({
+  epoch,
+  rewinds = 0,
+  revision,
+}: types.RegistryPosition): number {
   // Epochs count from 1, and VMs of earlier builds know none: both give the same tokens until the first restore.
-  return revision + Math.max(0, epoch - 1) * FENCING_REVISIONS_PER_EPOCH;
+  const restores = Math.max(0, epoch - 1) + rewinds;
+  return revision + restores * FENCING_REVISIONS_PER_EPOCH;
 }
 
 /** Derives a runner's id from its key, for entries that were removed or cannot be parsed. */
--- a/src/registry/registry-view.ts
+++ b/src/registry/registry-view.ts
@@ -5,6 +5,7 @@
 import * as util from "node:util";
 import type * as clocks from "../kernel/clock.js";
 import * as rendezvous from "../membership/rendezvous.js";
+import * as epochs from "./epochs.js";
 import * as types from "./types.js";
 
 /**
@@ -35,8 +36,8 @@
   revision: number,
 ) => void;
 
-/** Called when the view reaches a newer epoch, with the way by which it learned of it. */
-export type EpochListener = (epoch: types.RegistryEpoch, path: types.ChangePath) => void;
+/** Called when the view reaches a newer epoch or part of one, with the way by which it learned of it. */
+export type EpochListener = (path: types.ChangePath) => void;
 
 interface HeldBackItem<Value> {
   readonly item: types.RegistryItem<Value>;
@@ -67,6 +68,7 @@
   readonly #epochListeners: EpochListener[] = [];
   readonly #restorePolicy: types.RestorePolicy<Value>;
   #epoch: types.RegistryEpoch = 0;
+  #rewinds = 0;
   #revision = 0;
   #newestRevision = 0;
   #digest = 0;
@@ -88,6 +90,11 @@
     return this.#epoch;
   }
 
+  /** How often the platform was found to have gone back without a newer epoch. */
+  get rewinds(): number {
+    return this.#rewinds;
+  }
+
   /** Platform revision that the view reflects; 0 before the first snapshot. */
   get revision(): number {
     return this.#revision;
@@ -169,11 +176,10 @@
     snapshot: types.RegistrySnapshot<Value>,
     path: types.ChangePath = types.CHANGE_PATH.read,
   ): boolean {
-    const epoch = snapshot.epoch ?? 0;
-    if (epoch < this.#epoch) return false;
-    if (epoch === this.#epoch && snapshot.revision < this.#revision) return false;
+    const order = epochs.compareEpochs(snapshot, this);
+    if (order < 0 || (order === 0 && snapshot.revision < this.#revision)) return false;
     this.#changePath = path;
-    const restoredKeys = this.#startEpoch(epoch);
+    const restoredKeys = order > 0 ? this.#startEpoch(snapshot) : new Set<string>();
     this.#revision = snapshot.revision;
     this.resetContinuity();
     const present = new Set(snapshot.items.map((item) => item.key));
@@ -250,10 +256,10 @@
    * Starts a newer epoch: everything that the view holds becomes older than any revision of that epoch. Returns the keys that
    * were removed before, which a copy may list again.
    */
-  #startEpoch(epoch: types.RegistryEpoch): ReadonlySet<string> {
-    if (epoch === this.#epoch) return new Set();
+  #startEpoch({ epoch = 0, rewinds = 0 }: types.EpochPart): ReadonlySet<string> {
     const hadData = this.#revision > 0;
     this.#epoch = epoch;
+    this.#rewinds = Math.max(this.#rewinds, rewinds);
     this.#revision = 0;
     this.#newestRevision = 0;
     this.#digest = 0;
@@ -267,7 +273,7 @@
     for (const [key, removed] of this.#removed) this.#removed.set(key, { ...removed, revision: 0 });
     // Live runners write again what the copy lacks.
     if (hadData) this.startGracePeriod();
-    for (const listener of this.#epochListeners) listener(epoch, this.#changePath);
+    for (const listener of this.#epochListeners) listener(this.#changePath);
     return new Set(this.#removed.keys());
   }
 
--- a/src/registry/snapshot-transfer.ts
+++ b/src/registry/snapshot-transfer.ts
@@ -32,8 +32,9 @@
   items: itemsSchema,
   /** Newest change in the sender's view; absent from nodes of an earlier version. */
   newestRevision: positionSchema.optional(),
-  /** Epoch of all revisions; absent from nodes of an earlier version. */
+  /** Epoch of all revisions, and its part; absent from nodes of an earlier version. */
   epoch: positionSchema.optional(),
+  rewinds: positionSchema.optional(),
 });
 
 /** A snapshot of a peer's view, whose values have not been checked. */
@@ -47,6 +48,8 @@
 
 const partSchema = zod.object({
   epoch: positionSchema,
+  /** Part of the epoch; absent from nodes of an earlier version. */
+  rewinds: positionSchema.optional(),
   revision: positionSchema,
   newestRevision: positionSchema,
   /** Hash of the encoded items; equal items may have different encodings. */
@@ -96,9 +99,11 @@
 
   /** Yields the parts that the receiver lacks; at least one, which may be empty. */
   async *streamParts(request: TransferRequest): AsyncGenerator<SnapshotPart, undefined> {
-    const { epoch, revision, newestRevision } = this.#view;
+    const { epoch, rewinds, revision, newestRevision } = this.#view;
     const { id, bytes } = this.#useEncoded();
-    const head = { epoch, revision, newestRevision, id, totalBytes: bytes.byteLength };
+    const epochPart = rewinds > 0 ? { rewinds } : {};
+    const position = { epoch, ...epochPart, revision, newestRevision };
+    const head = { ...position, id, totalBytes: bytes.byteLength };
     let offset = request.id === id ? Math.min(request.offset, bytes.byteLength) : 0;
     do {
       const part = bytes.subarray(offset, offset + PART_BYTES);
@@ -188,10 +193,11 @@
 
 /** @throws when the items are malformed or larger than `MAX_DECODED_BYTES`. */
 function decodeSnapshot(
-  { epoch, revision, newestRevision }: SnapshotPart,
+  { epoch, rewinds, revision, newestRevision }: SnapshotPart,
   parts: readonly Uint8Array[],
 ): PeerSnapshot {
   const limits = { maxOutputLength: MAX_DECODED_BYTES };
   const items = itemsSchema.parse(cbor.decode(zlib.inflateRawSync(Buffer.concat(parts), limits)));
-  return { epoch, revision, newestRevision, items };
+  const epochPart = rewinds === undefined ? {} : { rewinds };
+  return { epoch, ...epochPart, revision, newestRevision, items };
 }
--- a/src/registry/types.ts
+++ b/src/registry/types.ts
@@ -14,10 +14,17 @@
  */
 export type RegistryEpoch = number;
 
-/** All items of one kind. */
-export interface RegistrySnapshot<Value> {
-  /** 0 by default. */
+/**
+ * An epoch and its part: how often the platform was found to have gone back without a newer epoch in its answers. A VM counts on
+ * from one epoch to the next, so that the sum of both only grows. Both are 0 by default.
+ */
+export interface EpochPart {
   readonly epoch?: RegistryEpoch | undefined;
+  readonly rewinds?: number | undefined;
+}
+
+/** All items of one kind. */
+export interface RegistrySnapshot<Value> extends EpochPart {
   /** Platform revision that the items reflect. */
   readonly revision: number;
   readonly items: readonly RegistryItem<Value>[];
@@ -29,9 +36,7 @@
   | { readonly removed: true; readonly key: string; readonly revision: number };
 
 /** Changes after a revision. */
-export interface RegistryChanges<Value> {
-  /** Epoch in which the changes were read; 0 by default. */
-  readonly epoch?: RegistryEpoch | undefined;
+export interface RegistryChanges<Value> extends EpochPart {
   readonly revision: number;
   readonly changes: readonly RegistryChange<Value>[];
 }
@@ -53,8 +58,11 @@
 
 /** Reads items of one kind from the platform. */
 export interface RegistrySource<Value> {
-  /** @throws when the platform is unreachable or its response is invalid. */
-  readAll(signal: AbortSignal): Promise<RegistrySnapshot<Value>>;
+  /**
+   * @param isOnNewConnection - whether to read on a connection of its own, which may lead to another server of the platform.
+   * @throws when the platform is unreachable or its response is invalid.
+   */
+  readAll(signal: AbortSignal, isOnNewConnection?: boolean): Promise<RegistrySnapshot<Value>>;
   /**
    * Long-polls for changes after a revision, for at most `waitMs`.
    *
@@ -69,7 +77,7 @@
 }
 
 /** A point in the history of the platform's registry. */
-export interface RegistryPosition {
+export interface RegistryPosition extends EpochPart {
   readonly epoch: RegistryEpoch;
   readonly revision: number;
 }
--- a/src/routing/routing-state.ts
+++ b/src/routing/routing-state.ts
@@ -10,6 +10,8 @@
   readonly revision: number;
   /** Epoch of the platform's revisions. */
   readonly epoch: number;
+  /** Part of the epoch. */
+  readonly rewinds?: number;
   /** How it reached this VM. */
   readonly path: string;
   /** Time since the platform last answered this VM; `undefined` if it never did or its calls fail. */
--- a/src/runners/version-verifier.ts
+++ b/src/runners/version-verifier.ts
@@ -3,6 +3,7 @@
  * still be seconds old: a connection that fell silent, or a process that was paused, is noticed late.
  */
 import * as clocks from "../kernel/clock.js";
+import * as epochs from "../registry/epochs.js";
 import type * as registry from "../registry/types.js";
 import type * as types from "./types.js";
 
@@ -22,6 +23,8 @@
 export interface VersionVerifierOptions {
   readonly clock: clocks.Clock;
   readonly source: registry.RegistrySource<types.Runner>;
+  /** Returns the point in the platform's history that this VM's list reflects; without it, claims are of the epoch that they name. */
+  readonly getListPosition?: () => registry.RegistryPosition;
 }
 
 /** Reads what a list that shows a sole version does not reflect yet. */
@@ -35,9 +38,9 @@
   }
 
   /** Whether no runner of another version was listed until this call; false if the platform does not answer. */
-  async verify({ service, version, epoch, revision }: SoleVersion): Promise<boolean> {
+  async verify({ service, version, ...position }: SoleVersion): Promise<boolean> {
     try {
-      const listed = await this.#useRead({ epoch, revision });
+      const listed = await this.#useRead(position);
       return listed.every(
         (runner) => runner.service !== service || runner.softwareVersion === version,
       );
@@ -48,7 +51,8 @@
 
   /** Returns the next read after a point. One that has been sent may miss what was listed since. */
   #useRead(position: registry.RegistryPosition): Promise<readonly types.Runner[]> {
-    const key = `${position.epoch}/${position.revision}`;
+    const { epoch, rewinds = 0, revision } = position;
+    const key = `${epoch}/${rewinds}/${revision}`;
     const pending = this.#pending.get(key);
     if (pending !== undefined) return pending;
     const read = clocks.sleep(this.#options.clock, COLLECT_MS).then(() => {
@@ -60,16 +64,18 @@
   }
 
   /** @throws when the platform does not answer in time. */
-  async #readAfter({
-    epoch,
-    revision,
-  }: registry.RegistryPosition): Promise<readonly types.Runner[]> {
-    const { clock, source } = this.#options;
+  async #readAfter(position: registry.RegistryPosition): Promise<readonly types.Runner[]> {
+    const { clock, source, getListPosition } = this.#options;
+    const { epoch, revision } = position;
     using limit = clocks.createTimeLimit(clock, TIMEOUT_MS);
     const changes = await source.watch(revision, WATCH_MS, limit.signal);
+    // Answers name no part of an epoch: a claim of another one than this VM knows is taken for one of another history.
+    const isSameHistory =
+      (changes?.epoch ?? 0) === epoch &&
+      epochs.compareEpochs(getListPosition?.() ?? position, position) === 0;
     // Without the history, or when it is that of another epoch, what is listed now is all that can be read.
     const items =
-      changes === undefined || (changes.epoch ?? 0) !== epoch
+      changes === undefined || !isSameHistory || changes.revision < revision
         ? (await source.readAll(limit.signal)).items
         : changes.changes.flatMap((change) => (change.removed ? [] : [change.item]));
     // VMs send no requests to a runner whose entry they cannot parse.
--- a/src/streams/stream-origin-exchange.ts
+++ b/src/streams/stream-origin-exchange.ts
@@ -59,6 +59,8 @@
     soleRevision: zod.int().min(0).optional(),
     /** Epoch of `soleRevision`; absent in the answer of an older build. */
     soleEpoch: zod.int().min(0).optional(),
+    /** Part of that epoch; absent in the answer of an older build. */
+    soleRewinds: zod.int().min(0).optional(),
   }),
 );
 
@@ -82,6 +84,8 @@
   readonly soleRevision?: number | undefined;
   /** Epoch of `soleRevision`, 0 by default. */
   readonly soleEpoch?: number | undefined;
+  /** Part of that epoch, 0 by default. */
+  readonly soleRewinds?: number | undefined;
   /** Versions of the runners that reported a run of the attempt. */
   readonly reportedVersions?: readonly string[] | undefined;
 }
@@ -138,6 +142,7 @@
       soleVersion,
       soleRevision: position?.revision,
       soleEpoch: position?.epoch,
+      soleRewinds: position?.rewinds,
       reportedVersions:
         attempt === undefined ? [] : reported.listVersions(attempt).slice(0, MAX_VERSIONS),
     };
--- a/src/streams/stream-versions.ts
+++ b/src/streams/stream-versions.ts
@@ -2,6 +2,7 @@
  * Keeps each stream to the software version of the runner that wrote its first event. What two versions write does not fit
  * together, and runners do not check it.
  */
+import * as epochs from "../registry/epochs.js";
 import * as resultCodes from "../protocol/result-codes.js";
 import type * as connectionStarts from "../runners/connection-starts.js";
 import type * as runnerTable from "../runners/runner-table.js";
@@ -258,10 +259,12 @@
   const soleVersions = new Set(answers.flatMap(({ soleVersion }) => soleVersion ?? []));
   const [version] = soleVersions;
   if (version === undefined || versions.size !== 1 || soleVersions.size !== 1) return undefined;
-  const positions = answers.flatMap(({ soleEpoch = 0, soleRevision }) =>
-    soleRevision === undefined ? [] : [{ epoch: soleEpoch, revision: soleRevision }],
+  const positions = answers.flatMap(({ soleEpoch = 0, soleRewinds = 0, soleRevision }) =>
+    soleRevision === undefined
+      ? []
+      : [{ epoch: soleEpoch, rewinds: soleRewinds, revision: soleRevision }],
   );
-  positions.sort((one, other) => other.epoch - one.epoch || other.revision - one.revision);
+  positions.sort((one, other) => epochs.compareEpochs(other, one) || other.revision - one.revision);
   const [newest] = positions;
   return newest === undefined ? undefined : { version, ...newest };
 }
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -55,6 +55,16 @@
     level: "info",
     message: "registry epoch learned, or platform restored from a copy",
   },
+  registryRewound: {
+    number: 3015,
+    level: "warn",
+    message: "platform answered less than was known",
+  },
+  registryUnnamedTaken: {
+    number: 3016,
+    level: "warn",
+    message: "platform's answers without an epoch are taken",
+  },
   watchesRestarted: {
     number: 3013,
     level: "info",
--- a/standins/users-platform/store.ts
+++ b/standins/users-platform/store.ts
@@ -93,14 +93,17 @@
     };
   }
 
-  /** Comes back from a copy: what was written since is gone, and its revisions are given out again. */
+  /**
+   * Comes back from a copy: what was written since is gone, and its revisions are given out again. The era rises, unless the
+   * store names none.
+   */
   restore({ items, history, compactedRevision, revision }: StoreCopy): void {
     this.#server.closeAllConnections();
     this.#items = new Map(items);
     this.#history = [...history];
     this.#compactedRevision = compactedRevision;
     this.#revision = revision;
-    this.#era = String(Number(this.#era) + 1);
+    if (this.#era !== undefined) this.#era = String(Number(this.#era) + 1);
     this.#changed.emit("change");
   }
 
--- a/test/gateway/registry-fixture.ts
+++ b/test/gateway/registry-fixture.ts
@@ -1,4 +1,4 @@
-/** Gateways of one zone, of which two read the platform's store for all, and the times at which they follow its changes. */
+/** Gateways, of which two a zone read the platform's store for all, and the times at which they follow its changes. */
 import * as clocks from "../../src/kernel/clock.js";
 import * as examples from "../../standins/users-platform/examples.js";
 import * as stores from "../../standins/users-platform/store.js";
@@ -10,7 +10,10 @@
 /** Time in which the gateways of a zone learn each other and choose their readers. */
 const WARM_UP_MS = 3_000;
 const SAMPLE_PERIOD_MS = 20;
-const GATEWAY_COUNT = 5;
+/** Zones of the gateways, in the order of their numbers. */
+const ONE_ZONE = ["a", "a", "a", "a", "a"] as const;
+/** One zone has followers beside its readers; in the others all gateways read. */
+export const THREE_ZONES = ["a", "a", "a", "a", "b", "b", "b", "c", "c"] as const;
 
 /** Changes of the example configuration. */
 export interface ConfigurationChanges {
@@ -43,19 +46,39 @@
   return { ...base, routes, services: [...base.services, other] };
 }
 
-/** Five gateways and their store. */
+/** Options of a fleet. */
+export interface FleetOptions {
+  readonly zones?: readonly string[];
+  readonly era?: string;
+}
+
+/** Gateways and their store. */
 export class RegistryFleet implements AsyncDisposable {
   readonly store = new stores.StoreStandIn();
   readonly gateways: fixture.TestGateway[] = [];
 
-  /** @param net - second part of the gateways' addresses. */
-  static async start(net: number, configuration: ConfigurationChanges): Promise<RegistryFleet> {
-    const fleet = new RegistryFleet();
+  readonly #net: number;
+
+  constructor(net: number) {
+    this.#net = net;
+  }
+
+  /**
+   * @param net - second part of the gateways' addresses.
+   * @param zones - zone of each gateway; by default, five gateways of one zone.
+   * @param era - era that the store names; "none" if it names none.
+   */
+  static async start(
+    net: number,
+    configuration: ConfigurationChanges,
+    { zones = ONE_ZONE, era = "1" }: FleetOptions = {},
+  ): Promise<RegistryFleet> {
+    const fleet = new RegistryFleet(net);
+    fleet.store.setEra(era === "none" ? undefined : era);
     await fleet.store.start();
     fleet.publish(configuration);
     try {
-      for (let number = 1; number <= GATEWAY_COUNT; number += 1)
-        fleet.gateways.push(await fixture.startGateway(fleet.store, net, number));
+      for (const zone of zones) await fleet.startGateway(zone);
       for (const { ip } of fleet.gateways) await fixture.waitForReady(ip);
       await clocks.sleep(fixture.clock, WARM_UP_MS);
       return fleet;
@@ -65,6 +88,12 @@
     }
   }
 
+  /** Starts a further gateway. */
+  async startGateway(zone: string): Promise<void> {
+    const number = this.gateways.length + 1;
+    this.gateways.push(await fixture.startGateway(this.store, this.#net, number, { zone }));
+  }
+
   publish(changes: ConfigurationChanges): void {
     this.store.set("op/config", createConfiguration(changes));
   }
--- a/test/registry/relay-fleet.ts
+++ b/test/registry/relay-fleet.ts
@@ -30,6 +30,8 @@
   #revision = 1;
   #epoch = 1;
   callCount = 0;
+  /** Whether answers name the epoch. */
+  namesEpoch = true;
   /** Whether the platform answers a VM. */
   isReachable: (vm: string) => boolean = () => true;
 
@@ -69,7 +71,7 @@
       readAll: async (signal) => {
         await this.#answer(vm, signal);
         const items = [...this.#items.values()];
-        return { epoch: this.#epoch, revision: this.#revision, items };
+        return { epoch: this.#findNamedEpoch(), revision: this.#revision, items };
       },
       watch: async (after, waitMs, signal) => {
         await this.#answer(vm, signal);
@@ -80,11 +82,15 @@
         // The history of a revision that has not been given out is not available.
         if (after > this.#revision) return undefined;
         const changes = this.#changes.filter((change) => getRevision(change) > after);
-        return { epoch: this.#epoch, revision: this.#revision, changes };
+        return { epoch: this.#findNamedEpoch(), revision: this.#revision, changes };
       },
     };
   }
 
+  #findNamedEpoch(): number | undefined {
+    return this.namesEpoch ? this.#epoch : undefined;
+  }
+
   async #answer(vm: string, signal: AbortSignal): Promise<void> {
     this.callCount += 1;
     await clocks.sleep(this.#clock, this.isReachable(vm) ? ANSWER_MS : 60_000, signal);
@@ -105,8 +111,10 @@
   breaksPulls = false;
   readonly #controllers = new Map<string, AbortController>();
 
-  static async start(size: number): Promise<RelayFleet> {
+  /** @param namesEpoch - whether the platform's answers name the epoch. */
+  static async start(size: number, namesEpoch = true): Promise<RelayFleet> {
     const relayed = new RelayFleet();
+    relayed.registry.namesEpoch = namesEpoch;
     relayed.registry.set("a", "a1");
     relayed.fleet.startExtraServices = (kernel) => {
       relayed.#startNode(kernel);
--- a/test/registry/restored-platform.test.ts
+++ b/test/registry/restored-platform.test.ts
@@ -1,6 +1,7 @@
 /**
  * A platform that is restored from a copy gives out its revisions again. VMs compared revisions alone, so that they took none of
- * the changes that followed and kept the old configuration until the revisions had grown past the lost ones.
+ * the changes that followed and kept the old configuration until the revisions had grown past the lost ones. Later they told a
+ * restore by the platform's epoch alone, and the same happened where the platform names none.
  */
 import * as test from "node:test";
 import * as earl from "earl";
@@ -31,83 +32,129 @@
   return [...relayed.views.keys()];
 }
 
-test.describe("a platform that was restored from a copy", () => {
-  test.it(
-    "brings a change that follows to every VM in time, after each of three drills",
-    async () => {
-      await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE);
-      for (const drill of [1, 2, 3]) {
+for (const namesEpoch of [true, false])
+  test.describe(`a platform that was restored from a copy${namesEpoch ? "" : " and names no epoch"}`, () => {
+    test.it(
+      "brings a change that follows to every VM in time, after each of three drills",
+      async () => {
+        await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE, namesEpoch);
+        for (const drill of [1, 2, 3]) {
+          await restore(relayed);
+          await relayed.fleet.clock.advance(CALM_MS);
+          relayed.registry.set("b", `after drill ${drill}`);
+          const took = await relayed.waitForValue("b", `after drill ${drill}`, listVms(relayed));
+          earl.expect(took <= CHANGE_LIMIT_MS).toEqual(true);
+        }
+      },
+    );
+
+    test.it("brings a change to every VM though two drills follow within a second", async () => {
+      await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE, namesEpoch);
+      await restore(relayed);
+      await relayed.fleet.clock.advance(300);
+      relayed.registry.restore(relayed.registry.copy());
+      await relayed.fleet.clock.advance(CALM_MS);
+      relayed.registry.set("b", "b1");
+      const took = await relayed.waitForValue("b", "b1", listVms(relayed));
+      earl.expect(took <= CHANGE_LIMIT_MS).toEqual(true);
+    });
+
+    // Its peers had the older revisions, which looked newer, and it took the older configuration from them.
+    test.it("brings a change to a VM that starts afterwards, which keeps it", async () => {
+      await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE, namesEpoch);
+      await restore(relayed);
+      await relayed.fleet.clock.advance(CALM_MS);
+      relayed.registry.set("a", "a2");
+      await relayed.waitForValue("a", "a2", listVms(relayed));
+      await relayed.restart("vm-4");
+      await relayed.waitForValue("a", "a2", ["vm-4"]);
+      const later: unknown[] = [];
+      relayed.views.get("vm-4")?.onChange((_key, value) => later.push(value));
+      await relayed.fleet.clock.advance(5_000);
+      earl.expect(later.filter((value) => value !== "a2")).toEqual([]);
+    });
+
+    test.it(
+      "brings a change to every VM though two drills that lose changes follow each other",
+      async () => {
+        await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE, namesEpoch);
+        const { registry, fleet } = relayed;
+        const copy = registry.copy();
         await restore(relayed);
-        await relayed.fleet.clock.advance(CALM_MS);
-        relayed.registry.set("b", `after drill ${drill}`);
-        const took = await relayed.waitForValue("b", `after drill ${drill}`, listVms(relayed));
+        await fleet.clock.advance(600);
+        registry.set("b", "lost too");
+        await fleet.clock.advance(600);
+        registry.restore(copy);
+        await fleet.clock.advance(CALM_MS);
+        registry.set("b", "b1");
+        const took = await relayed.waitForValue("b", "b1", listVms(relayed));
         earl.expect(took <= CHANGE_LIMIT_MS).toEqual(true);
-      }
-    },
-  );
+      },
+    );
 
-  test.it("brings a change to every VM though two drills follow within a second", async () => {
-    await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE);
-    await restore(relayed);
-    await relayed.fleet.clock.advance(300);
-    relayed.registry.restore(relayed.registry.copy());
-    await relayed.fleet.clock.advance(CALM_MS);
-    relayed.registry.set("b", "b1");
-    const took = await relayed.waitForValue("b", "b1", listVms(relayed));
-    earl.expect(took <= CHANGE_LIMIT_MS).toEqual(true);
-  });
+    test.it(
+      "brings a change to every VM though what was lost is written again at once",
+      async () => {
+        await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE, namesEpoch);
+        await restore(relayed);
+        for (let number = 0; number < LOST_CHANGES; number += 1)
+          relayed.registry.set("a", `lost ${number}`);
+        await relayed.fleet.clock.advance(CALM_MS);
+        relayed.registry.set("b", "b1");
+        const took = await relayed.waitForValue("b", "b1", listVms(relayed));
+        earl.expect(took <= CHANGE_LIMIT_MS).toEqual(true);
+      },
+    );
 
-  // Its peers had the older revisions, which looked newer, and it took the older configuration from them.
-  test.it("brings a change to a VM that starts afterwards, which keeps it", async () => {
-    await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE);
-    await restore(relayed);
-    await relayed.fleet.clock.advance(CALM_MS);
-    relayed.registry.set("a", "a2");
-    await relayed.waitForValue("a", "a2", listVms(relayed));
-    await relayed.restart("vm-4");
-    await relayed.waitForValue("a", "a2", ["vm-4"]);
-    const later: unknown[] = [];
-    relayed.views.get("vm-4")?.onChange((_key, value) => later.push(value));
-    await relayed.fleet.clock.advance(5_000);
-    earl.expect(later.filter((value) => value !== "a2")).toEqual([]);
-  });
+    // It knows the copy alone, and its peers count a return that it did not see.
+    test.it("brings a change to a VM that starts between the drill and the change", async () => {
+      await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE, namesEpoch);
+      await restore(relayed);
+      await relayed.restart("vm-4");
+      await relayed.fleet.clock.advance(1_200);
+      relayed.registry.set("b", "b1");
+      const took = await relayed.waitForValue("b", "b1", listVms(relayed));
+      earl.expect(took <= CHANGE_LIMIT_MS).toEqual(true);
+    });
 
-  test.it("brings a change to a VM that stood still during the drill", async () => {
-    await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE);
-    const paused = [relayed.listReaders()[0], relayed.listFollowers()[0]].flatMap((vm) => vm ?? []);
-    for (const vm of paused) relayed.fleet.pause(vm);
-    await restore(relayed);
-    for (const vm of paused) relayed.fleet.resume(vm);
-    await relayed.fleet.clock.advance(CALM_MS);
-    relayed.registry.set("b", "b1");
-    const took = await relayed.waitForValue("b", "b1", listVms(relayed));
-    earl.expect(took <= CHANGE_LIMIT_MS).toEqual(true);
-  });
+    test.it("brings a change to a VM that stood still during the drill", async () => {
+      await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE, namesEpoch);
+      const paused = [relayed.listReaders()[0], relayed.listFollowers()[0]].flatMap(
+        (vm) => vm ?? [],
+      );
+      for (const vm of paused) relayed.fleet.pause(vm);
+      await restore(relayed);
+      for (const vm of paused) relayed.fleet.resume(vm);
+      await relayed.fleet.clock.advance(CALM_MS);
+      relayed.registry.set("b", "b1");
+      const took = await relayed.waitForValue("b", "b1", listVms(relayed));
+      earl.expect(took <= CHANGE_LIMIT_MS).toEqual(true);
+    });
 
-  // A VM that the platform does not answer learns of the new epoch and of the change from its peers alone.
-  test.it("brings a change to VMs that do not reach it themselves", async () => {
-    await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE);
-    await restore(relayed);
-    const cut = relayed.listFollowers().slice(0, 2);
-    relayed.registry.isReachable = (vm) => !cut.includes(vm);
-    await relayed.fleet.clock.advance(CALM_MS);
-    relayed.registry.set("b", "b1");
-    const took = await relayed.waitForValue("b", "b1", listVms(relayed));
-    earl.expect(took <= CHANGE_LIMIT_MS).toEqual(true);
-  });
+    // A VM that the platform does not answer learns of the new epoch and of the change from its peers alone.
+    test.it("brings a change to VMs that do not reach it themselves", async () => {
+      await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE, namesEpoch);
+      await restore(relayed);
+      const cut = relayed.listFollowers().slice(0, 2);
+      relayed.registry.isReachable = (vm) => !cut.includes(vm);
+      await relayed.fleet.clock.advance(CALM_MS);
+      relayed.registry.set("b", "b1");
+      const took = await relayed.waitForValue("b", "b1", listVms(relayed));
+      earl.expect(took <= CHANGE_LIMIT_MS).toEqual(true);
+    });
 
-  test.it("removes on every VM an item that is not written again", async () => {
-    await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE);
-    const copy = relayed.registry.copy();
-    relayed.registry.set("lost", "x");
-    await relayed.waitForValue("lost", "x", listVms(relayed));
-    relayed.registry.isReachable = () => false;
-    await relayed.fleet.clock.advance(AWAY_MS);
-    relayed.registry.restore(copy);
-    relayed.registry.isReachable = () => true;
-    await relayed.fleet.clock.advance(1_000);
-    earl.expect(listVms(relayed).every((vm) => relayed.views.get(vm)?.has("lost"))).toEqual(true);
-    const took = await relayed.waitForValue("lost", undefined, listVms(relayed));
-    earl.expect(took <= 6_000).toEqual(true);
+    test.it("removes on every VM an item that is not written again", async () => {
+      await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE, namesEpoch);
+      const copy = relayed.registry.copy();
+      relayed.registry.set("lost", "x");
+      await relayed.waitForValue("lost", "x", listVms(relayed));
+      relayed.registry.isReachable = () => false;
+      await relayed.fleet.clock.advance(AWAY_MS);
+      relayed.registry.restore(copy);
+      relayed.registry.isReachable = () => true;
+      await relayed.fleet.clock.advance(1_000);
+      earl.expect(listVms(relayed).every((vm) => relayed.views.get(vm)?.has("lost"))).toEqual(true);
+      const took = await relayed.waitForValue("lost", undefined, listVms(relayed));
+      earl.expect(took <= 6_000).toEqual(true);
+    });
   });
-});
--- a/test/registry/restored-view.test.ts
+++ b/test/registry/restored-view.test.ts
@@ -61,6 +61,15 @@
     earl.expect(view.has("r")).toEqual(true);
   });
 
+  test.it("counts on in a newer epoch, so that fencing tokens do not go back", () => {
+    const { view } = createRunnersView();
+    view.applySnapshot({ revision: 90, items: [item(80, createRunner())] });
+    view.applySnapshot({ rewinds: 2, revision: 50, items: [item(40, createRunner())] });
+    earl.expect(view.applySnapshot({ rewinds: 1, revision: 95, items: [] })).toEqual(false);
+    view.applySnapshot({ epoch: 1, revision: 40, items: [item(40, createRunner())] });
+    earl.expect([view.epoch, view.rewinds, view.revision]).toEqual([1, 2, 40]);
+  });
+
   test.it("keeps the configuration of the highest version until a higher one is written", () => {
     const view = new registryView.RegistryView<routing.RoutingTable>(
       fakeClock.createFakeClock(),
@@ -195,6 +204,21 @@
     earl.expect(view.has("r")).toEqual(true);
   });
 
+  test.it(
+    "pulls from a VM that counted more returns, and not from one that counted fewer",
+    async () => {
+      const { view } = createRunnersView();
+      view.applySnapshot({ rewinds: 2, revision: 50, items: [item(40, createRunner())] });
+      const snapshot = { epoch: 0, rewinds: 3, revision: 7, newestRevision: 6, items: [] };
+      const { pulled, receive } = createExchange(view, snapshot);
+      await receive("runners", 90);
+      await receive("runners-epoch", { epoch: 0, rewinds: 1, revision: 90 });
+      earl.expect(pulled).toEqual([]);
+      await receive("runners-epoch", { epoch: 0, rewinds: 3, revision: 6 });
+      earl.expect([view.rewinds, view.revision]).toEqual([3, 7]);
+    },
+  );
+
   test.it("pulls from a VM of a newer epoch, and not from one of an older", async () => {
     const { view } = createRunnersView();
     view.applySnapshot({ epoch: 2, revision: 50, items: [item(40, createRunner())] });
--- a/test/runners/version-verifier.test.ts
+++ b/test/runners/version-verifier.test.ts
@@ -18,11 +18,15 @@
   return { key: "r", revision: 8, value: { ...value, ...changes } };
 }
 
-function createVerifier(source: Partial<registry.RegistrySource<runners.Runner>>) {
+function createVerifier(
+  source: Partial<registry.RegistrySource<runners.Runner>>,
+  getListPosition?: () => registry.RegistryPosition,
+) {
   const clock = fakeClock.createFakeClock();
   const verifier = new versionVerifier.VersionVerifier({
     clock,
     source: { readAll: () => Promise.reject(new Error("not expected")), ...source } as never,
+    ...(getListPosition === undefined ? {} : { getListPosition }),
   });
   return { clock, verifier };
 }
@@ -56,6 +60,24 @@
     earl.expect(await verify([set(createItem("v2")), removed])).toEqual(false);
   });
 
+  // The platform may name the same epoch after it went back, and what was listed between is not in the changes after a revision.
+  test.it(
+    "reads the whole list if this VM knows another part of the epoch, or the revision went back",
+    async () => {
+      const watch = () => Promise.resolve({ revision: 9, changes: [] });
+      const readAll = () => Promise.resolve({ revision: 9, items: [createItem("v2")] });
+      const position = { epoch: 0, rewinds: 1, revision: 9 };
+      const { clock, verifier } = createVerifier({ watch, readAll }, () => position);
+      const results = [
+        verifier.verify(CLAIM),
+        verifier.verify({ ...CLAIM, rewinds: 1 }),
+        verifier.verify({ ...CLAIM, rewinds: 1, revision: 12 }),
+      ];
+      await clock.advance(OVER_MS);
+      earl.expect(await Promise.all(results)).toEqual([false, true, false]);
+    },
+  );
+
   test.it("reads the whole list if the history is gone", async () => {
     earl.expect(await verify(undefined, [createItem("v1")])).toEqual(true);
     earl.expect(await verify(undefined, [createItem("v1"), createItem("v2")])).toEqual(false);
