--- a/standins/soak/child-main.ts
+++ b/standins/soak/child-main.ts
@@ -92,6 +92,9 @@
     mode: (command: { mode: string }) => {
       standIn.mode = command.mode as store.StoreMode;
     },
+    hideEra: () => {
+      standIn.setEra(undefined);
+    },
     compact: () => {
       standIn.compact();
     },
--- a/standins/soak/children.ts
+++ b/standins/soak/children.ts
@@ -41,6 +41,8 @@
   | { readonly kind: "remove"; readonly key: string }
   | { readonly kind: "mode"; readonly mode: string }
   | { readonly kind: "compact" }
+  /** Names no era in answers from now on. */
+  | { readonly kind: "hideEra" }
   /** Keeps a copy of what the store keeps now. */
   | { readonly kind: "copy" }
   /** Comes back from the copy that was kept last. */
--- a/standins/soak/seeds.ts
+++ b/standins/soak/seeds.ts
@@ -52,4 +52,5 @@
   },
   { seed: 1004, seconds: 8, hasLimits: true, cause: "never failed; runners name limits" },
   { seed: 53, seconds: 8, hasRestores: true, cause: "never failed; the store is restored" },
+  { seed: 54, seconds: 8, hasRestores: true, cause: "never failed; the same without an era" },
 ];
--- a/standins/soak/soak-cluster.ts
+++ b/standins/soak/soak-cluster.ts
@@ -142,17 +142,20 @@
    * Starts all processes and relays, and waits until every gateway is ready.
    *
    * @param script - entry point of the build of which the gateways are at first.
+   * @param namesEra - whether the store's answers name its era.
    */
   static async start(
     size: ClusterSize,
     retryRatio = RETRY_RATIO,
     versionCount = 0,
     script = GATEWAY_SCRIPT,
+    namesEra = true,
   ): Promise<SoakCluster> {
     const directory = await fs.mkdtemp(path.join(os.tmpdir(), "ebonyhook-soak-"));
     const store = await children.startChild(["--role", "store"], () => undefined);
     const cluster = new SoakCluster(directory, store, retryRatio);
     cluster.#versionCount = versionCount;
+    if (!namesEra) cluster.sendStoreCommand({ kind: "hideEra" });
     cluster.publishConfiguration();
     for (const role of ["prefill", "decode", "plain"] as const) {
       for (let count = 0; count < size[role]; count += 1) await cluster.addRunner(role);
--- a/standins/soak/soak.ts
+++ b/standins/soak/soak.ts
@@ -77,7 +77,7 @@
   readonly hasFailingRunners?: boolean;
   /** Whether runners are of several software versions, and callers resume streams at any gateway. */
   readonly hasVersions?: boolean;
-  /** Whether the platform's store comes back from a copy. */
+  /** Whether the platform's store comes back from a copy; it names no era in runs of even seeds. */
   readonly hasRestores?: boolean;
   /** Whether the runners of a role name a limit for a time. */
   readonly hasLimits?: boolean;
@@ -103,6 +103,7 @@
     retryRatio,
     versionCount,
     options.olderScript,
+    options.hasRestores !== true || seed % 2 === 1,
   );
   const plan = faults.createPlan(
     seed,
--- a/test/gateway/unnamed-store.test.ts
+++ b/test/gateway/unnamed-store.test.ts
@@ -9,6 +9,9 @@
 import * as registryFixture from "./registry-fixture.js";
 
 const NET = 152;
+const UNNAMED_NET = 155;
+/** Time after which answers of a store that no longer names its era are taken, with a poll under way and a refused read. */
+const UNNAMED_LIMIT_MS = 12_000;
 const LOST_CHANGES = 12;
 const CALM_MS = 3_200;
 const { CHANGE_LIMIT_MS, THREE_ZONES } = registryFixture;
@@ -91,3 +94,21 @@
       earl.expect([tookMs <= CHANGE_LIMIT_MS, missing]).toEqual([true, 0]);
     });
   });
+
+test.describe("gateways whose store no longer names its era", () => {
+  // They refused its answers until they started again.
+  test.it("follow it after seconds, and when it then goes back", async () => {
+    await using fleet = await registryFixture.RegistryFleet.start(UNNAMED_NET, { version: 4 });
+    fleet.store.setEra(undefined);
+    fleet.publish({ version: 7 });
+    const isTaken = (gateway: fixture.TestGateway) => registryFixture.getVersion(gateway) === 7;
+    const until = fixture.clock.now() + UNNAMED_LIMIT_MS;
+    while (!fleet.gateways.every(isTaken) && fixture.clock.now() < until)
+      await clocks.sleep(fixture.clock, 100);
+    earl.expect(fleet.gateways.map(registryFixture.getVersion)).toEqual([7, 7, 7, 7, 7]);
+    await restore(fleet);
+    await clocks.sleep(fixture.clock, CALM_MS);
+    const { tookMs, missing } = await addRoute(fleet, 40);
+    earl.expect([tookMs <= CHANGE_LIMIT_MS, missing]).toEqual([true, 0]);
+  });
+});
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -34,27 +34,37 @@
     });
 
   // Items of both states would stand side by side.
-  test.it("fails to read pages of two eras", async () => {
-    await using platform = new store.StoreStandIn();
-    await platform.start();
-    for (let number = 0; number <= PAGE_ITEMS; number += 1)
-      platform.set(`servers/${String(number).padStart(4, "0")}`, { id: number });
-    const copy = platform.copy();
-    const [host = "", port] = platform.address.split(":");
-    let parsed = 0;
-    const source = new storeClient.StoreSource(
-      clocks.createSystemClock(),
-      { host, port: Number(port) },
-      "servers/",
-      (key) => {
-        parsed += 1;
-        if (parsed === 1) platform.restore(copy);
-        return key;
+  for (const [era, message] of [
+    ["1", "from era 1 to 2"],
+    [undefined, "from revision 503 to 502"],
+  ] as const)
+    test.it(
+      `fails to read pages of before and after a return, with era ${era ?? "none"}`,
+      async () => {
+        await using platform = new store.StoreStandIn();
+        await platform.start();
+        platform.setEra(era);
+        for (let number = 0; number <= PAGE_ITEMS; number += 1)
+          platform.set(`servers/${String(number).padStart(4, "0")}`, { id: number });
+        const copy = platform.copy();
+        platform.set("lost", {});
+        const [host = "", port] = platform.address.split(":");
+        let parsed = 0;
+        const source = new storeClient.StoreSource(
+          clocks.createSystemClock(),
+          { host, port: Number(port) },
+          "servers/",
+          (key) => {
+            parsed += 1;
+            if (parsed === 1) platform.restore(copy);
+            return key;
+          },
+        );
+        // On the connection that the return closed, the second page would fail anyway.
+        const read = source.readAll(AbortSignal.timeout(SHORT_MS), true).then(() => "read", String);
+        earl.expect(await read).toEqual(`Error: store went ${message} between two pages`);
       },
     );
-    const read = source.readAll(AbortSignal.timeout(SHORT_MS)).then(() => "read", String);
-    earl.expect((await read) === "read").toEqual(false);
-  });
 
   // A second call waited for the end of the long poll, and ended it when its own time was over.
   test.it("answers a call while a long poll waits, and does not break the long poll", async () => {
