--- a/src/registry/registry-reader.ts
+++ b/src/registry/registry-reader.ts
@@ -160,7 +160,7 @@
     const answer = await this.#callReadAll(signal);
     const tookMs = clock.now() - beganAt;
     const readAgain = () => this.#callReadAll(signal, true);
-    const snapshot = await this.#rewinds.placeSnapshot(known, answer, readAgain);
+    const snapshot = await this.#rewinds.verifySnapshot(known, answer, readAgain);
     if (snapshot === undefined) return;
     // A platform that is as slow on a new connection tells nothing of the old one.
     const givenUpAt = this.#givenUpAt;
@@ -203,7 +203,7 @@
     try {
       const changes = await this.#callWatch(pollMs, restart.signal, signal);
       // Changes after a revision of another epoch show nothing of those before.
-      this.#applyChanges(this.#rewinds.placeChanges({ epoch, rewinds, revision }, changes));
+      this.#applyChanges(this.#rewinds.verifyChanges({ epoch, rewinds, revision }, changes));
     } catch (error) {
       // The same changes are asked for again on a new connection, so none is missed.
       if (restart.signal.aborted && !signal.aborted) this.#soundAt = clock.now();
--- a/src/registry/rewind-detector.ts
+++ b/src/registry/rewind-detector.ts
@@ -59,18 +59,18 @@
    *
    * @throws when the answer is of an older epoch, or as `readAgain` does.
    */
-  async placeSnapshot(
+  async verifySnapshot(
     known: Known,
     first: types.RegistrySnapshot<Value>,
     readAgain: () => Promise<types.RegistrySnapshot<Value>>,
   ): Promise<types.RegistrySnapshot<Value> | undefined> {
     const { clock, metrics } = this.#options;
-    const placed = this.#placeInEpoch(known, first);
+    const placed = this.#verifyEpoch(known, first);
     const evidence = placed?.epoch === known.epoch ? findEvidence(known, placed) : undefined;
     if (evidence === undefined) return placed;
     this.#writeFinding("seen", known, evidence);
     await clocks.sleep(clock, CONFIRM_MS);
-    const second = this.#placeInEpoch(known, await readAgain());
+    const second = this.#verifyEpoch(known, await readAgain());
     if (second?.epoch !== known.epoch) return second;
     const confirmed = findEvidence(known, second);
     this.#writeFinding(confirmed === undefined ? "discarded" : "confirmed", known, {
@@ -88,18 +88,18 @@
    *
    * @throws when the answer is of an older epoch.
    */
-  placeChanges(
+  verifyChanges(
     known: types.RegistryPosition,
     changes: types.RegistryChanges<Value> | undefined,
   ): types.RegistryChanges<Value> | undefined {
     if (changes === undefined) return undefined;
-    const placed = this.#placeInEpoch(known, changes);
+    const placed = this.#verifyEpoch(known, changes);
     const isContinued = placed?.epoch === known.epoch && placed.revision >= known.revision;
     return isContinued ? placed : undefined;
   }
 
   /** @throws when the answer is of an older epoch than the view: it is that of an outdated platform, or of none. */
-  #placeInEpoch<Answer extends types.EpochPart>(
+  #verifyEpoch<Answer extends types.EpochPart>(
     known: types.EpochPart,
     answer: Answer,
   ): (Answer & types.EpochPart) | undefined {
--- a/test/registry/rewind-detector.test.ts
+++ b/test/registry/rewind-detector.test.ts
@@ -38,7 +38,7 @@
   const place = async (first: Snapshot, second: Snapshot = first, meanwhile?: () => void) => {
     const known = detector.createKnown();
     meanwhile?.();
-    const placed = detector.placeSnapshot(known, first, () => Promise.resolve(second));
+    const placed = detector.verifySnapshot(known, first, () => Promise.resolve(second));
     // Only the result is of interest, which is awaited below.
     placed.catch(() => undefined);
     await clock.advance(CONFIRMED_MS);
@@ -89,7 +89,7 @@
 
   test.it("begins none if the history was compacted, or an item removed", async () => {
     const { findings, place, detector } = createDetector();
-    earl.expect(detector.placeChanges(detector.createKnown(), undefined)).toEqual(undefined);
+    earl.expect(detector.verifyChanges(detector.createKnown(), undefined)).toEqual(undefined);
     const placed = await place({ revision: 90, items: [] });
     earl.expect(readPosition(placed)).toEqual([0, 0, 90]);
     earl.expect(findings).toEqual([]);
@@ -122,8 +122,8 @@
     () => {
       const { detector } = createDetector();
       const known = { epoch: 0, rewinds: 0, revision: 90 };
-      earl.expect(detector.placeChanges(known, { revision: 50, changes: [] })).toEqual(undefined);
-      const later = detector.placeChanges(known, { revision: 92, changes: [] });
+      earl.expect(detector.verifyChanges(known, { revision: 50, changes: [] })).toEqual(undefined);
+      const later = detector.verifyChanges(known, { revision: 92, changes: [] });
       earl.expect(later?.revision).toEqual(92);
     },
   );
