--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -16,6 +16,7 @@
 import * as registryView from "./registry-view.js";
 import * as restorePolicies from "./restore-policies.js";
 import * as types from "./types.js";
+import * as unnamedAnswers from "./unnamed-answers.js";
 import * as watchVerifier from "./watch-verifier.js";
 
 const CONFIGURATION_CALL = 30;
@@ -94,6 +95,7 @@
     const verifier = new watchVerifier.WatchVerifier(sharedOptions);
     const schedule = this.#createSchedule();
     const outages = new platformOutages.PlatformOutages(clock);
+    const unnamed = new unnamedAnswers.UnnamedAnswers(clock);
     const onDeadWatch = (givenUpAt: number): void => {
       verifier.handleDeadWatch(givenUpAt);
     };
@@ -105,6 +107,7 @@
       computePollMs: () => schedule.computePollMs(0),
       onDeadWatch,
       outages,
+      unnamed,
     });
     const runnersReader = new registryReader.RegistryReader({
       ...sharedOptions,
@@ -114,6 +117,7 @@
       computePollMs: () => schedule.computePollMs(1),
       onDeadWatch,
       outages,
+      unnamed,
     });
     this.#readers = [configurationReader, runnersReader];
     this.#configurationReader = configurationReader;
@@ -166,10 +170,10 @@
     };
   }
 
-  /** Epoch and platform revision that the runner list reflects; 0 before it was loaded. */
+  /** Epoch, its part, and platform revision that the runner list reflects; 0 before it was loaded. */
   get runnersPosition(): types.RegistryPosition {
-    const { epoch, revision } = this.#runnersView;
-    return { epoch, revision };
+    const { epoch, rewinds, revision } = this.#runnersView;
+    return { epoch, rewinds, revision };
   }
 
   /**
@@ -232,7 +236,8 @@
     view.onChange((_key, value, revision) => {
       if (value === undefined) return;
       const answeredMs = this.#computeAge(this.#configurationReader.answeredAt);
-      routing.apply(value, { revision, epoch: view.epoch, path: view.changePath, answeredMs });
+      const { epoch, rewinds, changePath: path } = view;
+      routing.apply(value, { revision, epoch, rewinds, path, answeredMs });
     });
     this.#runnersView.onChange((key, value) => {
       const ageMs = SNAPSHOT_PATHS.has(this.#runnersView.changePath) ? SNAPSHOT_AGE_MS : 0;
@@ -262,9 +267,14 @@
 }
 
 /** Returns the number for fencing tokens at a point in the platform's history. */
-export function computeFencingRevision({ epoch, revision }: types.RegistryPosition): number {
+export function computeFencingRevision({
+  epoch,
+  rewinds = 0,
+  revision,
+}: types.RegistryPosition): number {
   // Epochs count from 1, and VMs of earlier builds know none: both give the same tokens until the first restore.
-  return revision + Math.max(0, epoch - 1) * FENCING_REVISIONS_PER_EPOCH;
+  const restores = Math.max(0, epoch - 1) + rewinds;
+  return revision + restores * FENCING_REVISIONS_PER_EPOCH;
 }
 
 /** Derives a runner's id from its key, for entries that were removed or cannot be parsed. */
