Tell a lost change that a single VM knows from one that is to come

What callers saw: nothing in the record. A follower to which a reader pushed a change that the store then lost, and whose reader ended with the return, dropped later changes of that item until the revisions had grown past it; the readers that were left knew nothing to compare with.

The newest change of which a peer tells now counts as known, for watches too; an answer that lacks it leads to a full read, which shows the return.

--- a/src/registry/registry-exchange.ts
+++ b/src/registry/registry-exchange.ts
@@ -41,6 +41,8 @@
   readonly streamKind: number;
   /** Called when a try of a pull has failed, so that this VM misses changes that a peer knows. */
   readonly onFailedTry?: () => void;
+  /** Called with the newest change of which a peer tells. */
+  readonly onPosition?: (position: types.RegistryPosition) => void;
   readonly view: registryView.RegistryView<Value>;
   readonly clock: clocks.Clock;
   readonly log: telemetry.EventLog;
@@ -142,6 +144,7 @@
   }
 
   #handlePosition(position: types.RegistryPosition, vm: string): void {
+    this.#options.onPosition?.(position);
     if (this.#isBehind(position)) void this.#schedulePull(vm, position);
   }
 
--- a/src/registry/registry-reader.ts
+++ b/src/registry/registry-reader.ts
@@ -112,6 +112,11 @@
     return true;
   }
 
+  /** Records the newest change that a peer knows. */
+  recordTold(position: types.RegistryPosition): void {
+    this.#rewinds.recordTold(position);
+  }
+
   /** Whether a long poll that began now would end sooner than the one that waits, as when other readers have left. */
   isPollLate(): boolean {
     if (this.#restart === undefined) return false;
@@ -193,9 +198,9 @@
   }
 
   async #watch(signal: AbortSignal): Promise<void> {
-    const { clock, view } = this.#options;
+    const { clock } = this.#options;
     const pollMs = this.#computePollMs();
-    const { epoch, rewinds, revision } = view;
+    const known = this.#rewinds.createKnownPosition();
     this.#watchBeganAt = clock.now();
     this.#pollEndsAt = this.#watchBeganAt + pollMs;
     const restart = new AbortController();
@@ -203,7 +208,7 @@
     try {
       const changes = await this.#callWatch(pollMs, restart.signal, signal);
       // Changes after a revision of another epoch show nothing of those before.
-      this.#applyChanges(this.#rewinds.verifyChanges({ epoch, rewinds, revision }, changes));
+      this.#applyChanges(this.#rewinds.verifyChanges(known, changes));
     } catch (error) {
       // The same changes are asked for again on a new connection, so none is missed.
       if (restart.signal.aborted && !signal.aborted) this.#soundAt = clock.now();
--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -121,6 +121,9 @@
       onFailedTry: () => {
         this.#relay.handleFailedPull("configuration");
       },
+      onPosition: (position) => {
+        configurationReader.recordTold(position);
+      },
     });
     const runnersExchange = new registryExchange.RegistryExchange({
       ...sharedOptions,
@@ -130,6 +133,9 @@
       onFailedTry: () => {
         this.#relay.handleFailedPull("runners");
       },
+      onPosition: (position) => {
+        runnersReader.recordTold(position);
+      },
     });
     this.#exchanges = [configurationExchange, runnersExchange];
     this.#addRelayed(configurationOptions, configurationReader, configurationExchange);
--- a/src/registry/rewind-detector.ts
+++ b/src/registry/rewind-detector.ts
@@ -41,6 +41,8 @@
 /** Puts the answers of the platform into the epochs of one view. */
 export class RewindDetector<Value> {
   readonly #options: RewindDetectorOptions<Value>;
+  /** Newest change of which a peer told, in the newest epoch. */
+  #told: types.RegistryPosition = { epoch: 0, revision: 0 };
 
   constructor(options: RewindDetectorOptions<Value>) {
     this.#options = options;
@@ -48,9 +50,23 @@
 
   /** Returns what is known now; call before the platform is asked for a snapshot. */
   createKnown(): Known {
-    const { epoch, rewinds, revision, newestRevision } = this.#options.view;
     const items = new Map(this.#options.view.list().map((item) => [item.key, item.revision]));
-    return { epoch, rewinds, revision: Math.max(revision, newestRevision), items };
+    return { ...this.createKnownPosition(), items };
+  }
+
+  /** Returns the point in the platform's history that is known to be reached; call before the platform is asked for changes. */
+  createKnownPosition(): types.RegistryPosition {
+    const { epoch, rewinds, revision, newestRevision } = this.#options.view;
+    const told =
+      epochs.compareEpochs(this.#told, this.#options.view) === 0 ? this.#told : undefined;
+    return { epoch, rewinds, revision: Math.max(revision, newestRevision, told?.revision ?? 0) };
+  }
+
+  /** Records the newest change that a peer knows. What this VM cannot pull may be lost, which the platform then shows. */
+  recordTold(position: types.RegistryPosition): void {
+    const order = epochs.compareEpochs(position, this.#told);
+    if (order > 0 || (order === 0 && position.revision > this.#told.revision))
+      this.#told = position;
   }
 
   /**
--- a/test/registry/relay-fleet.ts
+++ b/test/registry/relay-fleet.ts
@@ -195,6 +195,9 @@
       onFailedTry: () => {
         relay.handleFailedPull(name);
       },
+      onPosition: (position) => {
+        reader.recordTold(position);
+      },
     });
     const relayedRegistry = {
       name,
--- a/test/registry/restored-platform.test.ts
+++ b/test/registry/restored-platform.test.ts
@@ -152,6 +152,23 @@
       earl.expect(took <= CHANGE_LIMIT_MS).toEqual(true);
     });
 
+    // The reader that pushed it ended with the return, and the others had not read it.
+    test.it("brings a change of an item to a VM that alone knows a lost one", async () => {
+      await using relayed = await relayFleet.RelayFleet.start(FLEET_SIZE, namesEpoch);
+      const { registry, views, fleet } = relayed;
+      registry.set("b", "b0");
+      await relayed.waitForValue("b", "b0", listVms(relayed));
+      const [follower = ""] = relayed.listFollowers();
+      const item = { key: "b", revision: 50, value: "lost" };
+      const revision = views.get(follower)?.revision ?? 0;
+      registry.set("other", "x");
+      views.get(follower)?.applyChanges({ revision, changes: [{ removed: false, item }] }, "push");
+      await fleet.clock.advance(NOTICED_MS);
+      registry.set("b", "b1");
+      const took = await relayed.waitForValue("b", "b1", listVms(relayed));
+      earl.expect(took <= CHANGE_LIMIT_MS).toEqual(true);
+    });
+
     // One that was cut off may have seen two returns where the others saw one, or have been misled by outdated servers.
     test.it(
       "brings a change to every VM though one counted more returns than the others",
--- a/test/registry/rewind-detector.test.ts
+++ b/test/registry/rewind-detector.test.ts
@@ -109,6 +109,19 @@
     },
   );
 
+  test.it(
+    "begins one if an answer lacks what only a peer knew, in the same part of the epoch",
+    async () => {
+      const { detector, place } = createDetector();
+      detector.recordTold({ epoch: 0, rewinds: 1, revision: 300 });
+      earl.expect(readPosition(await place({ revision: 91, items: [] }))).toEqual([0, 0, 91]);
+      const other = createDetector();
+      other.detector.recordTold({ epoch: 0, revision: 95 });
+      other.detector.recordTold({ epoch: 0, revision: 93 });
+      earl.expect(readPosition(await other.place({ revision: 91, items: [] }))).toEqual([0, 1, 91]);
+    },
+  );
+
   test.it("has the platform asked again if a peer told of the return meanwhile", async () => {
     const { place, view } = createDetector();
     const old = { revision: 91, items: [item("a", 60)] };
