Put this VM's own reading of a version in force

What callers saw: while VMs of two builds run, a VM that the platform refuses pulls a configuration from one of the earlier build. A route that this one left out was answered 404, also after the VM had read the same version itself, until the next version.

Cause: RoutingState drops a version that it has. Class: a number stands for a content that several VMs derive.

Why the fix works: the view already takes the VM's own reading in place of a peer's, and RoutingState now follows it if it differs; a peer's reading never replaces one.

--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -15,7 +15,7 @@
 import * as registryReader from "./registry-reader.js";
 import * as registryView from "./registry-view.js";
 import * as restorePolicies from "./restore-policies.js";
-import type * as types from "./types.js";
+import * as types from "./types.js";
 import * as watchVerifier from "./watch-verifier.js";
 
 const CONFIGURATION_CALL = 30;
@@ -25,6 +25,10 @@
 /** Registries that a reader watches: the configuration and the runners. */
 const REGISTRY_COUNT = 2;
 const EXPIRY_CHECK_PERIOD_MS = 250;
+const OWN_PATHS: ReadonlySet<types.ChangePath> = new Set([
+  types.CHANGE_PATH.read,
+  types.CHANGE_PATH.watch,
+]);
 /** Interval at which a starting VM pulls from peers while it has no data from the platform. */
 const PEER_PULL_PERIOD_MS = 300;
 
@@ -222,7 +226,9 @@
     view.onChange((_key, value, revision) => {
       if (value === undefined) return;
       const answeredMs = this.#computeAge(this.#configurationReader.answeredAt);
-      routing.apply(value, { revision, epoch: view.epoch, path: view.changePath, answeredMs });
+      const origin = { revision, epoch: view.epoch, path: view.changePath, answeredMs };
+      if (OWN_PATHS.has(view.changePath)) routing.applyOwnReading(value, origin);
+      else routing.apply(value, origin);
     });
     this.#runnersView.onChange((key, value) => {
       table.setRunner(value?.id ?? parseRunnerId(key), value);
--- a/src/routing/routing-state.ts
+++ b/src/routing/routing-state.ts
@@ -1,4 +1,5 @@
 /** The routing configuration that this VM applies; its version only increases. */
+import * as util from "node:util";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
 import * as routeTable from "./route-table.js";
@@ -44,7 +45,20 @@
   /** Applies a configuration if its version is newer; returns whether it was applied. */
   apply(table: types.RoutingTable, origin?: ConfigurationOrigin): boolean {
     const before = this.#current?.configuration.version ?? 0;
-    if (table.version <= before) return false;
+    return table.version > before && this.#set(table, before, origin);
+  }
+
+  /**
+   * Applies a configuration as this VM read it, also in place of another reading of the same version: a VM of an earlier build
+   * may have understood less of it. Returns whether it was applied.
+   */
+  applyOwnReading(table: types.RoutingTable, origin?: ConfigurationOrigin): boolean {
+    const current = this.#current?.configuration;
+    if (current?.version !== table.version) return this.apply(table, origin);
+    return !util.isDeepStrictEqual(table, current) && this.#set(table, current.version, origin);
+  }
+
+  #set(table: types.RoutingTable, before: number, origin?: ConfigurationOrigin): true {
     this.#current = new routeTable.RouteTable(table);
     this.#origin = origin;
     const fields = { version: table.version, before, routes: table.routes.length, ...origin };
--- a/test/gateway/refused-configurations.test.ts
+++ b/test/gateway/refused-configurations.test.ts
@@ -1,6 +1,10 @@
 /** A configuration of which one part could not be read was refused whole, so that a route added beside it was answered 404. */
 import * as test from "node:test";
 import * as earl from "earl";
+import * as clocks from "../../src/kernel/clock.js";
+import type * as container from "../../src/kernel/container.js";
+import type * as registry from "../../src/registry/types.js";
+import type * as routing from "../../src/routing/types.js";
 import * as logEvents from "../../src/telemetry/log-events.js";
 import * as examples from "../../standins/users-platform/examples.js";
 import * as late from "./late-requests-fixture.js";
@@ -44,6 +48,18 @@
   "an unknown part": (sound) => ({ ...sound, quotas: [{ name: "q" }] }),
 };
 
+type Source = registry.RegistrySource<routing.RoutingTable>;
+type Item = registry.RegistryItem<routing.RoutingTable>;
+
+/** Replaces the source from which a gateway reads the configuration. */
+function replaceSource(create: (source: Source) => Source): (kernel: container.Kernel) => void {
+  return (kernel) => {
+    const adapter = kernel.use("adapter");
+    const configurationSource = create(adapter.configurationSource);
+    kernel.register("adapter", () => ({ ...adapter, configurationSource }));
+  };
+}
+
 function listRoutes(configuration: Fields): readonly Fields[] {
   return configuration.routes as readonly Fields[];
 }
@@ -136,4 +152,52 @@
     earl.expect([answer.status, answer.body]).toEqual([200, expected.body]);
     earl.expect(expected.body.length > 0).toEqual(true);
   });
+
+  // The reading of an earlier build, pulled while the platform refused this VM, stayed until the next version.
+  test.it(
+    "is in force as this build reads it, after a VM of an earlier build sent it",
+    async () => {
+      await using testPlatform = await fixture.startPlatform({});
+      const { platform } = testPlatform;
+      await using runner = new late.WorkingRunner();
+      await runner.start(platform, "sound");
+      const leaveOut = (items: readonly Item[]) =>
+        items.map(({ value, ...item }) => ({
+          ...item,
+          value: value && {
+            ...value,
+            routes: value.routes.filter(({ name }) => name !== "status"),
+          },
+        }));
+      await using earlier = await fixture.startGateway(platform, STRICT_NET, 11, {
+        seeds: [11],
+        configure: replaceSource((source) => ({
+          readAll: async (signal) => {
+            const snapshot = await source.readAll(signal);
+            return { ...snapshot, items: leaveOut(snapshot.items) };
+          },
+          watch: (...options) => source.watch(...options),
+        })),
+      });
+      await fixture.waitForReady(earlier.ip);
+      let isRefused = true;
+      await using gateway = await fixture.startGateway(platform, STRICT_NET, 12, {
+        seeds: [11],
+        configure: replaceSource((source) => ({
+          readAll: async (signal) => {
+            if (isRefused) throw new Error("platform answered 503");
+            return await source.readAll(signal);
+          },
+          watch: (...options) => source.watch(...options),
+        })),
+      });
+      await fixture.waitForReady(gateway.ip);
+      const send = async (id: string) =>
+        (await fixture.send(gateway.ip, "/status/1", { "request-id": id })).status;
+      earl.expect(await send("p1")).toEqual(404);
+      isRefused = false;
+      await clocks.sleep(fixture.clock, IN_FORCE_MS);
+      earl.expect(await send("p2")).toEqual(200);
+    },
+  );
 });
--- a/test/routing/route-table.test.ts
+++ b/test/routing/route-table.test.ts
@@ -48,4 +48,24 @@
     earl.expect(state.apply(fixture.createTable(5, []))).toEqual(false);
     earl.expect(state.current?.configuration.version).toEqual(7);
   });
+
+  // A peer of an earlier build may have left out a route that it did not understand.
+  test.it(
+    "replaces a peer's reading of a version by this VM's own, and not the other way about",
+    () => {
+      const state = new routingState.RoutingState({ write: () => undefined });
+      const whole = fixture.createTable(7, [
+        fixture.createRoute("one"),
+        fixture.createRoute("two"),
+      ]);
+      const partial = fixture.createTable(7, [fixture.createRoute("one")]);
+      earl.expect(state.apply(partial)).toEqual(true);
+      earl.expect(state.apply(whole)).toEqual(false);
+      earl.expect(state.applyOwnReading(whole)).toEqual(true);
+      earl.expect(state.applyOwnReading(structuredClone(whole))).toEqual(false);
+      earl.expect(state.apply(partial)).toEqual(false);
+      earl.expect(state.applyOwnReading(fixture.createTable(6, []))).toEqual(false);
+      earl.expect(state.current?.configuration).toEqual(whole);
+    },
+  );
 });
