--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -36,6 +36,10 @@
  * After an outage it may be older.
  */
 const SNAPSHOT_AGE_MS = 1_000;
+const OWN_PATHS: ReadonlySet<types.ChangePath> = new Set([
+  types.CHANGE_PATH.read,
+  types.CHANGE_PATH.watch,
+]);
 /** Interval at which a starting VM pulls from peers while it has no data from the platform. */
 const PEER_PULL_PERIOD_MS = 300;
 
@@ -49,9 +53,10 @@
 export interface ConfigurationState {
   /** Version of the configuration; absent before the first one. */
   readonly configurationVersion: number | undefined;
-  /** Platform revision at which that version was written, and its epoch. */
+  /** Platform revision at which that version was written, its epoch and the part of it. */
   readonly configurationRevision: number | undefined;
   readonly configurationEpoch: number | undefined;
+  readonly configurationRewinds: number | undefined;
   /** Platform revision up to which this VM knows the configuration. */
   readonly knownRevision: number;
   /** Milliseconds since the platform last answered this VM's reads of the configuration; absent if it never did. */
@@ -170,6 +175,7 @@
       configurationVersion: current?.configuration.version,
       configurationRevision: origin?.revision,
       configurationEpoch: origin?.epoch,
+      configurationRewinds: origin?.rewinds,
       knownRevision: this.#configurationView.revision,
       answeredMs: this.#computeAge(this.#configurationReader.lastAnsweredAt),
       readersAnsweredMs: this.#computeAge(this.#relay.readersAnsweredAt),
@@ -243,7 +249,9 @@
       if (value === undefined) return;
       const answeredMs = this.#computeAge(this.#configurationReader.answeredAt);
       const { epoch, rewinds, changePath: path } = view;
-      routing.apply(value, { revision, epoch, rewinds, path, answeredMs });
+      const origin = { revision, epoch, rewinds, path, answeredMs };
+      if (OWN_PATHS.has(path)) routing.applyOwnReading(value, origin);
+      else routing.apply(value, origin);
     });
     this.#runnersView.onChange((key, value) => {
       const ageMs = SNAPSHOT_PATHS.has(this.#runnersView.changePath) ? SNAPSHOT_AGE_MS : 0;
