Send as many calls again in the plays of runners that leave

With a call every 30 ms the new start of a prefill runner got none within a second in one run of the plays, which then fail; at 15 ms it did in all runs on a machine that was not overloaded.

--- a/test/gateway/leaving-runners-fixture.ts
+++ b/test/gateway/leaving-runners-fixture.ts
@@ -6,7 +6,7 @@
 import * as store from "../../standins/users-platform/store.js";
 import * as fixture from "./gateway-fixture.js";
 
-const SEND_INTERVAL_MS = 30;
+const SEND_INTERVAL_MS = 15;
 const DRAIN_MS = 2_000;
 const RUNNER_COUNT = 3;
 const LEAVING_ID = "r1";
