Release KV handles at runners that have drained

Runners kept the KV cache of a prefill whose caller had left until it expired, if they had drained meanwhile: the check before each send refused the release as well. A release brings no work, as a query does, so both pass the check.

--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -201,8 +201,8 @@
   readonly body: Buffer | undefined;
   /** Whether to open a connection for this message instead of using a pooled one. */
   readonly newConnection?: boolean;
-  /** Whether it only asks for the runner's state, so that it may be sent to a runner at any time. */
-  readonly isQuery?: boolean;
+  /** Whether it brings the runner no work, as a query or a release, so that it may also be sent to a runner that has drained. */
+  readonly bringsNoWork?: boolean;
 }
 
 /** Limits when runs may begin. */
--- a/src/runners/runner-calls.ts
+++ b/src/runners/runner-calls.ts
@@ -275,7 +275,7 @@
       headersTimeoutMs,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       signal,
-      findRefusal: () => (message.isQuery === true ? undefined : this.#findRefusal(runner)),
+      findRefusal: () => (message.bringsNoWork === true ? undefined : this.#findRefusal(runner)),
     };
   }
 
