Let a test process end whose gateway could not be started

A gateway that met an address in use left its other servers open, so that the test process never ended: a run of unnamed-store.test.ts beside another one of the same file stood for nine minutes until it was ended by hand. Shown by a second start at the same address: the process was still there after 20 s before, and ended within 2 s with the kernel disposed.

--- a/test/gateway/gateway-fixture.ts
+++ b/test/gateway/gateway-fixture.ts
@@ -102,10 +102,20 @@
     kernel.register("runners", create);
   }
   configure?.(kernel);
-  const running = await gatewayNode.startGateway(kernel, OPTIONS);
+  const running = await startOrDispose(kernel);
   return { ip, running, [Symbol.asyncDispose]: () => running[Symbol.asyncDispose]() };
 }
 
+/** Starts a gateway. One that cannot be started, such as at an address in use, would otherwise keep the process of the tests alive. */
+async function startOrDispose(kernel: container.Kernel): Promise<gatewayNode.RunningGateway> {
+  try {
+    return await gatewayNode.startGateway(kernel, OPTIONS);
+  } catch (error) {
+    await kernel[Symbol.asyncDispose]();
+    throw error;
+  }
+}
+
 /** Calls that fill a retry budget, which is empty when a gateway starts. */
 const WARM_UP_CALLS = 20;
 
