Count a partly filled view as no newer than before

A reader that the platform refused took one newer item from a VM that lives on pushes, and counted as knowing all up to that item.

--- a/src/registry/registry-exchange.ts
+++ b/src/registry/registry-exchange.ts
@@ -107,10 +107,11 @@
     const { epoch, rewinds, revision } = snapshot;
     if (epochs.compareEpochs(snapshot, view) !== 0) return;
     const before = Math.max(view.revision, view.newestRevision);
-    const items = snapshot.items.filter((item) => item.revision > before);
+    const items = snapshot.items.filter(
+      (item) => item.revision > before && view.isNewer(item.key, item.revision),
+    );
     if (items.length === 0) return;
-    const changes = items.map((item) => ({ removed: false as const, item }));
-    view.applyChanges({ revision: view.revision, changes }, types.CHANGE_PATH.pull);
+    view.addItems(items);
     const position = { epoch, rewinds, revision };
     const fields = { what: name, peer: vm, ...position, before, items: items.length };
     log.write(logEvents.LOG_EVENTS.registryPulled, fields);
--- a/src/registry/registry-view.ts
+++ b/src/registry/registry-view.ts
@@ -213,6 +213,17 @@
     this.#revision = Math.max(this.#revision, changes.revision);
   }
 
+  /**
+   * Adds items that a peer knows beside others that this view may lack. The view counts as no newer than before, so that it
+   * takes the rest from whoever knows it.
+   */
+  addItems(items: readonly types.RegistryItem<Value>[]): void {
+    const newestRevision = this.#newestRevision;
+    this.#changePath = types.CHANGE_PATH.pull;
+    for (const item of items) this.#setItem(item);
+    this.#newestRevision = newestRevision;
+  }
+
   /** Removes a key that a peer no longer has, unless this view knows a newer revision of it. */
   removeItem(key: string, revision: number): void {
     this.#heldBack.delete(key);
--- a/test/registry/registry-exchange.test.ts
+++ b/test/registry/registry-exchange.test.ts
@@ -81,4 +81,12 @@
     const keys = await pullDuring({ ...snapshot, items: [item("added", 12)] }, () => undefined);
     earl.expect([...keys].sort()).toEqual(["added", "kept", "leaving"]);
   });
+
+  // A VM that took one newer item counted as knowing all up to it, and kept what had been removed before.
+  test.it("does not count as knowing what such a peer lacks", async () => {
+    const views: registryView.RegistryView<string>[] = [];
+    const snapshot = { revision: 8, newestRevision: 12, items: [item("added", 12)] };
+    await pullDuring(snapshot, (view) => views.push(view));
+    earl.expect(views[0]?.newestRevision).toEqual(6);
+  });
 });
