Refuse a late head or CONNECT after the answers before it only

A caller whose second request was late behind one in progress got its answer and then a 408 of the router; CONNECT behind a request in progress got 400 in place of that request's answer. Both refusals were scheduled without another look at what had arrived since.

The two new cases of parser-faults.test.ts failed before (200 200 408, and 400 alone) and pass. A connection is refused once, however often the parser reports what it can't read.

--- a/src/gateway/parser-faults.ts
+++ b/src/gateway/parser-faults.ts
@@ -36,6 +36,8 @@
 /** Handles what the HTTP parser of a listener can't read. */
 export class ParserFaults {
   readonly #options: ParserFaultsOptions;
+  /** Connections that are refused after the response in progress. */
+  readonly #refused = new WeakSet<net.Socket>();
 
   constructor(options: ParserFaultsOptions) {
     this.#options = options;
@@ -43,8 +45,8 @@
       if (socket instanceof net.Socket) this.#handle(error.code ?? error.message, socket);
       else socket.destroy();
     });
-    options.listener.on("connect", (request: http.IncomingMessage) => {
-      this.#refuseConnection(request.socket, "CONNECT");
+    options.listener.on("connect", ({ socket }: http.IncomingMessage) => {
+      this.#refuseAfter(options.connections.findLatest(socket)?.response, "CONNECT", socket);
     });
   }
 
@@ -88,13 +90,21 @@
     });
   }
 
-  /** Refuses the connection once the response before has been sent to its end. */
+  /** Refuses the connection once the response before has been sent to its end, unless another request has arrived by then. */
   #refuseAfter(response: http.ServerResponse | undefined, cause: string, socket: net.Socket): void {
-    if (response === undefined) this.#refuseConnection(socket, cause);
-    else
-      response.once("close", () => {
-        this.#refuseConnection(socket, cause);
-      });
+    if (response === undefined) {
+      this.#refuseConnection(socket, cause);
+      return;
+    }
+    // The parser reports each further piece of what it can't read.
+    if (this.#refused.has(socket)) return;
+    this.#refused.add(socket);
+    const { connections } = this.#options;
+    const requests = connections.countRequests(socket);
+    response.once("close", () => {
+      this.#refused.delete(socket);
+      if (connections.countRequests(socket) === requests) this.#refuseConnection(socket, cause);
+    });
   }
 
   #refuseConnection(socket: net.Socket, cause: string): void {
--- a/test/gateway/parser-faults.test.ts
+++ b/test/gateway/parser-faults.test.ts
@@ -78,6 +78,16 @@
   });
 });
 
+test.describe("a CONNECT request", () => {
+  // Guards against a refusal that is taken for the answer to the request before it.
+  test.it("is refused after the answer to the request in progress before it", async () => {
+    const gateway = await useGateway();
+    const connect = forms.formatRequest("CONNECT api.example:80");
+    const { statuses } = await gateway.exchange(formatKept("/status/slow") + connect);
+    earl.expect(statuses).toEqual([200, 400]);
+  });
+});
+
 test.describe("what an HTTP library refuses by itself", () => {
   // Nobody could tell such answers from those of runners.
   test.it("leaves a line: no host on the port of callers", async () => {
@@ -148,6 +158,15 @@
     earl.expect(statuses).toEqual([200, 408]);
   });
 
+  // Guards against a 408 that is taken for the answer to a request that a runner has.
+  test.it("is not refused once its rest has arrived behind a request in progress", async () => {
+    const gateway = await useGateway();
+    const socket = await gateway.connect();
+    socket.write(formatKept(`/status/slow?ms=${PAUSE_MS + 1_000}`) + SERVED.slice(0, 60));
+    setTimeout(() => socket.write(SERVED.slice(60)), PAUSE_MS);
+    earl.expect((await forms.readAll(socket)).statuses).toEqual([200, 200]);
+  });
+
   test.it("is read when it arrived in time while the process was paused", async () => {
     const gateway = await useGateway();
     const socket = await gateway.connect();
