Count rejections with a pause of no length as failures

A runner that answers 503 with a pause of 0 s looked sound and idle, so that it drew the calls of its service. Only a rejection without a run and with a pause that keeps calls away is no failure. The new case of plain-serving.test.ts failed before and passes.

--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -72,6 +72,8 @@
 }
 
 const LIMIT_TEXT = "all runners have reached the limits that they named";
+/** Shortest pause that counts as no failure; a shorter one keeps hardly any call away, so the failure rate has to. */
+const MIN_HEALTHY_PAUSE_MS = 250;
 const PAUSE_TEXT = "all runners have asked for a pause";
 
 /** Result of one attempt. */
@@ -276,9 +278,11 @@
   /** Records the health and load that a response shows; returns the result of the attempt. */
   #handleResponse(record: runnerRecord.RunnerRecord, answer: BufferedResponse): AttemptResult {
     const { head } = answer;
+    const pauseMs = head.pause.kind === "named" ? head.pause.durationMs : 0;
     if (head.load !== undefined) record.recordLoad(head.load);
     if (head.misdirected) record.recordUnreachable();
-    else if (head.pause.kind !== "named") record.recordResult(!answers.isServerError(head.status));
+    else if (!head.notRun || pauseMs < MIN_HEALTHY_PAUSE_MS)
+      record.recordResult(!answers.isServerError(head.status));
     if (head.notRun) return { kind: "notRun", reason: `runner answered ${head.status}, not run` };
     const isUnsigned = answers.isSuccess(head.status) && !head.signed;
     if (isUnsigned) return { kind: "unknown", reason: "unsigned success" };
--- a/test/serving/plain-serving.test.ts
+++ b/test/serving/plain-serving.test.ts
@@ -102,6 +102,8 @@
       ["", false],
       ["Retry-After: 0.4\r\n", true],
       ["Retry-After: -1\r\n", false],
+      // Such a runner looked sound and idle, and drew the calls.
+      ["Retry-After: 0\r\n", false],
     ] as const) {
       await using full = await raw.startRawRunner("full", (socket) => {
         socket.write(NOT_RUN.replace("\r\n", `\r\n${header}`));
