Keep streams through short pauses of their only runner

A stream that had begun was broken off if all runners of its version asked for a pause, however short, and a runner that asked for one between place and send was left out for the rest of the request. The stream now waits if its caller will, and the runner is left out for the time of its pause. Found by review, read in the code; the tests of serving and the plays of runner-pauses.test.ts are unchanged. No test of its own.

--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -444,8 +444,9 @@
   return { kind: "broken", reason, excluded: runner.id };
 }
 
+/** The runner is left out of placements for the time of its pause only. */
 function createPausedResult({ id }: runners.Runner): modelProgress.RunResult {
-  return { kind: "notRun", reason: "runner asked for a pause", excluded: id };
+  return { kind: "notRun", reason: `${id} asked for a pause`, excluded: undefined };
 }
 
 function createHeldResult(refusal: resultCodes.RequestError): modelProgress.RunResult {
--- a/src/serving/model-serving.ts
+++ b/src/serving/model-serving.ts
@@ -1,7 +1,7 @@
 /** Serves model requests: placement, prefill, then the streamed response. */
 import type * as gateway from "../gateway/types.js";
 import type * as runnerPaths from "../handover/runner-paths.js";
-import type * as clocks from "../kernel/clock.js";
+import * as clocks from "../kernel/clock.js";
 import type * as placementService from "../placement/placement-service.js";
 import * as placementTypes from "../placement/types.js";
 import type * as runnerCalls from "../runners/runner-calls.js";
@@ -38,6 +38,8 @@
 const KV_FETCH_MARGIN_MS = 150;
 /** Retry time when the decode runner of the placement is no longer listed. */
 const NO_RUNNER_RETRY_AFTER_MS = 500;
+/** Gap between two events after which callers give up a stream at the earliest. */
+const MAX_GAP_MS = 2_000;
 const PAUSE_TEXT = "all decode runners have asked for a pause";
 
 /** Dependencies of model serving. */
@@ -143,7 +145,7 @@
     progress: modelProgress.ModelProgress,
   ): Promise<modelProgress.RunResult> {
     const pauseMs = this.#computePause(call, progress);
-    if (pauseMs !== undefined)
+    if (pauseMs !== undefined && !(await this.#waitForPause(call, progress, pauseMs)))
       return { kind: "noPlace", reason: PAUSE_TEXT, retryAfterMs: pauseMs };
     const request = this.#createPlacementRequest(call, progress);
     if (request.prefilledBy === undefined) progress.setPrefilled(undefined);
@@ -238,6 +240,20 @@
     return pauseMs;
   }
 
+  /** Waits for the end of a pause if a stream has begun and its caller will wait for it; returns whether it did. */
+  async #waitForPause(
+    call: types.ServedCall,
+    { lastEventAt }: modelProgress.ModelProgress,
+    pauseMs: number,
+  ): Promise<boolean> {
+    const { clock } = this.#options;
+    const endsAt = clock.now() + pauseMs;
+    const isWorthWaiting =
+      lastEventAt !== undefined && endsAt < Math.min(lastEventAt + MAX_GAP_MS, call.deadlineAt);
+    if (isWorthWaiting) await clocks.sleep(clock, pauseMs, call.signal);
+    return isWorthWaiting;
+  }
+
   /**
    * Lists the runners that failed the request, those that want a pause, and those that this VM does not reach while it
    * reaches others.
