Count the drain time of a runner from the earliest notice

Of two notices the one that arrived first set the drain time, also if the other one told of an earlier time, so that requests could be sent for the difference too long. The new test of runner-table.test.ts failed before and passes.

--- a/src/runners/runner-record.ts
+++ b/src/runners/runner-record.ts
@@ -57,10 +57,17 @@
   /** Replaces the runner's registry entry or stage. */
   setRunner(runner: types.Runner, leavingSince = this.#clock.now()): void {
     if (runner.leaving && !this.#runner.leaving) this.#leavingSince = leavingSince;
+    else if (runner.leaving) this.recordLeavingSince(leavingSince);
     this.#runner = runner;
     this.#updatedAt = this.#clock.now();
   }
 
+  /** Records a time since which the runner leaves; the earliest one counts. */
+  recordLeavingSince(leavingSince: number): void {
+    if (this.#leavingSince === undefined) return;
+    this.#leavingSince = Math.min(this.#leavingSince, leavingSince);
+  }
+
   /** Number of calls of this VM that are waiting for a response. */
   get inFlight(): number {
     return this.#inFlight;
--- a/src/runners/runner-table.ts
+++ b/src/runners/runner-table.ts
@@ -82,11 +82,14 @@
     const isNew = this.#notices.find(start, now) === undefined;
     const notice = this.#notices.record(start, givenAt, now);
     const known = this.#records.get(start.id);
-    if (known?.runner.bornAt === start.bornAt && !known.runner.leaving) {
-      known.setRunner({ ...known.runner, leaving: true }, notice.since);
-      this.#recordLeaving(known, path);
-      for (const listener of this.#listeners) listener(start.id, known.runner);
+    if (known?.runner.bornAt !== start.bornAt) return isNew;
+    if (known.runner.leaving) {
+      known.recordLeavingSince(notice.since);
+      return isNew;
     }
+    known.setRunner({ ...known.runner, leaving: true }, notice.since);
+    this.#recordLeaving(known, path);
+    for (const listener of this.#listeners) listener(start.id, known.runner);
     return isNew;
   }
 
--- a/test/runners/runner-table.test.ts
+++ b/test/runners/runner-table.test.ts
@@ -82,6 +82,18 @@
     earl.expect(notifiedStages).toEqual(["decode"]);
   });
 
+  // Guards against DRAIN: of two notices, the earlier one was dropped if it arrived later.
+  test.it("counts the drain time from the earliest notice", async () => {
+    const { clock, table, set } = createTable();
+    set("r", { bornAt: 7 });
+    const firstAt = clock.now();
+    await clock.advance(DRAIN_LIMIT_MS / 2);
+    table.recordLeaving({ id: "r", bornAt: 7 }, clock.now(), runners.LEAVING_PATH.answer);
+    table.recordLeaving({ id: "r", bornAt: 7 }, firstAt, runners.LEAVING_PATH.peer);
+    await clock.advance(DRAIN_LIMIT_MS / 2);
+    earl.expect(table.hasDrained("r")).toEqual(true);
+  });
+
   // Guards against DRAIN: what a runner said in its answers was forgotten when its entry was written or listed again.
   test.it(
     "treats a start that said that it leaves as leaving until another is listed",
