Count the age of changes that a reopened watch brings

A watch whose connection had fallen silent brought the notice of a leaving runner seconds late, and the drain time was counted from its arrival. Changes now count as old as the time without an answer before the call that brought them. Found by review, read in the code; no test of its own.

--- a/src/registry/registry-reader.ts
+++ b/src/registry/registry-reader.ts
@@ -79,6 +79,8 @@
   /** Monotonic time at which the connection last gave an answer or was opened. */
   #soundAt = -Infinity;
   #watchBeganAt = -Infinity;
+  /** Time without an answer before the call began that answered last, in which changes may have been made. */
+  #unheardMs = 0;
   /** Monotonic time at which the long poll that waits ends. */
   #pollEndsAt = 0;
 
@@ -112,6 +114,11 @@
     return true;
   }
 
+  /** Time without an answer before the call began that answered last, in ms. */
+  get unheardMs(): number {
+    return this.#unheardMs;
+  }
+
   /** Records the newest change that a peer knows. */
   recordTold(position: types.RegistryPosition): void {
     this.#rewinds.recordTold(position);
@@ -162,6 +169,7 @@
     const { view, clock, onDeadWatch } = this.#options;
     const beganAt = clock.now();
     const known = this.#rewinds.createKnown();
+    const unheardMs = beganAt - (this.#answeredAt ?? beganAt);
     const answer = await this.#callReadAll(signal);
     const tookMs = clock.now() - beganAt;
     const readAgain = () => this.#callReadAll(signal, true);
@@ -171,6 +179,7 @@
     const givenUpAt = this.#givenUpAt;
     const isConnectionDead = givenUpAt !== undefined && tookMs < RESPONSE_MARGIN_MS;
     this.#handleSuccess(!isConnectionDead || this.#outages.hasFailedSince(this.#watchBeganAt));
+    this.#unheardMs = unheardMs;
     if (this.#needsGracePeriod) view.startGracePeriod();
     this.#needsGracePeriod = false;
     this.#reportInvalidItems(snapshot.items);
@@ -202,11 +211,13 @@
     const pollMs = this.#computePollMs();
     const known = this.#rewinds.createKnownPosition();
     this.#watchBeganAt = clock.now();
+    const unheardMs = this.#watchBeganAt - (this.#answeredAt ?? this.#watchBeganAt);
     this.#pollEndsAt = this.#watchBeganAt + pollMs;
     const restart = new AbortController();
     this.#restart = restart;
     try {
       const changes = await this.#callWatch(pollMs, restart.signal, signal);
+      this.#unheardMs = unheardMs;
       // Changes after a revision of another epoch show nothing of those before.
       this.#applyChanges(this.#rewinds.verifyChanges(known, changes));
     } catch (error) {
--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -155,7 +155,7 @@
     this.#exchanges = [configurationExchange, runnersExchange];
     this.#addRelayed(configurationOptions, configurationReader, configurationExchange);
     this.#addRelayed(runnersOptions, runnersReader, runnersExchange);
-    this.#connectViews();
+    this.#connectViews(runnersReader);
   }
 
   /** Whether the configuration and the runner list have been loaded. */
@@ -241,7 +241,9 @@
     this.#relay.addRegistry(registryRelay.createRelayedRegistry(registry));
   }
 
-  #connectViews(): void {
+  #connectViews(
+    runnersReader: Pick<registryReader.RegistryReader<runners.Runner>, "unheardMs">,
+  ): void {
     const routing = this.#kernel.use("routing");
     const table = this.#kernel.use("runners");
     const view = this.#configurationView;
@@ -254,7 +256,9 @@
       else routing.apply(value, origin);
     });
     this.#runnersView.onChange((key, value) => {
-      const ageMs = SNAPSHOT_PATHS.has(this.#runnersView.changePath) ? SNAPSHOT_AGE_MS : 0;
+      const { changePath } = this.#runnersView;
+      const unheardMs = OWN_PATHS.has(changePath) ? runnersReader.unheardMs : 0;
+      const ageMs = Math.max(unheardMs, SNAPSHOT_PATHS.has(changePath) ? SNAPSHOT_AGE_MS : 0);
       table.setRunner(value?.id ?? parseRunnerId(key), value, ageMs);
     });
   }
