Log configurations that are older than the one in force

A version that is lower than the one in force was dropped without a line, which looks the same to callers as a store that went back (404 at all VMs, no 3001): a hypothesis that the record can't exclude either. Event 3018 names both.

--- a/src/routing/routing-state.ts
+++ b/src/routing/routing-state.ts
@@ -47,7 +47,12 @@
   /** Applies a configuration if its version is newer; returns whether it was applied. */
   apply(table: types.RoutingTable, origin?: ConfigurationOrigin): boolean {
     const before = this.#current?.configuration.version ?? 0;
-    return table.version > before && this.#set(table, before, origin);
+    if (table.version > before) return this.#set(table, before, origin);
+    if (table.version < before) {
+      const fields = { version: table.version, inForce: before, ...origin };
+      this.#log.write(logEvents.LOG_EVENTS.configurationOlder, fields);
+    }
+    return false;
   }
 
   /**
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -71,6 +71,11 @@
     message: "watches of the platform restarted on new connections",
   },
   registryItemIncomplete: { number: 3017, level: "warn", message: "registry item read in part" },
+  configurationOlder: {
+    number: 3018,
+    level: "warn",
+    message: "configuration older than the one in force",
+  },
   requestRefused: { number: 4001, level: "info", message: "request refused" },
   requestFinished: { number: 4002, level: "debug", message: "request finished" },
   requestRetried: { number: 4003, level: "info", message: "request retried" },
