Log where the time of a change goes, delays of the event loop and lost datagrams

The logs could not tell apart a VM that heard late of a change, one whose pulls failed, one that took long to decode, and one that stood still. 3001 has the times since the change was first heard of, since its pull began and since its last byte, the bytes, and the failed tries; 1006 and `event_loop_delay` show the delays of the event loop; `datagram_calls` counts datagrams without a reply.

--- a/bench/membership.ts
+++ b/bench/membership.ts
@@ -14,6 +14,7 @@
 import * as tcpTransport from "../src/protocol/tcp-transport.js";
 import * as documents from "../test/membership/documents.js";
 import * as fakePlatform from "../test/membership/fake-platform.js";
+import * as metrics from "../src/telemetry/metrics.js";
 
 const FLEET_SIZES = [8, 16, 32, 64] as const;
 const WARM_UP_MS = 15_000;
@@ -108,6 +109,7 @@
   kernel.register("clock", () => clocks.createSystemClock());
   kernel.register("random", () => random.createSeededRandom(index));
   kernel.register("log", () => ({ write: () => undefined }));
+  kernel.register("metrics", () => metrics.createMetrics());
   kernel.register("transport", () => new CountingTransport(fleet.traffic));
   kernel.register("platform", () => fleet.platform.createClient(vm));
   kernel.register("network", (services) => peerNetwork.createPeerNetwork(services));
--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -3,6 +3,7 @@
 import * as clocks from "../kernel/clock.js";
 import type * as handoverReceiver from "../handover/handover-receiver.js";
 import * as events from "../telemetry/log-events.js";
+import * as loopMonitors from "../telemetry/loop-monitor.js";
 import * as callerServer from "./caller-server.js";
 import * as auxiliaryServers from "./auxiliary-servers.js";
 import type * as types from "./types.js";
@@ -44,6 +45,12 @@
   void kernel.use("engineReportPoller").run();
   void kernel.use("stageReconciler").run();
   void kernel.use("pathWatch").run();
+  const monitor = new loopMonitors.LoopMonitor({
+    clock: kernel.use("clock"),
+    log: kernel.use("log"),
+    metrics: kernel.use("metrics"),
+  });
+  void monitor.run();
   const { vm, zone } = kernel.use("settings");
   kernel.use("log").write(events.LOG_EVENTS.nodeStarted, { vm, zone });
   return {
@@ -53,6 +60,7 @@
       await drainGateway(kernel, server, receiver);
     },
     [Symbol.asyncDispose]: async () => {
+      await monitor[Symbol.asyncDispose]();
       await server[Symbol.asyncDispose]();
       await auxiliary[Symbol.asyncDispose]();
       await kernel[Symbol.asyncDispose]();
--- a/src/protocol/datagram-calls.ts
+++ b/src/protocol/datagram-calls.ts
@@ -23,6 +23,7 @@
   readonly handlers: callHandlers.CallHandlers;
   readonly clock: clocks.Clock;
   readonly log: telemetry.EventLog;
+  readonly metrics: Pick<telemetry.Metrics, "count">;
   readonly findAddress: (vm: string) => network.PeerAddress | undefined;
 }
 
@@ -132,6 +133,7 @@
       };
       const onAbort = (): void => {
         onEnd();
+        this.#options.metrics.count("datagram_calls", { result: "unanswered" });
         const text = `no reply of ${vm} to a datagram within ${timeoutMs} ms`;
         reject(createError(network.CALL_FAILURE.noReply, text));
       };
@@ -139,6 +141,7 @@
       signal?.addEventListener("abort", onAbort, { once: true });
       const onReply = (reply: codec.Datagram): void => {
         onEnd();
+        this.#options.metrics.count("datagram_calls", { result: "answered" });
         resolve(reply);
       };
       this.#pending.set(sequence, { vm, onReply });
--- a/src/protocol/peer-network.ts
+++ b/src/protocol/peer-network.ts
@@ -55,6 +55,7 @@
       handlers: this.#handlers,
       clock: this.#clock,
       log: this.#log,
+      metrics: kernel.use("metrics"),
       findAddress: (vm) => this.#pool.findAddress(vm),
     });
   }
--- a/src/registry/registry-exchange.ts
+++ b/src/registry/registry-exchange.ts
@@ -10,6 +10,7 @@
 import * as network from "../protocol/network.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
+import type * as changeTimes from "./change-times.js";
 import * as epochs from "./epochs.js";
 import type * as registryView from "./registry-view.js";
 import * as snapshotTransfer from "./snapshot-transfer.js";
@@ -39,6 +40,8 @@
   readonly callKind: number;
   /** Number of the streamed call for a snapshot; unique among all peer calls. */
   readonly streamKind: number;
+  /** Measures the time of changes, for the log. */
+  readonly times?: changeTimes.ChangeTimes;
   /** Called when a try of a pull has failed, so that this VM misses changes that a peer knows. */
   readonly onFailedTry?: () => void;
   /** Called with the newest change of which a peer tells. */
@@ -69,7 +72,11 @@
     const streamCall = snapshotTransfer.createSnapshotCall(streamKind, name);
     const sender = new snapshotTransfer.SnapshotSender(clock, view);
     peers.onStream(streamCall, (request) => sender.streamParts(request));
-    this.#receiver = new snapshotTransfer.SnapshotReceiver(clock, peers, streamCall);
+    const { times } = options;
+    this.#receiver = new snapshotTransfer.SnapshotReceiver(clock, peers, streamCall, {
+      onPart: (bytes) => times?.recordPart(bytes),
+      onReceived: () => times?.recordReceived(),
+    });
     this.#addTopics();
   }
 
@@ -78,7 +85,9 @@
    * peer responded and the snapshot was valid.
    */
   async pull(vm: string): Promise<boolean> {
-    const { view, log, name } = this.#options;
+    const { view, log, name, times } = this.#options;
+    times?.recordHeard();
+    times?.recordPullStart();
     try {
       const snapshot = await this.#callSnapshot(vm);
       if (isOlder(snapshot, view)) {
@@ -126,6 +135,7 @@
       const isEarlierBuild =
         error instanceof network.PeerCallError && error.failure === network.CALL_FAILURE.failed;
       if (isEarlierBuild) return await this.#callWhole(vm);
+      this.#options.times?.recordFailedTry();
       this.#options.onFailedTry?.();
       return await this.#receiver.receive(vm, secondMs);
     }
@@ -167,7 +177,9 @@
 
   #handlePosition(position: types.RegistryPosition, vm: string): void {
     this.#options.onPosition?.(position);
-    if (this.#isBehind(position)) void this.#schedulePull(vm, position);
+    if (!this.#isBehind(position)) return;
+    this.#options.times?.recordHeard();
+    void this.#schedulePull(vm, position);
   }
 
   #isBehind(position: types.RegistryPosition): boolean {
--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -8,6 +8,7 @@
 import type * as routing from "../routing/types.js";
 import type * as runners from "../runners/types.js";
 import * as fleetClock from "../membership/fleet-clock.js";
+import * as changeTimes from "./change-times.js";
 import * as platformOutages from "./platform-outages.js";
 import * as pollSchedule from "./poll-schedule.js";
 import * as registryExchange from "./registry-exchange.js";
@@ -74,6 +75,7 @@
   readonly #readers: readonly { run(signal: AbortSignal): Promise<void> }[];
   readonly #exchanges: readonly { pull(vm: string): Promise<boolean> }[];
   readonly #relay: registryRelay.RegistryRelay;
+  readonly #configurationTimes: changeTimes.ChangeTimes;
   readonly #configurationReader: registryReader.RegistryReader<routing.RoutingTable>;
 
   constructor(kernel: container.Kernel) {
@@ -85,7 +87,12 @@
       restorePolicies.CONFIGURATION_RESTORE_POLICY,
     );
     this.#runnersView = new registryView.RegistryView(clock, restorePolicies.RUNNER_RESTORE_POLICY);
-    const configurationOptions = { name: "configuration", view: this.#configurationView };
+    this.#configurationTimes = new changeTimes.ChangeTimes(clock);
+    const configurationOptions = {
+      name: "configuration",
+      view: this.#configurationView,
+      times: this.#configurationTimes,
+    };
     const runnersOptions = { name: "runners", view: this.#runnersView };
     const sharedOptions = {
       clock,
@@ -251,7 +258,8 @@
       if (value === undefined) return;
       const answeredMs = this.#computeAge(this.#configurationReader.answeredAt);
       const { epoch, rewinds, changePath: path } = view;
-      const origin = { revision, epoch, rewinds, path, answeredMs };
+      const times = this.#configurationTimes.popFields();
+      const origin = { revision, epoch, rewinds, path, answeredMs, times };
       if (OWN_PATHS.has(path)) routing.applyOwnReading(value, origin);
       else routing.apply(value, origin);
     });
--- a/src/registry/snapshot-transfer.ts
+++ b/src/registry/snapshot-transfer.ts
@@ -127,14 +127,29 @@
   receivedBytes: number;
 }
 
+/** What a receiver tells of a transfer. */
+export interface TransferProgress {
+  /** Called with the size of each part. */
+  readonly onPart: (bytes: number) => void;
+  /** Called when all parts have been received. */
+  readonly onReceived: () => void;
+}
+
 /** Receives snapshots. A transfer that breaks off is continued by the next one of the same items, from any peer. */
 export class SnapshotReceiver {
   readonly #clock: clocks.Clock;
   readonly #peers: Pick<network.PeerNetwork, "stream">;
   readonly #call: SnapshotCall;
+  readonly #progress: TransferProgress | undefined;
   #broken: PartialItems | undefined;
 
-  constructor(clock: clocks.Clock, peers: Pick<network.PeerNetwork, "stream">, call: SnapshotCall) {
+  constructor(
+    clock: clocks.Clock,
+    peers: Pick<network.PeerNetwork, "stream">,
+    call: SnapshotCall,
+    progress?: TransferProgress,
+  ) {
+    this.#progress = progress;
     this.#clock = clock;
     this.#peers = peers;
     this.#call = call;
@@ -161,7 +176,11 @@
       for await (const part of this.#peers.stream(vm, this.#call, request, options)) {
         cancelLimit();
         items = addPart(items, part);
-        if (items.receivedBytes === part.totalBytes) return decodeSnapshot(part, items.parts);
+        this.#progress?.onPart(part.bytes.byteLength);
+        if (items.receivedBytes === part.totalBytes) {
+          this.#progress?.onReceived();
+          return decodeSnapshot(part, items.parts);
+        }
         cancelLimit = startLimit();
       }
       throw new Error(`snapshot of ${vm} ended after ${items.receivedBytes} bytes`);
--- a/src/routing/routing-state.ts
+++ b/src/routing/routing-state.ts
@@ -17,6 +17,8 @@
   readonly path: string;
   /** Time since the platform last answered this VM; `undefined` if it never did or its calls fail. */
   readonly answeredMs: number | undefined;
+  /** Parts of the time that it took to reach this VM, in ms. */
+  readonly times?: object;
 }
 
 /** Holds the newest configuration that this process has received. */
@@ -49,7 +51,8 @@
     const before = this.#current?.configuration.version ?? 0;
     if (table.version > before) return this.#set(table, before, origin);
     if (table.version < before) {
-      const fields = { version: table.version, inForce: before, ...origin };
+      const { times: _times, ...place } = origin ?? {};
+      const fields = { version: table.version, inForce: before, ...place };
       this.#log.write(logEvents.LOG_EVENTS.configurationOlder, fields);
     }
     return false;
@@ -68,8 +71,9 @@
   #set(table: types.RoutingTable, before: number, origin?: ConfigurationOrigin): true {
     this.#current = new routeTable.RouteTable(table);
     this.#origin = origin;
-    const fields = { version: table.version, before, routes: table.routes.length, ...origin };
-    this.#log.write(logEvents.LOG_EVENTS.configurationApplied, fields);
+    const { times, ...place } = origin ?? {};
+    const fields = { version: table.version, before, routes: table.routes.length };
+    this.#log.write(logEvents.LOG_EVENTS.configurationApplied, { ...fields, ...place, ...times });
     for (const listener of this.#listeners) listener(table);
     return true;
   }
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -76,6 +76,7 @@
     level: "warn",
     message: "configuration older than the one in force",
   },
+  eventLoopDelayed: { number: 1006, level: "warn", message: "event loop was delayed" },
   requestRefused: { number: 4001, level: "info", message: "request refused" },
   requestFinished: { number: 4002, level: "debug", message: "request finished" },
   requestRetried: { number: 4003, level: "info", message: "request retried" },
--- a/test/membership/fleet.ts
+++ b/test/membership/fleet.ts
@@ -10,6 +10,7 @@
 import type * as network from "../../src/protocol/network.js";
 import * as peerNetwork from "../../src/protocol/peer-network.js";
 import * as fakePlatform from "./fake-platform.js";
+import * as inertMetrics from "../telemetry/inert-metrics.js";
 
 const PEER_PORT = 7001;
 const CALLER_PORT = 7000;
@@ -70,6 +71,7 @@
     kernel.register("clock", () => clock);
     kernel.register("random", () => random.createSeededRandom(seed));
     kernel.register("log", () => ({ write: () => undefined }));
+    kernel.register("metrics", inertMetrics.createInertMetrics);
     kernel.register("transport", () => this.network.createTransport(vm));
     kernel.register("platform", () => this.platform.createClient(vm));
     kernel.register("network", (services) => peerNetwork.createPeerNetwork(services));
@@ -97,6 +99,7 @@
     kernel.register("settings", () => createSettings(this.createListedVm(vm)));
     kernel.register("clock", () => this.clock);
     kernel.register("log", () => ({ write: () => undefined }));
+    kernel.register("metrics", inertMetrics.createInertMetrics);
     kernel.register("transport", () => this.network.createTransport(vm));
     const peer = peerNetwork.createPeerNetwork(kernel);
     peer.setAddress("vm-0", this.getPeerAddress("vm-0"));
--- a/test/protocol/datagram-calls.test.ts
+++ b/test/protocol/datagram-calls.test.ts
@@ -9,6 +9,7 @@
 import * as datagramCalls from "../../src/protocol/datagram-calls.js";
 import * as network from "../../src/protocol/network.js";
 import * as replayWindow from "../../src/protocol/replay-window.js";
+import * as inertMetrics from "../telemetry/inert-metrics.js";
 
 const ECHO = network.createPeerCall(
   41,
@@ -44,6 +45,7 @@
       },
     });
     const calls = new datagramCalls.DatagramCalls({
+      metrics: inertMetrics.createInertMetrics(),
       transport: this.network.createTransport(vm),
       credentials: { self: { vm, incarnation }, keys, clock: this.clock },
       handlers,
--- a/test/protocol/peers.ts
+++ b/test/protocol/peers.ts
@@ -8,6 +8,7 @@
 import type * as network from "../../src/protocol/network.js";
 import type * as nodeSettings from "../../src/settings/node-settings.js";
 import type * as logEvents from "../../src/telemetry/log-events.js";
+import * as inertMetrics from "../telemetry/inert-metrics.js";
 
 /** A log event with its fields. */
 export interface WrittenEvent {
@@ -64,6 +65,7 @@
   kernel.register("clock", () => clocks.createSystemClock());
   kernel.register("random", () => random.createSeededRandom(1));
   kernel.register("log", () => ({ write: (event, fields) => events.push({ event, fields }) }));
+  kernel.register("metrics", inertMetrics.createInertMetrics);
   kernel.register("transport", () => tcpTransport.createTcpTransport());
   kernel.register("network", (services) => peerNetwork.createPeerNetwork(services));
   const peers = kernel.use("network");
