Read what arrived before a time limit ends on a process that stood still

A callback whose timer fires 25 ms late or more runs as an immediate, after the sockets have been read. The new test, in which an answer waits in the socket as the process stands still, failed before: the limit came first.

--- a/src/kernel/clock.ts
+++ b/src/kernel/clock.ts
@@ -23,6 +23,12 @@
 /** Longest delay of Node.js timers, 24 days, which fire a longer one at once. */
 export const MAX_DELAY_MS = 2_147_483_647;
 
+/**
+ * Delay of a timer from which on the process may have stood still. What arrived meanwhile is then read before the timer's callback
+ * runs, so that a time limit does not end a call whose answer is there.
+ */
+const LATE_TIMER_MS = 25;
+
 /**
  * Creates the clock that reads the system time.
  *
@@ -33,9 +39,17 @@
     now: () => perfHooks.performance.now(),
     wallTime: () => Date.now(),
     schedule: (delayMs, callback) => {
-      const timer = setTimeout(callback, Math.min(delayMs, MAX_DELAY_MS));
+      const boundedMs = Math.min(delayMs, MAX_DELAY_MS);
+      const dueAt = perfHooks.performance.now() + boundedMs;
+      let deferred: NodeJS.Immediate | undefined;
+      const timer = setTimeout(() => {
+        // Node.js runs the timers that are due before it reads from sockets, and immediates after that.
+        if (perfHooks.performance.now() - dueAt < LATE_TIMER_MS) callback();
+        else deferred = setImmediate(callback);
+      }, boundedMs);
       return () => {
         clearTimeout(timer);
+        clearImmediate(deferred);
       };
     },
   };
