Admit requests by what the processor can do, and handle what VMs say to each other before them

Two requests begin in a turn of the event loop; messages between VMs, answers of runners and timers are handled between the turns. If the oldest request has waited for 250 ms, for as long as questions between VMs take, further ones are refused at once with 503 (2001, not run, `Retry-After`), and hand-overs are declined as full. It ends when the queue has emptied, so that the fleet recovers with the traffic.

--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -16,6 +16,7 @@
 import * as logEvents from "../telemetry/log-events.js";
 import * as spans from "../telemetry/spans.js";
 import type * as telemetry from "../telemetry/types.js";
+import type * as admissions from "./admission.js";
 import * as callerConnections from "./caller-connections.js";
 import * as requestBody from "./request-body.js";
 import * as requestHead from "./request-head.js";
@@ -44,6 +45,7 @@
   readonly buffers: bufferBudget.BufferBudget;
   readonly handler: serving.CallHandler;
   readonly grace: servedCall.CallGrace;
+  readonly admission: Pick<admissions.Admission, "waitForTurn">;
   /** Whether the VM has the data that it needs to serve requests. */
   readonly isReady: () => boolean;
   /** Returns the configuration in force and the age of what this VM knows, for the lines of refusals and failures. */
@@ -169,6 +171,7 @@
       head = this.#options.codec.parseHead(request);
       requestHead.checkHost(request);
       this.#checkHeadSize(request);
+      await signals.runUntilAborted(controller.signal, this.#options.admission.waitForTurn());
       const call = await this.#createCall(head, request, {
         arrivedAt,
         signal: controller.signal,
--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -87,6 +87,7 @@
     buffers: kernel.use("buffers"),
     handler: kernel.use("handover"),
     grace: kernel.use("shutdownGrace"),
+    admission: kernel.use("admission"),
     isReady,
     getConfigurationState: () => kernel.use("registrySync").configurationState,
   });
--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -41,6 +41,7 @@
 import * as log from "../telemetry/log.js";
 import * as metrics from "../telemetry/metrics.js";
 import * as spans from "../telemetry/spans.js";
+import * as admissions from "./admission.js";
 import * as liveSettings from "./live-settings.js";
 import * as seedList from "./seed-list.js";
 import * as shutdownGrace from "./shutdown-grace.js";
@@ -72,6 +73,7 @@
   kernel.register("transport", () => tcpTransport.createTcpTransport());
   kernel.register("network", peerNetwork.createPeerNetwork);
   kernel.register("liveSettings", createLiveSettings);
+  kernel.register("admission", createAdmission);
   kernel.register("shutdownGrace", () => new shutdownGrace.ShutdownGrace(kernel.use("clock")));
   kernel.register("platform", () => seedList.createSeedListClient(kernel.use("liveSettings")));
   kernel.register("membership", membership.createMembership);
@@ -141,6 +143,15 @@
   });
 }
 
+function createAdmission(kernel: container.Kernel): admissions.Admission {
+  return new admissions.Admission({
+    clock: kernel.use("clock"),
+    onRefused: () => {
+      kernel.use("metrics").count("processor_refusals");
+    },
+  });
+}
+
 function createLiveSettings(kernel: container.Kernel): liveSettings.LiveSettings {
   const adapter = kernel.use("adapter");
   return new liveSettings.LiveSettings({
--- a/src/handover/handover-receiver.ts
+++ b/src/handover/handover-receiver.ts
@@ -40,6 +40,8 @@
   readonly grace: servedCall.CallGrace;
   /** Requests of other VMs that may be served at a time; by default `MAX_CALLS`. */
   readonly maxCalls?: number | undefined;
+  /** Whether the processor has no time for further requests; by default it has. */
+  readonly isProcessorFull?: () => boolean;
 }
 
 /** A request of another VM while this VM serves it. */
@@ -134,11 +136,12 @@
     head,
   }: handoverCalls.HandoverRequest): handoverCalls.DeclineReason | undefined {
     const { routing, isReady, paths, maxCalls = MAX_CALLS } = this.#options;
+    const isProcessorFull = this.#options.isProcessorFull?.() ?? false;
     const table = routing.current;
     if (this.#isDraining) return DECLINE_REASON.leaving;
     if (table === undefined || !isReady()) return DECLINE_REASON.notReady;
     if (table.configuration.version < version) return DECLINE_REASON.olderConfiguration;
-    if (this.#active >= maxCalls) return DECLINE_REASON.full;
+    if (this.#active >= maxCalls || isProcessorFull) return DECLINE_REASON.full;
     const service = servedCall.findService(table, head);
     const hasPath =
       service === undefined || paths.getState(service.name) === types.PATH_STATE.reachable;
--- a/src/handover/handover-services.ts
+++ b/src/handover/handover-services.ts
@@ -71,5 +71,6 @@
     grace: kernel.use("shutdownGrace"),
     isReady: () => sync.ready && crashes.ready,
     maxCalls,
+    isProcessorFull: () => kernel.use("admission").isFull,
   });
 }
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -3,6 +3,7 @@
 import type * as gateway from "../gateway/types.js";
 import type * as handover from "../handover/handover.js";
 import type * as handoverReceiver from "../handover/handover-receiver.js";
+import type * as admission from "../gateway/admission.js";
 import type * as liveSettings from "../gateway/live-settings.js";
 import type * as shutdownGrace from "../gateway/shutdown-grace.js";
 import type * as configuration from "../configuration/types.js";
@@ -69,6 +70,7 @@
   orders: orders.Orders;
   adapter: gateway.PlatformAdapter;
   liveSettings: liveSettings.LiveSettings;
+  admission: admission.Admission;
   shutdownGrace: shutdownGrace.ShutdownGrace;
   routing: routingState.RoutingState;
   runners: runnerTable.RunnerTable;
