Let a VM that is slow itself not read the whole platform for that, and join pulls

On a full machine a failed or slow question led to more work than it saved: with a first try of a pull that got no part within 400 ms, or readers that were not heard, a VM read and decoded all of the platform's configuration, at 102 of 105 own reads because of a first try whose connection took too long. And after a change that is announced, the pull of the announcement and that of the next poll ran side by side (99 pulls by 54 VMs).

A first try that took 100 ms longer than its limit, or a round of questions that did, shows that this VM was slow: the second one decides. A VM that learns from a reader what a pull in progress will bring waits for that. The hash of a configuration that comes of a difference is taken from the sender, whose base has the same hash. The rollout keeps logs (`--logs`).

--- a/src/registry/registry-exchange.ts
+++ b/src/registry/registry-exchange.ts
@@ -26,6 +26,8 @@
 const PULL_JITTER_MS = 150;
 /** Time limits of the tries of a pull. After the first one a new connection is used, as an idle one may have gone silent. */
 const PULL_TIMEOUTS_MS = [400, 1_000] as const;
+/** Delay of a time limit from which on this VM's own processor may have kept the answer from it. */
+const MAX_SELF_DELAY_MS = 100;
 
 const revisionSchema = zod.int().min(0);
 const positionSchema = zod.object({
@@ -64,7 +66,9 @@
   readonly #options: RegistryExchangeOptions<Value>;
   readonly #call: network.PeerCall<Record<string, never>, snapshotTransfer.PeerSnapshot>;
   readonly #receiver: snapshotTransfer.SnapshotReceiver<Value>;
-  #isPulling = false;
+  #isPullScheduled = false;
+  /** The pull in progress. */
+  #pulling: Promise<boolean> | undefined;
 
   constructor(options: RegistryExchangeOptions<Value>) {
     this.#options = options;
@@ -97,6 +101,19 @@
    * peer responded and the snapshot was valid.
    */
   async pull(vm: string): Promise<boolean> {
+    const pulling = this.#pullFrom(vm);
+    this.#pulling = pulling;
+    const isValid = await pulling;
+    if (this.#pulling === pulling) this.#pulling = undefined;
+    return isValid;
+  }
+
+  /** Waits until the pull in progress has ended, if there is one; it may bring what another one would. */
+  async waitForPull(): Promise<void> {
+    await this.#pulling;
+  }
+
+  async #pullFrom(vm: string): Promise<boolean> {
     const { view, log, name, times } = this.#options;
     times?.recordHeard();
     times?.recordPullStart();
@@ -115,6 +132,7 @@
     } catch (error) {
       const fields = { what: name, peer: vm, error: String(error) };
       log.write(logEvents.LOG_EVENTS.configurationPullFailed, fields);
+      this.#options.onFailedTry?.();
       return false;
     }
   }
@@ -140,15 +158,18 @@
 
   /** @throws PeerCallError, or an error that names what is malformed. */
   async #callSnapshot(vm: string): Promise<snapshotTransfer.PeerSnapshot> {
+    const { clock, times, onFailedTry } = this.#options;
     const [firstMs, secondMs] = PULL_TIMEOUTS_MS;
+    const beganAt = clock.now();
     try {
       return await this.#receiver.receive(vm, firstMs);
     } catch (error) {
       const isEarlierBuild =
         error instanceof network.PeerCallError && error.failure === network.CALL_FAILURE.failed;
       if (isEarlierBuild) return await this.#callWhole(vm);
-      this.#options.times?.recordFailedTry();
-      this.#options.onFailedTry?.();
+      times?.recordFailedTry();
+      // A VM whose own processor is full would only add the work of reading the whole registry.
+      if (clock.now() - beganAt <= firstMs + MAX_SELF_DELAY_MS) onFailedTry?.();
       return await this.#receiver.receive(vm, secondMs);
     }
   }
@@ -202,15 +223,16 @@
   }
 
   async #schedulePull(vm: string, position: types.RegistryPosition): Promise<void> {
-    if (this.#isPulling) return;
-    this.#isPulling = true;
+    if (this.#isPullScheduled) return;
+    this.#isPullScheduled = true;
     await new Promise<void>((resolve) => {
       const { clock, random } = this.#options;
       const jitterMs = PULL_JITTER_MS * (random?.nextFloat() ?? 0);
       clock.schedule(PULL_DELAY_MS + jitterMs, resolve);
     });
+    await this.#pulling;
     if (this.#isBehind(position)) await this.pull(vm);
-    this.#isPulling = false;
+    this.#isPullScheduled = false;
   }
 }
 
--- a/src/registry/registry-relay.ts
+++ b/src/registry/registry-relay.ts
@@ -24,6 +24,8 @@
 /** Time for the reader in turn to answer a datagram, and then for all readers, over connections too. */
 const POLL_TIMEOUT_MS = 250;
 const SECOND_POLL_TIMEOUT_MS = 400;
+/** Delay of a time limit from which on a VM's own processor may have kept it from hearing an answer. */
+const MAX_SELF_DELAY_MS = 100;
 const PUSH_TIMEOUT_MS = 400;
 /**
  * Age of the newest knowledge of all readers from which on a VM reads by itself; longer than a long poll and the time between
@@ -127,6 +129,8 @@
   readonly findAnsweredAt: () => number | undefined;
   /** Pulls a peer's snapshot; returns whether the peer's response was valid. */
   readonly pull: (vm: string) => Promise<boolean>;
+  /** Waits until the pull in progress has ended, if there is one. */
+  readonly waitForPull: () => Promise<void>;
   /** Pulls from a peer that knows a change, unless it arrives otherwise soon. */
   readonly handlePosition: (position: types.RegistryPosition, vm: string) => void;
   /** Earlier values of the items; without it, changes are pushed whole. */
@@ -162,6 +166,8 @@
   /** Monotonic time until which this VM relies on readers that it has not asked yet. */
   #trustsUntil = 0;
   #readsAlone = false;
+  /** Rounds in a row in which no reader answered. */
+  #silentRounds = 0;
   #waiters: (() => void)[] = [];
 
   constructor(options: RegistryRelayOptions) {
@@ -254,12 +260,25 @@
       const limits = { timeoutMs: POLL_TIMEOUT_MS };
       const reply = await peers.callByDatagram(reader, READ_STATE, {}, limits);
       await this.#handleStates(reader, reply.states);
+      this.#silentRounds = 0;
     } catch {
+      const beganAt = this.#options.clock.now();
       const answered = await Promise.all(readers.map((vm) => this.#callReader(vm)));
-      if (!answered.includes(true)) this.#handleSilentReaders();
+      if (answered.includes(true)) this.#silentRounds = 0;
+      else this.#handleSilentRound(this.#options.clock.now() - beganAt);
     }
   }
 
+  /**
+   * Takes the readers for silent, unless the round took so much longer than its time limit that this VM itself may have been too
+   * slow to hear them; a second such round shows that they are.
+   */
+  #handleSilentRound(tookMs: number): void {
+    this.#silentRounds += 1;
+    const isSelfSlow = tookMs > SECOND_POLL_TIMEOUT_MS + MAX_SELF_DELAY_MS;
+    if (!isSelfSlow || this.#silentRounds > 1) this.#handleSilentReaders();
+  }
+
   /** Whether a reader's own reads fail or have a gap, so that only others may know of the newest changes. */
   #isMissingChanges(): boolean {
     return [...this.#registries.values()].some(({ view }) => view.continuousSince === undefined);
@@ -330,16 +349,12 @@
   async #pullIfMissing(reader: string, state: RegistryState): Promise<boolean> {
     const registry = this.#registries.get(state.name);
     if (registry === undefined) return true;
+    if (compareState(state, registry.view) === STATE_ORDER.missing) await registry.waitForPull();
     const { view, pull } = registry;
-    const order = epochs.compareEpochs(state, view);
-    if (order < 0) return false;
-    const isSame = order === 0 && state.digest === view.digest;
-    if (isSame) view.setNewestRevision(state.newestRevision);
-    const isOlder =
-      order === 0 &&
-      (state.newestRevision < view.newestRevision ||
-        (state.newestRevision === view.newestRevision && state.revision < view.revision));
-    const isPulled = isSame || isOlder || (await pull(reader));
+    const order = compareState(state, view);
+    if (order === STATE_ORDER.outdated) return false;
+    if (order === STATE_ORDER.same) view.setNewestRevision(state.newestRevision);
+    const isPulled = order !== STATE_ORDER.missing || (await pull(reader));
     if (isPulled) this.#behind.delete(state.name);
     else this.#behind.add(state.name);
     return isPulled;
@@ -506,6 +521,32 @@
   }
 }
 
+/** What a reader's state means to a VM. */
+const STATE_ORDER = {
+  /** It is of an epoch that is over. */
+  outdated: "outdated",
+  same: "same",
+  /** The VM's view is newer. */
+  older: "older",
+  /** It may hold something that the VM lacks. */
+  missing: "missing",
+} as const;
+
+/** Compares a reader's state with a VM's view. */
+function compareState(
+  state: RegistryState,
+  view: registryView.RegistryView<unknown>,
+): (typeof STATE_ORDER)[keyof typeof STATE_ORDER] {
+  const order = epochs.compareEpochs(state, view);
+  if (order < 0) return STATE_ORDER.outdated;
+  if (order > 0) return STATE_ORDER.missing;
+  if (state.digest === view.digest) return STATE_ORDER.same;
+  const isOlder =
+    state.newestRevision < view.newestRevision ||
+    (state.newestRevision === view.newestRevision && state.revision < view.revision);
+  return isOlder ? STATE_ORDER.older : STATE_ORDER.missing;
+}
+
 /** Creates the relayed registry of a view of any value type. */
 export function createRelayedRegistry<Value>(
   registry: Omit<RelayedRegistry, "view" | "history"> & {
--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -253,6 +253,7 @@
       ...{ name, view, ...(history === undefined ? {} : { history }) },
       findAnsweredAt: () => reader.answeredAt,
       pull: (vm: string) => exchange.pull(vm),
+      waitForPull: () => exchange.waitForPull(),
       handlePosition: (position: types.RegistryPosition, vm: string) => {
         exchange.handlePosition(position, vm);
       },
--- a/src/registry/restore-policies.ts
+++ b/src/registry/restore-policies.ts
@@ -13,7 +13,7 @@
 
 /** Differences between configurations. */
 export const CONFIGURATION_DELTAS: types.ValueDeltas<routing.RoutingTable> = {
-  computeHash: tableDelta.computeTableHash,
+  computeHash: tableDelta.useTableHash,
   createDelta: tableDelta.createTableDelta,
   applyDelta: tableDelta.applyTableDelta,
 };
--- a/src/registry/snapshot-transfer.ts
+++ b/src/registry/snapshot-transfer.ts
@@ -126,12 +126,12 @@
     this.#clock = clock;
     this.#view = view;
     this.#history = history;
-    const forget = (): void => {
+    const onNewItems = (): void => {
       this.#encoded = undefined;
       this.#encodedDeltas.clear();
     };
-    view.onChange(forget);
-    view.onEpoch(forget);
+    view.onChange(onNewItems);
+    view.onEpoch(onNewItems);
   }
 
   /** Yields the parts that the receiver lacks; at least one, which may be empty. */
--- a/src/routing/table-delta.ts
+++ b/src/routing/table-delta.ts
@@ -18,8 +18,9 @@
   routes: listDeltaSchema,
   services: listDeltaSchema,
   limits: zod.unknown(),
-  /** Hash of the configuration that results. */
+  /** Hash and number of routes of the configuration that results. */
   hash: position,
+  routeCount: position,
 });
 
 type ListDelta = zod.infer<typeof listDeltaSchema>;
@@ -29,14 +30,18 @@
 
 const HASH_FACTOR = 31;
 const entryHashes = new WeakMap<object, number>();
+const tableHashes = new WeakMap<types.RoutingTable, number>();
 
 /** Returns a hash of a configuration; equal for equal configurations, whatever objects hold them. */
-export function computeTableHash({
-  version,
-  routes,
-  services,
-  limits,
-}: types.RoutingTable): number {
+export function useTableHash(table: types.RoutingTable): number {
+  const known = tableHashes.get(table);
+  if (known !== undefined) return known;
+  const hash = computeTableHash(table);
+  tableHashes.set(table, hash);
+  return hash;
+}
+
+function computeTableHash({ version, routes, services, limits }: types.RoutingTable): number {
   const hashes = [...routes, ...services, limits].map(useEntryHash);
   return hashes.reduce(
     (hash, entryHash) => (Math.imul(hash, HASH_FACTOR) + entryHash) >>> 0,
@@ -55,11 +60,15 @@
     routes: createListDelta(base.routes, table.routes),
     services: createListDelta(base.services, table.services),
     limits: table.limits,
-    hash: computeTableHash(table),
+    hash: useTableHash(table),
+    routeCount: table.routes.length,
   };
 }
 
-/** @throws when the difference is malformed or was made from another base. */
+/**
+ * @param base - the configuration from which the difference was made.
+ * @throws when the difference is malformed or does not fit the base.
+ */
 export function applyTableDelta(base: types.RoutingTable, received: unknown): types.RoutingTable {
   const delta = tableDeltaSchema.parse(received);
   const table: types.RoutingTable = {
@@ -68,8 +77,10 @@
     services: applyListDelta(base.services, delta.services),
     limits: delta.limits as types.CallerLimits,
   };
-  if (computeTableHash(table) !== delta.hash)
+  if (table.routes.length !== delta.routeCount)
     throw new Error(`difference to version ${delta.version} does not fit version ${base.version}`);
+  // The base is the sender's, as its hash shows, so the result is as well; hashing all new entries again would cost the most.
+  tableHashes.set(table, delta.hash);
   return table;
 }
 
--- a/standins/rollout/cluster.ts
+++ b/standins/rollout/cluster.ts
@@ -35,6 +35,8 @@
   /** Gateways that are stopped for a part of each period, and the share of time for which they run. */
   readonly starved: number;
   readonly starvedShare: number;
+  /** Directory to which the gateways' logs are copied at the end. */
+  readonly logs: string | undefined;
 }
 
 /** A gateway process, whose output goes to a file. */
@@ -132,6 +134,8 @@
       }),
     );
     await this.store[Symbol.asyncDispose]();
+    const { logs } = this.#options;
+    if (logs !== undefined) await fs.cp(this.#directory, logs, { recursive: true });
     await fs.rm(this.#directory, { recursive: true, force: true });
   }
 
--- a/standins/rollout/main.ts
+++ b/standins/rollout/main.ts
@@ -55,6 +55,11 @@
       defaultValue: () => "1400@3,1400@3,1@3",
       description: "changes: routes that are added, @, requests per VM and second",
     }),
+    logs: cmd.option({
+      long: "logs",
+      type: cmd.optional(cmd.string),
+      description: "directory for the logs and settings of the gateways",
+    }),
     gateways: count("gateways", 30, "number of gateways, in three zones"),
     runners: count("runners", 2, "number of runners"),
     callers: count("callers", 1, "number of caller processes"),
--- a/test/registry/relay-fleet.ts
+++ b/test/registry/relay-fleet.ts
@@ -209,6 +209,7 @@
       view,
       findAnsweredAt: () => reader.answeredAt,
       pull: (peer: string) => exchange.pull(peer),
+      waitForPull: () => exchange.waitForPull(),
       handlePosition: (position: types.RegistryPosition, peer: string) => {
         exchange.handlePosition(position, peer);
       },
