Refuse with 503, not 404, what a newer configuration may have a route for

Cause: a VM that knows from a reader or from gossip that a newer configuration exists judged by its own as if it were the newest. Such a VM now refuses requests without a route as not run, with a pause of 100 ms; requests whose route it has are served. It counts as outdated for 10 s after a peer told of the change, as the platform may also have lost it.

Tests of transfers of differences are added as well.

--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -48,6 +48,8 @@
   readonly admission: Pick<admissions.Admission, "waitForTurn">;
   /** Whether the VM has the data that it needs to serve requests. */
   readonly isReady: () => boolean;
+  /** Whether a newer configuration than the one in force is known to exist. */
+  readonly isOutdated: () => boolean;
   /** Returns the configuration in force and the age of what this VM knows, for the lines of refusals and failures. */
   readonly getConfigurationState: () => registrySync.ConfigurationState;
 }
--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -89,6 +89,7 @@
     grace: kernel.use("shutdownGrace"),
     admission: kernel.use("admission"),
     isReady,
+    isOutdated: () => kernel.use("registrySync").isConfigurationOutdated,
     getConfigurationState: () => kernel.use("registrySync").configurationState,
   });
 }
--- a/src/handover/handover-receiver.ts
+++ b/src/handover/handover-receiver.ts
@@ -38,6 +38,8 @@
   /** Whether the VM has the data that it needs to serve requests. */
   readonly isReady: () => boolean;
   readonly grace: servedCall.CallGrace;
+  /** Whether a newer configuration than the one in force is known to exist. */
+  readonly isOutdated?: () => boolean;
   /** Requests of other VMs that may be served at a time; by default `MAX_CALLS`. */
   readonly maxCalls?: number | undefined;
   /** Whether the processor has no time for further requests; by default it has. */
--- a/src/handover/handover-services.ts
+++ b/src/handover/handover-services.ts
@@ -70,6 +70,7 @@
     handler: kernel.use("localServing"),
     grace: kernel.use("shutdownGrace"),
     isReady: () => sync.ready && crashes.ready,
+    isOutdated: () => sync.isConfigurationOutdated,
     maxCalls,
     isProcessorFull: () => kernel.use("admission").isFull,
   });
--- a/src/registry/registry-exchange.ts
+++ b/src/registry/registry-exchange.ts
@@ -29,6 +29,12 @@
 /** Delay of a time limit from which on this VM's own processor may have kept the answer from it. */
 const MAX_SELF_DELAY_MS = 100;
 
+/**
+ * Time for which this VM counts as outdated after a peer told of a newer change; longer than any change takes that can be had. A
+ * peer may also tell of one that the platform has lost.
+ */
+const MAX_OUTDATED_MS = 10_000;
+
 const revisionSchema = zod.int().min(0);
 const positionSchema = zod.object({
   epoch: revisionSchema,
@@ -67,6 +73,8 @@
   readonly #call: network.PeerCall<Record<string, never>, snapshotTransfer.PeerSnapshot>;
   readonly #receiver: snapshotTransfer.SnapshotReceiver<Value>;
   #isPullScheduled = false;
+  /** The newest change of which a peer told, and when it first did. */
+  #told: { readonly position: types.RegistryPosition; readonly at: number } | undefined;
   /** The pull in progress. */
   #pulling: Promise<boolean> | undefined;
 
@@ -96,6 +104,13 @@
     this.#addTopics();
   }
 
+  /** Whether a peer told of a newer change lately that this VM does not have yet. */
+  get isOutdated(): boolean {
+    if (this.#told === undefined) return false;
+    const { position, at } = this.#told;
+    return this.#isBehind(position) && this.#options.clock.now() < at + MAX_OUTDATED_MS;
+  }
+
   /**
    * Pulls a peer's snapshot and applies it unless it is older than the view; returns whether the
    * peer responded and the snapshot was valid.
@@ -212,14 +227,22 @@
   handlePosition(position: types.RegistryPosition, vm: string): void {
     this.#options.onPosition?.(position);
     if (!this.#isBehind(position)) return;
-    this.#options.times?.recordHeard();
+    this.recordTold(position);
     void this.#schedulePull(vm, position);
   }
 
+  /** Records that a peer knows a change. */
+  recordTold(position: types.RegistryPosition): void {
+    if (!this.#isBehind(position)) return;
+    this.#options.times?.recordHeard();
+    const known = this.#told?.position;
+    if (known !== undefined && !isNewerPosition(position, known)) return;
+    this.#told = { position, at: this.#options.clock.now() };
+  }
+
   #isBehind(position: types.RegistryPosition): boolean {
-    const { view } = this.#options;
-    const order = epochs.compareEpochs(position, view);
-    return order === 0 ? position.revision > view.newestRevision : order > 0;
+    const { epoch, rewinds, newestRevision } = this.#options.view;
+    return isNewerPosition(position, { epoch, rewinds, revision: newestRevision });
   }
 
   async #schedulePull(vm: string, position: types.RegistryPosition): Promise<void> {
@@ -236,6 +259,11 @@
   }
 }
 
+function isNewerPosition(position: types.RegistryPosition, known: types.RegistryPosition): boolean {
+  const order = epochs.compareEpochs(position, known);
+  return order === 0 ? position.revision > known.revision : order > 0;
+}
+
 /** Whether a view has taken newer changes than a snapshot holds, such as while the snapshot was on its way. */
 function isOlder(
   { epoch, rewinds, revision, newestRevision }: snapshotTransfer.PeerSnapshot,
--- a/src/registry/registry-relay.ts
+++ b/src/registry/registry-relay.ts
@@ -133,6 +133,8 @@
   readonly waitForPull: () => Promise<void>;
   /** Pulls from a peer that knows a change, unless it arrives otherwise soon. */
   readonly handlePosition: (position: types.RegistryPosition, vm: string) => void;
+  /** Records that a peer knows a change. */
+  readonly recordTold: (position: types.RegistryPosition) => void;
   /** Earlier values of the items; without it, changes are pushed whole. */
   readonly history?: valueHistory.ValueHistory<unknown>;
 }
@@ -349,7 +351,11 @@
   async #pullIfMissing(reader: string, state: RegistryState): Promise<boolean> {
     const registry = this.#registries.get(state.name);
     if (registry === undefined) return true;
-    if (compareState(state, registry.view) === STATE_ORDER.missing) await registry.waitForPull();
+    if (compareState(state, registry.view) === STATE_ORDER.missing) {
+      const { epoch, rewinds, newestRevision } = state;
+      registry.recordTold({ epoch: epoch ?? 0, rewinds, revision: newestRevision });
+      await registry.waitForPull();
+    }
     const { view, pull } = registry;
     const order = compareState(state, view);
     if (order === STATE_ORDER.outdated) return false;
--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -78,6 +78,7 @@
   readonly #relay: registryRelay.RegistryRelay;
   readonly #configurationTimes: changeTimes.ChangeTimes;
   readonly #configurationReader: registryReader.RegistryReader<routing.RoutingTable>;
+  readonly #configurationExchange: registryExchange.RegistryExchange<routing.RoutingTable>;
 
   constructor(kernel: container.Kernel) {
     this.#kernel = kernel;
@@ -164,6 +165,7 @@
         runnersReader.recordTold(position);
       },
     });
+    this.#configurationExchange = configurationExchange;
     this.#exchanges = [configurationExchange, runnersExchange];
     this.#addRelayed(configurationOptions, configurationReader, configurationExchange);
     this.#addRelayed(runnersOptions, runnersReader, runnersExchange);
@@ -180,6 +182,11 @@
     return this.#runnersView.continuousSince;
   }
 
+  /** Whether a newer configuration than the one in force is known to exist. */
+  get isConfigurationOutdated(): boolean {
+    return this.#configurationExchange.isOutdated;
+  }
+
   /** The configuration in force, and the age of what this VM knows of the platform. */
   get configurationState(): ConfigurationState {
     const { current, origin } = this.#kernel.use("routing");
@@ -254,6 +261,9 @@
       findAnsweredAt: () => reader.answeredAt,
       pull: (vm: string) => exchange.pull(vm),
       waitForPull: () => exchange.waitForPull(),
+      recordTold: (position: types.RegistryPosition) => {
+        exchange.recordTold(position);
+      },
       handlePosition: (position: types.RegistryPosition, vm: string) => {
         exchange.handlePosition(position, vm);
       },
--- a/src/serving/served-call.ts
+++ b/src/serving/served-call.ts
@@ -7,6 +7,9 @@
 import type * as types from "./types.js";
 
 const NOT_READY_RETRY_MS = 500;
+/** Retry time of calls whose route may be in a newer configuration, which other VMs have already. */
+const OUTDATED_RETRY_MS = 100;
+const OUTDATED_TEXT = "no route in this configuration, and a newer one is on its way";
 
 /** Limits the calls of a VM that shuts down. */
 export interface CallGrace {
@@ -22,6 +25,8 @@
   /** Whether the VM has the data that it needs to serve requests. */
   readonly isReady: () => boolean;
   readonly grace: CallGrace;
+  /** Whether a newer configuration than the one in force is known to exist; by default none is. */
+  readonly isOutdated?: () => boolean;
 }
 
 /** The parts of a call that do not follow from its head and the configuration. */
@@ -36,13 +41,15 @@
  * @throws RequestError when the VM is not ready, has no route for the call or shuts down too soon for it.
  */
 export function createServedCall(
-  { routing: state, isReady, grace }: ServedCallOptions,
+  { routing: state, isReady, grace, isOutdated = () => false }: ServedCallOptions,
   head: gateway.CallHead,
   { latestDeadlineAt = Number.POSITIVE_INFINITY, ...context }: CallContext,
 ): types.ServedCall {
   const table = state.current;
   if (table === undefined || !isReady()) throw createRefusal("notReady");
   const route = table.findRoute(head.host, head.path);
+  if (route === undefined && isOutdated())
+    throw createRefusal("notReady", OUTDATED_TEXT, OUTDATED_RETRY_MS);
   if (route === undefined) throw createRefusal("unknownService");
   const service = findService(table, head);
   if (service === undefined) throw createRefusal("notReady", "route has no service that is known");
@@ -60,10 +67,11 @@
 function createRefusal(
   name: "notReady" | "unknownService",
   detail?: string,
+  retryAfterMs = NOT_READY_RETRY_MS,
 ): resultCodes.RequestError {
   const options = {
     ...(detail === undefined ? {} : { detail }),
-    ...(name === "notReady" ? { retryAfterMs: NOT_READY_RETRY_MS } : {}),
+    ...(name === "notReady" ? { retryAfterMs } : {}),
   };
   return new resultCodes.RequestError(resultCodes.RESULT_CODES[name], resultCodes.RAN.no, options);
 }
--- a/test/registry/registry-exchange.test.ts
+++ b/test/registry/registry-exchange.test.ts
@@ -90,3 +90,38 @@
     earl.expect(views[0]?.newestRevision).toEqual(6);
   });
 });
+
+test.describe("RegistryExchange that cannot pull what a peer told of", () => {
+  // Nothing told a VM that lacks a change from one that has all, so that it refused for good what the change brings.
+  test.it("is outdated until it has the change, or for 10 s", async () => {
+    const clock = fakeClock.createFakeClock();
+    const view = new registryView.RegistryView<string>(clock);
+    view.applySnapshot({ revision: 10, items: [item("kept", 5)] });
+    const exchange = new registryExchange.RegistryExchange({
+      ...{ name: "runners", callKind: 31, streamKind: 36, view, clock },
+      log: { write: () => undefined },
+      network: {
+        onCall: () => undefined,
+        onStream: () => undefined,
+        stream: () => {
+          throw new network.PeerCallError(network.CALL_FAILURE.notSent, "no connection");
+        },
+      } as unknown as network.PeerNetwork,
+      membership: { onGossip: () => undefined } as unknown as membership.Membership,
+    });
+    exchange.handlePosition({ epoch: 0, revision: 5 }, "vm-2");
+    earl.expect(exchange.isOutdated).toEqual(false);
+    exchange.handlePosition({ epoch: 0, revision: 20 }, "vm-2");
+    earl.expect(exchange.isOutdated).toEqual(true);
+    await clock.advance(9_000);
+    exchange.handlePosition({ epoch: 0, revision: 20 }, "vm-3");
+    earl.expect(exchange.isOutdated).toEqual(true);
+    await clock.advance(1_100);
+    earl.expect(exchange.isOutdated).toEqual(false);
+    exchange.handlePosition({ epoch: 0, revision: 30 }, "vm-2");
+    earl.expect(exchange.isOutdated).toEqual(true);
+    const changes = [{ removed: false as const, item: item("kept", 30) }];
+    view.applyChanges({ revision: 30, changes });
+    earl.expect(exchange.isOutdated).toEqual(false);
+  });
+});
--- a/test/registry/relay-fleet.ts
+++ b/test/registry/relay-fleet.ts
@@ -210,6 +210,9 @@
       findAnsweredAt: () => reader.answeredAt,
       pull: (peer: string) => exchange.pull(peer),
       waitForPull: () => exchange.waitForPull(),
+      recordTold: (position: types.RegistryPosition) => {
+        exchange.recordTold(position);
+      },
       handlePosition: (position: types.RegistryPosition, peer: string) => {
         exchange.handlePosition(position, peer);
       },
--- a/test/registry/snapshot-transfer.test.ts
+++ b/test/registry/snapshot-transfer.test.ts
@@ -7,6 +7,8 @@
 import * as earl from "earl";
 import type * as network from "../../src/protocol/network.js";
 import * as registryView from "../../src/registry/registry-view.js";
+import type * as types from "../../src/registry/types.js";
+import * as valueHistory from "../../src/registry/value-history.js";
 import * as snapshotTransfer from "../../src/registry/snapshot-transfer.js";
 import * as fakeClock from "../../standins/fake-clock.js";
 import * as clocks from "../../src/kernel/clock.js";
@@ -135,3 +137,70 @@
     for (const vm of gone) relayed.fleet.resume(vm);
   });
 });
+
+/** Differences between texts: what was appended. */
+const TEXT_DELTAS: types.ValueDeltas<string> = {
+  computeHash: (value) => value.length,
+  createDelta: (base, value) => value.slice(base.length),
+  applyDelta: (base, delta) => `${base}${String(delta)}`,
+};
+
+/** A sender and a receiver with the same text, to which the sender's view has something appended. */
+function createDifferencePair(receiverDeltas: types.ValueDeltas<string>) {
+  const clock = fakeClock.createFakeClock();
+  const text = createText(100_000);
+  const createSide = (deltas: types.ValueDeltas<string>) => {
+    const view = new registryView.RegistryView<string>(clock);
+    const history = new valueHistory.ValueHistory(view, deltas);
+    view.applySnapshot({ revision: 5, items: [{ key: "a", revision: 5, value: text }] });
+    return { view, history };
+  };
+  const from = createSide(TEXT_DELTAS);
+  const to = createSide(receiverDeltas);
+  from.view.applySnapshot({
+    revision: 9,
+    items: [{ key: "a", revision: 9, value: `${text} and more` }],
+  });
+  const sender = new snapshotTransfer.SnapshotSender(clock, from.view, from.history);
+  let bytes = 0;
+  const stream = async function* (_vm: string, _call: unknown, request: { offset: number }) {
+    for await (const part of sender.streamParts(request)) {
+      bytes += part.bytes.byteLength;
+      yield part;
+    }
+  };
+  const peers = { stream } as unknown as Pick<network.PeerNetwork, "stream">;
+  const receiver = new snapshotTransfer.SnapshotReceiver({ clock, peers, call: CALL, known: to });
+  const receive = async (): Promise<readonly unknown[]> => {
+    bytes = 0;
+    const received = receiver.receive("vm-2", TIMEOUT_MS);
+    await clock.advance(1_000);
+    const { items } = await received;
+    return [items[0]?.value === `${text} and more`, bytes < 1_000];
+  };
+  return { receive };
+}
+
+test.describe("SnapshotReceiver with an earlier value", () => {
+  test.it("receives the difference to it", async () => {
+    const { receive } = createDifferencePair(TEXT_DELTAS);
+    earl.expect(await receive()).toEqual([true, true]);
+  });
+
+  // Otherwise each further try would fail in the same way, and the VM would keep its old value.
+  test.it("receives the whole value after a difference that does not fit", async () => {
+    const { receive } = createDifferencePair({
+      ...TEXT_DELTAS,
+      applyDelta: () => {
+        throw new Error("does not fit");
+      },
+    });
+    await earl.expect(receive()).toBeRejectedWith("does not fit");
+    earl.expect(await receive()).toEqual([true, false]);
+  });
+
+  test.it("receives the whole value if the sender has another base", async () => {
+    const { receive } = createDifferencePair({ ...TEXT_DELTAS, computeHash: () => 1 });
+    earl.expect(await receive()).toEqual([true, false]);
+  });
+});
