--- a/src/registry/registry-relay.ts
+++ b/src/registry/registry-relay.ts
@@ -433,17 +433,13 @@
   #handleDifference(push: PushedDifference, vm: string): void {
     const registry = this.#registries.get(push.name);
     if (registry === undefined || epochs.compareEpochs(push, registry.view) !== 0) return;
-    const { key, revision: changed, newestRevision } = push;
+    const { key, revision: changed, newestRevision, epoch, rewinds } = push;
     if (!registry.view.isNewer(key, changed)) return;
-    try {
-      if (push.delta === undefined) throw new Error(`difference of ${key} did not fit a datagram`);
-      const base = { revision: push.baseRevision, hash: push.baseHash };
-      const value = registry.history?.applyDelta(key, base, push.delta);
-      this.#applyPushed(registry.view, push, [{ key, revision: changed, value, removed: false }]);
-    } catch {
-      const { epoch, rewinds } = push;
+    const value = createPushedValue(registry, push);
+    if (value === undefined)
       registry.handlePosition({ epoch, rewinds, revision: newestRevision }, vm);
-    }
+    else
+      this.#applyPushed(registry.view, push, [{ key, revision: changed, value, removed: false }]);
   }
 
   #applyPushed(
@@ -527,6 +523,17 @@
   }
 }
 
+/** Returns the value that a difference leads to; `undefined` if it was not sent, or starts from a value that this VM has not. */
+function createPushedValue({ history }: RelayedRegistry, push: PushedDifference): unknown {
+  const { key, baseRevision, baseHash, delta } = push;
+  if (delta === undefined) return undefined;
+  try {
+    return history?.applyDelta(key, { revision: baseRevision, hash: baseHash }, delta);
+  } catch {
+    return undefined;
+  }
+}
+
 /** What a reader's state means to a VM. */
 const STATE_ORDER = {
   /** It is of an epoch that is over. */
--- a/src/registry/snapshot-transfer.ts
+++ b/src/registry/snapshot-transfer.ts
@@ -162,7 +162,8 @@
   #useEncodedDeltas(bases: readonly (types.ItemBase & { readonly key: string })[]) {
     const history = this.#history;
     const items = this.#view.list();
-    if (history === undefined || bases.length !== items.length) return undefined;
+    if (history === undefined || bases.length === 0 || bases.length !== items.length)
+      return undefined;
     const name = bases.map(({ key, revision, hash }) => `${key}@${revision}/${hash}`).join(" ");
     const known = this.#encodedDeltas.get(name);
     if (known !== undefined) return known;
--- a/src/routing/table-delta.ts
+++ b/src/routing/table-delta.ts
@@ -106,7 +106,7 @@
   for (const entry of entries) {
     const index = indexes.get(entry.name);
     const known = index === undefined ? undefined : base[index];
-    const isKept = known === entry || (known !== undefined && isEqual(known, entry));
+    const isKept = known !== undefined && isEqual(known, entry);
     const last = delta.at(-1);
     if (isKept && index !== undefined) {
       if (Array.isArray(last) && last[0] + last[1] === index) last[1] += 1;
@@ -123,8 +123,17 @@
   );
 }
 
-function isEqual(first: object, second: object): boolean {
-  return JSON.stringify(first) === JSON.stringify(second);
+/** Whether two values are equal; faster than a comparison of any kind of object. */
+function isEqual(first: unknown, second: unknown): boolean {
+  if (first === second) return true;
+  if (typeof first !== "object" || typeof second !== "object") return false;
+  if (first === null || second === null) return false;
+  const entries = Object.entries(first);
+  const others = second as Readonly<Record<string, unknown>>;
+  return (
+    entries.length === Object.keys(second).length &&
+    entries.every(([field, value]) => isEqual(value, others[field]))
+  );
 }
 
 function useEntryHash(entry: object): number {
