Do not encode a large configuration at each change to learn its size

A reader encoded all of a configuration (26 ms for 2,800 routes) to find that it does not fit a datagram, before it made the difference. It now remembers that.

--- a/src/registry/registry-relay.ts
+++ b/src/registry/registry-relay.ts
@@ -155,6 +155,8 @@
   readonly #registries = new Map<string, RelayedRegistry>();
   /** Changes of this VM's views that have not been pushed, by registry. */
   readonly #unpushed = new Map<string, PushedChange[]>();
+  /** Registries with differences whose values do not fit a datagram. */
+  readonly #largeRegistries = new Set<string>();
   /** Digest of each view when its changes were last pushed. */
   readonly #pushedDigests = new Map<string, number>();
   /** Monotonic time until which the knowledge of a reader is recent enough and also that of this VM, by reader. */
@@ -483,7 +485,7 @@
     if (view === undefined) return;
     const before = this.#pushedDigests.get(registry) ?? view.digest;
     this.#pushedDigests.set(registry, view.digest);
-    if (cbor.encode(changes).byteLength > MAX_PUSH_BYTES) {
+    if (!this.#isPushable(registry, changes)) {
       this.#pushDifference(registry, before, changes);
       return;
     }
@@ -493,6 +495,15 @@
     this.#sendToFollowers(PUSH, { ...base, continuousMs: continuous });
   }
 
+  /** Whether changes fit a datagram. A registry whose values did not is not encoded again just to find that out. */
+  #isPushable(name: string, changes: readonly PushedChange[]): boolean {
+    if (this.#largeRegistries.has(name)) return false;
+    const isPushable = cbor.encode(changes).byteLength <= MAX_PUSH_BYTES;
+    const hasDifferences = this.#registries.get(name)?.history !== undefined;
+    if (!isPushable && hasDifferences) this.#largeRegistries.add(name);
+    return isPushable;
+  }
+
   /** Without earlier values, changes that do not fit a datagram are pulled after the receivers' next questions. */
   #pushDifference(name: string, before: number, changes: readonly PushedChange[]): void {
     const { view, history } = this.#registries.get(name) ?? {};
