--- a/test/registry/registry-exchange.test.ts
+++ b/test/registry/registry-exchange.test.ts
@@ -7,6 +7,8 @@
 import * as registryView from "../../src/registry/registry-view.js";
 import type * as types from "../../src/registry/types.js";
 import * as fakeClock from "../../standins/fake-clock.js";
+import * as clocks from "../../src/kernel/clock.js";
+import * as snapshotTransfer from "../../src/registry/snapshot-transfer.js";
 
 const item = (key: string, revision: number) => ({ key, revision, value: `v${revision}` });
 
@@ -125,3 +127,74 @@
     earl.expect(exchange.isOutdated).toEqual(false);
   });
 });
+
+/** An exchange whose streamed pulls take the given times, the last one for all further ones, and fail or bring revision 20. */
+function createTimedExchange(pullsMs: readonly number[], failures: number) {
+  const clock = fakeClock.createFakeClock();
+  const view = new registryView.RegistryView<string>(clock);
+  view.applySnapshot({ revision: 10, items: [item("kept", 5)] });
+  const seen = { pulls: 0, failedTries: 0 };
+  const senderView = new registryView.RegistryView<string>(clock);
+  senderView.applySnapshot({ revision: 20, items: [item("kept", 20)] });
+  const sender = new snapshotTransfer.SnapshotSender(clock, senderView);
+  const stream = async function* () {
+    seen.pulls += 1;
+    const { pulls } = seen;
+    await clocks.sleep(clock, pullsMs[Math.min(pulls, pullsMs.length) - 1] ?? 0);
+    if (pulls <= failures)
+      throw new network.PeerCallError(network.CALL_FAILURE.noReply, "no part in time");
+    yield* sender.streamParts({ offset: 0 });
+  };
+  const exchange = new registryExchange.RegistryExchange({
+    ...{ name: "runners", callKind: 31, streamKind: 36, view, clock },
+    log: { write: () => undefined },
+    network: {
+      onCall: () => undefined,
+      onStream: () => undefined,
+      stream,
+    } as unknown as network.PeerNetwork,
+    membership: { onGossip: () => undefined } as unknown as membership.Membership,
+    onFailedTry: () => {
+      seen.failedTries += 1;
+    },
+  });
+  return { clock, view, exchange, seen };
+}
+
+test.describe("RegistryExchange on a full processor", () => {
+  // Each late first try made a VM read and decode the whole registry of the platform, which made the machine fuller.
+  test.it(
+    "reports a first try that failed in time, not one that this VM noticed late",
+    async () => {
+      for (const [tryMs, reported] of [
+        [400, 1],
+        [700, 0],
+      ] as const) {
+        const { clock, exchange, seen } = createTimedExchange([tryMs, 50], 1);
+        const pulled = exchange.pull("vm-2");
+        await clock.advance(1_000);
+        earl.expect(await pulled).toEqual(true);
+        earl.expect(seen).toEqual({ pulls: 2, failedTries: reported });
+      }
+    },
+  );
+
+  test.it("reports a pull whose second try fails too", async () => {
+    const { clock, exchange, seen } = createTimedExchange([700], 2);
+    const pulled = exchange.pull("vm-2");
+    await clock.advance(2_000);
+    earl.expect(await pulled).toEqual(false);
+    earl.expect(seen.failedTries).toEqual(1);
+  });
+
+  // After an announcement VMs pulled the same change twice, side by side.
+  test.it("does not pull what a pull in progress brings", async () => {
+    const { clock, exchange, seen, view } = createTimedExchange([300], 0);
+    exchange.handlePosition({ epoch: 0, revision: 20 }, "vm-2");
+    const pulled = exchange.pull("vm-3");
+    await clock.advance(1_000);
+    await pulled;
+    earl.expect(view.newestRevision).toEqual(20);
+    earl.expect(seen.pulls).toEqual(1);
+  });
+});
