--- a/standins/rollout/cluster.ts
+++ b/standins/rollout/cluster.ts
@@ -25,6 +25,8 @@
 export interface ClusterOptions {
   /** Entry point of the build that is played. */
   readonly script: string;
+  /** Entry point of an older build, of which every second gateway is. */
+  readonly olderScript: string | undefined;
   readonly gateways: number;
   readonly runners: number;
   readonly callers: number;
@@ -167,7 +169,8 @@
     const changes = { node: name, zone, seeds, platform, memoryMb: 250 };
     await fs.writeFile(settingsPath, examples.createSettingsText(ip, changes));
     await using output = await fs.open(logPath, "w");
-    const { script, linkMbps } = this.#options;
+    const { olderScript, linkMbps } = this.#options;
+    const script = number % 2 === 0 ? (olderScript ?? this.#options.script) : this.#options.script;
     const flags = [...NODE_FLAGS, "--import", SHAPER_SCRIPT, script, "gateway"];
     const keys = ["--fleet-keys", "a-key-of-the-rollout", "--metrics-port", "9464"];
     const child = childProcess.spawn(process.execPath, [...flags, ...keys], {
--- a/standins/rollout/main.ts
+++ b/standins/rollout/main.ts
@@ -50,6 +50,11 @@
       defaultValue: () => path.resolve("target/bin/ebonyhook.js"),
       description: "entry point of the build, by default that of `npm run -s bundle`",
     }),
+    olderScript: cmd.option({
+      long: "older-script",
+      type: cmd.optional(cmd.string),
+      description: "entry point of an older build, of which every second gateway is",
+    }),
     steps: cmd.option({
       long: "steps",
       defaultValue: () => "1400@3,1400@3,1@3",
