--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -14,6 +14,7 @@
 import * as servedCall from "../serving/served-call.js";
 import type * as serving from "../serving/types.js";
 import * as logEvents from "../telemetry/log-events.js";
+import * as keyDigest from "../teams/key-digest.js";
 import * as spans from "../telemetry/spans.js";
 import type * as telemetry from "../telemetry/types.js";
 import type * as admissions from "./admission.js";
@@ -50,6 +51,8 @@
   readonly isReady: () => boolean;
   /** Whether a newer configuration than the one in force is known to exist. */
   readonly isOutdated: () => boolean;
+  /** Whether this VM may not know all keys in force. */
+  readonly mayLackKeys: () => boolean;
   /** Returns the configuration in force and the age of what this VM knows, for the lines of refusals and failures. */
   readonly getConfigurationState: () => registrySync.ConfigurationState;
 }
@@ -212,7 +215,17 @@
     const reading = requestBody.readRequestBody(request, maxBytes, context.buffers);
     const body = await signals.runUntilAborted(context.signal, reading);
     const callerIp = request.socket.remoteAddress ?? "";
-    return servedCall.createServedCall(this.#options, head, { body, callerIp, ...context });
+    const { teamHeaders } = this.#options.codec;
+    return servedCall.createServedCall({ ...this.#options, teamHeaders }, head, {
+      ...{ body, callerIp, ...context },
+      keyDigest: this.#findKeyDigest(request),
+    });
+  }
+
+  #findKeyDigest(request: http.IncomingMessage): string | undefined {
+    if (this.#options.routing.current?.hasTeams !== true) return undefined;
+    const key = this.#options.codec.findKey(request);
+    return key === undefined ? undefined : keyDigest.computeKeyDigest(key);
   }
 
   #handleFailure(
--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -90,6 +90,7 @@
     admission: kernel.use("admission"),
     isReady,
     isOutdated: () => kernel.use("registrySync").isConfigurationOutdated,
+    mayLackKeys: () => kernel.use("registrySync").mayLackKeys,
     getConfigurationState: () => kernel.use("registrySync").configurationState,
   });
 }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -89,8 +89,12 @@
 export interface CallerCodec {
   readonly readyPath: string;
   readonly lookupPath: string;
+  /** Names, in lower case, of the headers by which callers state their key or team. */
+  readonly teamHeaders: ReadonlySet<string>;
   /** @throws RequestError when the head is malformed. */
   parseHead(request: http.IncomingMessage): CallHead;
+  /** Returns the key of the caller's team, if the request carries one. */
+  findKey(request: http.IncomingMessage): string | undefined;
   /** Formats a refusal or a failure. */
   formatError(callId: string | undefined, error: resultCodes.RequestError): ErrorResponse;
   parseLookup(target: string): LookupQuery;
@@ -119,6 +123,10 @@
   readonly kvSource?: KvSource;
   /** Resumes the stream after this event; overrides the value of the caller. */
   readonly lastEventId?: string;
+  /** Team of the caller. */
+  readonly teamName?: string | undefined;
+  /** Rank among the requests of the runner, 0 first. */
+  readonly priority?: number | undefined;
 }
 
 /** Location of a KV cache. */
--- a/src/handover/handover-calls.ts
+++ b/src/handover/handover-calls.ts
@@ -44,6 +44,8 @@
   /** Whether a VM has counted the request in its retry budget. */
   isCounted: zod.boolean(),
   traceHeaders: zod.record(zod.string(), zod.string()),
+  /** Digest of the caller's key; absent without one, and from VMs of an earlier build. */
+  keyDigest: zod.string().max(64).optional(),
 });
 
 /** A request that is offered to another VM. */
--- a/src/handover/handover-receiver.ts
+++ b/src/handover/handover-receiver.ts
@@ -184,9 +184,9 @@
     if (claimed === undefined) return DECLINE_REASON.notClaimed;
     const { body, arrivedAt, deadlineAt } = claimed;
     const head = handoverCalls.createHead(request.head);
-    const { callerIp, isCounted } = request;
+    const { callerIp, isCounted, keyDigest } = request;
     const call = servedCall.createServedCall(this.#options, head, {
-      ...{ body, callerIp, arrivedAt, signal, reply, buffers, isCounted },
+      ...{ body, callerIp, arrivedAt, signal, reply, buffers, isCounted, keyDigest },
       latestDeadlineAt: deadlineAt,
     });
     await this.#options.handler.serve(call);
--- a/src/handover/handover-sender.ts
+++ b/src/handover/handover-sender.ts
@@ -121,6 +121,7 @@
       callerIp: call.callerIp,
       isCounted,
       traceHeaders,
+      keyDigest: call.keyDigest,
     };
     const timeoutMs = call.deadlineAt - clock.now() + DEADLINE_GRACE_MS;
     return peers.stream(offer.vm, handoverCalls.HAND_OVER, request, { timeoutMs, signal });
--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -51,6 +51,12 @@
  */
 const FENCING_REVISIONS_PER_EPOCH = 2 ** 20;
 
+/**
+ * Age of the readers' last answer above which a VM may have missed a change. In calm it is below 6 s, since the polls of readers last
+ * for 5 s.
+ */
+const MAX_UNVERIFIED_MS = 8_000;
+
 /** The configuration in force at this VM, and the age of what this VM knows of the platform, for logs. */
 export interface ConfigurationState {
   /** Version of the configuration; absent before the first one. */
@@ -187,6 +193,17 @@
     return this.#configurationExchange.isOutdated;
   }
 
+  /**
+   * Whether a configuration that this VM does not have may hold further keys: a newer one is known to exist, or neither this VM nor
+   * its readers have heard from the platform for some time.
+   */
+  get mayLackKeys(): boolean {
+    const { answeredMs = Infinity, readersAnsweredMs = Infinity } = this.configurationState;
+    return (
+      this.isConfigurationOutdated || Math.min(answeredMs, readersAnsweredMs) > MAX_UNVERIFIED_MS
+    );
+  }
+
   /** The configuration in force, and the age of what this VM knows of the platform. */
   get configurationState(): ConfigurationState {
     const { current, origin } = this.#kernel.use("routing");
--- a/src/routing/route-table.ts
+++ b/src/routing/route-table.ts
@@ -14,6 +14,7 @@
   readonly configuration: types.RoutingTable;
   readonly #byHost = new Map<string, HostRoutes>();
   readonly #services = new Map<string, types.ServiceSpec>();
+  readonly #teamsByDigest = new Map<string, types.Team>();
 
   constructor(table: types.RoutingTable) {
     this.configuration = table;
@@ -23,6 +24,13 @@
       routes.lengths = [...lengths].sort((first, second) => second - first);
     }
     for (const service of table.services) this.#services.set(service.name, service);
+    for (const team of table.teams ?? [])
+      for (const digest of team.keyDigests) this.#teamsByDigest.set(digest, team);
+  }
+
+  /** Whether callers have to present the key of a team. */
+  get hasTeams(): boolean {
+    return this.configuration.teams !== undefined;
   }
 
   /**
@@ -44,6 +52,11 @@
     return this.#services.get(name);
   }
 
+  /** Returns the team that holds the key with this digest. */
+  findTeam(keyDigest: string): types.Team | undefined {
+    return this.#teamsByDigest.get(keyDigest);
+  }
+
   /** Returns the names of the services that are model engines. */
   listEngineServices(): readonly string[] {
     return this.configuration.services
--- a/src/routing/table-delta.ts
+++ b/src/routing/table-delta.ts
@@ -21,6 +21,8 @@
   /** Hash and number of routes of the configuration that results. */
   hash: position,
   routeCount: position,
+  /** Absent when the table has no teams, and from VMs of an earlier build. */
+  teams: listDeltaSchema.optional(),
 });
 
 type ListDelta = zod.infer<typeof listDeltaSchema>;
@@ -41,8 +43,9 @@
   return hash;
 }
 
-function computeTableHash({ version, routes, services, limits }: types.RoutingTable): number {
-  const hashes = [...routes, ...services, limits].map(useEntryHash);
+function computeTableHash(table: types.RoutingTable): number {
+  const { version, routes, services, limits, teams = [] } = table;
+  const hashes = [...routes, ...services, limits, ...teams].map(useEntryHash);
   return hashes.reduce(
     (hash, entryHash) => (Math.imul(hash, HASH_FACTOR) + entryHash) >>> 0,
     rendezvous.computeHash(`${version} ${routes.length}`),
@@ -62,6 +65,7 @@
     limits: table.limits,
     hash: useTableHash(table),
     routeCount: table.routes.length,
+    ...(table.teams === undefined ? {} : { teams: createListDelta(base.teams ?? [], table.teams) }),
   };
 }
 
@@ -76,6 +80,7 @@
     routes: applyListDelta(base.routes, delta.routes),
     services: applyListDelta(base.services, delta.services),
     limits: delta.limits as types.CallerLimits,
+    ...(delta.teams === undefined ? {} : { teams: applyListDelta(base.teams ?? [], delta.teams) }),
   };
   if (table.routes.length !== delta.routeCount)
     throw new Error(`difference to version ${delta.version} does not fit version ${base.version}`);
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -41,6 +41,8 @@
   readonly resumable: boolean;
   /** Whether its calls are model requests, which describe their prompt. */
   readonly forModel: boolean;
+  /** Whether its calls need no key where the configuration has teams. */
+  readonly allowsAnonymous: boolean;
 }
 
 /** Properties of a model engine, the same for all runners of a service. */
@@ -66,6 +68,37 @@
   readonly engine: EngineSpec | undefined;
 }
 
+/** What a quota counts. */
+export const COST_UNIT = {
+  /** Each request counts 1. */
+  request: "request",
+  /** A model request counts its prompt and its maximum output. */
+  token: "token",
+} as const;
+
+/** One of the values of `COST_UNIT`. */
+export type CostUnit = (typeof COST_UNIT)[keyof typeof COST_UNIT];
+
+/** What a team may use over all VMs together, in units per second and as a burst. */
+export interface TeamQuota {
+  readonly unit: CostUnit;
+  readonly perSecond: number;
+  readonly burst: number;
+  /** Cost of a request that states no tokens, where the unit is a token. */
+  readonly plainCost: number;
+}
+
+/** Callers that share keys, a priority and a quota. */
+export interface Team {
+  readonly name: string;
+  /** Digests of its keys, see `teams/key-digest.ts`. */
+  readonly keyDigests: readonly string[];
+  /** Goes before the priority of the route; 0 is the highest. */
+  readonly priority: number | undefined;
+  /** `undefined` when the team may use as much as it likes. */
+  readonly quota: TeamQuota | undefined;
+}
+
 /** Size and time limits on callers' requests. */
 export interface CallerLimits {
   readonly maxHeaderBytes: number;
@@ -81,4 +114,6 @@
   readonly routes: readonly Route[];
   readonly services: readonly ServiceSpec[];
   readonly limits: CallerLimits;
+  /** Teams whose keys callers have to present. Absent in a configuration without keys, and in one from a VM of an earlier build. */
+  readonly teams?: readonly Team[];
 }
--- a/src/runners/types.ts
+++ b/src/runners/types.ts
@@ -70,4 +70,9 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * How long work takes on the runner's machine now, in percent of the usual time; stated by runners that share machines with
+   * others, and valid for a fraction of a second.
+   */
+  readonly workTimePercent?: number;
 }
--- a/src/serving/engine-executor.ts
+++ b/src/serving/engine-executor.ts
@@ -134,7 +134,11 @@
     const leftMs = call.deadlineAt - startedAt;
     const limitMs = Math.min(PREFILL_TIMEOUT_MS, leftMs);
     using limit = clocks.createTimeLimit(clock, limitMs, call.signal);
-    const options = { deadlineMs: leftMs, stage: runners.STAGE.prefill };
+    const options = {
+      deadlineMs: leftMs,
+      stage: runners.STAGE.prefill,
+      ...listCallerOptions(call),
+    };
     const send = progress.startPrefill(runner.id);
     using trackedRun = this.#options.crashDetector.add(call, runner, sendAccount.SEND_STEP.prefill);
     try {
@@ -199,6 +203,7 @@
       deadlineMs: leftMs,
       kvSource: prefilled === undefined ? undefined : createKvSource(prefilled),
       lastEventId: progress.lastEventId,
+      ...listCallerOptions(call),
     };
     try {
       const limitMs = call.route.resumable ? Math.min(leftMs, STREAM_IDLE_TIMEOUT_MS) : leftMs;
@@ -429,6 +434,14 @@
   }
 }
 
+/** Returns what a runner is told of the caller. */
+function listCallerOptions({
+  team,
+  priority,
+}: types.ServedCall): Pick<gateway.RunnerCallOptions, "teamName" | "priority"> {
+  return { teamName: team?.name, priority };
+}
+
 function createKvSource(prefilled: modelProgress.PrefilledPrompt): gateway.KvSource {
   const { host, port } = prefilled.runner;
   return { host, port, handle: prefilled.handle };
--- a/src/serving/plain-serving.ts
+++ b/src/serving/plain-serving.ts
@@ -242,7 +242,7 @@
         runner: record.runner,
         head: call.head,
         body: call.body,
-        options: { deadlineMs: leftMs },
+        options: { deadlineMs: leftMs, teamName: call.team?.name },
         headersTimeoutMs: hasOther ? leftMs * getWaitShare(call, account) : leftMs,
         signal: limit.signal,
       });
--- a/src/serving/served-call.ts
+++ b/src/serving/served-call.ts
@@ -1,6 +1,7 @@
 /** Creates calls from their head: finds the route, the service and the time limits. */
 import type * as gateway from "../gateway/types.js";
 import * as resultCodes from "../protocol/result-codes.js";
+import * as authentication from "../teams/authentication.js";
 import * as routeTable from "../routing/route-table.js";
 import type * as routing from "../routing/types.js";
 import type * as routingState from "../routing/routing-state.js";
@@ -27,10 +28,17 @@
   readonly grace: CallGrace;
   /** Whether a newer configuration than the one in force is known to exist; by default none is. */
   readonly isOutdated?: () => boolean;
+  /** Whether this VM may not know all keys in force; by default it knows them. */
+  readonly mayLackKeys?: authentication.KeyUncertainty;
+  /** Names, in lower case, of the headers by which callers state their key or team; removed where the configuration has teams. */
+  readonly teamHeaders?: ReadonlySet<string>;
 }
 
 /** The parts of a call that do not follow from its head and the configuration. */
-export type CallContext = Omit<types.ServedCall, "head" | "route" | "service" | "deadlineAt"> & {
+export type CallContext = Omit<
+  types.ServedCall,
+  "head" | "route" | "service" | "deadlineAt" | "team" | "priority"
+> & {
   /** Latest deadline of the call; by default it follows from the head and the route alone. */
   readonly latestDeadlineAt?: number;
 };
@@ -38,32 +46,49 @@
 /**
  * Creates a call by the configuration that is in force now.
  *
- * @throws RequestError when the VM is not ready, has no route for the call or shuts down too soon for it.
+ * @throws RequestError when the VM is not ready, has no route for the call, does not know its key or shuts down too soon
+ * for it.
  */
 export function createServedCall(
-  { routing: state, isReady, grace, isOutdated = () => false }: ServedCallOptions,
+  options: ServedCallOptions,
   head: gateway.CallHead,
   { latestDeadlineAt = Number.POSITIVE_INFINITY, ...context }: CallContext,
 ): types.ServedCall {
+  const { routing: state, isReady, grace, isOutdated = () => false } = options;
   const table = state.current;
   if (table === undefined || !isReady()) throw createRefusal("notReady");
   const route = table.findRoute(head.host, head.path);
   if (route === undefined && isOutdated())
     throw createRefusal("notReady", OUTDATED_TEXT, OUTDATED_RETRY_MS);
   if (route === undefined) throw createRefusal("unknownService");
+  const caller = identifyCaller(options, table, route, head, context.keyDigest);
   const service = findService(table, head);
   if (service === undefined) throw createRefusal("notReady", "route has no service that is known");
   const deadlineMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
   const ownDeadlineAt = Math.min(context.arrivedAt + deadlineMs, latestDeadlineAt);
   grace.checkTaken(ownDeadlineAt);
   return {
-    ...{ head, route, service, ...context },
+    ...{ head, route, service, ...context, ...caller },
     get deadlineAt() {
       return grace.computeDeadline(ownDeadlineAt);
     },
   };
 }
 
+/** Returns what the configuration says of the caller, and the head without what the caller says of itself. */
+function identifyCaller(
+  { mayLackKeys = () => false, teamHeaders = new Set() }: ServedCallOptions,
+  table: routeTable.RouteTable,
+  route: routing.Route,
+  head: gateway.CallHead,
+  keyDigest: string | undefined,
+): Partial<Pick<types.ServedCall, "head" | "team" | "priority">> {
+  if (!table.hasTeams) return {};
+  const team = authentication.authenticate(table, route, { keyDigest }, mayLackKeys);
+  const headers = head.headers.filter(([name]) => !teamHeaders.has(name.toLowerCase()));
+  return { head: { ...head, headers }, team, priority: team?.priority ?? route.priority };
+}
+
 function createRefusal(
   name: "notReady" | "unknownService",
   detail?: string,
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -29,4 +29,10 @@
   readonly buffers: bufferBudget.BufferAccount;
   /** Whether another VM has counted the request in its retry budget; absent means false. */
   readonly isCounted?: boolean;
+  /** Team of the caller; absent where the configuration has no teams, and for anonymous calls. */
+  readonly team?: routing.Team | undefined;
+  /** Digest of the caller's key, for the VM to which the call is handed over. */
+  readonly keyDigest?: string | undefined;
+  /** Rank among the calls of its service, 0 first; absent where the configuration has no teams, and all rank alike. */
+  readonly priority?: number | undefined;
 }
--- a/test/routing/routing-fixture.ts
+++ b/test/routing/routing-fixture.ts
@@ -16,6 +16,7 @@
     maxAttempts: 2,
     resumable: false,
     forModel: false,
+    allowsAnonymous: false,
     ...changes,
   };
 }
