--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -52,7 +52,7 @@
   /** Whether a newer configuration than the one in force is known to exist. */
   readonly isOutdated: () => boolean;
   /** Whether this VM may not know all keys in force. */
-  readonly mayLackKeys: () => boolean;
+  readonly canLackKeys: () => boolean;
   /** Returns the configuration in force and the age of what this VM knows, for the lines of refusals and failures. */
   readonly getConfigurationState: () => registrySync.ConfigurationState;
 }
--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -90,7 +90,7 @@
     admission: kernel.use("admission"),
     isReady,
     isOutdated: () => kernel.use("registrySync").isConfigurationOutdated,
-    mayLackKeys: () => kernel.use("registrySync").mayLackKeys,
+    canLackKeys: () => kernel.use("registrySync").canLackKeys,
     getConfigurationState: () => kernel.use("registrySync").configurationState,
   });
 }
--- a/src/placement/calls.ts
+++ b/src/placement/calls.ts
@@ -24,6 +24,8 @@
   excluded: zod.array(runnerId).max(types.MAX_EXCLUDED),
   skipsPrefill: zod.boolean().optional(),
   softwareVersion: zod.string().max(200).optional(),
+  priority: zod.number().optional(),
+  team: zod.object({ name: zod.string().max(200), weight: zod.number().min(0) }).optional(),
 }) satisfies zod.ZodType<types.PlacementRequest>;
 
 const placementStreamItemSchema = zod.object({
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -1,5 +1,7 @@
 /** Placement of model requests on runners. */
 
+import type * as sharing from "../sharing/team-shares.js";
+
 /** Limit on the runners that a request excludes. */
 export const MAX_EXCLUDED = 16;
 
@@ -37,6 +39,10 @@
   readonly skipsPrefill?: boolean;
   /** Software version of the decode runner, for a stream that another run began. */
   readonly softwareVersion?: string | undefined;
+  /** Rank among the requests of the service, 0 first; absent where all rank alike. */
+  readonly priority?: number | undefined;
+  /** Team of the caller; absent where the configuration has no teams. */
+  readonly team?: sharing.ShareHolder | undefined;
 }
 
 /** The runners of a request. */
--- a/src/registry/registry-sync.ts
+++ b/src/registry/registry-sync.ts
@@ -197,7 +197,7 @@
    * Whether a configuration that this VM does not have may hold further keys: a newer one is known to exist, or neither this VM nor
    * its readers have heard from the platform for some time.
    */
-  get mayLackKeys(): boolean {
+  get canLackKeys(): boolean {
     const { answeredMs = Infinity, readersAnsweredMs = Infinity } = this.configurationState;
     return (
       this.isConfigurationOutdated || Math.min(answeredMs, readersAnsweredMs) > MAX_UNVERIFIED_MS
--- a/src/serving/model-serving.ts
+++ b/src/serving/model-serving.ts
@@ -17,6 +17,7 @@
 import type * as crashDetector from "./crash-detector.js";
 import * as engineExecutor from "./engine-executor.js";
 import * as modelProgress from "./model-progress.js";
+import * as servedCall from "./served-call.js";
 import type * as types from "./types.js";
 
 /**
@@ -220,6 +221,8 @@
       excluded: this.#listExcluded(call, progress),
       skipsPrefill: progress.skipsPrefill,
       softwareVersion: progress.softwareVersion,
+      priority: call.priority,
+      team: servedCall.findShareHolder(call),
     };
   }
 
--- a/src/serving/served-call.ts
+++ b/src/serving/served-call.ts
@@ -5,11 +5,14 @@
 import * as routeTable from "../routing/route-table.js";
 import type * as routing from "../routing/types.js";
 import type * as routingState from "../routing/routing-state.js";
+import type * as sharing from "../sharing/team-shares.js";
 import type * as types from "./types.js";
 
 const NOT_READY_RETRY_MS = 500;
 /** Retry time of calls whose route may be in a newer configuration, which other VMs have already. */
 const OUTDATED_RETRY_MS = 100;
+/** Weight of a team without a quota; only its relation to other such teams matters. */
+const DEFAULT_WEIGHT = 1;
 const OUTDATED_TEXT = "no route in this configuration, and a newer one is on its way";
 
 /** Limits the calls of a VM that shuts down. */
@@ -29,7 +32,7 @@
   /** Whether a newer configuration than the one in force is known to exist; by default none is. */
   readonly isOutdated?: () => boolean;
   /** Whether this VM may not know all keys in force; by default it knows them. */
-  readonly mayLackKeys?: authentication.KeyUncertainty;
+  readonly canLackKeys?: authentication.KeyUncertainty;
   /** Names, in lower case, of the headers by which callers state their key or team; removed where the configuration has teams. */
   readonly teamHeaders?: ReadonlySet<string>;
 }
@@ -61,7 +64,7 @@
   if (route === undefined && isOutdated())
     throw createRefusal("notReady", OUTDATED_TEXT, OUTDATED_RETRY_MS);
   if (route === undefined) throw createRefusal("unknownService");
-  const caller = identifyCaller(options, table, route, head, context.keyDigest);
+  const caller = findCaller(options, table, route, head, context.keyDigest);
   const service = findService(table, head);
   if (service === undefined) throw createRefusal("notReady", "route has no service that is known");
   const deadlineMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
@@ -76,19 +79,26 @@
 }
 
 /** Returns what the configuration says of the caller, and the head without what the caller says of itself. */
-function identifyCaller(
-  { mayLackKeys = () => false, teamHeaders = new Set() }: ServedCallOptions,
+function findCaller(
+  { canLackKeys = () => false, teamHeaders = new Set() }: ServedCallOptions,
   table: routeTable.RouteTable,
   route: routing.Route,
   head: gateway.CallHead,
   keyDigest: string | undefined,
 ): Partial<Pick<types.ServedCall, "head" | "team" | "priority">> {
   if (!table.hasTeams) return {};
-  const team = authentication.authenticate(table, route, { keyDigest }, mayLackKeys);
+  const team = authentication.authenticate(table, route, { keyDigest }, canLackKeys);
   const headers = head.headers.filter(([name]) => !teamHeaders.has(name.toLowerCase()));
   return { head: { ...head, headers }, team, priority: team?.priority ?? route.priority };
 }
 
+/** Returns the share that a call's team has of the pools, by the rate of its quota. */
+export function findShareHolder({
+  team,
+}: Pick<types.ServedCall, "team">): sharing.ShareHolder | undefined {
+  return team && { name: team.name, weight: team.quota?.perSecond ?? DEFAULT_WEIGHT };
+}
+
 function createRefusal(
   name: "notReady" | "unknownService",
   detail?: string,
--- a/src/teams/authentication.ts
+++ b/src/teams/authentication.ts
@@ -29,13 +29,13 @@
   table: Pick<routeTable.RouteTable, "hasTeams" | "findTeam">,
   route: Pick<routing.Route, "allowsAnonymous">,
   { keyDigest }: Credentials,
-  mayLackKeys: KeyUncertainty,
+  canLackKeys: KeyUncertainty,
 ): routing.Team | undefined {
   if (!table.hasTeams) return undefined;
   const team = keyDigest === undefined ? undefined : table.findTeam(keyDigest);
   if (team !== undefined) return team;
   if (keyDigest === undefined && route.allowsAnonymous) return undefined;
-  if (keyDigest !== undefined && mayLackKeys()) {
+  if (keyDigest !== undefined && canLackKeys()) {
     const options = { detail: OUTDATED_TEXT, retryAfterMs: OUTDATED_RETRY_MS };
     throw new resultCodes.RequestError(RESULT_CODES.notReady, RAN.no, options);
   }
