Count what the requests of a team cost, beside the rate of its quota

A broken quota can follow from a limit that nobody enforces, from costs that are counted wrongly, or from a limit that was lowered and is not in force yet. Neither logs nor metrics told what a team used: the line of a finished request now has its team, cost and configuration version, and counters add the cost up by team.

--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -15,6 +15,7 @@
 import type * as serving from "../serving/types.js";
 import * as logEvents from "../telemetry/log-events.js";
 import * as keyDigest from "../teams/key-digest.js";
+import * as requestCost from "../teams/request-cost.js";
 import * as spans from "../telemetry/spans.js";
 import type * as telemetry from "../telemetry/types.js";
 import type * as admissions from "./admission.js";
@@ -270,12 +271,22 @@
     reply.send(answer.status, answer.headers, Buffer.from(answer.body));
   }
 
+  /** Counts what a served request cost its team; returns the fields of its log line that say so. */
+  #recordUse({ team, head }: serving.ServedCall): Readonly<Record<string, unknown>> {
+    if (team?.quota === undefined) return {};
+    const cost = requestCost.computeRequestCost(team.quota, head);
+    const { metrics, routing: state } = this.#options;
+    metrics.count("team_cost", { team: team.name }, cost);
+    metrics.set("team_quota_rate", team.quota.perSecond, { team: team.name });
+    return { team: team.name, cost, version: state.current?.configuration.version };
+  }
+
   #recordCompletion(call: serving.ServedCall, outcome: string): void {
     const { metrics, clock, log } = this.#options;
     const tookMs = clock.now() - call.arrivedAt;
     metrics.count("calls", { outcome });
     metrics.recordDuration(`call_${call.route.kind}`, tookMs);
     const fields = { request: call.head.id, route: call.route.name, tookMs: Math.round(tookMs) };
-    log.write(logEvents.LOG_EVENTS.requestFinished, fields);
+    log.write(logEvents.LOG_EVENTS.requestFinished, { ...fields, ...this.#recordUse(call) });
   }
 }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -79,6 +79,8 @@
   /** Time that the caller waits, from the arrival of the request; `undefined` when not stated. */
   readonly deadlineMs: number | undefined;
   readonly prompt: PromptSpec | undefined;
+  /** Sum of the token counts that the request states; `undefined` when it states none that is valid. */
+  readonly statedTokens?: number | undefined;
   /** Id of the last event that the caller received, when it resumes a stream. */
   readonly lastEventId: string | undefined;
   /** Call id of the attempt that brought the first event of the stream that the caller resumes. */
--- a/test/platform/formats.test.ts
+++ b/test/platform/formats.test.ts
@@ -41,6 +41,21 @@
   "localhost:80",
 ];
 
+test.describe("the token count of a request", () => {
+  const parse = (value: string): number | undefined =>
+    callerCodec.CALLER_CODEC.parseHead(createRequest([["Token-Count", value]])).statedTokens;
+
+  test.it("is the sum of its numbers, also of a repeated header", () => {
+    earl.expect(parse("1460,80")).toEqual(1_540);
+    earl.expect(parse("1460, 80, 1460, 80")).toEqual(3_080);
+    earl.expect(parse("1460")).toEqual(1_460);
+  });
+
+  test.it("is not known if none of it is a number", () => {
+    for (const value of ["", "many", "-5,1e9", ","]) earl.expect(parse(value)).toEqual(undefined);
+  });
+});
+
 test.describe("settings file", () => {
   test.it("is parsed into gateway settings with times in milliseconds", () => {
     const settings = settingsFile.parseSettings(examples.createSettingsText("10.0.0.7"));
