--- a/test/gateway/gateway-process.ts
+++ b/test/gateway/gateway-process.ts
@@ -77,6 +77,15 @@
     return (await this.call({ kind: "readDelay" })) as number;
   }
 
+  /** Stops the process until it is resumed. */
+  pause(): void {
+    this.#process.sendSignal("SIGSTOP");
+  }
+
+  resume(): void {
+    this.#process.sendSignal("SIGCONT");
+  }
+
   /** @throws Error if the command fails or the process exits first. */
   async call(command: GatewayCommand): Promise<unknown> {
     this.#lastId += 1;
