Keep the quotas of teams over all VMs

Callers saw: a team got whatever it asked for.

Cause: the quota of a team is read from the configuration and only weighted its share of a pool; no module counted requests against it. The part of the design that says how was never built. With one cause that suffices, the other two hypotheses (costs counted wrongly, a lowered limit not in force) could show nothing.

Now one VM grants the quota of a team to all, the next in order a quarter of it to VMs that do not reach the holder, each scaled by the part of the known VMs that it sees alive. A bucket starts empty at each change of members. A VM that has started grants nothing until it was in touch with the fleet, and one that no probe reaches grants its own part only: the draft had VMs divide by the VMs that they know, and a VM that starts cut off knows its seeds at most. Deployments without teams run none of it.

--- a/bench/local-membership.ts
+++ b/bench/local-membership.ts
@@ -5,6 +5,8 @@
 /** A membership without probes or gossip; its members change only by `update`. */
 export class LocalMembership implements membership.Membership {
   readonly self: membership.Member;
+  /** Without probes, no VM is ever out of touch. */
+  readonly lastHeardAt = Infinity;
   readonly #members = new Map<string, membership.Member>();
   readonly #listeners = new Set<(member: membership.Member) => void>();
 
--- a/src/gateway/gateway-node.ts
+++ b/src/gateway/gateway-node.ts
@@ -85,7 +85,7 @@
     tracer: kernel.use("tracer"),
     routing: kernel.use("routing"),
     buffers: kernel.use("buffers"),
-    handler: kernel.use("handover"),
+    handler: kernel.use("quotaServing"),
     grace: kernel.use("shutdownGrace"),
     admission: kernel.use("admission"),
     isReady,
--- a/src/gateway/gateway-services.ts
+++ b/src/gateway/gateway-services.ts
@@ -37,6 +37,7 @@
 import * as modelServing from "../serving/model-serving.js";
 import * as runnerProbe from "../serving/runner-probe.js";
 import * as plainServing from "../serving/plain-serving.js";
+import * as quotaServices from "../teams/quota-services.js";
 import type * as nodeSettings from "../settings/node-settings.js";
 import * as log from "../telemetry/log.js";
 import * as metrics from "../telemetry/metrics.js";
@@ -107,6 +108,7 @@
   kernel.register("plainServing", createPlainServing);
   kernel.register("modelServing", createModelServing);
   handoverServices.registerHandover(kernel);
+  quotaServices.registerQuotas(kernel);
   return kernel;
 }
 
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -36,6 +36,9 @@
 import type * as plainServing from "../serving/plain-serving.js";
 import type * as callerTypes from "../caller/types.js";
 import type * as settings from "../settings/node-settings.js";
+import type * as quotaLedger from "../teams/quota-ledger.js";
+import type * as quotaServing from "../teams/quota-serving.js";
+import type * as teamQuotas from "../teams/team-quotas.js";
 import type * as telemetry from "../telemetry/types.js";
 import type * as upstream from "../upstream/types.js";
 import type * as bufferBudget from "./buffer-budget.js";
@@ -92,6 +95,9 @@
   plainServing: plainServing.PlainServing;
   modelServing: modelServing.ModelServing;
   localServing: localServing.LocalServing;
+  quotaLedger: quotaLedger.QuotaLedger;
+  teamQuotas: teamQuotas.TeamQuotas;
+  quotaServing: quotaServing.QuotaServing;
   handover: handover.Handover;
   handoverReceiver: handoverReceiver.HandoverReceiver;
 }
--- a/src/membership/duty-holders.ts
+++ b/src/membership/duty-holders.ts
@@ -15,12 +15,14 @@
 export class DutyHolders implements Disposable {
   readonly #membership: Pick<types.Membership, "listAlive" | "onChange">;
   readonly #holders = new Map<string, string | undefined>();
+  readonly #ranked = new Map<string, readonly string[]>();
   readonly #subscription: Disposable;
 
   constructor(membership: Pick<types.Membership, "listAlive" | "onChange">) {
     this.#membership = membership;
     this.#subscription = membership.onChange(() => {
       this.#holders.clear();
+      this.#ranked.clear();
     });
   }
 
@@ -31,6 +33,15 @@
     return this.#holders.get(duty);
   }
 
+  /** Returns the VM that does a duty and the one that would be next, according to this VM's member list. */
+  listRanked(duty: string): readonly string[] {
+    const known = this.#ranked.get(duty);
+    if (known !== undefined) return known;
+    const ranked = chooseRanked(duty, this.#membership.listAlive());
+    this.#ranked.set(duty, ranked);
+    return ranked;
+  }
+
   [Symbol.dispose](): void {
     this.#subscription[Symbol.dispose]();
   }
@@ -45,6 +56,19 @@
   return rendezvous.chooseByRendezvous(duty, vms, 1)[0];
 }
 
+/** Returns the holder of a duty among `candidates` and the one that would be next, which may be a smaller VM. */
+export function chooseRanked(
+  duty: string,
+  candidates: readonly DutyCandidate[],
+): readonly string[] {
+  const holder = chooseHolder(duty, candidates);
+  const next = chooseHolder(
+    duty,
+    candidates.filter(({ vm }) => vm !== holder),
+  );
+  return [holder, next].filter((vm) => vm !== undefined);
+}
+
 /** Returns the candidates of the largest size: by processor first, then by link. All, if any does not state its capacity. */
 function listEligible(candidates: readonly DutyCandidate[]): readonly DutyCandidate[] {
   if (candidates.some(({ capacity }) => capacity === undefined)) return candidates;
--- a/src/membership/fleet-size.ts
+++ b/src/membership/fleet-size.ts
@@ -11,6 +11,13 @@
  * cut off takes to notice it, so its share and that of a VM that started since are not used at once.
  */
 export const SETTLE_MS = 20_000;
+/**
+ * Time in touch after which this VM knows the other VMs: several rounds of gossip. One that was never in touch counts as
+ * knowing them after `SETTLE_MS`, since its seeds may be gone for good.
+ */
+export const JOIN_MS = 1_500;
+/** Time without a probe from or to any other VM after which this VM is cut off; a probe is sent every 500 ms. */
+const CONTACT_TIMEOUT_MS = 2_000;
 const CHECK_PERIOD_MS = 500;
 /** A check later than this means that the process or the machine was suspended. */
 const SUSPEND_THRESHOLD_MS = 2_000;
@@ -43,12 +50,15 @@
   #cancelTimer: (() => void) | undefined;
   /** Monotonic time since which this VM has been in touch; `undefined` while it is not. */
   #inTouchSince: number | undefined;
+  #hasJoined = false;
+  readonly #startedAt: number;
   #checkedAt: number;
   #checkedWallTime: number;
 
   constructor(options: FleetSizeOptions) {
     this.#options = options;
-    this.#checkedAt = options.clock.now();
+    this.#startedAt = options.clock.now();
+    this.#checkedAt = this.#startedAt;
     this.#checkedWallTime = options.clock.wallTime();
     this.#subscription = options.membership.onChange(() => {
       this.#update();
@@ -73,6 +83,19 @@
     return Math.max(membership.listKnown().length, listSeeds().length);
   }
 
+  /**
+   * Returns the part of the fleet that this VM sees alive, from 0 to 1. The parts of the sides of a partition add up to 1.
+   * It is 0 while a VM that has started may not know yet which VMs there are.
+   */
+  computeAlivePart(): number {
+    const { clock, membership } = this.#options;
+    this.#update();
+    if (!this.#hasJoined) return 0;
+    const known = this.countKnown();
+    const isCutOff = clock.now() - membership.lastHeardAt > CONTACT_TIMEOUT_MS;
+    return isCutOff ? 1 / known : Math.min(1, membership.listAlive().length / known);
+  }
+
   [Symbol.asyncDispose](): Promise<void> {
     this.#cancelTimer?.();
     this.#subscription[Symbol.dispose]();
@@ -96,6 +119,17 @@
     this.#checkedWallTime = wallTime;
     if (elapsedMs > SUSPEND_THRESHOLD_MS || !this.#isInTouch()) this.#inTouchSince = undefined;
     else this.#inTouchSince ??= now;
+    const inTouchMs = now - (this.#inTouchSince ?? now);
+    this.#hasJoined ||=
+      inTouchMs >= JOIN_MS || now - this.#startedAt >= SETTLE_MS || this.#isAlone();
+  }
+
+  /** Whether this VM is the whole fleet, as far as its settings say. */
+  #isAlone(): boolean {
+    const { membership, listSeeds } = this.#options;
+    const { peer } = membership.self;
+    const isOnlySeed = listSeeds().every((seed) => isSameAddress(seed, peer));
+    return isOnlySeed && membership.listKnown().length === 1;
   }
 
   /** Whether a majority of the seeds and of the known VMs are alive, and at least one other VM is. */
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -74,6 +74,10 @@
     return records.createMember(this.#table.localRecord);
   }
 
+  get lastHeardAt(): number {
+    return this.#prober.lastHeardAt;
+  }
+
   listMembers(): readonly types.Member[] {
     return this.#useLists().members;
   }
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -70,6 +70,7 @@
    * each answered one. 0 is healthy; higher is less healthy.
    */
   #localHealthScore = 0;
+  #lastHeardAt = -Infinity;
   readonly #lostDatagrams = new Map<string, LostDatagrams>();
 
   constructor(options: ProberOptions) {
@@ -91,6 +92,11 @@
     });
   }
 
+  /** Monotonic time at which another member last answered a probe or sent one. */
+  get lastHeardAt(): number {
+    return this.#lastHeardAt;
+  }
+
   /** Probes until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, random, table } = this.#options;
@@ -228,6 +234,7 @@
   }
 
   #handleAnswer(member: records.MemberRecord, { gossip, isUnknown }: calls.ProbeReply): void {
+    this.#lastHeardAt = this.#options.clock.now();
     this.#localHealthScore = Math.max(0, this.#localHealthScore - 1);
     this.#options.gossiper.receiveGossip(gossip, member);
     this.#startSyncIfNeeded(member.vm, isUnknown, gossip.digest);
@@ -278,7 +285,8 @@
     gossip: calls.Gossip;
     isUnknown: boolean;
   } {
-    const { gossiper, table } = this.#options;
+    const { clock, gossiper, table } = this.#options;
+    this.#lastHeardAt = clock.now();
     gossiper.receiveGossip(request, from);
     const isUnknown = (table.find(from.vm)?.incarnation ?? -1) < from.incarnation;
     return { gossip: gossiper.createGossip(from.vm), isUnknown };
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -58,6 +58,8 @@
   /** Returns members that are alive (not suspect, leaving or dead); may include the local node. */
   listAlive(): readonly Member[];
   findMember(vm: string): Member | undefined;
+  /** Monotonic time at which a probe last showed that another VM is in touch with this one. */
+  readonly lastHeardAt: number;
   /** Returns the peer addresses of the VM list as last read; empty until it was read. */
   listSeeds(): readonly network.PeerAddress[];
   /** Calls `listener` after any change of a member's state or incarnation. */
--- a/src/protocol/result-codes.ts
+++ b/src/protocol/result-codes.ts
@@ -47,6 +47,7 @@
     status: 503,
     message: "software version of the stream is not known or not served",
   },
+  quotaExceeded: { number: 2007, status: 429, message: "team is above its quota" },
   deadlineExceeded: { number: 3001, status: 504, message: "deadline exceeded" },
   upstreamUnavailable: { number: 3002, status: 502, message: "no upstream available" },
   upstreamFailed: { number: 3003, status: 502, message: "upstream failed" },
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -102,6 +102,16 @@
   requestTakenOver: { number: 4019, level: "info", message: "request of another VM served" },
   requestUnreadable: { number: 4020, level: "info", message: "request of a caller not readable" },
   httpRefusal: { number: 4021, level: "info", message: "refused on another HTTP port" },
+  quotaHolderUnreachable: {
+    number: 4023,
+    level: "warn",
+    message: "VM that grants the quota of a team unreachable",
+  },
+  quotaPartChanged: {
+    number: 4024,
+    level: "info",
+    message: "part of the quota of a team that this VM grants changed",
+  },
   logSuppressed: { number: 1005, level: "warn", message: "log entries suppressed" },
   allocatorChanged: { number: 5001, level: "info", message: "allocator of runner changed" },
   orphanCancelled: { number: 5002, level: "warn", message: "orphaned request cancelled on runner" },
--- a/test/membership/duty-holders.test.ts
+++ b/test/membership/duty-holders.test.ts
@@ -46,3 +46,22 @@
     earl.expect(holders.some((vm) => vm?.startsWith("old"))).toEqual(true);
   });
 });
+
+test.describe("chooseRanked", () => {
+  test.it("returns the holder and the VM that holds the duty without it", () => {
+    const members = [...createMembers(3, "small", SMALL), ...createMembers(2, "large", LARGE)];
+    for (const duty of DUTIES) {
+      const [holder, next] = dutyHolders.chooseRanked(duty, members);
+      earl.expect(holder).toEqual(dutyHolders.chooseHolder(duty, members));
+      const others = members.filter(({ vm }) => vm !== holder);
+      earl.expect(next).toEqual(dutyHolders.chooseHolder(duty, others));
+    }
+  });
+
+  test.it("returns as many VMs as there are, at most two", () => {
+    earl.expect(dutyHolders.chooseRanked("duty", [])).toEqual([]);
+    earl
+      .expect(dutyHolders.chooseRanked("duty", createMembers(1, "small", SMALL)).length)
+      .toEqual(1);
+  });
+});
--- a/test/membership/fleet-size.test.ts
+++ b/test/membership/fleet-size.test.ts
@@ -151,4 +151,29 @@
       }
     },
   );
+
+  test.it(
+    "sees nothing of the fleet until it has been in touch, and all of it afterwards",
+    async () => {
+      await using fleet = new SizedFleet(3);
+      await fleet.start(NODES);
+      const compute = (): number | undefined => fleet.sizes.get("vm-0")?.computeAlivePart();
+      await fleet.waitUntil(() => compute() === 1, 10_000);
+      fleet.setPartition(["vm-5"], listNames(0, 4), true);
+      fleet.setPartition(["vm-5"], ["vm-6"], true);
+      await fleet.restart(["vm-5"]);
+      await fleet.clock.advance(10_000);
+      earl.expect(fleet.sizes.get("vm-5")?.computeAlivePart()).toEqual(0);
+    },
+  );
+
+  test.it(
+    "sees only itself soon after it was cut off, while the others still look alive",
+    async () => {
+      await using fleet = await startFleet();
+      fleet.setPartition(["vm-5"], [...listNames(0, 4), "vm-6"], true);
+      await fleet.clock.advance(2_600);
+      earl.expect(fleet.sizes.get("vm-5")?.computeAlivePart()).toEqual(1 / NODES);
+    },
+  );
 });
--- a/test/request/fake-fleet.ts
+++ b/test/request/fake-fleet.ts
@@ -179,6 +179,9 @@
       get self() {
         return node.self;
       },
+      get lastHeardAt() {
+        return node.clock.now();
+      },
       listMembers: () => listAll().filter(({ state }) => state !== dead),
       listKnown: () => listAll(),
       listAlive: () => listAll().filter(({ state }) => state === alive),
