Grant no sends to limited runners until this VM knows the fleet

Callers saw: nothing yet on a site in force; a runner that names a limit would get several times as much after all VMs have started cut off from each other.

A VM divides a limit of the fleet by the VMs that it knows, and a VM that starts cut off knows its seeds only, three of any number. Each VM granted a third of the limit.

A VM now takes its part from the fleet size, which is 0 until the VM was in touch, and 1 of all known VMs as soon as no probe reaches it.

--- a/src/runners/runner-limits.ts
+++ b/src/runners/runner-limits.ts
@@ -29,6 +29,8 @@
 const ANNOUNCE_TIMEOUT_MS = 500;
 /** Time for which a holder that did not answer is not asked again. */
 const HOLDER_BACKOFF_MS = 500;
+/** Wait for a send while this VM may not know which VMs share the limit. */
+const UNKNOWN_FLEET_WAIT_MS = 500;
 const MS_PER_S = 1_000;
 
 const statementSchema = zod.object({
@@ -76,7 +78,7 @@
   readonly metrics: telemetry.Metrics;
   readonly network: network.PeerNetwork;
   readonly membership: membership.Membership;
-  readonly fleetSize: Pick<fleetSizes.FleetSize, "countKnown">;
+  readonly fleetSize: Pick<fleetSizes.FleetSize, "countKnown" | "computeAlivePart">;
   readonly holders: Pick<dutyHolders.DutyHolders, "find">;
 }
 
@@ -179,18 +181,20 @@
   /** The part of the known VMs that this VM sees alive: each side of a partition has a holder of its own. */
   #computeHolderShare(): number {
     const { membership: fleet, fleetSize } = this.#options;
-    const aliveCount = fleet.listAlive().length;
-    const largestShare = aliveCount > 1 ? 1 : FALLBACK_SHARE;
-    return Math.min(largestShare, aliveCount / Math.max(1, fleetSize.countKnown()));
+    const largestShare = fleet.listAlive().length > 1 ? 1 : FALLBACK_SHARE;
+    return Math.min(largestShare, fleetSize.computeAlivePart());
   }
 
   #computeFallbackShare(): number {
-    return FALLBACK_SHARE / Math.max(1, this.#options.fleetSize.countKnown());
+    const { fleetSize } = this.#options;
+    if (fleetSize.computeAlivePart() === 0) return 0;
+    return FALLBACK_SHARE / Math.max(1, fleetSize.countKnown());
   }
 
   #computeWait(start: string, share: number): number {
     const perSecond = this.#stated.get(start)?.perSecond;
     if (perSecond === undefined) return 0;
+    if (share === 0) return UNKNOWN_FLEET_WAIT_MS;
     const rate = Math.max(MIN_RATE, perSecond) * share;
     const missing = 1 - this.#updateBucket(start, perSecond, rate).tokens;
     return missing <= 0 ? 0 : (missing / rate) * MS_PER_S;
--- a/test/runners/runner-limits.test.ts
+++ b/test/runners/runner-limits.test.ts
@@ -16,14 +16,18 @@
 
 function addNode(fleet: fakes.FakeFleet, vm: string, knownVms: number) {
   const { kernel } = fleet.add(vm, "zone-a");
-  const holders = new dutyHolders.DutyHolders(kernel.use("membership"));
+  const members = kernel.use("membership");
+  const holders = new dutyHolders.DutyHolders(members);
   return new runnerLimits.RunnerLimits({
     clock: kernel.use("clock"),
     log: kernel.use("log"),
     metrics: { count: () => undefined, set: () => undefined } as never,
     network: kernel.use("network"),
     membership: kernel.use("membership"),
-    fleetSize: { countKnown: () => knownVms },
+    fleetSize: {
+      countKnown: () => knownVms,
+      computeAlivePart: () => Math.min(1, members.listAlive().length / knownVms),
+    },
     holders,
   });
 }
