--- a/standins/users-platform/examples.ts
+++ b/standins/users-platform/examples.ts
@@ -15,16 +15,18 @@
   readonly retryRatio?: number;
   /** Memory of the machine; by default the settings name no limits. */
   readonly memoryMb?: number;
+  /** Descriptors of a process; stated only together with the memory. */
+  readonly maxFds?: number;
 }
 
 /** Returns the text of a machine's settings file. */
 export function createSettingsText(ip: string, changes: SettingsChanges = {}): string {
   const { node = "front-1", zone = "a", seeds = [], platform = "127.0.0.1:1" } = changes;
-  const { retryRatio = 0.2, memoryMb } = changes;
+  const { retryRatio = 0.2, memoryMb, maxFds = 4_100 } = changes;
   const limits =
     memoryMb === undefined
       ? ""
-      : `limits: { cpu_share: 1, cores: 1, memory_mb: ${memoryMb}, link_mbps: 1000 }\n`;
+      : `limits: { cpu_share: 1, cores: 1, memory_mb: ${memoryMb}, max_fds: ${maxFds}, link_mbps: 1000 }\n`;
   return `node: "${node}"
 role: "gateway"
 ip: "${ip}"
