Read connections in pieces, so that none takes the turn or the memory of others

Callers saw: a process of a gateway ended (heap out of memory), or did not answer, while a few clients sent bodies in chunks of one byte, requests ahead whose answers they did not read, or heads of very many lines that stopped short of their end.

Cause: one read of a socket holds up to 64 KB, and the HTTP parser makes an object of each chunk, line and request in it before anything else has a turn. The buffer budget counted bytes of content only, and nothing before a head was whole.

A connection is now read in pieces of 4 KB or up to the end of a head, four pieces a turn over all connections; what was received with few lines is still passed on at once. No further request of a connection is read while 16 are in progress. A head that is not complete, and what is kept behind such requests, counts in the budget with its lines.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -1,6 +1,7 @@
 /** The connections of callers, the requests that are in progress on each, and which answer ends a connection. */
 import type * as http from "node:http";
 import type * as net from "node:net";
+import type * as pacedReader from "./paced-reader.js";
 
 /** A request whose response has not been sent to its end. */
 export interface OpenRequest {
@@ -96,6 +97,16 @@
     return this.#states.has(socket) && socket.bytesRead === 0;
   }
 
+  /** Returns how far a connection has come, for the pace at which it is read. */
+  findProgress(socket: net.Socket): pacedReader.ConnectionProgress {
+    const state = this.#states.get(socket);
+    return {
+      openCount: state?.open.size ?? 0,
+      requestCount: state?.requestCount ?? 0,
+      isInBody: state?.latest?.request.complete === false,
+    };
+  }
+
   /** Returns the latest request of a connection, if its response has not been sent to its end. */
   findLatest(socket: net.Socket): OpenRequest | undefined {
     return this.#states.get(socket)?.latest;
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -20,6 +20,7 @@
 import type * as telemetry from "../telemetry/types.js";
 import type * as admissions from "./admission.js";
 import * as callerConnections from "./caller-connections.js";
+import * as pacedReader from "./paced-reader.js";
 import * as requestBody from "./request-body.js";
 import * as requestHead from "./request-head.js";
 import * as httpServer from "./http-server.js";
@@ -75,6 +76,7 @@
     this.#listener = httpServer.createListener();
     this.#connections = new callerConnections.CallerConnections(this.#listener);
     this.#addListeners();
+    this.#paceReads();
     new parserFaults.ParserFaults({
       ...{ ...options, listener: this.#listener, connections: this.#connections },
       refuse: (response, failure) => this.#refusals.get(response)?.(failure),
@@ -137,6 +139,20 @@
     });
   }
 
+  #paceReads(): void {
+    const { buffers: budget, metrics } = this.#options;
+    const pacer = new pacedReader.ReadPacer({
+      budget,
+      findProgress: (socket) => this.#connections.findProgress(socket),
+      onExceeded: () => {
+        metrics.count("connections_closed", { reason: "memory" });
+      },
+    });
+    this.#listener.on("connection", (socket: net.Socket) => {
+      pacer.add(socket);
+    });
+  }
+
   #setLimits(limits: routing.CallerLimits): void {
     this.#listener.keepAliveTimeout = limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
     this.#listener.headersTimeout = limits.headerTimeoutMs;
