--- a/src/gateway/paced-reader.ts
+++ b/src/gateway/paced-reader.ts
@@ -150,7 +150,7 @@
       return this.#rest.length === 0 && this.#push(null);
     }
     if (this.#rest.length === 0 && !this.#isBlocked()) {
-      const { lines, isLight } = weigh(chunk);
+      const { lines, isLight } = computeWeight(chunk);
       if (isLight) return this.#pushPiece({ bytes: chunk, lines });
     }
     this.#rest = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
@@ -215,7 +215,7 @@
 }
 
 /** Counts the lines of what was received, and tells whether it is cheap to parse at once. */
-function weigh(bytes: Buffer): { readonly lines: number; readonly isLight: boolean } {
+function computeWeight(bytes: Buffer): { readonly lines: number; readonly isLight: boolean } {
   let lines = 0;
   let heads = 0;
   for (let at = bytes.indexOf(LINE_FEED); at !== -1; at = bytes.indexOf(LINE_FEED, at + 1)) {
