Count the memory of a request in progress from its head on

Callers saw: a process of a gateway ended (heap out of memory) under 200 connections with legal heads of 16 KB in some 2,400 lines.

Cause: the buffer budget counted bodies only. What a request takes from its head on, and each line of a head as name, value and places to keep them, counted for nothing; a refused request whose body had not arrived kept all of it.

A request is charged 8 KB, its head and 256 bytes a line before its head is parsed, and refused with 503 (not run) if the process holds too much. If its body has not arrived, its connection is closed with the answer.

--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -2,7 +2,7 @@
 import type * as http from "node:http";
 import * as net from "node:net";
 import * as refusals from "../caller/refusals.js";
-import type * as bufferBudget from "../kernel/buffer-budget.js";
+import * as bufferBudget from "../kernel/buffer-budget.js";
 import type * as clocks from "../kernel/clock.js";
 import * as signals from "../kernel/signals.js";
 import * as resultCodes from "../protocol/result-codes.js";
@@ -190,6 +190,7 @@
     const reply = new callerReply.HttpReply(response, onHead);
     let head: types.CallHead | undefined;
     try {
+      requestBody.reserveBytes(buffers, requestHead.computeMemoryCost(request));
       head = this.#options.codec.parseHead(request);
       requestHead.checkHost(request);
       this.#checkHeadSize(request);
@@ -207,6 +208,8 @@
       );
       this.#recordCompletion(call, "answered");
     } catch (error) {
+      // The rest of its body would keep what it takes.
+      if (!request.complete && hasNoMemory(error)) response.shouldKeepAlive = false;
       this.#handleFailure(head, reply, controller.signal, error, arrivedAt);
     } finally {
       socket.off("end", onEnd);
@@ -306,3 +309,8 @@
     log.write(logEvents.LOG_EVENTS.requestFinished, { ...fields, ...this.#recordUse(call) });
   }
 }
+
+/** Whether a request failed because the process holds too many bytes. */
+function hasNoMemory(error: unknown): boolean {
+  return error instanceof Error && error.cause instanceof bufferBudget.BufferLimitError;
+}
--- a/src/gateway/request-body.ts
+++ b/src/gateway/request-body.ts
@@ -21,7 +21,7 @@
       const { RESULT_CODES, RAN } = resultCodes;
       throw new resultCodes.RequestError(RESULT_CODES.bodyTooLarge, RAN.no);
     }
-    addBytes(buffers, chunk.byteLength);
+    reserveBytes(buffers, chunk.byteLength);
     chunks.push(chunk);
   }
   return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
@@ -30,13 +30,14 @@
 /** Time in which other calls usually release their bytes. */
 const FULL_RETRY_AFTER_MS = 500;
 
-function addBytes(buffers: bufferBudget.BufferAccount, bytes: number): void {
+/** @throws RequestError `overloaded`, caused by a `BufferLimitError`, when the process holds too many bytes. */
+export function reserveBytes(buffers: bufferBudget.BufferAccount, bytes: number): void {
   try {
     buffers.add(bytes);
   } catch (error) {
     if (!(error instanceof bufferBudget.BufferLimitError)) throw error;
     const { RESULT_CODES, RAN } = resultCodes;
-    const options = { retryAfterMs: FULL_RETRY_AFTER_MS, detail: error.message };
+    const options = { retryAfterMs: FULL_RETRY_AFTER_MS, detail: error.message, cause: error };
     throw new resultCodes.RequestError(RESULT_CODES.overloaded, RAN.no, options);
   }
 }
--- a/src/gateway/request-head.ts
+++ b/src/gateway/request-head.ts
@@ -1,5 +1,6 @@
 /** Checks request heads: the `Host` header, and the size of the headers. */
 import type * as http from "node:http";
+import * as pacedReader from "./paced-reader.js";
 import * as resultCodes from "../protocol/result-codes.js";
 
 const SEPARATOR_BYTES = ":".length;
@@ -14,6 +15,16 @@
   return textBytes + (rawHeaders.length / 2) * (SEPARATOR_BYTES + LINE_END_BYTES);
 }
 
+/** Memory that holds a request in progress besides its head and body. */
+const REQUEST_COST_BYTES = 8_192;
+
+/** Returns about how much memory the head of a request and its state take while it is in progress. */
+export function computeMemoryCost(request: http.IncomingMessage): number {
+  const lines = request.rawHeaders.length / 2;
+  const linesBytes = lines * pacedReader.LINE_COST_BYTES;
+  return REQUEST_COST_BYTES + computeHeaderBytes(request) + linesBytes;
+}
+
 /** @throws RequestError `malformedRequest` when the `Host` header is missing (RFC 9112, section 3.2). */
 export function checkHost({ httpVersion, headers }: http.IncomingMessage): void {
   if (headers.host !== undefined || httpVersion === "1.0") return;
