Limit the connections of callers by the descriptors of the process

Callers saw: nothing yet; a crowd of 3,000 connections, of which a third leaves early, held 1,809 descriptors of a process whose settings state 1,000.

Cause: the limit of the settings was not read, and nothing bounded how many connections are accepted; those without any progress stayed as long as they liked.

Callers may hold 0.6 of the descriptors that are not for files. At the limit, the connection that made no progress for longest is closed; one with a whole request in progress is not.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -3,6 +3,16 @@
 import type * as net from "node:net";
 import type * as pacedReader from "./paced-reader.js";
 
+/** Descriptors for files, and the part of the others that callers may use; runners and other VMs use the rest. */
+const FILE_DESCRIPTORS = 200;
+const CALLER_SHARE = 0.6;
+
+/** Returns the number of connections of callers that a process with so many descriptors accepts. */
+export function computeMaxConnections(maxDescriptors: number | undefined): number {
+  if (maxDescriptors === undefined) return Infinity;
+  return Math.max(1, Math.floor(CALLER_SHARE * (maxDescriptors - FILE_DESCRIPTORS)));
+}
+
 /** A request whose response has not been sent to its end. */
 export interface OpenRequest {
   readonly request: http.IncomingMessage;
@@ -25,10 +35,20 @@
 
 /** Tracks the connections of one HTTP server. */
 export class CallerConnections {
+  /** By the time of the last answer, or of the start of the connection; the oldest first. */
   readonly #states = new Map<net.Socket, ConnectionState>();
+  readonly #maxConnections: number;
+  readonly #onEvicted: () => void;
   #isDraining = false;
 
-  constructor(listener: http.Server) {
+  /** @param onEvicted - called when a connection is closed to make room for a new one. */
+  constructor(
+    listener: http.Server,
+    maxConnections = Infinity,
+    onEvicted: () => void = () => undefined,
+  ) {
+    this.#maxConnections = maxConnections;
+    this.#onEvicted = onEvicted;
     listener.on("connection", (socket: net.Socket) => {
       const state: ConnectionState = {
         ...{ open: new Map(), latest: undefined, requestCount: 0 },
@@ -40,6 +60,7 @@
         this.#states.delete(socket);
         for (const response of [...state.open.keys()]) closeResponse(state, response);
       });
+      if (this.#states.size > this.#maxConnections) this.#evict(socket);
     });
   }
 
@@ -79,6 +100,7 @@
       closeResponse(state, response);
       if (state.latest?.response === response) state.latest = undefined;
       state.bytesRead = socket.bytesRead;
+      if (this.#states.delete(socket)) this.#states.set(socket, state);
     });
     return () => {
       const isLast = [...state.open.keys()].at(-1) === response;
@@ -117,6 +139,25 @@
     for (const [socket, { open, bytesRead }] of this.#states)
       if (open.size === 0 && socket.bytesRead === bytesRead) socket.destroy();
   }
+
+  /** Closes the connection that made no progress for longest, unless all others carry requests that are being served. */
+  #evict(latest: net.Socket): void {
+    let evicted = latest;
+    for (const [socket, state] of this.#states) {
+      if (socket === latest || isServing(state)) continue;
+      evicted = socket;
+      break;
+    }
+    // Its place is free at once, also if the event comes later.
+    this.#states.delete(evicted);
+    evicted.destroy();
+    this.#onEvicted();
+  }
+}
+
+/** Whether a whole request of a connection is in progress. */
+function isServing({ open, latest }: ConnectionState): boolean {
+  return open.size > 1 || latest?.request.complete === true;
 }
 
 function closeResponse({ open }: ConnectionState, response: http.ServerResponse): void {
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -74,7 +74,13 @@
     this.#options = options;
     // A framework judges paths, cookies and media types, and answers by itself; a runner may accept them.
     this.#listener = httpServer.createListener();
-    this.#connections = new callerConnections.CallerConnections(this.#listener);
+    this.#connections = new callerConnections.CallerConnections(
+      this.#listener,
+      callerConnections.computeMaxConnections(options.settings.maxDescriptors),
+      () => {
+        options.metrics.count("connections_closed", { reason: "count" });
+      },
+    );
     this.#addListeners();
     this.#addPacer();
     new parserFaults.ParserFaults({
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -42,6 +42,8 @@
   readonly retryBudget: retryBudgets.RetryBudgetSettings;
   /** Memory that the process may use, in MB; `undefined` when not stated. */
   readonly memoryMb: number | undefined;
+  /** Descriptors that the process may have open; `undefined` when not stated. */
+  readonly maxDescriptors: number | undefined;
   /** What this VM may use; `undefined` when not stated. */
   readonly capacity: membership.VmCapacity | undefined;
 }
