--- a/test/teams/quota-fleet.test.ts
+++ b/test/teams/quota-fleet.test.ts
@@ -100,6 +100,14 @@
     expectKept(fleet, "paused");
   });
 
+  test.it("when a side with most seeds starts again while it is cut off", async () => {
+    await using fleet = await fleets.startFleet(VMS);
+    fleet.setCutOff(NAMES.slice(0, 5), true);
+    await fleet.restart(NAMES.slice(0, 5));
+    await fleet.press(16_000);
+    expectKept(fleet, "most seeds");
+  });
+
   test.it("however groups are cut off, killed and started again", async () => {
     for (const seed of [11, 12, 13]) {
       const source = random.createSeededRandom(seed);
