--- a/src/gateway/paced-reader.ts
+++ b/src/gateway/paced-reader.ts
@@ -179,7 +179,7 @@
     const isHead = requestCount === this.#requestCount && !isInBody;
     this.#requestCount = requestCount;
     const headBytes = isHead ? this.#headBytes + bytes.length + lines * LINE_COST_BYTES : 0;
-    this.#reserveBytes(headBytes - this.#headBytes);
+    this.#updateCharge(headBytes - this.#headBytes);
     this.#headBytes = headBytes;
     return isWanted;
   }
@@ -193,12 +193,12 @@
   }
 
   #setBlockedBytes(bytes: number): void {
-    this.#reserveBytes(bytes - this.#blockedBytes);
+    this.#updateCharge(bytes - this.#blockedBytes);
     this.#blockedBytes = bytes;
   }
 
   /** Charges memory to the connection, or releases it; closes a connection that may not hold it. */
-  #reserveBytes(bytes: number): void {
+  #updateCharge(bytes: number): void {
     if (this.#socket.destroyed) return;
     if (bytes <= 0) {
       this.#account.release(-bytes);
