Count a prompt that ran just before the time for which use is measured

A prompt is 14,800 tokens, 2.3 s of the lowered rate; one that ran just before the measured time is made up for within it and counted nowhere. The check adds one prompt; what may be used at most is checked as before.

--- a/test/gateway/team-quotas-fixture.ts
+++ b/test/gateway/team-quotas-fixture.ts
@@ -158,7 +158,8 @@
     const use = quotaCheck.computeQuotaUse(rule, requests, this.#startedAt + from);
     const usedFrom = this.#startedAt + Math.max(from, MS_PER_S);
     const endedAt = Math.max(...requests.map(({ sentAt }) => sentAt));
-    const used = quotaCheck.computeCost(requests, usedFrom, Infinity);
+    // A prompt that ran just before is made up for in the time that counts.
+    const used = quotaCheck.computeCost(requests, usedFrom, Infinity) + PROMPT_COST;
     return {
       ...use,
       from: Math.round(use.from - this.#startedAt),
