Do not charge the end of a body as a head that is not complete

Cause: the last bytes of a body were taken for the start of a head, since the body is complete once they have been parsed.

--- a/src/gateway/paced-reader.ts
+++ b/src/gateway/paced-reader.ts
@@ -174,9 +174,10 @@
   }
 
   #pushPiece({ bytes, lines }: Piece): boolean {
+    const wasInBody = this.#options.findProgress(this.#socket).isInBody;
     const isWanted = this.#push(bytes);
     const { requestCount, isInBody } = this.#options.findProgress(this.#socket);
-    const isHead = requestCount === this.#requestCount && !isInBody;
+    const isHead = requestCount === this.#requestCount && !wasInBody && !isInBody;
     this.#requestCount = requestCount;
     const headBytes = isHead ? this.#headBytes + bytes.length + lines * LINE_COST_BYTES : 0;
     this.#updateCharge(headBytes - this.#headBytes);
--- a/src/gateway/request-body.ts
+++ b/src/gateway/request-body.ts
@@ -24,7 +24,7 @@
     reserveBytes(buffers, chunk.byteLength);
     parts.add(chunk);
   }
-  return parts.join();
+  return parts.createBody();
 }
 
 /** Chunks smaller than this are copied; an object for each would take many times the memory of its bytes. */
@@ -51,7 +51,7 @@
     this.#blockLength += chunk.byteLength;
   }
 
-  join(): Buffer {
+  createBody(): Buffer {
     this.#closeBlock();
     const [first] = this.#parts;
     return this.#parts.length === 1 && first !== undefined ? first : Buffer.concat(this.#parts);
--- a/src/gateway/request-head.ts
+++ b/src/gateway/request-head.ts
@@ -10,7 +10,9 @@
  * Computes the size of the headers as received, without optional white space, which the parser drops. The request line does not
  * count: the limit of the configuration is one for headers.
  */
-export function computeHeaderBytes({ rawHeaders }: http.IncomingMessage): number {
+export function computeHeaderBytes({
+  rawHeaders,
+}: Pick<http.IncomingMessage, "rawHeaders">): number {
   const textBytes = rawHeaders.reduce((sum, text) => sum + text.length, 0);
   return textBytes + (rawHeaders.length / 2) * (SEPARATOR_BYTES + LINE_END_BYTES);
 }
@@ -19,7 +21,7 @@
 const REQUEST_COST_BYTES = 8_192;
 
 /** Returns about how much memory the head of a request and its state take while it is in progress. */
-export function computeMemoryCost(request: http.IncomingMessage): number {
+export function computeMemoryCost(request: Pick<http.IncomingMessage, "rawHeaders">): number {
   const lines = request.rawHeaders.length / 2;
   const linesBytes = lines * pacedReader.LINE_COST_BYTES;
   return REQUEST_COST_BYTES + computeHeaderBytes(request) + linesBytes;
--- a/test/gateway/paced-reader.test.ts
+++ b/test/gateway/paced-reader.test.ts
@@ -123,6 +123,17 @@
     await connection.waitFor(() => connection.budget.usedBytes === 0);
   });
 
+  test.it("does not charge the end of a body", async () => {
+    await using connection = new PacedConnection((_, { progress }) => {
+      progress.isInBody = false;
+    });
+    connection.progress.isInBody = true;
+    await connection.open();
+    connection.client.write("the end of a body");
+    await connection.waitFor(() => connection.chunks.length === 1);
+    earl.expect(connection.budget.usedBytes).toEqual(0);
+  });
+
   test.it("closes a connection whose head takes more memory than is left", async () => {
     await using connection = new PacedConnection();
     await connection.open();
