--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -3,8 +3,9 @@
 import type * as net from "node:net";
 import type * as pacedReader from "./paced-reader.js";
 
-/** Descriptors for files, and the part of the others that callers may use; runners and other VMs use the rest. */
+/** Descriptors that are kept for files. */
 const FILE_DESCRIPTORS = 200;
+/** Part of the other descriptors that callers may use; connections to runners and other VMs use the rest. */
 const CALLER_SHARE = 0.6;
 
 /** Returns the number of connections of callers that a process with so many descriptors accepts. */
@@ -33,22 +34,25 @@
   bytesRead: number;
 }
 
+/** Limit on the connections, and what is told of them. */
+export interface CallerConnectionsOptions {
+  readonly maxConnections?: number;
+  /** Called when a connection is closed to make room for a new one. */
+  readonly onEvicted?: () => void;
+  /** Called when a response of a connection has been sent to its end, or its connection was closed. */
+  readonly onAnswered?: (socket: net.Socket) => void;
+}
+
 /** Tracks the connections of one HTTP server. */
 export class CallerConnections {
   /** By the time of the last answer, or of the start of the connection; the oldest first. */
   readonly #states = new Map<net.Socket, ConnectionState>();
-  readonly #maxConnections: number;
-  readonly #onEvicted: () => void;
+  readonly #options: CallerConnectionsOptions;
   #isDraining = false;
 
-  /** @param onEvicted - called when a connection is closed to make room for a new one. */
-  constructor(
-    listener: http.Server,
-    maxConnections = Infinity,
-    onEvicted: () => void = () => undefined,
-  ) {
-    this.#maxConnections = maxConnections;
-    this.#onEvicted = onEvicted;
+  constructor(listener: http.Server, options: CallerConnectionsOptions = {}) {
+    this.#options = options;
+    const { maxConnections = Infinity } = options;
     listener.on("connection", (socket: net.Socket) => {
       const state: ConnectionState = {
         ...{ open: new Map(), latest: undefined, requestCount: 0 },
@@ -60,7 +64,7 @@
         this.#states.delete(socket);
         for (const response of [...state.open.keys()]) closeResponse(state, response);
       });
-      if (this.#states.size > this.#maxConnections) this.#evict(socket);
+      if (this.#states.size > maxConnections) this.#evict(socket);
     });
   }
 
@@ -101,6 +105,7 @@
       if (state.latest?.response === response) state.latest = undefined;
       state.bytesRead = socket.bytesRead;
       if (this.#states.delete(socket)) this.#states.set(socket, state);
+      this.#options.onAnswered?.(socket);
     });
     return () => {
       const isLast = [...state.open.keys()].at(-1) === response;
@@ -151,7 +156,7 @@
     // Its place is free at once, also if the event comes later.
     this.#states.delete(evicted);
     evicted.destroy();
-    this.#onEvicted();
+    this.#options.onEvicted?.();
   }
 }
 
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -2,7 +2,7 @@
 import type * as http from "node:http";
 import * as net from "node:net";
 import * as refusals from "../caller/refusals.js";
-import * as bufferBudget from "../kernel/buffer-budget.js";
+import type * as bufferBudget from "../kernel/buffer-budget.js";
 import type * as clocks from "../kernel/clock.js";
 import * as signals from "../kernel/signals.js";
 import * as resultCodes from "../protocol/result-codes.js";
@@ -15,10 +15,10 @@
 import type * as serving from "../serving/types.js";
 import * as logEvents from "../telemetry/log-events.js";
 import * as keyDigest from "../teams/key-digest.js";
-import * as requestCost from "../teams/request-cost.js";
 import * as spans from "../telemetry/spans.js";
 import type * as telemetry from "../telemetry/types.js";
 import type * as admissions from "./admission.js";
+import * as bufferRefusals from "./buffer-refusals.js";
 import * as callerConnections from "./caller-connections.js";
 import * as pacedReader from "./paced-reader.js";
 import * as requestBody from "./request-body.js";
@@ -74,15 +74,20 @@
     this.#options = options;
     // A framework judges paths, cookies and media types, and answers by itself; a runner may accept them.
     this.#listener = httpServer.createListener();
-    this.#connections = new callerConnections.CallerConnections(
-      this.#listener,
-      callerConnections.computeMaxConnections(options.settings.maxDescriptors),
-      () => {
+    const pacer = this.#createPacer();
+    this.#connections = new callerConnections.CallerConnections(this.#listener, {
+      maxConnections: callerConnections.computeMaxConnections(options.settings.maxDescriptors),
+      onEvicted: () => {
         options.metrics.count("connections_closed", { reason: "count" });
       },
-    );
+      onAnswered: (socket) => {
+        pacer.resume(socket);
+      },
+    });
+    this.#listener.on("connection", (socket: net.Socket) => {
+      pacer.add(socket);
+    });
     this.#addListeners();
-    this.#addPacer();
     new parserFaults.ParserFaults({
       ...{ ...options, listener: this.#listener, connections: this.#connections },
       refuse: (response, failure) => this.#refusals.get(response)?.(failure),
@@ -145,18 +150,15 @@
     });
   }
 
-  #addPacer(): void {
+  #createPacer(): pacedReader.ReadPacer {
     const { buffers: budget, metrics } = this.#options;
-    const pacer = new pacedReader.ReadPacer({
+    return new pacedReader.ReadPacer({
       budget,
       findProgress: (socket) => this.#connections.findProgress(socket),
       onExceeded: () => {
         metrics.count("connections_closed", { reason: "memory" });
       },
     });
-    this.#listener.on("connection", (socket: net.Socket) => {
-      pacer.add(socket);
-    });
   }
 
   #setLimits(limits: routing.CallerLimits): void {
@@ -196,7 +198,7 @@
     const reply = new callerReply.HttpReply(response, onHead);
     let head: types.CallHead | undefined;
     try {
-      requestBody.reserveBytes(buffers, requestHead.computeMemoryCost(request));
+      bufferRefusals.reserveBytes(buffers, requestHead.computeMemoryCost(request));
       head = this.#options.codec.parseHead(request);
       requestHead.checkHost(request);
       this.#checkHeadSize(request);
@@ -215,7 +217,8 @@
       this.#recordCompletion(call, "answered");
     } catch (error) {
       // The rest of its body would keep what it takes.
-      if (!request.complete && hasNoMemory(error)) response.shouldKeepAlive = false;
+      if (!request.complete && bufferRefusals.isBufferRefusal(error))
+        response.shouldKeepAlive = false;
       this.#handleFailure(head, reply, controller.signal, error, arrivedAt);
     } finally {
       socket.off("end", onEnd);
@@ -296,27 +299,12 @@
     reply.send(answer.status, answer.headers, Buffer.from(answer.body));
   }
 
-  /** Counts what a served request cost its team; returns the fields of its log line that say so. */
-  #recordUse({ team, head }: serving.ServedCall): Readonly<Record<string, unknown>> {
-    if (team?.quota === undefined) return {};
-    const cost = requestCost.computeRequestCost(team.quota, head);
-    const { metrics, routing: state } = this.#options;
-    metrics.count("team_cost", { team: team.name }, cost);
-    metrics.set("team_quota_rate", team.quota.perSecond, { team: team.name });
-    return { team: team.name, cost, version: state.current?.configuration.version };
-  }
-
   #recordCompletion(call: serving.ServedCall, outcome: string): void {
     const { metrics, clock, log } = this.#options;
     const tookMs = clock.now() - call.arrivedAt;
     metrics.count("calls", { outcome });
     metrics.recordDuration(`call_${call.route.kind}`, tookMs);
     const fields = { request: call.head.id, route: call.route.name, tookMs: Math.round(tookMs) };
-    log.write(logEvents.LOG_EVENTS.requestFinished, { ...fields, ...this.#recordUse(call) });
+    log.write(logEvents.LOG_EVENTS.requestFinished, fields);
   }
 }
-
-/** Whether a request failed because the process holds too many bytes. */
-function hasNoMemory(error: unknown): boolean {
-  return error instanceof Error && error.cause instanceof bufferBudget.BufferLimitError;
-}
--- a/src/gateway/paced-reader.ts
+++ b/src/gateway/paced-reader.ts
@@ -14,8 +14,6 @@
 const TURN_PIECES = 4;
 /** Requests of one connection that may be in progress before further ones are read. */
 export const MAX_REQUESTS_AHEAD = 16;
-/** Time after which a connection that may not be read is looked at again. */
-const BLOCKED_RETRY_MS = 20;
 /** Memory that holds one line of a head: its name and value, and the places in which they are kept. */
 export const LINE_COST_BYTES = 256;
 /** Bytes of a read that a socket may buffer behind the one in hand. */
@@ -44,6 +42,7 @@
 /** Gives the connections of a server turns to be read, one piece each. */
 export class ReadPacer {
   readonly #options: ReadPacerOptions;
+  readonly #readers = new WeakMap<net.Socket, PacedReader>();
   readonly #waiting: PacedReader[] = [];
   #isScheduled = false;
 
@@ -53,10 +52,16 @@
 
   /** Reads a connection in pieces from now on. */
   add(socket: net.Socket): void {
-    new PacedReader(socket, this.#options, (reader) => {
+    const reader = new PacedReader(socket, this.#options, () => {
       this.#waiting.push(reader);
       this.#scheduleTurn();
     });
+    this.#readers.set(socket, reader);
+  }
+
+  /** Goes on with a connection that had too many requests in progress, once one of them has been answered. */
+  resume(socket: net.Socket): void {
+    this.#readers.get(socket)?.resume();
   }
 
   #scheduleTurn(): void {
@@ -80,7 +85,7 @@
 class PacedReader {
   readonly #socket: net.Socket;
   readonly #options: ReadPacerOptions;
-  readonly #onWaiting: (reader: PacedReader) => void;
+  readonly #onWaiting: () => void;
   readonly #account: bufferBudget.BufferAccount;
   readonly #push: (chunk: Buffer | null) => boolean;
   readonly #read: (size: number) => void;
@@ -95,11 +100,8 @@
   #headBytes = 0;
   #requestCount = 0;
 
-  constructor(
-    socket: net.Socket,
-    options: ReadPacerOptions,
-    onWaiting: (reader: PacedReader) => void,
-  ) {
+  /** @param onWaiting - called when the reader is to be given a turn. */
+  constructor(socket: net.Socket, options: ReadPacerOptions, onWaiting: () => void) {
     this.#socket = socket;
     this.#options = options;
     this.#onWaiting = onWaiting;
@@ -108,7 +110,7 @@
     this.#read = socket._read.bind(socket);
     socket.push = (chunk: Buffer | null) => this.#receive(chunk);
     socket._read = (size) => {
-      this.#resume(size);
+      this.#handleWanted(size);
     };
     // The HTTP parser reads from the handle of the socket unless somebody listens to its data.
     socket.on("data", () => undefined);
@@ -118,15 +120,17 @@
     });
   }
 
+  /** Asks for a turn if there is something to pass on. */
+  resume(): void {
+    if (this.#rest.length > 0) this.#wait();
+  }
+
   /** Passes on the next piece, if the connection may be read. */
   pushNext(): void {
     this.#isWaiting = false;
     if (this.#socket.destroyed || this.#rest.length === 0) return;
     if (this.#isBlocked()) {
       this.#setBlockedBytes(this.#rest.length + READ_AHEAD_BYTES);
-      setTimeout(() => {
-        this.#wait();
-      }, BLOCKED_RETRY_MS);
       return;
     }
     this.#setBlockedBytes(0);
@@ -140,7 +144,7 @@
       return;
     }
     if (this.#hasEnded) this.#push(null);
-    else if (isWanted) this.#read(READ_AHEAD_BYTES);
+    else if (isWanted) this.#read(this.#socket.readableHighWaterMark);
   }
 
   /** Handles what was received, or the end of the connection; returns whether more is wanted at once. */
@@ -158,7 +162,8 @@
     return false;
   }
 
-  #resume(size: number): void {
+  /** Handles that the consumer wants more. */
+  #handleWanted(size: number): void {
     if (this.#rest.length === 0) {
       this.#read(size);
       return;
@@ -170,7 +175,7 @@
   #wait(): void {
     if (this.#isWaiting || this.#socket.destroyed) return;
     this.#isWaiting = true;
-    this.#onWaiting(this);
+    this.#onWaiting();
   }
 
   #pushPiece({ bytes, lines }: Piece): boolean {
--- a/src/gateway/request-body.ts
+++ b/src/gateway/request-body.ts
@@ -1,6 +1,7 @@
 /** Reads request bodies. */
-import * as bufferBudget from "../kernel/buffer-budget.js";
+import type * as bufferBudget from "../kernel/buffer-budget.js";
 import * as resultCodes from "../protocol/result-codes.js";
+import * as bufferRefusals from "./buffer-refusals.js";
 
 /**
  * Reads a whole request body.
@@ -21,7 +22,7 @@
       const { RESULT_CODES, RAN } = resultCodes;
       throw new resultCodes.RequestError(RESULT_CODES.bodyTooLarge, RAN.no);
     }
-    reserveBytes(buffers, chunk.byteLength);
+    bufferRefusals.reserveBytes(buffers, chunk.byteLength);
     parts.add(chunk);
   }
   return parts.createBody();
@@ -64,18 +65,3 @@
     this.#blockLength = 0;
   }
 }
-
-/** Time in which other calls usually release their bytes. */
-const FULL_RETRY_AFTER_MS = 500;
-
-/** @throws RequestError `overloaded`, caused by a `BufferLimitError`, when the process holds too many bytes. */
-export function reserveBytes(buffers: bufferBudget.BufferAccount, bytes: number): void {
-  try {
-    buffers.add(bytes);
-  } catch (error) {
-    if (!(error instanceof bufferBudget.BufferLimitError)) throw error;
-    const { RESULT_CODES, RAN } = resultCodes;
-    const options = { retryAfterMs: FULL_RETRY_AFTER_MS, detail: error.message, cause: error };
-    throw new resultCodes.RequestError(RESULT_CODES.overloaded, RAN.no, options);
-  }
-}
--- a/src/membership/fleet-size.ts
+++ b/src/membership/fleet-size.ts
@@ -128,7 +128,8 @@
   #isAlone(): boolean {
     const { membership, listSeeds } = this.#options;
     const { peer } = membership.self;
-    const isOnlySeed = listSeeds().every((seed) => isSameAddress(seed, peer));
+    const seeds = listSeeds();
+    const isOnlySeed = seeds.length > 0 && seeds.every((seed) => isSameAddress(seed, peer));
     return isOnlySeed && membership.listKnown().length === 1;
   }
 
--- a/src/runners/runner-limits.ts
+++ b/src/runners/runner-limits.ts
@@ -12,6 +12,7 @@
 import * as network from "../protocol/network.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
+import * as tokenBucket from "../sharing/token-bucket.js";
 import type * as types from "./types.js";
 
 /** Limit on the starts of runners whose limits are kept. */
@@ -31,7 +32,6 @@
 const HOLDER_BACKOFF_MS = 500;
 /** Wait for a send while this VM may not know which VMs share the limit. */
 const UNKNOWN_FLEET_WAIT_MS = 500;
-const MS_PER_S = 1_000;
 
 const statementSchema = zod.object({
   /** Start of a runner, as `id@bornAt`. */
@@ -65,12 +65,6 @@
   readonly learnedAt: number;
 }
 
-/** Sends that may be made now, as a token bucket. */
-interface Bucket {
-  tokens: number;
-  refilledAt: number;
-}
-
 /** Services that `RunnerLimits` uses. */
 export interface RunnerLimitsOptions {
   readonly clock: clocks.Clock;
@@ -86,7 +80,7 @@
 export class RunnerLimits {
   readonly #options: RunnerLimitsOptions;
   readonly #stated = new lru.LRUCache<string, StatedLimit>({ max: MAX_STARTS });
-  readonly #buckets = new lru.LRUCache<string, Bucket>({ max: MAX_STARTS });
+  readonly #buckets = new lru.LRUCache<string, tokenBucket.TokenBucket>({ max: MAX_STARTS });
   /** Monotonic time until which the holder refused a send. */
   readonly #refusedUntil = new lru.LRUCache<string, number>({ max: MAX_STARTS });
   readonly #unreadable = new lru.LRUCache<string, string>({ max: MAX_STARTS });
@@ -196,24 +190,21 @@
     if (perSecond === undefined) return 0;
     if (share === 0) return UNKNOWN_FLEET_WAIT_MS;
     const rate = Math.max(MIN_RATE, perSecond) * share;
-    const missing = 1 - this.#updateBucket(start, perSecond, rate).tokens;
-    return missing <= 0 ? 0 : (missing / rate) * MS_PER_S;
+    return this.#updateBucket(start, perSecond, rate).computeWait(1);
   }
 
   #grantSend(start: string, share: number): number {
     const waitMs = this.#computeWait(start, share);
-    const bucket = this.#buckets.get(start);
-    if (waitMs === 0 && bucket !== undefined) bucket.tokens -= 1;
+    if (waitMs === 0) this.#buckets.get(start)?.reserve(1);
     return waitMs;
   }
 
-  /** Adds the sends that became due; a bucket begins empty, since it is not known what was sent before. */
-  #updateBucket(start: string, perSecond: number, rate: number): Bucket {
+  /** Adds the sends that became due. */
+  #updateBucket(start: string, perSecond: number, rate: number): tokenBucket.TokenBucket {
     const now = this.#options.clock.now();
-    const bucket = this.#buckets.get(start) ?? { tokens: 0, refilledAt: now };
-    const added = (rate * (now - bucket.refilledAt)) / MS_PER_S;
-    bucket.tokens = Math.min(1 + BURST_S * perSecond, bucket.tokens + added);
-    bucket.refilledAt = now;
+    const limits = { perSecond: rate, capacity: 1 + BURST_S * perSecond, maxOverdraft: 0 };
+    const bucket = this.#buckets.get(start) ?? new tokenBucket.TokenBucket(limits, now);
+    bucket.update(limits, now);
     this.#buckets.set(start, bucket);
     return bucket;
   }
--- a/src/teams/quota-ledger.ts
+++ b/src/teams/quota-ledger.ts
@@ -14,7 +14,7 @@
 import type * as routing from "../routing/types.js";
 import * as logEvents from "../telemetry/log-events.js";
 import type * as telemetry from "../telemetry/types.js";
-import * as quotaBucket from "./quota-bucket.js";
+import * as tokenBucket from "../sharing/token-bucket.js";
 
 /** Limit on the teams whose buckets are kept. */
 const MAX_TEAMS = 10_000;
@@ -69,7 +69,7 @@
 }
 
 interface TeamBucket {
-  readonly bucket: quotaBucket.QuotaBucket;
+  readonly bucket: tokenBucket.TokenBucket;
   loggedPart: number;
 }
 
@@ -130,12 +130,12 @@
     return (PARTS_BY_RANK[rank] ?? 0) * fleetSize.computeAlivePart();
   }
 
-  #updateBucket(team: string, part: number, quota: QuotaLimits): quotaBucket.QuotaBucket {
+  #updateBucket(team: string, part: number, quota: QuotaLimits): tokenBucket.TokenBucket {
     const now = this.#options.clock.now();
     const known = this.#teams.get(team);
     const limits = computeLimits(part, quota);
     const entry = known ?? {
-      bucket: new quotaBucket.QuotaBucket(limits, this.#unchangedSince),
+      bucket: new tokenBucket.TokenBucket(limits, this.#unchangedSince),
       loggedPart: 0,
     };
     if (known === undefined) this.#teams.set(team, entry);
@@ -156,7 +156,7 @@
 function computeLimits(
   part: number,
   { perSecond, burst }: QuotaLimits,
-): quotaBucket.QuotaBucketLimits {
+): tokenBucket.TokenBucketLimits {
   const rate = part * perSecond;
   return {
     perSecond: rate,
--- a/src/teams/quota-services.ts
+++ b/src/teams/quota-services.ts
@@ -38,6 +38,8 @@
 
 function createQuotaServing(kernel: container.Kernel): quotaServing.QuotaServing {
   return new quotaServing.QuotaServing({
+    log: kernel.use("log"),
+    metrics: kernel.use("metrics"),
     quotas: kernel.use("teamQuotas"),
     handler: kernel.use("handover"),
   });
--- a/src/teams/quota-serving.ts
+++ b/src/teams/quota-serving.ts
@@ -1,12 +1,16 @@
 /** Charges each call of a team with a quota before it is served. */
 import * as resultCodes from "../protocol/result-codes.js";
 import type * as serving from "../serving/types.js";
+import * as logEvents from "../telemetry/log-events.js";
+import type * as telemetry from "../telemetry/types.js";
 import * as requestCost from "./request-cost.js";
 import type * as teamQuotas from "./team-quotas.js";
 
 /** Dependencies of `QuotaServing`. */
 export interface QuotaServingOptions {
   readonly quotas: Pick<teamQuotas.TeamQuotas, "reserve">;
+  readonly log: telemetry.EventLog;
+  readonly metrics: telemetry.Metrics;
   /** Serves calls that are within their quotas. */
   readonly handler: serving.CallHandler;
 }
@@ -30,11 +34,20 @@
     const grant = await quotas.reserve({ team: team.name, cost }, team.quota, call.signal);
     try {
       await handler.serve(call);
+      this.#recordUse(call.head.id, team.name, cost, team.quota.perSecond);
     } catch (error) {
       if (hasNotRun(error)) grant.release();
       throw error;
     }
   }
+
+  /** Records what a request that was answered cost its team. */
+  #recordUse(request: string, team: string, cost: number, perSecond: number): void {
+    const { log, metrics } = this.#options;
+    metrics.count("team_cost", { team }, cost);
+    metrics.set("team_quota_rate", perSecond, { team });
+    log.write(logEvents.LOG_EVENTS.requestCharged, { request, team, cost, perSecond });
+  }
 }
 
 function hasNotRun(error: unknown): boolean {
--- a/src/telemetry/log-events.ts
+++ b/src/telemetry/log-events.ts
@@ -102,6 +102,7 @@
   requestTakenOver: { number: 4019, level: "info", message: "request of another VM served" },
   requestUnreadable: { number: 4020, level: "info", message: "request of a caller not readable" },
   httpRefusal: { number: 4021, level: "info", message: "refused on another HTTP port" },
+  requestCharged: { number: 4022, level: "debug", message: "request charged to its team" },
   quotaHolderUnreachable: {
     number: 4023,
     level: "warn",
--- a/test/gateway/caller-connections.test.ts
+++ b/test/gateway/caller-connections.test.ts
@@ -30,8 +30,11 @@
     async () => {
       const listener = http.createServer();
       let evicted = 0;
-      const connections = new callerConnections.CallerConnections(listener, 3, () => {
-        evicted += 1;
+      const connections = new callerConnections.CallerConnections(listener, {
+        maxConnections: 3,
+        onEvicted: () => {
+          evicted += 1;
+        },
       });
       listener.on("request", (request, response) => {
         connections.add(request, response, () => undefined);
--- a/test/gateway/paced-reader.test.ts
+++ b/test/gateway/paced-reader.test.ts
@@ -16,6 +16,8 @@
   hasEnded = false;
   exceeded = 0;
   readonly client = new net.Socket();
+  /** Tells the pacer that a request was answered. */
+  resume: () => void = () => undefined;
   readonly #server: net.Server;
 
   constructor(onChunk: (chunk: Buffer, connection: PacedConnection) => void = () => undefined) {
@@ -28,6 +30,9 @@
     });
     this.#server = net.createServer({ allowHalfOpen: true }, (socket) => {
       pacer.add(socket);
+      this.resume = () => {
+        pacer.resume(socket);
+      };
       socket.on("error", () => undefined);
       socket.on("data", (chunk: Buffer) => {
         this.chunks.push(chunk);
@@ -108,6 +113,7 @@
     earl.expect(connection.chunks.length).toEqual(most);
     earl.expect(connection.budget.usedBytes > 0).toEqual(true);
     connection.progress.openCount = 0;
+    connection.resume();
     await connection.waitFor(() => connection.chunks.length === 2 * most);
     earl.expect(connection.budget.usedBytes).toEqual(0);
   });
--- a/test/gateway/team-quotas-fixture.ts
+++ b/test/gateway/team-quotas-fixture.ts
@@ -156,10 +156,15 @@
     const from = isLowered ? LOWERED_AT_MS + CONFIGURATION_MS + WINDOW_MS : 0;
     const rule = this.#createRule(isLowered ? LOWERED_PART : 1);
     const use = quotaCheck.computeQuotaUse(rule, requests, this.#startedAt + from);
-    const usedFrom = this.#startedAt + Math.max(from, MS_PER_S);
+    // From a request that ran on, as none runs while an earlier one is made up for.
+    const usedFrom = Math.min(
+      ...requests
+        .filter(({ arrivedAt }) => arrivedAt !== undefined)
+        .map(({ sentAt }) => sentAt)
+        .filter((sentAt) => sentAt >= this.#startedAt + Math.max(from, MS_PER_S)),
+    );
     const endedAt = Math.max(...requests.map(({ sentAt }) => sentAt));
-    // A prompt that ran just before is made up for in the time that counts.
-    const used = quotaCheck.computeCost(requests, usedFrom, Infinity) + PROMPT_COST;
+    const used = quotaCheck.computeCost(requests, usedFrom, Infinity);
     return {
       ...use,
       from: Math.round(use.from - this.#startedAt),
--- a/test/teams/team-quotas.test.ts
+++ b/test/teams/team-quotas.test.ts
@@ -139,6 +139,8 @@
   async function serve(error: Error | undefined, served: object): Promise<readonly string[]> {
     const events: string[] = [];
     const handler = new quotaServing.QuotaServing({
+      log: { write: (event) => events.push(event.message) },
+      metrics: inertMetrics.createInertMetrics(),
       quotas: {
         reserve: ({ team, cost }) => {
           events.push(`take ${team} ${cost}`);
@@ -157,7 +159,9 @@
   }
 
   test.it("charges a call before it is served", async () => {
-    earl.expect(await serve(undefined, call)).toEqual(["take t 40", "serve"]);
+    earl
+      .expect(await serve(undefined, call))
+      .toEqual(["take t 40", "serve", "request charged to its team"]);
   });
 
   test.it("returns what was charged for a call that did not run, and only for one", async () => {
