Share what tests of one kind start, and use addresses of their own for crowds

The plays of endless answers and of crowds started a gateway in the same way, and two fleets on virtual time registered the same services. The crowds used addresses of the partition plays, so two runs beside each other met.

--- a/test/crowds/crowd-fixture.ts
+++ b/test/crowds/crowd-fixture.ts
@@ -2,26 +2,20 @@
 import * as events from "node:events";
 import * as fs from "node:fs/promises";
 import * as net from "node:net";
-import * as os from "node:os";
-import * as path from "node:path";
-import * as url from "node:url";
-import * as processes from "../../standins/processes.js";
 import * as crashing from "../../standins/users-platform/crashing-runner.js";
 import * as examples from "../../standins/users-platform/examples.js";
 import * as failing from "../../standins/users-platform/failing-runner.js";
 import * as store from "../../standins/users-platform/store.js";
+import * as deployed from "../gateway/deployed-gateway.js";
 import * as fixture from "../gateway/gateway-fixture.js";
 
-const GATEWAY_SCRIPT = url.fileURLToPath(new URL("../../bin/ebonyhook.js", import.meta.url));
 /** Flags of `deploy/system.toml` with less heap, so that a small crowd is enough. */
 const NODE_FLAGS = ["--max-old-space-size=48", "--max-semi-space-size=4"] as const;
-const START_TIMEOUT_MS = 20_000;
 /** Time for which a crowd stays. */
 const CROWD_MS = 8_000;
 const MEMORY_POLL_MS = 50;
 const ANSWER_ATTEMPTS = 20;
 const ANSWER_DEADLINE_MS = 5_000;
-const KB_PER_MB = 1_024;
 const HTTP_OK = 200;
 
 /** Memory and descriptors of the machine. */
@@ -88,31 +82,18 @@
   const behaviour = { failure: failing.FAILURE.none, every: 1 };
   await using runner = new failing.FailingRunner("r-1", crashing.RUNNER_ROLE.plain, behaviour, []);
   await runner.start(platform);
-  const directory = await fs.mkdtemp(path.join(os.tmpdir(), "ebonyhook-crowd-"));
-  const ip = `127.${crowd.net}.0.1`;
-  const settingsPath = path.join(directory, "settings.yaml");
   const settings = { platform: platform.address, memoryMb: MEMORY_MB, maxFds: MAX_DESCRIPTORS };
-  await fs.writeFile(settingsPath, examples.createSettingsText(ip, settings));
-  try {
-    const flags = ["gateway", "--fleet-keys", "a-key-of-the-test-fleet", "--log-level", "error"];
-    await using gateway = new processes.ManagedProcess("gateway", GATEWAY_SCRIPT, flags, {
-      environment: { EBONYHOOK_BOOT: settingsPath },
-      nodeFlags: NODE_FLAGS,
-    });
-    await waitForReady(ip);
-    return await runCrowd(crowd, ip, gateway);
-  } finally {
-    await fs.rm(directory, { recursive: true });
-  }
+  await using gateway = await deployed.DeployedGateway.start(crowd.net, settings, NODE_FLAGS);
+  return await runCrowd(crowd, gateway);
 }
 
 async function runCrowd(
   { connections, run, returns = false }: Crowd,
-  ip: string,
-  gateway: processes.ManagedProcess,
+  gateway: deployed.DeployedGateway,
 ): Promise<CrowdResult> {
+  const { ip, process: child } = gateway;
   const state = { isRunning: true, isOver: false, peakDescriptors: 0 };
-  void gateway.exited.then(() => {
+  void child.exited.then(() => {
     state.isRunning = false;
   });
   const sockets = new Set<net.Socket>();
@@ -127,11 +108,12 @@
       sockets.delete(socket);
     } while (returns && !state.isOver && state.isRunning);
   };
-  const watched = watchDescriptors(gateway.pid, state);
+  const watched = watchDescriptors(child.pid, state);
   const members = Array.from({ length: connections }, (_, index) => keepMember(index));
-  await Promise.race([sleep(CROWD_MS), gateway.exited]);
+  await Promise.race([sleep(CROWD_MS), child.exited]);
   state.isOver = true;
-  const peakMb = state.isRunning ? await readPeakMb(gateway.pid) : Infinity;
+  // The process may end at any moment.
+  const peakMb = await gateway.readStatusMb("VmHWM").catch(() => Infinity);
   for (const socket of sockets) socket.destroy();
   await Promise.all(members);
   await watched;
@@ -143,7 +125,7 @@
     answersAfterwards,
     peakMb: Math.round(peakMb),
     peakDescriptors: state.peakDescriptors,
-    output: state.isRunning ? "" : findReason(gateway.lines),
+    output: state.isRunning ? "" : findReason(child.lines),
   };
 }
 
@@ -163,12 +145,6 @@
   }
 }
 
-async function readPeakMb(pid: number): Promise<number> {
-  const text = await fs.readFile(`/proc/${pid}/status`, "utf8").catch(() => "");
-  const kb = /^VmHWM:\s+(\d+)/m.exec(text)?.[1];
-  return kb === undefined ? Infinity : Number(kb) / KB_PER_MB;
-}
-
 /** Whether an ordinary request is answered, on one of several tries, as a caller would repeat it. */
 async function isAnswered(ip: string): Promise<boolean> {
   for (let attempt = 0; attempt < ANSWER_ATTEMPTS; attempt += 1) {
@@ -183,18 +159,6 @@
   return false;
 }
 
-async function waitForReady(ip: string): Promise<void> {
-  const limitAt = performance.now() + START_TIMEOUT_MS;
-  for (;;) {
-    const isReady = await fixture.waitForReady(ip).then(
-      () => true,
-      () => false,
-    );
-    if (isReady) return;
-    if (performance.now() > limitAt) throw new Error(`gateway ${ip} is not ready`);
-  }
-}
-
 function sleep(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
--- a/test/crowds/crowds.test.ts
+++ b/test/crowds/crowds.test.ts
@@ -27,7 +27,7 @@
 
 const CROWDS: Readonly<Record<string, fixture.Crowd>> = {
   "chunked bodies in very small chunks that stop short of their end": {
-    ...{ net: 241, connections: 60, returns: true },
+    ...{ net: 171, connections: 60, returns: true },
     run: (socket, index) => {
       socket.resume();
       const text = formatChunk(1).repeat(SMALL_CHUNKS_PER_WRITE);
@@ -35,14 +35,14 @@
     },
   },
   "chunked bodies in large chunks that stop short of their end": {
-    ...{ net: 242, connections: 60, returns: true },
+    ...{ net: 172, connections: 60, returns: true },
     run: (socket, index) => {
       socket.resume();
       return sendChunks(socket, index, formatChunk(LARGE_CHUNK_BYTES), LARGE_CHUNKS);
     },
   },
   "requests sent ahead without the usual headers, whose answers are not read": {
-    ...{ net: 243, connections: 40, returns: true },
+    ...{ net: 173, connections: 40, returns: true },
     run: async (socket) => {
       socket.pause();
       const text = "GET /status/x HTTP/1.0\r\nConnection: keep-alive\r\n\r\n";
@@ -51,7 +51,7 @@
     },
   },
   "heads of many short lines before bodies that stop short of their end": {
-    ...{ net: 244, connections: 200, returns: true },
+    ...{ net: 174, connections: 200, returns: true },
     run: async (socket, index) => {
       socket.resume();
       const lines = Array.from({ length: SHORT_LINES }, (_, line) => `${line.toString(36)}: `);
@@ -59,7 +59,7 @@
     },
   },
   "heads of many short lines that stop short of their end": {
-    ...{ net: 245, connections: 200, returns: true },
+    ...{ net: 175, connections: 200, returns: true },
     run: async (socket) => {
       socket.resume();
       const lines = "a:\r\n".repeat(15_000);
@@ -67,7 +67,7 @@
     },
   },
   "very many connections, part of which leave early": {
-    ...{ net: 246, connections: 3_000, returns: true },
+    ...{ net: 176, connections: 3_000, returns: true },
     run: async (socket, index) => {
       socket.resume();
       const isLeaving = index % 3 === 0;
--- a/test/gateway/endless-answers-fixture.ts
+++ b/test/gateway/endless-answers-fixture.ts
@@ -1,21 +1,16 @@
 /** A gateway in a process of its own beside a runner that sends bytes without end, with its memory and processor time. */
 import * as fs from "node:fs/promises";
 import type * as net from "node:net";
-import * as os from "node:os";
-import * as path from "node:path";
-import * as url from "node:url";
-import * as processes from "../../standins/processes.js";
 import * as examples from "../../standins/users-platform/examples.js";
 import * as raw from "../runners/raw-runner.js";
+import * as deployed from "./deployed-gateway.js";
 import * as fixture from "./gateway-fixture.js";
 
-const GATEWAY_SCRIPT = url.fileURLToPath(new URL("../../bin/ebonyhook.js", import.meta.url));
 /** Flags of `deploy/system.toml`. */
 export const DEPLOY_FLAGS = ["--max-old-space-size=96", "--max-semi-space-size=4"] as const;
 const PLAY_MS = 8_000;
 /** Time with sound requests alone before the play, which shows what a busy test machine loses. */
 const BASELINE_MS = 2_000;
-const START_TIMEOUT_MS = 20_000;
 const DEADLINE_MS = 1_500;
 /** Time after the deadline until which a caller has an answer. */
 const ANSWER_MARGIN_MS = 1_000;
@@ -72,11 +67,6 @@
   return /request-id: (\w+)/i.exec(head)?.[1] ?? "";
 }
 
-async function readStatus(pid: number, field: string): Promise<number> {
-  const text = await fs.readFile(`/proc/${pid}/status`, "utf8");
-  return Number(new RegExp(`^${field}:\\s+(\\d+)`, "m").exec(text)?.[1] ?? 0) / 1_024;
-}
-
 async function readProcessorMs(pid: number): Promise<number> {
   const text = await fs.readFile(`/proc/${pid}/stat`, "utf8");
   const fields = text.slice(text.lastIndexOf(")") + 2).split(" ");
@@ -119,38 +109,25 @@
   };
   list("e", endless, { slots: 100, ...play.entry });
   list("s", sound, { service: "sound", slots: 100 });
-  const directory = await fs.mkdtemp(path.join(os.tmpdir(), "ebonyhook-endless-"));
-  const ip = `127.${play.net}.0.1`;
-  const { memoryMb } = play;
+  const { memoryMb, nodeFlags } = play;
   const settings = { platform: platform.address, memoryMb };
-  const settingsPath = path.join(directory, "settings.yaml");
-  await fs.writeFile(settingsPath, examples.createSettingsText(ip, settings));
-  try {
-    const flags = ["gateway", "--fleet-keys", "a-key-of-the-test-fleet", "--log-level", "error"];
-    await using gateway = new processes.ManagedProcess("gateway", GATEWAY_SCRIPT, flags, {
-      environment: { EBONYHOOK_BOOT: settingsPath },
-      nodeFlags: play.nodeFlags,
-    });
-    await waitForReady(ip);
-    return await runPlay(play, ip, gateway);
-  } finally {
-    await fs.rm(directory, { recursive: true });
-  }
+  await using gateway = await deployed.DeployedGateway.start(play.net, settings, nodeFlags);
+  return await runPlay(play, gateway);
 }
 
 async function runPlay(
   play: EndlessPlay,
-  ip: string,
-  gateway: processes.ManagedProcess,
+  gateway: deployed.DeployedGateway,
 ): Promise<EndlessResult> {
+  const { ip, process: child } = gateway;
   const state = { isRunning: true };
-  void gateway.exited.then(() => {
+  void child.exited.then(() => {
     state.isRunning = false;
   });
   const baseline = await runSound(ip, "b", BASELINE_MS);
   const baselineLostShare = baseline.soundLost / baseline.sound;
-  const startMb = await readStatus(gateway.pid, "VmRSS");
-  const usedMs = await readProcessorMs(gateway.pid);
+  const startMb = await gateway.readStatusMb("VmRSS");
+  const usedMs = await readProcessorMs(child.pid);
   const startedAt = performance.now();
   const counts = { calls: 0, late: 0 };
   const isOver = (): boolean => performance.now() - startedAt > PLAY_MS;
@@ -164,8 +141,8 @@
   const callers = Array.from({ length: play.callers }, (_, caller) => runCaller(caller));
   const [served] = await Promise.all([runSound(ip, "s", PLAY_MS), ...callers]);
   const playedMs = performance.now() - startedAt;
-  const processorMs = state.isRunning ? (await readProcessorMs(gateway.pid)) - usedMs : 0;
-  const peakMb = state.isRunning ? await readStatus(gateway.pid, "VmHWM") : Infinity;
+  const processorMs = state.isRunning ? (await readProcessorMs(child.pid)) - usedMs : 0;
+  const peakMb = state.isRunning ? await gateway.readStatusMb("VmHWM") : Infinity;
   const processorShare = processorMs / playedMs;
   return { ...state, startMb, peakMb, processorShare, ...counts, ...served, baselineLostShare };
 }
@@ -187,17 +164,3 @@
   const inTime = await Promise.all(sent);
   return { sound: sent.length, soundLost: inTime.filter((isInTime) => !isInTime).length };
 }
-
-/** @throws Error when the gateway's process is not ready within `START_TIMEOUT_MS`. */
-async function waitForReady(ip: string): Promise<void> {
-  const limitAt = performance.now() + START_TIMEOUT_MS;
-  for (;;) {
-    const isReady = await fixture.waitForReady(ip).then(
-      () => true,
-      () => false,
-    );
-    if (isReady) return;
-    if (performance.now() > limitAt)
-      throw new Error(`gateway ${ip} is not ready after ${START_TIMEOUT_MS} ms`);
-  }
-}
--- a/test/runners/limit-fleet.test.ts
+++ b/test/runners/limit-fleet.test.ts
@@ -1,53 +1,37 @@
 import * as test from "node:test";
 import * as earl from "earl";
-import * as dutyHolders from "../../src/membership/duty-holders.js";
-import * as fleetSize from "../../src/membership/fleet-size.js";
+import type * as container from "../../src/kernel/container.js";
 import * as runnerLimits from "../../src/runners/runner-limits.js";
 import type * as runners from "../../src/runners/types.js";
 import * as limitCheck from "../../standins/runner-limit-check.js";
-import * as fleets from "../membership/fleet.js";
+import * as fleets from "../membership/sharing-fleet.js";
 
 const VMS = Array.from({ length: 12 }, (_, index) => `vm-${index}`);
-const SEEDS = VMS.slice(0, 3);
 const RUNNER = { id: "r1", bornAt: 1 } as runners.Runner;
 const PER_SECOND = 10;
 const STEP_MS = 50;
 const { signal } = new AbortController();
 
+function createRunnerLimits(kernel: container.Kernel): runnerLimits.RunnerLimits {
+  return new runnerLimits.RunnerLimits({
+    clock: kernel.use("clock"),
+    log: kernel.use("log"),
+    metrics: kernel.use("metrics"),
+    network: kernel.use("network"),
+    membership: kernel.use("membership"),
+    fleetSize: kernel.use("fleetSize"),
+    holders: kernel.use("dutyHolders"),
+  });
+}
+
 /** A fleet whose VMs all know the limit of one runner, and the sends that it granted. */
-class LimitFleet extends fleets.TestFleet {
+class LimitFleet extends fleets.SharingFleet {
   readonly arrivals: limitCheck.LimitedArrival[] = [];
 
   constructor() {
-    super();
-    this.registerExtraServices = (kernel) => {
-      kernel.register(
-        "dutyHolders",
-        (services) => new dutyHolders.DutyHolders(services.use("membership")),
-      );
-      kernel.register(
-        "fleetSize",
-        (services) =>
-          new fleetSize.FleetSize({
-            clock: services.use("clock"),
-            membership: services.use("membership"),
-            listSeeds: () => SEEDS.map((name) => this.getPeerAddress(name)),
-          }),
-      );
-      kernel.register(
-        "runnerLimits",
-        (services) =>
-          new runnerLimits.RunnerLimits({
-            clock: services.use("clock"),
-            log: services.use("log"),
-            metrics: services.use("metrics"),
-            network: services.use("network"),
-            membership: services.use("membership"),
-            fleetSize: services.use("fleetSize"),
-            holders: services.use("dutyHolders"),
-          }),
-      );
-    };
+    super(1, (kernel) => {
+      kernel.register("runnerLimits", createRunnerLimits);
+    });
     this.startExtraServices = (kernel) => {
       const limit = { kind: "named", perSecond: PER_SECOND } as const;
       kernel.use("runnerLimits").recordAnswer(RUNNER, limit, this.clock.now());
--- a/test/teams/quota-fleet.ts
+++ b/test/teams/quota-fleet.ts
@@ -1,11 +1,9 @@
 /** A fleet on virtual time whose VMs are all asked for more than the quota of a team. */
 import * as quotaCheck from "../../standins/team-quota-check.js";
-import * as container from "../../src/kernel/container.js";
-import * as dutyHolders from "../../src/membership/duty-holders.js";
 import * as fleetSize from "../../src/membership/fleet-size.js";
 import * as quotaServices from "../../src/teams/quota-services.js";
 import * as quotaLedger from "../../src/teams/quota-ledger.js";
-import * as fleets from "../membership/fleet.js";
+import * as fleets from "../membership/sharing-fleet.js";
 
 export const TEAM = "press";
 /** Smallest quota of the deployments, in tokens per second, and the bounds that hold there. */
@@ -17,18 +15,17 @@
 const PLAIN_COST = 200;
 /** One request in this many is a prompt. */
 const PROMPT_EVERY = 8;
-const SEEDS = ["vm-0", "vm-1", "vm-2"];
 
 /** A fleet that keeps the quota of one team, and what it granted. */
-export class QuotaFleet extends fleets.TestFleet {
+export class QuotaFleet extends fleets.SharingFleet {
   readonly requests: quotaCheck.QuotaRequest[] = [];
   #asked = 0;
 
   constructor(seed: number) {
-    super(seed);
-    this.registerExtraServices = (kernel) => {
-      this.#register(kernel);
-    };
+    super(seed, (kernel) => {
+      kernel.register("routing", () => ({ current: undefined }) as never);
+      quotaServices.registerQuotas(kernel);
+    });
     this.startExtraServices = (kernel) => {
       kernel.use("teamQuotas");
       return Promise.resolve();
@@ -95,24 +92,6 @@
     const arrivedAt = this.clock.now();
     if (isGranted) this.requests.push({ team: TEAM, cost, sentAt, arrivedAt });
   }
-
-  #register(kernel: container.Kernel): void {
-    kernel.register(
-      "dutyHolders",
-      (services) => new dutyHolders.DutyHolders(services.use("membership")),
-    );
-    kernel.register(
-      "fleetSize",
-      (services) =>
-        new fleetSize.FleetSize({
-          clock: services.use("clock"),
-          membership: services.use("membership"),
-          listSeeds: () => SEEDS.map((name) => this.getPeerAddress(name)),
-        }),
-    );
-    kernel.register("routing", () => ({ current: undefined }) as never);
-    quotaServices.registerQuotas(kernel);
-  }
 }
 
 /** Starts a fleet and waits until its VMs know each other. */
